--- /dev/null
+++ b/internal/platform/platformtest/store.go
@@ -0,0 +1,177 @@
+// Package platformtest provides in-memory fakes of the platform with fault
+// switches, for tests.
+package platformtest
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"monsoonkeel.example/monsoonkeel/internal/platform"
+)
+
+// Store is an in-memory platform.ObjectStore.
+type Store struct {
+	mu      sync.Mutex
+	objects map[string]platform.Object
+	next    platform.Version
+	changed chan struct{}
+	faults  Faults
+	writes  int
+	reads   int
+}
+
+// Faults are the failures a Store produces while they are set.
+type Faults struct {
+	// Down refuses every call.
+	Down bool
+	// LoseWriteAnswers is the number of next writes that take effect and
+	// return ErrUnknown.
+	LoseWriteAnswers int
+	// DropWrites is the number of next writes that do not take effect and
+	// return ErrUnknown.
+	DropWrites int
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{objects: map[string]platform.Object{}, changed: make(chan struct{})}
+}
+
+// SetFaults replaces the active faults.
+func (s *Store) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Counts returns the number of writes and reads so far, refused ones included.
+func (s *Store) Counts() (writes, reads int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.writes, s.reads
+}
+
+// Get implements platform.ObjectStore.
+func (s *Store) Get(ctx context.Context, key string) (platform.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	return s.get(ctx, key)
+}
+
+func (s *Store) get(ctx context.Context, key string) (platform.Object, error) {
+	if err := ctx.Err(); err != nil {
+		return platform.Object{}, err
+	}
+	if s.faults.Down {
+		return platform.Object{}, platform.ErrRefused
+	}
+	o, ok := s.objects[key]
+	if !ok {
+		return platform.Object{}, platform.ErrNotFound
+	}
+	o.Value = append([]byte(nil), o.Value...)
+	return o, nil
+}
+
+// Put implements platform.ObjectStore.
+func (s *Store) Put(ctx context.Context, key string, expected platform.Version, value []byte) (platform.Version, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writes++
+	if err := s.admitWrite(ctx, key, expected); err != nil {
+		return 0, err
+	}
+	if s.faults.DropWrites > 0 {
+		s.faults.DropWrites--
+		return 0, platform.ErrUnknown
+	}
+	s.next++
+	s.objects[key] = platform.Object{Key: key, Version: s.next, Value: append([]byte(nil), value...)}
+	s.notify()
+	if s.faults.LoseWriteAnswers > 0 {
+		s.faults.LoseWriteAnswers--
+		return 0, platform.ErrUnknown
+	}
+	return s.next, nil
+}
+
+// Delete implements platform.ObjectStore.
+func (s *Store) Delete(ctx context.Context, key string, expected platform.Version) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writes++
+	if err := s.admitWrite(ctx, key, expected); err != nil {
+		return err
+	}
+	delete(s.objects, key)
+	s.notify()
+	return nil
+}
+
+func (s *Store) admitWrite(ctx context.Context, key string, expected platform.Version) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	if s.faults.Down {
+		return platform.ErrRefused
+	}
+	if s.objects[key].Version != expected {
+		return platform.ErrConflict
+	}
+	return nil
+}
+
+func (s *Store) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// List implements platform.ObjectStore.
+func (s *Store) List(ctx context.Context, prefix string) ([]platform.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	if s.faults.Down {
+		return nil, platform.ErrRefused
+	}
+	var out []platform.Object
+	for key, o := range s.objects {
+		if strings.HasPrefix(key, prefix) {
+			out = append(out, platform.Object{Key: key, Version: o.Version})
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
+	return out, ctx.Err()
+}
+
+// Watch implements platform.ObjectStore.
+func (s *Store) Watch(ctx context.Context, key string, after platform.Version, wait time.Duration) (platform.Object, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		s.reads++
+		o, err := s.get(ctx, key)
+		changed := s.changed
+		s.mu.Unlock()
+		if err == nil && o.Version > after {
+			return o, nil
+		}
+		if err != nil && err != platform.ErrNotFound {
+			return platform.Object{}, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return platform.Object{}, platform.ErrUnchanged
+		case <-ctx.Done():
+			return platform.Object{}, ctx.Err()
+		}
+	}
+}
+
+var _ platform.ObjectStore = (*Store)(nil)
