--- /dev/null
+++ b/internal/connection/upstream.go
@@ -0,0 +1,217 @@
+package connection
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"monsoonkeel.example/monsoonkeel/core/verdict"
+)
+
+const (
+	// dialTimeout bounds connection setup: one regional round trip takes 60 ms.
+	dialTimeout = 1 * time.Second
+	// maxIdlePerAddress bounds the idle connections kept per backend server.
+	maxIdlePerAddress = 64
+	// maxIdleAge is below the usual keep-alive timeout of servers, so that few
+	// reused connections turn out to be closed.
+	maxIdleAge = 20 * time.Second
+	// readBufferBytes holds several SSE events.
+	readBufferBytes = 16 << 10
+)
+
+// Pool keeps idle connections to backend servers. It never repeats a request:
+// the caller decides from the verdict.
+type Pool struct {
+	mu   sync.Mutex
+	idle map[string][]*upstreamConn
+}
+
+// NewPool returns an empty pool.
+func NewPool() *Pool {
+	return &Pool{idle: map[string][]*upstreamConn{}}
+}
+
+type upstreamConn struct {
+	net.Conn
+	reader  *bufio.Reader
+	address string
+	written atomic.Int64
+	idledAt time.Time
+}
+
+// Write counts the bytes handed to the kernel: once one has left, the request
+// may have run.
+func (c *upstreamConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.written.Add(int64(n))
+	return n, err
+}
+
+// Exchange is one request and its answer on one connection.
+type Exchange struct {
+	Response *fasthttp.Response
+	conn     *upstreamConn
+	pool     *Pool
+	stop     func() bool
+	// Reused says that the connection carried an earlier request, so that a
+	// failure may only mean that the server had closed it.
+	Reused bool
+}
+
+// Body streams the answer's body.
+func (e *Exchange) Body() io.Reader { return e.Response.BodyStream() }
+
+// SetReadDeadline bounds the next read of the body. Zero removes the bound.
+func (e *Exchange) SetReadDeadline(t time.Time) { _ = e.conn.SetReadDeadline(t) }
+
+// Finish ends the exchange. The connection is reused only if complete is true,
+// which promises that the body was read to its end and matched the request.
+func (e *Exchange) Finish(complete bool) {
+	if e.conn == nil {
+		return
+	}
+	conn := e.conn
+	e.conn = nil
+	notCancelled := e.stop()
+	keep := complete && notCancelled && !e.Response.ConnectionClose()
+	if !keep {
+		// Closed first, so that closing the body stream does not wait for
+		// the rest of an unfinished answer.
+		_ = conn.Close()
+	}
+	_ = e.Response.CloseBodyStream()
+	fasthttp.ReleaseResponse(e.Response)
+	if keep {
+		_ = conn.SetDeadline(time.Time{})
+		e.pool.put(conn)
+	}
+}
+
+// Options select how a request is sent.
+type Options struct {
+	// Fresh forbids a reused connection; the peer can close one unnoticed,
+	// which leaves the verdict of a non-idempotent request unknown.
+	Fresh bool
+}
+
+// Do sends req to address and reads the head of the answer. A failure is a
+// verdict error: NotRun if no byte of the request left this process. The
+// exchange ends when ctx ends.
+func (p *Pool) Do(ctx context.Context, address string, req *fasthttp.Request, opts Options) (*Exchange, error) {
+	conn, reused, err := p.get(ctx, address, opts)
+	if err != nil {
+		return nil, verdict.Wrap(err, verdict.NotRun, 502, "connect_failed", "cannot connect to the backend server")
+	}
+	conn.written.Store(0)
+	e := &Exchange{conn: conn, pool: p, Reused: reused, Response: fasthttp.AcquireResponse()}
+	e.stop = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	if err := e.roundTrip(req); err != nil {
+		v := verdict.MayHaveRun
+		if conn.written.Load() == 0 {
+			v = verdict.NotRun
+		}
+		e.Finish(false)
+		return nil, verdict.Wrap(err, v, 502, "backend_failed", "the backend server did not answer")
+	}
+	return e, nil
+}
+
+func (e *Exchange) roundTrip(req *fasthttp.Request) error {
+	w := bufio.NewWriter(e.conn)
+	if err := req.Write(w); err != nil {
+		return err
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	e.Response.StreamBody = true
+	if req.Header.IsHead() {
+		e.Response.SkipBody = true
+	}
+	return e.Response.ReadLimitBody(e.conn.reader, 0)
+}
+
+func (p *Pool) get(ctx context.Context, address string, opts Options) (*upstreamConn, bool, error) {
+	if !opts.Fresh {
+		if c := p.takeIdle(address); c != nil {
+			return c, true, nil
+		}
+	}
+	d := net.Dialer{Timeout: dialTimeout}
+	c, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, false, err
+	}
+	conn := &upstreamConn{Conn: c, address: address}
+	conn.reader = bufio.NewReaderSize(c, readBufferBytes)
+	return conn, false, nil
+}
+
+func (p *Pool) takeIdle(address string) *upstreamConn {
+	for {
+		c := p.popIdle(address)
+		if c == nil {
+			return nil
+		}
+		// Unread bytes on an idle connection belong to an earlier answer.
+		stale := c.reader.Buffered() > 0 || time.Since(c.idledAt) > maxIdleAge || readable(c.Conn)
+		if !stale {
+			return c
+		}
+		_ = c.Close()
+	}
+}
+
+func (p *Pool) popIdle(address string) *upstreamConn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	idle := p.idle[address]
+	if len(idle) == 0 {
+		return nil
+	}
+	c := idle[len(idle)-1]
+	p.idle[address] = idle[:len(idle)-1]
+	return c
+}
+
+func (p *Pool) put(c *upstreamConn) {
+	c.idledAt = time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[c.address]) >= maxIdlePerAddress {
+		_ = c.Close()
+		return
+	}
+	p.idle[c.address] = append(p.idle[c.address], c)
+}
+
+// Forget closes the idle connections to an address that is no longer used.
+func (p *Pool) Forget(address string) {
+	p.mu.Lock()
+	idle := p.idle[address]
+	delete(p.idle, address)
+	p.mu.Unlock()
+	for _, c := range idle {
+		_ = c.Close()
+	}
+}
+
+// Close closes all idle connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	all := p.idle
+	p.idle = map[string][]*upstreamConn{}
+	p.mu.Unlock()
+	for _, idle := range all {
+		for _, c := range idle {
+			_ = c.Close()
+		}
+	}
+}
--- /dev/null
+++ b/internal/process/settings/settings.go
@@ -0,0 +1,225 @@
+// Package settings reads and checks the daemon's settings from flags and
+// environment variables.
+package settings
+
+import (
+	"bytes"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"net"
+	"net/url"
+	"os"
+	"regexp"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/rs/zerolog"
+)
+
+// Environment variables that hold secrets; there are no flags for them, since
+// command lines can be read by other users of a host.
+const (
+	EnvOperatorToken = "MONSOONKEEL_OPERATOR_TOKEN"
+	EnvGenerationKey = "MONSOONKEEL_GENERATION_KEY"
+)
+
+const (
+	// minSecretBytes is the shortest accepted secret.
+	minSecretBytes = 16
+	// maxBodyLimit bounds --max-body.
+	maxBodyLimit = 256 << 20
+)
+
+// Settings are the daemon's checked settings.
+type Settings struct {
+	HostID, Region, Domain string
+	Listen, AdminListen    string
+	PeerListen             string
+	ObjectAPI              string
+	HostList               string
+	Cell, Cells            int
+	MaxBodyBytes           int
+	DrainDelay             time.Duration
+	DrainTimeout           time.Duration
+	LogLevel               string
+	operatorTokenFile      string
+	generationKeyFile      string
+	tlsCert, tlsKey        string
+	peerCert, peerKey      string
+	peerCA                 string
+	OperatorToken          []byte
+	GenerationKey          []byte
+	CallerTLS, PeerTLS     *tls.Config
+}
+
+// Register adds the flags to app. The result is filled when app parses.
+func Register(app *kingpin.Application) *Settings {
+	s := &Settings{}
+	app.DefaultEnvars()
+	app.Flag("host-id", "Unique id of this host in the host list.").Required().StringVar(&s.HostID)
+	app.Flag("region", "Region of this host.").Required().StringVar(&s.Region)
+	app.Flag("domain", "Failure domain of this host.").Required().StringVar(&s.Domain)
+	app.Flag("listen", "Address for callers, ip:port.").Default("127.0.0.1:8080").StringVar(&s.Listen)
+	app.Flag("admin-listen", "Address for operators, metrics and probes, ip:port.").Default("127.0.0.1:8081").StringVar(&s.AdminListen)
+	app.Flag("peer-listen", "Address for other daemons, ip:port.").Default("127.0.0.1:8082").StringVar(&s.PeerListen)
+	app.Flag("object-api", "Base URL of the platform's object API.").Required().StringVar(&s.ObjectAPI)
+	app.Flag("host-list", "Base URL of the platform's host list.").Required().StringVar(&s.HostList)
+	app.Flag("cell", "Cell of this host, from 0.").Default("0").IntVar(&s.Cell)
+	app.Flag("cells", "Number of cells of the deployment.").Default("1").IntVar(&s.Cells)
+	app.Flag("max-body", "Largest request body, in bytes.").Default("8388608").IntVar(&s.MaxBodyBytes)
+	app.Flag("drain-delay", "Time between failing readiness and closing the listeners.").Default("3s").DurationVar(&s.DrainDelay)
+	app.Flag("drain-timeout", "Longest wait for running requests at shutdown; 0 waits without limit.").Default("0s").DurationVar(&s.DrainTimeout)
+	app.Flag("log-level", "debug, info, warn or error.").Default("info").StringVar(&s.LogLevel)
+	app.Flag("operator-token-file", "File with the operators' bearer token (or "+EnvOperatorToken+").").StringVar(&s.operatorTokenFile)
+	app.Flag("generation-key-file", "File with the key that signs event ids, the same on all hosts (or "+EnvGenerationKey+").").StringVar(&s.generationKeyFile)
+	app.Flag("tls-cert", "PEM certificate for callers and operators.").StringVar(&s.tlsCert)
+	app.Flag("tls-key", "PEM key of --tls-cert.").StringVar(&s.tlsKey)
+	app.Flag("peer-cert", "PEM certificate of this host towards other daemons.").StringVar(&s.peerCert)
+	app.Flag("peer-key", "PEM key of --peer-cert.").StringVar(&s.peerKey)
+	app.Flag("peer-ca", "PEM certificates that sign the daemons' certificates.").StringVar(&s.peerCA)
+	return s
+}
+
+var namePattern = regexp.MustCompile(`^[a-zA-Z0-9][a-zA-Z0-9._-]{0,62}$`)
+
+// Load checks the parsed settings and reads the files they name. It returns
+// every error found, joined.
+func (s *Settings) Load(getenv func(string) string) error {
+	return errors.Join(
+		checkName("--host-id", s.HostID),
+		checkName("--region", s.Region),
+		checkName("--domain", s.Domain),
+		checkAddress("--listen", s.Listen),
+		checkAddress("--admin-listen", s.AdminListen),
+		checkAddress("--peer-listen", s.PeerListen),
+		checkURL("--object-api", s.ObjectAPI),
+		checkURL("--host-list", s.HostList),
+		s.checkNumbers(),
+		s.checkLogLevel(),
+		s.loadSecrets(getenv),
+		s.loadCallerTLS(),
+		s.loadPeerTLS(),
+	)
+}
+
+func checkName(flag, v string) error {
+	if !namePattern.MatchString(v) {
+		return fmt.Errorf("%s: %q is not a name of 1 to 63 letters, digits, dots, dashes or underscores", flag, v)
+	}
+	return nil
+}
+
+func checkAddress(flag, v string) error {
+	host, _, err := net.SplitHostPort(v)
+	if err != nil {
+		return fmt.Errorf("%s: %w", flag, err)
+	}
+	if net.ParseIP(host) == nil {
+		return fmt.Errorf("%s: %q is not an IP address", flag, host)
+	}
+	return nil
+}
+
+func checkURL(flag, v string) error {
+	u, err := url.Parse(v)
+	if err != nil {
+		return fmt.Errorf("%s: %w", flag, err)
+	}
+	if u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
+		return fmt.Errorf("%s: %q is not an http or https URL", flag, v)
+	}
+	return nil
+}
+
+func (s *Settings) checkNumbers() error {
+	var errs []error
+	if s.Cells < 1 || s.Cell < 0 || s.Cell >= s.Cells {
+		errs = append(errs, fmt.Errorf("--cell: %d is not between 0 and --cells (%d) minus 1", s.Cell, s.Cells))
+	}
+	if s.MaxBodyBytes < 1 || s.MaxBodyBytes > maxBodyLimit {
+		errs = append(errs, fmt.Errorf("--max-body: %d is not between 1 and %d", s.MaxBodyBytes, maxBodyLimit))
+	}
+	if s.DrainDelay < 0 || s.DrainTimeout < 0 {
+		errs = append(errs, errors.New("--drain-delay and --drain-timeout must not be negative"))
+	}
+	return errors.Join(errs...)
+}
+
+func (s *Settings) checkLogLevel() error {
+	switch s.LogLevel {
+	case "debug", "info", "warn", "error":
+		return nil
+	}
+	return fmt.Errorf("--log-level: %q is not debug, info, warn or error", s.LogLevel)
+}
+
+// Level returns the log level.
+func (s *Settings) Level() zerolog.Level {
+	l, err := zerolog.ParseLevel(s.LogLevel)
+	if err != nil {
+		return zerolog.InfoLevel
+	}
+	return l
+}
+
+func (s *Settings) loadSecrets(getenv func(string) string) error {
+	var tokenErr, keyErr error
+	s.OperatorToken, tokenErr = secret("--operator-token-file", s.operatorTokenFile, EnvOperatorToken, getenv)
+	s.GenerationKey, keyErr = secret("--generation-key-file", s.generationKeyFile, EnvGenerationKey, getenv)
+	return errors.Join(tokenErr, keyErr)
+}
+
+func secret(flag, file, env string, getenv func(string) string) ([]byte, error) {
+	value := []byte(getenv(env))
+	if file != "" {
+		b, err := os.ReadFile(file)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", flag, err)
+		}
+		value = bytes.TrimSpace(b)
+	}
+	if len(value) < minSecretBytes {
+		return nil, fmt.Errorf("%s or %s: a secret of at least %d bytes is required", flag, env, minSecretBytes)
+	}
+	return value, nil
+}
+
+func (s *Settings) loadCallerTLS() error {
+	if s.tlsCert == "" && s.tlsKey == "" {
+		return nil
+	}
+	cert, err := tls.LoadX509KeyPair(s.tlsCert, s.tlsKey)
+	if err != nil {
+		return fmt.Errorf("--tls-cert and --tls-key: %w", err)
+	}
+	s.CallerTLS = &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS12}
+	return nil
+}
+
+func (s *Settings) loadPeerTLS() error {
+	if s.peerCert == "" && s.peerKey == "" && s.peerCA == "" {
+		return nil
+	}
+	cert, err := tls.LoadX509KeyPair(s.peerCert, s.peerKey)
+	if err != nil {
+		return fmt.Errorf("--peer-cert and --peer-key: %w", err)
+	}
+	pem, err := os.ReadFile(s.peerCA)
+	if err != nil {
+		return fmt.Errorf("--peer-ca: %w", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return errors.New("--peer-ca: no certificate found")
+	}
+	s.PeerTLS = &tls.Config{
+		Certificates: []tls.Certificate{cert},
+		RootCAs:      pool,
+		ClientCAs:    pool,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		MinVersion:   tls.VersionTLS13,
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/request/gateway.go
@@ -0,0 +1,136 @@
+package request
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+
+	"monsoonkeel.example/monsoonkeel/internal/connection"
+	"monsoonkeel.example/monsoonkeel/internal/request/gentoken"
+	"monsoonkeel.example/monsoonkeel/internal/version"
+)
+
+// Header names towards callers.
+const (
+	headerClass          = "Monsoonkeel-Class"
+	headerTimeout        = "Monsoonkeel-Timeout-Ms"
+	headerIdempotencyKey = "Idempotency-Key"
+	headerLastEventID    = "Last-Event-ID"
+	headerRequestID      = "X-Request-Id"
+)
+
+// Header names towards backend servers.
+const (
+	headerGenerationID = "X-Generation-Id"
+	headerIncarnation  = "X-Incarnation"
+	headerPriority     = "X-Priority"
+	headerDeadline     = "X-Deadline-Ms"
+	headerFencing      = "X-Fencing-Number"
+)
+
+// RetryBudget bounds retries to a share of the first tries.
+type RetryBudget interface {
+	// First counts a first try.
+	First(now time.Time)
+	// Retry takes a retry from the budget and reports whether there was one.
+	Retry(now time.Time) bool
+}
+
+// ColdReporter is told about backend servers that show signs of a cold start.
+type ColdReporter interface {
+	// Refused is called when a backend server refused a connection.
+	Refused(backend, incarnation string)
+	// Incarnation is called when an answer names another incarnation than expected.
+	Incarnation(backend, expected, seen string)
+}
+
+// Recorder receives the outcome of each request.
+type Recorder interface {
+	Record(Outcome)
+}
+
+// Outcome is what is known about a request when it has ended.
+type Outcome struct {
+	RequestID, Team, Class, Service, Backend string
+	Status                                   int
+	// Code is the reason of a failure, empty on success.
+	Code string
+	// Verdict is the wire form of the verdict.
+	Verdict string
+	// Queued is the time without a backend server.
+	Queued time.Duration
+	// FirstToken is the time to the first token or byte; zero if there was none.
+	FirstToken time.Duration
+	// WorstGap is the longest time between tokens.
+	WorstGap time.Duration
+	// Tokens is the number of relayed tokens and LateGaps the number of gaps
+	// over the class's target.
+	Tokens, LateGaps int
+	Tries            int
+	Total            time.Duration
+	Cancelled        bool
+}
+
+// Gateway serves callers.
+type Gateway struct {
+	// Snapshot returns the current routing snapshot with one atomic load.
+	Snapshot func() *version.Snapshot
+	// Fresh returns a verdict error when this host cannot know whether its
+	// configuration is current and so must not place new work.
+	Fresh    func(now time.Time) error
+	Pool     *connection.Pool
+	Watcher  *connection.Watcher
+	Tokens   *gentoken.Codec
+	Orders   Orders
+	Retries  RetryBudget
+	Cold     ColdReporter
+	Recorder Recorder
+	Log      zerolog.Logger
+	Now      func() time.Time
+	NewID    func() string
+	// Region is the region of this host.
+	Region string
+	// Draining says that the host is about to stop.
+	Draining func() bool
+
+	capacity notifier
+	// background counts cancellations that outlive their request.
+	background sync.WaitGroup
+	seed       seedCounter
+}
+
+// Handler routes a caller's request.
+func (g *Gateway) Handler(ctx *fasthttp.RequestCtx) {
+	c := g.newCall(ctx)
+	if g.Draining() {
+		// The connection must move to another host before this one stops.
+		ctx.Response.Header.SetConnectionClose()
+	}
+	err := g.route(c)
+	if err != nil {
+		c.writeProblem(err)
+	}
+	if !c.streaming {
+		c.end()
+	}
+}
+
+// CapacityChanged wakes requests that wait for a backend server.
+func (g *Gateway) CapacityChanged() { g.capacity.notify() }
+
+// WaitBackground waits until cancellations that outlive their requests are
+// sent, or ctx ends.
+func (g *Gateway) WaitBackground(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		g.background.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/request/generation.go
@@ -0,0 +1,396 @@
+package request
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"monsoonkeel.example/monsoonkeel/core/verdict"
+	"monsoonkeel.example/monsoonkeel/internal/connection"
+	"monsoonkeel.example/monsoonkeel/internal/platform"
+	"monsoonkeel.example/monsoonkeel/internal/request/gentoken"
+	"monsoonkeel.example/monsoonkeel/internal/request/sse"
+)
+
+const (
+	// stallTimeout is how long an engine's stream may be silent before the
+	// host asks for it again on a new connection.
+	stallTimeout = 5 * time.Second
+	// maxResumes bounds the attempts to resume without a new token.
+	maxResumes = 3
+	// resumeBackoff is the pause before a repeated attempt to resume.
+	resumeBackoff = 100 * time.Millisecond
+	// controlTimeout bounds cancel calls to engines.
+	controlTimeout = 2 * time.Second
+)
+
+// errProtocol means that an engine's event does not belong to the generation
+// or does not continue it.
+var errProtocol = errors.New("the engine sent an event of another generation or offset")
+
+// errGenerationLost means that the engine no longer has the generation.
+var errGenerationLost = errors.New("the engine no longer has the generation")
+
+// generation is a generation at an engine, as one call sees it.
+type generation struct {
+	c        *call
+	path     string
+	body     []byte
+	streamed bool
+
+	id    string
+	token string
+	host  platform.Host
+	place *placement
+	ex    *connection.Exchange
+	// events reads ex's body.
+	events *sse.Reader
+	// offset is the number of tokens accepted so far.
+	offset int
+	// finished says that a finish reason was seen.
+	finished bool
+	// delivered says that a part of the answer was handed to the caller, so
+	// that no other generation may continue it.
+	delivered bool
+	// resumed says that the caller asked for an existing generation.
+	resumed bool
+	// runs counts generations started for this call.
+	runs  int
+	tried []string
+}
+
+func newGeneration(c *call, path string, body []byte, stream bool) *generation {
+	return &generation{c: c, path: path, body: body, streamed: stream}
+}
+
+// start places the request and sends it, trying other backend servers within
+// the retry budget while nothing was delivered.
+func (gen *generation) start() error {
+	gen.c.g.Retries.First(gen.c.g.Now())
+	return gen.startAnew()
+}
+
+func (gen *generation) startAnew() error {
+	for {
+		err := gen.attempt()
+		var rejected *rejection
+		if err == nil || errors.As(err, &rejected) || gen.place == nil {
+			return err
+		}
+		gen.abandon()
+		if !gen.c.mayRetry(gen.runs) {
+			return err
+		}
+	}
+}
+
+// attempt sends the request to one backend server under a new generation id.
+func (gen *generation) attempt() error {
+	p, err := gen.c.place(gen.tried)
+	if err != nil {
+		gen.place = nil
+		return err
+	}
+	gen.place, gen.host = p, p.Host
+	gen.runs++
+	gen.offset, gen.finished = 0, false
+	gen.id = gen.c.g.NewID()
+	gen.token = gen.c.g.Tokens.Encode(gen.c.team.Name, gentoken.Generation{
+		Service: gen.c.service.Name, Backend: gen.host.ID, Incarnation: gen.host.Incarnation, ID: gen.id, Class: gen.c.class.Name,
+	})
+	gen.c.out.Backend = gen.host.ID
+	gen.c.out.Tries = gen.runs
+	return gen.send()
+}
+
+func (gen *generation) send() error {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	gen.c.requestTo(req, gen.host.Address)
+	req.Header.SetMethod("POST")
+	req.SetRequestURI(gen.path)
+	req.Header.SetContentType("application/json")
+	req.Header.Set(headerGenerationID, gen.id)
+	req.Header.Set(headerPriority, strconv.Itoa(gen.c.class.Priority))
+	req.SetBodyRaw(gen.body)
+	ex, err := gen.c.g.Pool.Do(gen.c.ctx, gen.host.Address, req, connection.Options{})
+	if err != nil {
+		return gen.sendFailed(err)
+	}
+	gen.c.attempted = true
+	return gen.accept(ex)
+}
+
+func (gen *generation) sendFailed(err error) error {
+	if verdict.Of(err) == verdict.NotRun {
+		gen.c.g.Cold.Refused(gen.host.ID, gen.host.Incarnation)
+	} else {
+		gen.c.attempted = true
+	}
+	if gen.c.ctx.Err() != nil {
+		return gen.c.interrupted()
+	}
+	return err
+}
+
+// accept checks the head of the engine's answer and takes over the exchange.
+func (gen *generation) accept(ex *connection.Exchange) error {
+	status := ex.Response.StatusCode()
+	if status >= 400 && status < 500 && status != 408 && status != 409 && status != 429 {
+		return newRejection(ex)
+	}
+	if status != 200 {
+		ex.Finish(false)
+		return gen.c.failure(502, "backend_refused", "the backend server answered %d", status)
+	}
+	if err := gen.checkIdentity(ex); err != nil {
+		ex.Finish(false)
+		return verdict.Wrap(err, verdict.MayHaveRun, 502, "backend_protocol", "the answer does not belong to the request")
+	}
+	gen.ex, gen.events = ex, sse.NewReader(ex.Body())
+	return nil
+}
+
+func (gen *generation) checkIdentity(ex *connection.Exchange) error {
+	h := &ex.Response.Header
+	if id := h.Peek(headerGenerationID); len(id) > 0 && string(id) != gen.id {
+		return errProtocol
+	}
+	if seen := string(h.Peek(headerIncarnation)); seen != "" && seen != gen.host.Incarnation {
+		gen.c.g.Cold.Incarnation(gen.host.ID, gen.host.Incarnation, seen)
+		if gen.resumed {
+			return errGenerationLost
+		}
+	}
+	return nil
+}
+
+// next returns the next event of the generation. It resumes at the engine
+// after a broken connection and starts anew if the engine lost the generation
+// before anything was delivered. done is true for the end marker.
+func (gen *generation) next() (ev sse.Event, done bool, err error) {
+	resumes := 0
+	for {
+		ev, err = gen.read()
+		if err == nil {
+			var use bool
+			if use, done, err = gen.check(ev); err == nil {
+				if use {
+					return ev, done, nil
+				}
+				continue
+			}
+		}
+		if gen.c.ctx.Err() != nil {
+			return sse.Event{}, false, gen.c.interrupted()
+		}
+		if err = gen.recover(err, resumes); err != nil {
+			if gen.c.ctx.Err() != nil {
+				err = gen.c.interrupted()
+			}
+			return sse.Event{}, false, err
+		}
+		resumes++
+	}
+}
+
+func (gen *generation) read() (sse.Event, error) {
+	if !gen.events.HasEvent() {
+		gen.ex.SetReadDeadline(time.Now().Add(stallTimeout))
+		if err := gen.c.ctx.Err(); err != nil {
+			return sse.Event{}, err
+		}
+	}
+	return gen.events.Next()
+}
+
+// check decides whether an event continues the generation. use is false for a
+// repeated event.
+func (gen *generation) check(ev sse.Event) (use, done bool, err error) {
+	if bytes.Equal(ev.Data, []byte("[DONE]")) {
+		if !gen.finished && !gen.resumed {
+			return false, false, errProtocol
+		}
+		return true, true, nil
+	}
+	if string(ev.Name) == "error" {
+		return false, false, fmt.Errorf("engine error: %s", ev.Data)
+	}
+	id, offset, ok := splitEngineEventID(ev.ID)
+	if !ok || id != gen.id || offset > gen.offset+1 {
+		return false, false, errProtocol
+	}
+	if offset <= gen.offset {
+		return false, false, nil
+	}
+	gen.offset = offset
+	// Chunks before the last carry a null finish_reason.
+	if bytes.Contains(ev.Data, []byte(`"finish_reason":"`)) {
+		gen.finished = true
+	}
+	return true, false, nil
+}
+
+func splitEngineEventID(id []byte) (string, int, bool) {
+	at := bytes.LastIndexByte(id, ':')
+	if at < 0 {
+		return "", 0, false
+	}
+	offset, err := strconv.Atoi(string(id[at+1:]))
+	return string(id[:at]), offset, err == nil
+}
+
+// recover continues after a broken stream.
+func (gen *generation) recover(cause error, resumes int) error {
+	gen.ex.Finish(false)
+	if resumes < maxResumes && gen.reattach(resumes) == nil {
+		return nil
+	}
+	if err := gen.c.ctx.Err(); err != nil {
+		return err
+	}
+	if gen.delivered || gen.resumed {
+		return gen.lostError(cause)
+	}
+	gen.abandon()
+	if !gen.c.mayRetry(gen.runs) {
+		return gen.lostError(cause)
+	}
+	return gen.startAnew()
+}
+
+func (gen *generation) lostError(cause error) error {
+	v := verdict.MayHaveRun
+	if gen.offset > 0 {
+		v = verdict.Ran
+	}
+	status := 502
+	if gen.resumed && !gen.delivered {
+		status = 410
+	}
+	return verdict.Wrap(cause, v, status, "generation_lost", "the engine lost the generation after %d tokens", gen.offset)
+}
+
+// reattach asks the engine for the rest of the generation. It returns nil with
+// gen.ex set, errGenerationLost, or another error that is worth a new attempt.
+func (gen *generation) reattach(resumes int) error {
+	gen.ex = nil
+	var err error
+	for i := resumes; i < maxResumes; i++ {
+		if i > 0 && !gen.pause(resumeBackoff<<i) {
+			return gen.c.ctx.Err()
+		}
+		if err = gen.reattachOnce(); err == nil || errors.Is(err, errGenerationLost) {
+			return err
+		}
+	}
+	return errGenerationLost
+}
+
+func (gen *generation) reattachOnce() error {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	gen.c.requestTo(req, gen.host.Address)
+	req.SetRequestURI("/v1/generations/" + gen.id + "?offset=" + strconv.Itoa(gen.offset))
+	ex, err := gen.c.g.Pool.Do(gen.c.ctx, gen.host.Address, req, connection.Options{Fresh: true})
+	if err != nil {
+		return err
+	}
+	if status := ex.Response.StatusCode(); status != 200 {
+		ex.Finish(false)
+		if status == 404 || status == 410 {
+			return errGenerationLost
+		}
+		return fmt.Errorf("resume answered %d", status)
+	}
+	if seen := string(ex.Response.Header.Peek(headerIncarnation)); seen != "" && seen != gen.host.Incarnation {
+		ex.Finish(false)
+		return errGenerationLost
+	}
+	gen.ex, gen.events = ex, sse.NewReader(ex.Body())
+	return nil
+}
+
+func (gen *generation) pause(d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-gen.c.ctx.Done():
+		return false
+	}
+}
+
+// abandon gives up the present run: the engine is told to cancel it and the
+// backend server is not tried again by this call.
+func (gen *generation) abandon() {
+	gen.tried = append(gen.tried, gen.host.ID)
+	if gen.ex != nil {
+		gen.ex.Finish(false)
+	}
+	gen.cancelLater(0, false, gen.place)
+	gen.place = nil
+}
+
+// finish ends a complete generation.
+func (gen *generation) finish() {
+	// The end marker came, and only the end of the chunked body is left.
+	_, err := io.Copy(io.Discard, io.LimitReader(gen.ex.Body(), 1<<10))
+	gen.ex.Finish(err == nil)
+	if gen.place != nil {
+		gen.place.release()
+	}
+}
+
+// cancelLater cancels the run at the engine after a delay and then gives its
+// place back. With ifDetached the engine keeps a run that has a reader.
+func (gen *generation) cancelLater(delay time.Duration, ifDetached bool, place *placement) {
+	g, host, id := gen.c.g, gen.host, gen.id
+	g.background.Add(1)
+	go func() {
+		defer g.background.Done()
+		if delay > 0 {
+			time.Sleep(delay)
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
+		defer cancel()
+		g.cancelAtEngine(ctx, host, id, ifDetached)
+		if place != nil {
+			place.release()
+		}
+	}()
+}
+
+func (g *Gateway) cancelAtEngine(ctx context.Context, host platform.Host, id string, ifDetached bool) {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	uri := "/v1/generations/" + id
+	if ifDetached {
+		uri += "?if_detached=1"
+	}
+	req.SetRequestURI(uri)
+	req.Header.SetHost(host.Address)
+	req.Header.SetMethod("DELETE")
+	ex, err := g.Pool.Do(ctx, host.Address, req, connection.Options{Fresh: true})
+	if err != nil {
+		g.Log.Debug().Err(err).Str("backend", host.ID).Msg("cancel at engine failed")
+		return
+	}
+	ex.Finish(false)
+}
+
+// requestTo sets the headers that every request to a backend server carries.
+func (c *call) requestTo(req *fasthttp.Request, address string) {
+	req.Header.SetHost(address)
+	req.Header.Set(headerRequestID, c.out.RequestID)
+	if ms := c.remainingMS(); ms > 0 {
+		req.Header.Set(headerDeadline, strconv.FormatInt(ms, 10))
+	}
+}
--- /dev/null
+++ b/internal/request/model.go
@@ -0,0 +1,93 @@
+package request
+
+import (
+	"encoding/json"
+	"sort"
+
+	"monsoonkeel.example/monsoonkeel/core/verdict"
+)
+
+// modelRequest is the part of an OpenAI-compatible request that routing needs;
+// the body itself is passed on unchanged.
+type modelRequest struct {
+	Model  string `json:"model"`
+	Stream bool   `json:"stream"`
+}
+
+// model serves /v1/completions and /v1/chat/completions.
+func (c *call) model(path string) error {
+	if !c.http.IsPost() {
+		return verdict.New(verdict.NotRun, 405, "method_not_allowed", "use POST")
+	}
+	if err := c.authenticate(); err != nil {
+		return err
+	}
+	if last := c.http.Request.Header.Peek(headerLastEventID); len(last) > 0 {
+		return c.resume(string(last))
+	}
+	// The body is copied: the request buffer does not outlive the handler and
+	// a retry needs it again.
+	body := append([]byte(nil), c.http.PostBody()...)
+	var req modelRequest
+	if err := json.Unmarshal(body, &req); err != nil {
+		return verdict.Wrap(err, verdict.NotRun, 400, "bad_json", "the body is not valid JSON: %v", err)
+	}
+	if err := c.prepareModel(path, req); err != nil {
+		return err
+	}
+	gen := newGeneration(c, path, body, req.Stream)
+	if !req.Stream {
+		return gen.answerUnstreamed()
+	}
+	if err := gen.start(); err != nil {
+		return gen.startFailed(err)
+	}
+	return gen.stream()
+}
+
+func (c *call) prepareModel(path string, req modelRequest) error {
+	svc, ok := c.g.Snapshot().ServiceForModel(req.Model)
+	if !ok {
+		return verdict.New(verdict.NotRun, 404, "unknown_model", "unknown model %q", req.Model)
+	}
+	c.service = svc
+	c.out.Service = svc.Name
+	if err := c.classify("POST", path); err != nil {
+		return err
+	}
+	if c.class.Order {
+		return verdict.New(verdict.NotRun, 400, "order_class", "class %q is for orders and cannot be used for generations", c.class.Name)
+	}
+	return c.deadline()
+}
+
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelItem `json:"data"`
+}
+
+type modelItem struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// models serves /v1/models.
+func (c *call) models() error {
+	if err := c.authenticate(); err != nil {
+		return err
+	}
+	names := c.g.Snapshot().Models()
+	sort.Strings(names)
+	list := modelList{Object: "list", Data: []modelItem{}}
+	for _, n := range names {
+		list.Data = append(list.Data, modelItem{ID: n, Object: "model", OwnedBy: "monsoonkeel"})
+	}
+	body, err := json.Marshal(list)
+	if err != nil {
+		return err
+	}
+	c.http.SetContentType("application/json")
+	c.http.SetBody(body)
+	return nil
+}
--- /dev/null
+++ b/internal/request/relay.go
@@ -0,0 +1,251 @@
+package request
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"strconv"
+	"time"
+
+	"monsoonkeel.example/monsoonkeel/core/config"
+	"monsoonkeel.example/monsoonkeel/core/verdict"
+	"monsoonkeel.example/monsoonkeel/internal/request/sse"
+)
+
+const (
+	// maxBatchBytes bounds the events relayed by one write.
+	maxBatchBytes = 4 << 10
+	// maxWholeBytes bounds an answer that is held back until it is complete.
+	maxWholeBytes = 64 << 20
+)
+
+// stream relays the generation as Server-Sent Events. The first event is
+// awaited before the answer starts, so that a failure until then is a plain
+// refusal with its own status.
+func (gen *generation) stream() error {
+	body := &streamBody{gen: gen}
+	var err error
+	if gen.c.class.Delivery == config.DeliveryWhole && !gen.resumed {
+		err = body.fillWhole()
+	} else {
+		err = body.fill()
+	}
+	if err != nil {
+		gen.dispose()
+		return err
+	}
+	gen.delivered = true
+	c := gen.c
+	c.streaming = true
+	c.out.Status = 200
+	h := &c.http.Response.Header
+	h.SetContentType("text/event-stream")
+	h.Set("Cache-Control", "no-store")
+	h.Set(headerGenerationID, gen.token)
+	c.http.Response.ImmediateHeaderFlush = true
+	c.http.Response.SetBodyStream(body, -1)
+	return nil
+}
+
+// dispose ends a generation that failed before its answer started.
+func (gen *generation) dispose() {
+	if gen.ex != nil {
+		gen.ex.Finish(false)
+	}
+	if gen.place != nil {
+		gen.cancelLater(0, true, gen.place)
+	}
+}
+
+// streamBody is the body of a streamed answer. fasthttp pulls from it, which
+// keeps the relay in the connection's own goroutine.
+type streamBody struct {
+	gen     *generation
+	pending []byte
+	read    int
+	ended   bool
+	last    time.Time
+}
+
+// Read implements io.Reader.
+func (b *streamBody) Read(p []byte) (int, error) {
+	for b.read == len(b.pending) {
+		if b.ended {
+			return 0, io.EOF
+		}
+		b.pending, b.read = b.pending[:0], 0
+		if err := b.fill(); err != nil {
+			b.fail(err)
+		}
+	}
+	n := copy(p, b.pending[b.read:])
+	b.read += n
+	return n, nil
+}
+
+// fill waits for one event and takes those that have already arrived.
+func (b *streamBody) fill() error {
+	for {
+		ev, done, err := b.gen.next()
+		if err != nil {
+			return err
+		}
+		b.append(ev, done)
+		if done || len(b.pending) >= maxBatchBytes || !b.gen.events.HasEvent() {
+			return nil
+		}
+	}
+}
+
+// fillWhole collects the complete answer. A new run discards what an earlier
+// one produced.
+func (b *streamBody) fillWhole() error {
+	runs := b.gen.runs
+	for !b.ended {
+		ev, done, err := b.gen.next()
+		if err != nil {
+			return err
+		}
+		if b.gen.runs != runs {
+			runs, b.pending = b.gen.runs, b.pending[:0]
+		}
+		b.append(ev, done)
+		if len(b.pending) > maxWholeBytes {
+			return verdict.New(verdict.Ran, 502, "answer_too_large", "the answer exceeds %d bytes", maxWholeBytes)
+		}
+	}
+	return nil
+}
+
+func (b *streamBody) append(ev sse.Event, done bool) {
+	if done {
+		b.pending = append(b.pending, "data: [DONE]\n\n"...)
+		b.end()
+		return
+	}
+	b.observe()
+	b.pending = append(b.pending, "id: "...)
+	b.pending = append(b.pending, b.gen.token...)
+	b.pending = append(b.pending, ':')
+	b.pending = strconv.AppendInt(b.pending, int64(b.gen.offset), 10)
+	b.pending = appendData(b.pending, ev.Data)
+}
+
+func appendData(out, data []byte) []byte {
+	for {
+		line, rest, more := bytes.Cut(data, []byte("\n"))
+		out = append(out, "\ndata: "...)
+		out = append(out, line...)
+		if !more {
+			return append(out, "\n\n"...)
+		}
+		data = rest
+	}
+}
+
+// observe records the time to the first token and between tokens.
+func (b *streamBody) observe() {
+	c := b.gen.c
+	now := c.g.Now()
+	c.out.Tokens++
+	if b.last.IsZero() {
+		c.out.FirstToken = now.Sub(c.start)
+	} else {
+		gap := now.Sub(b.last)
+		c.out.WorstGap = max(c.out.WorstGap, gap)
+		if t := c.class.TokenGapMS; t > 0 && gap > time.Duration(t)*time.Millisecond {
+			c.out.LateGaps++
+		}
+	}
+	b.last = now
+}
+
+// fail makes the problem document the last event.
+func (b *streamBody) fail(err error) {
+	b.pending = append(b.pending, b.gen.c.problemEvent(err)...)
+	b.ended = true
+	if b.gen.c.ctx.Err() == nil {
+		b.gen.dispose()
+		return
+	}
+	b.detach()
+}
+
+// end finishes a complete answer.
+func (b *streamBody) end() {
+	b.ended = true
+	b.gen.finish()
+}
+
+// detach leaves the generation at the engine for the class's grace period, so
+// that the caller can reconnect to any host, and then cancels it unless it has
+// a reader again.
+func (b *streamBody) detach() {
+	gen := b.gen
+	if gen.ex != nil {
+		gen.ex.Finish(false)
+	}
+	grace := time.Duration(gen.c.class.ResumeGraceMS) * time.Millisecond
+	gen.cancelLater(grace, true, gen.place)
+}
+
+// Close implements io.Closer; fasthttp calls it when the answer is written or
+// the caller is gone.
+func (b *streamBody) Close() error {
+	if !b.ended {
+		b.ended = true
+		b.gen.c.cancel()
+		b.detach()
+	}
+	b.gen.c.end()
+	return nil
+}
+
+// answerUnstreamed runs a generation whose answer is one JSON document. It is
+// delivered only when it is complete, so a failed run can be repeated.
+func (gen *generation) answerUnstreamed() error {
+	err := gen.start()
+	for {
+		if err != nil {
+			return gen.startFailed(err)
+		}
+		var body []byte
+		if body, err = gen.readWhole(); err == nil {
+			gen.deliver(body)
+			return nil
+		}
+		if gen.c.ctx.Err() != nil {
+			gen.dispose()
+			return gen.c.interrupted()
+		}
+		failure := verdict.Wrap(err, verdict.MayHaveRun, 502, "backend_failed", "the backend server did not finish its answer")
+		gen.abandon()
+		if !gen.c.mayRetry(gen.runs) {
+			return failure
+		}
+		err = gen.startAnew()
+	}
+}
+
+func (gen *generation) readWhole() ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(gen.ex.Body(), maxWholeBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if n := gen.ex.Response.Header.ContentLength(); n >= 0 && n != len(body) {
+		return nil, io.ErrUnexpectedEOF
+	}
+	if len(body) > maxWholeBytes || !json.Valid(body) {
+		return nil, errProtocol
+	}
+	return body, nil
+}
+
+func (gen *generation) deliver(body []byte) {
+	c := gen.c
+	c.http.SetContentType(string(gen.ex.Response.Header.ContentType()))
+	c.http.SetBody(body)
+	gen.ex.Finish(true)
+	gen.place.release()
+	c.out.FirstToken = c.g.Now().Sub(c.start)
+}
