Add the cell view, cold start, membership and peer packages

Cause: the daemon needs the lease, freshness and cold start rules of design sections 5.2, 5.3 and 5.10, and the protocol that relays them. Ruled out: inbound Sync calls as evidence for the freshness rule, because their delay is unknown to the receiver; independent random peer choice, because it reaches fewer distinct members in 3 s than a rotation. Change: pure core/view and core/coldstart with tests; the membership Keeper and the drpc Peers, whose tests follow.

--- /dev/null
+++ b/core/coldstart/coldstart_test.go
@@ -0,0 +1,152 @@
+package coldstart
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"monsoonkeel.example/monsoonkeel/core/view"
+)
+
+var (
+	t0     = time.Unix(1000, 0)
+	limits = Limits{Cold: 4, Warm: 20}
+)
+
+func grantOf(self string, epoch uint64, members ...string) Grant {
+	return Grant{Self: self, View: view.View{Epoch: epoch, Members: members}, RightsBegin: t0, LeaseUntil: t0.Add(time.Minute)}
+}
+
+func report(seq uint64, at time.Duration, inFlight int, completed uint64) Report {
+	return Report{Incarnation: "i", Sequence: seq, TakenAt: t0.Add(at), InFlight: inFlight, Completed: completed}
+}
+
+// Guards against a ramp that rises by time, by old reports or above target.
+func TestLevelRisesOnEvidenceOnly(t *testing.T) {
+	s, g, target := &State{Backend: "b"}, grantOf("a", 1, "a"), time.Second
+	require.Zero(t, s.Limit(t0, limits, g), "no report yet")
+	s.Observe(report(1, 0, 0, 0), limits, target, g)
+	require.Equal(t, 4, s.Limit(t0, limits, g))
+	s.Observe(report(2, 1, 4, 3), limits, target, g)
+	require.Equal(t, 4, s.Level(), "3 of 4 completed")
+	slow := report(3, 2, 4, 9)
+	slow.FirstToken = target + 1
+	s.Observe(slow, limits, target, g)
+	require.Equal(t, 4, s.Level(), "first tokens were late")
+	s.Observe(report(3, 3, 4, 9), limits, target, g)
+	require.Equal(t, 4, s.Level(), "a repeated sequence is no evidence")
+	s.Observe(report(4, 4, 4, 9), limits, target, g)
+	s.Observe(report(5, 5, 4, 17), limits, target, g)
+	require.Equal(t, 16, s.Level())
+	require.Equal(t, 16, s.Limit(t0, limits, g))
+	s.Observe(report(6, 6, 4, 99), limits, target, g)
+	require.Equal(t, 20, s.Level(), "capped at warm_limit")
+	fresh := report(1, 7, 0, 0)
+	fresh.Incarnation = "j"
+	s.Observe(fresh, limits, target, g)
+	require.Equal(t, 4, s.Level(), "a new incarnation is cold")
+}
+
+// Guards against a cold sighting that is undone by reports from before it or
+// applied again when relayed.
+func TestColdSightingResetsOnce(t *testing.T) {
+	s, g := &State{Backend: "b"}, grantOf("a", 1, "a")
+	s.Observe(report(1, 0, 0, 1000), limits, 0, g)
+	require.Equal(t, 20, s.Level(), "ramped up by others before")
+	seen := t0.Add(2 * time.Second)
+	require.True(t, s.MarkCold(seen, seen, limits))
+	require.Equal(t, 4, s.Level())
+	s.Observe(report(2, time.Second, 0, 2000), limits, 0, g)
+	s.Observe(report(3, 3*time.Second, 0, 3000), limits, 0, g)
+	require.Equal(t, 4, s.Level(), "completed before the sighting")
+	s.Observe(report(4, 4*time.Second, 0, 3004), limits, 0, g)
+	require.Equal(t, 8, s.Level())
+	require.False(t, s.MarkCold(seen.Add(300*time.Millisecond), seen.Add(3*time.Second), limits))
+	require.Equal(t, 8, s.Level())
+	_, cold := s.Sighting(limits)
+	require.True(t, cold)
+
+	joined := &State{Backend: "b"}
+	joined.MarkCold(seen, seen, limits)
+	joined.Observe(report(5, 5*time.Second, 0, 9000), limits, 0, g)
+	require.Equal(t, 4, joined.Level(), "a host that joins after the sighting must not take it for warm")
+}
+
+// Guards against using a moved slot while its old owner may still use it.
+func TestMovedSlotWaitsForIdleReport(t *testing.T) {
+	s := &State{Backend: "b"}
+	s.Observe(report(1, 0, 0, 0), limits, 0, grantOf("a", 1, "a", "z"))
+	kept := s.Limit(t0, limits, grantOf("a", 1, "a", "z"))
+	g := grantOf("a", 2, "a")
+	g.RightsBegin = t0.Add(4 * time.Second)
+	require.Equal(t, kept, s.Limit(t0, limits, g), "slots of the old epoch stay usable")
+	s.Observe(report(2, 3*time.Second, 0, 0), limits, 0, g)
+	require.Equal(t, kept, s.Limit(t0, limits, g), "the report is from before the old lease ended")
+	s.Observe(report(3, 5*time.Second, 1, 0), limits, 0, g)
+	require.Equal(t, kept, s.Limit(t0, limits, g), "the backend server is not idle")
+	s.Observe(report(4, 6*time.Second, 0, 0), limits, 0, g)
+	require.Equal(t, 4, s.Limit(t0, limits, g))
+	require.Zero(t, s.Limit(g.LeaseUntil, limits, g), "the lease has ended")
+	require.Zero(t, s.Limit(t0, limits, grantOf("a", 4, "a")), "another host may have owned the slots in epoch 3")
+}
+
+func TestWarmSoftLimit(t *testing.T) {
+	s, g := &State{Backend: "b"}, grantOf("a", 1, "a", "b", "c", "d")
+	g.LeaseUntil = time.Time{}
+	r := report(1, 0, 5, 1000)
+	s.Observe(r, limits, 0, g)
+	require.Equal(t, 8, s.Limit(t0, limits, g), "warm work does not need the lease")
+	r.Sequence, r.InFlight, r.OwnInFlight = 2, 18, 1
+	s.Observe(r, limits, 0, g)
+	require.Equal(t, 3, s.Limit(t0, limits, g), "room for 2 more than the own 1")
+}
+
+// Compares the alternatives of design section 5.3 at 9 hosts: which part of the
+// cold slots is usable with all hosts alive and while one of them is dead.
+func BenchmarkColdCapacity(b *testing.B) {
+	var hosts []string
+	for i := range 9 {
+		hosts = append(hosts, fmt.Sprint("host-", i))
+	}
+	const cold, backends = 4, 200
+	static := func(alive int) int { return alive * (cold / len(hosts)) }
+	oneOwner := func(id string, dead string) int {
+		if view.Owner(id, hosts) == dead {
+			return 0
+		}
+		return cold
+	}
+	slots := func(id string, dead string) (n int) {
+		for i := range cold {
+			if view.SlotOwner(id, i, hosts) != dead {
+				n++
+			}
+		}
+		return n
+	}
+	for name, f := range map[string]func(id, dead string) int{
+		"static":   func(_, dead string) int { return static(len(hosts)) },
+		"oneowner": oneOwner,
+		"slots":    slots,
+	} {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				all, stopped, total := 0, 0, 0
+				for i := range backends {
+					id := fmt.Sprint("backend-", i)
+					all += f(id, "")
+					n := f(id, hosts[0])
+					total += n
+					if n == 0 {
+						stopped++
+					}
+				}
+				b.ReportMetric(float64(all)/backends, "usable/backend")
+				b.ReportMetric(float64(total)/backends, "usable_one_dead/backend")
+				b.ReportMetric(float64(stopped), "stopped_one_dead")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/core/view/hash.go
@@ -0,0 +1,59 @@
+package view
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// score is the rendezvous weight of candidate for key.
+func score(key, candidate string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	// The separator keeps ("a","bc") and ("ab","c") apart; Digest never returns an error.
+	_, _ = d.WriteString(key)
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(candidate)
+	return d.Sum64()
+}
+
+// Owner returns the candidate with the highest rendezvous weight for key, or
+// "" if there are none.
+func Owner(key string, candidates []string) string {
+	best, bestScore := "", uint64(0)
+	for _, c := range candidates {
+		s := score(key, c)
+		if best == "" || s > bestScore || s == bestScore && c < best {
+			best, bestScore = c, s
+		}
+	}
+	return best
+}
+
+// Ranked returns up to n candidates, highest rendezvous weight for key first.
+func Ranked(key string, candidates []string, n int) []string {
+	out := slices.Clone(candidates)
+	slices.SortFunc(out, func(a, b string) int {
+		return cmp.Or(cmp.Compare(score(key, b), score(key, a)), cmp.Compare(a, b))
+	})
+	return out[:min(n, len(out))]
+}
+
+// SlotOwner returns the member that owns a cold slot of a backend server.
+func SlotOwner(backend string, slot int, members []string) string {
+	return Owner(backend+"\x00"+strconv.Itoa(slot), members)
+}
+
+// CellOf returns the cell, from 0 to cells-1, of an entry host or backend
+// server id. Few ids move when the number of cells changes.
+func CellOf(id string, cells int) int {
+	best, bestScore := 0, uint64(0)
+	for c := range max(cells, 1) {
+		if s := score(id, strconv.Itoa(c)); c == 0 || s > bestScore {
+			best, bestScore = c, s
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/core/view/view_test.go
@@ -0,0 +1,125 @@
+package view
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+var t0 = time.Unix(1000, 0)
+
+func TestParseRefusesMalformedViews(t *testing.T) {
+	v := View{Cell: "0", Epoch: 3, Members: []string{"a", "b"}, Beat: 9, Renewer: "a"}
+	got, err := Parse(v.Encode())
+	require.NoError(t, err)
+	require.Equal(t, v, got)
+	for _, bad := range []string{
+		``, `{}`, `{"cell":"0","epoch":0}`, `{"cell":"0","epoch":1,"members":["b","a"]}`,
+		`{"cell":"0","epoch":1,"members":["a","a"]}`, `{"cell":"0","epoch":1,"members":[""]}`,
+		`{"cell":"0","epoch":1,"extra":1}`, `{"cell":"0","epoch":1} {}`,
+	} {
+		_, err := Parse([]byte(bad))
+		require.Error(t, err, bad)
+	}
+}
+
+// Guards against a lease that outlives the time at which a new owner may begin.
+func TestLeaseEndsBeforeNewRightsBeginUnderDrift(t *testing.T) {
+	l := Lease{}.Confirm(4, t0, time.Second)
+	require.True(t, l.Valid(4, t0.Add(1960*time.Millisecond)))
+	require.False(t, l.Valid(4, t0.Add(1970*time.Millisecond)))
+	require.False(t, l.Valid(5, t0))
+	require.Equal(t, l, l.Confirm(3, t0.Add(time.Hour), 0), "an older epoch must not renew")
+	require.Equal(t, l, l.Confirm(4, t0, 2*time.Second), "an older confirmation must not shorten")
+	slow := float64(Lease{}.Confirm(1, t0, 0).Until().Sub(t0)) / 0.99
+	fast := float64(RightsBegin(t0).Sub(t0)) / 1.01
+	require.GreaterOrEqual(t, fast-slow, 0.99*float64(LeaseMargin))
+}
+
+// Guards the three cases of the freshness rule and their borders.
+func TestFreshness(t *testing.T) {
+	v := View{Members: []string{"a", "b", "c", "d"}}
+	at := func(host string, ago, age time.Duration) Heard {
+		return Heard{Host: host, At: t0.Add(-ago), ConfigAge: Age{age >= 0, age}}
+	}
+	stale, s := Age{true, 3 * time.Second}, time.Second
+	for i, c := range []struct {
+		own   Age
+		heard []Heard
+		want  FreshnessState
+	}{
+		{Age{true, 3*s - 1}, nil, Fresh},
+		{stale, nil, Unknown},
+		{stale, []Heard{at("b", s, 9*s), at("c", s, -1)}, FleetOutage},
+		{Age{}, []Heard{at("b", s, 9*s), at("c", s, -1)}, FleetOutage},
+		{stale, []Heard{at("b", s, 9*s)}, Unknown},
+		{stale, []Heard{at("b", s, 9*s), at("c", 3*s, 9*s)}, Unknown},
+		{stale, []Heard{at("b", s, 9*s), at("c", s, 9*s), at("d", s, s)}, Unknown},
+		{stale, []Heard{at("b", s, 9*s), at("x", s, 9*s), at("a", s, 9*s)}, Unknown},
+	} {
+		assert.Equal(t, c.want, Freshness(t0, "a", c.own, c.heard, v), "case %d", i)
+	}
+	require.Equal(t, Unknown, Freshness(t0, "z", stale, []Heard{at("b", s, 9*s), at("c", s, 9*s), at("d", s, 9*s)}, v))
+}
+
+func TestNextAddsAndRemovesMembers(t *testing.T) {
+	cur := View{Cell: "0", Epoch: 2, Members: []string{"a", "b", "c", "d", "e"}, Beat: 7, Renewer: "a"}
+	alive := func(h string) Candidate { return Candidate{Host: h, Listed: true, HeardAt: t0.Add(-time.Second)} }
+	silent := func(h string) Candidate {
+		return Candidate{Host: h, Listed: true, HeardAt: t0.Add(-SilentAfter), FailedCalls: 2}
+	}
+	leaving := alive("e")
+	leaving.Leaving = true
+	in := NextInput{Now: t0, Self: "a", Cell: "0", ListKnown: true, MinEpoch: 2,
+		Candidates: []Candidate{alive("b"), alive("c"), alive("d"), alive("e")}}
+	next := Next(cur, in)
+	require.Equal(t, View{Cell: "0", Epoch: 2, Members: cur.Members, Beat: 8, Renewer: "a"}, next, "nothing changed, so the epoch stays")
+
+	in.Candidates = []Candidate{alive("b"), alive("c"), silent("d"), leaving, alive("f"), {Host: "g", Listed: true}, silent("h")}
+	next = Next(cur, in)
+	require.Equal(t, []string{"a", "b", "c", "f"}, next.Members)
+	require.EqualValues(t, 3, next.Epoch)
+
+	// A renewer that hears nobody is probably cut off itself and must not remove the others.
+	in.Candidates = []Candidate{silent("b"), silent("c"), silent("d"), silent("e")}
+	require.Equal(t, cur.Members, Next(cur, in).Members)
+	// The host list still removes them, unless it is not known.
+	in.Candidates = nil
+	require.Equal(t, []string{"a"}, Next(cur, in).Members)
+	in.ListKnown = false
+	require.Equal(t, cur.Members, Next(cur, in).Members)
+	// A rebuilt view continues after the highest epoch ever seen.
+	require.EqualValues(t, 10, Next(View{}, NextInput{Now: t0, Self: "a", Cell: "0", MinEpoch: 9}).Epoch)
+	in.Candidates, in.SelfLeaving = []Candidate{silent("b"), alive("c"), alive("d")}, true
+	next = Next(cur, in)
+	require.Equal(t, "c", next.Renewer)
+	require.False(t, next.Has("a"))
+}
+
+// Guards against an uneven spread and against moving slots of members that stay.
+func TestRendezvousSpreadAndStability(t *testing.T) {
+	members := []string{"a", "b", "c", "d", "e", "f", "g", "h"}
+	count := map[string]int{}
+	for i := range 8000 {
+		owner := SlotOwner("backend", i, members)
+		count[owner]++
+		if owner != "h" {
+			require.Equal(t, owner, SlotOwner("backend", i, members[:7]))
+		}
+	}
+	for _, m := range members {
+		require.InDelta(t, 1000, count[m], 150, m)
+	}
+	moved := 0
+	for i := range 1000 {
+		if id := fmt.Sprint("host-", i); CellOf(id, 10) != CellOf(id, 11) {
+			moved++
+		}
+	}
+	require.InDelta(t, 91, moved, 40)
+	require.Len(t, Ranked("k", members, 3), 3)
+	require.Equal(t, Owner("k", members), Ranked("k", members, 3)[0])
+}
--- /dev/null
+++ b/internal/process/membership/backend.go
@@ -0,0 +1,120 @@
+package membership
+
+import (
+	"time"
+
+	"monsoonkeel.example/monsoonkeel/core/coldstart"
+	"monsoonkeel.example/monsoonkeel/internal/platform"
+)
+
+// maxSightings bounds the cold sightings in one heartbeat.
+const maxSightings = 256
+
+// Sighting is a backend server seen cold.
+type Sighting struct {
+	Backend     string
+	Incarnation string
+	At          time.Time
+}
+
+func (k *Keeper) grant() coldstart.Grant {
+	g := coldstart.Grant{Self: k.cfg.Self.ID, View: k.current, RightsBegin: k.rightsBegin}
+	if k.lease.Epoch == k.current.Epoch {
+		g.LeaseUntil = k.lease.Until()
+	}
+	return g
+}
+
+func (k *Keeper) backend(id string) *backendState {
+	b := k.backends[id]
+	if b == nil {
+		b = &backendState{State: coldstart.State{Backend: id}}
+		k.backends[id] = b
+	}
+	return b
+}
+
+// ObserveLoad applies a backend server's load report. The call that fetched it
+// was sent at sentAt; ownInFlight is this host's number of requests in flight
+// there at that time, and target the first-token target of the service's
+// tightest class (0: none).
+func (k *Keeper) ObserveLoad(id string, limits coldstart.Limits, target time.Duration, r platform.LoadReport, sentAt time.Time, ownInFlight int) {
+	// A report's age is relative to its answer, which was sent after sentAt. The
+	// age is rounded up by 1 ms and 1% for the resolution and drift of the clock.
+	age := time.Duration(max(r.AgeMS, 0)+1) * time.Millisecond * 101 / 100
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	b := k.backend(id)
+	b.limits = limits
+	b.Observe(coldstart.Report{
+		Incarnation: r.Incarnation,
+		Sequence:    r.Sequence,
+		TakenAt:     sentAt.Add(-age),
+		InFlight:    r.Running + r.Waiting,
+		Completed:   r.Completed,
+		FirstToken:  time.Duration(r.RecentFirstTokenMS) * time.Millisecond,
+		OwnInFlight: ownInFlight,
+	}, limits, target, k.grant())
+}
+
+// NoteCold records that a backend server was seen cold, by this host or by a
+// peer. It reports whether the sighting is new, so that it is pushed to peers.
+func (k *Keeper) NoteCold(s Sighting) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if _, known := k.host(s.Backend); !known && k.backends[s.Backend] == nil {
+		return false
+	}
+	b := k.backend(s.Backend)
+	now := k.cfg.Now()
+	if s.At.After(now) {
+		s.At = now
+	}
+	return b.MarkCold(s.At, now, b.limits)
+}
+
+// Sightings returns the backend servers that were seen cold and have not
+// warmed up again. They are repeated, so that a host that joins late or missed
+// a push does not take such a backend server for warm.
+func (k *Keeper) Sightings() []Sighting {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var out []Sighting
+	for id, b := range k.backends {
+		if at, cold := b.Sighting(b.limits); cold && len(out) < maxSightings {
+			out = append(out, Sighting{Backend: id, Incarnation: b.Incarnation(), At: at})
+		}
+	}
+	return out
+}
+
+// Limit returns how many requests this host may have in flight at a backend
+// server at now. Backend servers in cold start get 0 without a valid lease. A
+// positive limit that depends on the lease ends at until, which the sender must
+// check again right before it sends; until is zero for a warm backend server.
+func (k *Keeper) Limit(id string, now time.Time) (n int, until time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	b := k.backends[id]
+	if b == nil {
+		return 0, time.Time{}
+	}
+	g := k.grant()
+	n = b.Limit(now, b.limits, g)
+	if n > 0 && b.Level() < max(b.limits.Warm, b.limits.Cold, 1) {
+		until = g.LeaseUntil
+	}
+	return n, until
+}
+
+// Forget drops the ramp states of backend servers that keep returns false for.
+// A dropped backend server starts again with an idle report.
+func (k *Keeper) Forget(keep func(id string) bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for id := range k.backends {
+		if !keep(id) {
+			delete(k.backends, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/process/membership/membership.go
@@ -0,0 +1,275 @@
+// Package membership keeps the view of the cell: it renews or follows the
+// object view/<cell>, merges the host list with leaving marks and answers
+// whether this host may take new work and use cold slots.
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"monsoonkeel.example/monsoonkeel/core/coldstart"
+	"monsoonkeel.example/monsoonkeel/core/view"
+	"monsoonkeel.example/monsoonkeel/internal/platform"
+)
+
+const (
+	// storeTimeout ends a call to the object API before the next renewal is due.
+	storeTimeout = 800 * time.Millisecond
+	// hostListTimeout bounds a read of the host list.
+	hostListTimeout = 2 * time.Second
+	// readAfter is the age of the last confirmation at which a follower reads the
+	// object itself, while a call still fits into the lease.
+	readAfter = 2 * time.Second
+	// hostListTrust is how long a host list may be used to remove members.
+	hostListTrust = 10 * time.Second
+	// watchersPerRegion bounds the watches on the configuration head.
+	watchersPerRegion = 3
+)
+
+// Config configures a Keeper. All fields but Log are required.
+type Config struct {
+	Self platform.Host
+	// Cells is the number of cells of the deployment, at least 1.
+	Cells int
+	Store platform.ObjectStore
+	Hosts platform.HostList
+	// ConfigAge returns the age of the newest configuration confirmation.
+	ConfigAge func(now time.Time) (time.Duration, bool)
+	Now       func() time.Time
+	Log       zerolog.Logger
+}
+
+// incarnation identifies a process on a host.
+type incarnation struct{ host, id string }
+
+type peerState struct {
+	heard    view.Heard
+	hasHeard bool
+	// contactAt is the last sign of life in either direction.
+	contactAt time.Time
+	failed    int
+}
+
+type backendState struct {
+	coldstart.State
+	limits coldstart.Limits
+}
+
+// Keeper runs the view protocol of one daemon. Its methods are safe for
+// concurrent use.
+type Keeper struct {
+	cfg  Config
+	cell int
+
+	mu        sync.Mutex
+	current   view.View
+	version   platform.Version
+	versionOK bool
+	// objectEpoch is the epoch in the object when it was last read or written.
+	objectEpoch uint64
+	lease       view.Lease
+	rightsBegin time.Time
+	maxEpoch    uint64
+	lastBeat    uint64
+	beatAt      time.Time
+	watchBeat   bool
+	draining    bool
+
+	hosts    []platform.Host
+	hostsAt  time.Time
+	leaving  map[incarnation]bool
+	peers    map[string]*peerState
+	backends map[string]*backendState
+}
+
+// New returns a Keeper that knows no view yet.
+func New(cfg Config) *Keeper {
+	return &Keeper{
+		cfg:      cfg,
+		cell:     view.CellOf(cfg.Self.ID, cfg.Cells),
+		leaving:  map[incarnation]bool{},
+		peers:    map[string]*peerState{},
+		backends: map[string]*backendState{},
+	}
+}
+
+// Self returns the host id of this daemon.
+func (k *Keeper) Self() string { return k.cfg.Self.ID }
+
+// View returns the newest view known; its epoch is 0 if there is none.
+func (k *Keeper) View() view.View {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.current
+}
+
+// LeaseValid reports whether this host may act under the view's epoch at now.
+func (k *Keeper) LeaseValid(now time.Time) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.current.Has(k.cfg.Self.ID) && k.lease.Valid(k.current.Epoch, now)
+}
+
+// ViewAge returns the view's epoch and the age of its newest confirmation.
+func (k *Keeper) ViewAge(now time.Time) (epoch uint64, age time.Duration, ok bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.current.Epoch == 0 || k.lease.Epoch != k.current.Epoch {
+		return k.current.Epoch, 0, false
+	}
+	return k.current.Epoch, now.Sub(k.lease.ConfirmedAt), true
+}
+
+// Freshness applies the freshness rule: may this host take new work at now?
+func (k *Keeper) Freshness(now time.Time) view.FreshnessState {
+	age, known := k.cfg.ConfigAge(now)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	heard := make([]view.Heard, 0, len(k.peers))
+	for _, p := range k.peers {
+		if p.hasHeard {
+			heard = append(heard, p.heard)
+		}
+	}
+	return view.Freshness(now, k.cfg.Self.ID, view.Age{Known: known, Value: age}, heard, k.current)
+}
+
+// IsWatcher reports whether this host watches the configuration head. A host
+// that knows no view watches, since it cannot know of others that do.
+func (k *Keeper) IsWatcher() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.current.Has(k.cfg.Self.ID) {
+		return true
+	}
+	region := []string{k.cfg.Self.ID}
+	for _, h := range k.hosts {
+		if h.Role == platform.RoleEntry && h.Region == k.cfg.Self.Region && h.ID != k.cfg.Self.ID && k.current.Has(h.ID) {
+			region = append(region, h.ID)
+		}
+	}
+	return slices.Contains(view.Ranked("config/head", region, watchersPerRegion), k.cfg.Self.ID)
+}
+
+// SetDraining marks this daemon as leaving; the renewer removes it from the view.
+func (k *Keeper) SetDraining() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.draining = true
+}
+
+// Draining reports whether SetDraining was called.
+func (k *Keeper) Draining() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.draining
+}
+
+// NoteAnswer records a peer's answer to a Sync call that was sent at sentAt.
+func (k *Keeper) NoteAnswer(host string, sentAt time.Time, configAge view.Age, draining bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	p := k.peer(host)
+	if !p.hasHeard || sentAt.After(p.heard.At) {
+		p.heard, p.hasHeard = view.Heard{Host: host, At: sentAt, ConfigAge: configAge}, true
+	}
+	k.contact(p, host, sentAt, draining)
+}
+
+// NoteRequest records a Sync call received from a peer. It counts as a sign of
+// life only: how long the request was on its way is unknown, so its age and
+// time do not enter the freshness rule.
+func (k *Keeper) NoteRequest(host string, draining bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if _, known := k.host(host); known || k.current.Has(host) {
+		k.contact(k.peer(host), host, k.cfg.Now(), draining)
+	}
+}
+
+// NoteFailure records a Sync call to a peer that failed.
+func (k *Keeper) NoteFailure(host string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.peer(host).failed++
+}
+
+func (k *Keeper) contact(p *peerState, host string, at time.Time, draining bool) {
+	if at.After(p.contactAt) {
+		p.contactAt, p.failed = at, 0
+	}
+	if draining {
+		if h, ok := k.host(host); ok {
+			k.leaving[incarnation{host, h.Incarnation}] = true
+		}
+	}
+}
+
+func (k *Keeper) peer(host string) *peerState {
+	p := k.peers[host]
+	if p == nil {
+		p = &peerState{}
+		k.peers[host] = p
+	}
+	return p
+}
+
+func (k *Keeper) host(id string) (platform.Host, bool) {
+	for _, h := range k.hosts {
+		if h.ID == id {
+			return h, true
+		}
+	}
+	return platform.Host{}, false
+}
+
+// MarkLeaving records from any source that an incarnation of a host is leaving.
+func (k *Keeper) MarkLeaving(host, id string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.leaving[incarnation{host, id}] = true
+}
+
+// Hosts returns the last host list of this cell. A host that any source marked
+// as leaving stays leaving until its incarnation changes.
+func (k *Keeper) Hosts() []platform.Host {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	out := slices.Clone(k.hosts)
+	for i := range out {
+		if k.isLeaving(out[i]) {
+			out[i].State = platform.HostLeaving
+		}
+	}
+	return out
+}
+
+func (k *Keeper) isLeaving(h platform.Host) bool {
+	return h.State == platform.HostLeaving || k.leaving[incarnation{h.ID, h.Incarnation}]
+}
+
+// Peers returns the other entry hosts of the cell that the host list shows,
+// sorted by id. Sync calls go to them.
+func (k *Keeper) Peers() []platform.Host {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var out []platform.Host
+	for _, h := range k.hosts {
+		if h.Role == platform.RoleEntry && h.ID != k.cfg.Self.ID && h.PeerAddress != "" {
+			out = append(out, h)
+		}
+	}
+	slices.SortFunc(out, func(a, b platform.Host) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+// HostByID returns the host list's entry of a host in this cell.
+func (k *Keeper) HostByID(id string) (platform.Host, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.host(id)
+}
