--- /dev/null
+++ b/core/config/codec.go
@@ -0,0 +1,124 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+)
+
+// Head is the object that orders all changes.
+type Head struct {
+	Revision Revision `json:"revision"`
+	// Checkpoint is the revision of the newest checkpoint; 0 means none.
+	Checkpoint Revision `json:"checkpoint"`
+	// Tail holds the newest changes, oldest first; the last one is at Revision.
+	Tail []Change `json:"tail"`
+}
+
+// FirstTail returns the revision of the oldest change in the tail.
+func (h *Head) FirstTail() Revision { return h.Revision - Revision(len(h.Tail)) + 1 }
+
+// Accepted records the id of an accepted change.
+type Accepted struct {
+	ID       string   `json:"id"`
+	Revision Revision `json:"revision"`
+}
+
+// Checkpoint is the whole document at one revision.
+type Checkpoint struct {
+	Document *Document `json:"document"`
+	// Accepted lists the ids of the newest changes up to the document's
+	// revision, oldest first, so that a repeated change is recognized after it
+	// has left the head's tail.
+	Accepted []Accepted `json:"accepted"`
+}
+
+// Entry is a change with the revision at which it was accepted.
+type Entry struct {
+	Revision Revision `json:"revision"`
+	Change   Change   `json:"change"`
+}
+
+// decodeStrict decodes exactly one JSON value and refuses unknown fields.
+func decodeStrict(raw []byte, into any) error {
+	d := json.NewDecoder(bytes.NewReader(raw))
+	d.DisallowUnknownFields()
+	if err := d.Decode(into); err != nil {
+		return fmt.Errorf("decode: %w", err)
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return errors.New("decode: data after the JSON value")
+	}
+	return nil
+}
+
+// Encode returns the JSON form of a Head, Checkpoint, Entry, Change or Document.
+func Encode[T Head | Checkpoint | Entry | Change | Document](v *T) ([]byte, error) {
+	return json.Marshal(v)
+}
+
+// DecodeChange decodes a change. Apply checks its content.
+func DecodeChange(raw []byte) (Change, error) {
+	var c Change
+	err := decodeStrict(raw, &c)
+	return c, err
+}
+
+// DecodeEntry decodes an entry of the change log.
+func DecodeEntry(raw []byte) (Entry, error) {
+	var e Entry
+	if err := decodeStrict(raw, &e); err != nil {
+		return e, err
+	}
+	if e.Revision == 0 {
+		return e, errors.New("decode: entry without revision")
+	}
+	return e, nil
+}
+
+// DecodeHead decodes a head and checks that its tail and its checkpoint cover
+// every revision.
+func DecodeHead(raw []byte) (*Head, error) {
+	h := &Head{}
+	if err := decodeStrict(raw, h); err != nil {
+		return nil, err
+	}
+	if Revision(len(h.Tail)) > h.Revision {
+		return nil, fmt.Errorf("head: %d changes in the tail at revision %d", len(h.Tail), h.Revision)
+	}
+	if h.Checkpoint > h.Revision || h.Checkpoint < h.Revision-Revision(len(h.Tail)) {
+		return nil, fmt.Errorf("head: checkpoint %d does not join the tail from %d to %d", h.Checkpoint, h.FirstTail(), h.Revision)
+	}
+	return h, nil
+}
+
+// DecodeDocument decodes and validates a document.
+func DecodeDocument(raw []byte) (*Document, error) {
+	d := &Document{}
+	if err := decodeStrict(raw, d); err != nil {
+		return nil, err
+	}
+	d.fillMaps()
+	if problems := Validate(d); len(problems) > 0 {
+		return nil, &ValidationError{Problems: problems}
+	}
+	return d, nil
+}
+
+// DecodeCheckpoint decodes a checkpoint and validates its document.
+func DecodeCheckpoint(raw []byte) (*Checkpoint, error) {
+	c := &Checkpoint{}
+	if err := decodeStrict(raw, c); err != nil {
+		return nil, err
+	}
+	if c.Document == nil {
+		return nil, errors.New("checkpoint: no document")
+	}
+	c.Document.fillMaps()
+	if problems := Validate(c.Document); len(problems) > 0 {
+		return nil, &ValidationError{Problems: problems}
+	}
+	return c, nil
+}
