--- a/internal/process/configlog/log.go
+++ b/internal/process/configlog/log.go
@@ -128,7 +128,7 @@
 func (l *Log) History() []config.Entry {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return append([]config.Entry(nil), l.tail...)
+	return append([]config.Entry{}, l.tail...)
 }
 
 // Subscribe calls fn with the current document and then after every change of
