--- /dev/null
+++ b/core/retry/retry_test.go
@@ -0,0 +1,67 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// Guards against a retry storm: whatever the order of tries, the retries of any
+// 10 s stay within 20% of the first tries plus 3 per second.
+func TestBudgetBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var b Budget
+		now := time.Unix(1000, 0)
+		var firsts, retries []time.Time
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "first") {
+				b.FirstTry(now)
+				firsts = append(firsts, now)
+			} else if b.Allow(now) {
+				retries = append(retries, now)
+			}
+			// Buckets of 1 s: first tries count for at most 10 s, and retries
+			// are spread over at most 11 calendar seconds of a 10 s span.
+			since := now.Add(-Window)
+			limit := Share*float64(count(firsts, since.Add(-Window))) + ExtraPerSecond*11
+			require.LessOrEqual(t, float64(count(retries, since)), limit)
+		}
+	})
+}
+
+func count(ts []time.Time, since time.Time) (n int) {
+	for _, t := range ts {
+		if t.After(since) {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a budget that starves an idle host or never recovers.
+func TestBudgetExtraAndEarned(t *testing.T) {
+	var b Budget
+	now := time.Unix(50, 0)
+	allowed := func() (n int) {
+		for b.Allow(now) {
+			n++
+		}
+		return n
+	}
+	require.Equal(t, ExtraPerSecond, allowed())
+	now = now.Add(time.Second)
+	for range 50 {
+		b.FirstTry(now)
+	}
+	require.Equal(t, 10+ExtraPerSecond, allowed())
+	now = now.Add(time.Second)
+	require.Equal(t, ExtraPerSecond, allowed())
+	now = now.Add(Window)
+	for range 50 {
+		b.FirstTry(now)
+	}
+	require.Equal(t, 10+ExtraPerSecond, allowed())
+}
