Add the HTTP platform adapters and the stand-in program

Cause: the daemon needs the object API, host list, load reports and weight store over HTTP, and tests and the demo need systems to run against with faults that can be switched on. Ruled out: fasthttp's retries (a repeated conditional write turns its own success into a conflict) and pooled connections for watches (a cancelled watch held its connection until its wait ended; a test server took 20 s to close). Watches use their own connection, closed when the context ends. The stand-ins serve with net/http, whose request context shows a reader's disconnect, which the engine needs to tell attached from detached readers. Change: internal/platform/httpapi; interfaces LoadReporter and WeightStore; internal/standin with objects, hosts, engine, weights and plain; cmd/monsoonkeel-standin. Put returns ErrUnknown unless the answer or a failed dial proves that nothing was written. No load was measured.

--- /dev/null
+++ b/internal/platform/httpapi/httpapi_test.go
@@ -0,0 +1,202 @@
+package httpapi_test
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"monsoonkeel.example/monsoonkeel/internal/platform"
+	"monsoonkeel.example/monsoonkeel/internal/platform/httpapi"
+	"monsoonkeel.example/monsoonkeel/internal/standin"
+)
+
+func newStore(t *testing.T, faults standin.ObjectFaults) (*httpapi.ObjectStore, string) {
+	server := httptest.NewServer(standin.NewObjects(faults).Handler())
+	t.Cleanup(server.Close)
+	return httpapi.NewObjectStore(server.URL), server.URL
+}
+
+func setFaults(t *testing.T, base, faults string) {
+	request, err := http.NewRequest(http.MethodPut, base+"/faults", strings.NewReader(faults))
+	require.NoError(t, err)
+	answer, err := http.DefaultClient.Do(request)
+	require.NoError(t, err)
+	require.NoError(t, answer.Body.Close())
+	require.Equal(t, http.StatusOK, answer.StatusCode)
+}
+
+// Guards against reporting a lost answer as "not written", and against a
+// hidden retry that would write twice or turn the lost answer into a conflict.
+func TestPutWithLostAnswerIsUnknown(t *testing.T) {
+	store, base := newStore(t, standin.ObjectFaults{LoseWriteAnswers: 1})
+	_, err := store.Put(t.Context(), "config/head", 0, []byte("one"))
+	require.ErrorIs(t, err, platform.ErrUnknown)
+	require.NotErrorIs(t, err, platform.ErrRefused)
+	object, err := store.Get(t.Context(), "config/head")
+	require.NoError(t, err)
+	require.Equal(t, "one", string(object.Value))
+	answer, err := http.Get(base + "/debug/journal")
+	require.NoError(t, err)
+	defer func() { require.NoError(t, answer.Body.Close()) }()
+	var journal bytes.Buffer
+	_, err = journal.ReadFrom(answer.Body)
+	require.NoError(t, err)
+	require.JSONEq(t, `{"writes":1,"reads":1}`, journal.String())
+}
+
+// Guards against treating a write that timed out as not written: it takes
+// effect after the caller's deadline.
+func TestPutPastDeadlineIsUnknown(t *testing.T) {
+	store, base := newStore(t, standin.ObjectFaults{DelayMS: 400})
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	start := time.Now()
+	_, err := store.Put(ctx, "k", 0, []byte("late"))
+	require.ErrorIs(t, err, platform.ErrUnknown)
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	require.Less(t, time.Since(start), 350*time.Millisecond)
+	setFaults(t, base, `{}`)
+	require.Eventually(t, func() bool {
+		object, err := store.Get(t.Context(), "k")
+		return err == nil && string(object.Value) == "late"
+	}, 5*time.Second, 20*time.Millisecond)
+}
+
+// Guards against ErrUnknown for writes that provably did nothing: a caller
+// would read back instead of answering "not run".
+func TestPutThatDidNothing(t *testing.T) {
+	store, base := newStore(t, standin.ObjectFaults{WritesPerSecond: 1})
+	version, err := store.Put(t.Context(), "k", 0, nil)
+	require.NoError(t, err)
+	_, err = store.Put(t.Context(), "k", version, nil)
+	require.ErrorIs(t, err, platform.ErrRefused, "429")
+	setFaults(t, base, `{"refuse":true}`)
+	_, err = store.Put(t.Context(), "k", version, nil)
+	require.ErrorIs(t, err, platform.ErrRefused, "503")
+	setFaults(t, base, `{}`)
+	_, err = store.Put(t.Context(), "k", version+7, nil)
+	require.ErrorIs(t, err, platform.ErrConflict)
+	_, err = store.Put(t.Context(), "k", 0, nil)
+	require.ErrorIs(t, err, platform.ErrConflict, "create of an existing object")
+	_, err = store.Put(t.Context(), "k", version, make([]byte, platform.MaxObjectBytes+1))
+	require.Error(t, err)
+	require.NotErrorIs(t, err, platform.ErrUnknown)
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err = store.Put(ended, "k", version, nil)
+	require.ErrorIs(t, err, platform.ErrRefused)
+	require.ErrorIs(t, err, context.Canceled)
+
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, listener.Close())
+	_, err = httpapi.NewObjectStore("http://"+listener.Addr().String()).Put(t.Context(), "k", 0, nil)
+	require.ErrorIs(t, err, platform.ErrRefused, "failed dial")
+	require.NotErrorIs(t, err, platform.ErrUnknown)
+}
+
+// Guards against a 5xx of a server in between being read as "not written".
+func TestPutWithServerErrorIsUnknown(t *testing.T) {
+	for _, status := range []int{500, 502, 504, 200} { // 200 without a version
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) }))
+		_, err := httpapi.NewObjectStore(server.URL).Put(t.Context(), "k", 0, nil)
+		require.ErrorIs(t, err, platform.ErrUnknown, "status %d", status)
+		server.Close()
+	}
+}
+
+// Guards against a watch that sleeps through a change, answers an old version
+// or outlives its context.
+func TestWatch(t *testing.T) {
+	objects := httptest.NewServer(standin.NewObjects(standin.ObjectFaults{}).Handler())
+	store := httpapi.NewObjectStore(objects.URL)
+	first, err := store.Put(t.Context(), "a/b c", 0, []byte("1"))
+	require.NoError(t, err)
+	_, err = store.Watch(t.Context(), "a/b c", first, 30*time.Millisecond)
+	require.ErrorIs(t, err, platform.ErrUnchanged)
+
+	got := make(chan platform.Object, 1)
+	go func() {
+		object, err := store.Watch(t.Context(), "a/b c", first, 20*time.Second)
+		if err == nil {
+			got <- object
+		}
+	}()
+	time.Sleep(50 * time.Millisecond) // let the watch wait; the result is the same without
+	second, err := store.Put(t.Context(), "a/b c", first, []byte("2"))
+	require.NoError(t, err)
+	select {
+	case object := <-got:
+		require.Equal(t, platform.Object{Key: "a/b c", Version: second, Value: []byte("2")}, object)
+	case <-time.After(5 * time.Second):
+		t.Fatal("the watch did not wake")
+	}
+
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	start := time.Now()
+	_, err = store.Watch(ctx, "a/b c", second, 20*time.Second)
+	require.ErrorIs(t, err, context.Canceled)
+	objects.Close() // waits for open calls
+	require.Less(t, time.Since(start), 10*time.Second, "the cancelled watch still holds its connection")
+}
+
+// Guards against deletes that ignore the version and lists of other prefixes.
+func TestDeleteAndList(t *testing.T) {
+	store, _ := newStore(t, standin.ObjectFaults{})
+	a, err := store.Put(t.Context(), "claims/1", 0, []byte("x"))
+	require.NoError(t, err)
+	b, err := store.Put(t.Context(), "view/1", 0, nil)
+	require.NoError(t, err)
+	objects, err := store.List(t.Context(), "claims/")
+	require.NoError(t, err)
+	require.Equal(t, []platform.Object{{Key: "claims/1", Version: a}}, objects)
+	require.ErrorIs(t, store.Delete(t.Context(), "claims/1", b), platform.ErrConflict)
+	require.NoError(t, store.Delete(t.Context(), "claims/1", a))
+	_, err = store.Get(t.Context(), "claims/1")
+	require.ErrorIs(t, err, platform.ErrNotFound)
+	for _, key := range []string{"", "a//b", "../faults"} {
+		_, err = store.Get(t.Context(), key)
+		require.ErrorContains(t, err, "invalid key")
+	}
+}
+
+// Guards against adapters that drop fields or hide a refusal.
+func TestHostsLoadAndWeights(t *testing.T) {
+	hosts := httptest.NewServer(standin.NewHosts().Handler())
+	defer hosts.Close()
+	body := `{"role":"backend","kind":"engine","service":"signmodel","address":"127.0.0.1:9","region":"bkk","domain":"bkk-a","incarnation":"i1"}`
+	request, err := http.NewRequest(http.MethodPut, hosts.URL+"/hosts/r1", strings.NewReader(body))
+	require.NoError(t, err)
+	answer, err := http.DefaultClient.Do(request)
+	require.NoError(t, err)
+	require.NoError(t, answer.Body.Close())
+	list, err := httpapi.NewHostList(hosts.URL).Hosts(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, []platform.Host{{
+		ID: "r1", Role: platform.RoleBackend, Kind: "engine", Service: "signmodel", Address: "127.0.0.1:9",
+		Region: "bkk", Domain: "bkk-a", State: platform.HostLive, Incarnation: "i1",
+	}}, list)
+
+	plain := httptest.NewServer(standin.NewPlain("i2").Handler())
+	defer plain.Close()
+	report, err := httpapi.NewLoadReporter().Load(t.Context(), strings.TrimPrefix(plain.URL, "http://"))
+	require.NoError(t, err)
+	require.Equal(t, platform.LoadReport{Incarnation: "i2", Sequence: 1}, report)
+
+	weights := httptest.NewServer(standin.NewWeights(1, 64).Handler())
+	defer weights.Close()
+	store := httpapi.NewWeightStore(weights.URL)
+	data, err := store.Weights(t.Context(), "signmodel", "v1")
+	require.NoError(t, err)
+	require.Len(t, data, 64)
+	_, err = store.Weights(t.Context(), "signmodel", "v1")
+	require.ErrorIs(t, err, platform.ErrRefused)
+}
--- /dev/null
+++ b/internal/platform/httpapi/objects.go
@@ -0,0 +1,156 @@
+package httpapi
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"monsoonkeel.example/monsoonkeel/internal/platform"
+)
+
+// watchSlack is added to a watch's wait before the client gives up, for the
+// answer's way back.
+const watchSlack = 5 * time.Second
+
+// ObjectStore is the object API over HTTP. Its errors wrap those of package
+// platform; compare them with errors.Is.
+type ObjectStore struct{ c *client }
+
+var _ platform.ObjectStore = (*ObjectStore)(nil)
+
+// NewObjectStore returns an adapter for the object API at base, for example
+// "http://127.0.0.1:7001".
+func NewObjectStore(base string) *ObjectStore { return &ObjectStore{newClient(base)} }
+
+// Get implements platform.ObjectStore.
+func (s *ObjectStore) Get(ctx context.Context, key string) (platform.Object, error) {
+	return s.read(ctx, key, "", 0)
+}
+
+// Watch implements platform.ObjectStore.
+func (s *ObjectStore) Watch(ctx context.Context, key string, after platform.Version, wait time.Duration) (platform.Object, error) {
+	query := fmt.Sprintf("?watch=%d&timeout_ms=%d", after, wait.Milliseconds())
+	return s.read(ctx, key, query, wait+watchSlack)
+}
+
+func (s *ObjectStore) read(ctx context.Context, key, query string, timeout time.Duration) (platform.Object, error) {
+	path, err := escapePath(key)
+	if err != nil {
+		return platform.Object{}, err
+	}
+	a, err := s.c.do(ctx, call{method: fasthttp.MethodGet, path: "/objects/" + path + query, timeout: timeout, long: timeout > 0})
+	if err != nil {
+		return platform.Object{}, fmt.Errorf("get %s: %w", key, err)
+	}
+	if a.status == fasthttp.StatusNotModified {
+		return platform.Object{}, platform.ErrUnchanged
+	}
+	if a.status != fasthttp.StatusOK {
+		return platform.Object{}, fmt.Errorf("get %s: %w", key, statusError(a))
+	}
+	version, err := parseVersion(a.etag)
+	if err != nil {
+		return platform.Object{}, fmt.Errorf("get %s: %w", key, err)
+	}
+	return platform.Object{Key: key, Version: version, Value: a.body}, nil
+}
+
+// Put implements platform.ObjectStore. An error that matches none of
+// ErrConflict, ErrRefused and ErrUnknown means that the request was invalid and
+// nothing was written.
+func (s *ObjectStore) Put(ctx context.Context, key string, expected platform.Version, value []byte) (platform.Version, error) {
+	if len(value) > platform.MaxObjectBytes {
+		return 0, fmt.Errorf("put %s: value has %d bytes, at most %d are stored", key, len(value), platform.MaxObjectBytes)
+	}
+	if value == nil {
+		value = []byte{}
+	}
+	a, err := s.write(ctx, fasthttp.MethodPut, key, expected, value)
+	if err != nil {
+		return 0, err
+	}
+	version, err := parseVersion(a.etag)
+	if err != nil {
+		return 0, fmt.Errorf("put %s: %w: %w", key, platform.ErrUnknown, err)
+	}
+	return version, nil
+}
+
+// Delete implements platform.ObjectStore, with the errors of Put.
+func (s *ObjectStore) Delete(ctx context.Context, key string, expected platform.Version) error {
+	_, err := s.write(ctx, fasthttp.MethodDelete, key, expected, nil)
+	return err
+}
+
+func (s *ObjectStore) write(ctx context.Context, method, key string, expected platform.Version, body []byte) (answer, error) {
+	path, err := escapePath(key)
+	if err != nil {
+		return answer{}, err
+	}
+	condition := []string{fasthttp.HeaderIfNoneMatch, "*"}
+	if expected != 0 || method == fasthttp.MethodDelete {
+		condition = []string{fasthttp.HeaderIfMatch, fmt.Sprintf("%q", strconv.FormatUint(uint64(expected), 10))}
+	}
+	a, err := s.c.do(ctx, call{method: method, path: "/objects/" + path, header: condition, body: body})
+	if err == nil {
+		err = writeError(a)
+	} else if !errors.Is(err, platform.ErrRefused) {
+		err = fmt.Errorf("%w: %w", platform.ErrUnknown, err)
+	}
+	if err != nil {
+		return a, fmt.Errorf("%s %s: %w", strings.ToLower(method), key, err)
+	}
+	return a, nil
+}
+
+// writeError returns the outcome of an answered write. A 5xx other than 503
+// may come from a middlebox whose server applied the write, so it is unknown.
+func writeError(a answer) error {
+	switch {
+	case a.status >= 200 && a.status < 300:
+		return nil
+	case a.status == fasthttp.StatusPreconditionFailed:
+		return platform.ErrConflict
+	case a.status >= 500 && a.status != fasthttp.StatusServiceUnavailable, a.status == fasthttp.StatusRequestTimeout:
+		return fmt.Errorf("%w: %w", platform.ErrUnknown, statusError(a))
+	}
+	return statusError(a)
+}
+
+// List implements platform.ObjectStore.
+func (s *ObjectStore) List(ctx context.Context, prefix string) ([]platform.Object, error) {
+	a, err := s.c.do(ctx, call{method: fasthttp.MethodGet, path: "/objects?prefix=" + url.QueryEscape(prefix)})
+	if err == nil && a.status != fasthttp.StatusOK {
+		err = statusError(a)
+	}
+	var entries []struct {
+		Key     string           `json:"key"`
+		Version platform.Version `json:"version"`
+	}
+	if err == nil {
+		err = json.Unmarshal(a.body, &entries)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("list %q: %w", prefix, err)
+	}
+	objects := make([]platform.Object, 0, len(entries))
+	for _, e := range entries {
+		objects = append(objects, platform.Object{Key: e.Key, Version: e.Version})
+	}
+	return objects, nil
+}
+
+func parseVersion(etag string) (platform.Version, error) {
+	v, err := strconv.ParseUint(strings.Trim(etag, `"`), 10, 64)
+	if err != nil || v == 0 {
+		return 0, fmt.Errorf("answer has no valid version: ETag %q", etag)
+	}
+	return platform.Version(v), nil
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -121,3 +121,16 @@
 	// StepMS is the current time of a decode step, in milliseconds.
 	StepMS float64 `json:"step_ms"`
 }
+
+// LoadReporter asks a backend server for its load.
+type LoadReporter interface {
+	// Load returns the newest load report of the backend server at address (host:port).
+	Load(ctx context.Context, address string) (LoadReport, error)
+}
+
+// WeightStore is the platform's rate-limited store of model weights.
+type WeightStore interface {
+	// Weights returns the stored bytes of a model version, ErrNotFound, or
+	// ErrRefused when the rate is exceeded.
+	Weights(ctx context.Context, model, version string) ([]byte, error)
+}
--- /dev/null
+++ b/internal/standin/hosts.go
@@ -0,0 +1,108 @@
+package standin
+
+import (
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"monsoonkeel.example/monsoonkeel/internal/platform"
+)
+
+// hostHistory is the time for which old states of the host list are kept; a
+// longer lag shows the oldest state kept.
+const hostHistory = 10 * time.Minute
+
+// HostFaults are the fault switches of the host list.
+type HostFaults struct {
+	Refuse bool `json:"refuse"`
+	// LagMS is the age of the state that GET /hosts answers with.
+	LagMS int `json:"lag_ms"`
+}
+
+type hostState struct {
+	Revision uint64          `json:"revision"`
+	Hosts    []platform.Host `json:"hosts"`
+	at       time.Time
+}
+
+// Hosts is the host list.
+type Hosts struct {
+	faults faultSwitch[HostFaults]
+
+	mu      sync.Mutex
+	hosts   map[string]platform.Host
+	history []hostState
+}
+
+// NewHosts returns an empty host list.
+func NewHosts() *Hosts {
+	return &Hosts{hosts: map[string]platform.Host{}, history: []hostState{{Hosts: []platform.Host{}, at: time.Now()}}}
+}
+
+// Handler serves /hosts and /faults.
+func (h *Hosts) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/faults", &h.faults)
+	mux.HandleFunc("GET /hosts", h.list)
+	mux.HandleFunc("PUT /hosts/{id}", h.put)
+	mux.HandleFunc("DELETE /hosts/{id}", func(w http.ResponseWriter, r *http.Request) {
+		h.change(func() { delete(h.hosts, r.PathValue("id")) })
+		w.WriteHeader(http.StatusNoContent)
+	})
+	return mux
+}
+
+func (h *Hosts) list(w http.ResponseWriter, _ *http.Request) {
+	f := h.faults.get()
+	if f.Refuse {
+		refuse(w)
+		return
+	}
+	shown := time.Now().Add(-milliseconds(f.LagMS))
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	i := sort.Search(len(h.history), func(i int) bool { return h.history[i].at.After(shown) })
+	writeJSON(w, http.StatusOK, h.history[max(i-1, 0)])
+}
+
+func (h *Hosts) put(w http.ResponseWriter, r *http.Request) {
+	host := platform.Host{ID: r.PathValue("id"), State: platform.HostLive}
+	if !readJSON(w, r, &host) {
+		return
+	}
+	backend := host.Role == platform.RoleBackend
+	switch {
+	case host.ID != r.PathValue("id"):
+		writeError(w, http.StatusBadRequest, "id %q differs from the path", host.ID)
+	case !backend && host.Role != platform.RoleEntry:
+		writeError(w, http.StatusBadRequest, "role must be %q or %q", platform.RoleEntry, platform.RoleBackend)
+	case host.State != platform.HostLive && host.State != platform.HostLeaving:
+		writeError(w, http.StatusBadRequest, "state must be %q or %q", platform.HostLive, platform.HostLeaving)
+	case backend && host.Kind != "engine" && host.Kind != "plain":
+		writeError(w, http.StatusBadRequest, `kind must be "engine" or "plain"`)
+	case host.Address == "":
+		writeError(w, http.StatusBadRequest, "address is required")
+	default:
+		h.change(func() { h.hosts[host.ID] = host })
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
+
+// change applies f and adds the new state to the history.
+func (h *Hosts) change(f func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	f()
+	now := time.Now()
+	state := hostState{Revision: h.history[len(h.history)-1].Revision + 1, Hosts: make([]platform.Host, 0, len(h.hosts)), at: now}
+	for _, host := range h.hosts {
+		state.Hosts = append(state.Hosts, host)
+	}
+	sort.Slice(state.Hosts, func(i, j int) bool { return state.Hosts[i].ID < state.Hosts[j].ID })
+	h.history = append(h.history, state)
+	// The newest state older than hostHistory is still what such a lag shows.
+	for len(h.history) > 1 && now.Sub(h.history[1].at) > hostHistory {
+		h.history = h.history[1:]
+	}
+}
--- /dev/null
+++ b/internal/standin/plain.go
@@ -0,0 +1,151 @@
+package standin
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"monsoonkeel.example/monsoonkeel/internal/platform"
+)
+
+// PlainFaults are the fault switches of the plain service.
+type PlainFaults struct {
+	Refuse bool `json:"refuse"`
+	// DelayMS delays each call before it runs.
+	DelayMS int `json:"delay_ms"`
+	// Truncate cuts answers in the middle.
+	Truncate bool `json:"truncate"`
+	// CloseAfterRun does the work and closes the connection without an answer.
+	CloseAfterRun bool `json:"close_after_run"`
+}
+
+// plainRun is one call that ran.
+type plainRun struct {
+	Run            int       `json:"run"`
+	Method         string    `json:"method"`
+	Path           string    `json:"path"`
+	RequestID      string    `json:"request_id"`
+	IdempotencyKey string    `json:"idempotency_key,omitempty"`
+	BodySHA256     string    `json:"body_sha256"`
+	At             time.Time `json:"at"`
+}
+
+// Plain is a plain service that answers every call with an echo.
+type Plain struct {
+	faults      faultSwitch[PlainFaults]
+	incarnation string
+
+	mu       sync.Mutex
+	runs     []plainRun
+	running  int
+	sequence uint64
+}
+
+// NewPlain returns a plain service.
+func NewPlain(incarnation string) *Plain { return &Plain{incarnation: incarnation} }
+
+// Handler serves any method and path, and GET /v1/load, /faults and
+// /debug/journal.
+func (p *Plain) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/faults", &p.faults)
+	mux.HandleFunc("GET /v1/load", p.load)
+	mux.HandleFunc("GET /debug/journal", func(w http.ResponseWriter, _ *http.Request) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		writeJSON(w, http.StatusOK, map[string]any{"incarnation": p.incarnation, "runs": append([]plainRun{}, p.runs...)})
+	})
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Incarnation", p.incarnation)
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		// The mux cleans paths by redirecting, so it sees only its own paths.
+		switch r.URL.Path {
+		case "/faults", "/v1/load", "/debug/journal":
+			mux.ServeHTTP(w, r)
+		default:
+			p.echo(w, r)
+		}
+	})
+}
+
+func (p *Plain) load(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sequence++
+	writeJSON(w, http.StatusOK, platform.LoadReport{
+		Incarnation: p.incarnation, Sequence: p.sequence, Running: p.running, Completed: uint64(len(p.runs)),
+	})
+}
+
+func (p *Plain) echo(w http.ResponseWriter, r *http.Request) {
+	body, ok := readBody(w, r)
+	if !ok {
+		return
+	}
+	f := p.faults.get()
+	if f.Refuse {
+		refuse(w)
+		return
+	}
+	p.addRunning(1)
+	defer p.addRunning(-1)
+	// A caller that gave up does not undo its call.
+	time.Sleep(milliseconds(f.DelayMS))
+	run := p.record(r, body)
+	if f.CloseAfterRun {
+		panic(http.ErrAbortHandler)
+	}
+	trailers := map[string]string{}
+	for name := range r.Trailer {
+		trailers[name] = r.Trailer.Get(name)
+	}
+	answer := map[string]any{
+		"method": r.Method, "path": r.URL.RequestURI(), "body": string(body),
+		"request_id": r.Header.Get("X-Request-Id"), "run": run, "trailers": trailers,
+	}
+	if f.Truncate {
+		writeTruncated(w, answer)
+		return
+	}
+	if strings.Contains(strings.ToLower(r.Header.Get("TE")), "trailers") {
+		writeWithTrailer(w, answer)
+		return
+	}
+	writeJSON(w, http.StatusOK, answer)
+}
+
+// writeWithTrailer sends the answer chunked, followed by its SHA-256.
+func writeWithTrailer(w http.ResponseWriter, v any) {
+	body, _ := json.Marshal(v) // maps of plain values always marshal
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Trailer", "X-Body-Sha256")
+	_, _ = w.Write(body)
+	_ = http.NewResponseController(w).Flush()
+	w.Header().Set("X-Body-Sha256", digest(body))
+}
+
+func digest(body []byte) string {
+	sum := sha256.Sum256(body)
+	return hex.EncodeToString(sum[:])
+}
+
+func (p *Plain) addRunning(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.running += n
+}
+
+// record writes the call to the journal and returns its run number.
+func (p *Plain) record(r *http.Request, body []byte) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.runs = append(p.runs, plainRun{
+		Run: len(p.runs) + 1, Method: r.Method, Path: r.URL.RequestURI(), RequestID: r.Header.Get("X-Request-Id"),
+		IdempotencyKey: r.Header.Get("Idempotency-Key"), BodySHA256: digest(body), At: time.Now(),
+	})
+	return len(p.runs)
+}
