monsoonkeelctl: add the operators' command-line tool

Cause: operators need to change and read the configuration from any daemon and to learn the true outcome of a change when an answer is lost.

--- /dev/null
+++ b/cmd/monsoonkeelctl/diff.go
@@ -0,0 +1,122 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+
+	"monsoonkeel.example/monsoonkeel/core/config"
+)
+
+// wantedDocument is a configuration file. A missing section is left as it is.
+type wantedDocument struct {
+	Revision config.Revision             `json:"revision"`
+	Classes  map[string]config.Class     `json:"classes"`
+	Teams    map[string]config.Team      `json:"teams"`
+	Services map[string]config.Service   `json:"services"`
+	Domains  map[string]config.Domain    `json:"domains"`
+	Drains   map[string]config.HostDrain `json:"drains"`
+}
+
+func readWanted(raw []byte) (*wantedDocument, error) {
+	w := &wantedDocument{}
+	d := json.NewDecoder(bytes.NewReader(raw))
+	d.DisallowUnknownFields()
+	if err := d.Decode(w); err != nil {
+		return nil, err
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return nil, errors.New("data after the configuration")
+	}
+	return w, nil
+}
+
+// difference collects the operations that lead from doc to the file. An item
+// revision in the file is the one the operator saw, so a newer stored item is
+// a conflict.
+func (w *wantedDocument) difference(doc *config.Document, prune bool) ([]config.Op, error) {
+	d := &differ{fileRevision: w.Revision, prune: prune}
+	diffSection(d, config.KindClass, doc.Classes, w.Classes, func(v *config.Class) (*string, *config.Revision) { return &v.Name, &v.Revision })
+	diffSection(d, config.KindTeam, doc.Teams, w.Teams, func(v *config.Team) (*string, *config.Revision) { return &v.Name, &v.Revision })
+	diffSection(d, config.KindService, doc.Services, w.Services, func(v *config.Service) (*string, *config.Revision) { return &v.Name, &v.Revision })
+	diffSection(d, config.KindDomain, doc.Domains, w.Domains, func(v *config.Domain) (*string, *config.Revision) { return &v.Name, &v.Revision })
+	diffSection(d, config.KindDrain, doc.Drains, w.Drains, func(v *config.HostDrain) (*string, *config.Revision) { return &v.Name, &v.Revision })
+	if d.err != nil {
+		return nil, d.err
+	}
+	if len(d.conflicts) > 0 {
+		return nil, conflictError(d.conflicts)
+	}
+	return d.ops, nil
+}
+
+type differ struct {
+	fileRevision config.Revision
+	prune        bool
+	ops          []config.Op
+	conflicts    []config.Conflict
+	err          error
+}
+
+func diffSection[T any](d *differ, kind config.Kind, stored, wanted map[string]T, fields func(*T) (*string, *config.Revision)) {
+	if wanted == nil {
+		return
+	}
+	encode := func(item T, name string) (json.RawMessage, config.Revision) {
+		itemName, revision := fields(&item)
+		seen := *revision
+		if *itemName == "" {
+			*itemName = name
+		}
+		*revision = 0
+		raw, err := json.Marshal(item)
+		if err != nil {
+			d.err = errors.Join(d.err, fmt.Errorf("%s %q: %w", kind, name, err))
+		}
+		return raw, seen
+	}
+	for _, name := range slices.Sorted(maps.Keys(wanted)) {
+		value, seen := encode(wanted[name], name)
+		storedItem, exists := stored[name]
+		storedValue, storedRevision := encode(storedItem, name)
+		if exists && bytes.Equal(value, storedValue) {
+			continue
+		}
+		op := config.Op{Kind: kind, Name: name, Action: config.ActionPut, Expected: storedRevision, Value: value}
+		d.add(op, seen, storedRevision, storedValue)
+	}
+	if !d.prune {
+		return
+	}
+	for _, name := range slices.Sorted(maps.Keys(stored)) {
+		if _, ok := wanted[name]; ok {
+			continue
+		}
+		storedValue, storedRevision := encode(stored[name], name)
+		op := config.Op{Kind: kind, Name: name, Action: config.ActionDelete, Expected: storedRevision}
+		seen := config.Revision(0)
+		if d.fileRevision != 0 && storedRevision > d.fileRevision {
+			// The item is newer than the file, whose author has not seen it.
+			seen = d.fileRevision
+		}
+		d.add(op, seen, storedRevision, storedValue)
+	}
+}
+
+// add records the operation, or a conflict if the file was written from
+// another revision of the item.
+func (d *differ) add(op config.Op, seen, stored config.Revision, storedValue json.RawMessage) {
+	if seen == 0 || seen == stored {
+		d.ops = append(d.ops, op)
+		return
+	}
+	op.Expected = seen
+	if stored == 0 {
+		storedValue = nil
+	}
+	d.conflicts = append(d.conflicts, config.Conflict{Attempted: op, StoredRevision: stored, Stored: storedValue})
+}
