--- /dev/null
+++ b/core/claim/claim_test.go
@@ -0,0 +1,195 @@
+package claim
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var (
+	start  = time.Unix(1_800_000_000, 0)
+	reqA   = strings.Repeat("a", 64)
+	reqB   = strings.Repeat("b", 64)
+	first  = strings.Repeat("1", 32)
+	second = strings.Repeat("2", 32)
+)
+
+func op(kind OpKind, attempt string) Op {
+	return Op{Kind: kind, KeyHash: KeyHash("team", "key"), RequestHash: reqA, Attempt: attempt, Host: "h1",
+		DeadlineMS: start.Add(30 * time.Second).UnixMilli()}
+}
+
+func run(t *testing.T, s *Shard, now time.Time, o Op) (*Shard, Result) {
+	t.Helper()
+	next, results := Apply(s, []Op{o}, now)
+	require.Len(t, results, 1)
+	return next, results[0]
+}
+
+// Guards against two pairs of team and key sharing one claim record.
+func TestKeyHashFraming(t *testing.T) {
+	require.NotEqual(t, KeyHash("ab", "c"), KeyHash("a", "bc"))
+	require.NotEqual(t, KeyHash("", "abc"), KeyHash("abc", ""))
+	seen := map[uint32]bool{}
+	for i := range 2000 {
+		seen[ShardOf("team", fmt.Sprint(i))] = true
+	}
+	require.Len(t, seen, Shards)
+}
+
+// Guards against each record state answering a claim wrongly; in particular
+// against a claimed record passing to a second attempt at any time.
+func TestClaimAgainstEveryState(t *testing.T) {
+	claimed, r := run(t, Empty(), start, op(OpClaim, first))
+	require.Equal(t, Granted, r.Code)
+	done, _ := run(t, claimed, start, op(OpFinish, first))
+	released, _ := run(t, claimed, start, op(OpRelease, first))
+	unknown, _ := run(t, claimed, start.Add(2*time.Hour), Op{Kind: OpExpire})
+	for _, c := range []struct {
+		shard   *Shard
+		attempt string
+		want    Code
+	}{
+		{claimed, first, Granted}, {claimed, second, Held},
+		{done, first, AlreadyDone}, {done, second, AlreadyDone},
+		{released, first, GivenUp}, {released, second, Granted},
+		{unknown, first, Undetermined}, {unknown, second, Undetermined},
+	} {
+		for _, later := range []time.Duration{0, time.Minute, 1000 * time.Hour} {
+			_, r := run(t, c.shard, start.Add(later), op(OpClaim, c.attempt))
+			require.Equal(t, c.want, r.Code)
+			other := op(OpClaim, c.attempt)
+			other.RequestHash = reqB
+			same, r := run(t, c.shard, start.Add(later), other)
+			require.Equal(t, Misuse, r.Code)
+			require.Same(t, c.shard, same)
+		}
+	}
+}
+
+// Guards against another attempt's finish or release changing a record, and
+// against a late claim after its own release.
+func TestForeignAndLateOperations(t *testing.T) {
+	claimed, _ := run(t, Empty(), start, op(OpClaim, first))
+	for _, kind := range []OpKind{OpFinish, OpRelease} {
+		same, r := run(t, claimed, start, op(kind, second))
+		require.Equal(t, Superseded, r.Code)
+		require.Same(t, claimed, same)
+	}
+	early, r := run(t, Empty(), start, op(OpRelease, first))
+	require.Equal(t, OK, r.Code)
+	_, r = run(t, early, start, op(OpClaim, first))
+	require.Equal(t, GivenUp, r.Code)
+	done, _ := run(t, claimed, start, op(OpFinish, first))
+	_, r = run(t, done, start, op(OpRelease, first))
+	require.Equal(t, Superseded, r.Code)
+}
+
+// Guards against records that are dropped early or never.
+func TestExpire(t *testing.T) {
+	s, _ := run(t, Empty(), start, op(OpClaim, first))
+	at := start.Add(30*time.Second + ExpiryGrace)
+	same, _ := run(t, s, at, Op{Kind: OpExpire})
+	require.Same(t, s, same)
+	at = at.Add(time.Second)
+	s, _ = run(t, s, at, Op{Kind: OpExpire})
+	require.Equal(t, Unknown, s.Records[KeyHash("team", "key")].State)
+	same, _ = run(t, s, at.Add(Retention), Op{Kind: OpExpire})
+	require.Same(t, s, same)
+	s, _ = run(t, s, at.Add(Retention+time.Second), Op{Kind: OpExpire})
+	require.Empty(t, s.Records)
+	require.Equal(t, Empty().bytes, s.bytes)
+}
+
+// Guards against a full shard that cannot be encoded, that refuses the answer
+// state of a running order, or that reads back differently.
+func TestFullShard(t *testing.T) {
+	s, body := Empty(), make([]byte, MaxAnswerBytes)
+	var granted []Op
+	for i := 0; ; i++ {
+		o := op(OpClaim, first)
+		o.KeyHash = KeyHash("team", fmt.Sprint(i))
+		o.Host = strings.Repeat("\x01", MaxHostBytes)
+		next, r := run(t, s, start, o)
+		if r.Code == Full {
+			require.Same(t, s, next)
+			break
+		}
+		s, granted = next, append(granted, o)
+	}
+	kept := 0
+	for _, o := range granted {
+		o.Kind, o.Answer = OpFinish, &Answer{Status: 200, Body: body}
+		var r Result
+		s, r = run(t, s, start, o)
+		require.Equal(t, OK, r.Code)
+		if s.Records[o.KeyHash].Answer != nil {
+			kept++
+		}
+	}
+	require.Positive(t, kept)
+	require.Less(t, kept, len(granted))
+	value, err := s.Encode()
+	require.NoError(t, err)
+	back, err := Decode(value)
+	require.NoError(t, err)
+	require.Equal(t, s, back)
+}
+
+// Guards against an answer that makes the stored document unreadable.
+func TestUnstorableAnswer(t *testing.T) {
+	for _, a := range []*Answer{
+		{Body: make([]byte, MaxAnswerBytes+1)},
+		{ContentType: strings.Repeat("\xff", MaxContentTypeBytes)},
+	} {
+		s, _ := run(t, Empty(), start, op(OpClaim, first))
+		fin := op(OpFinish, first)
+		fin.Answer = a
+		s, r := run(t, s, start, fin)
+		require.Equal(t, OK, r.Code)
+		value, err := s.Encode()
+		require.NoError(t, err)
+		_, err = Decode(value)
+		require.NoError(t, err)
+	}
+}
+
+// Guards against a document of another version or with damage being read as
+// one with fewer claims.
+func TestDecodeRefuses(t *testing.T) {
+	for _, doc := range []string{``, `{}`, `null`, `{"version":2,"records":{}}`, `{"version":1}`,
+		`{"version":1,"records":{}} {}`, `{"version":1,"records":{},"extra":1}`,
+		`{"version":1,"records":{"zz":{}}}`, `{"version":1,"records":{"` + reqA + `":{"state":"claimed"}}}`} {
+		_, err := Decode([]byte(doc))
+		require.Error(t, err, doc)
+	}
+}
+
+// Guards against a decoder that panics or accepts a document whose re-encoded
+// form differs.
+func FuzzDecode(f *testing.F) {
+	s, _ := Apply(Empty(), []Op{op(OpClaim, first)}, start)
+	value, _ := s.Encode()
+	f.Add(value)
+	s, _ = Apply(s, []Op{{Kind: OpFinish, KeyHash: KeyHash("team", "key"), RequestHash: reqA, Attempt: first, Host: "h", Answer: &Answer{Status: 200, Body: []byte("ok")}}}, start)
+	value, _ = s.Encode()
+	f.Add(value)
+	f.Add([]byte(`{"version":1,"records":{}}`))
+	f.Fuzz(func(t *testing.T, value []byte) {
+		s, err := Decode(value)
+		if err != nil {
+			return
+		}
+		again, err := s.Encode()
+		if err != nil {
+			return // a document near the limit may grow by escapes
+		}
+		back, err := Decode(again)
+		require.NoError(t, err)
+		require.Equal(t, len(s.Records), len(back.Records))
+		Apply(s, []Op{op(OpClaim, first), {Kind: OpExpire}}, start)
+	})
+}
