--- a/internal/process/peers/peers.go
+++ b/internal/process/peers/peers.go
@@ -61,6 +61,8 @@
 	NoteConfirmation(rev config.Revision, age time.Duration, sentAt time.Time)
 	// ChangesSince returns the changes after rev, or the whole document.
 	ChangesSince(rev config.Revision) (changes [][]byte, document []byte)
+	// Merge takes over changes or a document. Two peers may send the same
+	// changes at the same time, so it must ignore what is not newer.
 	Merge(changes [][]byte, document []byte) error
 }
 
