Predict cache memory in placement; add the engine model and policy benchmark

Cause: placement looked at queue length and used memory only, and nothing measured it under crowding. Ruled out: one predicted peak per request (peaks of different requests do not coincide); a cluster simulator (the model stops at the engine's interface). Change: core/schedule predicts the memory of all requests at 8 horizons with a variance, knows own requests one by one and others from the lagged report, keeps a reserve that grows with preemptions, and bounds batch and prefill. Pick's signature is unchanged; new Candidate and Request fields are optional. internal/enginemodel models an engine in virtual time; internal/policybench compares the core with three baselines.

--- a/core/length/length.go
+++ b/core/length/length.go
@@ -5,15 +5,19 @@
 // It is pure and not safe for concurrent use; callers shard or lock.
 package length
 
-import "math"
+import (
+	"math"
+	"math/bits"
+)
 
 const (
 	// MaxTokens is the longest output that is told apart; longer ones count as this.
 	MaxTokens = 65536
 
-	// The buckets are logarithmic, 4 to an octave, so that a distribution takes
-	// about 300 bytes and a quantile is off by at most 19%. HdrHistogram was
-	// compared: it needs 1.8 KB at one digit and its integer counts do not decay.
+	// The buckets are logarithmic, each octave divided into 4, so that a
+	// distribution takes about 300 bytes and a quantile is off by at most 25%.
+	// HdrHistogram was compared: it needs 1.8 KB at one digit and its integer
+	// counts do not decay.
 	perOctave = 4
 	octaves   = 16
 	nBuckets  = perOctave*octaves + 1
@@ -73,13 +77,15 @@
 	if tokens <= 1 {
 		return 0
 	}
-	return min(int(perOctave*math.Log2(float64(tokens))), nBuckets-1)
+	octave := bits.Len(uint(tokens)) - 1
+	quarter := tokens<<2>>octave - perOctave
+	return min(octave*perOctave+quarter, nBuckets-1)
 }
 
 // lowerBounds[i] is the smallest length of bucket i.
 var lowerBounds = func() (b [nBuckets + 1]float64) {
 	for i := range b {
-		b[i] = math.Exp2(float64(i) / perOctave)
+		b[i] = math.Ldexp(1+float64(i%perOctave)/perOctave, i/perOctave)
 	}
 	return b
 }()
--- /dev/null
+++ b/core/schedule/bounds.go
@@ -0,0 +1,102 @@
+package schedule
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// MinReserve and MaxReserve bound the reserve, in standard deviations of
+	// the predicted demand.
+	MinReserve = 0.5
+	MaxReserve = 4
+	// reserveStep is added for each preemption.
+	reserveStep = 0.25
+	// reserveHalfLife is how fast the reserve shrinks without preemptions. It
+	// spans several long generations, since their end shows the next shortage.
+	reserveHalfLife = 60 * time.Second
+)
+
+// Reserve adapts the memory kept free for the uncertain tail to the
+// preemptions that engines report. The zero value is at MinReserve.
+type Reserve struct {
+	above float64
+	last  time.Time
+}
+
+// Preempted records preemptions newly reported.
+func (r *Reserve) Preempted(n int, now time.Time) {
+	r.decay(now)
+	r.above = min(r.above+reserveStep*float64(n), MaxReserve-MinReserve)
+}
+
+func (r *Reserve) decay(now time.Time) {
+	if dt := now.Sub(r.last); !r.last.IsZero() && dt > 0 {
+		r.above *= math.Exp2(-dt.Seconds() / reserveHalfLife.Seconds())
+	}
+	r.last = now
+}
+
+// Value returns the reserve in standard deviations.
+func (r *Reserve) Value(now time.Time) float32 {
+	r.decay(now)
+	return float32(MinReserve + r.above)
+}
+
+const (
+	// stepForget is the weight that older load reports lose with each new one.
+	stepForget = 0.99
+	// gapMargin is the share of a token gap target that decode alone may take;
+	// the rest is left for prefill in the same step.
+	gapMargin = 0.9
+	// minSpread is the variance of batch sizes, in requests squared, below
+	// which reports do not tell how the step time grows.
+	minSpread = 4
+)
+
+// StepModel learns from load reports how an engine's step time grows with its
+// batch: a decayed least-squares line.
+type StepModel struct {
+	n, x, y, xx, xy float64
+}
+
+// Observe records a reported batch size and step time.
+func (m *StepModel) Observe(running int, stepMS float64) {
+	if running < 1 || stepMS <= 0 {
+		return
+	}
+	x := float64(running)
+	for _, v := range []*float64{&m.n, &m.x, &m.y, &m.xx, &m.xy} {
+		*v *= stepForget
+	}
+	m.n++
+	m.x += x
+	m.y += stepMS
+	m.xx += x * x
+	m.xy += x * stepMS
+}
+
+// line returns the step time of an empty batch and the growth per request, in
+// ms, and whether they are known.
+func (m *StepModel) line() (base, slope float64, ok bool) {
+	if m.n < 10 {
+		return 0, 0, false
+	}
+	spread := m.xx/m.n - m.x/m.n*(m.x/m.n)
+	if spread < minSpread {
+		return 0, 0, false
+	}
+	slope = (m.xy/m.n - m.x/m.n*(m.y/m.n)) / spread
+	base = m.y/m.n - slope*m.x/m.n
+	return base, slope, slope > 0
+}
+
+// BatchBound returns the largest batch whose steps stay within the token gap
+// target, or 0 when that is unknown or there is no target.
+func (m *StepModel) BatchBound(gapMS int) int {
+	base, slope, ok := m.line()
+	if !ok || gapMS <= 0 {
+		return 0
+	}
+	return max(int((gapMargin*float64(gapMS)-base)/slope), 1)
+}
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -16,10 +16,32 @@
 	// OwnSinceReport is the number of this host's requests sent since the
 	// moment that the report describes.
 	OwnSinceReport int
-	// MemoryUsed is the used share of the engine's cache memory, 0 to 1.
+	// MemoryUsed is the used share of the engine's cache memory, 0 to 1. It is
+	// used only when MemoryTokens is 0.
 	MemoryUsed float64
 	// Capacity is the number of requests a warm backend server runs at once.
 	Capacity int
+
+	// MemoryTokens is the size of the cache memory in tokens; 0 means that
+	// demand is not predicted for this backend server.
+	MemoryTokens float32
+	// Demand is the predicted cache memory of the requests there.
+	Demand Demand
+	// Reserve is the memory kept free for the uncertain tail of the demand, in
+	// standard deviations.
+	Reserve float32
+	// MaxBatch bounds the requests in flight there, over all hosts, so that
+	// the token gap target is kept; 0 means no bound.
+	MaxBatch int
+	// Prefilling is the number of own requests there without a first token,
+	// and MaxPrefill bounds it; 0 means no bound.
+	Prefilling, MaxPrefill int
+}
+
+// Holder is a backend server whose prefix cache holds a part of the prompt.
+type Holder struct {
+	Index  int
+	Tokens int
 }
 
 // Request is what the scheduler knows about a request.
@@ -29,45 +51,69 @@
 	// Tried lists the table indexes of backend servers that already failed
 	// this request.
 	Tried []int
+	// LocalOnly forbids other regions, while the target can still be met
+	// by waiting.
+	LocalOnly bool
+	// Prompt is the length of the prompt in tokens.
+	Prompt int
+	// Survival predicts the output length.
+	Survival Survival
+	// Holders lists the backend servers that hold a prefix of the prompt.
+	Holders []Holder
 }
 
-// remotePenalty is the load difference that outweighs a regional link. Links
-// between regions are slow and billed, so a local backend server is preferred
-// until it is this much fuller than a remote one.
-const remotePenalty = 0.5
+const (
+	// remotePenalty is the load difference that outweighs a regional link.
+	// Links between regions are slow and billed, so a local backend server is
+	// preferred until it is this much fuller than a remote one.
+	remotePenalty = 0.5
 
-// memoryWeight weighs cache memory against queue length: an engine short of
-// memory preempts running work.
-const memoryWeight = 0.5
+	// memoryWeight weighs cache memory against queue length: an engine short
+	// of memory preempts running work.
+	memoryWeight = 0.5
+
+	// affinityWeight is the load difference that a wholly cached prompt
+	// outweighs. It is bounded so that a popular prefix does not crowd the
+	// backend server that holds it.
+	affinityWeight = 0.1
+)
 
 // Pick returns the index into candidates of the best one, or -1 when none may
-// get the request. Tie breaks rotate with seed, so that hosts with the same
-// lagged reports do not all choose the same backend server.
+// get the request now. Tie breaks rotate with seed, so that hosts with the
+// same lagged reports do not all choose the same backend server.
 func Pick(candidates []Candidate, req Request, seed uint64) int {
-	best, bestScore := -1, 0.0
 	n := len(candidates)
 	if n == 0 {
 		return -1
 	}
-	start := int(seed % uint64(n))
-	for i := range n {
-		at := (start + i) % n
+	var add Demand
+	add.Add(1, float32(req.Prompt), &req.Survival)
+	best, bestScore := -1, 0.0
+	at := int(seed % uint64(n))
+	for range n {
 		c := &candidates[at]
-		if !admissible(c, req.Tried) {
-			continue
+		if admissible(c, &req) {
+			if s, fits := score(c, &req, &add); fits && (best < 0 || s < bestScore) {
+				best, bestScore = at, s
+			}
 		}
-		if s := score(c, req.Region); best < 0 || s < bestScore {
-			best, bestScore = at, s
+		if at++; at == n {
+			at = 0
 		}
 	}
 	return best
 }
 
-func admissible(c *Candidate, tried []int) bool {
-	if c.Own >= c.Limit {
+func admissible(c *Candidate, req *Request) bool {
+	work := c.ReportedWork + c.OwnSinceReport
+	switch {
+	case c.Own >= c.Limit,
+		c.MaxBatch > 0 && work >= c.MaxBatch,
+		c.MaxPrefill > 0 && c.Prefilling >= c.MaxPrefill,
+		req.LocalOnly && c.Region != req.Region:
 		return false
 	}
-	for _, t := range tried {
+	for _, t := range req.Tried {
 		if t == c.Index {
 			return false
 		}
@@ -75,13 +121,28 @@
 	return true
 }
 
-// score is the expected load of a candidate; lower is better.
-func score(c *Candidate, region string) float64 {
-	capacity := max(c.Capacity, 1)
-	s := float64(c.ReportedWork+c.OwnSinceReport) / float64(capacity)
-	s += memoryWeight * c.MemoryUsed
-	if c.Region != region {
+// score is the expected load of a candidate; lower is better. It reports
+// whether the predicted peak memory fits. A request always fits on an idle
+// backend server, or it would never run.
+func score(c *Candidate, req *Request, add *Demand) (float64, bool) {
+	work := c.ReportedWork + c.OwnSinceReport
+	s := float64(work) / float64(max(c.Capacity, 1))
+	if c.MemoryTokens > 0 {
+		memory := float64(c.Demand.peakWith(add, c.Reserve) / c.MemoryTokens)
+		if memory > 1 && work > 0 {
+			return 0, false
+		}
+		s = max(s, memory)
+	} else {
+		s += memoryWeight * c.MemoryUsed
+	}
+	if c.Region != req.Region {
 		s += remotePenalty
 	}
-	return s
+	for _, h := range req.Holders {
+		if h.Index == c.Index {
+			s -= affinityWeight * float64(h.Tokens) / float64(max(req.Prompt, 1))
+		}
+	}
+	return s, true
 }
--- /dev/null
+++ b/core/schedule/tracker.go
@@ -0,0 +1,208 @@
+package schedule
+
+import (
+	"time"
+)
+
+// Report is a load report as the scheduler needs it.
+type Report struct {
+	// At is the moment that the report describes.
+	At time.Time
+	// Work is running plus waiting requests, of all hosts.
+	Work, Running int
+	// TokensUsed and TokensTotal measure the cache memory, in tokens.
+	TokensUsed, TokensTotal int
+	// Preemptions counts since the start of the incarnation.
+	Preemptions uint64
+	StepMS      float64
+	Incarnation string
+}
+
+// Tracker knows what one host knows about one backend server: its own requests
+// there one by one, and the others from the last load report. It is not safe
+// for concurrent use; a lock per backend server is enough.
+type Tracker struct {
+	own    []ownRequest
+	index  map[uint64]int
+	ended  []endedRequest
+	report Report
+	known  bool
+	demand Demand
+}
+
+type ownRequest struct {
+	id               uint64
+	sent             time.Time
+	prompt, produced int
+	lengths          Lengths
+	// survival was computed when the request had produced predictedAt tokens.
+	survival    Survival
+	predictedAt int
+}
+
+// predict brings the survival up to date. It changes slowly, so it is computed
+// again only after an eighth more tokens.
+func (r *ownRequest) predict() {
+	if r.produced < r.predictedAt+max(r.predictedAt/8, 8) {
+		return
+	}
+	r.survival = SurvivalOf(r.lengths, r.produced)
+	r.predictedAt = r.produced
+}
+
+type endedRequest struct {
+	sent, ended time.Time
+	tokens      int
+}
+
+// endedKept is how long ended requests are kept to correct lagged reports.
+const endedKept = 30 * time.Second
+
+// NewTracker returns a tracker without a report.
+func NewTracker() *Tracker { return &Tracker{index: make(map[uint64]int)} }
+
+// Sent records a request sent to the backend server.
+func (t *Tracker) Sent(id uint64, prompt int, lengths Lengths, now time.Time) {
+	t.index[id] = len(t.own)
+	r := ownRequest{id: id, sent: now, prompt: prompt, lengths: lengths, survival: SurvivalOf(lengths, 0)}
+	t.own = append(t.own, r)
+	t.demand.Add(1, float32(prompt), &r.survival)
+}
+
+// Progress records the tokens that a request has produced.
+func (t *Tracker) Progress(id uint64, produced int) {
+	if i, ok := t.index[id]; ok {
+		t.own[i].produced = produced
+	}
+}
+
+// Ended records that a request ended, in whatever way.
+func (t *Tracker) Ended(id uint64, now time.Time) {
+	i, ok := t.index[id]
+	if !ok {
+		return
+	}
+	r := &t.own[i]
+	t.ended = append(t.ended, endedRequest{sent: r.sent, ended: now, tokens: r.prompt + r.produced})
+	last := len(t.own) - 1
+	t.own[i] = t.own[last]
+	t.index[t.own[i].id] = i
+	t.own[last] = ownRequest{}
+	t.own = t.own[:last]
+	delete(t.index, id)
+}
+
+// Reported takes a load report and returns the preemptions new since the last
+// one. An older report than the last is ignored.
+func (t *Tracker) Reported(r Report, now time.Time) (preempted int) {
+	if t.known && r.Incarnation == t.report.Incarnation {
+		if r.At.Before(t.report.At) {
+			return 0
+		}
+		preempted = int(r.Preemptions - t.report.Preemptions)
+	}
+	t.report, t.known = r, true
+	kept := t.ended[:0]
+	for _, e := range t.ended {
+		if now.Sub(e.ended) < endedKept && e.ended.After(r.At) {
+			kept = append(kept, e)
+		}
+	}
+	t.ended = kept
+	return preempted
+}
+
+// Own returns the number of this host's requests in flight.
+func (t *Tracker) Own() int { return len(t.own) }
+
+// AddPopulation adds the own requests' survival to sum and returns their
+// number. Their average over all backend servers describes the running
+// requests of other hosts, of which neither class nor progress is known.
+func (t *Tracker) AddPopulation(sum *Survival) int {
+	for i := range t.own {
+		r := &t.own[i]
+		r.predict()
+		for j := range sum {
+			sum[j] += r.survival[j]
+		}
+	}
+	return len(t.own)
+}
+
+// Others estimates the requests of other hosts at the moment of the last
+// report, and the cache tokens that they held.
+func (t *Tracker) Others(now time.Time) (requests, tokens int) {
+	if !t.known {
+		return 0, 0
+	}
+	steps := 0
+	if t.report.StepMS > 0 {
+		steps = int(float64(now.Sub(t.report.At).Milliseconds()) / t.report.StepMS)
+	}
+	requests, tokens = t.report.Work, t.report.TokensUsed
+	for i := range t.own {
+		r := &t.own[i]
+		if r.sent.After(t.report.At) {
+			continue
+		}
+		requests--
+		if r.produced > steps {
+			tokens -= r.prompt + r.produced - steps
+		}
+	}
+	for _, e := range t.ended {
+		if !e.sent.After(t.report.At) && e.ended.After(t.report.At) {
+			requests--
+			tokens -= e.tokens
+		}
+	}
+	if requests <= 0 {
+		return 0, 0
+	}
+	return requests, max(tokens, 0)
+}
+
+// Refresh predicts the demand anew from the progress of the own requests and
+// the last report. Population is the average survival of running requests.
+func (t *Tracker) Refresh(population *Survival, now time.Time) {
+	var d Demand
+	for i := range t.own {
+		r := &t.own[i]
+		r.predict()
+		d.Add(1, float32(r.prompt+r.produced), &r.survival)
+	}
+	if n, tokens := t.Others(now); n > 0 {
+		d.Add(float32(n), float32(tokens)/float32(n), population)
+	}
+	t.demand = d
+}
+
+// Fill sets the fields of c that come from load reports and own requests.
+func (t *Tracker) Fill(c *Candidate) {
+	c.Own = len(t.own)
+	c.ReportedWork, c.OwnSinceReport, c.Prefilling = 0, 0, 0
+	c.Demand = t.demand
+	for i := range t.own {
+		if !t.known || t.own[i].sent.After(t.report.At) {
+			c.OwnSinceReport++
+		}
+		if t.own[i].produced == 0 {
+			c.Prefilling++
+		}
+	}
+	if !t.known {
+		c.MemoryUsed, c.MemoryTokens = 0, 0
+		return
+	}
+	c.ReportedWork = t.report.Work
+	for _, e := range t.ended {
+		if !e.sent.After(t.report.At) && e.ended.After(t.report.At) {
+			c.ReportedWork--
+		}
+	}
+	c.ReportedWork = max(c.ReportedWork, 0)
+	c.MemoryTokens = float32(t.report.TokensTotal)
+	if t.report.TokensTotal > 0 {
+		c.MemoryUsed = float64(t.report.TokensUsed) / float64(t.report.TokensTotal)
+	}
+}
--- /dev/null
+++ b/internal/policybench/baseline.go
@@ -0,0 +1,80 @@
+package policybench
+
+import "math/rand/v2"
+
+// baseline places each request at once, without admission.
+type baseline struct {
+	run     *run
+	host    *hostState
+	rng     *rand.Rand
+	choose  func(b *baseline, allowed []int) int
+	next    int
+	waiting []*request // while no engine may get work
+}
+
+func newBaseline(choose func(*baseline, []int) int) func(*run, *hostState) policy {
+	return func(r *run, h *hostState) policy {
+		return &baseline{run: r, host: h, choose: choose, next: h.index,
+			rng: rand.New(rand.NewPCG(uint64(h.index), 0x62617365))}
+	}
+}
+
+func (b *baseline) arrive(q *request) {
+	var buf [engines]int
+	allowed := buf[:0]
+	for i := range engines {
+		if b.host.views[i].own < b.run.limit(b.host, i) {
+			allowed = append(allowed, i)
+		}
+	}
+	if len(allowed) == 0 {
+		b.waiting = append(b.waiting, q)
+		return
+	}
+	b.run.send(b.host, q, b.choose(b, allowed))
+}
+
+func (b *baseline) token(*request) {}
+func (b *baseline) ended(*request) {}
+func (b *baseline) reported(int)   {}
+
+func (b *baseline) tick() {
+	waiting := b.waiting
+	b.waiting = nil
+	for _, q := range waiting {
+		b.arrive(q)
+	}
+}
+
+// load is the requests in flight in the last report and those sent since.
+func (b *baseline) load(engine int) int {
+	v := &b.host.views[engine]
+	return v.report.Running + v.report.Waiting + v.sinceReport()
+}
+
+func roundRobin(b *baseline, allowed []int) int {
+	b.next++
+	return allowed[b.next%len(allowed)]
+}
+
+func leastRequests(b *baseline, allowed []int) int {
+	best := -1
+	at := b.rng.IntN(len(allowed))
+	for range allowed {
+		e := allowed[at]
+		if best < 0 || b.load(e) < b.load(best) {
+			best = e
+		}
+		at = (at + 1) % len(allowed)
+	}
+	return best
+}
+
+func powerOfTwo(b *baseline, allowed []int) int {
+	x := allowed[b.rng.IntN(len(allowed))]
+	y := allowed[b.rng.IntN(len(allowed))]
+	if b.load(y) < b.load(x) {
+		return y
+	}
+	return x
+}
--- /dev/null
+++ b/internal/policybench/gauges.go
@@ -0,0 +1,155 @@
+package policybench
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// gapUnit is the unit of the gap histograms, and gapMax their largest value.
+const (
+	gapUnit = 100 * time.Microsecond
+	gapMax  = 10_000_000
+)
+
+// Result holds the figures of one run.
+type Result struct {
+	// Preemptions in the measured time.
+	Preemptions float64
+	// StallSeconds sums, over all streams, the time by which gaps between
+	// tokens exceed the target.
+	StallSeconds float64
+	// GapP99 and GapP999 are quantiles over all gaps, in ms.
+	GapP99, GapP999 float64
+	// TokensPerSecond counts tokens delivered to callers, each once.
+	TokensPerSecond float64
+	// FirstInTarget is the share of offered requests whose first token came
+	// within the target; a refused request is a miss.
+	FirstInTarget float64
+	// QuietInTarget is the same for the teams other than team 0.
+	QuietInTarget float64
+	// GapsInTarget is the share of gaps within the target.
+	GapsInTarget float64
+	// RefusedShare is the share of offered requests that were refused.
+	RefusedShare float64
+	// Cut counts streams that ended early because their engine died, and
+	// Unfinished requests without any outcome, in scenarios that
+	// run until all have one.
+	Cut, Unfinished float64
+	// FellOver counts cold engines that were overloaded.
+	FellOver float64
+	// OtherBefore and OtherAfter are the p99 gaps, in ms, on engines outside
+	// failure domain 0 before and after the scenario's moment.
+	OtherBefore, OtherAfter float64
+	// CachedShare is the share of prompt tokens served from the prefix cache.
+	CachedShare float64
+}
+
+type totals struct{ preemptions, prefilled uint64 }
+
+type gauges struct {
+	gaps, otherBefore, otherAfter *hdrhistogram.Histogram
+	stall                         time.Duration
+	total, inTarget               int
+	tokens                        int
+	fellOver                      int
+	engineBase, engineEnd         totals
+	// stopped holds the totals of engines that were stopped.
+	stopped totals
+}
+
+func newGauges() gauges {
+	h := func() *hdrhistogram.Histogram { return hdrhistogram.New(1, gapMax, 3) }
+	return gauges{gaps: h(), otherBefore: h(), otherAfter: h()}
+}
+
+func (r *run) engineTotals() totals {
+	t := r.gauges.stopped
+	for _, e := range r.engines {
+		if e.Up() {
+			prefilled, _ := e.Prefilled()
+			t.preemptions += e.Preemptions()
+			t.prefilled += prefilled
+		}
+	}
+	return t
+}
+
+func (g *gauges) token(r *run, q *request, at time.Time) {
+	if q.delivered == 0 {
+		q.first = at.Add(r.delay(r.hosts[q.host], q.engine))
+	}
+	if at.Before(r.start) || !at.Before(r.end) {
+		return
+	}
+	g.tokens++
+	if q.delivered == 0 {
+		return
+	}
+	gap := at.Sub(q.last)
+	g.total++
+	if gap <= gapTarget {
+		g.inTarget++
+	} else {
+		g.stall += gap - gapTarget
+	}
+	v := min(int64(gap/gapUnit), gapMax)
+	// The value is within the histogram's range.
+	_ = g.gaps.RecordValue(v)
+	if regionOf(q.engine) != 0 {
+		if at.Before(r.start.Add(moment)) {
+			_ = g.otherBefore.RecordValue(v)
+		} else {
+			_ = g.otherAfter.RecordValue(v)
+		}
+	}
+}
+
+func (g *gauges) result(r *run) Result {
+	quantile := func(h *hdrhistogram.Histogram, q float64) float64 {
+		return float64(h.ValueAtQuantile(q)) * float64(gapUnit) / float64(time.Millisecond)
+	}
+	res := Result{
+		Preemptions:     float64(g.engineEnd.preemptions - g.engineBase.preemptions),
+		StallSeconds:    g.stall.Seconds(),
+		GapP99:          quantile(g.gaps, 99),
+		GapP999:         quantile(g.gaps, 99.9),
+		TokensPerSecond: float64(g.tokens) / measured.Seconds(),
+		GapsInTarget:    float64(g.inTarget) / float64(max(g.total, 1)),
+		FellOver:        float64(g.fellOver),
+		OtherBefore:     quantile(g.otherBefore, 99),
+		OtherAfter:      quantile(g.otherAfter, 99),
+	}
+	var offered, refused, ok, quiet, quietOK, prompt int
+	for _, q := range r.requests {
+		if q.cut {
+			res.Cut++
+		}
+		if !q.done && r.scenario.drain {
+			res.Unfinished++
+		}
+		if q.arrival.Before(r.start) || q.arrival.After(r.end.Add(-settle)) {
+			continue
+		}
+		offered++
+		prompt += q.prompt
+		good := !q.first.IsZero() && q.first.Sub(q.arrival) <= firstTokenTarget
+		if q.refused {
+			refused++
+		}
+		if good {
+			ok++
+		}
+		if q.team != 0 {
+			quiet++
+			if good {
+				quietOK++
+			}
+		}
+	}
+	res.FirstInTarget = float64(ok) / float64(max(offered, 1))
+	res.RefusedShare = float64(refused) / float64(max(offered, 1))
+	res.QuietInTarget = float64(quietOK) / float64(max(quiet, 1))
+	res.CachedShare = 1 - float64(g.engineEnd.prefilled-g.engineBase.prefilled)/float64(max(prompt, 1))
+	return res
+}
--- /dev/null
+++ b/internal/policybench/table.go
@@ -0,0 +1,162 @@
+package policybench
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"text/tabwriter"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// contender is a policy with its name in the tables.
+type contender struct {
+	name string
+	make func(*run, *hostState) policy
+}
+
+var contenders = []contender{
+	{"core", newCore},
+	{"round robin", newBaseline(roundRobin)},
+	{"least requests", newBaseline(leastRequests)},
+	{"power of two", newBaseline(powerOfTwo)},
+}
+
+// capacity is the rate, in requests per second, at which 12 engines are just
+// saturated; it is measured once by running them with a deep queue.
+var capacity = sync.OnceValue(func() float64 {
+	sc := scenario{name: "capacity", hosts: 1, reportLag: scenarios[0].reportLag}
+	const probe = 300 // requests per second, far above saturation
+	res := simulate(sc, probe, 1, newBaseline(roundRobin))
+	return res.TokensPerSecond / meanOutput()
+})
+
+// meanOutput is the mean output length of the mix, in tokens, from the
+// benchmark's own source.
+func meanOutput() float64 {
+	const draws = 200_000
+	s := newSource(1)
+	sum := 0
+	for i := range draws {
+		sum += s.draw(uint64(i), epoch, 1).output
+	}
+	return float64(sum) / draws
+}
+
+// cell is one scenario at one load, with the results by contender and seed.
+type cell struct {
+	scenario scenario
+	load     float64
+	results  [][]Result
+}
+
+// measure runs every contender with every seed, at most parallel at a time.
+func measure(scs []scenario, loads []float64, seeds, parallel int) []*cell {
+	rate := capacity()
+	var g errgroup.Group
+	g.SetLimit(parallel)
+	var cells []*cell
+	for _, sc := range scs {
+		for _, load := range loads {
+			c := &cell{scenario: sc, load: load, results: make([][]Result, len(contenders))}
+			cells = append(cells, c)
+			for p := range contenders {
+				c.results[p] = make([]Result, seeds)
+				for s := range seeds {
+					g.Go(func() error {
+						c.results[p][s] = simulate(sc, load*rate, uint64(s+1), contenders[p].make)
+						return nil
+					})
+				}
+			}
+		}
+	}
+	_ = g.Wait() // the functions return no errors
+	return cells
+}
+
+// figure reads one figure of a result.
+type figure func(*Result) float64
+
+var (
+	preemptions = func(r *Result) float64 { return r.Preemptions }
+	stall       = func(r *Result) float64 { return r.StallSeconds }
+	gapP99      = func(r *Result) float64 { return r.GapP99 }
+	tokens      = func(r *Result) float64 { return r.TokensPerSecond }
+)
+
+// median is the median of a figure over the seeds.
+func (c *cell) median(contender int, f figure) float64 {
+	var v []float64
+	for i := range c.results[contender] {
+		v = append(v, f(&c.results[contender][i]))
+	}
+	slices.Sort(v)
+	return v[len(v)/2]
+}
+
+// ratio is the median over the seeds of the core's figure relative to the best
+// baseline of the same seed, and the share of seeds in which that baseline is
+// not 0. A ratio to 0 is 1 if the core's figure is 0 too, and else the figure.
+func (c *cell) ratio(f figure, best func(a, b float64) bool) float64 {
+	var v []float64
+	for s := range c.results[0] {
+		b := f(&c.results[1][s])
+		for p := 2; p < len(contenders); p++ {
+			if x := f(&c.results[p][s]); best(x, b) {
+				b = x
+			}
+		}
+		v = append(v, divide(f(&c.results[0][s]), b))
+	}
+	slices.Sort(v)
+	return v[len(v)/2]
+}
+
+func divide(a, b float64) float64 {
+	switch {
+	case b != 0:
+		return a / b
+	case a == 0:
+		return 0
+	default:
+		return a
+	}
+}
+
+func lower(a, b float64) bool  { return cmp.Less(a, b) }
+func higher(a, b float64) bool { return cmp.Less(b, a) }
+
+// writeTables prints the medians and the ratios to the best baseline.
+func writeTables(w io.Writer, cells []*cell) error {
+	tw := tabwriter.NewWriter(w, 0, 0, 1, ' ', 0)
+	fmt.Fprintln(tw, "| scenario\t| load\t| policy\t| preempt\t| stall s\t| p99 gap\t| p99.9 gap\t| tokens/s\t| first<=1.9s\t| quiet teams\t| gaps<=52ms\t| refused\t| cached\t| cut\t| unfinished\t| fell over\t|")
+	fmt.Fprintln(tw, "|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|")
+	for _, c := range cells {
+		for p := range contenders {
+			m := func(f figure) float64 { return c.median(p, f) }
+			fmt.Fprintf(tw, "| %s\t| %.1f\t| %s\t| %.0f\t| %.1f\t| %.1f\t| %.1f\t| %.0f\t| %.3f\t| %.3f\t| %.3f\t| %.3f\t| %.2f\t| %.0f\t| %.0f\t| %.0f\t|\n",
+				c.scenario.name, c.load, contenders[p].name, m(preemptions), m(stall), m(gapP99),
+				m(func(r *Result) float64 { return r.GapP999 }), m(tokens),
+				m(func(r *Result) float64 { return r.FirstInTarget }),
+				m(func(r *Result) float64 { return r.QuietInTarget }),
+				m(func(r *Result) float64 { return r.GapsInTarget }),
+				m(func(r *Result) float64 { return r.RefusedShare }),
+				m(func(r *Result) float64 { return r.CachedShare }),
+				m(func(r *Result) float64 { return r.Cut }),
+				m(func(r *Result) float64 { return r.Unfinished }),
+				m(func(r *Result) float64 { return r.FellOver }))
+		}
+	}
+	fmt.Fprint(tw, "\nRatio to the best baseline of the same run, median over seeds:\n\n")
+	fmt.Fprintln(tw, "| scenario\t| load\t| preempt\t| stall\t| p99 gap\t| tokens/s\t| other domains' p99 gap, after/before\t|")
+	fmt.Fprintln(tw, "|---\t|---\t|---\t|---\t|---\t|---\t|---\t|")
+	for _, c := range cells {
+		fmt.Fprintf(tw, "| %s\t| %.1f\t| %.3f\t| %.3f\t| %.3f\t| %.3f\t| %.2f\t|\n", c.scenario.name, c.load,
+			c.ratio(preemptions, lower), c.ratio(stall, lower), c.ratio(gapP99, lower), c.ratio(tokens, higher),
+			c.median(0, func(r *Result) float64 { return divide(r.OtherAfter, r.OtherBefore) }))
+	}
+	return tw.Flush()
+}
