configlog: recognize a repeated change by its operations

A host that got the whole document from a peer showed no history. Ruled out: keeping whole changes in checkpoints, which would not fit beside the largest document. Conclusion: a repeated id is answered with its revision or refused with a reason.

--- a/cmd/monsoonkeelctl/change.go
+++ b/cmd/monsoonkeelctl/change.go
@@ -74,12 +74,16 @@
 		}
 		return err
 	}
+	return t.printAccepted(result{Accepted: true, Revision: revision, ChangeID: id, Key: key})
+}
+
+func (t *tool) printAccepted(r result) error {
 	if t.json {
-		return t.printJSON(result{Accepted: true, Revision: revision, ChangeID: id, Key: key})
+		return t.printJSON(r)
 	}
-	fmt.Fprintf(t.out, "accepted: revision %d, change %s\n", revision, id)
-	if key != "" {
-		fmt.Fprintf(t.out, "key (shown only once): %s\n", key)
+	fmt.Fprintf(t.out, "accepted: revision %d, change %s\n", r.Revision, r.ChangeID)
+	if r.Key != "" {
+		fmt.Fprintf(t.out, "key (shown only once): %s\n", r.Key)
 	}
 	return nil
 }
--- a/cmd/monsoonkeelctl/class.go
+++ b/cmd/monsoonkeelctl/class.go
@@ -13,7 +13,7 @@
 	create := group.Command("create", "Create a class.")
 	createName := create.Arg("name", "Class name.").Required().String()
 	createFlags := newClassFlags(create)
-	t.handle(create, func() error {
+	t.mutate(create, func() error {
 		class := config.Class{Name: *createName}
 		createFlags.apply(&class)
 		return t.put(config.KindClass, *createName, 0, class)
@@ -21,7 +21,7 @@
 	update := group.Command("update", "Change the given fields of a class.")
 	updateName := update.Arg("name", "Class name.").Required().String()
 	updateFlags := newClassFlags(update)
-	t.handle(update, func() error {
+	t.mutate(update, func() error {
 		doc, err := t.document()
 		if err != nil {
 			return err
@@ -55,7 +55,7 @@
 func (t *tool) deleteCommand(group *kingpin.CmdClause, kind config.Kind) {
 	command := group.Command("delete", "Delete a "+string(kind)+".")
 	name := command.Arg("name", "Name.").Required().String()
-	t.handle(command, func() error { return t.remove(kind, *name) })
+	t.mutate(command, func() error { return t.remove(kind, *name) })
 }
 
 // field is a flag that changes an item only if it was given.
--- a/cmd/monsoonkeelctl/configcmd.go
+++ b/cmd/monsoonkeelctl/configcmd.go
@@ -23,7 +23,7 @@
 	})
 	apply := group.Command("apply", "Make the items in a file the stored ones, in one change.")
 	applyFile, applyPrune := fileFlags(apply)
-	t.handle(apply, func() error {
+	t.mutate(apply, func() error {
 		ops, err := t.difference(*applyFile, *applyPrune)
 		if err != nil {
 			return err
--- a/cmd/monsoonkeelctl/host.go
+++ b/cmd/monsoonkeelctl/host.go
@@ -12,12 +12,12 @@
 	group := app.Command("host", "Draining of single hosts.")
 	drain := group.Command("drain", "Give a host (entry or backend server) no new work.")
 	drainName := drain.Arg("name", "Host id.").Required().String()
-	t.handle(drain, func() error {
+	t.mutate(drain, func() error {
 		return t.put(config.KindDrain, *drainName, 0, config.HostDrain{Name: *drainName})
 	})
 	undrain := group.Command("undrain", "Give a drained host new work again.")
 	undrainName := undrain.Arg("name", "Host id.").Required().String()
-	t.handle(undrain, func() error { return t.remove(config.KindDrain, *undrainName) })
+	t.mutate(undrain, func() error { return t.remove(config.KindDrain, *undrainName) })
 	t.handle(group.Command("list", "List drained hosts."), func() error {
 		doc, err := t.document()
 		if err != nil {
--- a/cmd/monsoonkeelctl/main.go
+++ b/cmd/monsoonkeelctl/main.go
@@ -8,11 +8,14 @@
 import (
 	"fmt"
 	"io"
+	"net/url"
 	"os"
 	"strings"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
+
+	"monsoonkeel.example/monsoonkeel/internal/process/admin"
 )
 
 // defaultServer is the admin address of a daemon on the same host.
@@ -39,6 +42,25 @@
 	t.handlers[command.FullCommand()] = fn
 }
 
+// mutate registers the function that runs a command which submits a change.
+// With --change-id the outcome of an earlier run is read first: the items may
+// have changed by it, so that the command would now state other operations.
+func (t *tool) mutate(command *kingpin.CmdClause, fn func() error) {
+	t.handle(command, func() error {
+		if t.changeID == "" {
+			return fn()
+		}
+		var state admin.ChangeState
+		if err := t.client.get("changes/"+url.PathEscape(t.changeID), &state); err != nil {
+			return err
+		}
+		if state.State != admin.StateAccepted {
+			return fn()
+		}
+		return t.printAccepted(result{Accepted: true, Revision: state.Revision, ChangeID: t.changeID})
+	})
+}
+
 func run(args []string, out, errOut io.Writer) int {
 	t := &tool{out: out, errOut: errOut, handlers: map[string]func() error{}}
 	app := kingpin.New("monsoonkeelctl", help)
--- a/cmd/monsoonkeelctl/main_test.go
+++ b/cmd/monsoonkeelctl/main_test.go
@@ -159,6 +159,10 @@
 	require.Contains(t, errOut, "--change-id c1")
 	store.SetFaults(platformtest.Faults{})
 	ok(t, s, "--change-id=c1", "class", "create", "slow", "--first-token-ms=70")
+	// An update repeated with its id states other operations, since the stored
+	// revision is now its own.
+	first := ok(t, s, "--change-id=c2", "class", "update", "slow", "--first-token-ms=60")
+	require.Equal(t, first, ok(t, s, "--change-id=c2", "class", "update", "slow", "--first-token-ms=60"))
 	code, _, _ = ctl(t, "--server=http://127.0.0.1:1", "class", "list")
 	require.Equal(t, exitUnreachable, code)
 }
--- a/cmd/monsoonkeelctl/service.go
+++ b/cmd/monsoonkeelctl/service.go
@@ -14,14 +14,14 @@
 	create := group.Command("create", "Create a service.")
 	createName := create.Arg("name", "Service name.").Required().String()
 	createFlags := newServiceFlags(create)
-	t.handle(create, func() error {
+	t.mutate(create, func() error {
 		service := config.Service{Name: *createName}
 		return t.putService(service, createFlags)
 	})
 	update := group.Command("update", "Change the given fields of a service.")
 	updateName := update.Arg("name", "Service name.").Required().String()
 	updateFlags := newServiceFlags(update)
-	t.handle(update, func() error {
+	t.mutate(update, func() error {
 		doc, err := t.document()
 		if err != nil {
 			return err
--- a/cmd/monsoonkeelctl/team.go
+++ b/cmd/monsoonkeelctl/team.go
@@ -17,7 +17,7 @@
 	create := group.Command("create", "Create a team with a random key, which is shown only once.")
 	createName := create.Arg("name", "Team name.").Required().String()
 	createFlags := newTeamFlags(create)
-	t.handle(create, func() error {
+	t.mutate(create, func() error {
 		team := config.Team{Name: *createName}
 		createFlags.apply(&team)
 		return t.putTeam(team, true)
@@ -41,7 +41,7 @@
 	flags := newTeamFlags(update)
 	addKey := update.Flag("add-key", "Add a random key, which is shown only once.").Bool()
 	removeKey := update.Flag("remove-key-hash", "Remove the key with this hash; repeatable.").Strings()
-	t.handle(update, func() error {
+	t.mutate(update, func() error {
 		doc, err := t.document()
 		if err != nil {
 			return err
--- a/core/config/codec.go
+++ b/core/config/codec.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -24,6 +26,20 @@
 type Accepted struct {
 	ID       string   `json:"id"`
 	Revision Revision `json:"revision"`
+	// OpsHash is Change.OpsHash, which tells a repeated change from another one
+	// with the same id.
+	OpsHash string `json:"ops_hash"`
+}
+
+// OpsHash returns the first half of the hex SHA-256 of the encoded operations;
+// white space in values does not count.
+func (c *Change) OpsHash() string {
+	raw, err := json.Marshal(c.Ops)
+	if err != nil {
+		return ""
+	}
+	sum := sha256.Sum256(raw)
+	return hex.EncodeToString(sum[:len(sum)/2])
 }
 
 // Checkpoint is the whole document at one revision.
--- a/internal/process/configlog/head.go
+++ b/internal/process/configlog/head.go
@@ -125,25 +125,28 @@
 	}
 }
 
-// find returns the revision at which the change id was accepted, looking in
-// the tail and then in the checkpoint's ids; nil means unknown. The change is
-// returned if it is still in the tail.
-func (l *Log) find(ctx context.Context, s state, id string) (config.Revision, *config.Change, error) {
+// find looks for an accepted change id in the tail and then in the
+// checkpoint's ids; revision 0 means unknown.
+func (l *Log) find(ctx context.Context, s state, id string) (config.Accepted, error) {
 	for i := range s.head.Tail {
 		if s.head.Tail[i].ID == id {
-			return s.head.FirstTail() + config.Revision(i), &s.head.Tail[i], nil
+			return accepted(s.head.FirstTail()+config.Revision(i), &s.head.Tail[i]), nil
 		}
 	}
 	checkpoint, err := l.loadCheckpoint(ctx, s.head.Checkpoint)
 	if err != nil {
-		return 0, nil, err
+		return config.Accepted{}, err
 	}
 	for _, a := range checkpoint.Accepted {
 		if a.ID == id {
-			return a.Revision, nil, nil
+			return a, nil
 		}
 	}
-	return 0, nil, nil
+	return config.Accepted{}, nil
+}
+
+func accepted(rev config.Revision, c *config.Change) config.Accepted {
+	return config.Accepted{ID: c.ID, Revision: rev, OpsHash: c.OpsHash()}
 }
 
 // compact returns head with a checkpoint at its revision and a shorter tail.
@@ -170,7 +173,7 @@
 	ids := slices.Clone(previous.Accepted)
 	for _, e := range tailEntries(head) {
 		if e.Revision > previous.Document.Revision {
-			ids = append(ids, config.Accepted{ID: e.Change.ID, Revision: e.Revision})
+			ids = append(ids, accepted(e.Revision, &e.Change))
 		}
 	}
 	return ids[max(0, len(ids)-maxAcceptedIDs):]
--- a/internal/process/configlog/log.go
+++ b/internal/process/configlog/log.go
@@ -207,6 +207,9 @@
 		l.tail = joinTail(l.tail, entries, doc.Revision)
 		l.lastError = nil
 		l.confirmLocked(l.pending.revision, l.pending.at)
+	} else if doc.Revision == old {
+		// A host that got the whole document from a peer has no tail yet.
+		l.tail = joinTail(l.tail, entries, old)
 	}
 	l.mu.Unlock()
 	if doc.Revision > old {
--- a/internal/process/configlog/log_test.go
+++ b/internal/process/configlog/log_test.go
@@ -187,12 +187,18 @@
 	require.LessOrEqual(t, len(s.head.Tail), maxTail)
 	require.GreaterOrEqual(t, len(s.head.Tail), keepTail)
 	require.Equal(t, config.Revision(1), mustPropose(t, reader, putClass("c0", "fast", 0, 100)), "id from the checkpoint")
+	_, err = reader.Propose(context.Background(), putClass("c0", "fast", 0, 101))
+	require.ErrorContains(t, err, "accepted with other operations")
 
 	behind := New(Options{Store: store})
 	changed, document := l.ChangesSince(1)
 	require.Empty(t, changed)
 	require.NoError(t, behind.Merge(changed, document))
 	require.Equal(t, l.Current(), behind.Current())
+	require.Empty(t, behind.History())
+	_, err = behind.readHead(context.Background())
+	require.NoError(t, err)
+	require.Len(t, behind.History(), len(s.head.Tail))
 }
 
 // Guards against a tail that grows past its byte limit with large changes.
--- a/internal/process/configlog/propose.go
+++ b/internal/process/configlog/propose.go
@@ -1,9 +1,7 @@
 package configlog
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"time"
 
@@ -75,15 +73,15 @@
 	if err != nil {
 		return p.readFailed(err)
 	}
-	rev, stored, err := p.log.find(ctx, s, p.change.ID)
+	found, err := p.log.find(ctx, s, p.change.ID)
 	if err != nil {
 		return p.readFailed(err)
 	}
-	if rev != 0 {
-		if stored != nil && !sameOps(stored, &p.change) {
+	if found.Revision != 0 {
+		if found.OpsHash != p.change.OpsHash() {
 			return 0, true, &config.ValidationError{Problems: []string{"change id " + p.change.ID + " was accepted with other operations"}}
 		}
-		return rev, true, nil
+		return found.Revision, true, nil
 	}
 	// A write that expects an older version can no longer take effect.
 	if p.ambiguous && s.version > p.open {
@@ -160,13 +158,6 @@
 	l.pruneAt = max(l.pruneAt, checkpoint)
 }
 
-// sameOps compares operations in their encoded form, which ignores white space.
-func sameOps(a, b *config.Change) bool {
-	rawA, errA := json.Marshal(a.Ops)
-	rawB, errB := json.Marshal(b.Ops)
-	return errA == nil && errB == nil && bytes.Equal(rawA, rawB)
-}
-
 // Lookup reads the head and returns the revision at which a change id was
 // accepted; false means that no accepted change has this id. A change whose id
 // is unknown may still be accepted while a proposal of it is running.
@@ -175,8 +166,8 @@
 	if err != nil && !errors.Is(err, errSuperseded) {
 		return 0, false, err
 	}
-	rev, _, err := l.find(ctx, s, id)
-	return rev, rev != 0, err
+	found, err := l.find(ctx, s, id)
+	return found.Revision, found.Revision != 0, err
 }
 
 // sleep waits for a random part of pause, at least half of it, and returns
