Assemble the daemon and serve the whole path from caller to backend server

Cause: the parts existed alone; a request has to pass from a caller through an entry host to a backend server and back between real processes. Ruled out: a write of the 413 answer without reading the rest of the body; the unread bytes reset the connection and the caller lost the answer (seen in TestBadRequestsDoNotRun/too_large).

--- /dev/null
+++ b/internal/process/daemon/admin.go
@@ -0,0 +1,178 @@
+package daemon
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/expvarhandler"
+
+	"monsoonkeel.example/monsoonkeel/core/config"
+	"monsoonkeel.example/monsoonkeel/core/view"
+	"monsoonkeel.example/monsoonkeel/internal/process/admin"
+	"monsoonkeel.example/monsoonkeel/internal/version"
+)
+
+// newAdminServer serves operators, metrics and probes.
+func (d *Daemon) newAdminServer() *fasthttp.Server {
+	api := admin.New(admin.Options{
+		Log: d.config, Status: d, Alarms: d, Dump: d, Token: string(d.settings.OperatorToken),
+	})
+	return &fasthttp.Server{
+		Name:                  "monsoonkeel-admin",
+		NoDefaultServerHeader: true,
+		ReadTimeout:           readTimeout,
+		IdleTimeout:           idleTimeout,
+		Logger:                quietLogger{d.log},
+		TLSConfig:             d.settings.CallerTLS,
+		Handler: func(ctx *fasthttp.RequestCtx) {
+			path := string(ctx.Path())
+			switch {
+			case strings.HasPrefix(path, admin.Prefix):
+				api.ServeHTTP(ctx)
+			case path == "/healthz":
+				ctx.SetBodyString("ok\n")
+			case path == "/readyz":
+				d.readyz(ctx)
+			case path == "/debug/vars":
+				expvarhandler.ExpvarHandler(ctx)
+			default:
+				ctx.Error("not found", fasthttp.StatusNotFound)
+			}
+		},
+	}
+}
+
+// readiness says whether the load balancer should send callers here, and why not.
+func (d *Daemon) readiness() (ready bool, reason string) {
+	switch {
+	case d.draining.Load():
+		return false, "draining"
+	case d.config.Current().Revision == 0:
+		return false, "no configuration yet"
+	case !d.keeper.Freshness(time.Now()).MayServe():
+		return false, "configuration not confirmed"
+	case d.excludedFromService():
+		return false, "host is drained or its failure domain is out"
+	}
+	return true, ""
+}
+
+// excludedFromService says whether operators took this entry host or its
+// failure domain out.
+func (d *Daemon) excludedFromService() bool {
+	doc := d.config.Current()
+	if _, drained := doc.Drains[d.settings.HostID]; drained {
+		return true
+	}
+	domain, known := doc.Domains[d.settings.Domain]
+	return known && domain.State == config.DomainOut
+}
+
+func (d *Daemon) readyz(ctx *fasthttp.RequestCtx) {
+	ready, reason := d.readiness()
+	if !ready {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		ctx.SetBodyString(reason + "\n")
+		return
+	}
+	ctx.SetBodyString("ok\n")
+}
+
+// Status is the answer of the status command.
+type Status struct {
+	Host           string          `json:"host"`
+	Region         string          `json:"region"`
+	Domain         string          `json:"domain"`
+	Ready          bool            `json:"ready"`
+	Reason         string          `json:"reason,omitempty"`
+	ConfigRevision config.Revision `json:"config_revision"`
+	ConfigAgeMS    int64           `json:"config_age_ms"`
+	ConfigError    string          `json:"config_error,omitempty"`
+	Freshness      string          `json:"freshness"`
+	ViewEpoch      uint64          `json:"view_epoch"`
+	Members        []string        `json:"members"`
+	Uptime         string          `json:"uptime"`
+	Alarms         int             `json:"alarms"`
+}
+
+// Status implements admin.StatusProvider.
+func (d *Daemon) Status() any { return d.status() }
+
+func (d *Daemon) status() Status {
+	now := time.Now()
+	s := Status{
+		Host: d.settings.HostID, Region: d.settings.Region, Domain: d.settings.Domain,
+		ConfigRevision: d.config.Current().Revision, ConfigAgeMS: -1,
+		Freshness: d.keeper.Freshness(now).String(),
+		Uptime:    now.Sub(d.started).Round(time.Second).String(),
+		Alarms:    len(d.recorder.alarms()),
+	}
+	s.Ready, s.Reason = d.readiness()
+	if age, ok := d.config.ConfirmedAge(now); ok {
+		s.ConfigAgeMS = age.Milliseconds()
+	}
+	if err := d.config.LastError(); err != nil {
+		s.ConfigError = err.Error()
+	}
+	v := d.keeper.View()
+	s.ViewEpoch, s.Members = v.Epoch, v.Members
+	return s
+}
+
+// Alarms implements admin.AlarmProvider.
+func (d *Daemon) Alarms() any { return d.recorder.alarms() }
+
+// BackendDump is a backend server in the state dump.
+type BackendDump struct {
+	ID          string    `json:"id"`
+	Service     string    `json:"service"`
+	Domain      string    `json:"domain"`
+	Incarnation string    `json:"incarnation"`
+	Warm        bool      `json:"warm"`
+	Limit       int       `json:"limit"`
+	LimitUntil  time.Time `json:"limit_until,omitzero"`
+	InFlight    int       `json:"in_flight"`
+	Running     int       `json:"reported_running"`
+	Waiting     int       `json:"reported_waiting"`
+	LoadAgeMS   int64     `json:"load_age_ms"`
+}
+
+// Dump is the state of the process.
+type Dump struct {
+	Status   Status          `json:"status"`
+	View     view.View       `json:"view"`
+	Backends []BackendDump   `json:"backends"`
+	Claims   any             `json:"claims"`
+	Excluded []string        `json:"excluded_backends"`
+	Config   json.RawMessage `json:"config"`
+}
+
+// Dump implements admin.DumpProvider.
+func (d *Daemon) Dump() any {
+	now := time.Now()
+	out := Dump{Status: d.status(), View: d.keeper.View(), Claims: d.claims.Stats(), Excluded: d.routing.excludedIDs()}
+	out.Config, _ = json.Marshal(d.config.Current())
+	d.snapshot.Load().Services(func(s *version.Service) {
+		for _, b := range s.Backends {
+			out.Backends = append(out.Backends, BackendDump{
+				ID: b.Host.ID, Service: s.Name, Domain: b.Host.Domain, Incarnation: b.Host.Incarnation,
+				Warm: b.Warm, Limit: b.CurrentLimit(now), LimitUntil: b.LimitUntil, InFlight: b.Counters.InFlight(),
+				Running: b.Load.Running, Waiting: b.Load.Waiting, LoadAgeMS: now.Sub(b.LoadTaken).Milliseconds(),
+			})
+		}
+	})
+	return out
+}
+
+// excludedIDs lists the backend servers that refused a connection.
+func (r *routing) excludedIDs() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ids := make([]string, 0, len(r.excluded))
+	for id := range r.excluded {
+		ids = append(ids, id)
+	}
+	return ids
+}
--- /dev/null
+++ b/internal/process/daemon/daemon.go
@@ -0,0 +1,246 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+
+	"monsoonkeel.example/monsoonkeel/core/config"
+	"monsoonkeel.example/monsoonkeel/internal/connection"
+	"monsoonkeel.example/monsoonkeel/internal/platform"
+	"monsoonkeel.example/monsoonkeel/internal/platform/httpapi"
+	"monsoonkeel.example/monsoonkeel/internal/process/claims"
+	"monsoonkeel.example/monsoonkeel/internal/process/configlog"
+	"monsoonkeel.example/monsoonkeel/internal/process/membership"
+	"monsoonkeel.example/monsoonkeel/internal/process/peers"
+	"monsoonkeel.example/monsoonkeel/internal/process/settings"
+	"monsoonkeel.example/monsoonkeel/internal/request"
+	"monsoonkeel.example/monsoonkeel/internal/request/gentoken"
+	"monsoonkeel.example/monsoonkeel/internal/version"
+)
+
+const (
+	// idleTimeout closes callers' idle keep-alive connections.
+	idleTimeout = 60 * time.Second
+	// readTimeout bounds the arrival of a request.
+	readTimeout = 30 * time.Second
+	// flushTimeout bounds the writes that remain at shutdown.
+	flushTimeout = 10 * time.Second
+)
+
+// Daemon is one monsoonkeeld process.
+type Daemon struct {
+	settings *settings.Settings
+	log      zerolog.Logger
+	started  time.Time
+
+	store    platform.ObjectStore
+	loads    platform.LoadReporter
+	config   *configlog.Log
+	keeper   *membership.Keeper
+	peers    *peers.Peers
+	claims   *claims.Service
+	pool     *connection.Pool
+	watcher  *connection.Watcher
+	gateway  *request.Gateway
+	recorder *recorder
+	routing  *routing
+	callers  *fasthttp.Server
+	admin    *fasthttp.Server
+
+	snapshot atomic.Pointer[version.Snapshot]
+	draining atomic.Bool
+}
+
+// New builds a daemon from checked settings.
+func New(s *settings.Settings, log zerolog.Logger) (*Daemon, error) {
+	d := &Daemon{settings: s, log: log, started: time.Now()}
+	d.store = httpapi.NewObjectStore(s.ObjectAPI)
+	d.loads = httpapi.NewLoadReporter()
+	d.config = configlog.New(configlog.Options{Store: d.store, Watching: d.watching, Logger: log})
+	d.keeper = membership.New(membership.Config{
+		Self: platform.Host{
+			ID: s.HostID, Role: platform.RoleEntry, Region: s.Region, Domain: s.Domain, State: platform.HostLive,
+			Address: s.Listen, PeerAddress: s.PeerListen, Incarnation: uuid.NewString(),
+		},
+		Cells:     s.Cells,
+		Store:     d.store,
+		Hosts:     httpapi.NewHostList(s.HostList),
+		ConfigAge: d.config.ConfirmedAge,
+		Now:       time.Now,
+		Log:       log,
+	})
+	d.peers = peers.New(peers.Config{
+		Keeper: d.keeper,
+		Source: configSource{d.config},
+		Claims: claimServer{d},
+		TLS:    s.PeerTLS,
+		Rand:   newRand(),
+		Now:    time.Now,
+		Log:    log,
+	})
+	var err error
+	if d.claims, err = newClaims(d); err != nil {
+		return nil, err
+	}
+	d.pool = connection.NewPool()
+	d.watcher = connection.NewWatcher()
+	d.recorder = newRecorder(log)
+	d.routing = newRouting(d)
+	d.snapshot.Store(version.Build(version.Inputs{Document: config.Empty()}))
+	d.gateway = d.newGateway()
+	d.callers = &fasthttp.Server{
+		Handler:               d.gateway.Handler,
+		Name:                  "monsoonkeel",
+		MaxRequestBodySize:    s.MaxBodyBytes,
+		ReadTimeout:           readTimeout,
+		IdleTimeout:           idleTimeout,
+		CloseOnShutdown:       true,
+		NoDefaultServerHeader: true,
+		NoDefaultDate:         true,
+		ErrorHandler:          request.ProtocolError,
+		Logger:                quietLogger{log},
+		TLSConfig:             s.CallerTLS,
+	}
+	d.admin = d.newAdminServer()
+	d.config.Subscribe(d.configChanged)
+	return d, nil
+}
+
+func (d *Daemon) newGateway() *request.Gateway {
+	return &request.Gateway{
+		Snapshot: d.snapshot.Load,
+		Fresh:    d.fresh,
+		Pool:     d.pool,
+		Watcher:  d.watcher,
+		Tokens:   gentoken.NewCodec(d.settings.GenerationKey),
+		Orders:   orders{d.claims},
+		Retries:  &retryBudget{},
+		Cold:     coldReporter{d},
+		Recorder: d.recorder,
+		Log:      d.log,
+		Now:      time.Now,
+		NewID:    uuid.NewString,
+		Region:   d.settings.Region,
+		Draining: d.draining.Load,
+	}
+}
+
+// watching says whether this host watches the configuration head. Until a view
+// is known every host does, since there is no peer to ask.
+func (d *Daemon) watching() bool {
+	return d.keeper.View().Epoch == 0 || d.keeper.IsWatcher()
+}
+
+func (d *Daemon) configChanged(doc *config.Document) {
+	d.recorder.setTargets(doc)
+	d.routing.changed()
+	d.peers.Push()
+}
+
+// Run serves until ctx ends and then stops gracefully.
+func (d *Daemon) Run(ctx context.Context) error {
+	listeners, err := d.listen()
+	if err != nil {
+		return err
+	}
+	// Loops outlive ctx: they are needed until the last request has ended.
+	loopCtx, stopLoops := context.WithCancel(context.Background())
+	defer stopLoops()
+	g, loopCtx := errgroup.WithContext(loopCtx)
+	for _, loop := range []func(context.Context) error{
+		d.config.Run, d.keeper.Run, d.peers.Run, d.watcher.Run, d.routing.run, d.routing.pollLoads,
+		func(ctx context.Context) error { return d.peers.Serve(ctx, listeners.peers) },
+	} {
+		g.Go(func() error { return ignoreCancel(loop(loopCtx)) })
+	}
+	g.Go(func() error { return d.serve(d.callers, listeners.callers) })
+	g.Go(func() error { return d.serve(d.admin, listeners.admin) })
+	d.log.Info().Str("host", d.settings.HostID).Str("listen", d.settings.Listen).Msg("serving")
+	select {
+	case <-ctx.Done():
+	case <-loopCtx.Done():
+	}
+	d.shutdown()
+	stopLoops()
+	return g.Wait()
+}
+
+func ignoreCancel(err error) error {
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+type listeners struct{ callers, admin, peers net.Listener }
+
+func (d *Daemon) listen() (l listeners, err error) {
+	if l.callers, err = net.Listen("tcp", d.settings.Listen); err != nil {
+		return l, err
+	}
+	if l.admin, err = net.Listen("tcp", d.settings.AdminListen); err != nil {
+		_ = l.callers.Close()
+		return l, err
+	}
+	if l.peers, err = net.Listen("tcp", d.settings.PeerListen); err != nil {
+		_ = l.callers.Close()
+		_ = l.admin.Close()
+	}
+	return l, err
+}
+
+func (d *Daemon) serve(s *fasthttp.Server, l net.Listener) error {
+	if d.settings.CallerTLS != nil {
+		return s.ServeTLS(l, "", "")
+	}
+	return s.Serve(l)
+}
+
+// shutdown fails readiness, waits until the load balancer has noticed, lets
+// running requests finish and flushes what remains.
+func (d *Daemon) shutdown() {
+	d.draining.Store(true)
+	d.keeper.SetDraining()
+	d.peers.Push()
+	d.log.Info().Msg("draining")
+	time.Sleep(d.settings.DrainDelay)
+	ctx, cancel := context.WithCancel(context.Background())
+	if d.settings.DrainTimeout > 0 {
+		ctx, cancel = context.WithTimeout(context.Background(), d.settings.DrainTimeout)
+	}
+	defer cancel()
+	if err := d.callers.ShutdownWithContext(ctx); err != nil {
+		d.log.Error().Err(err).Msg("requests were cut off at shutdown")
+	}
+	d.gateway.WaitBackground(ctx)
+	flush, cancelFlush := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancelFlush()
+	if err := d.claims.Close(flush); err != nil {
+		d.log.Error().Err(err).Msg("order records not flushed")
+	}
+	_ = d.admin.ShutdownWithContext(flush)
+	_ = d.peers.Close()
+	d.pool.Close()
+	d.log.Info().Msg("stopped")
+}
+
+// quietLogger passes fasthttp's connection errors to the log at debug level.
+type quietLogger struct{ log zerolog.Logger }
+
+// Printf implements fasthttp.Logger.
+func (l quietLogger) Printf(format string, args ...any) { l.log.Debug().Msgf(format, args...) }
+
+// retryBudget shares a pure retry budget among requests.
+type retryBudget struct {
+	mu sync.Mutex
+	b  retryState
+}
--- /dev/null
+++ b/internal/process/daemon/orders.go
@@ -0,0 +1,92 @@
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"strconv"
+	"time"
+
+	"monsoonkeel.example/monsoonkeel/core/claim"
+	"monsoonkeel.example/monsoonkeel/core/view"
+	"monsoonkeel.example/monsoonkeel/internal/peerpb"
+	"monsoonkeel.example/monsoonkeel/internal/process/claims"
+	"monsoonkeel.example/monsoonkeel/internal/request"
+)
+
+func newClaims(d *Daemon) (*claims.Service, error) {
+	return claims.New(claims.Options{
+		Host:      d.settings.HostID,
+		Store:     d.store,
+		Forwarder: forwarder{d},
+		Answerer:  d.peers,
+		Random:    rand.Reader,
+	})
+}
+
+// forwarder finds the advisory owners of claim shards in the view.
+type forwarder struct{ d *Daemon }
+
+// Owner implements claims.Forwarder.
+func (f forwarder) Owner(shard uint32) (host string, self bool) {
+	owner := view.Owner("claims/"+strconv.FormatUint(uint64(shard), 10), f.d.keeper.View().Members)
+	return owner, owner == f.d.settings.HostID
+}
+
+// Claim implements claims.Forwarder.
+func (f forwarder) Claim(ctx context.Context, host string, req *peerpb.ClaimRequest) (*peerpb.ClaimResponse, error) {
+	return f.d.peers.Claim(ctx, host, req)
+}
+
+// claimServer serves the claim calls of peers. The claims service is built
+// after the peers that it calls.
+type claimServer struct{ d *Daemon }
+
+// Claim implements peers.ClaimServer.
+func (s claimServer) Claim(ctx context.Context, req *peerpb.ClaimRequest) (*peerpb.ClaimResponse, error) {
+	return s.d.claims.HandleClaim(ctx, req)
+}
+
+// Answer implements peers.ClaimServer.
+func (s claimServer) Answer(ctx context.Context, req *peerpb.AnswerRequest) (*peerpb.AnswerResponse, error) {
+	return s.d.claims.HandleAnswer(ctx, req)
+}
+
+// orders implements request.Orders.
+type orders struct{ s *claims.Service }
+
+// Claim implements request.Orders.
+func (o orders) Claim(ctx context.Context, r request.OrderRequest) (request.OrderOutcome, error) {
+	order := claims.Order{Team: r.Team, Key: r.Key, RequestHash: hex.EncodeToString(r.RequestHash[:]), Deadline: r.Deadline}
+	out, err := o.s.Claim(ctx, order)
+	if err != nil {
+		return request.OrderOutcome{}, err
+	}
+	switch out.Kind {
+	case claims.Granted:
+		return request.OrderOutcome{Grant: grant{o.s, out.Grant}}, nil
+	case claims.Done, claims.Running:
+		a, err := o.s.Await(ctx, order, out)
+		if err != nil {
+			return request.OrderOutcome{}, err
+		}
+		return request.OrderOutcome{Answer: &request.OrderAnswer{Status: a.Status, ContentType: a.ContentType, Body: a.Body}}, nil
+	}
+	return request.OrderOutcome{}, nil
+}
+
+// grant implements request.OrderGrant.
+type grant struct {
+	s *claims.Service
+	g *claims.Grant
+}
+
+func (g grant) MaySend(now time.Time) bool { return g.g.MaySend(now) }
+
+func (g grant) Finish(ctx context.Context, a request.OrderAnswer) error {
+	return g.s.Finish(ctx, g.g, claim.Answer{Status: a.Status, ContentType: a.ContentType, Body: a.Body})
+}
+
+func (g grant) Release(ctx context.Context) error { return g.s.Release(ctx, g.g) }
+
+func (g grant) Abandon() { g.s.Abandon(g.g) }
--- /dev/null
+++ b/internal/process/daemon/routing.go
@@ -0,0 +1,216 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"monsoonkeel.example/monsoonkeel/core/coldstart"
+	"monsoonkeel.example/monsoonkeel/core/config"
+	"monsoonkeel.example/monsoonkeel/internal/platform"
+	"monsoonkeel.example/monsoonkeel/internal/version"
+)
+
+const (
+	// rebuildEvery bounds the age of limits in the routing snapshot.
+	rebuildEvery = 200 * time.Millisecond
+	// pollEvery is the interval of load reports.
+	pollEvery = 500 * time.Millisecond
+	// pollTimeout bounds one load report; regional round trips take 60 ms.
+	pollTimeout = 400 * time.Millisecond
+	// maxPolls bounds the load reports fetched at once.
+	maxPolls = 32
+	// reportExpiry is the age at which a load report says nothing any more. A
+	// backend server without a newer one gets no new work.
+	reportExpiry = 10 * time.Second
+)
+
+// incarnation identifies a process of a backend server.
+type incarnation struct{ host, id string }
+
+// routing keeps the inputs of the routing snapshot and rebuilds it.
+type routing struct {
+	d    *Daemon
+	wake chan struct{}
+
+	mu       sync.Mutex
+	reports  map[string]version.Report
+	counters map[incarnation]*version.Counters
+	// excluded are backend servers that refused a connection, until they
+	// answer a poll that was sent afterwards.
+	excluded map[string]time.Time
+}
+
+func newRouting(d *Daemon) *routing {
+	return &routing{
+		d:        d,
+		wake:     make(chan struct{}, 1),
+		reports:  map[string]version.Report{},
+		counters: map[incarnation]*version.Counters{},
+		excluded: map[string]time.Time{},
+	}
+}
+
+// changed asks for a rebuild at once.
+func (r *routing) changed() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (r *routing) exclude(backend, _ string) {
+	r.mu.Lock()
+	r.excluded[backend] = time.Now()
+	r.mu.Unlock()
+	r.changed()
+}
+
+// run rebuilds the snapshot when something changed and at regular intervals,
+// since limits depend on time.
+func (r *routing) run(ctx context.Context) error {
+	ticker := time.NewTicker(rebuildEvery)
+	defer ticker.Stop()
+	for {
+		r.rebuild()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		case <-r.wake:
+		}
+	}
+}
+
+func (r *routing) rebuild() {
+	hosts := r.d.keeper.Hosts()
+	r.mu.Lock()
+	snap := version.Build(version.Inputs{
+		Document: r.d.config.Current(),
+		Hosts:    hosts,
+		Reports:  r.reports,
+		Counters: r.counter,
+		Limit:    r.limit,
+		Excluded: r.isExcluded,
+	})
+	r.forget(hosts)
+	r.mu.Unlock()
+	r.d.snapshot.Store(snap)
+	r.d.gateway.CapacityChanged()
+}
+
+func (r *routing) counter(h platform.Host) *version.Counters {
+	key := incarnation{h.ID, h.Incarnation}
+	c := r.counters[key]
+	if c == nil {
+		c = &version.Counters{}
+		r.counters[key] = c
+	}
+	return c
+}
+
+// limit asks the keeper, which knows leases and cold starts.
+func (r *routing) limit(h platform.Host, _ config.Service, _ platform.LoadReport, taken time.Time) (int, time.Time, bool) {
+	now := time.Now()
+	if taken.IsZero() || now.Sub(taken) > reportExpiry {
+		return 0, time.Time{}, false
+	}
+	n, until := r.d.keeper.Limit(h.ID, now)
+	return n, until, n > 0 && until.IsZero()
+}
+
+func (r *routing) isExcluded(h platform.Host) bool {
+	_, out := r.excluded[h.ID]
+	return out
+}
+
+// forget drops state of backend servers that are gone and idle.
+func (r *routing) forget(hosts []platform.Host) {
+	listed := make(map[incarnation]bool, len(hosts))
+	ids := make(map[string]bool, len(hosts))
+	for _, h := range hosts {
+		listed[incarnation{h.ID, h.Incarnation}] = true
+		ids[h.ID] = true
+	}
+	for key, c := range r.counters {
+		if !listed[key] && c.InFlight() == 0 {
+			delete(r.counters, key)
+		}
+	}
+	for id := range r.reports {
+		if !ids[id] {
+			delete(r.reports, id)
+			delete(r.excluded, id)
+		}
+	}
+	r.d.keeper.Forget(func(id string) bool { return ids[id] })
+}
+
+// pollLoads fetches the load reports of the cell's backend servers.
+func (r *routing) pollLoads(ctx context.Context) error {
+	ticker := time.NewTicker(pollEvery)
+	defer ticker.Stop()
+	for {
+		r.pollAll(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+func (r *routing) pollAll(ctx context.Context) {
+	var g errgroup.Group
+	g.SetLimit(maxPolls)
+	doc := r.d.config.Current()
+	for _, h := range r.d.keeper.Hosts() {
+		svc, ok := doc.Services[h.Service]
+		if h.Role != platform.RoleBackend || !ok {
+			continue
+		}
+		g.Go(func() error {
+			r.poll(ctx, h, svc, tightestFirstToken(doc))
+			return nil
+		})
+	}
+	_ = g.Wait()
+	r.changed()
+}
+
+func (r *routing) poll(ctx context.Context, h platform.Host, svc config.Service, target time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	sentAt := time.Now()
+	r.mu.Lock()
+	own := r.counter(h).InFlight()
+	r.mu.Unlock()
+	report, err := r.d.loads.Load(ctx, h.Address)
+	if err != nil {
+		r.d.log.Debug().Err(err).Str("backend", h.ID).Msg("no load report")
+		return
+	}
+	limits := coldstart.Limits{Cold: svc.ColdLimit, Warm: svc.WarmLimit}
+	r.d.keeper.ObserveLoad(h.ID, limits, target, report, sentAt, own)
+	taken := sentAt.Add(-time.Duration(report.AgeMS) * time.Millisecond)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reports[h.ID] = version.Report{Load: report, Taken: taken}
+	if at, out := r.excluded[h.ID]; out && sentAt.After(at) {
+		delete(r.excluded, h.ID)
+	}
+}
+
+// tightestFirstToken is the first-token target that a backend server must meet
+// to count as warming up.
+func tightestFirstToken(doc *config.Document) time.Duration {
+	tightest := 0
+	for _, c := range doc.Classes {
+		if c.FirstTokenMS > 0 && (tightest == 0 || c.FirstTokenMS < tightest) {
+			tightest = c.FirstTokenMS
+		}
+	}
+	return time.Duration(tightest) * time.Millisecond
+}
--- a/internal/request/call.go
+++ b/internal/request/call.go
@@ -154,7 +154,3 @@
 	}
 	return verdict.New(v, status, code, format, args...)
 }
-
-func setUint(req *fasthttp.Request, header string, v uint64) {
-	req.Header.Set(header, strconv.FormatUint(v, 10))
-}
--- a/internal/request/generation.go
+++ b/internal/request/generation.go
@@ -171,30 +171,44 @@
 	return nil
 }
 
+// eventKind says what an event of an engine means for the relay.
+type eventKind int
+
+const (
+	// eventToken continues the generation by one offset.
+	eventToken eventKind = iota
+	// eventExtra follows the last token, such as usage figures.
+	eventExtra
+	// eventDone is the end marker.
+	eventDone
+	// eventRepeated was relayed before.
+	eventRepeated
+)
+
 // next returns the next event of the generation. It resumes at the engine
 // after a broken connection and starts anew if the engine lost the generation
-// before anything was delivered. done is true for the end marker.
-func (gen *generation) next() (ev sse.Event, done bool, err error) {
+// before anything was delivered.
+func (gen *generation) next() (sse.Event, eventKind, error) {
 	resumes := 0
 	for {
-		ev, err = gen.read()
+		ev, err := gen.read()
 		if err == nil {
-			var use bool
-			if use, done, err = gen.check(ev); err == nil {
-				if use {
-					return ev, done, nil
+			var kind eventKind
+			if kind, err = gen.check(ev); err == nil {
+				if kind == eventRepeated {
+					continue
 				}
-				continue
+				return ev, kind, nil
 			}
 		}
+		if gen.c.ctx.Err() == nil {
+			err = gen.recover(err, resumes)
+		}
 		if gen.c.ctx.Err() != nil {
-			return sse.Event{}, false, gen.c.interrupted()
+			err = gen.c.interrupted()
 		}
-		if err = gen.recover(err, resumes); err != nil {
-			if gen.c.ctx.Err() != nil {
-				err = gen.c.interrupted()
-			}
-			return sse.Event{}, false, err
+		if err != nil {
+			return sse.Event{}, 0, err
 		}
 		resumes++
 	}
@@ -210,31 +224,33 @@
 	return gen.events.Next()
 }
 
-// check decides whether an event continues the generation. use is false for a
-// repeated event.
-func (gen *generation) check(ev sse.Event) (use, done bool, err error) {
+// check decides whether an event continues the generation.
+func (gen *generation) check(ev sse.Event) (eventKind, error) {
 	if bytes.Equal(ev.Data, []byte("[DONE]")) {
 		if !gen.finished && !gen.resumed {
-			return false, false, errProtocol
+			return 0, errProtocol
 		}
-		return true, true, nil
+		return eventDone, nil
 	}
 	if string(ev.Name) == "error" {
-		return false, false, fmt.Errorf("engine error: %s", ev.Data)
+		return 0, fmt.Errorf("engine error: %s", ev.Data)
+	}
+	if len(ev.ID) == 0 && (gen.finished || gen.resumed) {
+		return eventExtra, nil
 	}
 	id, offset, ok := splitEngineEventID(ev.ID)
 	if !ok || id != gen.id || offset > gen.offset+1 {
-		return false, false, errProtocol
+		return 0, errProtocol
 	}
 	if offset <= gen.offset {
-		return false, false, nil
+		return eventRepeated, nil
 	}
 	gen.offset = offset
 	// Chunks before the last carry a null finish_reason.
 	if bytes.Contains(ev.Data, []byte(`"finish_reason":"`)) {
 		gen.finished = true
 	}
-	return true, false, nil
+	return eventToken, nil
 }
 
 func splitEngineEventID(id []byte) (string, int, bool) {
--- a/internal/request/order.go
+++ b/internal/request/order.go
@@ -42,12 +42,12 @@
 type OrderGrant interface {
 	// MaySend reports whether the order may still be sent.
 	MaySend(now time.Time) bool
-	// Fencing is a number that grows with each grant of one order.
-	Fencing() uint64
 	// Finish stores the answer.
 	Finish(ctx context.Context, a OrderAnswer) error
 	// Release gives the right back; the order was certainly not sent.
 	Release(ctx context.Context) error
+	// Abandon ends a grant whose order may have run and has no answer.
+	Abandon()
 }
 
 // OrderOutcome is what a claim found. Exactly one of Grant and Answer is set,
@@ -120,6 +120,7 @@
 			tried = append(tried, p.Host.ID)
 		}
 		if c.attempted {
+			grant.Abandon()
 			return err
 		}
 		if p == nil || !c.mayRetry(tries) {
@@ -139,7 +140,6 @@
 	c.out.Backend = p.Host.ID
 	c.out.Tries = len(tried) + 1
 	c.requestTo(req, p.Host.Address)
-	setUint(req, headerFencing, grant.Fencing())
 	if !grant.MaySend(c.g.Now()) {
 		p.release()
 		return nil, nil, verdict.New(verdict.NotRun, 503, "claim_lapsed", "the order's claim lapsed before it could be sent")
@@ -162,6 +162,7 @@
 	}
 	if err != nil {
 		ex.Finish(false)
+		grant.Abandon()
 		return verdict.Wrap(err, verdict.MayHaveRun, 502, "backend_failed", "the answer was cut off or belongs to another request")
 	}
 	c.copyHead(ex)
--- a/internal/request/problem.go
+++ b/internal/request/problem.go
@@ -2,7 +2,12 @@
 
 import (
 	"encoding/json"
+	"errors"
+	"net"
 	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
 
 	"monsoonkeel.example/monsoonkeel/core/verdict"
 )
@@ -60,3 +65,50 @@
 	body, _ := json.Marshal(p)
 	return []byte("event: error\ndata: " + string(body) + "\n\n")
 }
+
+// ProtocolError answers a request that could not be read; nothing was run.
+func ProtocolError(ctx *fasthttp.RequestCtx, err error) {
+	status, code := 400, "bad_request"
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		status, code = 413, "body_too_large"
+		discardBody(ctx.Conn())
+	case isTimeout(err):
+		status, code = 408, "request_timeout"
+	}
+	body, _ := json.Marshal(Problem{
+		Type: "urn:monsoonkeel:problem:" + code, Title: code, Status: status,
+		Detail: "the request could not be read", Verdict: verdict.NotRun,
+	})
+	ctx.Response.Reset()
+	ctx.SetStatusCode(status)
+	ctx.SetContentType(problemContentType)
+	ctx.SetBody(body)
+	ctx.SetConnectionClose()
+}
+
+const (
+	// maxDiscard bounds the bytes of an oversized body that are read and dropped.
+	maxDiscard = 64 << 20
+	// discardIdle ends the discarding of a body when no byte came for so long.
+	discardIdle = 100 * time.Millisecond
+)
+
+// discardBody reads what the caller is still sending. Closing a connection
+// with unread bytes resets it, and the caller would lose the answer.
+func discardBody(conn net.Conn) {
+	buf := make([]byte, 32<<10)
+	for total := 0; total < maxDiscard; {
+		_ = conn.SetReadDeadline(time.Now().Add(discardIdle))
+		n, err := conn.Read(buf)
+		if err != nil {
+			return
+		}
+		total += n
+	}
+}
+
+func isTimeout(err error) bool {
+	var t interface{ Timeout() bool }
+	return errors.As(err, &t) && t.Timeout()
+}
--- a/internal/request/relay.go
+++ b/internal/request/relay.go
@@ -86,12 +86,12 @@
 // fill waits for one event and takes those that have already arrived.
 func (b *streamBody) fill() error {
 	for {
-		ev, done, err := b.gen.next()
+		ev, kind, err := b.gen.next()
 		if err != nil {
 			return err
 		}
-		b.append(ev, done)
-		if done || len(b.pending) >= maxBatchBytes || !b.gen.events.HasEvent() {
+		b.append(ev, kind)
+		if b.ended || len(b.pending) >= maxBatchBytes || !b.gen.events.HasEvent() {
 			return nil
 		}
 	}
@@ -102,14 +102,14 @@
 func (b *streamBody) fillWhole() error {
 	runs := b.gen.runs
 	for !b.ended {
-		ev, done, err := b.gen.next()
+		ev, kind, err := b.gen.next()
 		if err != nil {
 			return err
 		}
 		if b.gen.runs != runs {
 			runs, b.pending = b.gen.runs, b.pending[:0]
 		}
-		b.append(ev, done)
+		b.append(ev, kind)
 		if len(b.pending) > maxWholeBytes {
 			return verdict.New(verdict.Ran, 502, "answer_too_large", "the answer exceeds %d bytes", maxWholeBytes)
 		}
@@ -117,27 +117,32 @@
 	return nil
 }
 
-func (b *streamBody) append(ev sse.Event, done bool) {
-	if done {
+func (b *streamBody) append(ev sse.Event, kind eventKind) {
+	switch kind {
+	case eventDone:
 		b.pending = append(b.pending, "data: [DONE]\n\n"...)
 		b.end()
-		return
+	case eventExtra:
+		b.pending = appendData(b.pending, ev.Data)
+	default:
+		b.observe()
+		b.pending = append(b.pending, "id: "...)
+		b.pending = append(b.pending, b.gen.token...)
+		b.pending = append(b.pending, ':')
+		b.pending = strconv.AppendInt(b.pending, int64(b.gen.offset), 10)
+		b.pending = append(b.pending, '\n')
+		b.pending = appendData(b.pending, ev.Data)
 	}
-	b.observe()
-	b.pending = append(b.pending, "id: "...)
-	b.pending = append(b.pending, b.gen.token...)
-	b.pending = append(b.pending, ':')
-	b.pending = strconv.AppendInt(b.pending, int64(b.gen.offset), 10)
-	b.pending = appendData(b.pending, ev.Data)
 }
 
 func appendData(out, data []byte) []byte {
 	for {
 		line, rest, more := bytes.Cut(data, []byte("\n"))
-		out = append(out, "\ndata: "...)
+		out = append(out, "data: "...)
 		out = append(out, line...)
+		out = append(out, '\n')
 		if !more {
-			return append(out, "\n\n"...)
+			return append(out, '\n')
 		}
 		data = rest
 	}
--- /dev/null
+++ b/internal/request/rig_test.go
@@ -0,0 +1,225 @@
+package request
+
+import (
+	"bufio"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"monsoonkeel.example/monsoonkeel/core/config"
+	"monsoonkeel.example/monsoonkeel/internal/connection"
+	"monsoonkeel.example/monsoonkeel/internal/platform"
+	"monsoonkeel.example/monsoonkeel/internal/request/gentoken"
+	"monsoonkeel.example/monsoonkeel/internal/standin"
+	"monsoonkeel.example/monsoonkeel/internal/version"
+)
+
+const testKey = "lantern-key"
+
+// rig is a gateway on loopback with stand-in backend servers.
+type rig struct {
+	t       *testing.T
+	hosts   []platform.Host
+	servers []*httptest.Server
+	gateway *Gateway
+	url     string
+
+	mu       sync.Mutex
+	outcomes []Outcome
+	refused  []string
+}
+
+// Record implements Recorder.
+func (r *rig) Record(o Outcome) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.outcomes = append(r.outcomes, o)
+}
+
+// Refused implements ColdReporter.
+func (r *rig) Refused(backend, _ string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refused = append(r.refused, backend)
+}
+
+// Incarnation implements ColdReporter.
+func (r *rig) Incarnation(_, _, _ string) {}
+
+// First implements RetryBudget.
+func (r *rig) First(time.Time) {}
+
+// Retry implements RetryBudget.
+func (r *rig) Retry(time.Time) bool { return true }
+
+func testDocument() *config.Document {
+	sum := sha256.Sum256([]byte(testKey))
+	doc := config.Empty()
+	doc.Classes["caption"] = config.Class{Name: "caption", FirstTokenMS: 1900, TokenGapMS: 52, ResumeGraceMS: 1000}
+	doc.Classes["whole"] = config.Class{Name: "whole", FirstTokenMS: 1900, Delivery: config.DeliveryWhole}
+	doc.Classes["lookup"] = config.Class{Name: "lookup", FirstTokenMS: 500, Idempotent: true}
+	doc.Classes["write"] = config.Class{Name: "write", FirstTokenMS: 500}
+	doc.Teams["lantern"] = config.Team{Name: "lantern", KeyHashes: []string{hex.EncodeToString(sum[:])}, DefaultClass: "caption"}
+	doc.Services["models"] = config.Service{Name: "models", Kind: config.KindEngine, Models: []string{"m"}, ColdLimit: 2, WarmLimit: 8}
+	doc.Services["desk"] = config.Service{Name: "desk", Kind: config.KindPlain, ColdLimit: 8, WarmLimit: 8}
+	return doc
+}
+
+// addBackend serves a stand-in as a backend server.
+func (r *rig) addBackend(service string, h http.Handler) *httptest.Server {
+	s := httptest.NewServer(h)
+	r.t.Cleanup(s.Close)
+	id := fmt.Sprintf("%s-%d", service, len(r.hosts))
+	r.hosts = append(r.hosts, platform.Host{
+		ID: id, Role: platform.RoleBackend, Service: service, Address: strings.TrimPrefix(s.URL, "http://"),
+		Region: "r", Domain: "d", State: platform.HostLive, Incarnation: "i-" + id,
+	})
+	r.servers = append(r.servers, s)
+	return s
+}
+
+func newEngine(incarnation string, faults standin.EngineFaults) *standin.Engine {
+	return standin.NewEngine(standin.EngineConfig{
+		Incarnation: incarnation, TokenInterval: 2 * time.Millisecond, ColdLimit: 100, WarmAfter: 1, Retention: time.Minute, Faults: faults,
+	})
+}
+
+// start serves the gateway and returns a second one for the same backend
+// servers with start2.
+func (r *rig) start() string {
+	counters := map[string]*version.Counters{}
+	for _, h := range r.hosts {
+		counters[h.ID] = &version.Counters{}
+	}
+	snap := version.Build(version.Inputs{
+		Document: testDocument(),
+		Hosts:    r.hosts,
+		Counters: func(h platform.Host) *version.Counters { return counters[h.ID] },
+		Limit: func(platform.Host, config.Service, platform.LoadReport, time.Time) (int, time.Time, bool) {
+			return 8, time.Time{}, true
+		},
+		Excluded: func(platform.Host) bool { return false },
+	})
+	g := &Gateway{
+		Snapshot: func() *version.Snapshot { return snap },
+		Fresh:    func(time.Time) error { return nil },
+		Pool:     connection.NewPool(),
+		Watcher:  connection.NewWatcher(),
+		Tokens:   gentoken.NewCodec([]byte("0123456789abcdef")),
+		Retries:  r, Cold: r, Recorder: r,
+		Log: zerolog.Nop(), Now: time.Now, NewID: uuid.NewString, Region: "r",
+		Draining: func() bool { return false },
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { _ = g.Watcher.Run(ctx) }()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(r.t, err)
+	s := &fasthttp.Server{Handler: g.Handler, ErrorHandler: ProtocolError, MaxRequestBodySize: 1 << 20}
+	go func() { _ = s.Serve(l) }()
+	r.t.Cleanup(func() { _ = s.Shutdown(); cancel(); g.Pool.Close() })
+	r.gateway = g
+	r.url = "http://" + l.Addr().String()
+	return r.url
+}
+
+func (r *rig) do(method, path, body string, headers ...string) *http.Response {
+	r.t.Helper()
+	resp, err := r.try(context.Background(), method, path, body, headers...)
+	require.NoError(r.t, err)
+	return resp
+}
+
+func (r *rig) try(ctx context.Context, method, path, body string, headers ...string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, r.url+path, strings.NewReader(body))
+	require.NoError(r.t, err)
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	return http.DefaultClient.Do(req)
+}
+
+// streamed is what a caller saw of a stream.
+type streamed struct {
+	ids     []string
+	text    []string
+	done    bool
+	problem *Problem
+}
+
+func readStream(t *testing.T, body io.Reader, atMost int) streamed {
+	t.Helper()
+	var s streamed
+	scanner := bufio.NewScanner(body)
+	id, event := "", ""
+	for scanner.Scan() {
+		line := scanner.Text()
+		name, value, _ := strings.Cut(line, ": ")
+		switch {
+		case name == "id":
+			id = value
+		case name == "event":
+			event = value
+		case name == "data" && event == "error":
+			s.problem = &Problem{}
+			require.NoError(t, json.Unmarshal([]byte(value), s.problem))
+		case name == "data" && value == "[DONE]":
+			s.done = true
+		case name == "data" && id != "":
+			s.ids = append(s.ids, id)
+			s.text = append(s.text, chunkText(t, value))
+			id = ""
+			if len(s.ids) == atMost {
+				return s
+			}
+		}
+	}
+	return s
+}
+
+func chunkText(t *testing.T, data string) string {
+	var chunk struct {
+		Choices []struct {
+			Text  string `json:"text"`
+			Delta struct {
+				Content string `json:"content"`
+			} `json:"delta"`
+		} `json:"choices"`
+	}
+	require.NoError(t, json.Unmarshal([]byte(data), &chunk))
+	require.Len(t, chunk.Choices, 1)
+	return chunk.Choices[0].Text + chunk.Choices[0].Delta.Content
+}
+
+// requireWhole checks that the texts are tokens from..to of one generation.
+func (r *rig) requireWhole(s streamed, from, to int) {
+	r.t.Helper()
+	require.Len(r.t, s.ids, to-from+1)
+	token, _, err := gentoken.SplitEventID(s.ids[0])
+	require.NoError(r.t, err)
+	gen, err := r.gateway.Tokens.Decode("lantern", token)
+	require.NoError(r.t, err)
+	for i, text := range s.text {
+		require.Equal(r.t, fmt.Sprintf("%s:%d", token, from+i), s.ids[i])
+		require.Equal(r.t, standin.Token(gen.ID, from+i), text)
+	}
+}
+
+func streamBodyJSON(tokens int) string {
+	return fmt.Sprintf(`{"model":"m","stream":true,"prompt":"a b","max_tokens":%d}`, tokens)
+}
