--- a/internal/request/rig_test.go
+++ b/internal/request/rig_test.go
@@ -38,6 +38,8 @@
 	servers []*httptest.Server
 	gateway *Gateway
 	url     string
+	// limit bounds the requests in flight at each backend server; 0 means 8.
+	limit int
 
 	mu       sync.Mutex
 	outcomes []Outcome
@@ -99,9 +101,13 @@
 	})
 }
 
-// start serves the gateway and returns a second one for the same backend
-// servers with start2.
+// start serves a new gateway for the rig's backend servers; later calls of do
+// go to it.
 func (r *rig) start() string {
+	limit := r.limit
+	if limit == 0 {
+		limit = 8
+	}
 	counters := map[string]*version.Counters{}
 	for _, h := range r.hosts {
 		counters[h.ID] = &version.Counters{}
@@ -111,7 +117,7 @@
 		Hosts:    r.hosts,
 		Counters: func(h platform.Host) *version.Counters { return counters[h.ID] },
 		Limit: func(platform.Host, config.Service, platform.LoadReport, time.Time) (int, time.Time, bool) {
-			return 8, time.Time{}, true
+			return limit, time.Time{}, true
 		},
 		Excluded: func(platform.Host) bool { return false },
 	})
