--- a/core/coldstart/coldstart_test.go
+++ b/core/coldstart/coldstart_test.go
@@ -106,45 +106,38 @@
 // Compares the alternatives of design section 5.3 at 9 hosts: which part of the
 // cold slots is usable with all hosts alive and while one of them is dead.
 func BenchmarkColdCapacity(b *testing.B) {
-	var hosts []string
-	for i := range 9 {
-		hosts = append(hosts, fmt.Sprint("host-", i))
-	}
-	const cold, backends = 4, 200
-	static := func(alive int) int { return alive * (cold / len(hosts)) }
-	oneOwner := func(id string, dead string) int {
-		if view.Owner(id, hosts) == dead {
-			return 0
-		}
-		return cold
-	}
-	slots := func(id string, dead string) (n int) {
-		for i := range cold {
-			if view.SlotOwner(id, i, hosts) != dead {
-				n++
+	hosts := []string{"a", "b", "c", "d", "e", "f", "g", "h", "i"}
+	const cold, backends, dead = 4, 200, "a"
+	// Each function returns the slots of a backend server and how many of them the dead host has.
+	for name, f := range map[string]func(id string) (all, lost int){
+		"static": func(string) (int, int) { return len(hosts) * (cold / len(hosts)), cold / len(hosts) },
+		"oneowner": func(id string) (int, int) {
+			if view.Owner(id, hosts) == dead {
+				return cold, cold
 			}
-		}
-		return n
-	}
-	for name, f := range map[string]func(id, dead string) int{
-		"static":   func(_, dead string) int { return static(len(hosts)) },
-		"oneowner": oneOwner,
-		"slots":    slots,
+			return cold, 0
+		},
+		"slots": func(id string) (all, lost int) {
+			for i := range cold {
+				if view.SlotOwner(id, i, hosts) == dead {
+					lost++
+				}
+			}
+			return cold, lost
+		},
 	} {
 		b.Run(name, func(b *testing.B) {
 			for b.Loop() {
-				all, stopped, total := 0, 0, 0
+				usable, left, stopped := 0, 0, 0
 				for i := range backends {
-					id := fmt.Sprint("backend-", i)
-					all += f(id, "")
-					n := f(id, hosts[0])
-					total += n
-					if n == 0 {
+					all, lost := f(fmt.Sprint("backend-", i))
+					usable, left = usable+all, left+all-lost
+					if all == lost {
 						stopped++
 					}
 				}
-				b.ReportMetric(float64(all)/backends, "usable/backend")
-				b.ReportMetric(float64(total)/backends, "usable_one_dead/backend")
+				b.ReportMetric(float64(usable)/backends, "usable/backend")
+				b.ReportMetric(float64(left)/backends, "usable_one_dead/backend")
 				b.ReportMetric(float64(stopped), "stopped_one_dead")
 			}
 		})
--- a/internal/process/membership/backend.go
+++ b/internal/process/membership/backend.go
@@ -1,14 +1,23 @@
 package membership
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"monsoonkeel.example/monsoonkeel/core/coldstart"
 	"monsoonkeel.example/monsoonkeel/internal/platform"
 )
 
-// maxSightings bounds the cold sightings in one heartbeat.
-const maxSightings = 256
+const (
+	// maxSightings bounds the cold sightings in one heartbeat.
+	maxSightings = 256
+	// recentSighting is how long every heartbeat repeats a sighting.
+	recentSighting = 5 * time.Second
+	// repeatedSightings is the number of older sightings per heartbeat. About 24
+	// heartbeats a second with 2 of 50 bytes take half of the 5 KB/s for control.
+	repeatedSightings = 2
+)
 
 // Sighting is a backend server seen cold.
 type Sighting struct {
@@ -73,19 +82,32 @@
 	return b.MarkCold(s.At, now, b.limits)
 }
 
-// Sightings returns the backend servers that were seen cold and have not
-// warmed up again. They are repeated, so that a host that joins late or missed
-// a push does not take such a backend server for warm.
-func (k *Keeper) Sightings() []Sighting {
+// Sightings returns backend servers that were seen cold and have not warmed up
+// again: the recent ones and, in turn, a few older ones, or all of them. They
+// are repeated, so that a host that joins late or missed a push does not take
+// such a backend server for warm.
+func (k *Keeper) Sightings(all bool) []Sighting {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	var out []Sighting
+	now := k.cfg.Now()
+	var recent, older []Sighting
 	for id, b := range k.backends {
-		if at, cold := b.Sighting(b.limits); cold && len(out) < maxSightings {
-			out = append(out, Sighting{Backend: id, Incarnation: b.Incarnation(), At: at})
+		at, cold := b.Sighting(b.limits)
+		s := Sighting{Backend: id, Incarnation: b.Incarnation(), At: at}
+		switch {
+		case cold && (all || now.Sub(at) < recentSighting):
+			recent = append(recent, s)
+		case cold:
+			older = append(older, s)
 		}
 	}
-	return out
+	slices.SortFunc(recent, func(a, b Sighting) int { return b.At.Compare(a.At) })
+	slices.SortFunc(older, func(a, b Sighting) int { return cmp.Compare(a.Backend, b.Backend) })
+	for range min(repeatedSightings, len(older)) {
+		k.repeatNext = (k.repeatNext + 1) % len(older)
+		recent = append(recent, older[k.repeatNext])
+	}
+	return recent[:min(len(recent), maxSightings)]
 }
 
 // Limit returns how many requests this host may have in flight at a backend
--- a/internal/process/membership/keeper_test.go
+++ b/internal/process/membership/keeper_test.go
@@ -81,14 +81,10 @@
 
 func newFleet(n int) *fleet {
 	f := &fleet{now: time.Unix(1e6, 0), store: platformtest.NewStore()}
-	var all []platform.Host
+	all := make([]platform.Host, n)
 	for i := range n {
-		all = append(all, entry(i))
-	}
-	for range n {
+		all[i] = entry(i)
 		f.nodes = append(f.nodes, &node{list: &hostList{hosts: all}, link: &link{Store: f.store}, rate: 1})
-	}
-	for i := range f.nodes {
 		f.restart(i)
 	}
 	return f
@@ -141,19 +137,19 @@
 func (f *fleet) second(t require.TestingT) {
 	f.now = f.now.Add(time.Second)
 	for _, n := range f.nodes {
-		if n.off && !n.link.cut {
-			continue
-		}
-		f.step(n)
 		for _, m := range f.nodes {
-			if m != n {
+			switch {
+			case n.off && !n.link.cut:
+			case m == n:
+				f.step(n)
+			default:
 				f.sync(t, n, m)
 			}
 		}
 	}
 }
 
-func (f *fleet) settle(t require.TestingT) {
+func (f *fleet) settle(t require.TestingT) { // Longer than a takeover and the wait for new rights.
 	for range 8 {
 		f.second(t)
 	}
@@ -317,6 +313,31 @@
 	require.Equal(t, 3, watchers)
 }
 
+// Guards against heartbeats that grow with the number of cold backend servers
+// and against a late host that is never told about an old sighting.
+func TestOldSightingsAreRepeatedInTurn(t *testing.T) {
+	f := newFleet(2)
+	f.settle(t)
+	n, told := f.nodes[0], map[string]bool{}
+	for i := range 7 {
+		id := fmt.Sprint("b", i)
+		n.ObserveLoad(id, cold, 0, idle(1), f.now, 0)
+		require.True(t, n.NoteCold(Sighting{Backend: id, At: f.now}))
+	}
+	require.Len(t, n.Sightings(false), 7)
+	require.False(t, n.NoteRequest("host-1", false))
+	f.now = f.now.Add(11 * time.Second)
+	require.True(t, n.NoteRequest("host-1", false))
+	require.Len(t, n.Sightings(true), 7)
+	for range 4 {
+		old := n.Sightings(false)
+		require.Len(t, old, 2)
+		told[old[0].Backend], told[old[1].Backend] = true, true
+	}
+	require.Len(t, told, 7)
+	require.Len(t, n.Status(f.now).Backends, 7)
+}
+
 // Guards the loops of Run, in virtual time.
 func TestRunRenewsOncePerSecond(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -423,11 +444,8 @@
 				}
 			},
 			"faults": func(t *rapid.T) {
-				f.store.SetFaults(platformtest.Faults{
-					Down:             rapid.IntRange(0, 3).Draw(t, "down") == 0,
-					LoseWriteAnswers: rapid.IntRange(0, 2).Draw(t, "lost"),
-					DropWrites:       rapid.IntRange(0, 2).Draw(t, "dropped"),
-				})
+				down, few := rapid.IntRange(0, 3), rapid.IntRange(0, 2)
+				f.store.SetFaults(platformtest.Faults{Down: down.Draw(t, "down") == 0, LoseWriteAnswers: few.Draw(t, "lost"), DropWrites: few.Draw(t, "dropped")})
 			},
 			"restart": func(t *rapid.T) {
 				i := pick(t)
--- a/internal/process/membership/membership.go
+++ b/internal/process/membership/membership.go
@@ -26,6 +26,9 @@
 	readAfter = 2 * time.Second
 	// hostListTrust is how long a host list may be used to remove members.
 	hostListTrust = 10 * time.Second
+	// newAfter is the pause after which a calling peer counts as new; a rotation
+	// over a cell of 64 calls each member every 5.25 s.
+	newAfter = 10 * time.Second
 	// watchersPerRegion bounds the watches on the configuration head.
 	watchersPerRegion = 3
 )
@@ -51,6 +54,7 @@
 	hasHeard bool
 	// contactAt is the last sign of life in either direction.
 	contactAt time.Time
+	requestAt time.Time
 	failed    int
 }
 
@@ -78,6 +82,7 @@
 	beatAt      time.Time
 	watchBeat   bool
 	draining    bool
+	repeatNext  int
 
 	hosts    []platform.Host
 	hostsAt  time.Time
@@ -182,13 +187,19 @@
 
 // NoteRequest records a Sync call received from a peer. It counts as a sign of
 // life only: how long the request was on its way is unknown, so its age and
-// time do not enter the freshness rule.
-func (k *Keeper) NoteRequest(host string, draining bool) {
+// time do not enter the freshness rule. It reports whether the peer is new or
+// returns after a while, so that it has to be told about all cold sightings.
+func (k *Keeper) NoteRequest(host string, draining bool) (isNew bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if _, known := k.host(host); known || k.current.Has(host) {
-		k.contact(k.peer(host), host, k.cfg.Now(), draining)
+	if _, known := k.host(host); !known && !k.current.Has(host) {
+		return true
 	}
+	p, now := k.peer(host), k.cfg.Now()
+	isNew = now.Sub(p.requestAt) > newAfter
+	p.requestAt = now
+	k.contact(p, host, now, draining)
+	return isNew
 }
 
 // NoteFailure records a Sync call to a peer that failed.
--- a/internal/process/peers/peers.go
+++ b/internal/process/peers/peers.go
@@ -203,7 +203,7 @@
 // Sync exchanges heartbeats with one host and takes over what it knows.
 func (p *Peers) Sync(ctx context.Context, h platform.Host) error {
 	sentAt := p.cfg.Now()
-	req := &peerpb.SyncRequest{Heartbeat: p.heartbeat()}
+	req := &peerpb.SyncRequest{Heartbeat: p.heartbeat(false)}
 	var resp *peerpb.SyncResponse
 	err := p.caller.call(ctx, h.PeerAddress, syncTimeout, func(ctx context.Context, c peerpb.DRPCPeerClient) (err error) {
 		resp, err = c.Sync(ctx, req)
@@ -254,7 +254,7 @@
 
 // heartbeat reads each age before the number that it confirms: a number that
 // grows in between is newer than the age says, never older.
-func (p *Peers) heartbeat() *peerpb.Heartbeat {
+func (p *Peers) heartbeat(allSightings bool) *peerpb.Heartbeat {
 	now := p.cfg.Now()
 	age, known := p.cfg.Source.ConfirmedAge(now)
 	revision := p.cfg.Source.Revision()
@@ -268,7 +268,7 @@
 		ViewAgeMs:      ageMS(viewAge, viewKnown),
 		Draining:       p.cfg.Keeper.Draining(),
 	}
-	for _, s := range p.cfg.Keeper.Sightings() {
+	for _, s := range p.cfg.Keeper.Sightings(allSightings) {
 		beat.Cold = append(beat.Cold, &peerpb.ColdSighting{
 			Backend: s.Backend, Incarnation: s.Incarnation, AgeMs: max(now.Sub(s.At), 0).Milliseconds(),
 		})
--- a/internal/process/peers/peers_test.go
+++ b/internal/process/peers/peers_test.go
@@ -154,7 +154,7 @@
 	age, known := b.source.ConfirmedAge(time.Now())
 	require.True(t, known && age >= 0 && age < 5*time.Second)
 	a.NotifyCold(membership.Sighting{Backend: "backend", Incarnation: "i", At: time.Now()})
-	require.Eventually(t, func() bool { return len(b.keeper.Sightings()) == 1 }, 5*time.Second, 5*time.Millisecond)
+	require.Eventually(t, func() bool { return len(b.keeper.Sightings(false)) == 1 }, 5*time.Second, 5*time.Millisecond)
 	b.keeper.SetDraining()
 	b.Push()
 	require.Eventually(t, func() bool { return a.keeper.Hosts()[2].State == platform.HostLeaving }, 5*time.Second, 5*time.Millisecond)
