Divide the engines' room between hosts

All hosts saw the same free memory in reports 0.5 to 1 s old and each filled it. Ruled out: a larger reserve alone (it already grew to its limit and paid with throughput); calls between hosts on the request path. Change: schedule.Share lays hosts and engines on two lines, so that an engine is shared by two or three hosts. Within its share a host places on its own knowledge; beyond it only what would fit if every other host did the same.

--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -30,6 +30,15 @@
 	// Reserve is the memory kept free for the uncertain tail of the demand, in
 	// standard deviations.
 	Reserve float32
+	// OwnDemand is the part of Demand that belongs to own requests, and
+	// SinceDemand the part of that sent since the report.
+	OwnDemand, SinceDemand Demand
+	// Share is this host's entitlement to the backend server's room, and Hosts
+	// the number of hosts that use it. Beyond its share a host places only what
+	// would fit if every other host did the same on the same report. 0 hosts
+	// means that this host is alone.
+	Share float32
+	Hosts int
 	// MaxBatch bounds the requests in flight there, over all hosts, so that
 	// the token gap target is kept; 0 means no bound.
 	MaxBatch int
@@ -68,6 +77,10 @@
 	// preferred until it is this much fuller than a remote one.
 	remotePenalty = 0.5
 
+	// foreignPenalty is the load difference up to which a host stays on the
+	// backend servers in which it has a share, since it knows their load best.
+	foreignPenalty = 0.2
+
 	// memoryWeight weighs cache memory against queue length: an engine short
 	// of memory preempts running work.
 	memoryWeight = 0.5
@@ -105,12 +118,11 @@
 }
 
 func admissible(c *Candidate, req *Request) bool {
-	work := c.ReportedWork + c.OwnSinceReport
 	switch {
 	case c.Own >= c.Limit,
-		c.MaxBatch > 0 && work >= c.MaxBatch,
 		c.MaxPrefill > 0 && c.Prefilling >= c.MaxPrefill,
-		req.LocalOnly && c.Region != req.Region:
+		req.LocalOnly && c.Region != req.Region,
+		c.MaxBatch > 0 && !c.batchFits():
 		return false
 	}
 	for _, t := range req.Tried {
@@ -121,24 +133,56 @@
 	return true
 }
 
+// others is the number of hosts that may place work on the same report.
+func (c *Candidate) others() float32 { return float32(max(c.Hosts-1, 0)) }
+
+// batchFits reports whether one more request stays within MaxBatch.
+func (c *Candidate) batchFits() bool {
+	work := c.ReportedWork + c.OwnSinceReport
+	if work >= c.MaxBatch {
+		return false
+	}
+	if float32(c.Own+1) <= c.Share*float32(c.MaxBatch) {
+		return true
+	}
+	return float32(work+1)+c.others()*float32(c.OwnSinceReport+1) <= float32(c.MaxBatch)
+}
+
+// memoryFits reports whether the predicted peak memory fits with the request
+// added. A request always fits on an idle backend server, or it would never run.
+func (c *Candidate) memoryFits(peak float32, add *Demand) bool {
+	if c.ReportedWork+c.OwnSinceReport == 0 {
+		return true
+	}
+	if peak > c.MemoryTokens {
+		return false
+	}
+	if c.OwnDemand.peakWith(add, 0) <= c.Share*c.MemoryTokens {
+		return true
+	}
+	return peak+c.others()*c.SinceDemand.peakWith(add, 0) <= c.MemoryTokens
+}
+
 // score is the expected load of a candidate; lower is better. It reports
-// whether the predicted peak memory fits. A request always fits on an idle
-// backend server, or it would never run.
+// whether the request fits.
 func score(c *Candidate, req *Request, add *Demand) (float64, bool) {
 	work := c.ReportedWork + c.OwnSinceReport
 	s := float64(work) / float64(max(c.Capacity, 1))
 	if c.MemoryTokens > 0 {
-		memory := float64(c.Demand.peakWith(add, c.Reserve) / c.MemoryTokens)
-		if memory > 1 && work > 0 {
+		peak := c.Demand.peakWith(add, c.Reserve)
+		if !c.memoryFits(peak, add) {
 			return 0, false
 		}
-		s = max(s, memory)
+		s = max(s, float64(peak/c.MemoryTokens))
 	} else {
 		s += memoryWeight * c.MemoryUsed
 	}
 	if c.Region != req.Region {
 		s += remotePenalty
 	}
+	if c.Hosts > 1 && c.Share == 0 {
+		s += foreignPenalty
+	}
 	for _, h := range req.Holders {
 		if h.Index == c.Index {
 			s -= affinityWeight * float64(h.Tokens) / float64(max(req.Prompt, 1))
--- a/core/schedule/tracker.go
+++ b/core/schedule/tracker.go
@@ -27,7 +27,8 @@
 	ended  []endedRequest
 	report Report
 	known  bool
-	demand Demand
+
+	demand, ownDemand, since Demand
 }
 
 type ownRequest struct {
@@ -66,7 +67,9 @@
 	t.index[id] = len(t.own)
 	r := ownRequest{id: id, sent: now, prompt: prompt, lengths: lengths, survival: SurvivalOf(lengths, 0)}
 	t.own = append(t.own, r)
-	t.demand.Add(1, float32(prompt), &r.survival)
+	for _, d := range []*Demand{&t.demand, &t.ownDemand, &t.since} {
+		d.Add(1, float32(prompt), &r.survival)
+	}
 }
 
 // Progress records the tokens that a request has produced.
@@ -165,23 +168,26 @@
 // Refresh predicts the demand anew from the progress of the own requests and
 // the last report. Population is the average survival of running requests.
 func (t *Tracker) Refresh(population *Survival, now time.Time) {
-	var d Demand
+	t.ownDemand, t.since = Demand{}, Demand{}
 	for i := range t.own {
 		r := &t.own[i]
 		r.predict()
-		d.Add(1, float32(r.prompt+r.produced), &r.survival)
+		t.ownDemand.Add(1, float32(r.prompt+r.produced), &r.survival)
+		if !t.known || r.sent.After(t.report.At) {
+			t.since.Add(1, float32(r.prompt+r.produced), &r.survival)
+		}
 	}
+	t.demand = t.ownDemand
 	if n, tokens := t.Others(now); n > 0 {
-		d.Add(float32(n), float32(tokens)/float32(n), population)
+		t.demand.Add(float32(n), float32(tokens)/float32(n), population)
 	}
-	t.demand = d
 }
 
 // Fill sets the fields of c that come from load reports and own requests.
 func (t *Tracker) Fill(c *Candidate) {
 	c.Own = len(t.own)
 	c.ReportedWork, c.OwnSinceReport, c.Prefilling = 0, 0, 0
-	c.Demand = t.demand
+	c.Demand, c.OwnDemand, c.SinceDemand = t.demand, t.ownDemand, t.since
 	for i := range t.own {
 		if !t.known || t.own[i].sent.After(t.report.At) {
 			c.OwnSinceReport++
--- a/internal/policybench/core.go
+++ b/internal/policybench/core.go
@@ -40,6 +40,7 @@
 	trackers   [engines]*schedule.Tracker
 	steps      [engines]schedule.StepModel
 	candidates [engines]schedule.Candidate
+	shares     [engines]float32
 	waiting    map[uint64]*request
 	ticks      int
 	seed       uint64
@@ -99,6 +100,8 @@
 		k.Capacity = k.MaxBatch
 	}
 	k.MaxPrefill = maxPrefill
+	k.Hosts = len(c.run.hosts)
+	k.Share = c.shares[i]
 }
 
 func (c *core) place(q *request, engine int) {
@@ -173,7 +176,31 @@
 	c.drain()
 }
 
+// divide computes this host's shares of the engines that get new work, in the
+// order of regions.
+func (c *core) divide() {
+	position := 0
+	for h := range c.run.hosts {
+		if o := c.run.hosts[h]; o.region < c.host.region || (o.region == c.host.region && h < c.host.index) {
+			position++
+		}
+	}
+	var order []int
+	for region := range regions {
+		for i := range engines {
+			if regionOf(i) == region && !c.host.views[i].out && !c.host.views[i].cold {
+				order = append(order, i)
+			}
+		}
+	}
+	c.shares = [engines]float32{}
+	for j, i := range order {
+		c.shares[i] = schedule.Share(position, len(c.run.hosts), j, len(order))
+	}
+}
+
 func (c *core) refresh() {
+	c.divide()
 	var sum schedule.Survival
 	n := 0
 	for _, t := range c.trackers {
