Place requests through admission, prediction and fair queues

Cause: a waiting request took the first free place by chance, all waiters woke on each change, and nothing was fair between teams or knew of memory. Change: core/dispatch combines admission, placement and output length prediction for one service; internal/placement shares it with one lock per service that the relay takes only for a first token; the right to send is checked again when the connection is ready; property tests use a fixed seed.

--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	_ "monsoonkeel.example/monsoonkeel/internal/fixedseed"
 )
 
 var start = time.Unix(1000, 0)
--- /dev/null
+++ b/core/dispatch/dispatch_test.go
@@ -0,0 +1,111 @@
+package dispatch
+
+import (
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	_ "monsoonkeel.example/monsoonkeel/internal/fixedseed"
+
+	"monsoonkeel.example/monsoonkeel/core/admit"
+)
+
+var start = time.Unix(1000, 0)
+
+func newTest(engine bool, servers ...Server) *Dispatcher {
+	d := New(Options{Region: "a", Engine: engine, Seed: 1})
+	d.SetServers(servers, 0, 1, 52)
+	return d
+}
+
+func request(id uint64) Request {
+	return Request{ID: id, Class: "quick", Team: "t", Arrival: start, Target: 2 * time.Second, Prompt: 100}
+}
+
+// Guards against a retry that waits for a backend server which already failed it.
+func TestRetryWithoutUntriedServerIsRefused(t *testing.T) {
+	d := newTest(false, Server{ID: "s1", Region: "a", Limit: 4, Warm: true, Capacity: 4})
+	r := request(1)
+	r.Tried = []string{"s1"}
+	require.Equal(t, admit.Refuse, d.Offer(r, start).Action)
+	require.Equal(t, 0, d.Waiting())
+}
+
+// Guards against unstreamed requests counting as prefilling until their end,
+// which would run them one at a time.
+func TestOpaqueRequestsDoNotBlockPrefill(t *testing.T) {
+	d := newTest(true, Server{ID: "s1", Region: "a", Limit: 4, Warm: true, Capacity: 4})
+	r := request(1)
+	r.Opaque = true
+	require.Equal(t, admit.Place, d.Offer(r, start).Action)
+	require.Equal(t, admit.Wait, d.Offer(request(2), start).Action)
+	later := start.Add(2 * serviceEstimate)
+	d.Refresh(later)
+	out := d.Drain(later)
+	require.Len(t, out, 1)
+	require.Equal(t, Outcome{ID: 2, Action: admit.Place, Server: "s1"}, out[0])
+}
+
+// Guards against a request that is decided twice or never, and against more
+// requests in flight than a backend server's limit.
+func TestEachRequestIsDecidedOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		servers := []Server{
+			{ID: "s1", Region: "a", Limit: rapid.IntRange(0, 3).Draw(t, "limit1"), Warm: true, Capacity: 3},
+			{ID: "s2", Region: "b", Limit: rapid.IntRange(0, 3).Draw(t, "limit2"), Warm: true, Capacity: 3},
+		}
+		d := newTest(rapid.Bool().Draw(t, "engine"), servers...)
+		now, next := start, uint64(1)
+		waiting, running := map[uint64]bool{}, map[uint64]string{}
+		take := func(out Outcome, wasWaiting bool) {
+			require.Equal(t, wasWaiting, waiting[out.ID])
+			delete(waiting, out.ID)
+			switch out.Action {
+			case admit.Place:
+				running[out.ID] = out.Server
+			case admit.Wait:
+				waiting[out.ID] = true
+			}
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				r := request(next)
+				r.Arrival = now
+				next++
+				take(d.Offer(r, now), false)
+			case 1:
+				for id := range running {
+					d.Progress(id, 1)
+				}
+			case 2:
+				if len(running) > 0 {
+					first := slices.Min(slices.Collect(maps.Keys(running)))
+					d.Ended(first, true, now)
+					delete(running, first)
+				}
+			case 3:
+				d.Refresh(now)
+				for _, out := range d.Drain(now) {
+					take(out, true)
+				}
+			}
+			require.Equal(t, len(waiting), d.Waiting())
+			for _, s := range servers {
+				n := 0
+				for _, at := range running {
+					if at == s.ID {
+						n++
+					}
+				}
+				require.LessOrEqual(t, n, s.Limit)
+				require.Equal(t, n, d.InFlight(s.ID))
+			}
+		}
+	})
+}
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	_ "monsoonkeel.example/monsoonkeel/internal/fixedseed"
 )
 
 // Guards against a retry storm: whatever the order of tries, the retries of any
--- a/internal/connection/upstream.go
+++ b/internal/connection/upstream.go
@@ -99,15 +99,29 @@
 	// Fresh forbids a reused connection; the peer can close one unnoticed,
 	// which leaves the verdict of a non-idempotent request unknown.
 	Fresh bool
+	// MaySend is asked when the connection is ready, right before the first
+	// byte is written; false ends the exchange as not run.
+	MaySend func() bool
 }
 
+// CodeConnectFailed marks a backend server that could not be connected to, and
+// CodeLapsed a right to send that ended before the connection was ready.
+const (
+	CodeConnectFailed = "connect_failed"
+	CodeLapsed        = "right_to_send_lapsed"
+)
+
 // Do sends req to address and reads the head of the answer. A failure is a
 // verdict error: NotRun if no byte of the request left this process. The
 // exchange ends when ctx ends.
 func (p *Pool) Do(ctx context.Context, address string, req *fasthttp.Request, opts Options) (*Exchange, error) {
 	conn, reused, err := p.get(ctx, address, opts)
 	if err != nil {
-		return nil, verdict.Wrap(err, verdict.NotRun, 502, "connect_failed", "cannot connect to the backend server")
+		return nil, verdict.Wrap(err, verdict.NotRun, 502, CodeConnectFailed, "cannot connect to the backend server")
+	}
+	if opts.MaySend != nil && !opts.MaySend() {
+		p.put(conn)
+		return nil, verdict.New(verdict.NotRun, 503, CodeLapsed, "the right to send the request ended before it was sent")
 	}
 	conn.written.Store(0)
 	e := &Exchange{conn: conn, pool: p, Reused: reused, Response: fasthttp.AcquireResponse()}
--- a/internal/enginemodel/engine_test.go
+++ b/internal/enginemodel/engine_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	_ "monsoonkeel.example/monsoonkeel/internal/fixedseed"
 )
 
 var t0 = time.Unix(1000, 0)
--- /dev/null
+++ b/internal/placement/placement.go
@@ -0,0 +1,218 @@
+package placement
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"monsoonkeel.example/monsoonkeel/core/admit"
+	"monsoonkeel.example/monsoonkeel/core/config"
+	"monsoonkeel.example/monsoonkeel/core/dispatch"
+	"monsoonkeel.example/monsoonkeel/core/schedule"
+	"monsoonkeel.example/monsoonkeel/internal/version"
+)
+
+// Refused is returned when the request's target can no longer be met. Nothing
+// was sent.
+type Refused struct{ RetryAfter time.Duration }
+
+// Error implements error.
+func (*Refused) Error() string { return "no backend server can start the request in time" }
+
+// Table holds the dispatchers of all services.
+type Table struct {
+	region   string
+	seed     uint64
+	nextID   atomic.Uint64
+	mu       sync.Mutex
+	services map[string]*Service
+}
+
+// NewTable returns an empty table for a host in region.
+func NewTable(region string, seed uint64) *Table {
+	return &Table{region: region, seed: seed, services: map[string]*Service{}}
+}
+
+// Service returns the dispatcher of a service, creating it if needed.
+func (t *Table) Service(name string, kind config.ServiceKind) *Service {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.services[name]
+	if s == nil {
+		opt := dispatch.Options{Region: t.region, Engine: kind == config.KindEngine, Seed: t.seed}
+		s = &Service{
+			table: t, d: dispatch.New(opt), waiters: map[uint64]chan dispatch.Outcome{},
+			backends: map[string]*version.Backend{}, running: map[uint64]*Placement{},
+		}
+		t.services[name] = s
+	}
+	return s
+}
+
+// Service places the requests of one service.
+type Service struct {
+	table *Table
+
+	mu       sync.Mutex
+	d        *dispatch.Dispatcher
+	waiters  map[uint64]chan dispatch.Outcome
+	backends map[string]*version.Backend
+	running  map[uint64]*Placement
+}
+
+// Placement is a place taken at a backend server.
+type Placement struct {
+	*version.Backend
+	service *Service
+	id      uint64
+	tokens  atomic.Int64
+	ended   atomic.Bool
+}
+
+// Place waits for a place. It returns *Refused or ctx's error.
+func (s *Service) Place(ctx context.Context, r dispatch.Request) (*Placement, error) {
+	r.ID = s.table.nextID.Add(1)
+	s.mu.Lock()
+	out := s.d.Offer(r, time.Now())
+	switch out.Action {
+	case admit.Place:
+		p := s.take(out)
+		s.mu.Unlock()
+		return p, nil
+	case admit.Refuse:
+		s.mu.Unlock()
+		return nil, &Refused{RetryAfter: out.RetryAfter}
+	}
+	// Buffered, so that a decision never waits for a request that gave up.
+	ch := make(chan dispatch.Outcome, 1)
+	s.waiters[r.ID] = ch
+	s.mu.Unlock()
+	select {
+	case out = <-ch:
+	case <-ctx.Done():
+		return nil, s.giveUp(r.ID, ctx.Err())
+	}
+	if out.Action == admit.Refuse {
+		return nil, &Refused{RetryAfter: out.RetryAfter}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.running[r.ID], nil
+}
+
+// take records a placement. The lock is held.
+func (s *Service) take(out dispatch.Outcome) *Placement {
+	p := &Placement{Backend: s.backends[out.Server], service: s, id: out.ID}
+	p.Counters.Add(1)
+	s.running[out.ID] = p
+	return p
+}
+
+// giveUp removes a request whose caller no longer waits.
+func (s *Service) giveUp(id uint64, err error) error {
+	s.mu.Lock()
+	delete(s.waiters, id)
+	p := s.running[id]
+	if p == nil {
+		s.d.Cancel(id)
+	}
+	s.mu.Unlock()
+	if p != nil {
+		p.Release(false)
+	}
+	return err
+}
+
+// drain passes on the decisions about waiting requests. The lock is held.
+func (s *Service) drain(now time.Time) {
+	for _, out := range s.d.Drain(now) {
+		if out.Action == admit.Place {
+			s.take(out)
+		}
+		if ch := s.waiters[out.ID]; ch != nil {
+			delete(s.waiters, out.ID)
+			ch <- out
+		}
+	}
+}
+
+// Token records the number of tokens produced so far. Only the first one takes
+// the service's lock: it ends the prefill, which may let another request start.
+func (p *Placement) Token(produced int) {
+	p.tokens.Store(int64(produced))
+	if produced != 1 {
+		return
+	}
+	s := p.service
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.d.Progress(p.id, produced)
+	s.drain(time.Now())
+}
+
+// Release gives the place back; complete says that the generation ended by itself.
+func (p *Placement) Release(complete bool) {
+	if p.ended.Swap(true) {
+		return
+	}
+	p.Counters.Add(-1)
+	s, now := p.service, time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.running, p.id)
+	if n := p.tokens.Load(); n > 0 {
+		s.d.Progress(p.id, int(n))
+	}
+	s.d.Ended(p.id, complete, now)
+	s.drain(now)
+}
+
+// Surroundings are what a dispatcher needs to know about this host's peers.
+type Surroundings struct {
+	// Position is this host's place among Hosts hosts sorted by region and id.
+	Position, Hosts int
+	// GapMS is the tightest token gap target of all classes, in milliseconds.
+	GapMS int
+}
+
+// Update takes a new version of the service and decides about waiting requests.
+func (s *Service) Update(svc *version.Service, around Surroundings, now time.Time) {
+	servers := make([]dispatch.Server, len(svc.Backends))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.backends)
+	for i, b := range svc.Backends {
+		s.backends[b.Host.ID] = b
+		servers[i] = dispatch.Server{
+			ID: b.Host.ID, Incarnation: b.Host.Incarnation, Region: b.Host.Region, Domain: b.Host.Domain,
+			Limit: b.CurrentLimit(now), Warm: b.Warm, Capacity: b.Capacity,
+		}
+	}
+	s.d.SetServers(servers, around.Position, around.Hosts, around.GapMS)
+	for _, b := range svc.Backends {
+		s.d.Report(b.Host.ID, report(b), now)
+	}
+	for id, p := range s.running {
+		if n := p.tokens.Load(); n > 0 {
+			s.d.Progress(id, int(n))
+		}
+	}
+	s.d.Refresh(now)
+	s.drain(now)
+}
+
+func report(b *version.Backend) schedule.Report {
+	return schedule.Report{
+		At: b.LoadTaken, Work: b.Load.Running + b.Load.Waiting, Running: b.Load.Running,
+		TokensUsed: b.Load.BlocksUsed * b.Load.BlockTokens, TokensTotal: b.Load.BlocksTotal * b.Load.BlockTokens,
+		Preemptions: b.Load.Preemptions, StepMS: b.Load.StepMS, Incarnation: b.Host.Incarnation,
+	}
+}
+
+// Waiting returns the number of waiting requests.
+func (s *Service) Waiting() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.d.Waiting()
+}
--- a/internal/process/configlog/log_test.go
+++ b/internal/process/configlog/log_test.go
@@ -13,6 +13,8 @@
 	"golang.org/x/sync/errgroup"
 	"pgregory.net/rapid"
 
+	_ "monsoonkeel.example/monsoonkeel/internal/fixedseed"
+
 	"monsoonkeel.example/monsoonkeel/core/config"
 	"monsoonkeel.example/monsoonkeel/core/verdict"
 	"monsoonkeel.example/monsoonkeel/internal/platform"
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -15,6 +16,7 @@
 
 	"monsoonkeel.example/monsoonkeel/core/config"
 	"monsoonkeel.example/monsoonkeel/internal/connection"
+	"monsoonkeel.example/monsoonkeel/internal/placement"
 	"monsoonkeel.example/monsoonkeel/internal/platform"
 	"monsoonkeel.example/monsoonkeel/internal/platform/httpapi"
 	"monsoonkeel.example/monsoonkeel/internal/process/claims"
@@ -48,6 +50,7 @@
 	keeper   *membership.Keeper
 	peers    *peers.Peers
 	claims   *claims.Service
+	places   *placement.Table
 	pool     *connection.Pool
 	watcher  *connection.Watcher
 	gateway  *request.Gateway
@@ -91,6 +94,7 @@
 	if d.claims, err = newClaims(d); err != nil {
 		return nil, err
 	}
+	d.places = placement.NewTable(s.Region, rand.Uint64())
 	d.pool = connection.NewPool()
 	d.watcher = connection.NewWatcher()
 	d.recorder = newRecorder(log)
@@ -119,6 +123,7 @@
 	return &request.Gateway{
 		Snapshot: d.snapshot.Load,
 		Fresh:    d.fresh,
+		Places:   d.places,
 		Pool:     d.pool,
 		Watcher:  d.watcher,
 		Tokens:   gentoken.NewCodec(d.settings.GenerationKey),
--- a/internal/process/daemon/routing.go
+++ b/internal/process/daemon/routing.go
@@ -9,6 +9,7 @@
 
 	"monsoonkeel.example/monsoonkeel/core/coldstart"
 	"monsoonkeel.example/monsoonkeel/core/config"
+	"monsoonkeel.example/monsoonkeel/internal/placement"
 	"monsoonkeel.example/monsoonkeel/internal/platform"
 	"monsoonkeel.example/monsoonkeel/internal/version"
 )
@@ -98,7 +99,33 @@
 	r.forget(hosts)
 	r.mu.Unlock()
 	r.d.snapshot.Store(snap)
-	r.d.gateway.CapacityChanged()
+	around := r.surroundings(snap.Document)
+	snap.Services(func(svc *version.Service) {
+		r.d.places.Service(svc.Name, svc.Kind).Update(svc, around, time.Now())
+	})
+}
+
+// surroundings places this host among the view's members, sorted by region and id.
+func (r *routing) surroundings(doc *config.Document) placement.Surroundings {
+	around := placement.Surroundings{Hosts: 1}
+	for _, c := range doc.Classes {
+		if c.TokenGapMS > 0 && (around.GapMS == 0 || c.TokenGapMS < around.GapMS) {
+			around.GapMS = c.TokenGapMS
+		}
+	}
+	type member struct{ region, id string }
+	self := member{r.d.settings.Region, r.d.settings.HostID}
+	for _, id := range r.d.keeper.View().Members {
+		h, known := r.d.keeper.HostByID(id)
+		if !known || id == self.id {
+			continue
+		}
+		around.Hosts++
+		if other := (member{h.Region, id}); other.region < self.region || other.region == self.region && other.id < self.id {
+			around.Position++
+		}
+	}
+	return around
 }
 
 func (r *routing) counter(h platform.Host) *version.Counters {
--- a/internal/request/gateway.go
+++ b/internal/request/gateway.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"monsoonkeel.example/monsoonkeel/internal/connection"
+	"monsoonkeel.example/monsoonkeel/internal/placement"
 	"monsoonkeel.example/monsoonkeel/internal/request/gentoken"
 	"monsoonkeel.example/monsoonkeel/internal/version"
 )
@@ -81,6 +82,7 @@
 	// Fresh returns a verdict error when this host cannot know whether its
 	// configuration is current and so must not place new work.
 	Fresh    func(now time.Time) error
+	Places   *placement.Table
 	Pool     *connection.Pool
 	Watcher  *connection.Watcher
 	Tokens   *gentoken.Codec
@@ -96,10 +98,8 @@
 	// Draining says that the host is about to stop.
 	Draining func() bool
 
-	capacity notifier
 	// background counts cancellations that outlive their request.
 	background sync.WaitGroup
-	seed       seedCounter
 }
 
 // Handler routes a caller's request.
@@ -118,9 +118,6 @@
 	}
 }
 
-// CapacityChanged wakes requests that wait for a backend server.
-func (g *Gateway) CapacityChanged() { g.capacity.notify() }
-
 // WaitBackground waits until cancellations that outlive their requests are
 // sent, or ctx ends.
 func (g *Gateway) WaitBackground(ctx context.Context) {
--- a/internal/request/generation.go
+++ b/internal/request/generation.go
@@ -13,6 +13,7 @@
 
 	"monsoonkeel.example/monsoonkeel/core/verdict"
 	"monsoonkeel.example/monsoonkeel/internal/connection"
+	"monsoonkeel.example/monsoonkeel/internal/placement"
 	"monsoonkeel.example/monsoonkeel/internal/platform"
 	"monsoonkeel.example/monsoonkeel/internal/request/gentoken"
 	"monsoonkeel.example/monsoonkeel/internal/request/sse"
@@ -47,7 +48,7 @@
 	id    string
 	token string
 	host  platform.Host
-	place *placement
+	place *placement.Placement
 	ex    *connection.Exchange
 	// events reads ex's body.
 	events *sse.Reader
@@ -65,6 +66,12 @@
 	tried []string
 }
 
+// bytesPerToken is the usual ratio for English text.
+const bytesPerToken = 4
+
+// promptTokens estimates the prompt's length from the request body.
+func promptTokens(body []byte) int { return len(body)/bytesPerToken + 1 }
+
 func newGeneration(c *call, path string, body []byte, stream bool) *generation {
 	return &generation{c: c, path: path, body: body, streamed: stream}
 }
@@ -92,7 +99,7 @@
 
 // attempt sends the request to one backend server under a new generation id.
 func (gen *generation) attempt() error {
-	p, err := gen.c.place(gen.tried)
+	p, err := gen.c.place(work{prompt: promptTokens(gen.body), opaque: !gen.streamed}, gen.tried)
 	if err != nil {
 		gen.place = nil
 		return err
@@ -119,7 +126,7 @@
 	req.Header.Set(headerGenerationID, gen.id)
 	req.Header.Set(headerPriority, strconv.Itoa(gen.c.class.Priority))
 	req.SetBodyRaw(gen.body)
-	ex, err := gen.c.g.Pool.Do(gen.c.ctx, gen.host.Address, req, connection.Options{})
+	ex, err := gen.c.g.Pool.Do(gen.c.ctx, gen.host.Address, req, connection.Options{MaySend: gen.c.maySend(gen.place)})
 	if err != nil {
 		return gen.sendFailed(err)
 	}
@@ -128,11 +135,7 @@
 }
 
 func (gen *generation) sendFailed(err error) error {
-	if verdict.Of(err) == verdict.NotRun {
-		gen.c.g.Cold.Refused(gen.host.ID, gen.host.Incarnation)
-	} else {
-		gen.c.attempted = true
-	}
+	gen.c.noteSendFailure(gen.place, err)
 	if gen.c.ctx.Err() != nil {
 		return gen.c.interrupted()
 	}
@@ -246,6 +249,9 @@
 		return eventRepeated, nil
 	}
 	gen.offset = offset
+	if gen.place != nil {
+		gen.place.Token(offset)
+	}
 	// Chunks before the last carry a null finish_reason.
 	if bytes.Contains(ev.Data, []byte(`"finish_reason":"`)) {
 		gen.finished = true
@@ -361,13 +367,13 @@
 	_, err := io.Copy(io.Discard, io.LimitReader(gen.ex.Body(), 1<<10))
 	gen.ex.Finish(err == nil)
 	if gen.place != nil {
-		gen.place.release()
+		gen.place.Release(true)
 	}
 }
 
 // cancelLater cancels the run at the engine after a delay and then gives its
 // place back. With ifDetached the engine keeps a run that has a reader.
-func (gen *generation) cancelLater(delay time.Duration, ifDetached bool, place *placement) {
+func (gen *generation) cancelLater(delay time.Duration, ifDetached bool, place *placement.Placement) {
 	g, host, id := gen.c.g, gen.host, gen.id
 	g.background.Add(1)
 	go func() {
@@ -379,7 +385,7 @@
 		defer cancel()
 		g.cancelAtEngine(ctx, host, id, ifDetached)
 		if place != nil {
-			place.release()
+			place.Release(false)
 		}
 	}()
 }
--- a/internal/request/order.go
+++ b/internal/request/order.go
@@ -10,6 +10,7 @@
 
 	"monsoonkeel.example/monsoonkeel/core/verdict"
 	"monsoonkeel.example/monsoonkeel/internal/connection"
+	"monsoonkeel.example/monsoonkeel/internal/placement"
 )
 
 const (
@@ -112,11 +113,11 @@
 	for tries := 1; ; tries++ {
 		ex, p, err := c.sendOrder(ctx, req, grant, tried)
 		if err == nil {
-			defer p.release()
+			defer p.Release(true)
 			return c.finishOrder(ex, grant)
 		}
 		if p != nil {
-			p.release()
+			p.Release(false)
 			tried = append(tried, p.Host.ID)
 		}
 		if c.attempted {
@@ -132,19 +133,19 @@
 
 // sendOrder sends the order to one backend server. The placement is set when
 // another one may be tried.
-func (c *call) sendOrder(ctx context.Context, req *fasthttp.Request, grant OrderGrant, tried []string) (*connection.Exchange, *placement, error) {
-	p, err := c.place(tried)
+func (c *call) sendOrder(ctx context.Context, req *fasthttp.Request, grant OrderGrant, tried []string) (*connection.Exchange, *placement.Placement, error) {
+	p, err := c.place(work{}, tried)
 	if err != nil {
 		return nil, nil, err
 	}
 	c.out.Backend = p.Host.ID
 	c.out.Tries = len(tried) + 1
 	c.requestTo(req, p.Host.Address)
-	if !grant.MaySend(c.g.Now()) {
-		p.release()
-		return nil, nil, verdict.New(verdict.NotRun, 503, "claim_lapsed", "the order's claim lapsed before it could be sent")
-	}
-	ex, err := c.g.Pool.Do(ctx, p.Host.Address, req, connection.Options{Fresh: true})
+	placeHolds := c.maySend(p)
+	ex, err := c.g.Pool.Do(ctx, p.Host.Address, req, connection.Options{
+		Fresh:   true,
+		MaySend: func() bool { return grant.MaySend(c.g.Now()) && placeHolds() },
+	})
 	if err != nil {
 		c.noteSendFailure(p, err)
 		return nil, p, err
--- a/internal/request/place.go
+++ b/internal/request/place.go
@@ -1,148 +1,54 @@
 package request
 
 import (
-	"sync"
-	"sync/atomic"
+	"errors"
 	"time"
 
-	"monsoonkeel.example/monsoonkeel/core/schedule"
-	"monsoonkeel.example/monsoonkeel/internal/version"
+	"monsoonkeel.example/monsoonkeel/core/dispatch"
+	"monsoonkeel.example/monsoonkeel/internal/placement"
 )
 
-// notifier wakes all waiters when capacity may have appeared.
-type notifier struct {
-	mu sync.Mutex
-	ch chan struct{}
-}
-
-func (n *notifier) wait() <-chan struct{} {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.ch == nil {
-		n.ch = make(chan struct{})
-	}
-	return n.ch
-}
-
-func (n *notifier) notify() {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.ch != nil {
-		close(n.ch)
-		n.ch = nil
-	}
-}
-
-type seedCounter struct{ n atomic.Uint64 }
-
-func (s *seedCounter) next() uint64 { return s.n.Add(1) }
-
-// candidatePool reuses candidate slices, so that placing does not allocate.
-var candidatePool = sync.Pool{New: func() any { return new([]schedule.Candidate) }}
-
-// placement is a place taken at a backend server.
-type placement struct {
-	*version.Backend
-	g    *Gateway
-	once sync.Once
-}
+// maxTries bounds the backend servers that one request is tried at.
+const maxTries = 3
 
-// release gives the place back, once.
-func (p *placement) release() {
-	p.once.Do(func() {
-		p.Counters.Release()
-		p.g.CapacityChanged()
-	})
+// work describes a request to the dispatcher.
+type work struct {
+	// prompt is the estimated length of the prompt in tokens.
+	prompt int
+	// opaque says that tokens are not seen while they are produced.
+	opaque bool
 }
 
-// minQueueWait bounds the wait for a place from below: a class with a short
-// target still waits out a configuration change.
-const minQueueWait = 250 * time.Millisecond
-
 // place waits for a place at a backend server of the call's service. It gives
 // up when the class's first-token target can no longer be met.
-func (c *call) place(tried []string) (*placement, error) {
+func (c *call) place(w work, tried []string) (*placement.Placement, error) {
 	began := c.g.Now()
 	defer func() { c.out.Queued += c.g.Now().Sub(began) }()
-	timer := time.NewTimer(max(time.Duration(c.class.FirstTokenMS)*time.Millisecond, minQueueWait))
-	defer timer.Stop()
-	for {
-		changed := c.g.capacity.wait()
-		if err := c.g.Fresh(c.g.Now()); err != nil {
-			return nil, err
-		}
-		if p := c.tryPlace(tried); p != nil {
-			return p, nil
-		}
-		select {
-		case <-changed:
-		case <-timer.C:
-			e := c.failure(503, "no_capacity", "no backend server of %s can start the request in time", c.service.Name)
-			e.RetryAfterSeconds = 1
-			return nil, e
-		case <-c.ctx.Done():
-			return nil, c.interrupted()
-		}
+	if err := c.g.Fresh(began); err != nil {
+		return nil, err
 	}
-}
-
-// tryPlace takes a place at the best backend server, or returns nil.
-func (c *call) tryPlace(tried []string) *placement {
-	svc, ok := c.g.Snapshot().Service(c.service.Name)
-	if !ok {
-		return nil
+	r := dispatch.Request{
+		Class: c.class.Name, Team: c.team.Name, Priority: c.class.Priority, Arrival: began,
+		Target: time.Duration(c.class.FirstTokenMS) * time.Millisecond,
+		Prompt: w.prompt, Opaque: w.opaque, Tried: tried,
 	}
-	now := c.g.Now()
-	buf := candidatePool.Get().(*[]schedule.Candidate)
-	defer candidatePool.Put(buf)
-	candidates := appendCandidates((*buf)[:0], svc, tried, now)
-	*buf = candidates
-	for range candidates {
-		at := schedule.Pick(candidates, schedule.Request{Region: c.g.Region}, c.g.seed.next())
-		if at < 0 {
-			return nil
-		}
-		b := svc.Backends[candidates[at].Index]
-		if b.Counters.TryAcquire(candidates[at].Limit, now) {
-			return &placement{Backend: b, g: c.g}
-		}
-		// Another request took the last place between the pick and now.
-		candidates[at].Limit = 0
+	r.Deadline, _ = c.ctx.Deadline()
+	p, err := c.g.Places.Service(c.service.Name, c.service.Kind).Place(c.ctx, r)
+	var refused *placement.Refused
+	switch {
+	case errors.As(err, &refused):
+		e := c.failure(503, "no_capacity", "no backend server of %s can start the request in time", c.service.Name)
+		e.RetryAfterSeconds = int(refused.RetryAfter / time.Second)
+		return nil, e
+	case err != nil:
+		return nil, c.interrupted()
 	}
-	return nil
-}
-
-func appendCandidates(out []schedule.Candidate, svc *version.Service, tried []string, now time.Time) []schedule.Candidate {
-	for i, b := range svc.Backends {
-		if contains(tried, b.Host.ID) {
-			continue
-		}
-		memory := 0.0
-		if b.Load.BlocksTotal > 0 {
-			memory = float64(b.Load.BlocksUsed) / float64(b.Load.BlocksTotal)
-		}
-		out = append(out, schedule.Candidate{
-			Index:          i,
-			Domain:         b.Host.Domain,
-			Region:         b.Host.Region,
-			Limit:          b.CurrentLimit(now),
-			Own:            b.Counters.InFlight(),
-			ReportedWork:   b.Load.Running + b.Load.Waiting,
-			OwnSinceReport: b.Counters.StartedSince(b.LoadTaken),
-			MemoryUsed:     memory,
-			Capacity:       b.Capacity,
-		})
+	// The wait may have outlived this host's knowledge of the configuration.
+	if err := c.g.Fresh(c.g.Now()); err != nil {
+		p.Release(false)
+		return nil, err
 	}
-	return out
-}
-
-func contains(list []string, s string) bool {
-	for _, x := range list {
-		if x == s {
-			return true
-		}
-	}
-	return false
+	return p, nil
 }
 
 // mayRetry takes a retry from the budget for a request that failed before
@@ -151,5 +57,11 @@
 	return tries < maxTries && c.ctx.Err() == nil && c.g.Retries.Retry(c.g.Now())
 }
 
-// maxTries bounds the backend servers that one request is tried at.
-const maxTries = 3
+// maySend is checked when the connection is ready: the place may rest on a
+// lease that lapsed while the connection was made.
+func (c *call) maySend(p *placement.Placement) func() bool {
+	return func() bool {
+		now := c.g.Now()
+		return p.CurrentLimit(now) > 0 && c.g.Fresh(now) == nil
+	}
+}
--- a/internal/request/plain.go
+++ b/internal/request/plain.go
@@ -11,6 +11,7 @@
 	"monsoonkeel.example/monsoonkeel/core/config"
 	"monsoonkeel.example/monsoonkeel/core/verdict"
 	"monsoonkeel.example/monsoonkeel/internal/connection"
+	"monsoonkeel.example/monsoonkeel/internal/placement"
 )
 
 const (
@@ -96,7 +97,7 @@
 	c.g.Retries.First(c.g.Now())
 	var tried []string
 	for tries := 1; ; tries++ {
-		p, err := c.place(tried)
+		p, err := c.place(work{}, tried)
 		if err != nil {
 			return err
 		}
@@ -105,7 +106,7 @@
 		if err == nil {
 			return nil
 		}
-		p.release()
+		p.Release(false)
 		tried = append(tried, p.Host.ID)
 		if c.ctx.Err() != nil {
 			return c.interrupted()
@@ -118,9 +119,9 @@
 }
 
 // exchange sends the request to one backend server and hands over the answer.
-func (c *call) exchange(req *fasthttp.Request, p *placement, idempotent bool) error {
+func (c *call) exchange(req *fasthttp.Request, p *placement.Placement, idempotent bool) error {
 	c.requestTo(req, p.Host.Address)
-	ex, err := c.g.Pool.Do(c.ctx, p.Host.Address, req, connection.Options{Fresh: !idempotent})
+	ex, err := c.g.Pool.Do(c.ctx, p.Host.Address, req, connection.Options{Fresh: !idempotent, MaySend: c.maySend(p)})
 	if err != nil {
 		c.noteSendFailure(p, err)
 		return err
@@ -137,12 +138,14 @@
 	return c.relayAnswer(ex, p)
 }
 
-func (c *call) noteSendFailure(p *placement, err error) {
-	if verdict.Of(err) == verdict.NotRun {
-		c.g.Cold.Refused(p.Host.ID, p.Host.Incarnation)
+func (c *call) noteSendFailure(p *placement.Placement, err error) {
+	if verdict.Of(err) != verdict.NotRun {
+		c.attempted = true
 		return
 	}
-	c.attempted = true
+	if verdict.From(err).Code == connection.CodeConnectFailed && c.ctx.Err() == nil {
+		c.g.Cold.Refused(p.Host.ID, p.Host.Incarnation)
+	}
 }
 
 // checkAnswer refuses an answer that names another request.
@@ -155,7 +158,7 @@
 }
 
 // relayAnswer passes the answer on: whole if it is small, else as a stream.
-func (c *call) relayAnswer(ex *connection.Exchange, p *placement) error {
+func (c *call) relayAnswer(ex *connection.Exchange, p *placement.Placement) error {
 	length := ex.Response.Header.ContentLength()
 	if ex.Response.SkipBody || (length >= 0 && length <= maxBufferedBody) {
 		body, err := readAnswer(ex, maxBufferedBody)
@@ -166,7 +169,7 @@
 		c.copyHead(ex)
 		c.setBody(ex, body)
 		ex.Finish(true)
-		p.release()
+		p.Release(true)
 		c.out.FirstToken = c.g.Now().Sub(c.start)
 		return nil
 	}
@@ -223,7 +226,7 @@
 type answerBody struct {
 	c     *call
 	ex    *connection.Exchange
-	place *placement
+	place *placement.Placement
 	ended bool
 }
 
@@ -253,7 +256,7 @@
 		b.c.out.Verdict = verdict.MayHaveRun.String()
 	}
 	b.ex.Finish(b.ended)
-	b.place.release()
+	b.place.Release(b.ended)
 	b.c.end()
 	return nil
 }
--- a/internal/request/rejection.go
+++ b/internal/request/rejection.go
@@ -40,7 +40,7 @@
 	if !ok {
 		return err
 	}
-	gen.place.release()
+	gen.place.Release(false)
 	c := gen.c
 	c.out.Code = "backend_rejected"
 	c.out.Verdict = verdict.MayHaveRun.String()
--- a/internal/request/rig_test.go
+++ b/internal/request/rig_test.go
@@ -23,6 +23,7 @@
 
 	"monsoonkeel.example/monsoonkeel/core/config"
 	"monsoonkeel.example/monsoonkeel/internal/connection"
+	"monsoonkeel.example/monsoonkeel/internal/placement"
 	"monsoonkeel.example/monsoonkeel/internal/platform"
 	"monsoonkeel.example/monsoonkeel/internal/request/gentoken"
 	"monsoonkeel.example/monsoonkeel/internal/standin"
@@ -121,7 +122,15 @@
 		},
 		Excluded: func(platform.Host) bool { return false },
 	})
+	places := placement.NewTable("r", 1)
+	update := func() {
+		snap.Services(func(svc *version.Service) {
+			places.Service(svc.Name, svc.Kind).Update(svc, placement.Surroundings{Hosts: 1}, time.Now())
+		})
+	}
+	update()
 	g := &Gateway{
+		Places:   places,
 		Snapshot: func() *version.Snapshot { return snap },
 		Fresh:    func(time.Time) error { return nil },
 		Pool:     connection.NewPool(),
@@ -133,6 +142,12 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { _ = g.Watcher.Run(ctx) }()
+	go func() {
+		for ctx.Err() == nil {
+			time.Sleep(50 * time.Millisecond)
+			update()
+		}
+	}()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(r.t, err)
 	s := &fasthttp.Server{Handler: g.Handler, ErrorHandler: ProtocolError, MaxRequestBodySize: 1 << 20}
--- a/internal/version/snapshot.go
+++ b/internal/version/snapshot.go
@@ -1,8 +1,10 @@
 package version
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
+	"slices"
 	"time"
 
 	"monsoonkeel.example/monsoonkeel/core/config"
@@ -102,9 +104,18 @@
 	for _, h := range in.Hosts {
 		s.addHost(h, &in)
 	}
+	for _, svc := range s.services {
+		slices.SortFunc(svc.Backends, compareBackends)
+	}
 	return s
 }
 
+// compareBackends sorts by region and id, so that all hosts divide the backend
+// servers in the same order.
+func compareBackends(a, b *Backend) int {
+	return cmp.Or(cmp.Compare(a.Host.Region, b.Host.Region), cmp.Compare(a.Host.ID, b.Host.ID))
+}
+
 func (s *Snapshot) addServices() {
 	for name, c := range s.Document.Services {
 		svc := &Service{Service: c}
