configlog: test the proof of a watch that ends unchanged

Cause: a trial in which an unchanged watch gave no confirmation passed all tests, since the test ran for less than 3 s. Ruled out: a fault in the code; the confirmation is counted from the start of the watch, as the new test shows. Change: TestRun runs beyond 3 s; TestUnchangedWatch checks the age after an unchanged watch and refuses one of an older head. Conclusion: the freshness proof of watches is covered.

--- a/internal/process/configlog/log_test.go
+++ b/internal/process/configlog/log_test.go
@@ -254,6 +254,34 @@
 	require.Equal(t, 3*time.Second, age)
 }
 
+// slowWatch is a watch that ends unchanged after one second of the test clock.
+type slowWatch struct {
+	*platformtest.Store
+	now *time.Time
+}
+
+func (s slowWatch) Watch(context.Context, string, platform.Version, time.Duration) (platform.Object, error) {
+	*s.now = s.now.Add(time.Second)
+	return platform.Object{}, platform.ErrUnchanged
+}
+
+// Guards against a watch that ends unchanged being counted as proof of its end,
+// and against one for an older head than the current one being a proof at all.
+func TestUnchangedWatch(t *testing.T) {
+	now := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	l := New(Options{Store: slowWatch{platformtest.NewStore(), &now}, Now: func() time.Time { return now }})
+	seen, err := l.follow(context.Background(), seenHead{}, true)
+	require.NoError(t, err)
+	age, ok := l.ConfirmedAge(now)
+	require.True(t, ok)
+	require.Equal(t, time.Second, age)
+	require.NoError(t, l.Merge(nil, []byte(`{"revision":1}`)))
+	_, err = l.follow(context.Background(), seen, true)
+	require.ErrorIs(t, err, errStale)
+	age, _ = l.ConfirmedAge(now)
+	require.Equal(t, 2*time.Second, age)
+}
+
 // Guards against a watcher that is not fresh while the object API works, that
 // floods it after an outage, or that misses changes made elsewhere.
 func TestRun(t *testing.T) {
@@ -269,7 +297,8 @@
 	mustPropose(t, writer, putClass("a", "fast", 0, 100))
 	require.Equal(t, config.Revision(1), <-seen)
 
-	for range 25 {
+	// Longer than 3 s, so that the age stays low only by new confirmations.
+	for range 35 {
 		time.Sleep(100 * time.Millisecond)
 		age, ok := l.ConfirmedAge(time.Now())
 		require.True(t, ok)
