Believe a backend server that says it is leaving; cool returned domains

Cause: a leaving mark came only from the host list, which lags, so new work could reach a stopping backend server for longer than 3 s; a returned failure domain got its full load at once. Ruled out: a shorter poll of the host list, which does not change its lag. Change: load reports carry a leaving flag, which is kept for the incarnation; backend servers of a returned failure domain or undrained host count as cold until reports show otherwise; a refused claim says that an earlier request with the same key may have run; one rule for hosts that are out.

--- a/cmd/monsoonkeel-standin/main.go
+++ b/cmd/monsoonkeel-standin/main.go
@@ -7,7 +7,6 @@
 	"context"
 	"fmt"
 	"net"
-	"net/http"
 	"os"
 	"os/signal"
 	"strings"
@@ -137,7 +136,7 @@
 		engine.Incarnation = reg.incarnation
 		engine.Die = func() { os.Exit(diedExitCode) }
 		if err == nil {
-			server.Handler, err = startEngine(ctx, engine)
+			err = startEngine(ctx, engine, server)
 		}
 	case weights.FullCommand():
 		if weightSize < 0 {
@@ -147,7 +146,8 @@
 		}
 	case plain.FullCommand():
 		server.Register, err = reg.resolve("plain", false)
-		server.Handler = standin.NewPlain(reg.incarnation).Handler()
+		service := standin.NewPlain(reg.incarnation)
+		server.Handler, server.Leaving = service.Handler(), service.SetLeaving
 	}
 	if err != nil {
 		return err
@@ -170,13 +170,14 @@
 
 // startEngine starts the engine's load reports. They continue during the
 // drain, which ctx does not cover, until the process ends.
-func startEngine(ctx context.Context, config standin.EngineConfig) (http.Handler, error) {
+func startEngine(ctx context.Context, config standin.EngineConfig, server *standin.Server) error {
 	if config.TokenInterval <= 0 || config.ColdLimit < 1 || config.WarmAfter < 0 {
-		return nil, fmt.Errorf("--token-interval and --cold-limit must be positive and --warm-after not negative")
+		return fmt.Errorf("--token-interval and --cold-limit must be positive and --warm-after not negative")
 	}
 	engine := standin.NewEngine(config)
 	go engine.Run(context.WithoutCancel(ctx))
-	return engine.Handler(), nil
+	server.Handler, server.Leaving = engine.Handler(), engine.SetLeaving
+	return nil
 }
 
 // listenLoopback refuses other addresses, since the stand-ins have no
--- a/core/config/document.go
+++ b/core/config/document.go
@@ -131,3 +131,13 @@
 		Drains:   map[string]HostDrain{},
 	}
 }
+
+// IsOut says whether operators keep new work away from a host: it is drained
+// or its failure domain is out. An unknown failure domain is in.
+func (d *Document) IsOut(host, domain string) bool {
+	if _, drained := d.Drains[host]; drained {
+		return true
+	}
+	dom, known := d.Domains[domain]
+	return known && dom.State == DomainOut
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -102,6 +102,9 @@
 // LoadReport is what an engine or plain service says about its load. It lags.
 type LoadReport struct {
 	Incarnation string `json:"incarnation"`
+	// Leaving says that the backend server is about to stop. It arrives even
+	// when the host list lags.
+	Leaving bool `json:"leaving,omitempty"`
 	// Sequence grows by one with each report of one incarnation.
 	Sequence uint64 `json:"sequence"`
 	// AgeMS is the age of the figures when the answer was sent, in milliseconds.
--- a/internal/process/daemon/adapters.go
+++ b/internal/process/daemon/adapters.go
@@ -7,6 +7,7 @@
 	"monsoonkeel.example/monsoonkeel/core/config"
 	"monsoonkeel.example/monsoonkeel/core/retry"
 	"monsoonkeel.example/monsoonkeel/core/verdict"
+	"monsoonkeel.example/monsoonkeel/internal/platform"
 	"monsoonkeel.example/monsoonkeel/internal/process/configlog"
 	"monsoonkeel.example/monsoonkeel/internal/process/membership"
 )
@@ -48,6 +49,20 @@
 	return e
 }
 
+// coolReturned treats the backend servers of a returned failure domain, or
+// undrained ones, as cold: their caches and batches are empty, and all hosts
+// would send to them at once. Every host does the same for the same change.
+func (d *Daemon) coolReturned(before, after *config.Document) {
+	if before == nil {
+		return
+	}
+	for _, h := range d.keeper.Hosts() {
+		if h.Role == platform.RoleBackend && before.IsOut(h.ID, h.Domain) && !after.IsOut(h.ID, h.Domain) {
+			d.keeper.NoteCold(membership.Sighting{Backend: h.ID, Incarnation: h.Incarnation, At: time.Now()})
+		}
+	}
+}
+
 // coldReporter turns observations of the request path into cold sightings.
 type coldReporter struct{ d *Daemon }
 
--- a/internal/process/daemon/admin.go
+++ b/internal/process/daemon/admin.go
@@ -62,12 +62,7 @@
 // excludedFromService says whether operators took this entry host or its
 // failure domain out.
 func (d *Daemon) excludedFromService() bool {
-	doc := d.config.Current()
-	if _, drained := doc.Drains[d.settings.HostID]; drained {
-		return true
-	}
-	domain, known := doc.Domains[d.settings.Domain]
-	return known && domain.State == config.DomainOut
+	return d.config.Current().IsOut(d.settings.HostID, d.settings.Domain)
 }
 
 func (d *Daemon) readyz(ctx *fasthttp.RequestCtx) {
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -59,6 +59,10 @@
 	callers  *fasthttp.Server
 	admin    *fasthttp.Server
 
+	// lastConfig is used by configChanged only, which the configuration log
+	// calls in revision order.
+	lastConfig *config.Document
+
 	snapshot atomic.Pointer[version.Snapshot]
 	draining atomic.Bool
 }
@@ -146,6 +150,8 @@
 }
 
 func (d *Daemon) configChanged(doc *config.Document) {
+	d.coolReturned(d.lastConfig, doc)
+	d.lastConfig = doc
 	d.recorder.setTargets(doc)
 	d.routing.changed()
 	d.peers.Push()
--- a/internal/process/daemon/routing.go
+++ b/internal/process/daemon/routing.go
@@ -221,6 +221,9 @@
 	}
 	limits := coldstart.Limits{Cold: svc.ColdLimit, Warm: svc.WarmLimit}
 	r.d.keeper.ObserveLoad(h.ID, limits, target, report, sentAt, own)
+	if report.Leaving {
+		r.d.keeper.MarkLeaving(h.ID, report.Incarnation)
+	}
 	taken := sentAt.Add(-time.Duration(report.AgeMS) * time.Millisecond)
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/request/order.go
+++ b/internal/request/order.go
@@ -76,7 +76,7 @@
 	deadline, _ := c.ctx.Deadline()
 	out, err := c.g.Orders.Claim(c.ctx, OrderRequest{Team: c.team.Name, Key: key, RequestHash: orderHash(req), Deadline: deadline})
 	if err != nil {
-		return err
+		return claimRefused(err)
 	}
 	switch {
 	case out.Grant != nil:
@@ -91,6 +91,17 @@
 	return verdict.New(verdict.MayHaveRun, 409, "order_outcome_unknown", "an earlier run of this order has no known answer")
 }
 
+// claimRefused adds what a refused claim leaves open: this request was not
+// sent, but an earlier one with the same key may have been.
+func claimRefused(err error) error {
+	e := verdict.From(err)
+	if e.Verdict != verdict.NotRun || e.Status < 500 {
+		return err
+	}
+	e.Detail += "; an earlier request with the same " + headerIdempotencyKey + " may have run"
+	return e
+}
+
 func orderHash(req *fasthttp.Request) [sha256.Size]byte {
 	h := sha256.New()
 	h.Write(req.Header.Method())
--- a/internal/request/request_test.go
+++ b/internal/request/request_test.go
@@ -258,3 +258,25 @@
 	require.Equal(t, "body", echo.Body)
 	require.NotEmpty(t, resp.Trailer.Get("X-Body-Sha256"))
 }
+
+// refusedOrders refuses every claim, as during an outage of the object API.
+type refusedOrders struct{}
+
+// Claim implements Orders.
+func (refusedOrders) Claim(context.Context, OrderRequest) (OrderOutcome, error) {
+	return OrderOutcome{}, verdict.New(verdict.NotRun, 503, "claim_timeout", "the order could not be claimed in time")
+}
+
+// Guards against a refused repeat being read as proof that the order never ran.
+func TestRefusedClaimMentionsEarlierRequests(t *testing.T) {
+	r := &rig{t: t}
+	r.addBackend("desk", standin.NewPlain("i-desk-0").Handler())
+	r.start()
+	r.gateway.Orders = refusedOrders{}
+	resp := r.do("POST", "/services/desk/orders", "x", headerClass, "order", headerIdempotencyKey, "k")
+	defer resp.Body.Close()
+	var p Problem
+	require.NoError(t, json.NewDecoder(resp.Body).Decode(&p))
+	require.Equal(t, verdict.NotRun, p.Verdict)
+	require.Contains(t, p.Detail, "an earlier request")
+}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -7,6 +7,7 @@
 	"sort"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -109,6 +110,8 @@
 // Engine is a model engine. Its tokens are a pure function of generation id
 // and offset, so a test can detect tokens of another generation.
 type Engine struct {
+	leaving atomic.Bool
+
 	config EngineConfig
 	faults faultSwitch[EngineFaults]
 
@@ -174,6 +177,9 @@
 	return fmt.Sprintf("%s%04x ", words[h%uint64(len(words))], h>>48)
 }
 
+// SetLeaving makes load reports say that the engine is about to stop.
+func (e *Engine) SetLeaving() { e.leaving.Store(true) }
+
 // Run writes load reports until ctx ends.
 func (e *Engine) Run(ctx context.Context) {
 	ticker := time.NewTicker(reportInterval)
@@ -214,6 +220,7 @@
 	e.reports = append(e.reports, timedReport{at: now, LoadReport: platform.LoadReport{
 		Incarnation:        e.config.Incarnation,
 		Sequence:           e.sequence,
+		Leaving:            e.leaving.Load(),
 		Running:            len(e.active),
 		BlocksUsed:         blocks,
 		BlocksTotal:        blocksTotal,
--- a/internal/standin/plain.go
+++ b/internal/standin/plain.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"monsoonkeel.example/monsoonkeel/internal/platform"
@@ -38,6 +39,7 @@
 type Plain struct {
 	faults      faultSwitch[PlainFaults]
 	incarnation string
+	leaving     atomic.Bool
 
 	mu       sync.Mutex
 	runs     []plainRun
@@ -48,6 +50,9 @@
 // NewPlain returns a plain service.
 func NewPlain(incarnation string) *Plain { return &Plain{incarnation: incarnation} }
 
+// SetLeaving makes load reports say that the service is about to stop.
+func (p *Plain) SetLeaving() { p.leaving.Store(true) }
+
 // Handler serves any method and path, and GET /v1/load, /faults and
 // /debug/journal.
 func (p *Plain) Handler() http.Handler {
@@ -77,7 +82,7 @@
 	defer p.mu.Unlock()
 	p.sequence++
 	writeJSON(w, http.StatusOK, platform.LoadReport{
-		Incarnation: p.incarnation, Sequence: p.sequence, Running: p.running, Completed: uint64(len(p.runs)),
+		Incarnation: p.incarnation, Sequence: p.sequence, Leaving: p.leaving.Load(), Running: p.running, Completed: uint64(len(p.runs)),
 	})
 }
 
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -136,7 +136,9 @@
 	Register *Registration
 	// DrainTimeout bounds the wait for running requests on a stop.
 	DrainTimeout time.Duration
-	// Stopping, if set, is called when a stop begins; it ends long polls.
+	// Leaving, if set, is called before the entry is marked as leaving.
+	Leaving func()
+	// Stopping, if set, is called when the drain begins; it ends long polls.
 	Stopping func()
 	Log      zerolog.Logger
 }
@@ -164,6 +166,9 @@
 	case <-ctx.Done():
 	}
 	s.Log.Info().Msg("stopping")
+	if s.Leaving != nil {
+		s.Leaving()
+	}
 	if s.Register != nil {
 		if err := s.Register.leave(); err != nil {
 			s.Log.Warn().Err(err).Msg("cannot mark the host as leaving")
--- a/internal/version/snapshot.go
+++ b/internal/version/snapshot.go
@@ -143,7 +143,7 @@
 	}
 	s.reachable[h.ID] = h
 	svc, ok := s.services[h.Service]
-	if !ok || !s.mayGetWork(h) || in.Excluded(h) {
+	if !ok || h.State != platform.HostLive || s.Document.IsOut(h.ID, h.Domain) || in.Excluded(h) {
 		return
 	}
 	report := in.Reports[h.ID]
@@ -152,18 +152,6 @@
 	svc.Backends = append(svc.Backends, b)
 }
 
-// mayGetWork says whether operators and the host list let a host have new work.
-func (s *Snapshot) mayGetWork(h platform.Host) bool {
-	if h.State != platform.HostLive {
-		return false
-	}
-	if _, drained := s.Document.Drains[h.ID]; drained {
-		return false
-	}
-	d, known := s.Document.Domains[h.Domain]
-	return !known || d.State == config.DomainIn
-}
-
 // Service returns the service of that name.
 func (s *Snapshot) Service(name string) (*Service, bool) {
 	svc, ok := s.services[name]
--- /dev/null
+++ b/internal/version/snapshot_test.go
@@ -0,0 +1,49 @@
+package version
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"monsoonkeel.example/monsoonkeel/core/config"
+	"monsoonkeel.example/monsoonkeel/internal/platform"
+)
+
+// Guards against new work for hosts that are out, drained, leaving or do not
+// answer, while running generations there stay reachable.
+func TestBuildExcludes(t *testing.T) {
+	doc := config.Empty()
+	doc.Services["s"] = config.Service{Name: "s", Kind: config.KindPlain, ColdLimit: 1, WarmLimit: 2}
+	doc.Domains["out"] = config.Domain{Name: "out", Region: "r", State: config.DomainOut}
+	doc.Drains["drained"] = config.HostDrain{Name: "drained"}
+	host := func(id, domain string, state platform.HostState) platform.Host {
+		return platform.Host{ID: id, Role: platform.RoleBackend, Service: "s", Region: "r", Domain: domain, State: state}
+	}
+	snap := Build(Inputs{
+		Document: doc,
+		Hosts: []platform.Host{
+			host("good", "in", platform.HostLive), host("drained", "in", platform.HostLive), host("away", "out", platform.HostLive),
+			host("leaving", "in", platform.HostLeaving), host("refusing", "in", platform.HostLive),
+		},
+		Counters: func(platform.Host) *Counters { return &Counters{} },
+		Limit: func(platform.Host, config.Service, platform.LoadReport, time.Time) (int, time.Time, bool) {
+			return 2, time.Time{}, true
+		},
+		Excluded: func(h platform.Host) bool { return h.ID == "refusing" },
+	})
+	svc, ok := snap.Service("s")
+	require.True(t, ok)
+	require.Len(t, svc.Backends, 1)
+	require.Equal(t, "good", svc.Backends[0].Host.ID)
+	_, ok = snap.Reachable("away")
+	require.True(t, ok)
+}
+
+// Guards against a limit that outlives the lease it rests on.
+func TestLimitLapses(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := &Backend{Limit: 2, LimitUntil: now}
+	require.Equal(t, 2, b.CurrentLimit(now))
+	require.Equal(t, 0, b.CurrentLimit(now.Add(time.Millisecond)))
+}
