scenarios: test whole deployments by scripts over real processes

Cause: only scripts/demo ran the daemons, the operators' tool and the stand-ins together; no automated test did. The programs moved from cmd/*/ to internal/cmd/*/, so that the test binary can be each of them. The command that kills a process is called crash, since testscript has a kill. No run with a mechanism disabled was made yet.

--- a/cmd/monsoonkeeld/main.go
+++ b/cmd/monsoonkeeld/main.go
@@ -1,43 +1,6 @@
 // Command monsoonkeeld is the daemon that runs on every entry host.
 package main
 
-import (
-	"context"
-	"fmt"
-	"os"
-	"os/signal"
-	"syscall"
+import "monsoonkeel.example/monsoonkeel/internal/cmd/daemoncmd"
 
-	"github.com/alecthomas/kingpin/v2"
-	"github.com/rs/zerolog"
-
-	"monsoonkeel.example/monsoonkeel/internal/process/daemon"
-	"monsoonkeel.example/monsoonkeel/internal/process/settings"
-)
-
-// Exit codes.
-const (
-	exitSettings = 1
-	exitFailure  = 2
-)
-
-func main() {
-	app := kingpin.New("monsoonkeeld", "Serves callers of model engines and plain services on an entry host.")
-	s := settings.Register(app)
-	kingpin.MustParse(app.Parse(os.Args[1:]))
-	if err := s.Load(os.Getenv); err != nil {
-		fmt.Fprintf(os.Stderr, "monsoonkeeld: invalid settings:\n%v\n", err)
-		os.Exit(exitSettings)
-	}
-	log := zerolog.New(os.Stderr).Level(s.Level()).With().Timestamp().Str("host", s.HostID).Logger()
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	d, err := daemon.New(s, log)
-	if err == nil {
-		err = d.Run(ctx)
-	}
-	if err != nil {
-		log.Error().Err(err).Msg("stopped with an error")
-		os.Exit(exitFailure)
-	}
-}
+func main() { daemoncmd.Main() }
--- a/cmd/monsoonkeelctl/team.go
+++ b/internal/cmd/ctl/team.go
@@ -1,4 +1,4 @@
-package main
+package ctl
 
 import (
 	"crypto/rand"
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"sort"
 	"strconv"
@@ -68,6 +69,8 @@
 	Retention     time.Duration
 	ChecksFencing bool
 	Faults        EngineFaults
+	// Journal, if set, gets a JournalLine for each generation at its start.
+	Journal io.Writer
 	// Die ends the process; it is called by the fault DieAfterTokens.
 	Die func()
 }
@@ -258,6 +261,9 @@
 	e.generations[g.ID] = g
 	e.order = append(e.order, g.ID)
 	e.active[g] = struct{}{}
+	line := JournalLine{Incarnation: e.config.Incarnation, RequestID: g.RequestID, Generation: g.ID, At: received}
+	line.ColdLimitExceeded = e.cold && len(e.active) > e.config.ColdLimit
+	appendJournal(e.config.Journal, line)
 	if e.cold {
 		e.maxColdConcurrent = max(e.maxColdConcurrent, len(e.active))
 		if len(e.active) > e.config.ColdLimit {
--- a/internal/standin/plain.go
+++ b/internal/standin/plain.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -38,6 +39,8 @@
 type Plain struct {
 	faults      faultSwitch[PlainFaults]
 	incarnation string
+	// Journal, if set, gets a JournalLine for each call that ran.
+	Journal io.Writer
 
 	mu       sync.Mutex
 	runs     []plainRun
@@ -147,5 +150,9 @@
 		Run: len(p.runs) + 1, Method: r.Method, Path: r.URL.RequestURI(), RequestID: r.Header.Get("X-Request-Id"),
 		IdempotencyKey: r.Header.Get("Idempotency-Key"), BodySHA256: digest(body), At: time.Now(),
 	})
+	appendJournal(p.Journal, JournalLine{
+		Incarnation: p.incarnation, RequestID: r.Header.Get("X-Request-Id"),
+		IdempotencyKey: r.Header.Get("Idempotency-Key"), At: time.Now(),
+	})
 	return len(p.runs)
 }
--- /dev/null
+++ b/scenarios/deployment_test.go
@@ -0,0 +1,594 @@
+package scenarios
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"monsoonkeel.example/monsoonkeel/core/config"
+	"monsoonkeel.example/monsoonkeel/internal/platform"
+)
+
+const (
+	operatorToken = "scenario-operator-token"
+	generationKey = "scenario-generation-key-0123456789"
+	engineService = "caption-models"
+	plainService  = "order-desk"
+	model         = "caption-1"
+	// readyTimeout bounds the start of a deployment. Slots of a new view are
+	// usable after 3.5 s, and processes with the race detector start slowly.
+	readyTimeout = 40 * time.Second
+)
+
+// places are the failure domains of the entry hosts and backend servers, in turn.
+var places = []struct{ domain, region string }{
+	{"west-a", "lakes-west"}, {"east-a", "lakes-east"}, {"north-a", "lakes-north"},
+}
+
+// deployment is what one script runs.
+type deployment struct {
+	env *testscript.Env
+	// ts is the running script; it is set by each command.
+	ts   *testscript.TestScript
+	work string
+	log  *callLog
+
+	processes map[string]*process
+	entries   []*process
+	backends  []*process
+	streams   map[string]*stream
+	loads     map[string]*load
+	marks     map[string]time.Time
+	links     *links
+	teamKey   string
+	ready     atomic.Pointer[[]*process]
+	stopReady context.CancelFunc
+}
+
+func newDeployment(env *testscript.Env) *deployment {
+	return &deployment{
+		env: env, work: env.WorkDir, log: &callLog{}, processes: map[string]*process{},
+		streams: map[string]*stream{}, loads: map[string]*load{}, marks: map[string]time.Time{},
+	}
+}
+
+// stop ends all processes by id, whatever the script's result.
+func (d *deployment) stop() {
+	for _, l := range d.loads {
+		l.cancel()
+	}
+	for _, s := range d.streams {
+		s.cancel()
+	}
+	if d.stopReady != nil {
+		d.stopReady()
+	}
+	for _, p := range d.processes {
+		if p.running() {
+			_ = p.cmd.Process.Kill()
+			_ = p.wait(stopTimeout)
+		}
+	}
+	if d.links != nil {
+		d.links.close()
+	}
+	t, ok := d.env.T().(interface {
+		Failed() bool
+		Errorf(string, ...any)
+		Logf(string, ...any)
+	})
+	if !ok {
+		return
+	}
+	for name, p := range d.processes {
+		if report := p.raceReports(); report != "" {
+			t.Errorf("%s: data race or panic:\n%s", name, report)
+		}
+	}
+	if t.Failed() {
+		for name, p := range d.processes {
+			t.Logf("last log lines of %s:\n%s", name, p.logTail(12))
+		}
+	}
+}
+
+// options are the flags of the deployment command.
+type options struct {
+	daemons, engines, plains         int
+	cold, warm, engineCold, warmFrom int
+	tokenInterval, drainDelay        time.Duration
+	linked                           bool
+}
+
+func cmdDeployment(d *deployment, args []string) (string, error) {
+	var o options
+	fs := flags("deployment")
+	fs.IntVar(&o.daemons, "daemons", 3, "number of daemons")
+	fs.IntVar(&o.engines, "engines", 3, "number of engines")
+	fs.IntVar(&o.plains, "plains", 2, "number of plain services")
+	fs.IntVar(&o.cold, "cold-limit", 16, "cold limit of the engine service")
+	fs.IntVar(&o.warm, "warm-limit", 16, "warm limit of the engine service")
+	fs.IntVar(&o.engineCold, "engine-cold", 2, "requests that a cold engine bears")
+	fs.IntVar(&o.warmFrom, "warm-after", 0, "completed generations that warm an engine; 0 is always warm")
+	fs.DurationVar(&o.tokenInterval, "token-interval", 20*time.Millisecond, "time between tokens")
+	fs.DurationVar(&o.drainDelay, "drain-delay", time.Second, "drain delay of the daemons")
+	fs.BoolVar(&o.linked, "links", false, "connect daemons to the object API and peers by links that can be cut")
+	if err := fs.Parse(args); err != nil {
+		return "", err
+	}
+	if err := d.startPlatform(); err != nil {
+		return "", err
+	}
+	if err := d.startBackends(o); err != nil {
+		return "", err
+	}
+	if err := d.startEntries(o); err != nil {
+		return "", err
+	}
+	if err := d.configure(o); err != nil {
+		return "", err
+	}
+	return "", d.waitServing()
+}
+
+// add starts a process.
+func (d *deployment) add(p *process) error {
+	p.logPath = filepath.Join(d.work, p.name+".log")
+	d.processes[p.name] = p
+	return p.start()
+}
+
+func (d *deployment) startPlatform() error {
+	for _, r := range []role{roleObjects, roleHosts} {
+		address, err := freePort()
+		if err != nil {
+			return err
+		}
+		p := &process{name: string(r), role: r, command: "monsoonkeel-standin", address: address, args: []string{string(r), "--listen", address}}
+		if err := d.add(p); err != nil {
+			return err
+		}
+		d.ts.Setenv(strings.ToUpper(string(r)), p.url())
+	}
+	return waitFor(context.Background(), readyTimeout, func() (bool, string) {
+		_, err := getJSON[any](d.processes["hosts"].url() + "/hosts")
+		_, objectsErr := getJSON[any](d.processes["objects"].url() + "/objects")
+		return err == nil && objectsErr == nil, fmt.Sprint(err, objectsErr)
+	})
+}
+
+func (d *deployment) startBackends(o options) error {
+	for i := range o.engines {
+		if err := d.addBackend(i, roleEngine, engineService,
+			"--token-interval", o.tokenInterval.String(), "--cold-limit", strconv.Itoa(o.engineCold),
+			"--warm-after", strconv.Itoa(o.warmFrom)); err != nil {
+			return err
+		}
+	}
+	for i := range o.plains {
+		if err := d.addBackend(i, rolePlain, plainService); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *deployment) addBackend(i int, r role, service string, extra ...string) error {
+	address, err := freePort()
+	if err != nil {
+		return err
+	}
+	at := places[i%len(places)]
+	p := &process{
+		name: fmt.Sprintf("%s-%d", r, i), role: r, command: "monsoonkeel-standin", address: address, region: at.region, domain: at.domain,
+	}
+	p.journal = filepath.Join(d.work, p.name+".journal")
+	p.args = append([]string{string(r), "--listen", address, "--hosts", d.processes["hosts"].url(), "--id", p.name,
+		"--service", service, "--region", at.region, "--domain", at.domain, "--journal-file", p.journal}, extra...)
+	d.backends = append(d.backends, p)
+	d.ts.Setenv(envName(p.name), p.url())
+	return d.add(p)
+}
+
+// envName is ENGINE_0 for engine-0.
+func envName(name string) string { return strings.ToUpper(strings.ReplaceAll(name, "-", "_")) }
+
+func (d *deployment) startEntries(o options) error {
+	if o.linked {
+		d.links = newLinks(d)
+	}
+	for i := range o.daemons {
+		at := places[i%len(places)]
+		p := &process{name: fmt.Sprintf("entry-%d", i), role: roleEntry, command: "monsoonkeeld", region: at.region, domain: at.domain}
+		for _, address := range []*string{&p.address, &p.admin, &p.peer} {
+			var err error
+			if *address, err = freePort(); err != nil {
+				return err
+			}
+		}
+		objects, hosts := d.processes["objects"].url(), d.processes["hosts"].url()
+		if d.links != nil {
+			var err error
+			if objects, hosts, err = d.links.attach(p); err != nil {
+				return err
+			}
+		}
+		p.env = []string{"MONSOONKEEL_OPERATOR_TOKEN=" + operatorToken, "MONSOONKEEL_GENERATION_KEY=" + generationKey}
+		p.args = []string{"--host-id", p.name, "--region", at.region, "--domain", at.domain, "--listen", p.address,
+			"--admin-listen", p.admin, "--peer-listen", p.peer, "--object-api", objects, "--host-list", hosts,
+			"--drain-delay", o.drainDelay.String()}
+		d.entries = append(d.entries, p)
+		d.ts.Setenv(envName(p.name), p.url())
+		d.ts.Setenv("ADMIN_"+strconv.Itoa(i), "http://"+p.admin)
+		if err := d.announce(p, platform.HostLive); err != nil {
+			return err
+		}
+		if err := d.add(p); err != nil {
+			return err
+		}
+	}
+	d.watchReady()
+	return nil
+}
+
+// announce writes an entry host into the host list, as the platform does.
+func (d *deployment) announce(p *process, state platform.HostState) error {
+	return putJSON(d.processes["hosts"].url()+"/hosts/"+p.name, p.hostEntry(state, newIncarnation()))
+}
+
+// withdraw removes a host from the host list.
+func (d *deployment) withdraw(p *process) error {
+	r, err := http.NewRequest(http.MethodDelete, d.processes["hosts"].url()+"/hosts/"+p.name, nil)
+	if err != nil {
+		return err
+	}
+	answer, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return err
+	}
+	return answer.Body.Close()
+}
+
+// watchReady keeps the list of ready entry hosts, as the platform's load
+// balancer does.
+func (d *deployment) watchReady() {
+	ctx, cancel := context.WithCancel(context.Background())
+	d.stopReady = cancel
+	d.ready.Store(&[]*process{})
+	go func() {
+		client := &http.Client{Timeout: 300 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
+		for ctx.Err() == nil {
+			var mu sync.Mutex
+			var ready []*process
+			var wg sync.WaitGroup
+			for _, p := range d.entries {
+				wg.Go(func() {
+					answer, err := client.Get("http://" + p.admin + "/readyz")
+					if err != nil {
+						return
+					}
+					_ = answer.Body.Close()
+					if answer.StatusCode == http.StatusOK {
+						mu.Lock()
+						ready = append(ready, p)
+						mu.Unlock()
+					}
+				})
+			}
+			wg.Wait()
+			d.ready.Store(&ready)
+			select {
+			case <-time.After(100 * time.Millisecond):
+			case <-ctx.Done():
+			}
+		}
+	}()
+}
+
+// configure writes the base configuration through the operators' tool.
+func (d *deployment) configure(o options) error {
+	var admins []string
+	for _, p := range d.entries {
+		admins = append(admins, "http://"+p.admin)
+	}
+	d.ts.Setenv("MONSOONKEEL_SERVER", strings.Join(admins, "\n"))
+	d.ts.Setenv("MONSOONKEEL_TOKEN", operatorToken)
+	d.ts.Setenv("USER", "scenario")
+	raw, err := json.Marshal(baseConfiguration(o))
+	if err != nil {
+		return err
+	}
+	file := filepath.Join(d.work, "base.json")
+	if err := os.WriteFile(file, raw, 0o600); err != nil {
+		return err
+	}
+	err = waitFor(context.Background(), readyTimeout, func() (bool, string) {
+		_, err := d.ctl("config", "apply", "-f", file)
+		return err == nil, fmt.Sprint(err)
+	})
+	if err != nil {
+		return err
+	}
+	out, err := d.ctl("--output", "json", "team", "create", "lantern", "--default-class", "caption")
+	if err != nil {
+		return err
+	}
+	var created struct{ Key string }
+	if err := json.Unmarshal(out, &created); err != nil || created.Key == "" {
+		return fmt.Errorf("team create printed no key: %s", out)
+	}
+	d.teamKey = created.Key
+	d.ts.Setenv("TEAM_KEY", created.Key)
+	return nil
+}
+
+// ctl runs the operators' tool.
+func (d *deployment) ctl(args ...string) ([]byte, error) {
+	cmd := exec.Command("monsoonkeelctl", args...)
+	cmd.Env = append(os.Environ(), "MONSOONKEEL_SERVER="+d.ts.Getenv("MONSOONKEEL_SERVER"), "MONSOONKEEL_TOKEN="+operatorToken, "USER=scenario")
+	out, err := cmd.Output()
+	if exit, ok := err.(*exec.ExitError); ok {
+		err = fmt.Errorf("%w: %s", err, exit.Stderr)
+	}
+	return out, err
+}
+
+func baseConfiguration(o options) *config.Document {
+	doc := config.Empty()
+	for _, at := range places {
+		doc.Domains[at.domain] = config.Domain{Name: at.domain, Region: at.region, State: config.DomainIn}
+	}
+	for _, c := range []config.Class{
+		{Name: "caption", FirstTokenMS: 1900, Priority: 3, ResumeGraceMS: 5000},
+		{Name: "gone", FirstTokenMS: 1900, Priority: 3},
+		{Name: "whole", FirstTokenMS: 4000, Priority: 3, Delivery: config.DeliveryWhole},
+		{Name: "title", FirstTokenMS: 4000, Priority: 5},
+		{Name: "lookup", FirstTokenMS: 1900, Idempotent: true},
+		{Name: "booking", FirstTokenMS: 2000, Order: true},
+	} {
+		doc.Classes[c.Name] = c
+	}
+	doc.Services[engineService] = config.Service{
+		Name: engineService, Kind: config.KindEngine, Models: []string{model}, ColdLimit: o.cold, WarmLimit: o.warm,
+	}
+	doc.Services[plainService] = config.Service{
+		Name: plainService, Kind: config.KindPlain, ColdLimit: 64, WarmLimit: 64,
+		Rules: []config.Rule{{Method: "POST", PathPrefix: "/orders", Class: "booking"}, {Method: "GET", Class: "lookup"}},
+	}
+	return doc
+}
+
+// dump is the part of a daemon's state dump that the harness reads.
+type dump struct {
+	Status struct {
+		Ready  bool
+		Reason string
+	}
+	Backends []struct {
+		ID    string
+		Limit int
+		Warm  bool
+	}
+}
+
+func (d *deployment) dump(p *process) (dump, error) {
+	return getJSON[dump]("http://"+p.admin+"/admin/v1/dump", "Authorization", "Bearer "+operatorToken)
+}
+
+// waitServing waits until every daemon is ready and every backend server can
+// get work from some daemon.
+func (d *deployment) waitServing() error {
+	return waitFor(context.Background(), readyTimeout, func() (bool, string) {
+		limits := map[string]int{}
+		for _, p := range d.entries {
+			state, err := d.dump(p)
+			if err != nil || !state.Status.Ready {
+				return false, fmt.Sprint(p.name, ": ", err, state.Status.Reason)
+			}
+			for _, b := range state.Backends {
+				limits[b.ID] += b.Limit
+			}
+		}
+		for _, b := range d.backends {
+			if limits[b.name] == 0 {
+				return false, fmt.Sprint("limits ", limits)
+			}
+		}
+		return true, ""
+	})
+}
+
+// process returns a process by name.
+func (d *deployment) process(name string) (*process, error) {
+	if p, ok := d.processes[name]; ok {
+		return p, nil
+	}
+	return nil, fmt.Errorf("no process %q", name)
+}
+
+// each runs f for every named process.
+func (d *deployment) each(names []string, f func(*process) error) (string, error) {
+	for _, name := range names {
+		p, err := d.process(name)
+		if err == nil {
+			err = f(p)
+		}
+		if err != nil {
+			return "", err
+		}
+	}
+	return "", nil
+}
+
+// cmdCrash kills processes; the name kill is taken by the script language.
+func cmdCrash(d *deployment, args []string) (string, error) {
+	return d.each(args, func(p *process) error {
+		if p.role == roleEntry {
+			d.log.excuse(p.name, time.Now())
+		}
+		return p.kill()
+	})
+}
+
+// cmdTerm stops processes gracefully. The platform shows an entry host as
+// leaving meanwhile.
+func cmdTerm(d *deployment, args []string) (string, error) {
+	return d.each(args, func(p *process) error {
+		if p.role != roleEntry {
+			return p.terminate()
+		}
+		if err := d.announceLeaving(p); err != nil {
+			return err
+		}
+		if err := p.terminate(); err != nil {
+			return err
+		}
+		return d.withdraw(p)
+	})
+}
+
+func (d *deployment) announceLeaving(p *process) error {
+	list, err := getJSON[struct{ Hosts []platform.Host }](d.processes["hosts"].url() + "/hosts")
+	if err != nil {
+		return err
+	}
+	for _, h := range list.Hosts {
+		if h.ID == p.name {
+			h.State = platform.HostLeaving
+			return putJSON(d.processes["hosts"].url()+"/hosts/"+h.ID, h)
+		}
+	}
+	return fmt.Errorf("%s is not in the host list", p.name)
+}
+
+// cmdRestart starts processes that were stopped and waits until they serve;
+// with -no-wait it does not wait.
+func cmdRestart(d *deployment, args []string) (string, error) {
+	fs := flags("restart")
+	noWait := fs.Bool("no-wait", false, "do not wait until the process serves")
+	if err := fs.Parse(args); err != nil {
+		return "", err
+	}
+	return d.each(fs.Args(), func(p *process) error {
+		if p.role == roleEntry {
+			if err := d.announce(p, platform.HostLive); err != nil {
+				return err
+			}
+		}
+		if err := p.start(); err != nil || *noWait {
+			return err
+		}
+		return waitFor(context.Background(), readyTimeout, func() (bool, string) {
+			url := p.url() + "/faults"
+			if p.role == roleEntry {
+				url = "http://" + p.admin + "/readyz"
+			}
+			answer, err := http.Get(url)
+			if err != nil {
+				return false, err.Error()
+			}
+			defer func() { _ = answer.Body.Close() }()
+			body, _ := io.ReadAll(answer.Body)
+			return answer.StatusCode == http.StatusOK, string(body)
+		})
+	})
+}
+
+func cmdFreeze(d *deployment, args []string) (string, error) {
+	return d.each(args, (*process).freeze)
+}
+
+func cmdThaw(d *deployment, args []string) (string, error) {
+	return d.each(args, func(p *process) error { return p.signal(syscall.SIGCONT) })
+}
+
+// cmdFaults replaces the fault switches of a stand-in: faults NAME JSON.
+func cmdFaults(d *deployment, args []string) (string, error) {
+	if len(args) != 2 {
+		return "", fmt.Errorf("usage: faults NAME JSON")
+	}
+	p, err := d.process(args[0])
+	if err != nil {
+		return "", err
+	}
+	return "", putJSON(p.url()+"/faults", json.RawMessage(args[1]))
+}
+
+// cmdHosts sets the state of a host in the host list: hosts NAME live|leaving.
+func cmdHosts(d *deployment, args []string) (string, error) {
+	if len(args) != 2 {
+		return "", fmt.Errorf("usage: hosts NAME live|leaving")
+	}
+	list, err := getJSON[struct{ Hosts []platform.Host }](d.processes["hosts"].url() + "/hosts")
+	if err != nil {
+		return "", err
+	}
+	for _, h := range list.Hosts {
+		if h.ID == args[0] {
+			h.State = platform.HostState(args[1])
+			return "", putJSON(d.processes["hosts"].url()+"/hosts/"+h.ID, h)
+		}
+	}
+	return "", fmt.Errorf("%s is not in the host list", args[0])
+}
+
+var controlClient = &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+
+func getJSON[T any](url string, header ...string) (T, error) {
+	var out T
+	r, err := http.NewRequest(http.MethodGet, url, nil)
+	if err != nil {
+		return out, err
+	}
+	if len(header) == 2 {
+		r.Header.Set(header[0], header[1])
+	}
+	answer, err := controlClient.Do(r)
+	if err != nil {
+		return out, err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	raw, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return out, err
+	}
+	if answer.StatusCode != http.StatusOK {
+		return out, fmt.Errorf("GET %s: %d: %s", url, answer.StatusCode, raw)
+	}
+	return out, json.Unmarshal(raw, &out)
+}
+
+func putJSON(url string, v any) error {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	r, err := http.NewRequest(http.MethodPut, url, bytes.NewReader(raw))
+	if err != nil {
+		return err
+	}
+	answer, err := controlClient.Do(r)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if answer.StatusCode >= 300 {
+		body, _ := io.ReadAll(answer.Body)
+		return fmt.Errorf("PUT %s: %d: %s", url, answer.StatusCode, body)
+	}
+	return nil
+}
--- /dev/null
+++ b/scenarios/load_test.go
@@ -0,0 +1,121 @@
+package scenarios
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+)
+
+// load is callers in the background.
+type load struct {
+	cancel context.CancelFunc
+	stop   chan struct{}
+	done   chan struct{}
+	calls  atomic.Int64
+}
+
+// cmdLoad starts callers: load NAME.
+func cmdLoad(d *deployment, args []string) (string, error) {
+	fs := flags("load")
+	kinds := fs.String("kinds", "stream,whole,title,lookup,order", "kinds of calls, in turn")
+	workers := fs.Int("workers", 8, "callers at once")
+	tokens := fs.Int("tokens", 20, "tokens of a generation")
+	limit := fs.Int64("max", 3000, "bound of the number of calls")
+	pause := fs.Duration("pause", 20*time.Millisecond, "pause of a caller between calls")
+	if err := fs.Parse(args); err != nil {
+		return "", err
+	}
+	if fs.NArg() != 1 || d.loads[fs.Arg(0)] != nil {
+		return "", fmt.Errorf("usage: load [FLAGS] NAME, with a new name")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &load{cancel: cancel, stop: make(chan struct{}), done: make(chan struct{})}
+	d.loads[fs.Arg(0)] = l
+	names := strings.Split(*kinds, ",")
+	var wg sync.WaitGroup
+	client := newClient()
+	for i := range *workers {
+		wg.Go(func() {
+			for n := i; l.calls.Add(1) <= *limit; n++ {
+				d.loadCall(ctx, client, kind(names[n%len(names)]), *tokens)
+				select {
+				case <-l.stop:
+					return
+				case <-ctx.Done():
+					return
+				case <-time.After(*pause):
+				}
+			}
+		})
+	}
+	go func() {
+		wg.Wait()
+		client.CloseIdleConnections()
+		close(l.done)
+	}()
+	return "", nil
+}
+
+// loadCall makes one call through a ready entry host and goes to another one
+// if the connection is refused, as the platform's load balancer does.
+func (d *deployment) loadCall(ctx context.Context, client *http.Client, k kind, tokens int) {
+	s := d.loadSpec(k, tokens)
+	hosts := slices.Clone(*d.ready.Load())
+	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
+	if k == kindRepeat {
+		var wg sync.WaitGroup
+		for _, p := range hosts {
+			wg.Go(func() { d.call(ctx, client, p, s) })
+		}
+		wg.Wait()
+		return
+	}
+	for _, p := range hosts {
+		if rec := d.call(ctx, client, p, s); rec.result != unreachable {
+			return
+		}
+	}
+}
+
+func (d *deployment) loadSpec(k kind, tokens int) callSpec {
+	switch k {
+	case kindStream:
+		return generationSpec(k, "caption", tokens)
+	case kindWhole:
+		return generationSpec(k, "whole", tokens)
+	case kindTitle:
+		return generationSpec(k, "title", tokens)
+	case kindLookup:
+		return callSpec{kind: k, method: http.MethodGet, path: "/services/" + plainService + "/status/" + uuid.NewString()}
+	}
+	key := uuid.NewString()
+	return callSpec{
+		kind: k, method: http.MethodPost, path: "/services/" + plainService + "/orders", key: key, body: `{"order":"` + key + `"}`,
+		headers: map[string]string{"Content-Type": "application/json"},
+	}
+}
+
+// cmdLoadStop lets the running calls end and waits for them.
+func cmdLoadStop(d *deployment, args []string) (string, error) {
+	for _, name := range args {
+		l := d.loads[name]
+		if l == nil {
+			return "", fmt.Errorf("no load %s", name)
+		}
+		close(l.stop)
+		select {
+		case <-l.done:
+		case <-time.After(callTimeout + 5*time.Second):
+			return "", fmt.Errorf("the calls of load %s did not end", name)
+		}
+	}
+	return "", nil
+}
--- /dev/null
+++ b/scenarios/process_test.go
@@ -0,0 +1,242 @@
+package scenarios
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/google/uuid"
+
+	"monsoonkeel.example/monsoonkeel/internal/platform"
+)
+
+const (
+	// stopTimeout bounds a graceful stop, which includes the longest request.
+	stopTimeout = 40 * time.Second
+	// pollInterval is the pause between two looks at a condition.
+	pollInterval = 25 * time.Millisecond
+)
+
+// role says what a process is.
+type role string
+
+const (
+	roleObjects role = "objects"
+	roleHosts   role = "hosts"
+	roleEngine  role = "engine"
+	rolePlain   role = "plain"
+	roleEntry   role = "entry"
+)
+
+// process is a process of a deployment; it can be started several times.
+type process struct {
+	name    string
+	role    role
+	command string
+	args    []string
+	env     []string
+	// address, admin and peer are host:port.
+	address, admin, peer string
+	region, domain       string
+	// journal is the journal file of a backend server.
+	journal string
+	logPath string
+
+	cmd  *exec.Cmd
+	done chan struct{}
+}
+
+// loopback is this test process's own loopback address, so that its ports
+// cannot be taken by other processes.
+var loopback = func() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 64+(pid>>14)&0x3f, (pid>>7)&0x7f, 1+pid&0x7f)
+}()
+
+// nextPort starts below the range of the ports for outgoing connections.
+var nextPort atomic.Uint32
+
+const (
+	firstPort = 20000
+	lastPort  = 32000
+)
+
+// freePort returns an address with a port that no other script uses.
+func freePort() (string, error) {
+	for range lastPort - firstPort {
+		address := net.JoinHostPort(loopback, strconv.Itoa(firstPort+int(nextPort.Add(1))%(lastPort-firstPort)))
+		if l, err := net.Listen("tcp", address); err == nil {
+			return address, l.Close()
+		}
+	}
+	return "", fmt.Errorf("no free port")
+}
+
+// start starts the process; its log goes on in the same file.
+func (p *process) start() error {
+	if p.running() {
+		return fmt.Errorf("%s is running", p.name)
+	}
+	path, err := exec.LookPath(p.command)
+	if err != nil {
+		return err
+	}
+	log, err := os.OpenFile(p.logPath, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = log.Close() }()
+	p.cmd = exec.Command(path, p.args...)
+	p.cmd.Env = append(os.Environ(), p.env...)
+	p.cmd.Stdout, p.cmd.Stderr = log, log
+	// Ends the process also when the test binary dies, for example by its timeout.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := p.cmd.Start(); err != nil {
+		return err
+	}
+	p.done = make(chan struct{})
+	go func(cmd *exec.Cmd, done chan struct{}) {
+		_ = cmd.Wait()
+		close(done)
+	}(p.cmd, p.done)
+	return nil
+}
+
+func (p *process) running() bool {
+	if p.done == nil {
+		return false
+	}
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// signal sends a signal to the running process.
+func (p *process) signal(s syscall.Signal) error {
+	if !p.running() {
+		return fmt.Errorf("%s is not running", p.name)
+	}
+	return p.cmd.Process.Signal(s)
+}
+
+func (p *process) wait(limit time.Duration) error {
+	select {
+	case <-p.done:
+		return nil
+	case <-time.After(limit):
+		return fmt.Errorf("%s did not stop within %s", p.name, limit)
+	}
+}
+
+// kill ends the process at once.
+func (p *process) kill() error {
+	if err := p.signal(syscall.SIGKILL); err != nil {
+		return err
+	}
+	return p.wait(stopTimeout)
+}
+
+// terminate stops the process gracefully.
+func (p *process) terminate() error {
+	if err := p.signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	if err := p.wait(stopTimeout); err != nil {
+		return err
+	}
+	if code := p.cmd.ProcessState.ExitCode(); code != 0 {
+		return fmt.Errorf("%s stopped with exit code %d", p.name, code)
+	}
+	return nil
+}
+
+// freeze stops the process and waits until the kernel shows it as stopped.
+func (p *process) freeze() error {
+	if err := p.signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	return waitFor(context.Background(), 5*time.Second, func() (bool, string) {
+		stat, err := os.ReadFile(filepath.Join("/proc", strconv.Itoa(p.cmd.Process.Pid), "stat"))
+		if err != nil {
+			return false, err.Error()
+		}
+		// The state follows the command name, which is in parentheses.
+		_, rest, _ := strings.Cut(string(stat), ") ")
+		return strings.HasPrefix(rest, "T"), "process state " + rest[:1]
+	})
+}
+
+func (p *process) url() string { return "http://" + p.address }
+
+// hostEntry is the host list's entry of an entry host.
+func (p *process) hostEntry(state platform.HostState, incarnation string) platform.Host {
+	return platform.Host{
+		ID: p.name, Role: platform.RoleEntry, Address: p.address, PeerAddress: p.peer,
+		Region: p.region, Domain: p.domain, State: state, Incarnation: incarnation,
+	}
+}
+
+// raceReports returns the data races that the race detector wrote to the log.
+func (p *process) raceReports() string {
+	raw, err := os.ReadFile(p.logPath)
+	if err != nil {
+		return ""
+	}
+	at := bytes.Index(raw, []byte("WARNING: DATA RACE"))
+	panicAt := bytes.Index(raw, []byte("\npanic: "))
+	if at < 0 || panicAt >= 0 && panicAt < at {
+		at = panicAt
+	}
+	if at < 0 {
+		return ""
+	}
+	return string(raw[at:min(len(raw), at+4000)])
+}
+
+// logTail returns the last lines of the log that are no request log lines.
+func (p *process) logTail(lines int) string {
+	raw, err := os.ReadFile(p.logPath)
+	if err != nil {
+		return err.Error()
+	}
+	var kept []string
+	for _, line := range strings.Split(strings.TrimSpace(string(raw)), "\n") {
+		if !strings.Contains(line, `"message":"request"`) || strings.Contains(line, `"status":5`) {
+			kept = append(kept, line)
+		}
+	}
+	return strings.Join(kept[max(0, len(kept)-lines):], "\n")
+}
+
+func newIncarnation() string { return uuid.NewString()[:8] }
+
+// waitFor looks at a condition until it holds. look also describes what it saw.
+func waitFor(ctx context.Context, limit time.Duration, look func() (bool, string)) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		ok, saw := look()
+		if ok {
+			return nil
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return fmt.Errorf("not within %s; last seen: %s", limit, saw)
+		}
+	}
+}
--- /dev/null
+++ b/scenarios/reconcile_test.go
@@ -0,0 +1,224 @@
+package scenarios
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"monsoonkeel.example/monsoonkeel/internal/standin"
+)
+
+// lateBreak is how long after the kill of an entry host its callers may see
+// their connections break.
+const lateBreak = 2 * time.Second
+
+// started is a line of a backend server's journal.
+type started struct {
+	standin.JournalLine
+	backend *process
+}
+
+// journals returns the journal lines of all backend servers, those of killed
+// processes included.
+func (d *deployment) journals() ([]started, error) {
+	var out []started
+	for _, p := range d.backends {
+		raw, err := os.ReadFile(p.journal)
+		if errors.Is(err, fs.ErrNotExist) {
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		for _, text := range bytes.Split(bytes.TrimSpace(raw), []byte("\n")) {
+			if len(text) == 0 {
+				continue
+			}
+			line := started{backend: p}
+			if err := json.Unmarshal(text, &line.JournalLine); err != nil {
+				return nil, fmt.Errorf("%s: %w: %s", p.journal, err, text)
+			}
+			out = append(out, line)
+		}
+	}
+	return out, nil
+}
+
+// findings are the broken promises that reconcile found, by name.
+type findings map[string][]string
+
+func (f findings) add(name, format string, args ...any) {
+	f[name] = append(f[name], fmt.Sprintf(format, args...))
+}
+
+// findingNames are the kinds of findings, all of which must be empty.
+var findingNames = []string{"lost", "doubled", "false_not_run", "spliced", "over_cold_bound", "failed"}
+
+// cmdReconcile compares the callers' log with the journals of the engines and
+// plain services. With -succeed, calls of these kinds must all be complete.
+func cmdReconcile(d *deployment, args []string) (string, error) {
+	flag := flags("reconcile")
+	succeed := flag.String("succeed", "", "kinds of calls that must be complete, or all")
+	least := flag.Int("min", 1, "smallest number of complete calls that makes the result meaningful")
+	if err := flag.Parse(args); err != nil {
+		return "", err
+	}
+	for name, l := range d.loads {
+		select {
+		case <-l.done:
+		default:
+			return "", fmt.Errorf("load %s is running", name)
+		}
+	}
+	lines, err := d.journals()
+	if err != nil {
+		return "", err
+	}
+	d.log.mu.Lock()
+	defer d.log.mu.Unlock()
+	found := findings{}
+	checkJournals(found, lines)
+	counts := map[result]int{}
+	for _, r := range d.log.records {
+		counts[r.result]++
+		d.log.checkRecord(found, r, lines)
+		if must := *succeed == "all" || slices.Contains(strings.Split(*succeed, ","), string(r.kind)); must && r.result != complete && r.kind != kindOther {
+			found.add("failed", "%s", r)
+		}
+	}
+	summary := fmt.Sprintf("calls %d complete %d refused %d typed_end %d cut %d runs %d", len(d.log.records), counts[complete],
+		counts[refused], counts[typedEnd], counts[cut], len(lines))
+	var details []string
+	for _, name := range findingNames {
+		summary += fmt.Sprintf(" %s %d", name, len(found[name]))
+		for _, text := range found[name][:min(len(found[name]), 5)] {
+			details = append(details, name+": "+text)
+		}
+	}
+	if len(details) > 0 {
+		return summary + "\n", fmt.Errorf("%s\n%s", summary, strings.Join(details, "\n"))
+	}
+	if counts[complete] < *least {
+		return summary + "\n", fmt.Errorf("only %d calls were complete, %d are needed", counts[complete], *least)
+	}
+	return summary + "\n", nil
+}
+
+// checkJournals looks for orders that ran twice and for cold engines with too
+// much work.
+func checkJournals(found findings, lines []started) {
+	runs := map[string][]started{}
+	for _, line := range lines {
+		if line.IdempotencyKey != "" {
+			runs[line.IdempotencyKey] = append(runs[line.IdempotencyKey], line)
+		}
+		if line.ColdLimitExceeded {
+			found.add("over_cold_bound", "%s at %s", line.backend.name, line.At)
+		}
+	}
+	for key, list := range runs {
+		if len(list) > 1 {
+			found.add("doubled", "order %s ran %d times: %s %s and %s %s", key, len(list), list[0].backend.name, list[0].RequestID,
+				list[1].backend.name, list[1].RequestID)
+		}
+	}
+}
+
+// checkRecord compares one call with the journals.
+func (l *callLog) checkRecord(found findings, r *record, lines []started) {
+	switch {
+	case r.result == cut && !l.excused(r):
+		found.add("lost", "%s", r)
+	case r.result == wrong:
+		found.add("spliced", "%s", r)
+	case r.problem.Verdict == "not_run" && (r.result == refused || r.result == typedEnd):
+		if i := slices.IndexFunc(lines, func(s started) bool { return s.RequestID == r.requestID }); i >= 0 {
+			found.add("false_not_run", "%s, but it ran at %s", r, lines[i].backend.name)
+		}
+	case r.result == complete && (r.kind == kindOrder || r.kind == kindRepeat):
+		if !slices.ContainsFunc(lines, func(s started) bool { return s.IdempotencyKey == r.key }) {
+			found.add("lost", "%s, but no journal has the order", r)
+		}
+	}
+	if r.generation != "" && !r.resumed && !slices.ContainsFunc(lines, func(s started) bool {
+		return s.Generation == r.generation && s.RequestID == r.requestID
+	}) {
+		found.add("spliced", "%s, answered by generation %s, which is not its own", r, r.generation)
+	}
+}
+
+// excused says that the call broke because its entry host was killed.
+func (l *callLog) excused(r *record) bool {
+	return slices.ContainsFunc(l.killed[r.host], func(at time.Time) bool {
+		return !r.end.Before(at) && r.start.Before(at.Add(lateBreak))
+	})
+}
+
+// cmdMark records the present time: mark NAME.
+func cmdMark(d *deployment, args []string) (string, error) {
+	if len(args) != 1 {
+		return "", fmt.Errorf("usage: mark NAME")
+	}
+	d.marks[args[0]] = time.Now()
+	return "", nil
+}
+
+// cmdExpectNoWork checks the start times in the journals: no work may start at
+// the backend servers in the given failure domain, or with the given name,
+// between delay after the mark and the second mark or now.
+func cmdExpectNoWork(d *deployment, args []string) (string, error) {
+	fs := flags("expect-no-work")
+	after := fs.String("after", "", "mark")
+	until := fs.String("until", "", "mark; now if absent")
+	delay := fs.Duration("delay", 3*time.Second, "allowed time after the mark")
+	if err := fs.Parse(args); err != nil {
+		return "", err
+	}
+	from, ok := d.marks[*after]
+	if !ok || fs.NArg() != 1 {
+		return "", fmt.Errorf("usage: expect-no-work -after MARK NAME")
+	}
+	end := time.Now()
+	if *until != "" {
+		end = d.marks[*until]
+	}
+	if !end.After(from.Add(*delay)) {
+		return "", fmt.Errorf("the time after the bound is empty")
+	}
+	lines, err := d.journals()
+	if err != nil {
+		return "", err
+	}
+	var early, elsewhere, late int
+	var last, firstLate time.Duration
+	for _, line := range lines {
+		since := line.At.Sub(from)
+		named := line.backend.name == fs.Arg(0) || line.backend.domain == fs.Arg(0)
+		switch {
+		case since < 0 || line.At.After(end):
+		case !named && since > *delay:
+			elsewhere++
+		case named && since > *delay:
+			if late++; late == 1 {
+				firstLate = since
+			}
+		case named:
+			early++
+			last = max(last, since)
+		}
+	}
+	out := fmt.Sprintf("last work %s after the mark; after the bound: %d at %s, %d elsewhere\n", last, late, fs.Arg(0), elsewhere)
+	switch {
+	case late > 0:
+		return out, fmt.Errorf("%d requests started at %s, the first one %s after the mark", late, fs.Arg(0), firstLate)
+	case elsewhere == 0:
+		return out, fmt.Errorf("no work started elsewhere, so the check shows nothing")
+	}
+	return out, nil
+}
