--- a/internal/standin/plain.go
+++ b/internal/standin/plain.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -40,6 +41,8 @@
 	faults      faultSwitch[PlainFaults]
 	incarnation string
 	leaving     atomic.Bool
+	// Journal, if set, gets a JournalLine for each call that ran.
+	Journal io.Writer
 
 	mu       sync.Mutex
 	runs     []plainRun
@@ -152,5 +155,9 @@
 		Run: len(p.runs) + 1, Method: r.Method, Path: r.URL.RequestURI(), RequestID: r.Header.Get("X-Request-Id"),
 		IdempotencyKey: r.Header.Get("Idempotency-Key"), BodySHA256: digest(body), At: time.Now(),
 	})
+	appendJournal(p.Journal, JournalLine{
+		Incarnation: p.incarnation, RequestID: r.Header.Get("X-Request-Id"),
+		IdempotencyKey: r.Header.Get("Idempotency-Key"), At: time.Now(),
+	})
 	return len(p.runs)
 }
