--- a/core/config/config_bench_test.go
+++ b/core/config/config_bench_test.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 )
@@ -111,3 +112,32 @@
 		})
 	}
 }
+
+// BenchmarkDocumentMemory measures the live memory of a decoded document.
+func BenchmarkDocumentMemory(b *testing.B) {
+	for _, teams := range benchTeams {
+		b.Run(fmt.Sprintf("teams=%d", teams), func(b *testing.B) {
+			raw, err := Encode(benchDocument(teams))
+			if err != nil {
+				b.Fatal(err)
+			}
+			for b.Loop() {
+				before := liveHeap()
+				doc, err := DecodeDocument(raw)
+				if err != nil {
+					b.Fatal(err)
+				}
+				b.ReportMetric((liveHeap()-before)/float64(teams), "bytes/team")
+				runtime.KeepAlive(doc)
+			}
+		})
+	}
+}
+
+func liveHeap() float64 {
+	runtime.GC()
+	runtime.GC() // The second one empties the pools.
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
