Let a host use its shares in other regions

Cause: with 7 or 8 hosts in 3 regions the hosts of a region got more than a third of the load, and the region rule kept it on a third of the engines. Ruled out: a smaller penalty for all remote engines (more regional traffic in every deployment, also in evenly spread ones). Change: a remote engine in which a host has a share costs a small penalty and needs no wait.

--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -60,8 +60,8 @@
 	// Tried lists the table indexes of backend servers that already failed
 	// this request.
 	Tried []int
-	// LocalOnly forbids other regions, while the target can still be met
-	// by waiting.
+	// LocalOnly forbids other regions, except for the host's shares there,
+	// while the target can still be met by waiting.
 	LocalOnly bool
 	// Prompt is the length of the prompt in tokens.
 	Prompt int
@@ -77,6 +77,10 @@
 	// preferred until it is this much fuller than a remote one.
 	remotePenalty = 0.5
 
+	// remoteSharePenalty is the same for a remote backend server in which the
+	// host has a share: its region has more hosts than its backend servers need.
+	remoteSharePenalty = 0.1
+
 	// foreignPenalty is the load difference up to which a host stays on the
 	// backend servers in which it has a share, since it knows their load best.
 	foreignPenalty = 0.2
@@ -121,7 +125,7 @@
 	switch {
 	case c.Own >= c.Limit,
 		c.MaxPrefill > 0 && c.Prefilling >= c.MaxPrefill,
-		req.LocalOnly && c.Region != req.Region,
+		req.LocalOnly && c.Region != req.Region && c.Share == 0,
 		c.MaxBatch > 0 && !c.batchFits():
 		return false
 	}
@@ -177,10 +181,12 @@
 	} else {
 		s += memoryWeight * c.MemoryUsed
 	}
-	if c.Region != req.Region {
+	switch {
+	case c.Region != req.Region && c.Share > 0:
+		s += remoteSharePenalty
+	case c.Region != req.Region:
 		s += remotePenalty
-	}
-	if c.Hosts > 1 && c.Share == 0 {
+	case c.Hosts > 1 && c.Share == 0:
 		s += foreignPenalty
 	}
 	for _, h := range req.Holders {
--- a/internal/policybench/gauges.go
+++ b/internal/policybench/gauges.go
@@ -26,8 +26,9 @@
 	// FirstInTarget is the share of offered requests whose first token came
 	// within the target; a refused request is a miss.
 	FirstInTarget float64
-	// QuietInTarget is the same for the teams other than team 0.
-	QuietInTarget float64
+	// SmallInTarget is the same for the small teams, whose demand stays below
+	// their fair share when team 0 bursts.
+	SmallInTarget float64
 	// GapsInTarget is the share of gaps within the target.
 	GapsInTarget float64
 	// RefusedShare is the share of offered requests that were refused.
@@ -120,7 +121,7 @@
 		OtherBefore:     quantile(g.otherBefore, 99),
 		OtherAfter:      quantile(g.otherAfter, 99),
 	}
-	var offered, refused, ok, quiet, quietOK, prompt int
+	var offered, refused, ok, small, smallOK, prompt int
 	for _, q := range r.requests {
 		if q.cut {
 			res.Cut++
@@ -140,16 +141,16 @@
 		if good {
 			ok++
 		}
-		if q.team != 0 {
-			quiet++
+		if q.team >= largeTeams {
+			small++
 			if good {
-				quietOK++
+				smallOK++
 			}
 		}
 	}
 	res.FirstInTarget = float64(ok) / float64(max(offered, 1))
 	res.RefusedShare = float64(refused) / float64(max(offered, 1))
-	res.QuietInTarget = float64(quietOK) / float64(max(quiet, 1))
+	res.SmallInTarget = float64(smallOK) / float64(max(small, 1))
 	res.CachedShare = 1 - float64(g.engineEnd.prefilled-g.engineBase.prefilled)/float64(max(prompt, 1))
 	return res
 }
--- a/internal/policybench/table.go
+++ b/internal/policybench/table.go
@@ -132,7 +132,7 @@
 // writeTables prints the medians and the ratios to the best baseline.
 func writeTables(w io.Writer, cells []*cell) error {
 	tw := tabwriter.NewWriter(w, 0, 0, 1, ' ', 0)
-	fmt.Fprintln(tw, "| scenario\t| load\t| policy\t| preempt\t| stall s\t| p99 gap\t| p99.9 gap\t| tokens/s\t| first<=1.9s\t| quiet teams\t| gaps<=52ms\t| refused\t| cached\t| cut\t| unfinished\t| fell over\t|")
+	fmt.Fprintln(tw, "| scenario\t| load\t| policy\t| preempt\t| stall s\t| p99 gap\t| p99.9 gap\t| tokens/s\t| first<=1.9s\t| small teams\t| gaps<=52ms\t| refused\t| cached\t| cut\t| unfinished\t| fell over\t|")
 	fmt.Fprintln(tw, "|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|")
 	for _, c := range cells {
 		for p := range contenders {
@@ -141,7 +141,7 @@
 				c.scenario.name, c.load, contenders[p].name, m(preemptions), m(stall), m(gapP99),
 				m(func(r *Result) float64 { return r.GapP999 }), m(tokens),
 				m(func(r *Result) float64 { return r.FirstInTarget }),
-				m(func(r *Result) float64 { return r.QuietInTarget }),
+				m(func(r *Result) float64 { return r.SmallInTarget }),
 				m(func(r *Result) float64 { return r.GapsInTarget }),
 				m(func(r *Result) float64 { return r.RefusedShare }),
 				m(func(r *Result) float64 { return r.CachedShare }),
--- a/internal/policybench/workload.go
+++ b/internal/policybench/workload.go
@@ -33,6 +33,8 @@
 
 const (
 	teams = 10
+	// largeTeams is the number of teams with a quarter of the load each.
+	largeTeams = 2
 	// prefixesPerTeam is the number of shared prompt prefixes a team has in each class.
 	prefixesPerTeam = 4
 	// maxOutput cuts the output lengths off, in tokens.
@@ -41,12 +43,12 @@
 	promptSigma = 0.5
 )
 
-// teamShare gives two large teams a quarter of the load each, as teams differ in size.
+// teamShare is a team's part of the load.
 func teamShare(team int) float64 {
-	if team < 2 {
+	if team < largeTeams {
 		return 0.25
 	}
-	return 0.5 / (teams - 2)
+	return (1 - 0.25*largeTeams) / (teams - largeTeams)
 }
 
 type request struct {
