Keep small teams' targets under a noisy team; smooth the reserve

A jump of the reserve after a few preemptions stopped placement at all engines for a second, and one long answer put a team in debt for a minute. Ruled out: a wide window of slack between teams (aheadTokens 6000 and 10000 let the noisy team pass the others; TestNoisyTeam failed); no debt at all (aheadTokens 500, credit 0, debt 0: more expired requests at both loads). Change: bounded credit and debt per team, expected wait by virtual time, a reserve that moves in steps of 0.05 between 1 and 4 deviations. Pick skips candidates that cannot win.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -23,9 +23,16 @@
 	maxWaiting = 4096
 
 	// aheadTokens is how far, in tokens of work, a team may be ahead of the
-	// team with the least work and still compete by slack. One long request
-	// does not push a team behind all others.
-	aheadTokens = 2000
+	// queue's virtual time and still compete by slack: about one request.
+	aheadTokens = 500
+
+	// creditTokens and debtTokens bound how far a team without waiting items is
+	// behind or ahead of the queue's virtual time: about 10 s of a team's share
+	// at one host. Without credit, a small team's short bursts waited for the
+	// noisy team's turns; without a bound on debt, one long answer delayed the
+	// team's next requests for a minute.
+	creditTokens = 3000
+	debtTokens   = 3000
 
 	// rateHalfLife is the half-life of the measured rate of placements.
 	rateHalfLife = 4 * time.Second
@@ -245,8 +252,8 @@
 	}
 }
 
-// team returns the named team. A team that was idle starts at the queue's
-// virtual time: it neither saves up service nor owes any.
+// team returns the named team. A team that was idle starts near the queue's
+// virtual time: it saves up or owes little service.
 func (q *Queue) team(name string, now time.Time) *team {
 	t := q.teams[name]
 	if t == nil {
@@ -257,7 +264,7 @@
 		q.teams[name] = t
 	}
 	if len(t.waiting) == 0 {
-		t.virtual = max(t.virtual, q.virtual)
+		t.virtual = min(max(t.virtual, q.virtual-creditTokens), q.virtual+debtTokens)
 	}
 	t.touched = now
 	return t
@@ -295,7 +302,7 @@
 	var bestTeam *team
 	bestAt := -1
 	for _, t := range q.backlogged {
-		if t.virtual > least+aheadTokens {
+		if t.virtual > max(least, q.virtual)+aheadTokens {
 			continue
 		}
 		for i := range t.waiting {
@@ -360,27 +367,25 @@
 }
 
 // expectedWait is the number of items that go before a new one divided by the
-// measured rate of placements. Under fair service a team's n-th item goes
-// after at most n items of each other team.
+// measured rate of placements. Another team's item goes before it when that
+// team's virtual time will then be no greater than the new item's.
 func (q *Queue) expectedWait(t *team, item *Item, now time.Time) time.Duration {
-	position := 0
+	ahead := 0
+	own := t.virtual
 	for i := range t.waiting {
 		if t.waiting[i].item.Priority >= item.Priority {
-			position++
+			own += t.waiting[i].item.Tokens
+			ahead++
 		}
 	}
-	ahead := position
 	for _, b := range q.backlogged {
-		if b == t {
-			continue
-		}
-		n := 0
-		for i := range b.waiting {
+		virtual := b.virtual
+		for i := 0; b != t && i < len(b.waiting) && virtual <= own; i++ {
 			if b.waiting[i].item.Priority >= item.Priority {
-				n++
+				virtual += b.waiting[i].item.Tokens
+				ahead++
 			}
 		}
-		ahead += min(n, position+1)
 	}
 	perSecond := q.rate.perSecond(now)
 	if perSecond <= 0 || ahead == 0 {
--- a/core/schedule/bounds.go
+++ b/core/schedule/bounds.go
@@ -8,10 +8,10 @@
 const (
 	// MinReserve and MaxReserve bound the reserve, in standard deviations of
 	// the predicted demand.
-	MinReserve = 0.5
+	MinReserve = 1
 	MaxReserve = 4
 	// reserveStep is added for each preemption.
-	reserveStep = 0.25
+	reserveStep = 0.05
 	// reserveHalfLife is how fast the reserve shrinks without preemptions. It
 	// spans several long generations, since their end shows the next shortage.
 	reserveHalfLife = 60 * time.Second
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -1,5 +1,7 @@
 package schedule
 
+import "math"
+
 // Candidate is a backend server as the scheduler sees it at one moment.
 type Candidate struct {
 	// Index is the backend server's position in the caller's table.
@@ -105,12 +107,12 @@
 	}
 	var add Demand
 	add.Add(1, float32(req.Prompt), &req.Survival)
-	best, bestScore := -1, 0.0
+	best, bestScore := -1, math.Inf(1)
 	at := int(seed % uint64(n))
 	for range n {
 		c := &candidates[at]
 		if admissible(c, &req) {
-			if s, fits := score(c, &req, &add); fits && (best < 0 || s < bestScore) {
+			if s, better := score(c, &req, &add, bestScore); better {
 				best, bestScore = at, s
 			}
 		}
@@ -168,31 +170,40 @@
 }
 
 // score is the expected load of a candidate; lower is better. It reports
-// whether the request fits.
-func score(c *Candidate, req *Request, add *Demand) (float64, bool) {
-	work := c.ReportedWork + c.OwnSinceReport
-	s := float64(work) / float64(max(c.Capacity, 1))
-	if c.MemoryTokens > 0 {
-		peak := c.Demand.peakWith(add, c.Reserve)
-		if !c.memoryFits(peak, add) {
-			return 0, false
-		}
-		s = max(s, float64(peak/c.MemoryTokens))
-	} else {
-		s += memoryWeight * c.MemoryUsed
+// whether the request fits and the score is below limit.
+func score(c *Candidate, req *Request, add *Demand, limit float64) (float64, bool) {
+	work := float64(c.ReportedWork+c.OwnSinceReport) / float64(max(c.Capacity, 1))
+	bias := c.bias(req)
+	if c.MemoryTokens <= 0 {
+		s := work + memoryWeight*c.MemoryUsed + bias
+		return s, s < limit
+	}
+	if work+bias >= limit {
+		return 0, false
 	}
+	peak := c.Demand.peakWith(add, c.Reserve)
+	if !c.memoryFits(peak, add) {
+		return 0, false
+	}
+	s := max(work, float64(peak/c.MemoryTokens)) + bias
+	return s, s < limit
+}
+
+// bias is the load difference that the region, the share and cached prefixes
+// are worth.
+func (c *Candidate) bias(req *Request) (s float64) {
 	switch {
 	case c.Region != req.Region && c.Share > 0:
-		s += remoteSharePenalty
+		s = remoteSharePenalty
 	case c.Region != req.Region:
-		s += remotePenalty
+		s = remotePenalty
 	case c.Hosts > 1 && c.Share == 0:
-		s += foreignPenalty
+		s = foreignPenalty
 	}
 	for _, h := range req.Holders {
 		if h.Index == c.Index {
 			s -= affinityWeight * float64(h.Tokens) / float64(max(req.Prompt, 1))
 		}
 	}
-	return s, true
+	return s
 }
