Repeat a cancellation that meets a reader; take shared locks off the path

Cause: scenario disconnect_cancels failed once on a busy machine: the engine refused to cancel because it had not noticed the closed connection, and the host did not ask again. Also, all requests shared locks in the connection pool, the watcher, the retry budget, the alarm windows, the placement table and the freshness check. Ruled out: an unconditional cancel, which would end a generation that was resumed through another host. Conclusion: cancellation does not depend on how fast the engine notices.

--- a/internal/connection/upstream.go
+++ b/internal/connection/upstream.go
@@ -29,13 +29,25 @@
 // Pool keeps idle connections to backend servers. It never repeats a request:
 // the caller decides from the verdict.
 type Pool struct {
-	mu   sync.Mutex
-	idle map[string][]*upstreamConn
+	// addresses holds an *idleConns for each address, so that requests to
+	// different backend servers share no lock.
+	addresses sync.Map
+}
+
+type idleConns struct {
+	mu    sync.Mutex
+	conns []*upstreamConn
 }
 
 // NewPool returns an empty pool.
-func NewPool() *Pool {
-	return &Pool{idle: map[string][]*upstreamConn{}}
+func NewPool() *Pool { return &Pool{} }
+
+func (p *Pool) idle(address string) *idleConns {
+	if known, ok := p.addresses.Load(address); ok {
+		return known.(*idleConns)
+	}
+	created, _ := p.addresses.LoadOrStore(address, &idleConns{})
+	return created.(*idleConns)
 }
 
 type upstreamConn struct {
@@ -184,48 +196,49 @@
 }
 
 func (p *Pool) popIdle(address string) *upstreamConn {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	idle := p.idle[address]
-	if len(idle) == 0 {
+	idle := p.idle(address)
+	idle.mu.Lock()
+	defer idle.mu.Unlock()
+	last := len(idle.conns) - 1
+	if last < 0 {
 		return nil
 	}
-	c := idle[len(idle)-1]
-	p.idle[address] = idle[:len(idle)-1]
+	c := idle.conns[last]
+	idle.conns = idle.conns[:last]
 	return c
 }
 
 func (p *Pool) put(c *upstreamConn) {
 	c.idledAt = time.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if len(p.idle[c.address]) >= maxIdlePerAddress {
+	idle := p.idle(c.address)
+	idle.mu.Lock()
+	defer idle.mu.Unlock()
+	if len(idle.conns) >= maxIdlePerAddress {
 		_ = c.Close()
 		return
 	}
-	p.idle[c.address] = append(p.idle[c.address], c)
+	idle.conns = append(idle.conns, c)
 }
 
-// Forget closes the idle connections to an address that is no longer used.
-func (p *Pool) Forget(address string) {
-	p.mu.Lock()
-	idle := p.idle[address]
-	delete(p.idle, address)
-	p.mu.Unlock()
-	for _, c := range idle {
-		_ = c.Close()
-	}
+// Retain closes the idle connections to addresses that keep returns false for.
+func (p *Pool) Retain(keep func(address string) bool) {
+	p.addresses.Range(func(key, value any) bool {
+		if !keep(key.(string)) {
+			p.addresses.Delete(key)
+			value.(*idleConns).closeAll()
+		}
+		return true
+	})
 }
 
 // Close closes all idle connections.
-func (p *Pool) Close() {
-	p.mu.Lock()
-	all := p.idle
-	p.idle = map[string][]*upstreamConn{}
-	p.mu.Unlock()
-	for _, idle := range all {
-		for _, c := range idle {
-			_ = c.Close()
-		}
+func (p *Pool) Close() { p.Retain(func(string) bool { return false }) }
+
+func (i *idleConns) closeAll() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for _, c := range i.conns {
+		_ = c.Close()
 	}
+	i.conns = nil
 }
--- a/internal/connection/watch.go
+++ b/internal/connection/watch.go
@@ -4,16 +4,26 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
-// PeekInterval is how often callers' connections are checked for a disconnect.
-const PeekInterval = 200 * time.Millisecond
+const (
+	// CheckInterval is how often callers' connections are checked for a disconnect.
+	CheckInterval = 200 * time.Millisecond
+	// watchShards keeps requests from sharing one lock.
+	watchShards = 32
+)
 
 // Watcher cancels requests whose caller has disconnected. fasthttp handlers do
 // not see a disconnect until a write fails, so a request that waits in a queue
 // or for its first token would keep its engine busy.
 type Watcher struct {
+	next   atomic.Uint32
+	shards [watchShards]watchShard
+}
+
+type watchShard struct {
 	mu      sync.Mutex
 	watched map[*watch]struct{}
 }
@@ -25,26 +35,31 @@
 
 // NewWatcher returns a Watcher; Run must be called for it to work.
 func NewWatcher() *Watcher {
-	return &Watcher{watched: map[*watch]struct{}{}}
+	w := &Watcher{}
+	for i := range w.shards {
+		w.shards[i].watched = map[*watch]struct{}{}
+	}
+	return w
 }
 
 // Add cancels when the remote side of conn closes. The returned function ends
 // the watch and must be called before conn is closed locally.
 func (w *Watcher) Add(conn net.Conn, cancel context.CancelFunc) (remove func()) {
 	entry := &watch{conn: conn, cancel: cancel}
-	w.mu.Lock()
-	w.watched[entry] = struct{}{}
-	w.mu.Unlock()
+	shard := &w.shards[w.next.Add(1)%watchShards]
+	shard.mu.Lock()
+	shard.watched[entry] = struct{}{}
+	shard.mu.Unlock()
 	return func() {
-		w.mu.Lock()
-		delete(w.watched, entry)
-		w.mu.Unlock()
+		shard.mu.Lock()
+		delete(shard.watched, entry)
+		shard.mu.Unlock()
 	}
 }
 
 // Run checks the watched connections until ctx ends.
 func (w *Watcher) Run(ctx context.Context) error {
-	ticker := time.NewTicker(PeekInterval)
+	ticker := time.NewTicker(CheckInterval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -57,15 +72,21 @@
 }
 
 func (w *Watcher) sweep() {
-	w.mu.Lock()
-	entries := make([]*watch, 0, len(w.watched))
-	for e := range w.watched {
-		entries = append(entries, e)
-	}
-	w.mu.Unlock()
-	for _, e := range entries {
-		if peerClosed(e.conn) {
-			e.cancel()
+	for i := range w.shards {
+		for _, e := range w.shards[i].entries() {
+			if peerClosed(e.conn) {
+				e.cancel()
+			}
 		}
 	}
 }
+
+func (s *watchShard) entries() []*watch {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	entries := make([]*watch, 0, len(s.watched))
+	for e := range s.watched {
+		entries = append(entries, e)
+	}
+	return entries
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -25,29 +25,25 @@
 	region   string
 	seed     uint64
 	nextID   atomic.Uint64
-	mu       sync.Mutex
-	services map[string]*Service
+	services sync.Map // of *Service by name
 }
 
 // NewTable returns an empty table for a host in region.
 func NewTable(region string, seed uint64) *Table {
-	return &Table{region: region, seed: seed, services: map[string]*Service{}}
+	return &Table{region: region, seed: seed}
 }
 
 // Service returns the dispatcher of a service, creating it if needed.
 func (t *Table) Service(name string, kind config.ServiceKind) *Service {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s := t.services[name]
-	if s == nil {
-		opt := dispatch.Options{Region: t.region, Engine: kind == config.KindEngine, Seed: t.seed}
-		s = &Service{
-			table: t, d: dispatch.New(opt), waiters: map[uint64]chan dispatch.Outcome{},
-			backends: map[string]*version.Backend{}, running: map[uint64]*Placement{},
-		}
-		t.services[name] = s
+	if known, ok := t.services.Load(name); ok {
+		return known.(*Service)
 	}
-	return s
+	opt := dispatch.Options{Region: t.region, Engine: kind == config.KindEngine, Seed: t.seed}
+	created, _ := t.services.LoadOrStore(name, &Service{
+		table: t, d: dispatch.New(opt), waiters: map[uint64]chan dispatch.Outcome{},
+		backends: map[string]*version.Backend{}, running: map[uint64]*Placement{},
+	})
+	return created.(*Service)
 }
 
 // Service places the requests of one service.
--- a/internal/process/daemon/adapters.go
+++ b/internal/process/daemon/adapters.go
@@ -2,30 +2,52 @@
 
 import (
 	"math/rand/v2"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"monsoonkeel.example/monsoonkeel/core/config"
 	"monsoonkeel.example/monsoonkeel/core/retry"
 	"monsoonkeel.example/monsoonkeel/core/verdict"
+	"monsoonkeel.example/monsoonkeel/core/view"
 	"monsoonkeel.example/monsoonkeel/internal/platform"
 	"monsoonkeel.example/monsoonkeel/internal/process/configlog"
 	"monsoonkeel.example/monsoonkeel/internal/process/membership"
 )
 
-type retryState = retry.Budget
+// retryBudget shares a pure retry budget among requests. First tries, which
+// are as frequent as requests, take no lock.
+type retryBudget struct {
+	firstTries atomic.Int64
+
+	mu     sync.Mutex
+	budget retry.Budget
+}
 
 // First implements request.RetryBudget.
-func (r *retryBudget) First(now time.Time) {
+func (r *retryBudget) First(time.Time) { r.firstTries.Add(1) }
+
+// Retry implements request.RetryBudget.
+func (r *retryBudget) Retry(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.b.FirstTry(now)
+	r.fold(now)
+	return r.budget.Allow(now)
 }
 
-// Retry implements request.RetryBudget.
-func (r *retryBudget) Retry(now time.Time) bool {
+// fold moves the counted first tries to the budget. It is called several times
+// a second, so that they count for the second in which they were made.
+func (r *retryBudget) fold(now time.Time) {
+	for range r.firstTries.Swap(0) {
+		r.budget.FirstTry(now)
+	}
+}
+
+// tick folds while no retry does.
+func (r *retryBudget) tick(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.b.Allow(now)
+	r.fold(now)
 }
 
 // newRand returns a source for choices that need no secrecy.
@@ -37,10 +59,14 @@
 // Revision implements peers.ConfigSource.
 func (c configSource) Revision() config.Revision { return c.Current().Revision }
 
+// outageTrust is how long a finding that the object API is out for the whole
+// fleet is used; it spans two rebuilds of the routing snapshot.
+const outageTrust = 2 * rebuildEvery
+
 // fresh refuses new work when this host cannot know whether its configuration
 // is current, since a failure domain may have been taken out meanwhile.
 func (d *Daemon) fresh(now time.Time) error {
-	if d.keeper.Freshness(now).MayServe() {
+	if until := d.freshUntil.Load(); until != nil && now.Before(*until) || d.refreshFreshness(now) {
 		return nil
 	}
 	e := verdict.New(verdict.NotRun, 503, "configuration_not_confirmed",
@@ -49,6 +75,23 @@
 	return e
 }
 
+// refreshFreshness applies the freshness rule and stores until when its
+// finding holds, so that the request path needs one atomic load.
+func (d *Daemon) refreshFreshness(now time.Time) bool {
+	state := d.keeper.Freshness(now)
+	until := now
+	switch state {
+	case view.Fresh:
+		if age, known := d.config.ConfirmedAge(now); known {
+			until = now.Add(view.FreshFor - age)
+		}
+	case view.FleetOutage:
+		until = now.Add(outageTrust)
+	}
+	d.freshUntil.Store(&until)
+	return state.MayServe()
+}
+
 // coolReturned treats the backend servers of a returned failure domain, or
 // undrained ones, as cold: their caches and batches are empty, and all hosts
 // would send to them at once. Every host does the same for the same change.
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -5,7 +5,6 @@
 	"errors"
 	"math/rand/v2"
 	"net"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -51,6 +50,7 @@
 	peers    *peers.Peers
 	claims   *claims.Service
 	places   *placement.Table
+	retries  *retryBudget
 	pool     *connection.Pool
 	watcher  *connection.Watcher
 	gateway  *request.Gateway
@@ -65,6 +65,9 @@
 
 	snapshot atomic.Pointer[version.Snapshot]
 	draining atomic.Bool
+	// freshUntil is when this host's knowledge that its configuration is
+	// current ends.
+	freshUntil atomic.Pointer[time.Time]
 }
 
 // New builds a daemon from checked settings.
@@ -99,6 +102,7 @@
 		return nil, err
 	}
 	d.places = placement.NewTable(s.Region, rand.Uint64())
+	d.retries = &retryBudget{}
 	d.pool = connection.NewPool()
 	d.watcher = connection.NewWatcher()
 	d.recorder = newRecorder(log)
@@ -132,7 +136,7 @@
 		Watcher:  d.watcher,
 		Tokens:   gentoken.NewCodec(d.settings.GenerationKey),
 		Orders:   orders{d.claims},
-		Retries:  &retryBudget{},
+		Retries:  d.retries,
 		Cold:     coldReporter{d},
 		Recorder: d.recorder,
 		Log:      d.log,
@@ -173,7 +177,7 @@
 	} {
 		g.Go(func() error { return ignoreCancel(loop(loopCtx)) })
 	}
-	g.Go(func() error { return d.serve(d.callers, listeners.callers) })
+	g.Go(func() error { return d.serve(d.callers, connection.Listener{Listener: listeners.callers}) })
 	g.Go(func() error { return d.serve(d.admin, listeners.admin) })
 	d.log.Info().Str("host", d.settings.HostID).Str("listen", d.settings.Listen).Msg("serving")
 	select {
@@ -249,9 +253,3 @@
 
 // Printf implements fasthttp.Logger.
 func (l quietLogger) Printf(format string, args ...any) { l.log.Debug().Msgf(format, args...) }
-
-// retryBudget shares a pure retry budget among requests.
-type retryBudget struct {
-	mu sync.Mutex
-	b  retryState
-}
--- a/internal/process/daemon/recorder.go
+++ b/internal/process/daemon/recorder.go
@@ -24,28 +24,32 @@
 // recorder logs, counts and judges the outcomes of requests.
 type recorder struct {
 	log zerolog.Logger
+	// classes holds a *judge for each class, so that requests of different
+	// classes share no lock.
+	classes sync.Map
+}
 
+// judge keeps the alarm windows of one class.
+type judge struct {
 	mu      sync.Mutex
 	tracker *alarm.Tracker
-	classes map[string]bool
 }
 
-func newRecorder(log zerolog.Logger) *recorder {
-	return &recorder{log: log, tracker: alarm.NewTracker(), classes: map[string]bool{}}
-}
+func newRecorder(log zerolog.Logger) *recorder { return &recorder{log: log} }
 
 func (r *recorder) setTargets(doc *config.Document) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for name := range r.classes {
-		if _, ok := doc.Classes[name]; !ok {
-			r.tracker.Remove(name)
-			delete(r.classes, name)
+	r.classes.Range(func(name, _ any) bool {
+		if _, ok := doc.Classes[name.(string)]; !ok {
+			r.classes.Delete(name)
 		}
-	}
+		return true
+	})
 	for name, c := range doc.Classes {
-		r.classes[name] = true
-		r.tracker.SetTarget(name, alarm.Target{FirstTokenMS: c.FirstTokenMS, TokenGapMS: c.TokenGapMS})
+		known, _ := r.classes.LoadOrStore(name, &judge{tracker: alarm.NewTracker()})
+		j := known.(*judge)
+		j.mu.Lock()
+		j.tracker.SetTarget(name, alarm.Target{FirstTokenMS: c.FirstTokenMS, TokenGapMS: c.TokenGapMS})
+		j.mu.Unlock()
 	}
 }
 
@@ -80,21 +84,31 @@
 	if o.Class == "" || o.Cancelled || (o.FirstToken == 0 && !failed) {
 		return
 	}
-	now := time.Now()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.tracker.Observe(o.Class, alarm.Sample{
+	known, ok := r.classes.Load(o.Class)
+	if !ok {
+		return
+	}
+	j := known.(*judge)
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.tracker.Observe(o.Class, alarm.Sample{
 		FirstTokenMS: float64(o.FirstToken) / float64(time.Millisecond),
 		Refused:      failed && o.FirstToken == 0,
 		Gaps:         max(o.Tokens-1, 0),
 		LateGaps:     o.LateGaps,
 		WorstGapMS:   float64(o.WorstGap) / float64(time.Millisecond),
-	}, now)
+	}, time.Now())
 }
 
 // alarms returns the active alarms.
 func (r *recorder) alarms() []alarm.Alarm {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.tracker.Active(time.Now())
+	out := []alarm.Alarm{}
+	r.classes.Range(func(_, known any) bool {
+		j := known.(*judge)
+		j.mu.Lock()
+		defer j.mu.Unlock()
+		out = append(out, j.tracker.Active(time.Now())...)
+		return true
+	})
+	return out
 }
--- a/internal/process/daemon/routing.go
+++ b/internal/process/daemon/routing.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -99,6 +100,11 @@
 	r.forget(hosts)
 	r.mu.Unlock()
 	r.d.snapshot.Store(snap)
+	r.d.retries.tick(time.Now())
+	r.d.refreshFreshness(time.Now())
+	r.d.pool.Retain(func(address string) bool {
+		return slices.ContainsFunc(hosts, func(h platform.Host) bool { return h.Address == address })
+	})
 	around := r.surroundings(snap.Document)
 	snap.Services(func(svc *version.Service) {
 		r.d.places.Service(svc.Name, svc.Kind).Update(svc, around, time.Now())
--- a/internal/request/generation.go
+++ b/internal/request/generation.go
@@ -29,6 +29,10 @@
 	resumeBackoff = 100 * time.Millisecond
 	// controlTimeout bounds cancel calls to engines.
 	controlTimeout = 2 * time.Second
+	// maxCancels and cancelPause, doubled each time, give an engine 1.5 s to
+	// notice a closed connection.
+	maxCancels  = 5
+	cancelPause = 50 * time.Millisecond
 )
 
 // errProtocol means that an engine's event does not belong to the generation
@@ -381,16 +385,34 @@
 		if delay > 0 {
 			time.Sleep(delay)
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
-		defer cancel()
-		g.cancelAtEngine(ctx, host, id, ifDetached)
+		g.cancelUntilDetached(host, id, ifDetached)
 		if place != nil {
 			place.Release(false)
 		}
 	}()
 }
 
-func (g *Gateway) cancelAtEngine(ctx context.Context, host platform.Host, id string, ifDetached bool) {
+// cancelUntilDetached repeats a cancellation that the engine refuses because a
+// reader is attached: the engine may not have noticed yet that this host's own
+// connection is closed. A reader that stays is another host's.
+func (g *Gateway) cancelUntilDetached(host platform.Host, id string, ifDetached bool) {
+	for i := range maxCancels {
+		if i > 0 {
+			time.Sleep(cancelPause << i)
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
+		status, err := g.cancelAtEngine(ctx, host, id, ifDetached)
+		cancel()
+		if err != nil {
+			g.Log.Debug().Err(err).Str("backend", host.ID).Msg("cancel at engine failed")
+		}
+		if status != fasthttp.StatusConflict {
+			return
+		}
+	}
+}
+
+func (g *Gateway) cancelAtEngine(ctx context.Context, host platform.Host, id string, ifDetached bool) (status int, err error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	uri := "/v1/generations/" + id
@@ -402,10 +424,11 @@
 	req.Header.SetMethod("DELETE")
 	ex, err := g.Pool.Do(ctx, host.Address, req, connection.Options{Fresh: true})
 	if err != nil {
-		g.Log.Debug().Err(err).Str("backend", host.ID).Msg("cancel at engine failed")
-		return
+		return 0, err
 	}
+	status = ex.Response.StatusCode()
 	ex.Finish(false)
+	return status, nil
 }
 
 // requestTo sets the headers that every request to a backend server carries.
--- a/internal/request/request_test.go
+++ b/internal/request/request_test.go
@@ -280,3 +280,27 @@
 	require.Equal(t, verdict.NotRun, p.Verdict)
 	require.Contains(t, p.Detail, "an earlier request")
 }
+
+// Guards against a generation that runs on because the engine had not yet
+// noticed the closed connection when it was told to cancel; seen once in the
+// scenario disconnect_cancels on a busy machine.
+func TestCancelIsRepeatedWhileEngineSeesReader(t *testing.T) {
+	r := &rig{t: t}
+	e := newEngine("i-models-0", standin.EngineFaults{}).Handler()
+	var cancels atomic.Int32
+	r.addBackend("models", http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if req.Method == "DELETE" && cancels.Add(1) <= 2 {
+			w.WriteHeader(http.StatusConflict)
+			return
+		}
+		e.ServeHTTP(w, req)
+	}))
+	r.start()
+	ctx, cancel := context.WithCancel(context.Background())
+	resp, err := r.try(ctx, "POST", "/v1/completions", streamBodyJSON(5000))
+	require.NoError(t, err)
+	readStream(t, resp.Body, 3)
+	cancel()
+	resp.Body.Close()
+	require.Eventually(t, func() bool { return cancels.Load() == 3 }, 10*time.Second, 20*time.Millisecond)
+}
