version: keep the index of teams while the document is the same

At 9,800 teams that took 4% of a core and 14 MB of garbage a second. Ruled out: building less often; limits that depend on leases need the interval.

--- a/internal/process/daemon/routing.go
+++ b/internal/process/daemon/routing.go
@@ -89,6 +89,7 @@
 	r.mu.Lock()
 	snap := version.Build(version.Inputs{
 		Document: r.d.config.Current(),
+		Previous: r.d.snapshot.Load(),
 		Hosts:    hosts,
 		Reports:  r.reports,
 		Counters: r.counter,
--- a/internal/version/snapshot.go
+++ b/internal/version/snapshot.go
@@ -78,6 +78,10 @@
 // Inputs are what a snapshot is built from.
 type Inputs struct {
 	Document *config.Document
+	// Previous may be nil. What follows from the document alone is taken from
+	// it while the document is the same: an index of 9,800 teams takes 5 ms to
+	// build, and a daemon builds 7 snapshots a second.
+	Previous *Snapshot
 	Hosts    []platform.Host
 	// Reports holds the last load report by host id.
 	Reports map[string]Report
@@ -94,11 +98,14 @@
 		Document:  in.Document,
 		services:  make(map[string]*Service, len(in.Document.Services)),
 		models:    map[string]*Service{},
-		teams:     make(map[[sha256.Size]byte]config.Team, len(in.Document.Teams)),
 		reachable: map[string]platform.Host{},
 	}
 	s.addServices()
-	s.addTeams()
+	if in.Previous != nil && in.Previous.Document == in.Document {
+		s.teams = in.Previous.teams
+	} else {
+		s.teams = indexTeams(in.Document)
+	}
 	for _, h := range in.Hosts {
 		s.addHost(h, &in)
 	}
@@ -115,15 +122,18 @@
 	}
 }
 
-func (s *Snapshot) addTeams() {
-	for _, t := range s.Document.Teams {
+// indexTeams returns the teams by the hash of their keys.
+func indexTeams(doc *config.Document) map[[sha256.Size]byte]config.Team {
+	teams := make(map[[sha256.Size]byte]config.Team, len(doc.Teams))
+	for _, t := range doc.Teams {
 		for _, h := range t.KeyHashes {
 			var sum [sha256.Size]byte
 			if n, err := hex.Decode(sum[:], []byte(h)); err == nil && n == sha256.Size {
-				s.teams[sum] = t
+				teams[sum] = t
 			}
 		}
 	}
+	return teams
 }
 
 func (s *Snapshot) addHost(h platform.Host, in *Inputs) {
--- a/internal/version/snapshot_bench_test.go
+++ b/internal/version/snapshot_bench_test.go
@@ -40,12 +40,14 @@
 	}
 }
 
-// BenchmarkBuild measures a build of the routing snapshot, which a daemon makes
-// at least 5 times a second, by backend servers of the cell and by teams.
+var benchSizes = []struct{ backends, teams int }{
+	{64, 1000}, {190, 1000}, {570, 1000}, {190, 3000}, {190, 9800},
+}
+
+// BenchmarkBuild measures a build of the routing snapshot from a new document,
+// by backend servers of the cell and by teams.
 func BenchmarkBuild(b *testing.B) {
-	for _, size := range []struct{ backends, teams int }{
-		{64, 1000}, {190, 1000}, {570, 1000}, {190, 3000}, {190, 9800},
-	} {
+	for _, size := range benchSizes {
 		b.Run(fmt.Sprintf("backends=%d/teams=%d", size.backends, size.teams), func(b *testing.B) {
 			in := benchInputs(size.backends, size.teams)
 			b.ReportAllocs()
@@ -55,3 +57,17 @@
 		})
 	}
 }
+
+// BenchmarkRebuild measures a build with an unchanged document, which a daemon
+// makes about 7 times a second.
+func BenchmarkRebuild(b *testing.B) {
+	for _, size := range benchSizes {
+		b.Run(fmt.Sprintf("backends=%d/teams=%d", size.backends, size.teams), func(b *testing.B) {
+			in := benchInputs(size.backends, size.teams)
+			b.ReportAllocs()
+			for b.Loop() {
+				in.Previous = Build(in)
+			}
+		})
+	}
+}
