Enforce a team's limit of requests in flight

Cause: max_in_flight of a team was accepted by the configuration and had no effect. Ruled out: a central counter, which is a call on the request path; and slots by rendezvous as for cold starts, which leave some hosts without any slot while the load balancer sends the team everywhere. Change: each host enforces an equal part, rounded up, so the total exceeds the limit by at most the number of hosts minus one; refusals are 429 with verdict not_run. Figures: TestTeamLimit: 2 of 3 concurrent requests run at one of 2 hosts with a limit of 4. Conclusion: the setting does what its text says.

--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -65,6 +65,8 @@
 
 	snapshot atomic.Pointer[version.Snapshot]
 	draining atomic.Bool
+	// hosts is the number of entry hosts in the view.
+	hosts atomic.Int32
 	// freshUntil is when this host's knowledge that its configuration is
 	// current ends.
 	freshUntil atomic.Pointer[time.Time]
@@ -144,6 +146,7 @@
 		NewID:    uuid.NewString,
 		Region:   d.settings.Region,
 		Draining: d.draining.Load,
+		Hosts:    func() int { return int(d.hosts.Load()) },
 	}
 }
 
--- a/internal/process/daemon/routing.go
+++ b/internal/process/daemon/routing.go
@@ -107,6 +107,7 @@
 		return slices.ContainsFunc(hosts, func(h platform.Host) bool { return h.Address == address })
 	})
 	around := r.surroundings(snap.Document)
+	r.d.hosts.Store(int32(around.Hosts))
 	snap.Services(func(svc *version.Service) {
 		r.d.places.Service(svc.Name, svc.Kind).Update(svc, around, time.Now())
 	})
--- a/internal/request/call.go
+++ b/internal/request/call.go
@@ -31,12 +31,14 @@
 	// attempted says that a byte of the request may have reached a backend server.
 	attempted bool
 	streaming bool
-	out       Outcome
+	// releaseTeam ends the call's part of its team's limit.
+	releaseTeam func()
+	out         Outcome
 }
 
 func (g *Gateway) newCall(http *fasthttp.RequestCtx) *call {
 	ctx, cancel := context.WithCancel(context.Background())
-	c := &call{g: g, http: http, ctx: ctx, cancel: cancel, start: g.Now()}
+	c := &call{g: g, http: http, ctx: ctx, cancel: cancel, start: g.Now(), releaseTeam: func() {}}
 	c.unwatch = g.Watcher.Add(http.Conn(), cancel)
 	c.out.RequestID = string(http.Request.Header.Peek(headerRequestID))
 	if c.out.RequestID == "" || len(c.out.RequestID) > maxRequestIDBytes {
@@ -49,6 +51,7 @@
 // end releases the call and reports its outcome, once.
 func (c *call) end() {
 	c.unwatch()
+	c.releaseTeam()
 	c.out.Cancelled = c.ctx.Err() == context.Canceled
 	c.cancel()
 	c.out.Total = c.g.Now().Sub(c.start)
--- a/internal/request/gateway.go
+++ b/internal/request/gateway.go
@@ -98,6 +98,10 @@
 	// Draining says that the host is about to stop.
 	Draining func() bool
 
+	// Hosts returns the number of entry hosts that share the callers.
+	Hosts func() int
+
+	teams teamLimits
 	// background counts cancellations that outlive their request.
 	background sync.WaitGroup
 }
--- a/internal/request/model.go
+++ b/internal/request/model.go
@@ -35,6 +35,9 @@
 	if err := c.prepareModel(path, req); err != nil {
 		return err
 	}
+	if err := c.limitTeam(); err != nil {
+		return err
+	}
 	gen := newGeneration(c, path, body, req.Stream)
 	if !req.Stream {
 		return gen.answerUnstreamed()
--- a/internal/request/plain.go
+++ b/internal/request/plain.go
@@ -47,6 +47,9 @@
 	if err := c.deadline(); err != nil {
 		return err
 	}
+	if err := c.limitTeam(); err != nil {
+		return err
+	}
 	c.defaultDeadline()
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
--- a/internal/request/request_test.go
+++ b/internal/request/request_test.go
@@ -304,3 +304,31 @@
 	resp.Body.Close()
 	require.Eventually(t, func() bool { return cancels.Load() == 3 }, 10*time.Second, 20*time.Millisecond)
 }
+
+// Guards against a team exceeding its limit of requests in flight, and against
+// places that are not given back.
+func TestTeamLimit(t *testing.T) {
+	r := &rig{t: t}
+	r.addBackend("models", newEngine("i-models-0", standin.EngineFaults{}).Handler())
+	r.start()
+	// A limit of 4 over 2 hosts lets this host run 2.
+	var bodies []io.ReadCloser
+	for range 2 {
+		resp := r.do("POST", "/v1/completions", streamBodyJSON(300), "Authorization", "Bearer small-key")
+		require.Equal(t, 200, resp.StatusCode)
+		bodies = append(bodies, resp.Body)
+	}
+	resp := r.do("POST", "/v1/completions", streamBodyJSON(3), "Authorization", "Bearer small-key")
+	resp.Body.Close()
+	require.Equal(t, 429, resp.StatusCode)
+	require.Equal(t, "1", resp.Header.Get("Retry-After"))
+	for _, b := range bodies {
+		require.True(t, readStream(t, b, 0).done)
+		b.Close()
+	}
+	require.Eventually(t, func() bool {
+		resp := r.do("POST", "/v1/completions", streamBodyJSON(3), "Authorization", "Bearer small-key")
+		defer resp.Body.Close()
+		return resp.StatusCode == 200
+	}, 5*time.Second, 20*time.Millisecond)
+}
--- a/internal/request/rig_test.go
+++ b/internal/request/rig_test.go
@@ -80,6 +80,8 @@
 	doc.Classes["order"] = config.Class{Name: "order", FirstTokenMS: 500, Order: true}
 	doc.Classes["write"] = config.Class{Name: "write", FirstTokenMS: 500}
 	doc.Teams["lantern"] = config.Team{Name: "lantern", KeyHashes: []string{hex.EncodeToString(sum[:])}, DefaultClass: "caption"}
+	small := sha256.Sum256([]byte("small-key"))
+	doc.Teams["small"] = config.Team{Name: "small", KeyHashes: []string{hex.EncodeToString(small[:])}, DefaultClass: "caption", MaxInFlight: 4}
 	doc.Services["models"] = config.Service{Name: "models", Kind: config.KindEngine, Models: []string{"m"}, ColdLimit: 2, WarmLimit: 8}
 	doc.Services["desk"] = config.Service{Name: "desk", Kind: config.KindPlain, ColdLimit: 8, WarmLimit: 8}
 	return doc
@@ -141,6 +143,7 @@
 		Retries:  r, Cold: r, Recorder: r,
 		Log: zerolog.Nop(), Now: time.Now, NewID: uuid.NewString, Region: "r",
 		Draining: func() bool { return false },
+		Hosts:    func() int { return 2 },
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { _ = g.Watcher.Run(ctx) }()
