daemon: answer an empty list instead of null when there is no alarm

Cause: the scenario engine_killed reads the alarms of a host without one and got null from GET /admin/v1/alarms, which the package admin documents as a JSON list. Change: the daemon returns an empty list.

--- a/internal/process/daemon/admin.go
+++ b/internal/process/daemon/admin.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/expvarhandler"
 
+	"monsoonkeel.example/monsoonkeel/core/alarm"
 	"monsoonkeel.example/monsoonkeel/core/config"
 	"monsoonkeel.example/monsoonkeel/core/view"
 	"monsoonkeel.example/monsoonkeel/internal/process/admin"
@@ -121,8 +122,9 @@
 	return s
 }
 
-// Alarms implements admin.AlarmProvider.
-func (d *Daemon) Alarms() any { return d.recorder.alarms() }
+// Alarms implements admin.AlarmProvider. Without alarms the list is empty, not
+// null.
+func (d *Daemon) Alarms() any { return append([]alarm.Alarm{}, d.recorder.alarms()...) }
 
 // BackendDump is a backend server in the state dump.
 type BackendDump struct {
--- a/scenarios/caller_test.go
+++ b/scenarios/caller_test.go
@@ -108,6 +108,9 @@
 	records []*record
 	// killed holds when entry hosts were killed.
 	killed map[string][]time.Time
+	// revisions are the highest revisions seen at ready entry hosts.
+	revisions map[string]uint64
+	reverted  []string
 }
 
 func (l *callLog) add(r *record) {
@@ -408,6 +411,7 @@
 	fs.StringVar(&s.class, "class", "", "class")
 	fs.StringVar(&s.key, "key", "", "idempotency key")
 	fs.BoolVar(&s.noKey, "no-team", false, "send no team key")
+	as := fs.String("as", "", "make the call in the background under this name")
 	fs.Func("header", "Name: value", func(text string) error {
 		name, value, ok := strings.Cut(text, ": ")
 		if !ok {
@@ -427,10 +431,28 @@
 		return "", err
 	}
 	s.method, s.path, s.body = fs.Arg(1), fs.Arg(2), fs.Arg(3)
-	rec := d.call(context.Background(), newClient(), p, s)
-	out := fmt.Sprintf("status %d\nresult %s\nverdict %s\ncode %s\nbody %s\n", rec.status, rec.result, rec.problem.Verdict, rec.problem.Title, rec.body)
-	if rec.result == cut || rec.result == unreachable || rec.result == wrong {
-		return out, errors.New(rec.String())
+	if *as == "" {
+		return d.call(context.Background(), newClient(), p, s).report()
+	}
+	background := make(chan *record, 1)
+	d.requests[*as] = background
+	go func() { background <- d.call(context.Background(), newClient(), p, s) }()
+	return "", nil
+}
+
+// cmdAwait waits for a call in the background and prints it as request does.
+func cmdAwait(d *deployment, args []string) (string, error) {
+	if len(args) != 1 || d.requests[args[0]] == nil {
+		return "", fmt.Errorf("usage: await NAME, with the name of a request")
+	}
+	return (<-d.requests[args[0]]).report()
+}
+
+// report describes the call for the script.
+func (r *record) report() (string, error) {
+	out := fmt.Sprintf("status %d\nresult %s\nverdict %s\ncode %s\nbody %s\n", r.status, r.result, r.problem.Verdict, r.problem.Title, r.body)
+	if r.result == cut || r.result == unreachable || r.result == wrong {
+		return out, errors.New(r.String())
 	}
 	return out, nil
 }
--- a/scenarios/condition_test.go
+++ b/scenarios/condition_test.go
@@ -9,8 +9,7 @@
 )
 
 // cmdWaitUntil waits until a template over a process's state yields a text,
-// by default "true": wait-until NAME status|dump|alarms|journal|load|hosts TEMPLATE [TEXT].
-
+// by default "true": wait-until NAME status|dump|alarms|history|config|journal|load|faults TEMPLATE [TEXT].
 func cmdWaitUntil(d *deployment, args []string) (string, error) {
 	fs := flags("wait-until")
 	limit := fs.Duration("timeout", 20*time.Second, "bound of the wait")
@@ -55,6 +54,8 @@
 		return getJSON[any]("http://"+p.admin+"/admin/v1/"+what, "Authorization", "Bearer "+operatorToken)
 	case "journal":
 		return getJSON[any](p.url() + "/debug/journal")
+	case "faults":
+		return getJSON[any](p.url() + "/faults")
 	case "load":
 		return getJSON[any](p.url() + "/v1/load")
 	}
--- a/scenarios/deployment_test.go
+++ b/scenarios/deployment_test.go
@@ -4,12 +4,14 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -52,6 +54,7 @@
 	backends  []*process
 	streams   map[string]*stream
 	loads     map[string]*load
+	requests  map[string]chan *record
 	marks     map[string]time.Time
 	links     *links
 	teamKey   string
@@ -62,7 +65,7 @@
 func newDeployment(env *testscript.Env) *deployment {
 	return &deployment{
 		env: env, work: env.WorkDir, log: &callLog{}, processes: map[string]*process{},
-		streams: map[string]*stream{}, loads: map[string]*load{}, marks: map[string]time.Time{},
+		streams: map[string]*stream{}, loads: map[string]*load{}, requests: map[string]chan *record{}, marks: map[string]time.Time{},
 	}
 }
 
@@ -270,7 +273,7 @@
 	d.stopReady = cancel
 	d.ready.Store(&[]*process{})
 	go func() {
-		client := &http.Client{Timeout: 300 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
+		client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 		for ctx.Err() == nil {
 			var mu sync.Mutex
 			var ready []*process
@@ -283,6 +286,7 @@
 					}
 					_ = answer.Body.Close()
 					if answer.StatusCode == http.StatusOK {
+						d.checkRevision(p)
 						mu.Lock()
 						ready = append(ready, p)
 						mu.Unlock()
@@ -299,6 +303,27 @@
 	}()
 }
 
+// checkRevision notes a ready host whose configuration revision went back, also
+// over a restart.
+func (d *deployment) checkRevision(p *process) {
+	status, err := getJSON[struct {
+		Revision uint64 `json:"config_revision"`
+		Ready    bool
+	}]("http://"+p.admin+"/admin/v1/status", "Authorization", "Bearer "+operatorToken)
+	if err != nil || !status.Ready {
+		return
+	}
+	d.log.mu.Lock()
+	defer d.log.mu.Unlock()
+	if d.log.revisions == nil {
+		d.log.revisions = map[string]uint64{}
+	}
+	if seen := d.log.revisions[p.name]; status.Revision < seen {
+		d.log.reverted = append(d.log.reverted, fmt.Sprintf("%s went from revision %d to %d", p.name, seen, status.Revision))
+	}
+	d.log.revisions[p.name] = max(d.log.revisions[p.name], status.Revision)
+}
+
 // configure writes the base configuration through the operators' tool.
 func (d *deployment) configure(o options) error {
 	var admins []string
@@ -347,6 +372,33 @@
 	return out, err
 }
 
+// cmdRace runs the operators' tool twice at once, race ARGS -- ARGS, and prints
+// the exit codes in ascending order and both outputs.
+func cmdRace(d *deployment, args []string) (string, error) {
+	at := slices.Index(args, "--")
+	if at < 0 {
+		return "", fmt.Errorf("usage: race ARGS -- ARGS")
+	}
+	type ended struct {
+		code int
+		text string
+	}
+	results := make(chan ended, 2)
+	for _, own := range [][]string{args[:at], args[at+1:]} {
+		go func() {
+			out, err := d.ctl(own...)
+			code := 0
+			var exit *exec.ExitError
+			if errors.As(err, &exit) {
+				code = exit.ExitCode()
+			}
+			results <- ended{code, fmt.Sprintf("%s%v\n", out, err)}
+		}()
+	}
+	a, b := <-results, <-results
+	return fmt.Sprintf("exit codes %d %d\n%s%s", min(a.code, b.code), max(a.code, b.code), a.text, b.text), nil
+}
+
 func baseConfiguration(o options) *config.Document {
 	doc := config.Empty()
 	for _, at := range places {
@@ -355,7 +407,7 @@
 	for _, c := range []config.Class{
 		{Name: "caption", FirstTokenMS: 1900, Priority: 3, ResumeGraceMS: 5000},
 		{Name: "gone", FirstTokenMS: 1900, Priority: 3},
-		{Name: "whole", FirstTokenMS: 4000, Priority: 3, Delivery: config.DeliveryWhole},
+		{Name: "whole", FirstTokenMS: 4000, Priority: 4, Delivery: config.DeliveryWhole},
 		{Name: "title", FirstTokenMS: 4000, Priority: 5},
 		{Name: "lookup", FirstTokenMS: 1900, Idempotent: true},
 		{Name: "booking", FirstTokenMS: 2000, Order: true},
--- a/scenarios/load_test.go
+++ b/scenarios/load_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -20,6 +21,8 @@
 	stop   chan struct{}
 	done   chan struct{}
 	calls  atomic.Int64
+	// complete counts the complete answers.
+	complete atomic.Int64
 }
 
 // cmdLoad starts callers: load NAME.
@@ -29,6 +32,7 @@
 	workers := fs.Int("workers", 8, "callers at once")
 	tokens := fs.Int("tokens", 20, "tokens of a generation")
 	limit := fs.Int64("max", 3000, "bound of the number of calls")
+	deadline := fs.Int("order-deadline-ms", 0, "deadline of orders; the default one if 0")
 	pause := fs.Duration("pause", 20*time.Millisecond, "pause of a caller between calls")
 	if err := fs.Parse(args); err != nil {
 		return "", err
@@ -45,7 +49,13 @@
 	for i := range *workers {
 		wg.Go(func() {
 			for n := i; l.calls.Add(1) <= *limit; n++ {
-				d.loadCall(ctx, client, kind(names[n%len(names)]), *tokens)
+				s := d.loadSpec(kind(names[n%len(names)]), *tokens)
+				if *deadline > 0 && (s.kind == kindOrder || s.kind == kindRepeat) {
+					s.headers["Monsoonkeel-Timeout-Ms"] = strconv.Itoa(*deadline)
+				}
+				if rec := d.loadCall(ctx, client, s); rec != nil && rec.result == complete {
+					l.complete.Add(1)
+				}
 				select {
 				case <-l.stop:
 					return
@@ -66,23 +76,26 @@
 
 // loadCall makes one call through a ready entry host and goes to another one
 // if the connection is refused, as the platform's load balancer does.
-func (d *deployment) loadCall(ctx context.Context, client *http.Client, k kind, tokens int) {
-	s := d.loadSpec(k, tokens)
+func (d *deployment) loadCall(ctx context.Context, client *http.Client, s callSpec) *record {
 	hosts := slices.Clone(*d.ready.Load())
 	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
-	if k == kindRepeat {
-		var wg sync.WaitGroup
+	if s.kind == kindRepeat {
+		answers := make(chan *record, len(hosts))
 		for _, p := range hosts {
-			wg.Go(func() { d.call(ctx, client, p, s) })
+			go func() { answers <- d.call(ctx, client, p, s) }()
 		}
-		wg.Wait()
-		return
+		var last *record
+		for range hosts {
+			last = <-answers
+		}
+		return last
 	}
 	for _, p := range hosts {
 		if rec := d.call(ctx, client, p, s); rec.result != unreachable {
-			return
+			return rec
 		}
 	}
+	return nil
 }
 
 func (d *deployment) loadSpec(k kind, tokens int) callSpec {
@@ -103,6 +116,23 @@
 	}
 }
 
+// cmdLoadProgress waits until a load has had N more complete answers:
+// load-progress NAME N.
+func cmdLoadProgress(d *deployment, args []string) (string, error) {
+	if len(args) != 2 || d.loads[args[0]] == nil {
+		return "", fmt.Errorf("usage: load-progress NAME N")
+	}
+	n, err := strconv.ParseInt(args[1], 10, 64)
+	if err != nil {
+		return "", err
+	}
+	l := d.loads[args[0]]
+	wanted := l.complete.Load() + n
+	return "", waitFor(context.Background(), callTimeout, func() (bool, string) {
+		return l.complete.Load() >= wanted, fmt.Sprintf("%d of %d complete answers, %d calls", l.complete.Load(), wanted, l.calls.Load())
+	})
+}
+
 // cmdLoadStop lets the running calls end and waits for them.
 func cmdLoadStop(d *deployment, args []string) (string, error) {
 	for _, name := range args {
--- a/scenarios/reconcile_test.go
+++ b/scenarios/reconcile_test.go
@@ -58,7 +58,7 @@
 }
 
 // findingNames are the kinds of findings, all of which must be empty.
-var findingNames = []string{"lost", "doubled", "false_not_run", "spliced", "over_cold_bound", "failed"}
+var findingNames = []string{"lost", "doubled", "false_not_run", "spliced", "over_cold_bound", "reverted", "failed"}
 
 // cmdReconcile compares the callers' log with the journals of the engines and
 // plain services. With -succeed, calls of these kinds must all be complete.
@@ -82,7 +82,7 @@
 	}
 	d.log.mu.Lock()
 	defer d.log.mu.Unlock()
-	found := findings{}
+	found := findings{"reverted": d.log.reverted}
 	checkJournals(found, lines)
 	counts := map[result]int{}
 	for _, r := range d.log.records {
@@ -177,6 +177,7 @@
 	after := fs.String("after", "", "mark")
 	until := fs.String("until", "", "mark; now if absent")
 	delay := fs.Duration("delay", 3*time.Second, "allowed time after the mark")
+	length := fs.Duration("for", 0, "wait until this time after the mark has passed")
 	if err := fs.Parse(args); err != nil {
 		return "", err
 	}
@@ -184,6 +185,7 @@
 	if !ok || fs.NArg() != 1 {
 		return "", fmt.Errorf("usage: expect-no-work -after MARK NAME")
 	}
+	time.Sleep(time.Until(from.Add(*length)))
 	end := time.Now()
 	if *until != "" {
 		end = d.marks[*until]
