--- a/scenarios/caller_test.go
+++ b/scenarios/caller_test.go
@@ -99,7 +99,7 @@
 
 func (r *record) String() string {
 	return fmt.Sprintf("%s %s via %s at %s: %s (status %d, %s %s, %d tokens) %s", r.kind, r.requestID, r.host,
-		r.start.Format("15:04:05.000"), r.result, r.status, r.problem.Title, r.problem.Verdict, r.delivered, r.detail)
+		r.start.Format(clock), r.result, r.status, r.problem.Title, r.problem.Verdict, r.delivered, r.detail)
 }
 
 // callLog collects the records of all callers of a script.
--- a/scenarios/links_test.go
+++ b/scenarios/links_test.go
@@ -16,7 +16,8 @@
 // process, so that a host can be cut off. A cut link is silent: connections
 // stay open or are accepted, but nothing passes.
 type links struct {
-	d *deployment
+	hostsURL       string
+	objectsAddress string
 
 	mu       sync.Mutex
 	byTarget map[string]*link
@@ -37,13 +38,16 @@
 }
 
 func newLinks(d *deployment) *links {
-	return &links{d: d, byTarget: map[string]*link{}, cutHosts: map[string]bool{}}
+	return &links{
+		hostsURL: d.processes["hosts"].url(), objectsAddress: d.processes["objects"].address,
+		byTarget: map[string]*link{}, cutHosts: map[string]bool{},
+	}
 }
 
 // attach returns the URLs of the object API and host list for a host. Its
 // host list names links instead of the peers' own addresses.
 func (l *links) attach(p *process) (objects, hosts string, err error) {
-	object, err := l.open(p.name, "objects", l.d.processes["objects"].address)
+	object, err := l.open(p.name, "objects", l.objectsAddress)
 	if err != nil {
 		return "", "", err
 	}
@@ -67,7 +71,7 @@
 	list, err := getJSON[struct {
 		Revision uint64          `json:"revision"`
 		Hosts    []platform.Host `json:"hosts"`
-	}](l.d.processes["hosts"].url() + "/hosts")
+	}](l.hostsURL + "/hosts")
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
--- a/scenarios/reconcile_test.go
+++ b/scenarios/reconcile_test.go
@@ -83,7 +83,7 @@
 	d.log.mu.Lock()
 	defer d.log.mu.Unlock()
 	found := findings{"reverted": d.log.reverted}
-	checkJournals(found, lines)
+	d.log.checkJournals(found, lines)
 	counts := map[result]int{}
 	for _, r := range d.log.records {
 		counts[r.result]++
@@ -112,14 +112,14 @@
 
 // checkJournals looks for orders that ran twice and for cold engines with too
 // much work.
-func checkJournals(found findings, lines []started) {
+func (l *callLog) checkJournals(found findings, lines []started) {
 	runs := map[string][]started{}
 	for _, line := range lines {
 		if line.IdempotencyKey != "" {
 			runs[line.IdempotencyKey] = append(runs[line.IdempotencyKey], line)
 		}
 		if line.ColdLimitExceeded {
-			found.add("over_cold_bound", "%s at %s", line.backend.name, line.At)
+			found.add("over_cold_bound", "%s at %s, starts of this incarnation until then:%s", line.backend.name, line.At.Format(clock), l.startsUntil(line, lines))
 		}
 	}
 	for key, list := range runs {
@@ -130,6 +130,28 @@
 	}
 }
 
+// clock is the format of times in findings.
+const clock = "15:04:05.000"
+
+// startsUntil lists the requests that an incarnation got up to a line, with
+// the entry hosts that sent them.
+func (l *callLog) startsUntil(last started, lines []started) string {
+	var out strings.Builder
+	for _, line := range lines {
+		if line.Incarnation != last.Incarnation || line.At.After(last.At) {
+			continue
+		}
+		host := "unknown host"
+		for _, r := range l.records {
+			if r.requestID == line.RequestID {
+				host = fmt.Sprintf("%s (called at %s)", r.host, r.start.Format(clock))
+			}
+		}
+		fmt.Fprintf(&out, "\n    %s from %s", line.At.Format(clock), host)
+	}
+	return out.String()
+}
+
 // checkRecord compares one call with the journals.
 func (l *callLog) checkRecord(found findings, r *record, lines []started) {
 	switch {
