peers: push to 6 members and skip pulls of a known revision

Cause: a change cost each member of a cell of 64 about 51 calls: it pushed to 12 members, was pushed to by 12, and pulled once for every push that arrived before its first pull had ended. Ruled out: pushes to 4 (63/e^4 = 1.2 members expected to wait for a heartbeat); fewer heartbeats, since the freshness rule needs 32 distinct members in 3 s. Change: a push goes to 6 members, a heartbeat round still to 12; a pull is skipped when its revision has arrived meanwhile. The rotation test asks for the heartbeat's 12 by argument and is otherwise unchanged.

--- a/internal/process/peers/peers.go
+++ b/internal/process/peers/peers.go
@@ -41,6 +41,11 @@
 	connIdle = time.Minute
 	// fanOut is the number of members a round of Sync calls goes to.
 	fanOut = 12
+	// pushFanOut is the number of members that a push goes to. Each member that
+	// learns something new pushes on, so a cell of 64 expects to miss 63/e^6 =
+	// 0.2 members, which the next heartbeats reach. 12 doubled the bytes that a
+	// change costs.
+	pushFanOut = 6
 	// frameReserve is the room left for the framing of a message.
 	frameReserve = 4 << 10
 
@@ -91,19 +96,25 @@
 	cfg    Config
 	caller *caller
 	push   chan struct{}
-	pulls  chan string
+	pulls  chan pull
 
 	mu    sync.Mutex
 	queue []string // hosts that the present rotation has not reached yet
 }
 
+// pull is a Sync call that is due because a host has a newer configuration.
+type pull struct {
+	host     string
+	revision config.Revision
+}
+
 // New returns Peers. Run and Serve start it; Close ends its connections.
 func New(cfg Config) *Peers {
 	return &Peers{
 		cfg:    cfg,
 		caller: newCaller(cfg.TLS),
 		push:   make(chan struct{}, 1),
-		pulls:  make(chan string, fanOut),
+		pulls:  make(chan pull, fanOut),
 	}
 }
 
@@ -117,8 +128,8 @@
 	g.Go(func() error {
 		ticker := time.NewTicker(syncEvery)
 		defer ticker.Stop()
-		for {
-			p.Round(ctx)
+		for n := fanOut; ; {
+			p.round(ctx, n)
 			select {
 			case <-ctx.Done():
 				return nil
@@ -128,7 +139,9 @@
 			case <-ctx.Done():
 				return nil
 			case <-ticker.C:
+				n = fanOut
 			case <-p.push:
+				n = pushFanOut
 			}
 		}
 	})
@@ -153,9 +166,11 @@
 }
 
 // Round syncs once with up to 12 peers and returns when all calls have ended.
-func (p *Peers) Round(ctx context.Context) {
+func (p *Peers) Round(ctx context.Context) { p.round(ctx, fanOut) }
+
+func (p *Peers) round(ctx context.Context, n int) {
 	var g errgroup.Group
-	for _, h := range p.pick() {
+	for _, h := range p.pick(n) {
 		g.Go(func() error {
 			if err := p.Sync(ctx, h); err != nil {
 				p.cfg.Log.Debug().Err(err).Str("host", h.ID).Msg("sync failed")
@@ -166,10 +181,10 @@
 	_ = g.Wait() // The calls log their errors.
 }
 
-// pick returns the next hosts of a random rotation. A rotation reaches more
+// pick returns the next n hosts of a random rotation. A rotation reaches more
 // distinct members than independent choices, which the freshness rule needs:
 // 36 of 63 in 3 s instead of about 30.
-func (p *Peers) pick() []platform.Host {
+func (p *Peers) pick(n int) []platform.Host {
 	hosts := p.cfg.Keeper.Peers()
 	byID := make(map[string]platform.Host, len(hosts))
 	for _, h := range hosts {
@@ -178,7 +193,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var out []platform.Host
-	for want := min(fanOut, len(hosts)); len(out) < want; {
+	for want := min(n, len(hosts)); len(out) < want; {
 		if len(p.queue) == 0 {
 			p.refill(hosts, out)
 		}
@@ -318,9 +333,9 @@
 }
 
 // requestPull schedules a Sync call to a host that has a newer configuration.
-func (p *Peers) requestPull(host string) {
+func (p *Peers) requestPull(host string, revision config.Revision) {
 	select {
-	case p.pulls <- host:
+	case p.pulls <- pull{host, revision}:
 	default: // The next round pulls it.
 	}
 }
@@ -330,13 +345,13 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case host := <-p.pulls:
-			h, ok := p.cfg.Keeper.HostByID(host)
-			if !ok || h.PeerAddress == "" {
-				continue
+		case next := <-p.pulls:
+			h, ok := p.cfg.Keeper.HostByID(next.host)
+			if !ok || h.PeerAddress == "" || p.cfg.Source.Revision() >= next.revision {
+				continue // Several peers push the same change; one pull is enough.
 			}
 			if err := p.Sync(ctx, h); err != nil {
-				p.cfg.Log.Debug().Err(err).Str("host", host).Msg("pull failed")
+				p.cfg.Log.Debug().Err(err).Str("host", next.host).Msg("pull failed")
 			}
 		}
 	}
--- a/internal/process/peers/peers_test.go
+++ b/internal/process/peers/peers_test.go
@@ -253,7 +253,7 @@
 	d := newDaemon(list[0], list, platformtest.NewStore(), nil, nil)
 	distinct := map[string]bool{}
 	for range 3 {
-		picked := d.pick()
+		picked := d.pick(fanOut)
 		require.Len(t, picked, fanOut)
 		for _, h := range picked {
 			distinct[h.ID] = true
--- a/internal/process/peers/server.go
+++ b/internal/process/peers/server.go
@@ -65,7 +65,7 @@
 	case resp.Heartbeat.ConfigRevision > beat.ConfigRevision:
 		resp.Changes, resp.Document = p.cfg.Source.ChangesSince(config.Revision(beat.ConfigRevision))
 	case resp.Heartbeat.ConfigRevision < beat.ConfigRevision:
-		p.requestPull(beat.Host)
+		p.requestPull(beat.Host, config.Revision(beat.ConfigRevision))
 	}
 	if size := proto.Size(resp); size > MaxMessageBytes-frameReserve {
 		p.cfg.Log.Error().Int("bytes", size).Msg("configuration too large for a Sync answer, sent without it")
