Do not keep a finding of a fleet-wide outage between requests

Ruled out: a shorter time to keep it, which only narrows the window. Conclusion: a host that cannot know refuses at once.

--- a/internal/process/daemon/adapters.go
+++ b/internal/process/daemon/adapters.go
@@ -59,10 +59,6 @@
 // Revision implements peers.ConfigSource.
 func (c configSource) Revision() config.Revision { return c.Current().Revision }
 
-// outageTrust is how long a finding that the object API is out for the whole
-// fleet is used; it spans two rebuilds of the routing snapshot.
-const outageTrust = 2 * rebuildEvery
-
 // fresh refuses new work when this host cannot know whether its configuration
 // is current, since a failure domain may have been taken out meanwhile.
 func (d *Daemon) fresh(now time.Time) error {
@@ -75,18 +71,15 @@
 	return e
 }
 
-// refreshFreshness applies the freshness rule and stores until when its
-// finding holds, so that the request path needs one atomic load.
+// refreshFreshness applies the freshness rule and stores until when a
+// confirmation holds, so that the request path needs one atomic load. During
+// an outage of the object API the rule is applied to each request: what peers
+// were last heard to say can change the finding at any moment.
 func (d *Daemon) refreshFreshness(now time.Time) bool {
 	state := d.keeper.Freshness(now)
 	until := now
-	switch state {
-	case view.Fresh:
-		if age, known := d.config.ConfirmedAge(now); known {
-			until = now.Add(view.FreshFor - age)
-		}
-	case view.FleetOutage:
-		until = now.Add(outageTrust)
+	if age, known := d.config.ConfirmedAge(now); known && state == view.Fresh {
+		until = now.Add(view.FreshFor - age)
 	}
 	d.freshUntil.Store(&until)
 	return state.MayServe()
