--- a/internal/request/call.go
+++ b/internal/request/call.go
@@ -70,7 +70,7 @@
 	case path == "/v1/models":
 		return c.models()
 	case path == "/v1/completions", path == "/v1/chat/completions":
-		return c.model(path)
+		return c.model(path, "")
 	case strings.HasPrefix(path, "/v1/generations/"):
 		return c.resumeByPath(strings.TrimPrefix(path, "/v1/generations/"))
 	case strings.HasPrefix(path, "/services/"):
--- a/internal/request/model.go
+++ b/internal/request/model.go
@@ -14,8 +14,9 @@
 	Stream bool   `json:"stream"`
 }
 
-// model serves /v1/completions and /v1/chat/completions.
-func (c *call) model(path string) error {
+// model serves /v1/completions and /v1/chat/completions. With a service name
+// the model must be one of that service.
+func (c *call) model(path, service string) error {
 	if !c.http.IsPost() {
 		return verdict.New(verdict.NotRun, 405, "method_not_allowed", "use POST")
 	}
@@ -32,7 +33,7 @@
 	if err := json.Unmarshal(body, &req); err != nil {
 		return verdict.Wrap(err, verdict.NotRun, 400, "bad_json", "the body is not valid JSON: %v", err)
 	}
-	if err := c.prepareModel(path, req); err != nil {
+	if err := c.prepareModel(path, service, req); err != nil {
 		return err
 	}
 	if err := c.limitTeam(); err != nil {
@@ -48,9 +49,9 @@
 	return gen.stream()
 }
 
-func (c *call) prepareModel(path string, req modelRequest) error {
+func (c *call) prepareModel(path, service string, req modelRequest) error {
 	svc, ok := c.g.Snapshot().ServiceForModel(req.Model)
-	if !ok {
+	if !ok || (service != "" && svc.Name != service) {
 		return verdict.New(verdict.NotRun, 404, "unknown_model", "unknown model %q", req.Model)
 	}
 	c.service = svc
--- a/internal/request/plain.go
+++ b/internal/request/plain.go
@@ -35,6 +35,9 @@
 		return err
 	}
 	svc, ok := c.g.Snapshot().Service(name)
+	if ok && svc.Kind == config.KindEngine && (path == "v1/completions" || path == "v1/chat/completions") {
+		return c.model("/"+path, name)
+	}
 	if !ok || svc.Kind != config.KindPlain {
 		return verdict.New(verdict.NotRun, 404, "unknown_service", "unknown plain service %q", name)
 	}
--- a/internal/request/request_test.go
+++ b/internal/request/request_test.go
@@ -30,7 +30,7 @@
 			r.addBackend("models", newEngine("i-models-0", faults).Handler())
 			r.addBackend("models", newEngine("i-models-1", standin.EngineFaults{}).Handler())
 			r.start()
-			resp := r.do("POST", "/v1/completions", streamBodyJSON(9))
+			resp := r.do("POST", "/services/models/v1/completions", streamBodyJSON(9))
 			defer resp.Body.Close()
 			require.Equal(t, 200, resp.StatusCode)
 			s := readStream(t, resp.Body, 0)
@@ -193,6 +193,7 @@
 		{"unknown team", "/v1/completions", streamBodyJSON(1), []string{"Authorization", "Bearer x"}, 401, "unknown_team"},
 		{"unknown service", "/services/x/y", "", nil, 404, "unknown_service"},
 		{"engine as plain service", "/services/models/y", "", nil, 404, "unknown_service"},
+		{"model of another service", "/services/models/v1/completions", `{"model":"x"}`, nil, 404, "unknown_model"},
 		{"bad timeout", "/v1/completions", streamBodyJSON(1), []string{headerTimeout, "-1"}, 400, "bad_timeout"},
 		{"bad event id", "/v1/completions", "", []string{headerLastEventID, "abc:1"}, 400, "bad_event_id"},
 		{"too large", "/v1/completions", string(make([]byte, 2<<20)), nil, 413, "body_too_large"},
