membership: one watcher per region in deployments of many cells

Cause: 3 watchers in each of 7 regions and 55 cells hold 1,155 watches that end after 1 s or at a change, about 1,480 calls/s (worked out: 1,155 / 0.78 s) of the object API's 2,000 reads/s; the number grows with cells times regions. Ruled out: 3 watchers per cell over all regions, since a region that is cut off from the others would have none; longer watches, since a watch's length bounds the age of a confirmation and with it the 3 s of the freshness rule. Change: above 8 cells a region of a cell has 1 watcher. Today's deployments (one cell) keep 3. The new test counts watchers per region for 1, 8, 9 and 55 cells. Figures (worked out): 385 watches and about 493 calls/s at 55 cells. Conclusion: a quarter of the reads instead of three quarters. When the only watcher of a region dies, its members follow other regions' watchers by Sync.

--- a/internal/process/membership/keeper_test.go
+++ b/internal/process/membership/keeper_test.go
@@ -313,6 +313,32 @@
 	require.Equal(t, 3, watchers)
 }
 
+// Guards the object API against watches that grow with regions and cells: each
+// region of a cell keeps a watcher, and only one in a deployment of many cells.
+func TestWatchersOfManyCells(t *testing.T) {
+	for cells, want := range map[int]int{1: 3, manyCells: 3, manyCells + 1: 1, 55: 1} {
+		var hosts []platform.Host
+		var ids []string
+		for i := 0; len(hosts) < 24; i++ {
+			id := fmt.Sprintf("host-%05d", i)
+			if view.CellOf(id, cells) != 0 {
+				continue
+			}
+			hosts = append(hosts, platform.Host{ID: id, Role: platform.RoleEntry, Region: fmt.Sprint("region-", len(hosts)%3)})
+			ids = append(ids, id)
+		}
+		watchers := map[string]int{}
+		for _, h := range hosts {
+			k := New(Config{Self: h, Cells: cells, Log: zerolog.Nop()})
+			k.hosts, k.current = hosts, view.View{Cell: "0", Epoch: 1, Members: ids}
+			if k.IsWatcher() {
+				watchers[h.Region]++
+			}
+		}
+		require.Equal(t, map[string]int{"region-0": want, "region-1": want, "region-2": want}, watchers, "%d cells", cells)
+	}
+}
+
 // Guards against heartbeats that grow with the number of cold backend servers
 // and against a late host that is never told about an old sighting.
 func TestOldSightingsAreRepeatedInTurn(t *testing.T) {
--- a/internal/process/membership/membership.go
+++ b/internal/process/membership/membership.go
@@ -29,8 +29,11 @@
 	// newAfter is the pause after which a calling peer counts as new; a rotation
 	// over a cell of 64 calls each member every 5.25 s.
 	newAfter = 10 * time.Second
-	// watchersPerRegion bounds the watches on the configuration head.
-	watchersPerRegion = 3
+	// maxWatchers bounds the watches on the configuration head per region and
+	// cell. With more than manyCells cells there is only 1, since 3 in each of 7
+	// regions and 55 cells would make 1,480 of the object API's 2,000 calls/s.
+	maxWatchers = 3
+	manyCells   = 8
 )
 
 // Config configures a Keeper. All fields but Log are required.
@@ -157,7 +160,11 @@
 			region = append(region, h.ID)
 		}
 	}
-	return slices.Contains(view.Ranked("config/head", region, watchersPerRegion), k.cfg.Self.ID)
+	n := maxWatchers
+	if k.cfg.Cells > manyCells {
+		n = 1
+	}
+	return slices.Contains(view.Ranked("config/head", region, n), k.cfg.Self.ID)
 }
 
 // SetDraining marks this daemon as leaving; the renewer removes it from the view.
