Prefer engines that hold the beginning of a prompt

Cause: prompts with the same system message were spread over all engines, and each computed it again; the scheduler's affinity had no input. Ruled out: the engines' cache events as the only source: they come late and with gaps, and an index built on them alone is empty after a host restarts. Change: core/dispatch keeps a bounded index of own placements by a hash of the first 1,024 bytes of the prompt; affinity outweighs at most a tenth of an engine's capacity. Figures: none in the daemon; in the unit test the next 3 prompts go to the holder and the 5th goes elsewhere by load.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -50,6 +50,10 @@
 	Deadline time.Time
 	// Prompt is the length of the prompt in tokens; 0 for plain services.
 	Prompt int
+	// Prefix identifies the beginning of the prompt, PrefixTokens long, whose
+	// cache a backend server may hold; 0 means none.
+	Prefix       uint64
+	PrefixTokens int
 	// Opaque says that the tokens are not seen while they are produced, as in
 	// an unstreamed answer.
 	Opaque bool
@@ -88,6 +92,8 @@
 	candidates []schedule.Candidate
 	waiting    map[uint64]*Request
 	running    map[uint64]*run
+	prefixes   prefixIndex
+	holders    []schedule.Holder
 	// gapMS is the tightest token gap target, in milliseconds; 0 means none.
 	gapMS int
 	hosts int
@@ -115,7 +121,7 @@
 func New(opt Options) *Dispatcher {
 	return &Dispatcher{
 		opt: opt, lengths: length.NewModel(), queue: admit.NewQueue(), byID: map[string]*server{},
-		waiting: map[uint64]*Request{}, running: map[uint64]*run{}, hosts: 1, seed: opt.Seed,
+		waiting: map[uint64]*Request{}, running: map[uint64]*run{}, prefixes: newPrefixIndex(), hosts: 1, seed: opt.Seed,
 	}
 }
 
@@ -323,6 +329,7 @@
 
 func (d *Dispatcher) place(r *Request, s *server, dist *length.Dist, estimate float64, now time.Time) Outcome {
 	s.tracker.Sent(r.ID, r.Prompt, dist, now)
+	d.prefixes.placed(r.Prefix, s.ID)
 	d.running[r.ID] = &run{request: *r, server: s, sent: now, estimate: estimate}
 	return Outcome{ID: r.ID, Action: admit.Place, Server: s.ID}
 }
@@ -334,7 +341,8 @@
 	var b [8]byte
 	binary.LittleEndian.PutUint64(b[:], d.seed)
 	d.seed = xxhash.Sum64(b[:])
-	req := schedule.Request{Region: d.opt.Region, LocalOnly: localOnly && d.hasLocal(), Prompt: r.Prompt}
+	d.holders = d.appendHolders(d.holders[:0], r)
+	req := schedule.Request{Region: d.opt.Region, LocalOnly: localOnly && d.hasLocal(), Prompt: r.Prompt, Holders: d.holders}
 	if d.opt.Engine {
 		req.Survival = schedule.SurvivalOf(dist, 0)
 	}
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -109,3 +109,39 @@
 		}
 	})
 }
+
+// Guards against prompts with the same beginning being spread over engines
+// that would each compute it again, and against affinity that overrules load.
+func TestPrefixAffinity(t *testing.T) {
+	d := newTest(true,
+		Server{ID: "s1", Region: "a", Limit: 20, Warm: true, Capacity: 40},
+		Server{ID: "s2", Region: "a", Limit: 20, Warm: true, Capacity: 40})
+	r := request(1)
+	r.Prefix, r.PrefixTokens = 7, 100
+	first := d.Offer(r, start)
+	require.Equal(t, admit.Place, first.Action)
+	d.Progress(1, 1)
+	var servers []string
+	for id := uint64(2); id < 20; id++ {
+		r := request(id)
+		r.Prefix, r.PrefixTokens = 7, 100
+		out := d.Offer(r, start)
+		require.Equal(t, admit.Place, out.Action)
+		d.Progress(id, 1)
+		servers = append(servers, out.Server)
+	}
+	for _, s := range servers[:3] {
+		require.Equal(t, first.Server, s, "a near tie goes to the holder")
+	}
+	require.NotEqual(t, first.Server, servers[4], "load goes before affinity")
+}
+
+// Guards against a prefix index that grows with the number of prompts.
+func TestPrefixIndexIsBounded(t *testing.T) {
+	x := newPrefixIndex()
+	for p := uint64(1); p < 5*maxPrefixes; p++ {
+		x.placed(p, "s")
+	}
+	require.LessOrEqual(t, len(x.recent)+len(x.old), 2*maxPrefixes)
+	require.Equal(t, []string{"s"}, x.holders(5*maxPrefixes-1))
+}
--- a/internal/request/generation.go
+++ b/internal/request/generation.go
@@ -48,6 +48,7 @@
 	path     string
 	body     []byte
 	streamed bool
+	work     work
 
 	id    string
 	token string
@@ -70,12 +71,6 @@
 	tried []string
 }
 
-// bytesPerToken is the usual ratio for English text.
-const bytesPerToken = 4
-
-// promptTokens estimates the prompt's length from the request body.
-func promptTokens(body []byte) int { return len(body)/bytesPerToken + 1 }
-
 func newGeneration(c *call, path string, body []byte, stream bool) *generation {
 	return &generation{c: c, path: path, body: body, streamed: stream}
 }
@@ -103,7 +98,7 @@
 
 // attempt sends the request to one backend server under a new generation id.
 func (gen *generation) attempt() error {
-	p, err := gen.c.place(work{prompt: promptTokens(gen.body), opaque: !gen.streamed}, gen.tried)
+	p, err := gen.c.place(gen.work, gen.tried)
 	if err != nil {
 		gen.place = nil
 		return err
--- a/internal/request/model.go
+++ b/internal/request/model.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"sort"
 
+	"github.com/cespare/xxhash/v2"
+
 	"monsoonkeel.example/monsoonkeel/core/verdict"
 )
 
@@ -12,6 +14,32 @@
 type modelRequest struct {
 	Model  string `json:"model"`
 	Stream bool   `json:"stream"`
+	// Messages and Prompt are read for their beginning only.
+	Messages json.RawMessage `json:"messages"`
+	Prompt   json.RawMessage `json:"prompt"`
+}
+
+const (
+	// prefixBytes is the length of the prompt's beginning that decides about
+	// cache affinity; system prompts are about this long.
+	prefixBytes = 1024
+	// bytesPerToken is the usual ratio for English text.
+	bytesPerToken = 4
+)
+
+// work describes the request to the dispatcher. Prompts shorter than the
+// prefix gain nothing from a cache.
+func (r *modelRequest) work(body []byte) work {
+	w := work{prompt: len(body)/bytesPerToken + 1, opaque: !r.Stream}
+	text := r.Messages
+	if len(text) == 0 {
+		text = r.Prompt
+	}
+	if len(text) >= prefixBytes {
+		w.prefix = xxhash.Sum64(text[:prefixBytes])
+		w.prefixTokens = prefixBytes / bytesPerToken
+	}
+	return w
 }
 
 // model serves /v1/completions and /v1/chat/completions. With a service name
@@ -40,6 +68,7 @@
 		return err
 	}
 	gen := newGeneration(c, path, body, req.Stream)
+	gen.work = req.work(body)
 	if !req.Stream {
 		return gen.answerUnstreamed()
 	}
--- a/internal/request/place.go
+++ b/internal/request/place.go
@@ -17,6 +17,9 @@
 	prompt int
 	// opaque says that tokens are not seen while they are produced.
 	opaque bool
+	// prefix and prefixTokens identify the prompt's beginning.
+	prefix       uint64
+	prefixTokens int
 }
 
 // place waits for a place at a backend server of the call's service. It gives
@@ -30,7 +33,7 @@
 	r := dispatch.Request{
 		Class: c.class.Name, Team: c.team.Name, Priority: c.class.Priority, Arrival: began,
 		Target: time.Duration(c.class.FirstTokenMS) * time.Millisecond,
-		Prompt: w.prompt, Opaque: w.opaque, Tried: tried,
+		Prompt: w.prompt, Opaque: w.opaque, Prefix: w.prefix, PrefixTokens: w.prefixTokens, Tried: tried,
 	}
 	r.Deadline, _ = c.ctx.Deadline()
 	p, err := c.g.Places.Service(c.service.Name, c.service.Kind).Place(c.ctx, r)
