Compute the reserve and the batch bound once per decision

Cause: a profile of BenchmarkOffer showed the reserve's decay and the step model's line computed again for each candidate of each decision. Ruled out: caching whole candidates between decisions, which needs invalidation by every request that ends. Change: the reserve is read once per decision, the batch bound once per load report.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -105,8 +105,10 @@
 	Server
 	tracker *schedule.Tracker
 	step    schedule.StepModel
-	stepMS  float64
-	share   float32
+	// maxBatch is the step model's bound as of the last report.
+	maxBatch int
+	stepMS   float64
+	share    float32
 }
 
 type run struct {
@@ -175,6 +177,7 @@
 	}
 	s.step.Observe(r.Running, r.StepMS)
 	s.stepMS = r.StepMS
+	s.maxBatch = s.step.BatchBound(d.gapMS)
 }
 
 // Offer decides about a new request. After admit.Wait a later Drain names it.
@@ -335,8 +338,9 @@
 }
 
 func (d *Dispatcher) pick(r *Request, dist *length.Dist, localOnly bool, now time.Time) *server {
+	reserve := d.reserve.Value(now)
 	for i, s := range d.servers {
-		d.fill(i, s, r, now)
+		d.fill(i, s, r, reserve)
 	}
 	var b [8]byte
 	binary.LittleEndian.PutUint64(b[:], d.seed)
@@ -364,20 +368,20 @@
 	return false
 }
 
-func (d *Dispatcher) fill(i int, s *server, r *Request, now time.Time) {
+func (d *Dispatcher) fill(i int, s *server, r *Request, reserve float32) {
 	k := &d.candidates[i]
-	*k = schedule.Candidate{Index: i, Domain: s.Domain, Region: s.Region, Limit: s.Limit, Capacity: s.Capacity, Hosts: d.hosts, Share: s.share}
+	k.Index, k.Domain, k.Region = i, s.Domain, s.Region
+	k.Limit, k.Capacity, k.Hosts, k.Share = s.Limit, s.Capacity, d.hosts, s.share
 	s.tracker.Fill(k)
-	if slices.Contains(r.Tried, s.ID) {
+	if len(r.Tried) > 0 && slices.Contains(r.Tried, s.ID) {
 		k.Limit = 0
 	}
 	if !d.opt.Engine {
 		k.MemoryTokens = 0
 		return
 	}
-	k.Reserve = d.reserve.Value(now)
-	k.MaxPrefill = maxPrefill
-	if k.MaxBatch = s.step.BatchBound(d.gapMS); k.MaxBatch > 0 {
-		k.Capacity = k.MaxBatch
+	k.Reserve, k.MaxPrefill, k.MaxBatch = reserve, maxPrefill, s.maxBatch
+	if s.maxBatch > 0 {
+		k.Capacity = s.maxBatch
 	}
 }
