request: send work only to the incarnation that its limit holds for

A host that made no call in between still used the warm limit of the process before. And a host counted its work per incarnation of the host list: when the list showed the new process, its counter started again at 0 while 2 requests were running. Ruled out: waiting for the next load report (0.5 s; the excess came within 40 ms); checking the incarnation on the answer only (the work is already there); a header that the engine would have to check (not in its protocol). Change: a new upstream connection is identified by GET /v1/load on it before it carries new work, once per connection, since the process at its other end cannot change. Another incarnation than that of the load report behind the limit makes the backend server cold and excluded until the next report; the verdict is not run. Work in flight is counted per incarnation of the load report. The lease, the freshness rule and an order's claim are checked again after the connection setup. A resume leaves it to the engine's answer whether it is the same process. A new connection costs one more round trip (60 ms between regions). An engine that turns cold without a restart is still only noticed by its load report.

--- a/internal/connection/upstream.go
+++ b/internal/connection/upstream.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -24,6 +25,8 @@
 	maxIdleAge = 20 * time.Second
 	// readBufferBytes holds several SSE events.
 	readBufferBytes = 16 << 10
+	// maxReportBytes bounds the load report that identifies a connection.
+	maxReportBytes = 64 << 10
 )
 
 // Pool keeps idle connections to backend servers. It never repeats a request:
@@ -44,6 +47,9 @@
 	address string
 	written atomic.Int64
 	idledAt time.Time
+	// incarnation is the process at the other end, if it was asked for. It
+	// cannot change while the connection is open.
+	incarnation string
 }
 
 // Write counts the bytes handed to the kernel: once one has left, the request
@@ -99,8 +105,32 @@
 	// Fresh forbids a reused connection; the peer can close one unnoticed,
 	// which leaves the verdict of a non-idempotent request unknown.
 	Fresh bool
+	// Incarnation, if set, is the only process that may get the request: the
+	// limit of requests in flight holds for it alone, and a process that was
+	// replaced at the same address is cold.
+	Incarnation string
+	// Check, if set, is called when the connection is ready, right before the
+	// first byte is sent. The setup may take long or the process may have been
+	// paused, so rights that lapse must be checked here.
+	Check func() error
 }
 
+// IncarnationError says that another process than the expected one listens at
+// the address.
+type IncarnationError struct{ Seen string }
+
+// Error implements error.
+func (e *IncarnationError) Error() string { return "the address belongs to incarnation " + e.Seen }
+
+// WithheldError says that Options.Check refused the request.
+type WithheldError struct{ Cause error }
+
+// Error implements error.
+func (e *WithheldError) Error() string { return e.Cause.Error() }
+
+// Unwrap returns the error of Options.Check.
+func (e *WithheldError) Unwrap() error { return e.Cause }
+
 // Do sends req to address and reads the head of the answer. A failure is a
 // verdict error: NotRun if no byte of the request left this process. The
 // exchange ends when ctx ends.
@@ -109,6 +139,12 @@
 	if err != nil {
 		return nil, verdict.Wrap(err, verdict.NotRun, 502, "connect_failed", "cannot connect to the backend server")
 	}
+	if opts.Check != nil {
+		if err := opts.Check(); err != nil {
+			p.put(conn)
+			return nil, &WithheldError{Cause: err}
+		}
+	}
 	conn.written.Store(0)
 	e := &Exchange{conn: conn, pool: p, Reused: reused, Response: fasthttp.AcquireResponse()}
 	e.stop = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
@@ -139,10 +175,15 @@
 }
 
 func (p *Pool) get(ctx context.Context, address string, opts Options) (*upstreamConn, bool, error) {
-	if !opts.Fresh {
-		if c := p.takeIdle(address); c != nil {
+	for !opts.Fresh {
+		c := p.takeIdle(address)
+		if c == nil {
+			break
+		}
+		if opts.Incarnation == "" || c.incarnation == opts.Incarnation {
 			return c, true, nil
 		}
+		_ = c.Close()
 	}
 	d := net.Dialer{Timeout: dialTimeout}
 	c, err := d.DialContext(ctx, "tcp", address)
@@ -151,9 +192,50 @@
 	}
 	conn := &upstreamConn{Conn: c, address: address}
 	conn.reader = bufio.NewReaderSize(c, readBufferBytes)
+	if opts.Incarnation == "" {
+		return conn, false, nil
+	}
+	if err := conn.identify(ctx); err != nil {
+		_ = c.Close()
+		return nil, false, err
+	}
+	if conn.incarnation != opts.Incarnation {
+		_ = c.Close()
+		return nil, false, &IncarnationError{Seen: conn.incarnation}
+	}
 	return conn, false, nil
 }
 
+// identify asks for the load report, since every answer names the incarnation.
+func (c *upstreamConn) identify(ctx context.Context) error {
+	_ = c.SetDeadline(time.Now().Add(dialTimeout))
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("/v1/load")
+	req.Header.SetHost(c.address)
+	w := bufio.NewWriter(c)
+	if err := req.Write(w); err != nil {
+		return err
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	if err := resp.ReadLimitBody(c.reader, maxReportBytes); err != nil {
+		return err
+	}
+	if resp.ConnectionClose() {
+		return errors.New("the backend server closed the new connection")
+	}
+	c.incarnation = string(resp.Header.Peek("X-Incarnation"))
+	if !stop() {
+		return ctx.Err()
+	}
+	return c.SetDeadline(time.Time{})
+}
+
 func (p *Pool) takeIdle(address string) *upstreamConn {
 	for {
 		c := p.popIdle(address)
--- a/internal/process/daemon/adapters.go
+++ b/internal/process/daemon/adapters.go
@@ -59,5 +59,7 @@
 
 // Incarnation implements request.ColdReporter.
 func (c coldReporter) Incarnation(backend, _, seen string) {
+	// The limits in the routing snapshot are those of the process before.
+	c.d.routing.exclude(backend, seen)
 	c.d.peers.NotifyCold(membership.Sighting{Backend: backend, Incarnation: seen, At: time.Now()})
 }
--- a/internal/process/daemon/routing.go
+++ b/internal/process/daemon/routing.go
@@ -101,8 +101,18 @@
 	r.d.gateway.CapacityChanged()
 }
 
+// incarnationOf returns the process that the limits hold for. It is the one of
+// the load report, since the host list may show a new process later than that:
+// work counted under an old name would not count against the cold limit.
+func (r *routing) incarnationOf(h platform.Host) incarnation {
+	if seen := r.reports[h.ID].Load.Incarnation; seen != "" {
+		return incarnation{h.ID, seen}
+	}
+	return incarnation{h.ID, h.Incarnation}
+}
+
 func (r *routing) counter(h platform.Host) *version.Counters {
-	key := incarnation{h.ID, h.Incarnation}
+	key := r.incarnationOf(h)
 	c := r.counters[key]
 	if c == nil {
 		c = &version.Counters{}
@@ -131,7 +141,7 @@
 	listed := make(map[incarnation]bool, len(hosts))
 	ids := make(map[string]bool, len(hosts))
 	for _, h := range hosts {
-		listed[incarnation{h.ID, h.Incarnation}] = true
+		listed[r.incarnationOf(h)] = true
 		ids[h.ID] = true
 	}
 	for key, c := range r.counters {
--- a/internal/request/generation.go
+++ b/internal/request/generation.go
@@ -47,8 +47,11 @@
 	id    string
 	token string
 	host  platform.Host
-	place *placement
-	ex    *connection.Exchange
+	// incarnation is the engine process that runs the generation. The host
+	// list may still name an older one.
+	incarnation string
+	place       *placement
+	ex          *connection.Exchange
 	// events reads ex's body.
 	events *sse.Reader
 	// offset is the number of tokens accepted so far.
@@ -97,12 +100,15 @@
 		gen.place = nil
 		return err
 	}
-	gen.place, gen.host = p, p.Host
+	gen.place, gen.host, gen.incarnation = p, p.Host, p.Load.Incarnation
+	if gen.incarnation == "" {
+		gen.incarnation = p.Host.Incarnation
+	}
 	gen.runs++
 	gen.offset, gen.finished = 0, false
 	gen.id = gen.c.g.NewID()
 	gen.token = gen.c.g.Tokens.Encode(gen.c.team.Name, gentoken.Generation{
-		Service: gen.c.service.Name, Backend: gen.host.ID, Incarnation: gen.host.Incarnation, ID: gen.id, Class: gen.c.class.Name,
+		Service: gen.c.service.Name, Backend: gen.host.ID, Incarnation: gen.incarnation, ID: gen.id, Class: gen.c.class.Name,
 	})
 	gen.c.out.Backend = gen.host.ID
 	gen.c.out.Tries = gen.runs
@@ -119,7 +125,7 @@
 	req.Header.Set(headerGenerationID, gen.id)
 	req.Header.Set(headerPriority, strconv.Itoa(gen.c.class.Priority))
 	req.SetBodyRaw(gen.body)
-	ex, err := gen.c.g.Pool.Do(gen.c.ctx, gen.host.Address, req, connection.Options{})
+	ex, err := gen.c.g.Pool.Do(gen.c.ctx, gen.host.Address, req, gen.place.sendOptions(false))
 	if err != nil {
 		return gen.sendFailed(err)
 	}
@@ -128,11 +134,7 @@
 }
 
 func (gen *generation) sendFailed(err error) error {
-	if verdict.Of(err) == verdict.NotRun {
-		gen.c.g.Cold.Refused(gen.host.ID, gen.host.Incarnation)
-	} else {
-		gen.c.attempted = true
-	}
+	gen.c.noteSendFailure(gen.place, err)
 	if gen.c.ctx.Err() != nil {
 		return gen.c.interrupted()
 	}
@@ -162,8 +164,8 @@
 	if id := h.Peek(headerGenerationID); len(id) > 0 && string(id) != gen.id {
 		return errProtocol
 	}
-	if seen := string(h.Peek(headerIncarnation)); seen != "" && seen != gen.host.Incarnation {
-		gen.c.g.Cold.Incarnation(gen.host.ID, gen.host.Incarnation, seen)
+	if seen := string(h.Peek(headerIncarnation)); seen != "" && seen != gen.incarnation {
+		gen.c.g.Cold.Incarnation(gen.host.ID, gen.incarnation, seen)
 		if gen.resumed {
 			return errGenerationLost
 		}
@@ -325,7 +327,7 @@
 		}
 		return fmt.Errorf("resume answered %d", status)
 	}
-	if seen := string(ex.Response.Header.Peek(headerIncarnation)); seen != "" && seen != gen.host.Incarnation {
+	if seen := string(ex.Response.Header.Peek(headerIncarnation)); seen != "" && seen != gen.incarnation {
 		ex.Finish(false)
 		return errGenerationLost
 	}
--- a/internal/request/order.go
+++ b/internal/request/order.go
@@ -142,9 +142,17 @@
 	c.requestTo(req, p.Host.Address)
 	if !grant.MaySend(c.g.Now()) {
 		p.release()
-		return nil, nil, verdict.New(verdict.NotRun, 503, "claim_lapsed", "the order's claim lapsed before it could be sent")
+		return nil, nil, claimLapsed()
 	}
-	ex, err := c.g.Pool.Do(ctx, p.Host.Address, req, connection.Options{Fresh: true})
+	options := p.sendOptions(true)
+	options.Check = func() error {
+		// The connection setup takes time, in which the claim can lapse.
+		if !grant.MaySend(c.g.Now()) {
+			return claimLapsed()
+		}
+		return p.mayStillSend()
+	}
+	ex, err := c.g.Pool.Do(ctx, p.Host.Address, req, options)
 	if err != nil {
 		c.noteSendFailure(p, err)
 		return nil, p, err
@@ -153,6 +161,10 @@
 	return ex, p, nil
 }
 
+func claimLapsed() error {
+	return verdict.New(verdict.NotRun, 503, "claim_lapsed", "the order's claim lapsed before it could be sent")
+}
+
 // finishOrder reads, stores and delivers the answer.
 func (c *call) finishOrder(ex *connection.Exchange, grant OrderGrant) error {
 	err := c.checkAnswer(ex)
--- a/internal/request/place.go
+++ b/internal/request/place.go
@@ -1,11 +1,14 @@
 package request
 
 import (
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"monsoonkeel.example/monsoonkeel/core/schedule"
+	"monsoonkeel.example/monsoonkeel/core/verdict"
+	"monsoonkeel.example/monsoonkeel/internal/connection"
 	"monsoonkeel.example/monsoonkeel/internal/version"
 )
 
@@ -55,6 +58,39 @@
 	})
 }
 
+// sendOptions binds a request to the process that the placement's limit holds
+// for and to the rights under which it was placed.
+func (p *placement) sendOptions(fresh bool) connection.Options {
+	return connection.Options{Fresh: fresh, Incarnation: p.Load.Incarnation, Check: p.mayStillSend}
+}
+
+// mayStillSend refuses when the lease or the confirmation of the configuration
+// lapsed since the request was placed, as in a process that was paused.
+func (p *placement) mayStillSend() error {
+	now := p.g.Now()
+	if p.CurrentLimit(now) == 0 {
+		e := verdict.New(verdict.NotRun, 503, "lease_lapsed", "the right to use the backend server lapsed before the request was sent")
+		e.RetryAfterSeconds = 1
+		return e
+	}
+	return p.g.Fresh(now)
+}
+
+// noteSendFailure records what a failed send says about the backend server.
+func (c *call) noteSendFailure(p *placement, err error) {
+	var other *connection.IncarnationError
+	var withheld *connection.WithheldError
+	switch {
+	case errors.As(err, &withheld):
+	case errors.As(err, &other):
+		c.g.Cold.Incarnation(p.Host.ID, p.Load.Incarnation, other.Seen)
+	case verdict.Of(err) == verdict.NotRun:
+		c.g.Cold.Refused(p.Host.ID, p.Host.Incarnation)
+	default:
+		c.attempted = true
+	}
+}
+
 // minQueueWait bounds the wait for a place from below: a class with a short
 // target still waits out a configuration change.
 const minQueueWait = 250 * time.Millisecond
--- a/internal/request/plain.go
+++ b/internal/request/plain.go
@@ -120,7 +120,7 @@
 // exchange sends the request to one backend server and hands over the answer.
 func (c *call) exchange(req *fasthttp.Request, p *placement, idempotent bool) error {
 	c.requestTo(req, p.Host.Address)
-	ex, err := c.g.Pool.Do(c.ctx, p.Host.Address, req, connection.Options{Fresh: !idempotent})
+	ex, err := c.g.Pool.Do(c.ctx, p.Host.Address, req, p.sendOptions(!idempotent))
 	if err != nil {
 		c.noteSendFailure(p, err)
 		return err
@@ -137,14 +137,6 @@
 	return c.relayAnswer(ex, p)
 }
 
-func (c *call) noteSendFailure(p *placement, err error) {
-	if verdict.Of(err) == verdict.NotRun {
-		c.g.Cold.Refused(p.Host.ID, p.Host.Incarnation)
-		return
-	}
-	c.attempted = true
-}
-
 // checkAnswer refuses an answer that names another request.
 func (c *call) checkAnswer(ex *connection.Exchange) error {
 	seen := ex.Response.Header.Peek(headerRequestID)
--- a/internal/request/resume.go
+++ b/internal/request/resume.go
@@ -66,10 +66,12 @@
 	c.class = snap.Document.Classes[id.Class]
 	c.out.Service, c.out.Class, c.out.Backend = id.Service, id.Class, id.Backend
 	host, ok := snap.Reachable(id.Backend)
-	if !ok || host.Incarnation != id.Incarnation {
+	if !ok {
 		return gen.lostError(errGenerationLost)
 	}
-	gen.host = host
+	// The engine's answer decides whether it is the same process, since the
+	// host list lags.
+	gen.host, gen.incarnation = host, id.Incarnation
 	return nil
 }
 
