--- a/internal/connection/connection_test.go
+++ b/internal/connection/connection_test.go
@@ -143,13 +143,15 @@
 }
 
 // Guards against a request that is sent after its right to be sent lapsed.
-func TestMaySendIsAskedBeforeTheFirstByte(t *testing.T) {
+func TestCheckIsAskedBeforeTheFirstByte(t *testing.T) {
 	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { t.Error("the request was sent") }))
 	defer s.Close()
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	req.SetRequestURI("/")
-	_, err := NewPool().Do(context.Background(), strings.TrimPrefix(s.URL, "http://"), req, Options{MaySend: func() bool { return false }})
+	lapsed := verdict.New(verdict.NotRun, 503, "lapsed", "the right to send lapsed")
+	_, err := NewPool().Do(context.Background(), strings.TrimPrefix(s.URL, "http://"), req, Options{Check: func() error { return lapsed }})
+	var withheld *WithheldError
+	require.ErrorAs(t, err, &withheld)
 	require.Equal(t, verdict.NotRun, verdict.Of(err))
-	require.Equal(t, CodeLapsed, verdict.From(err).Code)
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -181,7 +181,7 @@
 	for i, b := range svc.Backends {
 		s.backends[b.Host.ID] = b
 		servers[i] = dispatch.Server{
-			ID: b.Host.ID, Incarnation: b.Host.Incarnation, Region: b.Host.Region, Domain: b.Host.Domain,
+			ID: b.Host.ID, Incarnation: b.Incarnation(), Region: b.Host.Region, Domain: b.Host.Domain,
 			Limit: b.CurrentLimit(now), Warm: b.Warm, Capacity: b.Capacity,
 		}
 	}
@@ -202,7 +202,7 @@
 	return schedule.Report{
 		At: b.LoadTaken, Work: b.Load.Running + b.Load.Waiting, Running: b.Load.Running,
 		TokensUsed: b.Load.BlocksUsed * b.Load.BlockTokens, TokensTotal: b.Load.BlocksTotal * b.Load.BlockTokens,
-		Preemptions: b.Load.Preemptions, StepMS: b.Load.StepMS, Incarnation: b.Host.Incarnation,
+		Preemptions: b.Load.Preemptions, StepMS: b.Load.StepMS, Incarnation: b.Incarnation(),
 	}
 }
 
--- a/internal/request/generation.go
+++ b/internal/request/generation.go
@@ -53,8 +53,11 @@
 	id    string
 	token string
 	host  platform.Host
-	place *placement.Placement
-	ex    *connection.Exchange
+	// incarnation is the engine process that runs the generation. The host
+	// list may still name an older one.
+	incarnation string
+	place       *placement.Placement
+	ex          *connection.Exchange
 	// events reads ex's body.
 	events *sse.Reader
 	// offset is the number of tokens accepted so far.
@@ -103,12 +106,12 @@
 		gen.place = nil
 		return err
 	}
-	gen.place, gen.host = p, p.Host
+	gen.place, gen.host, gen.incarnation = p, p.Host, p.Incarnation()
 	gen.runs++
 	gen.offset, gen.finished = 0, false
 	gen.id = gen.c.g.NewID()
 	gen.token = gen.c.g.Tokens.Encode(gen.c.team.Name, gentoken.Generation{
-		Service: gen.c.service.Name, Backend: gen.host.ID, Incarnation: gen.host.Incarnation, ID: gen.id, Class: gen.c.class.Name,
+		Service: gen.c.service.Name, Backend: gen.host.ID, Incarnation: gen.incarnation, ID: gen.id, Class: gen.c.class.Name,
 	})
 	gen.c.out.Backend = gen.host.ID
 	gen.c.out.Tries = gen.runs
@@ -125,7 +128,7 @@
 	req.Header.Set(headerGenerationID, gen.id)
 	req.Header.Set(headerPriority, strconv.Itoa(gen.c.class.Priority))
 	req.SetBodyRaw(gen.body)
-	ex, err := gen.c.g.Pool.Do(gen.c.ctx, gen.host.Address, req, connection.Options{MaySend: gen.c.maySend(gen.place)})
+	ex, err := gen.c.g.Pool.Do(gen.c.ctx, gen.host.Address, req, gen.c.sendOptions(gen.place, false))
 	if err != nil {
 		return gen.sendFailed(err)
 	}
@@ -164,8 +167,8 @@
 	if id := h.Peek(headerGenerationID); len(id) > 0 && string(id) != gen.id {
 		return errProtocol
 	}
-	if seen := string(h.Peek(headerIncarnation)); seen != "" && seen != gen.host.Incarnation {
-		gen.c.g.Cold.Incarnation(gen.host.ID, gen.host.Incarnation, seen)
+	if seen := string(h.Peek(headerIncarnation)); seen != "" && seen != gen.incarnation {
+		gen.c.g.Cold.Incarnation(gen.host.ID, gen.incarnation, seen)
 		if gen.resumed {
 			return errGenerationLost
 		}
@@ -330,7 +333,7 @@
 		}
 		return fmt.Errorf("resume answered %d", status)
 	}
-	if seen := string(ex.Response.Header.Peek(headerIncarnation)); seen != "" && seen != gen.host.Incarnation {
+	if seen := string(ex.Response.Header.Peek(headerIncarnation)); seen != "" && seen != gen.incarnation {
 		ex.Finish(false)
 		return errGenerationLost
 	}
--- a/internal/request/order.go
+++ b/internal/request/order.go
@@ -152,11 +152,19 @@
 	c.out.Backend = p.Host.ID
 	c.out.Tries = len(tried) + 1
 	c.requestTo(req, p.Host.Address)
-	placeHolds := c.maySend(p)
-	ex, err := c.g.Pool.Do(ctx, p.Host.Address, req, connection.Options{
-		Fresh:   true,
-		MaySend: func() bool { return grant.MaySend(c.g.Now()) && placeHolds() },
-	})
+	if !grant.MaySend(c.g.Now()) {
+		p.Release(false)
+		return nil, nil, claimLapsed()
+	}
+	options := c.sendOptions(p, true)
+	options.Check = func() error {
+		// The connection setup takes time, in which the claim can lapse.
+		if !grant.MaySend(c.g.Now()) {
+			return claimLapsed()
+		}
+		return c.mayStillSend(p)
+	}
+	ex, err := c.g.Pool.Do(ctx, p.Host.Address, req, options)
 	if err != nil {
 		c.noteSendFailure(p, err)
 		return nil, p, err
@@ -165,6 +173,10 @@
 	return ex, p, nil
 }
 
+func claimLapsed() error {
+	return verdict.New(verdict.NotRun, 503, "claim_lapsed", "the order's claim lapsed before it could be sent")
+}
+
 // finishOrder reads, stores and delivers the answer.
 func (c *call) finishOrder(ex *connection.Exchange, grant OrderGrant) error {
 	err := c.checkAnswer(ex)
--- a/internal/request/place.go
+++ b/internal/request/place.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"monsoonkeel.example/monsoonkeel/core/dispatch"
+	"monsoonkeel.example/monsoonkeel/core/verdict"
+	"monsoonkeel.example/monsoonkeel/internal/connection"
 	"monsoonkeel.example/monsoonkeel/internal/placement"
 )
 
@@ -22,6 +24,39 @@
 	prefixTokens int
 }
 
+// sendOptions binds a request to the process that the placement's limit holds
+// for and to the rights under which it was placed.
+func (c *call) sendOptions(p *placement.Placement, fresh bool) connection.Options {
+	return connection.Options{Fresh: fresh, Incarnation: p.Load.Incarnation, Check: func() error { return c.mayStillSend(p) }}
+}
+
+// mayStillSend refuses when the lease or the confirmation of the configuration
+// lapsed since the request was placed, as in a process that was paused.
+func (c *call) mayStillSend(p *placement.Placement) error {
+	now := c.g.Now()
+	if p.CurrentLimit(now) == 0 {
+		e := verdict.New(verdict.NotRun, 503, "lease_lapsed", "the right to use the backend server lapsed before the request was sent")
+		e.RetryAfterSeconds = 1
+		return e
+	}
+	return c.g.Fresh(now)
+}
+
+// noteSendFailure records what a failed send says about the backend server.
+func (c *call) noteSendFailure(p *placement.Placement, err error) {
+	var other *connection.IncarnationError
+	var withheld *connection.WithheldError
+	switch {
+	case errors.As(err, &withheld):
+	case errors.As(err, &other):
+		c.g.Cold.Incarnation(p.Host.ID, p.Load.Incarnation, other.Seen)
+	case verdict.Of(err) != verdict.NotRun:
+		c.attempted = true
+	case c.ctx.Err() == nil:
+		c.g.Cold.Refused(p.Host.ID, p.Host.Incarnation)
+	}
+}
+
 // place waits for a place at a backend server of the call's service. It gives
 // up when the class's first-token target can no longer be met.
 func (c *call) place(w work, tried []string) (*placement.Placement, error) {
@@ -59,12 +94,3 @@
 func (c *call) mayRetry(tries int) bool {
 	return tries < maxTries && c.ctx.Err() == nil && c.g.Retries.Retry(c.g.Now())
 }
-
-// maySend is checked when the connection is ready: the place may rest on a
-// lease that lapsed while the connection was made.
-func (c *call) maySend(p *placement.Placement) func() bool {
-	return func() bool {
-		now := c.g.Now()
-		return p.CurrentLimit(now) > 0 && c.g.Fresh(now) == nil
-	}
-}
--- a/internal/request/plain.go
+++ b/internal/request/plain.go
@@ -127,7 +127,7 @@
 // exchange sends the request to one backend server and hands over the answer.
 func (c *call) exchange(req *fasthttp.Request, p *placement.Placement, idempotent bool) error {
 	c.requestTo(req, p.Host.Address)
-	ex, err := c.g.Pool.Do(c.ctx, p.Host.Address, req, connection.Options{Fresh: !idempotent, MaySend: c.maySend(p)})
+	ex, err := c.g.Pool.Do(c.ctx, p.Host.Address, req, c.sendOptions(p, !idempotent))
 	if err != nil {
 		c.noteSendFailure(p, err)
 		return err
@@ -144,16 +144,6 @@
 	return c.relayAnswer(ex, p)
 }
 
-func (c *call) noteSendFailure(p *placement.Placement, err error) {
-	if verdict.Of(err) != verdict.NotRun {
-		c.attempted = true
-		return
-	}
-	if verdict.From(err).Code == connection.CodeConnectFailed && c.ctx.Err() == nil {
-		c.g.Cold.Refused(p.Host.ID, p.Host.Incarnation)
-	}
-}
-
 // checkAnswer refuses an answer that names another request.
 func (c *call) checkAnswer(ex *connection.Exchange) error {
 	seen := ex.Response.Header.Peek(headerRequestID)
--- a/internal/version/snapshot.go
+++ b/internal/version/snapshot.go
@@ -28,6 +28,15 @@
 	Warm bool
 }
 
+// Incarnation returns the process that Limit holds for: the one of the load
+// report, since the host list may lag behind it.
+func (b *Backend) Incarnation() string {
+	if b.Load.Incarnation != "" {
+		return b.Load.Incarnation
+	}
+	return b.Host.Incarnation
+}
+
 // CurrentLimit returns the limit that holds at now.
 func (b *Backend) CurrentLimit(now time.Time) int {
 	if !b.LimitUntil.IsZero() && now.After(b.LimitUntil) {
