peers: count the calls to the object API in the spread benchmark

Cause: the number of object API calls of a cell was only worked out. Change: the benchmark reports writes, watches, view reads and other reads per second. No other code changes.

--- a/internal/process/peers/peers_bench_test.go
+++ b/internal/process/peers/peers_bench_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -49,11 +50,42 @@
 	return n, err
 }
 
+// countedStore counts the calls of a cell to the object API.
+type countedStore struct {
+	*platformtest.Store
+	writes, viewReads, otherReads, watches atomic.Int64
+}
+
+func (s *countedStore) Get(ctx context.Context, key string) (platform.Object, error) {
+	if strings.HasPrefix(key, "view/") {
+		s.viewReads.Add(1)
+	} else {
+		s.otherReads.Add(1)
+	}
+	return s.Store.Get(ctx, key)
+}
+
+func (s *countedStore) Put(ctx context.Context, key string, expected platform.Version, value []byte) (platform.Version, error) {
+	s.writes.Add(1)
+	return s.Store.Put(ctx, key, expected, value)
+}
+
+func (s *countedStore) Watch(ctx context.Context, key string, after platform.Version, wait time.Duration) (platform.Object, error) {
+	s.watches.Add(1)
+	return s.Store.Watch(ctx, key, after, wait)
+}
+
+// counts returns the calls so far by kind.
+func (s *countedStore) counts() map[string]int64 {
+	return map[string]int64{"writes/s": s.writes.Load(), "view-reads/s": s.viewReads.Load(),
+		"other-reads/s": s.otherReads.Load(), "watches/s": s.watches.Load()}
+}
+
 // benchCell is a cell of real peers over loopback, of which the first 3 watch
 // the configuration.
 type benchCell struct {
 	delay            time.Duration
-	store            *platformtest.Store
+	store            *countedStore
 	logs             []*configlog.Log
 	members          []*Peers
 	keepers          []*membership.Keeper
@@ -65,7 +97,7 @@
 // newBenchCell starts members whose loops run until the benchmark ends. Without
 // loops they only answer calls.
 func newBenchCell(b *testing.B, members int, delay time.Duration, loops bool) *benchCell {
-	c := &benchCell{delay: delay, store: platformtest.NewStore()}
+	c := &benchCell{delay: delay, store: &countedStore{Store: platformtest.NewStore()}}
 	var list hostList
 	var listeners []net.Listener
 	for i := range members {
@@ -198,6 +230,7 @@
 				ticker := time.NewTicker(1600 * time.Millisecond)
 				defer ticker.Stop()
 				began, before, bytes, transfers := time.Now(), processorTime(), c.bytes.Load(), c.transfers.Load()
+				calls := c.store.counts()
 				var worst, total time.Duration
 				n := 0
 				for b.Loop() {
@@ -208,6 +241,9 @@
 					worst, total = max(worst, took), total+took
 					<-ticker.C
 				}
+				for kind, n := range c.store.counts() {
+					b.ReportMetric(float64(n-calls[kind])/time.Since(began).Seconds(), kind)
+				}
 				perMember := time.Since(began).Seconds() * float64(members)
 				b.ReportMetric(float64(worst.Milliseconds()), "worst-ms")
 				b.ReportMetric(float64(total.Milliseconds())/float64(n), "mean-ms")
