peers: ask the renewer when the view's confirmation is getting old

Cause: a follower reads the view object when its confirmation is 2 s old. Confirmations relayed by random heartbeats often take longer in a cell of 64, so 31% of the members read every second: 19.5 reads/s per cell, 1,070/s at 55 cells (worked out), half of the object API's reads, growing faster than the members. Ruled out: a higher age for the read (the call must fit into the 3 s lease); a heartbeat of every member to the renewer every second, which costs it more. Change: a heartbeat round includes the renewer when the confirmation is 1 s old. The read after 2 s stays, so takeover works as before.

--- a/internal/process/membership/keeper_test.go
+++ b/internal/process/membership/keeper_test.go
@@ -313,6 +313,28 @@
 	require.Equal(t, 3, watchers)
 }
 
+// Guards against members that read the view object although the renewer could
+// confirm the view, and against a renewer that every member calls every second.
+func TestRenewerIsAskedOnlyForAnOldConfirmation(t *testing.T) {
+	f := newFleet(3)
+	f.settle(t)
+	renewer := f.nodes[0].View().Renewer
+	for _, n := range f.nodes {
+		now := f.clock(n)
+		require.NoError(t, n.NoteView(n.View().Epoch, view.Age{Known: true}, nil, now))
+		_, ask := n.RenewerToAsk(now.Add(askAfter - time.Millisecond))
+		require.False(t, ask)
+		h, ask := n.RenewerToAsk(now.Add(askAfter))
+		require.Equal(t, n.Self() != renewer, ask)
+		if ask {
+			require.Equal(t, renewer, h.ID)
+		}
+	}
+	fresh := New(Config{Self: entry(9), Cells: 1, Log: zerolog.Nop()})
+	_, ask := fresh.RenewerToAsk(f.now)
+	require.False(t, ask, "no view is known yet")
+}
+
 // Guards the object API against watches that grow with regions and cells: each
 // region of a cell keeps a watcher, and only one in a deployment of many cells.
 func TestWatchersOfManyCells(t *testing.T) {
--- a/internal/process/membership/membership.go
+++ b/internal/process/membership/membership.go
@@ -24,6 +24,10 @@
 	// readAfter is the age of the last confirmation at which a follower reads the
 	// object itself, while a call still fits into the lease.
 	readAfter = 2 * time.Second
+	// askAfter is the age of the last confirmation at which a follower's next
+	// heartbeat also goes to the renewer. A heartbeat comes every second, so that
+	// it normally gets a confirmation before readAfter.
+	askAfter = time.Second
 	// hostListTrust is how long a host list may be used to remove members.
 	hostListTrust = 10 * time.Second
 	// newAfter is the pause after which a calling peer counts as new; a rotation
@@ -132,6 +136,17 @@
 	return k.current.Epoch, now.Sub(k.lease.ConfirmedAt), true
 }
 
+// RenewerToAsk returns the renewer if this host should ask it for a confirmation
+// because the one relayed by other members is getting old.
+func (k *Keeper) RenewerToAsk(now time.Time) (platform.Host, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.current.Renewer == k.cfg.Self.ID || k.lease.Epoch == k.current.Epoch && now.Sub(k.lease.ConfirmedAt) < askAfter {
+		return platform.Host{}, false
+	}
+	return k.host(k.current.Renewer)
+}
+
 // Freshness applies the freshness rule: may this host take new work at now?
 func (k *Keeper) Freshness(now time.Time) view.FreshnessState {
 	age, known := k.cfg.ConfigAge(now)
--- a/internal/process/peers/peers.go
+++ b/internal/process/peers/peers.go
@@ -128,8 +128,8 @@
 	g.Go(func() error {
 		ticker := time.NewTicker(syncEvery)
 		defer ticker.Stop()
-		for n := fanOut; ; {
-			p.round(ctx, n)
+		p.Round(ctx)
+		for {
 			select {
 			case <-ctx.Done():
 				return nil
@@ -139,9 +139,9 @@
 			case <-ctx.Done():
 				return nil
 			case <-ticker.C:
-				n = fanOut
+				p.Round(ctx)
 			case <-p.push:
-				n = pushFanOut
+				p.sync(ctx, p.pick(pushFanOut))
 			}
 		}
 	})
@@ -165,12 +165,22 @@
 	}
 }
 
-// Round syncs once with up to 12 peers and returns when all calls have ended.
-func (p *Peers) Round(ctx context.Context) { p.round(ctx, fanOut) }
+// Round syncs once with up to 12 peers, and with the renewer of the view if a
+// confirmation is due, and returns when all calls have ended.
+func (p *Peers) Round(ctx context.Context) {
+	hosts := p.pick(fanOut)
+	// Without this, 31% of the members of a cell of 64 read the view object every
+	// second, since confirmations relayed at random often take more than 2 s.
+	renewer, ask := p.cfg.Keeper.RenewerToAsk(p.cfg.Now())
+	if ask && renewer.PeerAddress != "" && !slices.Contains(hosts, renewer) {
+		hosts = append(hosts, renewer)
+	}
+	p.sync(ctx, hosts)
+}
 
-func (p *Peers) round(ctx context.Context, n int) {
+func (p *Peers) sync(ctx context.Context, hosts []platform.Host) {
 	var g errgroup.Group
-	for _, h := range p.pick(n) {
+	for _, h := range hosts {
 		g.Go(func() error {
 			if err := p.Sync(ctx, h); err != nil {
 				p.cfg.Log.Debug().Err(err).Str("host", h.ID).Msg("sync failed")
