Poll the backend servers in use, and a few others in turn

Cause: each daemon polled every backend server of its cell twice a second: by docs/CAPACITY.md 226 KB/s and 16 to 33 ms/s at 190 backend servers, against 5 KB/s and 10 ms/s. Ruled out: spreading reports with Sync, which costs 190 * 40 B a second and still exceeds the limit. Change: backend servers with a share or work of this host are polled once a second, cold ones with a slot here twice, and 4 others in each round in turn; a report allows new work for 3 s after it was asked for. Estimate with 9 in use: 9 + 8 polls a second * 595 B = 10.1 KB/s, before 226 KB/s. Conclusion: still twice the limit; a smaller report is the next step.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -269,6 +269,12 @@
 	return 0
 }
 
+// Uses says whether this host has a share of a backend server or work there.
+func (d *Dispatcher) Uses(id string) bool {
+	s := d.byID[id]
+	return s != nil && (s.share > 0 || s.tracker.Own() > 0)
+}
+
 // Progress records the number of tokens that a running request has produced.
 func (d *Dispatcher) Progress(id uint64, produced int) {
 	if r := d.running[id]; r != nil {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -46,6 +46,18 @@
 	return created.(*Service)
 }
 
+// Uses says whether this host has a share of a backend server or work there.
+func (t *Table) Uses(service, backend string) bool {
+	known, ok := t.services.Load(service)
+	if !ok {
+		return false
+	}
+	s := known.(*Service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.d.Uses(backend)
+}
+
 // Service places the requests of one service.
 type Service struct {
 	table *Table
--- a/internal/process/daemon/routing.go
+++ b/internal/process/daemon/routing.go
@@ -6,28 +6,14 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
-	"monsoonkeel.example/monsoonkeel/core/coldstart"
 	"monsoonkeel.example/monsoonkeel/core/config"
 	"monsoonkeel.example/monsoonkeel/internal/placement"
 	"monsoonkeel.example/monsoonkeel/internal/platform"
 	"monsoonkeel.example/monsoonkeel/internal/version"
 )
 
-const (
-	// rebuildEvery bounds the age of limits in the routing snapshot.
-	rebuildEvery = 200 * time.Millisecond
-	// pollEvery is the interval of load reports.
-	pollEvery = 500 * time.Millisecond
-	// pollTimeout bounds one load report; regional round trips take 60 ms.
-	pollTimeout = 400 * time.Millisecond
-	// maxPolls bounds the load reports fetched at once.
-	maxPolls = 32
-	// reportExpiry is the age at which a load report says nothing any more. A
-	// backend server without a newer one gets no new work.
-	reportExpiry = 10 * time.Second
-)
+// rebuildEvery bounds the age of limits in the routing snapshot.
+const rebuildEvery = 200 * time.Millisecond
 
 // incarnation identifies a process of a backend server.
 type incarnation struct{ host, id string }
@@ -157,9 +143,9 @@
 }
 
 // limit asks the keeper, which knows leases and cold starts.
-func (r *routing) limit(h platform.Host, _ config.Service, _ platform.LoadReport, taken time.Time) (int, time.Time, bool) {
+func (r *routing) limit(h platform.Host, _ config.Service, _ platform.LoadReport, _ time.Time) (int, time.Time, bool) {
 	now := time.Now()
-	if taken.IsZero() || now.Sub(taken) > reportExpiry {
+	if report, ok := r.reports[h.ID]; !ok || now.Sub(report.Asked) > reportExpiry {
 		return 0, time.Time{}, false
 	}
 	n, until := r.d.keeper.Limit(h.ID, now)
@@ -192,73 +178,3 @@
 	}
 	r.d.keeper.Forget(func(id string) bool { return ids[id] })
 }
-
-// pollLoads fetches the load reports of the cell's backend servers.
-func (r *routing) pollLoads(ctx context.Context) error {
-	ticker := time.NewTicker(pollEvery)
-	defer ticker.Stop()
-	for {
-		r.pollAll(ctx)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-	}
-}
-
-func (r *routing) pollAll(ctx context.Context) {
-	var g errgroup.Group
-	g.SetLimit(maxPolls)
-	doc := r.d.config.Current()
-	for _, h := range r.d.keeper.Hosts() {
-		svc, ok := doc.Services[h.Service]
-		if h.Role != platform.RoleBackend || !ok {
-			continue
-		}
-		g.Go(func() error {
-			r.poll(ctx, h, svc, tightestFirstToken(doc))
-			return nil
-		})
-	}
-	_ = g.Wait()
-	r.changed()
-}
-
-func (r *routing) poll(ctx context.Context, h platform.Host, svc config.Service, target time.Duration) {
-	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
-	defer cancel()
-	sentAt := time.Now()
-	r.mu.Lock()
-	own := r.counter(h).InFlight()
-	r.mu.Unlock()
-	report, err := r.d.loads.Load(ctx, h.Address)
-	if err != nil {
-		r.d.log.Debug().Err(err).Str("backend", h.ID).Msg("no load report")
-		return
-	}
-	limits := coldstart.Limits{Cold: svc.ColdLimit, Warm: svc.WarmLimit}
-	r.d.keeper.ObserveLoad(h.ID, limits, target, report, sentAt, own)
-	if report.Leaving {
-		r.d.keeper.MarkLeaving(h.ID, report.Incarnation)
-	}
-	taken := sentAt.Add(-time.Duration(report.AgeMS) * time.Millisecond)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.reports[h.ID] = version.Report{Load: report, Taken: taken}
-	if at, out := r.excluded[h.ID]; out && sentAt.After(at) {
-		delete(r.excluded, h.ID)
-	}
-}
-
-// tightestFirstToken is the first-token target that a backend server must meet
-// to count as warming up.
-func tightestFirstToken(doc *config.Document) time.Duration {
-	tightest := 0
-	for _, c := range doc.Classes {
-		if c.FirstTokenMS > 0 && (tightest == 0 || c.FirstTokenMS < tightest) {
-			tightest = c.FirstTokenMS
-		}
-	}
-	return time.Duration(tightest) * time.Millisecond
-}
--- a/internal/version/snapshot.go
+++ b/internal/version/snapshot.go
@@ -84,6 +84,8 @@
 type Report struct {
 	Load  platform.LoadReport
 	Taken time.Time
+	// Asked is when the report was asked for; a lagged report was taken earlier.
+	Asked time.Time
 }
 
 // Inputs are what a snapshot is built from.
