Ramp on more evidence, use cold slots at low load, keep targets apart

Cause: a trial run with two daemons and two engines showed: cold engines got 3 requests at a limit of 2, because the level doubled after two short requests that met a 500 ms target while the engine was still cold; after one class asked for a 5 ms token gap, 12 of 12 requests of another class were refused; a cold engine stayed cold at low load, since warm ones always came first, and hosts without a cold slot refused everything; 24 of 24 unstreamed answers counted as late first tokens. Ruled out: forwarding from hosts without a slot (a call on the request path). Change: a level doubles after 4 times its number of completed requests; slots are dealt evenly; a free cold slot counts as an own share; the batch bound follows the targets of running requests and is dropped when no batch meets it; unstreamed answers say nothing about first tokens.

--- a/core/coldstart/coldstart.go
+++ b/core/coldstart/coldstart.go
@@ -17,8 +17,12 @@
 	sameSighting = 500 * time.Millisecond
 	// warmEvidence times warm_limit completed requests prove, to a host that
 	// sees an incarnation for the first time, that it was ramped up by others.
-	// The ramp itself completes fewer than 2 times warm_limit.
-	warmEvidence = 4
+	// The ramp itself completes fewer than 4 times warm_limit.
+	warmEvidence = 8
+	// levelEvidence times the level's requests must complete within the target
+	// before the level doubles. With 1, an engine that met a 500 ms target
+	// while cold was given twice its cold limit after two short requests.
+	levelEvidence = 4
 )
 
 // Limits are a service's limits of requests in flight per backend server.
@@ -102,7 +106,7 @@
 		if !r.TakenAt.Before(s.coldAt) {
 			s.base, s.rebase = r.Completed, false
 		}
-	case withinTarget && s.level < limits.Warm && r.Completed >= s.base+uint64(s.level):
+	case withinTarget && s.level < limits.Warm && r.Completed >= s.base+uint64(levelEvidence*s.level):
 		s.level, s.base = min(2*s.level, limits.Warm), r.Completed
 	}
 	s.level = min(s.level, limits.Warm)
@@ -135,12 +139,12 @@
 	if s.epoch == g.View.Epoch {
 		return
 	}
-	if g.View.Epoch != s.epoch+1 {
+	if g.View.Epoch != s.epoch+1 || len(g.View.Members) == 0 {
 		s.settled = nil
 	}
 	s.epoch, s.members, s.complete = g.View.Epoch, g.View.Members, false
-	for i, ok := range s.settled {
-		s.settled[i] = ok && view.SlotOwner(s.Backend, i, s.members) == g.Self
+	for i, owner := range view.SlotOwners(s.Backend, len(s.settled), s.members) {
+		s.settled[i] = s.settled[i] && owner == g.Self
 	}
 }
 
@@ -154,8 +158,8 @@
 	}
 	s.complete = true
 	s.settled = make([]bool, limits.Warm)
-	for i := range s.settled {
-		s.settled[i] = view.SlotOwner(s.Backend, i, s.members) == g.Self
+	for i, owner := range view.SlotOwners(s.Backend, limits.Warm, s.members) {
+		s.settled[i] = owner == g.Self
 	}
 }
 
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -46,6 +46,8 @@
 	Arrival     time.Time
 	// Target is the time-to-first-token target; 0 means none.
 	Target time.Duration
+	// GapMS is the target for the time between tokens, in milliseconds; 0 means none.
+	GapMS int
 	// Deadline is the caller's deadline; zero means none.
 	Deadline time.Time
 	// Prompt is the length of the prompt in tokens; 0 for plain services.
@@ -94,7 +96,8 @@
 	running    map[uint64]*run
 	prefixes   prefixIndex
 	holders    []schedule.Holder
-	// gapMS is the tightest token gap target, in milliseconds; 0 means none.
+	// gapMS is the tightest token gap target of the running requests, in
+	// milliseconds; 0 means none.
 	gapMS int
 	hosts int
 	seed  uint64
@@ -105,10 +108,8 @@
 	Server
 	tracker *schedule.Tracker
 	step    schedule.StepModel
-	// maxBatch is the step model's bound as of the last report.
-	maxBatch int
-	stepMS   float64
-	share    float32
+	stepMS  float64
+	share   float32
 }
 
 type run struct {
@@ -129,9 +130,8 @@
 
 // SetServers replaces the backend servers that may get new work, sorted by
 // region and id. This host is number position of hosts, sorted the same way.
-// gapMS is the tightest token gap target of the configured classes.
-func (d *Dispatcher) SetServers(servers []Server, position, hosts, gapMS int) {
-	d.hosts, d.gapMS = hosts, gapMS
+func (d *Dispatcher) SetServers(servers []Server, position, hosts int) {
+	d.hosts = hosts
 	d.servers = d.servers[:0]
 	byID := make(map[string]*server, len(servers))
 	for _, s := range servers {
@@ -177,7 +177,6 @@
 	}
 	s.step.Observe(r.Running, r.StepMS)
 	s.stepMS = r.StepMS
-	s.maxBatch = s.step.BatchBound(d.gapMS)
 }
 
 // Offer decides about a new request. After admit.Wait a later Drain names it.
@@ -304,6 +303,10 @@
 // Refresh predicts the memory demand anew; it is called several times a second.
 func (d *Dispatcher) Refresh(now time.Time) {
 	d.advanceOpaque(now)
+	d.gapMS = 0
+	for _, r := range d.running {
+		d.gapMS = tighter(d.gapMS, r.request.GapMS)
+	}
 	var sum schedule.Survival
 	n := 0
 	for _, s := range d.servers {
@@ -339,14 +342,15 @@
 func (d *Dispatcher) place(r *Request, s *server, dist *length.Dist, estimate float64, now time.Time) Outcome {
 	s.tracker.Sent(r.ID, r.Prompt, dist, now)
 	d.prefixes.placed(r.Prefix, s.ID)
+	d.gapMS = tighter(d.gapMS, r.GapMS)
 	d.running[r.ID] = &run{request: *r, server: s, sent: now, estimate: estimate}
 	return Outcome{ID: r.ID, Action: admit.Place, Server: s.ID}
 }
 
 func (d *Dispatcher) pick(r *Request, dist *length.Dist, localOnly bool, now time.Time) *server {
-	reserve := d.reserve.Value(now)
+	reserve, gapMS := d.reserve.Value(now), tighter(d.gapMS, r.GapMS)
 	for i, s := range d.servers {
-		d.fill(i, s, r, reserve)
+		d.fill(i, s, r, reserve, gapMS)
 	}
 	var b [8]byte
 	binary.LittleEndian.PutUint64(b[:], d.seed)
@@ -363,6 +367,14 @@
 	return d.servers[at]
 }
 
+// tighter returns the smaller of two targets, of which 0 means none.
+func tighter(a, b int) int {
+	if a == 0 || b == 0 {
+		return max(a, b)
+	}
+	return min(a, b)
+}
+
 // hasLocal says whether this host's region has a backend server at all;
 // without one there is nothing to wait for.
 func (d *Dispatcher) hasLocal() bool {
@@ -374,10 +386,15 @@
 	return false
 }
 
-func (d *Dispatcher) fill(i int, s *server, r *Request, reserve float32) {
+func (d *Dispatcher) fill(i int, s *server, r *Request, reserve float32, gapMS int) {
 	k := &d.candidates[i]
 	k.Index, k.Domain, k.Region = i, s.Domain, s.Region
 	k.Limit, k.Capacity, k.Hosts, k.Share = s.Limit, s.Capacity, d.hosts, s.share
+	if !s.Warm {
+		// Cold slots are this host's own. Without a share they came after all
+		// warm backend servers, and at low load a cold one stayed cold.
+		k.Share = 1
+	}
 	s.tracker.Fill(k)
 	if len(r.Tried) > 0 && slices.Contains(r.Tried, s.ID) {
 		k.Limit = 0
@@ -386,8 +403,13 @@
 		k.MemoryTokens = 0
 		return
 	}
-	k.Reserve, k.MaxPrefill, k.MaxBatch = reserve, maxPrefill, s.maxBatch
-	if s.maxBatch > 0 {
-		k.Capacity = s.maxBatch
+	k.Reserve, k.MaxPrefill, k.MaxBatch = reserve, maxPrefill, s.step.BatchBound(gapMS)
+	if k.MaxBatch == 1 {
+		// The engine cannot meet the target even with a single request, so a
+		// bound would only refuse the requests of other classes.
+		k.MaxBatch = 0
+	}
+	if k.MaxBatch > 0 {
+		k.Capacity = k.MaxBatch
 	}
 }
--- a/core/view/hash.go
+++ b/core/view/hash.go
@@ -41,11 +41,6 @@
 	return out[:min(n, len(out))]
 }
 
-// SlotOwner returns the member that owns a cold slot of a backend server.
-func SlotOwner(backend string, slot int, members []string) string {
-	return Owner(backend+"\x00"+strconv.Itoa(slot), members)
-}
-
 // CellOf returns the cell, from 0 to cells-1, of an entry host or backend
 // server id. Few ids move when the number of cells changes.
 func CellOf(id string, cells int) int {
@@ -57,3 +52,21 @@
 	}
 	return best
 }
+
+// SlotOwners returns the owners of the first n cold slots of a backend server.
+// A slot goes to the member with the highest rendezvous weight among those
+// with the fewest slots so far, so that no member is left without a slot while
+// another has two. The owner of a slot does not depend on n.
+func SlotOwners(backend string, n int, members []string) []string {
+	owners := make([]string, 0, n)
+	free := slices.Clone(members)
+	for i := 0; i < n && len(members) > 0; i++ {
+		if len(free) == 0 {
+			free = append(free, members...)
+		}
+		owner := Owner(backend+"\x00"+strconv.Itoa(i), free)
+		owners = append(owners, owner)
+		free = slices.DeleteFunc(free, func(m string) bool { return m == owner })
+	}
+	return owners
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -180,8 +180,6 @@
 type Surroundings struct {
 	// Position is this host's place among Hosts hosts sorted by region and id.
 	Position, Hosts int
-	// GapMS is the tightest token gap target of all classes, in milliseconds.
-	GapMS int
 }
 
 // Update takes a new version of the service and decides about waiting requests.
@@ -197,7 +195,7 @@
 			Limit: b.CurrentLimit(now), Warm: b.Warm, Capacity: b.Capacity,
 		}
 	}
-	s.d.SetServers(servers, around.Position, around.Hosts, around.GapMS)
+	s.d.SetServers(servers, around.Position, around.Hosts)
 	for _, b := range svc.Backends {
 		s.d.Report(b.Host.ID, report(b), now)
 	}
--- a/internal/process/daemon/routing.go
+++ b/internal/process/daemon/routing.go
@@ -92,7 +92,7 @@
 	r.d.pool.Retain(func(address string) bool {
 		return slices.ContainsFunc(hosts, func(h platform.Host) bool { return h.Address == address })
 	})
-	around := r.surroundings(snap.Document)
+	around := r.surroundings()
 	r.d.hosts.Store(int32(around.Hosts))
 	snap.Services(func(svc *version.Service) {
 		r.d.places.Service(svc.Name, svc.Kind).Update(svc, around, time.Now())
@@ -100,13 +100,8 @@
 }
 
 // surroundings places this host among the view's members, sorted by region and id.
-func (r *routing) surroundings(doc *config.Document) placement.Surroundings {
+func (r *routing) surroundings() placement.Surroundings {
 	around := placement.Surroundings{Hosts: 1}
-	for _, c := range doc.Classes {
-		if c.TokenGapMS > 0 && (around.GapMS == 0 || c.TokenGapMS < around.GapMS) {
-			around.GapMS = c.TokenGapMS
-		}
-	}
 	type member struct{ region, id string }
 	self := member{r.d.settings.Region, r.d.settings.HostID}
 	for _, id := range r.d.keeper.View().Members {
--- a/internal/request/place.go
+++ b/internal/request/place.go
@@ -67,7 +67,7 @@
 	}
 	r := dispatch.Request{
 		Class: c.class.Name, Team: c.team.Name, Priority: c.class.Priority, Arrival: began,
-		Target: time.Duration(c.class.FirstTokenMS) * time.Millisecond,
+		Target: time.Duration(c.class.FirstTokenMS) * time.Millisecond, GapMS: c.class.TokenGapMS,
 		Prompt: w.prompt, Opaque: w.opaque, Prefix: w.prefix, PrefixTokens: w.prefixTokens, Tried: tried,
 	}
 	r.Deadline, _ = c.ctx.Deadline()
--- a/internal/request/relay.go
+++ b/internal/request/relay.go
@@ -251,6 +251,6 @@
 	c.http.SetContentType(string(gen.ex.Response.Header.ContentType()))
 	c.http.SetBody(body)
 	gen.ex.Finish(true)
+	// The time to first token is not seen in an unstreamed answer.
 	gen.place.Release(true)
-	c.out.FirstToken = c.g.Now().Sub(c.start)
 }
