--- a/internal/policybench/core.go
+++ b/internal/policybench/core.go
@@ -102,10 +102,6 @@
 	k.MaxPrefill = maxPrefill
 	k.Hosts = len(c.run.hosts)
 	k.Share = c.shares[i]
-	if c.host.views[i].cold {
-		// The cold slots already divide the engine between hosts.
-		k.Hosts, k.Share = 1, 1
-	}
 }
 
 func (c *core) place(q *request, engine int) {
