Issue control commands to engines under a fencing number

Cause: nothing sent load, unload and role commands to engines, and two daemons that do so at the same time could leave an engine in either state. Ruled out: deciding the issuer by the view alone (a paused host still sees itself as the owner); a takeover by object version (commands accepted by other daemons change it, so that a dead holder would look alive). Change: core/issuer holds the document of issuer/<service>, the lease and takeover rules and the choice of the next command; internal/process/issuer runs them over the object API, EngineControl and the weight store.

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -134,3 +134,28 @@
 	// ErrRefused when the rate is exceeded.
 	Weights(ctx context.Context, model, version string) ([]byte, error)
 }
+
+// Errors of EngineControl.
+var (
+	// ErrFenced means that the engine refused a command with an old fencing number.
+	ErrFenced = errors.New("fencing number is too old")
+	// ErrInvalidCommand means that the engine refused the command for good.
+	ErrInvalidCommand = errors.New("engine refused the command as invalid")
+)
+
+// ControlCommand is a control command to a model engine.
+type ControlCommand struct {
+	Kind          string `json:"kind"`
+	Name          string `json:"name"`
+	FencingNumber uint64 `json:"fencing_number"`
+}
+
+// EngineControl sends control commands to model engines.
+type EngineControl interface {
+	// Control makes the engine at address (host:port) apply the command. It
+	// returns ErrFenced, ErrInvalidCommand or ErrRefused when the command was
+	// certainly not applied; after any other error it may have been.
+	Control(ctx context.Context, address string, command ControlCommand) error
+	// Applied returns the commands that the engine has applied, oldest first.
+	Applied(ctx context.Context, address string) ([]ControlCommand, error)
+}
--- /dev/null
+++ b/internal/process/issuer/submit.go
@@ -0,0 +1,183 @@
+package issuer
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"monsoonkeel.example/monsoonkeel/core/issuer"
+	"monsoonkeel.example/monsoonkeel/core/verdict"
+	"monsoonkeel.example/monsoonkeel/internal/platform"
+)
+
+const (
+	// submitPause is the pause between two tries to record a command.
+	submitPause = 50 * time.Millisecond
+)
+
+// Accepted says that a command is durably recorded.
+type Accepted struct {
+	ID       string   `json:"id"`
+	Service  string   `json:"service"`
+	Backends []string `json:"backends"`
+}
+
+// Listing is the state of a service's control commands.
+type Listing struct {
+	Service       string           `json:"service"`
+	Holder        string           `json:"holder"`
+	FencingNumber uint64           `json:"fencing_number"`
+	Commands      []issuer.Command `json:"commands"`
+}
+
+// List returns the recorded commands of a service.
+func (m *Manager) List(ctx context.Context, service string) (Listing, error) {
+	if err := m.checkService(service); err != nil {
+		return Listing{}, err
+	}
+	doc, _, err := readDocument(ctx, m.opt.Store, service)
+	if err != nil {
+		return Listing{}, verdict.Wrap(err, verdict.NotRun, 503, "commands_unavailable", "the commands cannot be read")
+	}
+	return Listing{Service: service, Holder: doc.Holder, FencingNumber: doc.FencingNumber, Commands: doc.Commands}, nil
+}
+
+// Submit records a command durably for the named backend servers, or for all
+// live ones of the service if none is named. A repeat with the same id and
+// command returns what was recorded. The error is a *verdict.Error: NotRun
+// means that the command was not and will not be recorded, MayHaveRun that the
+// outcome was still open when ctx ended.
+func (m *Manager) Submit(ctx context.Context, service string, r issuer.Request) (Accepted, error) {
+	if err := m.checkService(service); err != nil {
+		return Accepted{}, err
+	}
+	s := submission{manager: m, service: service, request: r}
+	for {
+		accepted, done, err := s.attempt(ctx)
+		if done {
+			return accepted, err
+		}
+		timer := time.NewTimer(submitPause)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return Accepted{}, s.unfinished(errors.Join(err, ctx.Err()))
+		}
+	}
+}
+
+func (m *Manager) checkService(service string) error {
+	if !slices.Contains(m.services(), service) {
+		return verdict.New(verdict.NotRun, 404, "unknown_service", "no engine service is named %.100q", service)
+	}
+	return nil
+}
+
+// submission is one Submit call.
+type submission struct {
+	manager *Manager
+	service string
+	request issuer.Request
+	// open is the version that an unanswered write expects; it can still take
+	// effect while the document has this version. Only valid if ambiguous.
+	open      platform.Version
+	ambiguous bool
+}
+
+func (s *submission) unfinished(cause error) error {
+	if s.ambiguous {
+		return verdict.Wrap(cause, verdict.MayHaveRun, 504, "command_undecided",
+			"the outcome is unknown; list the commands or repeat the command with the same id")
+	}
+	return verdict.Wrap(cause, verdict.NotRun, 503, "commands_unavailable", "the command was not accepted")
+}
+
+// attempt reads the document and tries one conditional update. done is false
+// if another attempt may decide the outcome.
+func (s *submission) attempt(ctx context.Context) (Accepted, bool, error) {
+	doc, version, err := readDocument(ctx, s.manager.opt.Store, s.service)
+	if err != nil {
+		// Without an open write a quick refusal lets the operator's tool try another daemon.
+		return Accepted{}, !s.ambiguous, s.unfinished(err)
+	}
+	if s.ambiguous && version > s.open {
+		s.ambiguous = false
+	}
+	recorded, err := doc.Recorded(s.request)
+	if recorded {
+		return s.accepted(doc), true, nil
+	}
+	if err != nil {
+		return Accepted{}, true, verdict.Wrap(err, verdict.NotRun, 409, "command_id_reused", "the command was not accepted")
+	}
+	request := s.request
+	if request.Backends, err = s.backends(); err != nil {
+		return Accepted{}, !s.ambiguous, err
+	}
+	next, err := doc.Submit(request)
+	var raw []byte
+	if err == nil {
+		raw, err = next.Encode()
+	}
+	if errors.Is(err, issuer.ErrFull) {
+		return Accepted{}, !s.ambiguous, verdict.Wrap(err, verdict.NotRun, 503, "commands_full", "the command was not accepted")
+	}
+	if err != nil {
+		return Accepted{}, !s.ambiguous, verdict.Wrap(err, verdict.NotRun, 422, "invalid_command", "the command was not accepted")
+	}
+	return s.write(ctx, next, version, raw)
+}
+
+func (s *submission) write(ctx context.Context, next *issuer.Document, version platform.Version, raw []byte) (Accepted, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := s.manager.opt.Store.Put(ctx, Key(s.service), version, raw)
+	switch {
+	case err == nil:
+		return s.accepted(next), true, nil
+	case errors.Is(err, platform.ErrConflict):
+		return Accepted{}, false, err
+	case errors.Is(err, platform.ErrRefused):
+		return Accepted{}, !s.ambiguous, s.unfinished(err)
+	}
+	s.ambiguous, s.open = true, version
+	return Accepted{}, false, err
+}
+
+func (s *submission) accepted(doc *issuer.Document) Accepted {
+	a := Accepted{ID: s.request.ID, Service: s.service}
+	for _, c := range doc.Find(s.request.ID) {
+		a.Backends = append(a.Backends, c.Backend)
+	}
+	return a
+}
+
+// backends returns the named backend servers, which must be listed, or all
+// live ones of the service.
+func (s *submission) backends() ([]string, error) {
+	hosts, known := s.manager.opt.Hosts()
+	if !known {
+		return nil, verdict.New(verdict.NotRun, 503, "host_list_unknown", "the host list was not read yet")
+	}
+	listed := engines(hosts, s.service)
+	for _, b := range s.request.Backends {
+		if _, ok := listed[b]; !ok {
+			return nil, verdict.New(verdict.NotRun, 422, "unknown_backend", "the host list has no engine %.100q of service %q", b, s.service)
+		}
+	}
+	if len(s.request.Backends) > 0 {
+		return s.request.Backends, nil
+	}
+	var live []string
+	for id, h := range listed {
+		if h.State == platform.HostLive {
+			live = append(live, id)
+		}
+	}
+	if len(live) == 0 {
+		return nil, verdict.New(verdict.NotRun, 422, "no_backend", "the host list has no live engine of service %q", s.service)
+	}
+	return live, nil
+}
