Give operators control commands through the admin API and monsoonkeelctl

Cause: control commands had no way in; the issuer did not run in the daemon. Ruled out: a separate service for commands (any daemon can record one by conditional update); a revision per command as configuration changes have (the id alone makes a repeat safe). With several cells the document's key ends in the cell, because a daemon knows only its own cell's backend servers. Conclusion: "accepted" is printed only for a durably recorded command, and a repeat with the same id records nothing more.

--- a/cmd/monsoonkeelctl/main.go
+++ b/cmd/monsoonkeelctl/main.go
@@ -82,6 +82,7 @@
 	t.hostCommands(app)
 	t.readCommands(app)
 	t.configCommands(app)
+	t.engineCommands(app)
 
 	command, err := app.Parse(args)
 	if terminated {
--- a/internal/process/admin/admin.go
+++ b/internal/process/admin/admin.go
@@ -47,6 +47,8 @@
 	Status StatusProvider
 	Alarms AlarmProvider
 	Dump   DumpProvider
+	// Commands is nil if the daemon sends no control commands.
+	Commands CommandLog
 	// Token is the operators' bearer token; with an empty one every call is refused.
 	Token string
 	// Now is the clock; time.Now if nil.
@@ -127,6 +129,8 @@
 		return
 	}
 	switch path {
+	case "commands":
+		h.commands(ctx)
 	case "config":
 		h.method(ctx, "GET", func() { answer(ctx, h.options.Log.Current()) })
 	case "changes":
--- a/internal/process/daemon/admin.go
+++ b/internal/process/daemon/admin.go
@@ -17,7 +17,7 @@
 // newAdminServer serves operators, metrics and probes.
 func (d *Daemon) newAdminServer() *fasthttp.Server {
 	api := admin.New(admin.Options{
-		Log: d.config, Status: d, Alarms: d, Dump: d, Token: string(d.settings.OperatorToken),
+		Log: d.config, Status: d, Alarms: d, Dump: d, Commands: d.commands, Token: string(d.settings.OperatorToken),
 	})
 	return &fasthttp.Server{
 		Name:                  "monsoonkeel-admin",
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"monsoonkeel.example/monsoonkeel/internal/platform/httpapi"
 	"monsoonkeel.example/monsoonkeel/internal/process/claims"
 	"monsoonkeel.example/monsoonkeel/internal/process/configlog"
+	"monsoonkeel.example/monsoonkeel/internal/process/issuer"
 	"monsoonkeel.example/monsoonkeel/internal/process/membership"
 	"monsoonkeel.example/monsoonkeel/internal/process/peers"
 	"monsoonkeel.example/monsoonkeel/internal/process/settings"
@@ -50,6 +51,7 @@
 	keeper   *membership.Keeper
 	peers    *peers.Peers
 	claims   *claims.Service
+	commands *issuer.Manager
 	places   *placement.Table
 	pool     *connection.Pool
 	watcher  *connection.Watcher
@@ -94,6 +96,7 @@
 	if d.claims, err = newClaims(d); err != nil {
 		return nil, err
 	}
+	d.commands = newCommands(d)
 	d.places = placement.NewTable(s.Region, rand.Uint64())
 	d.pool = connection.NewPool()
 	d.watcher = connection.NewWatcher()
@@ -162,7 +165,7 @@
 	defer stopLoops()
 	g, loopCtx := errgroup.WithContext(loopCtx)
 	for _, loop := range []func(context.Context) error{
-		d.config.Run, d.keeper.Run, d.peers.Run, d.watcher.Run, d.routing.run, d.routing.pollLoads,
+		d.config.Run, d.keeper.Run, d.peers.Run, d.watcher.Run, d.routing.run, d.routing.pollLoads, d.commands.Run,
 		func(ctx context.Context) error { return d.peers.Serve(ctx, listeners.peers) },
 	} {
 		g.Go(func() error { return ignoreCancel(loop(loopCtx)) })
--- a/internal/process/issuer/issuer.go
+++ b/internal/process/issuer/issuer.go
@@ -47,9 +47,12 @@
 // marked otherwise.
 type Options struct {
 	// Holder identifies this process; a restarted daemon must have another one.
-	Holder  string
-	Store   platform.ObjectStore
-	Engines platform.EngineControl
+	Holder string
+	// KeySuffix is appended to the key issuer/<service>; empty if the host list
+	// shows all backend servers of the deployment.
+	KeySuffix string
+	Store     platform.ObjectStore
+	Engines   platform.EngineControl
 	// Weights may be nil: loads are then not checked against the weight store.
 	Weights platform.WeightStore
 	// Hosts returns the host list; ok is false until it was read.
@@ -113,8 +116,8 @@
 		retries: map[string]retry{}, missing: map[string]time.Time{}}
 }
 
-// Key returns the key of a service's document.
-func Key(service string) string { return "issuer/" + service }
+// key returns the key of a service's document.
+func (o *Options) key(service string) string { return "issuer/" + service + o.KeySuffix }
 
 // Step reads the document and does one round of work: it takes over, sends,
 // compares states or gives the role up.
@@ -145,7 +148,7 @@
 
 // read adopts the stored document and notices when this process is no longer the holder.
 func (i *Issuer) read(ctx context.Context) error {
-	doc, version, err := readDocument(ctx, i.opt.Store, i.service)
+	doc, version, err := i.opt.readDocument(ctx, i.service)
 	if err != nil {
 		return err
 	}
@@ -158,10 +161,10 @@
 	return nil
 }
 
-func readDocument(ctx context.Context, store platform.ObjectStore, service string) (*issuer.Document, platform.Version, error) {
+func (o *Options) readDocument(ctx context.Context, service string) (*issuer.Document, platform.Version, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	object, err := store.Get(ctx, Key(service))
+	object, err := o.Store.Get(ctx, o.key(service))
 	if errors.Is(err, platform.ErrNotFound) {
 		return issuer.Empty(), 0, nil
 	}
@@ -181,7 +184,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	i.tried = max(i.tried, next.Beat)
-	version, err := i.opt.Store.Put(ctx, Key(i.service), i.version, raw)
+	version, err := i.opt.Store.Put(ctx, i.opt.key(i.service), i.version, raw)
 	if err == nil {
 		i.doc, i.version = next, version
 		i.watch = i.watch.Observe(next, i.opt.Now())
--- a/internal/process/issuer/manager.go
+++ b/internal/process/issuer/manager.go
@@ -86,7 +86,7 @@
 	began := time.Now()
 	watching, cancel := context.WithTimeout(ctx, idleWatch+callTimeout)
 	defer cancel()
-	if _, err := i.opt.Store.Watch(watching, Key(i.service), i.version, idleWatch); err != nil {
+	if _, err := i.opt.Store.Watch(watching, i.opt.key(i.service), i.version, idleWatch); err != nil {
 		// A watch that ends early, as in an outage, must not become a busy loop.
 		wait(ctx, stepInterval-time.Since(began))
 	}
--- a/internal/process/issuer/property_test.go
+++ b/internal/process/issuer/property_test.go
@@ -204,7 +204,7 @@
 }
 
 func (w *world) document() *issuer.Document {
-	doc, _, err := readDocument(context.Background(), w.store, "s")
+	doc, _, err := (&Options{Store: w.store}).readDocument(context.Background(), "s")
 	require.NoError(w.t, err)
 	return doc
 }
@@ -229,9 +229,9 @@
 	w.weightErrors = 1 << 20 // keeps the role held
 	w.run(20)
 	require.True(t, a.maySend(w.now))
-	object, err := w.store.Get(t.Context(), Key("s"))
+	object, err := w.store.Get(t.Context(), "issuer/s")
 	require.NoError(t, err)
-	require.NoError(t, w.store.Delete(t.Context(), Key("s"), object.Version))
+	require.NoError(t, w.store.Delete(t.Context(), "issuer/s", object.Version))
 	submit("c3", "m3")
 	w.weightErrors = 0
 	for range 20 {
--- a/internal/process/issuer/submit.go
+++ b/internal/process/issuer/submit.go
@@ -36,7 +36,7 @@
 	if err := m.checkService(service); err != nil {
 		return Listing{}, err
 	}
-	doc, _, err := readDocument(ctx, m.opt.Store, service)
+	doc, _, err := m.opt.readDocument(ctx, service)
 	if err != nil {
 		return Listing{}, verdict.Wrap(err, verdict.NotRun, 503, "commands_unavailable", "the commands cannot be read")
 	}
@@ -97,7 +97,7 @@
 // attempt reads the document and tries one conditional update. done is false
 // if another attempt may decide the outcome.
 func (s *submission) attempt(ctx context.Context) (Accepted, bool, error) {
-	doc, version, err := readDocument(ctx, s.manager.opt.Store, s.service)
+	doc, version, err := s.manager.opt.readDocument(ctx, s.service)
 	if err != nil {
 		// Without an open write a quick refusal lets the operator's tool try another daemon.
 		return Accepted{}, !s.ambiguous, s.unfinished(err)
@@ -133,7 +133,7 @@
 func (s *submission) write(ctx context.Context, next *issuer.Document, version platform.Version, raw []byte) (Accepted, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	_, err := s.manager.opt.Store.Put(ctx, Key(s.service), version, raw)
+	_, err := s.manager.opt.Store.Put(ctx, s.manager.opt.key(s.service), version, raw)
 	switch {
 	case err == nil:
 		return s.accepted(next), true, nil
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -39,6 +39,7 @@
 	PeerListen             string
 	ObjectAPI              string
 	HostList               string
+	WeightStore            string
 	Cell, Cells            int
 	MaxBodyBytes           int
 	DrainDelay             time.Duration
@@ -66,6 +67,7 @@
 	app.Flag("peer-listen", "Address for other daemons, ip:port.").Default("127.0.0.1:8082").StringVar(&s.PeerListen)
 	app.Flag("object-api", "Base URL of the platform's object API.").Required().StringVar(&s.ObjectAPI)
 	app.Flag("host-list", "Base URL of the platform's host list.").Required().StringVar(&s.HostList)
+	app.Flag("weight-store", "Base URL of the platform's weight store; without it, loads are not checked against it.").StringVar(&s.WeightStore)
 	app.Flag("cell", "Cell of this host, from 0.").Default("0").IntVar(&s.Cell)
 	app.Flag("cells", "Number of cells of the deployment.").Default("1").IntVar(&s.Cells)
 	app.Flag("max-body", "Largest request body, in bytes.").Default("8388608").IntVar(&s.MaxBodyBytes)
@@ -96,6 +98,7 @@
 		checkAddress("--peer-listen", s.PeerListen),
 		checkURL("--object-api", s.ObjectAPI),
 		checkURL("--host-list", s.HostList),
+		s.checkWeightStore(),
 		s.checkNumbers(),
 		s.checkLogLevel(),
 		s.loadSecrets(getenv),
@@ -133,6 +136,13 @@
 	return nil
 }
 
+func (s *Settings) checkWeightStore() error {
+	if s.WeightStore == "" {
+		return nil
+	}
+	return checkURL("--weight-store", s.WeightStore)
+}
+
 func (s *Settings) checkNumbers() error {
 	var errs []error
 	if s.Cells < 1 || s.Cell < 0 || s.Cell >= s.Cells {
