--- a/internal/process/issuer/manager.go
+++ b/internal/process/issuer/manager.go
@@ -81,12 +81,14 @@
 // idle says that the document asks for nothing.
 func (i *Issuer) idle() bool { return i.doc.Holder == "" && !i.doc.Unfinished() }
 
-// waitForChange waits until the document changes, at most idleWatch.
+// waitForChange waits until the document changes or the engines' states are to
+// be compared, at most idleWatch.
 func (i *Issuer) waitForChange(ctx context.Context) {
 	began := time.Now()
+	limit := min(idleWatch, max(i.nextVerify.Sub(i.opt.Now()), stepInterval))
 	watching, cancel := context.WithTimeout(ctx, idleWatch+callTimeout)
 	defer cancel()
-	if _, err := i.opt.Store.Watch(watching, i.opt.key(i.service), i.version, idleWatch); err != nil {
+	if _, err := i.opt.Store.Watch(watching, i.opt.key(i.service), i.version, limit); err != nil {
 		// A watch that ends early, as in an outage, must not become a busy loop.
 		wait(ctx, stepInterval-time.Since(began))
 	}
