--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -42,6 +42,7 @@
 	PeerListen             string
 	ObjectAPI              string
 	HostList               string
+	WeightStore            string
 	Cell, Cells            int
 	MaxBodyBytes           int
 	DrainDelay             time.Duration
@@ -76,6 +77,7 @@
 	flag(app, "peer-listen", "Address for other daemons, ip:port.").Default("127.0.0.1:8082").StringVar(&s.PeerListen)
 	flag(app, "object-api", "Base URL of the platform's object API.").Required().StringVar(&s.ObjectAPI)
 	flag(app, "host-list", "Base URL of the platform's host list.").Required().StringVar(&s.HostList)
+	flag(app, "weight-store", "Base URL of the platform's weight store; without it, loads are not checked against it.").StringVar(&s.WeightStore)
 	flag(app, "cells", "Number of cells that hosts and backend servers are divided into.").Default("1").IntVar(&s.Cells)
 	flag(app, "max-body", "Largest request body, in bytes.").Default("8388608").IntVar(&s.MaxBodyBytes)
 	flag(app, "drain-delay", "Time between failing readiness and closing the listeners.").Default("3s").DurationVar(&s.DrainDelay)
@@ -105,6 +107,7 @@
 		checkAddress("--peer-listen", s.PeerListen),
 		checkURL("--object-api", s.ObjectAPI),
 		checkURL("--host-list", s.HostList),
+		s.checkWeightStore(),
 		s.checkNumbers(),
 		s.checkLogLevel(),
 		s.loadSecrets(getenv),
@@ -142,6 +145,13 @@
 	return nil
 }
 
+func (s *Settings) checkWeightStore() error {
+	if s.WeightStore == "" {
+		return nil
+	}
+	return checkURL("--weight-store", s.WeightStore)
+}
+
 func (s *Settings) checkNumbers() error {
 	var errs []error
 	if s.Cells < 1 || s.Cells > maxCells {
