--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -1,5 +1,7 @@
 package schedule
 
+import "math"
+
 // Candidate is a backend server as the scheduler sees it at one moment.
 type Candidate struct {
 	// Index is the backend server's position in the caller's table.
@@ -60,8 +62,8 @@
 	// Tried lists the table indexes of backend servers that already failed
 	// this request.
 	Tried []int
-	// LocalOnly forbids other regions, while the target can still be met
-	// by waiting.
+	// LocalOnly forbids other regions, except for the host's shares there,
+	// while the target can still be met by waiting.
 	LocalOnly bool
 	// Prompt is the length of the prompt in tokens.
 	Prompt int
@@ -77,6 +79,10 @@
 	// preferred until it is this much fuller than a remote one.
 	remotePenalty = 0.5
 
+	// remoteSharePenalty is the same for a remote backend server in which the
+	// host has a share: its region has more hosts than its backend servers need.
+	remoteSharePenalty = 0.1
+
 	// foreignPenalty is the load difference up to which a host stays on the
 	// backend servers in which it has a share, since it knows their load best.
 	foreignPenalty = 0.2
@@ -101,12 +107,12 @@
 	}
 	var add Demand
 	add.Add(1, float32(req.Prompt), &req.Survival)
-	best, bestScore := -1, 0.0
+	best, bestScore := -1, math.Inf(1)
 	at := int(seed % uint64(n))
 	for range n {
 		c := &candidates[at]
 		if admissible(c, &req) {
-			if s, fits := score(c, &req, &add); fits && (best < 0 || s < bestScore) {
+			if s, better := score(c, &req, &add, bestScore); better {
 				best, bestScore = at, s
 			}
 		}
@@ -121,7 +127,7 @@
 	switch {
 	case c.Own >= c.Limit,
 		c.MaxPrefill > 0 && c.Prefilling >= c.MaxPrefill,
-		req.LocalOnly && c.Region != req.Region,
+		req.LocalOnly && c.Region != req.Region && c.Share == 0,
 		c.MaxBatch > 0 && !c.batchFits():
 		return false
 	}
@@ -164,29 +170,40 @@
 }
 
 // score is the expected load of a candidate; lower is better. It reports
-// whether the request fits.
-func score(c *Candidate, req *Request, add *Demand) (float64, bool) {
-	work := c.ReportedWork + c.OwnSinceReport
-	s := float64(work) / float64(max(c.Capacity, 1))
-	if c.MemoryTokens > 0 {
-		peak := c.Demand.peakWith(add, c.Reserve)
-		if !c.memoryFits(peak, add) {
-			return 0, false
-		}
-		s = max(s, float64(peak/c.MemoryTokens))
-	} else {
-		s += memoryWeight * c.MemoryUsed
+// whether the request fits and the score is below limit.
+func score(c *Candidate, req *Request, add *Demand, limit float64) (float64, bool) {
+	work := float64(c.ReportedWork+c.OwnSinceReport) / float64(max(c.Capacity, 1))
+	bias := c.bias(req)
+	if c.MemoryTokens <= 0 {
+		s := work + memoryWeight*c.MemoryUsed + bias
+		return s, s < limit
 	}
-	if c.Region != req.Region {
-		s += remotePenalty
+	if work+bias >= limit {
+		return 0, false
 	}
-	if c.Hosts > 1 && c.Share == 0 {
-		s += foreignPenalty
+	peak := c.Demand.peakWith(add, c.Reserve)
+	if !c.memoryFits(peak, add) {
+		return 0, false
+	}
+	s := max(work, float64(peak/c.MemoryTokens)) + bias
+	return s, s < limit
+}
+
+// bias is the load difference that the region, the share and cached prefixes
+// are worth.
+func (c *Candidate) bias(req *Request) (s float64) {
+	switch {
+	case c.Region != req.Region && c.Share > 0:
+		s = remoteSharePenalty
+	case c.Region != req.Region:
+		s = remotePenalty
+	case c.Hosts > 1 && c.Share == 0:
+		s = foreignPenalty
 	}
 	for _, h := range req.Holders {
 		if h.Index == c.Index {
 			s -= affinityWeight * float64(h.Tokens) / float64(max(req.Prompt, 1))
 		}
 	}
-	return s, true
+	return s
 }
--- a/internal/connection/upstream.go
+++ b/internal/connection/upstream.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -24,18 +25,32 @@
 	maxIdleAge = 20 * time.Second
 	// readBufferBytes holds several SSE events.
 	readBufferBytes = 16 << 10
+	// maxReportBytes bounds the load report that identifies a connection.
+	maxReportBytes = 64 << 10
 )
 
 // Pool keeps idle connections to backend servers. It never repeats a request:
 // the caller decides from the verdict.
 type Pool struct {
-	mu   sync.Mutex
-	idle map[string][]*upstreamConn
+	// addresses holds an *idleConns for each address, so that requests to
+	// different backend servers share no lock.
+	addresses sync.Map
+}
+
+type idleConns struct {
+	mu    sync.Mutex
+	conns []*upstreamConn
 }
 
 // NewPool returns an empty pool.
-func NewPool() *Pool {
-	return &Pool{idle: map[string][]*upstreamConn{}}
+func NewPool() *Pool { return &Pool{} }
+
+func (p *Pool) idle(address string) *idleConns {
+	if known, ok := p.addresses.Load(address); ok {
+		return known.(*idleConns)
+	}
+	created, _ := p.addresses.LoadOrStore(address, &idleConns{})
+	return created.(*idleConns)
 }
 
 type upstreamConn struct {
@@ -44,6 +59,9 @@
 	address string
 	written atomic.Int64
 	idledAt time.Time
+	// incarnation is the process at the other end, if it was asked for. It
+	// cannot change while the connection is open.
+	incarnation string
 }
 
 // Write counts the bytes handed to the kernel: once one has left, the request
@@ -99,15 +117,48 @@
 	// Fresh forbids a reused connection; the peer can close one unnoticed,
 	// which leaves the verdict of a non-idempotent request unknown.
 	Fresh bool
+	// Incarnation, if set, is the only process that may get the request: the
+	// limit of requests in flight holds for it alone, and a process that was
+	// replaced at the same address is cold.
+	Incarnation string
+	// Check, if set, is called when the connection is ready, right before the
+	// first byte is sent. The setup may take long or the process may have been
+	// paused, so rights that lapse must be checked here.
+	Check func() error
 }
 
+// IncarnationError says that another process than the expected one listens at
+// the address.
+type IncarnationError struct{ Seen string }
+
+// Error implements error.
+func (e *IncarnationError) Error() string { return "the address belongs to incarnation " + e.Seen }
+
+// WithheldError says that Options.Check refused the request.
+type WithheldError struct{ Cause error }
+
+// Error implements error.
+func (e *WithheldError) Error() string { return e.Cause.Error() }
+
+// Unwrap returns the error of Options.Check.
+func (e *WithheldError) Unwrap() error { return e.Cause }
+
+// CodeConnectFailed marks a backend server that could not be connected to.
+const CodeConnectFailed = "connect_failed"
+
 // Do sends req to address and reads the head of the answer. A failure is a
 // verdict error: NotRun if no byte of the request left this process. The
 // exchange ends when ctx ends.
 func (p *Pool) Do(ctx context.Context, address string, req *fasthttp.Request, opts Options) (*Exchange, error) {
 	conn, reused, err := p.get(ctx, address, opts)
 	if err != nil {
-		return nil, verdict.Wrap(err, verdict.NotRun, 502, "connect_failed", "cannot connect to the backend server")
+		return nil, verdict.Wrap(err, verdict.NotRun, 502, CodeConnectFailed, "cannot connect to the backend server")
+	}
+	if opts.Check != nil {
+		if err := opts.Check(); err != nil {
+			p.put(conn)
+			return nil, &WithheldError{Cause: err}
+		}
 	}
 	conn.written.Store(0)
 	e := &Exchange{conn: conn, pool: p, Reused: reused, Response: fasthttp.AcquireResponse()}
@@ -139,10 +190,15 @@
 }
 
 func (p *Pool) get(ctx context.Context, address string, opts Options) (*upstreamConn, bool, error) {
-	if !opts.Fresh {
-		if c := p.takeIdle(address); c != nil {
+	for !opts.Fresh {
+		c := p.takeIdle(address)
+		if c == nil {
+			break
+		}
+		if opts.Incarnation == "" || c.incarnation == opts.Incarnation {
 			return c, true, nil
 		}
+		_ = c.Close()
 	}
 	d := net.Dialer{Timeout: dialTimeout}
 	c, err := d.DialContext(ctx, "tcp", address)
@@ -151,9 +207,50 @@
 	}
 	conn := &upstreamConn{Conn: c, address: address}
 	conn.reader = bufio.NewReaderSize(c, readBufferBytes)
+	if opts.Incarnation == "" {
+		return conn, false, nil
+	}
+	if err := conn.identify(ctx); err != nil {
+		_ = c.Close()
+		return nil, false, err
+	}
+	if conn.incarnation != opts.Incarnation {
+		_ = c.Close()
+		return nil, false, &IncarnationError{Seen: conn.incarnation}
+	}
 	return conn, false, nil
 }
 
+// identify asks for the load report, since every answer names the incarnation.
+func (c *upstreamConn) identify(ctx context.Context) error {
+	_ = c.SetDeadline(time.Now().Add(dialTimeout))
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("/v1/load")
+	req.Header.SetHost(c.address)
+	w := bufio.NewWriter(c)
+	if err := req.Write(w); err != nil {
+		return err
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	if err := resp.ReadLimitBody(c.reader, maxReportBytes); err != nil {
+		return err
+	}
+	if resp.ConnectionClose() {
+		return errors.New("the backend server closed the new connection")
+	}
+	c.incarnation = string(resp.Header.Peek("X-Incarnation"))
+	if !stop() {
+		return ctx.Err()
+	}
+	return c.SetDeadline(time.Time{})
+}
+
 func (p *Pool) takeIdle(address string) *upstreamConn {
 	for {
 		c := p.popIdle(address)
@@ -170,48 +267,49 @@
 }
 
 func (p *Pool) popIdle(address string) *upstreamConn {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	idle := p.idle[address]
-	if len(idle) == 0 {
+	idle := p.idle(address)
+	idle.mu.Lock()
+	defer idle.mu.Unlock()
+	last := len(idle.conns) - 1
+	if last < 0 {
 		return nil
 	}
-	c := idle[len(idle)-1]
-	p.idle[address] = idle[:len(idle)-1]
+	c := idle.conns[last]
+	idle.conns = idle.conns[:last]
 	return c
 }
 
 func (p *Pool) put(c *upstreamConn) {
 	c.idledAt = time.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if len(p.idle[c.address]) >= maxIdlePerAddress {
+	idle := p.idle(c.address)
+	idle.mu.Lock()
+	defer idle.mu.Unlock()
+	if len(idle.conns) >= maxIdlePerAddress {
 		_ = c.Close()
 		return
 	}
-	p.idle[c.address] = append(p.idle[c.address], c)
+	idle.conns = append(idle.conns, c)
 }
 
-// Forget closes the idle connections to an address that is no longer used.
-func (p *Pool) Forget(address string) {
-	p.mu.Lock()
-	idle := p.idle[address]
-	delete(p.idle, address)
-	p.mu.Unlock()
-	for _, c := range idle {
-		_ = c.Close()
-	}
+// Retain closes the idle connections to addresses that keep returns false for.
+func (p *Pool) Retain(keep func(address string) bool) {
+	p.addresses.Range(func(key, value any) bool {
+		if !keep(key.(string)) {
+			p.addresses.Delete(key)
+			value.(*idleConns).closeAll()
+		}
+		return true
+	})
 }
 
 // Close closes all idle connections.
-func (p *Pool) Close() {
-	p.mu.Lock()
-	all := p.idle
-	p.idle = map[string][]*upstreamConn{}
-	p.mu.Unlock()
-	for _, idle := range all {
-		for _, c := range idle {
-			_ = c.Close()
-		}
+func (p *Pool) Close() { p.Retain(func(string) bool { return false }) }
+
+func (i *idleConns) closeAll() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for _, c := range i.conns {
+		_ = c.Close()
 	}
+	i.conns = nil
 }
--- a/internal/process/daemon/admin.go
+++ b/internal/process/daemon/admin.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/expvarhandler"
 
+	"monsoonkeel.example/monsoonkeel/core/alarm"
 	"monsoonkeel.example/monsoonkeel/core/config"
 	"monsoonkeel.example/monsoonkeel/core/view"
 	"monsoonkeel.example/monsoonkeel/internal/process/admin"
@@ -62,12 +63,7 @@
 // excludedFromService says whether operators took this entry host or its
 // failure domain out.
 func (d *Daemon) excludedFromService() bool {
-	doc := d.config.Current()
-	if _, drained := doc.Drains[d.settings.HostID]; drained {
-		return true
-	}
-	domain, known := doc.Domains[d.settings.Domain]
-	return known && domain.State == config.DomainOut
+	return d.config.Current().IsOut(d.settings.HostID, d.settings.Domain)
 }
 
 func (d *Daemon) readyz(ctx *fasthttp.RequestCtx) {
@@ -121,8 +117,9 @@
 	return s
 }
 
-// Alarms implements admin.AlarmProvider.
-func (d *Daemon) Alarms() any { return d.recorder.alarms() }
+// Alarms implements admin.AlarmProvider. Without alarms the list is empty, not
+// null.
+func (d *Daemon) Alarms() any { return append([]alarm.Alarm{}, d.recorder.alarms()...) }
 
 // BackendDump is a backend server in the state dump.
 type BackendDump struct {
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -15,6 +15,7 @@
 
 	"monsoonkeel.example/monsoonkeel/core/config"
 	"monsoonkeel.example/monsoonkeel/internal/connection"
+	"monsoonkeel.example/monsoonkeel/internal/placement"
 	"monsoonkeel.example/monsoonkeel/internal/platform"
 	"monsoonkeel.example/monsoonkeel/internal/platform/httpapi"
 	"monsoonkeel.example/monsoonkeel/internal/process/claims"
@@ -48,6 +49,8 @@
 	keeper   *membership.Keeper
 	peers    *peers.Peers
 	claims   *claims.Service
+	places   *placement.Table
+	retries  *retryBudget
 	pool     *connection.Pool
 	watcher  *connection.Watcher
 	gateway  *request.Gateway
@@ -56,8 +59,17 @@
 	callers  *fasthttp.Server
 	admin    *fasthttp.Server
 
+	// lastConfig is used by configChanged only, which the configuration log
+	// calls in revision order.
+	lastConfig *config.Document
+
 	snapshot atomic.Pointer[version.Snapshot]
 	draining atomic.Bool
+	// hosts is the number of entry hosts in the view.
+	hosts atomic.Int32
+	// freshUntil is when this host's knowledge that its configuration is
+	// current ends.
+	freshUntil atomic.Pointer[time.Time]
 }
 
 // New builds a daemon from checked settings.
@@ -91,6 +103,8 @@
 	if d.claims, err = newClaims(d); err != nil {
 		return nil, err
 	}
+	d.places = placement.NewTable(s.Region, rand.Uint64())
+	d.retries = &retryBudget{}
 	d.pool = connection.NewPool()
 	d.watcher = connection.NewWatcher()
 	d.recorder = newRecorder(log)
@@ -119,11 +133,12 @@
 	return &request.Gateway{
 		Snapshot: d.snapshot.Load,
 		Fresh:    d.fresh,
+		Places:   d.places,
 		Pool:     d.pool,
 		Watcher:  d.watcher,
 		Tokens:   gentoken.NewCodec(d.settings.GenerationKey),
 		Orders:   orders{d.claims},
-		Retries:  &retryBudget{},
+		Retries:  d.retries,
 		Cold:     coldReporter{d},
 		Recorder: d.recorder,
 		Log:      d.log,
@@ -131,6 +146,7 @@
 		NewID:    uuid.NewString,
 		Region:   d.settings.Region,
 		Draining: d.draining.Load,
+		Hosts:    func() int { return int(d.hosts.Load()) },
 	}
 }
 
@@ -141,6 +157,8 @@
 }
 
 func (d *Daemon) configChanged(doc *config.Document) {
+	d.coolReturned(d.lastConfig, doc)
+	d.lastConfig = doc
 	d.recorder.setTargets(doc)
 	d.routing.changed()
 	d.peers.Push()
@@ -162,7 +180,7 @@
 	} {
 		g.Go(func() error { return ignoreCancel(loop(loopCtx)) })
 	}
-	g.Go(func() error { return d.serve(d.callers, listeners.callers) })
+	g.Go(func() error { return d.serve(d.callers, connection.Listener{Listener: listeners.callers}) })
 	g.Go(func() error { return d.serve(d.admin, listeners.admin) })
 	d.log.Info().Str("host", d.settings.HostID).Str("listen", d.settings.Listen).Msg("serving")
 	select {
@@ -238,9 +256,3 @@
 
 // Printf implements fasthttp.Logger.
 func (l quietLogger) Printf(format string, args ...any) { l.log.Debug().Msgf(format, args...) }
-
-// retryBudget shares a pure retry budget among requests.
-type retryBudget struct {
-	mu sync.Mutex
-	b  retryState
-}
--- a/internal/process/daemon/routing.go
+++ b/internal/process/daemon/routing.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"monsoonkeel.example/monsoonkeel/core/coldstart"
 	"monsoonkeel.example/monsoonkeel/core/config"
+	"monsoonkeel.example/monsoonkeel/internal/placement"
 	"monsoonkeel.example/monsoonkeel/internal/platform"
 	"monsoonkeel.example/monsoonkeel/internal/version"
 )
@@ -99,11 +101,53 @@
 	r.forget(hosts)
 	r.mu.Unlock()
 	r.d.snapshot.Store(snap)
-	r.d.gateway.CapacityChanged()
+	r.d.retries.tick(time.Now())
+	r.d.refreshFreshness(time.Now())
+	r.d.pool.Retain(func(address string) bool {
+		return slices.ContainsFunc(hosts, func(h platform.Host) bool { return h.Address == address })
+	})
+	around := r.surroundings(snap.Document)
+	r.d.hosts.Store(int32(around.Hosts))
+	snap.Services(func(svc *version.Service) {
+		r.d.places.Service(svc.Name, svc.Kind).Update(svc, around, time.Now())
+	})
+}
+
+// surroundings places this host among the view's members, sorted by region and id.
+func (r *routing) surroundings(doc *config.Document) placement.Surroundings {
+	around := placement.Surroundings{Hosts: 1}
+	for _, c := range doc.Classes {
+		if c.TokenGapMS > 0 && (around.GapMS == 0 || c.TokenGapMS < around.GapMS) {
+			around.GapMS = c.TokenGapMS
+		}
+	}
+	type member struct{ region, id string }
+	self := member{r.d.settings.Region, r.d.settings.HostID}
+	for _, id := range r.d.keeper.View().Members {
+		h, known := r.d.keeper.HostByID(id)
+		if !known || id == self.id {
+			continue
+		}
+		around.Hosts++
+		if other := (member{h.Region, id}); other.region < self.region || other.region == self.region && other.id < self.id {
+			around.Position++
+		}
+	}
+	return around
+}
+
+// incarnationOf returns the process that the limits hold for. It is the one of
+// the load report, since the host list may show a new process later than that:
+// work counted under an old name would not count against the cold limit.
+func (r *routing) incarnationOf(h platform.Host) incarnation {
+	if seen := r.reports[h.ID].Load.Incarnation; seen != "" {
+		return incarnation{h.ID, seen}
+	}
+	return incarnation{h.ID, h.Incarnation}
 }
 
 func (r *routing) counter(h platform.Host) *version.Counters {
-	key := incarnation{h.ID, h.Incarnation}
+	key := r.incarnationOf(h)
 	c := r.counters[key]
 	if c == nil {
 		c = &version.Counters{}
@@ -132,7 +176,7 @@
 	listed := make(map[incarnation]bool, len(hosts))
 	ids := make(map[string]bool, len(hosts))
 	for _, h := range hosts {
-		listed[incarnation{h.ID, h.Incarnation}] = true
+		listed[r.incarnationOf(h)] = true
 		ids[h.ID] = true
 	}
 	for key, c := range r.counters {
@@ -195,6 +239,9 @@
 	}
 	limits := coldstart.Limits{Cold: svc.ColdLimit, Warm: svc.WarmLimit}
 	r.d.keeper.ObserveLoad(h.ID, limits, target, report, sentAt, own)
+	if report.Leaving {
+		r.d.keeper.MarkLeaving(h.ID, report.Incarnation)
+	}
 	taken := sentAt.Add(-time.Duration(report.AgeMS) * time.Millisecond)
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/request/generation.go
+++ b/internal/request/generation.go
@@ -13,6 +13,7 @@
 
 	"monsoonkeel.example/monsoonkeel/core/verdict"
 	"monsoonkeel.example/monsoonkeel/internal/connection"
+	"monsoonkeel.example/monsoonkeel/internal/placement"
 	"monsoonkeel.example/monsoonkeel/internal/platform"
 	"monsoonkeel.example/monsoonkeel/internal/request/gentoken"
 	"monsoonkeel.example/monsoonkeel/internal/request/sse"
@@ -28,6 +29,10 @@
 	resumeBackoff = 100 * time.Millisecond
 	// controlTimeout bounds cancel calls to engines.
 	controlTimeout = 2 * time.Second
+	// maxCancels and cancelPause, doubled each time, give an engine 1.5 s to
+	// notice a closed connection.
+	maxCancels  = 5
+	cancelPause = 50 * time.Millisecond
 )
 
 // errProtocol means that an engine's event does not belong to the generation
@@ -43,12 +48,16 @@
 	path     string
 	body     []byte
 	streamed bool
+	work     work
 
 	id    string
 	token string
 	host  platform.Host
-	place *placement
-	ex    *connection.Exchange
+	// incarnation is the engine process that runs the generation. The host
+	// list may still name an older one.
+	incarnation string
+	place       *placement.Placement
+	ex          *connection.Exchange
 	// events reads ex's body.
 	events *sse.Reader
 	// offset is the number of tokens accepted so far.
@@ -92,17 +101,17 @@
 
 // attempt sends the request to one backend server under a new generation id.
 func (gen *generation) attempt() error {
-	p, err := gen.c.place(gen.tried)
+	p, err := gen.c.place(gen.work, gen.tried)
 	if err != nil {
 		gen.place = nil
 		return err
 	}
-	gen.place, gen.host = p, p.Host
+	gen.place, gen.host, gen.incarnation = p, p.Host, p.Incarnation()
 	gen.runs++
 	gen.offset, gen.finished = 0, false
 	gen.id = gen.c.g.NewID()
 	gen.token = gen.c.g.Tokens.Encode(gen.c.team.Name, gentoken.Generation{
-		Service: gen.c.service.Name, Backend: gen.host.ID, Incarnation: gen.host.Incarnation, ID: gen.id, Class: gen.c.class.Name,
+		Service: gen.c.service.Name, Backend: gen.host.ID, Incarnation: gen.incarnation, ID: gen.id, Class: gen.c.class.Name,
 	})
 	gen.c.out.Backend = gen.host.ID
 	gen.c.out.Tries = gen.runs
@@ -119,7 +128,7 @@
 	req.Header.Set(headerGenerationID, gen.id)
 	req.Header.Set(headerPriority, strconv.Itoa(gen.c.class.Priority))
 	req.SetBodyRaw(gen.body)
-	ex, err := gen.c.g.Pool.Do(gen.c.ctx, gen.host.Address, req, connection.Options{})
+	ex, err := gen.c.g.Pool.Do(gen.c.ctx, gen.host.Address, req, gen.c.sendOptions(gen.place, false))
 	if err != nil {
 		return gen.sendFailed(err)
 	}
@@ -128,11 +137,7 @@
 }
 
 func (gen *generation) sendFailed(err error) error {
-	if verdict.Of(err) == verdict.NotRun {
-		gen.c.g.Cold.Refused(gen.host.ID, gen.host.Incarnation)
-	} else {
-		gen.c.attempted = true
-	}
+	gen.c.noteSendFailure(gen.place, err)
 	if gen.c.ctx.Err() != nil {
 		return gen.c.interrupted()
 	}
@@ -162,8 +167,8 @@
 	if id := h.Peek(headerGenerationID); len(id) > 0 && string(id) != gen.id {
 		return errProtocol
 	}
-	if seen := string(h.Peek(headerIncarnation)); seen != "" && seen != gen.host.Incarnation {
-		gen.c.g.Cold.Incarnation(gen.host.ID, gen.host.Incarnation, seen)
+	if seen := string(h.Peek(headerIncarnation)); seen != "" && seen != gen.incarnation {
+		gen.c.g.Cold.Incarnation(gen.host.ID, gen.incarnation, seen)
 		if gen.resumed {
 			return errGenerationLost
 		}
@@ -246,6 +251,9 @@
 		return eventRepeated, nil
 	}
 	gen.offset = offset
+	if gen.place != nil {
+		gen.place.Token(offset)
+	}
 	// Chunks before the last carry a null finish_reason.
 	if bytes.Contains(ev.Data, []byte(`"finish_reason":"`)) {
 		gen.finished = true
@@ -325,7 +333,7 @@
 		}
 		return fmt.Errorf("resume answered %d", status)
 	}
-	if seen := string(ex.Response.Header.Peek(headerIncarnation)); seen != "" && seen != gen.host.Incarnation {
+	if seen := string(ex.Response.Header.Peek(headerIncarnation)); seen != "" && seen != gen.incarnation {
 		ex.Finish(false)
 		return errGenerationLost
 	}
@@ -361,13 +369,13 @@
 	_, err := io.Copy(io.Discard, io.LimitReader(gen.ex.Body(), 1<<10))
 	gen.ex.Finish(err == nil)
 	if gen.place != nil {
-		gen.place.release()
+		gen.place.Release(true)
 	}
 }
 
 // cancelLater cancels the run at the engine after a delay and then gives its
 // place back. With ifDetached the engine keeps a run that has a reader.
-func (gen *generation) cancelLater(delay time.Duration, ifDetached bool, place *placement) {
+func (gen *generation) cancelLater(delay time.Duration, ifDetached bool, place *placement.Placement) {
 	g, host, id := gen.c.g, gen.host, gen.id
 	g.background.Add(1)
 	go func() {
@@ -375,16 +383,34 @@
 		if delay > 0 {
 			time.Sleep(delay)
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
-		defer cancel()
-		g.cancelAtEngine(ctx, host, id, ifDetached)
+		g.cancelUntilDetached(host, id, ifDetached)
 		if place != nil {
-			place.release()
+			place.Release(false)
 		}
 	}()
 }
 
-func (g *Gateway) cancelAtEngine(ctx context.Context, host platform.Host, id string, ifDetached bool) {
+// cancelUntilDetached repeats a cancellation that the engine refuses because a
+// reader is attached: the engine may not have noticed yet that this host's own
+// connection is closed. A reader that stays is another host's.
+func (g *Gateway) cancelUntilDetached(host platform.Host, id string, ifDetached bool) {
+	for i := range maxCancels {
+		if i > 0 {
+			time.Sleep(cancelPause << i)
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
+		status, err := g.cancelAtEngine(ctx, host, id, ifDetached)
+		cancel()
+		if err != nil {
+			g.Log.Debug().Err(err).Str("backend", host.ID).Msg("cancel at engine failed")
+		}
+		if status != fasthttp.StatusConflict {
+			return
+		}
+	}
+}
+
+func (g *Gateway) cancelAtEngine(ctx context.Context, host platform.Host, id string, ifDetached bool) (status int, err error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	uri := "/v1/generations/" + id
@@ -396,10 +422,11 @@
 	req.Header.SetMethod("DELETE")
 	ex, err := g.Pool.Do(ctx, host.Address, req, connection.Options{Fresh: true})
 	if err != nil {
-		g.Log.Debug().Err(err).Str("backend", host.ID).Msg("cancel at engine failed")
-		return
+		return 0, err
 	}
+	status = ex.Response.StatusCode()
 	ex.Finish(false)
+	return status, nil
 }
 
 // requestTo sets the headers that every request to a backend server carries.
--- a/internal/request/model.go
+++ b/internal/request/model.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"sort"
 
+	"github.com/cespare/xxhash/v2"
+
 	"monsoonkeel.example/monsoonkeel/core/verdict"
 )
 
@@ -12,10 +14,37 @@
 type modelRequest struct {
 	Model  string `json:"model"`
 	Stream bool   `json:"stream"`
+	// Messages and Prompt are read for their beginning only.
+	Messages json.RawMessage `json:"messages"`
+	Prompt   json.RawMessage `json:"prompt"`
 }
 
-// model serves /v1/completions and /v1/chat/completions.
-func (c *call) model(path string) error {
+const (
+	// prefixBytes is the length of the prompt's beginning that decides about
+	// cache affinity; system prompts are about this long.
+	prefixBytes = 1024
+	// bytesPerToken is the usual ratio for English text.
+	bytesPerToken = 4
+)
+
+// work describes the request to the dispatcher. Prompts shorter than the
+// prefix gain nothing from a cache.
+func (r *modelRequest) work(body []byte) work {
+	w := work{prompt: len(body)/bytesPerToken + 1, opaque: !r.Stream}
+	text := r.Messages
+	if len(text) == 0 {
+		text = r.Prompt
+	}
+	if len(text) >= prefixBytes {
+		w.prefix = xxhash.Sum64(text[:prefixBytes])
+		w.prefixTokens = prefixBytes / bytesPerToken
+	}
+	return w
+}
+
+// model serves /v1/completions and /v1/chat/completions. With a service name
+// the model must be one of that service.
+func (c *call) model(path, service string) error {
 	if !c.http.IsPost() {
 		return verdict.New(verdict.NotRun, 405, "method_not_allowed", "use POST")
 	}
@@ -32,10 +61,14 @@
 	if err := json.Unmarshal(body, &req); err != nil {
 		return verdict.Wrap(err, verdict.NotRun, 400, "bad_json", "the body is not valid JSON: %v", err)
 	}
-	if err := c.prepareModel(path, req); err != nil {
+	if err := c.prepareModel(path, service, req); err != nil {
+		return err
+	}
+	if err := c.limitTeam(); err != nil {
 		return err
 	}
 	gen := newGeneration(c, path, body, req.Stream)
+	gen.work = req.work(body)
 	if !req.Stream {
 		return gen.answerUnstreamed()
 	}
@@ -45,9 +78,9 @@
 	return gen.stream()
 }
 
-func (c *call) prepareModel(path string, req modelRequest) error {
+func (c *call) prepareModel(path, service string, req modelRequest) error {
 	svc, ok := c.g.Snapshot().ServiceForModel(req.Model)
-	if !ok {
+	if !ok || (service != "" && svc.Name != service) {
 		return verdict.New(verdict.NotRun, 404, "unknown_model", "unknown model %q", req.Model)
 	}
 	c.service = svc
--- a/internal/request/order.go
+++ b/internal/request/order.go
@@ -10,6 +10,7 @@
 
 	"monsoonkeel.example/monsoonkeel/core/verdict"
 	"monsoonkeel.example/monsoonkeel/internal/connection"
+	"monsoonkeel.example/monsoonkeel/internal/placement"
 )
 
 const (
@@ -75,7 +76,7 @@
 	deadline, _ := c.ctx.Deadline()
 	out, err := c.g.Orders.Claim(c.ctx, OrderRequest{Team: c.team.Name, Key: key, RequestHash: orderHash(req), Deadline: deadline})
 	if err != nil {
-		return err
+		return claimRefused(err)
 	}
 	switch {
 	case out.Grant != nil:
@@ -90,6 +91,17 @@
 	return verdict.New(verdict.MayHaveRun, 409, "order_outcome_unknown", "an earlier run of this order has no known answer")
 }
 
+// claimRefused adds what a refused claim leaves open: this request was not
+// sent, but an earlier one with the same key may have been.
+func claimRefused(err error) error {
+	e := verdict.From(err)
+	if e.Verdict != verdict.NotRun || e.Status < 500 {
+		return err
+	}
+	e.Detail += "; an earlier request with the same " + headerIdempotencyKey + " may have run"
+	return e
+}
+
 func orderHash(req *fasthttp.Request) [sha256.Size]byte {
 	h := sha256.New()
 	h.Write(req.Header.Method())
@@ -112,11 +124,11 @@
 	for tries := 1; ; tries++ {
 		ex, p, err := c.sendOrder(ctx, req, grant, tried)
 		if err == nil {
-			defer p.release()
+			defer p.Release(true)
 			return c.finishOrder(ex, grant)
 		}
 		if p != nil {
-			p.release()
+			p.Release(false)
 			tried = append(tried, p.Host.ID)
 		}
 		if c.attempted {
@@ -132,8 +144,8 @@
 
 // sendOrder sends the order to one backend server. The placement is set when
 // another one may be tried.
-func (c *call) sendOrder(ctx context.Context, req *fasthttp.Request, grant OrderGrant, tried []string) (*connection.Exchange, *placement, error) {
-	p, err := c.place(tried)
+func (c *call) sendOrder(ctx context.Context, req *fasthttp.Request, grant OrderGrant, tried []string) (*connection.Exchange, *placement.Placement, error) {
+	p, err := c.place(work{}, tried)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -141,10 +153,18 @@
 	c.out.Tries = len(tried) + 1
 	c.requestTo(req, p.Host.Address)
 	if !grant.MaySend(c.g.Now()) {
-		p.release()
-		return nil, nil, verdict.New(verdict.NotRun, 503, "claim_lapsed", "the order's claim lapsed before it could be sent")
+		p.Release(false)
+		return nil, nil, claimLapsed()
 	}
-	ex, err := c.g.Pool.Do(ctx, p.Host.Address, req, connection.Options{Fresh: true})
+	options := c.sendOptions(p, true)
+	options.Check = func() error {
+		// The connection setup takes time, in which the claim can lapse.
+		if !grant.MaySend(c.g.Now()) {
+			return claimLapsed()
+		}
+		return c.mayStillSend(p)
+	}
+	ex, err := c.g.Pool.Do(ctx, p.Host.Address, req, options)
 	if err != nil {
 		c.noteSendFailure(p, err)
 		return nil, p, err
@@ -153,6 +173,10 @@
 	return ex, p, nil
 }
 
+func claimLapsed() error {
+	return verdict.New(verdict.NotRun, 503, "claim_lapsed", "the order's claim lapsed before it could be sent")
+}
+
 // finishOrder reads, stores and delivers the answer.
 func (c *call) finishOrder(ex *connection.Exchange, grant OrderGrant) error {
 	err := c.checkAnswer(ex)
--- a/internal/request/plain.go
+++ b/internal/request/plain.go
@@ -11,6 +11,7 @@
 	"monsoonkeel.example/monsoonkeel/core/config"
 	"monsoonkeel.example/monsoonkeel/core/verdict"
 	"monsoonkeel.example/monsoonkeel/internal/connection"
+	"monsoonkeel.example/monsoonkeel/internal/placement"
 )
 
 const (
@@ -34,6 +35,9 @@
 		return err
 	}
 	svc, ok := c.g.Snapshot().Service(name)
+	if ok && svc.Kind == config.KindEngine && (path == "v1/completions" || path == "v1/chat/completions") {
+		return c.model("/"+path, name)
+	}
 	if !ok || svc.Kind != config.KindPlain {
 		return verdict.New(verdict.NotRun, 404, "unknown_service", "unknown plain service %q", name)
 	}
@@ -46,6 +50,9 @@
 	if err := c.deadline(); err != nil {
 		return err
 	}
+	if err := c.limitTeam(); err != nil {
+		return err
+	}
 	c.defaultDeadline()
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
@@ -96,7 +103,7 @@
 	c.g.Retries.First(c.g.Now())
 	var tried []string
 	for tries := 1; ; tries++ {
-		p, err := c.place(tried)
+		p, err := c.place(work{}, tried)
 		if err != nil {
 			return err
 		}
@@ -105,7 +112,7 @@
 		if err == nil {
 			return nil
 		}
-		p.release()
+		p.Release(false)
 		tried = append(tried, p.Host.ID)
 		if c.ctx.Err() != nil {
 			return c.interrupted()
@@ -118,9 +125,9 @@
 }
 
 // exchange sends the request to one backend server and hands over the answer.
-func (c *call) exchange(req *fasthttp.Request, p *placement, idempotent bool) error {
+func (c *call) exchange(req *fasthttp.Request, p *placement.Placement, idempotent bool) error {
 	c.requestTo(req, p.Host.Address)
-	ex, err := c.g.Pool.Do(c.ctx, p.Host.Address, req, connection.Options{Fresh: !idempotent})
+	ex, err := c.g.Pool.Do(c.ctx, p.Host.Address, req, c.sendOptions(p, !idempotent))
 	if err != nil {
 		c.noteSendFailure(p, err)
 		return err
@@ -137,14 +144,6 @@
 	return c.relayAnswer(ex, p)
 }
 
-func (c *call) noteSendFailure(p *placement, err error) {
-	if verdict.Of(err) == verdict.NotRun {
-		c.g.Cold.Refused(p.Host.ID, p.Host.Incarnation)
-		return
-	}
-	c.attempted = true
-}
-
 // checkAnswer refuses an answer that names another request.
 func (c *call) checkAnswer(ex *connection.Exchange) error {
 	seen := ex.Response.Header.Peek(headerRequestID)
@@ -155,7 +154,7 @@
 }
 
 // relayAnswer passes the answer on: whole if it is small, else as a stream.
-func (c *call) relayAnswer(ex *connection.Exchange, p *placement) error {
+func (c *call) relayAnswer(ex *connection.Exchange, p *placement.Placement) error {
 	length := ex.Response.Header.ContentLength()
 	if ex.Response.SkipBody || (length >= 0 && length <= maxBufferedBody) {
 		body, err := readAnswer(ex, maxBufferedBody)
@@ -166,7 +165,7 @@
 		c.copyHead(ex)
 		c.setBody(ex, body)
 		ex.Finish(true)
-		p.release()
+		p.Release(true)
 		c.out.FirstToken = c.g.Now().Sub(c.start)
 		return nil
 	}
@@ -223,7 +222,7 @@
 type answerBody struct {
 	c     *call
 	ex    *connection.Exchange
-	place *placement
+	place *placement.Placement
 	ended bool
 }
 
@@ -253,7 +252,7 @@
 		b.c.out.Verdict = verdict.MayHaveRun.String()
 	}
 	b.ex.Finish(b.ended)
-	b.place.release()
+	b.place.Release(b.ended)
 	b.c.end()
 	return nil
 }
--- a/internal/request/request_test.go
+++ b/internal/request/request_test.go
@@ -30,7 +30,7 @@
 			r.addBackend("models", newEngine("i-models-0", faults).Handler())
 			r.addBackend("models", newEngine("i-models-1", standin.EngineFaults{}).Handler())
 			r.start()
-			resp := r.do("POST", "/v1/completions", streamBodyJSON(9))
+			resp := r.do("POST", "/services/models/v1/completions", streamBodyJSON(9))
 			defer resp.Body.Close()
 			require.Equal(t, 200, resp.StatusCode)
 			s := readStream(t, resp.Body, 0)
@@ -193,6 +193,7 @@
 		{"unknown team", "/v1/completions", streamBodyJSON(1), []string{"Authorization", "Bearer x"}, 401, "unknown_team"},
 		{"unknown service", "/services/x/y", "", nil, 404, "unknown_service"},
 		{"engine as plain service", "/services/models/y", "", nil, 404, "unknown_service"},
+		{"model of another service", "/services/models/v1/completions", `{"model":"x"}`, nil, 404, "unknown_model"},
 		{"bad timeout", "/v1/completions", streamBodyJSON(1), []string{headerTimeout, "-1"}, 400, "bad_timeout"},
 		{"bad event id", "/v1/completions", "", []string{headerLastEventID, "abc:1"}, 400, "bad_event_id"},
 		{"too large", "/v1/completions", string(make([]byte, 2<<20)), nil, 413, "body_too_large"},
@@ -258,3 +259,77 @@
 	require.Equal(t, "body", echo.Body)
 	require.NotEmpty(t, resp.Trailer.Get("X-Body-Sha256"))
 }
+
+// refusedOrders refuses every claim, as during an outage of the object API.
+type refusedOrders struct{}
+
+// Claim implements Orders.
+func (refusedOrders) Claim(context.Context, OrderRequest) (OrderOutcome, error) {
+	return OrderOutcome{}, verdict.New(verdict.NotRun, 503, "claim_timeout", "the order could not be claimed in time")
+}
+
+// Guards against a refused repeat being read as proof that the order never ran.
+func TestRefusedClaimMentionsEarlierRequests(t *testing.T) {
+	r := &rig{t: t}
+	r.addBackend("desk", standin.NewPlain("i-desk-0").Handler())
+	r.start()
+	r.gateway.Orders = refusedOrders{}
+	resp := r.do("POST", "/services/desk/orders", "x", headerClass, "order", headerIdempotencyKey, "k")
+	defer resp.Body.Close()
+	var p Problem
+	require.NoError(t, json.NewDecoder(resp.Body).Decode(&p))
+	require.Equal(t, verdict.NotRun, p.Verdict)
+	require.Contains(t, p.Detail, "an earlier request")
+}
+
+// Guards against a generation that runs on because the engine had not yet
+// noticed the closed connection when it was told to cancel; seen once in the
+// scenario disconnect_cancels on a busy machine.
+func TestCancelIsRepeatedWhileEngineSeesReader(t *testing.T) {
+	r := &rig{t: t}
+	e := newEngine("i-models-0", standin.EngineFaults{}).Handler()
+	var cancels atomic.Int32
+	r.addBackend("models", http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if req.Method == "DELETE" && cancels.Add(1) <= 2 {
+			w.WriteHeader(http.StatusConflict)
+			return
+		}
+		e.ServeHTTP(w, req)
+	}))
+	r.start()
+	ctx, cancel := context.WithCancel(context.Background())
+	resp, err := r.try(ctx, "POST", "/v1/completions", streamBodyJSON(5000))
+	require.NoError(t, err)
+	readStream(t, resp.Body, 3)
+	cancel()
+	resp.Body.Close()
+	require.Eventually(t, func() bool { return cancels.Load() == 3 }, 10*time.Second, 20*time.Millisecond)
+}
+
+// Guards against a team exceeding its limit of requests in flight, and against
+// places that are not given back.
+func TestTeamLimit(t *testing.T) {
+	r := &rig{t: t}
+	r.addBackend("models", newEngine("i-models-0", standin.EngineFaults{}).Handler())
+	r.start()
+	// A limit of 4 over 2 hosts lets this host run 2.
+	var bodies []io.ReadCloser
+	for range 2 {
+		resp := r.do("POST", "/v1/completions", streamBodyJSON(300), "Authorization", "Bearer small-key")
+		require.Equal(t, 200, resp.StatusCode)
+		bodies = append(bodies, resp.Body)
+	}
+	resp := r.do("POST", "/v1/completions", streamBodyJSON(3), "Authorization", "Bearer small-key")
+	resp.Body.Close()
+	require.Equal(t, 429, resp.StatusCode)
+	require.Equal(t, "1", resp.Header.Get("Retry-After"))
+	for _, b := range bodies {
+		require.True(t, readStream(t, b, 0).done)
+		b.Close()
+	}
+	require.Eventually(t, func() bool {
+		resp := r.do("POST", "/v1/completions", streamBodyJSON(3), "Authorization", "Bearer small-key")
+		defer resp.Body.Close()
+		return resp.StatusCode == 200
+	}, 5*time.Second, 20*time.Millisecond)
+}
--- a/internal/request/rig_test.go
+++ b/internal/request/rig_test.go
@@ -23,6 +23,7 @@
 
 	"monsoonkeel.example/monsoonkeel/core/config"
 	"monsoonkeel.example/monsoonkeel/internal/connection"
+	"monsoonkeel.example/monsoonkeel/internal/placement"
 	"monsoonkeel.example/monsoonkeel/internal/platform"
 	"monsoonkeel.example/monsoonkeel/internal/request/gentoken"
 	"monsoonkeel.example/monsoonkeel/internal/standin"
@@ -75,8 +76,12 @@
 	doc.Classes["caption"] = config.Class{Name: "caption", FirstTokenMS: 1900, TokenGapMS: 52, ResumeGraceMS: 1000}
 	doc.Classes["whole"] = config.Class{Name: "whole", FirstTokenMS: 1900, Delivery: config.DeliveryWhole}
 	doc.Classes["lookup"] = config.Class{Name: "lookup", FirstTokenMS: 500, Idempotent: true}
+	doc.Classes["patient"] = config.Class{Name: "patient", FirstTokenMS: 60_000}
+	doc.Classes["order"] = config.Class{Name: "order", FirstTokenMS: 500, Order: true}
 	doc.Classes["write"] = config.Class{Name: "write", FirstTokenMS: 500}
 	doc.Teams["lantern"] = config.Team{Name: "lantern", KeyHashes: []string{hex.EncodeToString(sum[:])}, DefaultClass: "caption"}
+	small := sha256.Sum256([]byte("small-key"))
+	doc.Teams["small"] = config.Team{Name: "small", KeyHashes: []string{hex.EncodeToString(small[:])}, DefaultClass: "caption", MaxInFlight: 4}
 	doc.Services["models"] = config.Service{Name: "models", Kind: config.KindEngine, Models: []string{"m"}, ColdLimit: 2, WarmLimit: 8}
 	doc.Services["desk"] = config.Service{Name: "desk", Kind: config.KindPlain, ColdLimit: 8, WarmLimit: 8}
 	return doc
@@ -121,7 +126,15 @@
 		},
 		Excluded: func(platform.Host) bool { return false },
 	})
+	places := placement.NewTable("r", 1)
+	update := func() {
+		snap.Services(func(svc *version.Service) {
+			places.Service(svc.Name, svc.Kind).Update(svc, placement.Surroundings{Hosts: 1}, time.Now())
+		})
+	}
+	update()
 	g := &Gateway{
+		Places:   places,
 		Snapshot: func() *version.Snapshot { return snap },
 		Fresh:    func(time.Time) error { return nil },
 		Pool:     connection.NewPool(),
@@ -130,9 +143,16 @@
 		Retries:  r, Cold: r, Recorder: r,
 		Log: zerolog.Nop(), Now: time.Now, NewID: uuid.NewString, Region: "r",
 		Draining: func() bool { return false },
+		Hosts:    func() int { return 2 },
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { _ = g.Watcher.Run(ctx) }()
+	go func() {
+		for ctx.Err() == nil {
+			time.Sleep(50 * time.Millisecond)
+			update()
+		}
+	}()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(r.t, err)
 	s := &fasthttp.Server{Handler: g.Handler, ErrorHandler: ProtocolError, MaxRequestBodySize: 1 << 20}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"sort"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -68,6 +70,8 @@
 	Retention     time.Duration
 	ChecksFencing bool
 	Faults        EngineFaults
+	// Journal, if set, gets a JournalLine for each generation at its start.
+	Journal io.Writer
 	// Die ends the process; it is called by the fault DieAfterTokens.
 	Die func()
 }
@@ -109,6 +113,8 @@
 // Engine is a model engine. Its tokens are a pure function of generation id
 // and offset, so a test can detect tokens of another generation.
 type Engine struct {
+	leaving atomic.Bool
+
 	config EngineConfig
 	faults faultSwitch[EngineFaults]
 
@@ -174,6 +180,9 @@
 	return fmt.Sprintf("%s%04x ", words[h%uint64(len(words))], h>>48)
 }
 
+// SetLeaving makes load reports say that the engine is about to stop.
+func (e *Engine) SetLeaving() { e.leaving.Store(true) }
+
 // Run writes load reports until ctx ends.
 func (e *Engine) Run(ctx context.Context) {
 	ticker := time.NewTicker(reportInterval)
@@ -214,6 +223,7 @@
 	e.reports = append(e.reports, timedReport{at: now, LoadReport: platform.LoadReport{
 		Incarnation:        e.config.Incarnation,
 		Sequence:           e.sequence,
+		Leaving:            e.leaving.Load(),
 		Running:            len(e.active),
 		BlocksUsed:         blocks,
 		BlocksTotal:        blocksTotal,
@@ -258,6 +268,9 @@
 	e.generations[g.ID] = g
 	e.order = append(e.order, g.ID)
 	e.active[g] = struct{}{}
+	line := JournalLine{Incarnation: e.config.Incarnation, RequestID: g.RequestID, Generation: g.ID, At: received}
+	line.ColdLimitExceeded = e.cold && len(e.active) > e.config.ColdLimit
+	appendJournal(e.config.Journal, line)
 	if e.cold {
 		e.maxColdConcurrent = max(e.maxColdConcurrent, len(e.active))
 		if len(e.active) > e.config.ColdLimit {
--- a/internal/standin/plain.go
+++ b/internal/standin/plain.go
@@ -4,9 +4,11 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"monsoonkeel.example/monsoonkeel/internal/platform"
@@ -38,6 +40,9 @@
 type Plain struct {
 	faults      faultSwitch[PlainFaults]
 	incarnation string
+	leaving     atomic.Bool
+	// Journal, if set, gets a JournalLine for each call that ran.
+	Journal io.Writer
 
 	mu       sync.Mutex
 	runs     []plainRun
@@ -48,6 +53,9 @@
 // NewPlain returns a plain service.
 func NewPlain(incarnation string) *Plain { return &Plain{incarnation: incarnation} }
 
+// SetLeaving makes load reports say that the service is about to stop.
+func (p *Plain) SetLeaving() { p.leaving.Store(true) }
+
 // Handler serves any method and path, and GET /v1/load, /faults and
 // /debug/journal.
 func (p *Plain) Handler() http.Handler {
@@ -77,7 +85,7 @@
 	defer p.mu.Unlock()
 	p.sequence++
 	writeJSON(w, http.StatusOK, platform.LoadReport{
-		Incarnation: p.incarnation, Sequence: p.sequence, Running: p.running, Completed: uint64(len(p.runs)),
+		Incarnation: p.incarnation, Sequence: p.sequence, Leaving: p.leaving.Load(), Running: p.running, Completed: uint64(len(p.runs)),
 	})
 }
 
@@ -147,5 +155,9 @@
 		Run: len(p.runs) + 1, Method: r.Method, Path: r.URL.RequestURI(), RequestID: r.Header.Get("X-Request-Id"),
 		IdempotencyKey: r.Header.Get("Idempotency-Key"), BodySHA256: digest(body), At: time.Now(),
 	})
+	appendJournal(p.Journal, JournalLine{
+		Incarnation: p.incarnation, RequestID: r.Header.Get("X-Request-Id"),
+		IdempotencyKey: r.Header.Get("Idempotency-Key"), At: time.Now(),
+	})
 	return len(p.runs)
 }
--- a/internal/version/snapshot.go
+++ b/internal/version/snapshot.go
@@ -1,8 +1,10 @@
 package version
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
+	"slices"
 	"time"
 
 	"monsoonkeel.example/monsoonkeel/core/config"
@@ -26,6 +28,15 @@
 	Warm bool
 }
 
+// Incarnation returns the process that Limit holds for: the one of the load
+// report, since the host list may lag behind it.
+func (b *Backend) Incarnation() string {
+	if b.Load.Incarnation != "" {
+		return b.Load.Incarnation
+	}
+	return b.Host.Incarnation
+}
+
 // CurrentLimit returns the limit that holds at now.
 func (b *Backend) CurrentLimit(now time.Time) int {
 	if !b.LimitUntil.IsZero() && now.After(b.LimitUntil) {
@@ -109,9 +120,18 @@
 	for _, h := range in.Hosts {
 		s.addHost(h, &in)
 	}
+	for _, svc := range s.services {
+		slices.SortFunc(svc.Backends, compareBackends)
+	}
 	return s
 }
 
+// compareBackends sorts by region and id, so that all hosts divide the backend
+// servers in the same order.
+func compareBackends(a, b *Backend) int {
+	return cmp.Or(cmp.Compare(a.Host.Region, b.Host.Region), cmp.Compare(a.Host.ID, b.Host.ID))
+}
+
 func (s *Snapshot) addServices() {
 	for name, c := range s.Document.Services {
 		svc := &Service{Service: c}
@@ -142,7 +162,7 @@
 	}
 	s.reachable[h.ID] = h
 	svc, ok := s.services[h.Service]
-	if !ok || !s.mayGetWork(h) || in.Excluded(h) {
+	if !ok || h.State != platform.HostLive || s.Document.IsOut(h.ID, h.Domain) || in.Excluded(h) {
 		return
 	}
 	report := in.Reports[h.ID]
@@ -151,18 +171,6 @@
 	svc.Backends = append(svc.Backends, b)
 }
 
-// mayGetWork says whether operators and the host list let a host have new work.
-func (s *Snapshot) mayGetWork(h platform.Host) bool {
-	if h.State != platform.HostLive {
-		return false
-	}
-	if _, drained := s.Document.Drains[h.ID]; drained {
-		return false
-	}
-	d, known := s.Document.Domains[h.Domain]
-	return !known || d.State == config.DomainIn
-}
-
 // Service returns the service of that name.
 func (s *Snapshot) Service(name string) (*Service, bool) {
 	svc, ok := s.services[name]
