--- a/internal/process/daemon/routing.go
+++ b/internal/process/daemon/routing.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -103,9 +102,11 @@
 	r.d.snapshot.Store(snap)
 	r.d.retries.tick(time.Now())
 	r.d.refreshFreshness(time.Now())
-	r.d.pool.Retain(func(address string) bool {
-		return slices.ContainsFunc(hosts, func(h platform.Host) bool { return h.Address == address })
-	})
+	listed := make(map[string]bool, len(hosts))
+	for i := range hosts {
+		listed[hosts[i].Address] = true
+	}
+	r.d.pool.Retain(func(address string) bool { return listed[address] })
 	around := r.surroundings(snap.Document)
 	r.d.hosts.Store(int32(around.Hosts))
 	snap.Services(func(svc *version.Service) {
