Answer repeats of abandoned orders early; forget a leaving mark on restart

Ruled out: giving up at the first denial of the host, which may not have noted its grant yet. Change: a repeat gives up when the host of a claimed order has denied knowing it three times; a heartbeat that does not say draining ends the leaving mark of an entry host; a 413 has a request id; the log line at start has one host. Conclusion: both faults have a test.

--- a/internal/process/claims/peer.go
+++ b/internal/process/claims/peer.go
@@ -16,6 +16,10 @@
 	peerProtocol = 1
 	// maxAnswerWait bounds one wait for a running order's answer.
 	maxAnswerWait = 5 * time.Second
+	// maxDenials is how often the host of a claimed order may say that it does
+	// not know the order before a repeat gives up. The host abandoned it or was
+	// restarted; once or twice it may not have noted its grant yet.
+	maxDenials = 3
 	// awaitPause separates two questions about a running order.
 	awaitPause = 100 * time.Millisecond
 )
@@ -153,11 +157,15 @@
 		return *out.Answer, nil
 	}
 	keyHash, ran := claim.KeyHash(o.Team, o.Key), out.Kind == Done
+	denials := 0
 	for ctx.Err() == nil {
-		a, known := s.ask(ctx, out.Host, keyHash)
+		a, known, denied := s.ask(ctx, out.Host, keyHash)
 		if a != nil {
 			return *a, nil
 		}
+		if denied {
+			denials++
+		}
 		if !known {
 			r, err := s.read(ctx, keyHash)
 			switch {
@@ -167,7 +175,7 @@
 				return *r.Answer, nil
 			case ran || err == nil && r.State == claim.Done:
 				return claim.Answer{}, verdict.New(verdict.Ran, 409, "answer_not_kept", "the order ran; its answer was not kept")
-			case err == nil && r.State != claim.Claimed:
+			case err == nil && r.State != claim.Claimed, denials >= maxDenials:
 				return claim.Answer{}, verdict.New(verdict.MayHaveRun, 409, "order_unknown", "the order may have run")
 			}
 		}
@@ -184,23 +192,26 @@
 	return claim.Answer{}, verdict.Wrap(ctx.Err(), verdict.MayHaveRun, 409, "order_running", "the order is still running")
 }
 
-func (s *Service) ask(ctx context.Context, host, keyHash string) (*claim.Answer, bool) {
+// ask returns the answer that the host of an order has, whether the host knows
+// the order, and whether it said that it does not.
+func (s *Service) ask(ctx context.Context, host, keyHash string) (a *claim.Answer, known, denied bool) {
 	if host == s.opt.Host {
-		return s.localAnswer(ctx, keyHash, maxAnswerWait)
+		a, known = s.localAnswer(ctx, keyHash, maxAnswerWait)
+		return a, known, !known
 	}
 	if s.opt.Answerer == nil || host == "" {
-		return nil, false
+		return nil, false, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, maxAnswerWait+callTimeout)
 	defer cancel()
 	resp, err := s.opt.Answerer.Answer(ctx, host, &peerpb.AnswerRequest{Protocol: peerProtocol, KeyHash: keyHash, WaitMs: maxAnswerWait.Milliseconds()})
 	if err != nil || !resp.GetKnown() {
-		return nil, false
+		return nil, false, err == nil
 	}
 	if !resp.GetDone() {
-		return nil, true
+		return nil, true, false
 	}
-	return &claim.Answer{Status: int(resp.GetStatus()), ContentType: resp.GetContentType(), Body: resp.GetBody()}, true
+	return &claim.Answer{Status: int(resp.GetStatus()), ContentType: resp.GetContentType(), Body: resp.GetBody()}, true, false
 }
 
 // read returns the order's record, or nil when there is none.
--- a/internal/process/claims/service_test.go
+++ b/internal/process/claims/service_test.go
@@ -349,6 +349,25 @@
 	})
 }
 
+// Guards against a repeat that waits until its deadline for an order whose host
+// has abandoned it; a trial run waited 30 s.
+func TestRepeatOfAbandonedOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, all := newFleet(t, platformtest.NewStore(), 2)
+		defer closeAll(t, all)
+		o := order("k")
+		out, err := all[1].Claim(t.Context(), o)
+		require.NoError(t, err)
+		repeat, err := all[0].Claim(t.Context(), o)
+		require.NoError(t, err)
+		all[1].Abandon(out.Grant)
+		began := time.Now()
+		_, err = all[0].Await(t.Context(), o, repeat)
+		require.Equal(t, verdict.MayHaveRun, verdict.Of(err))
+		require.Less(t, time.Since(began), 2*time.Second)
+	})
+}
+
 // Guards against a host sending after a pause beyond its deadline.
 func TestMaySendAfterPause(t *testing.T) {
 	now := time.Now()
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -185,7 +185,7 @@
 	}
 	g.Go(func() error { return d.serve(d.callers, connection.Listener{Listener: listeners.callers}) })
 	g.Go(func() error { return d.serve(d.admin, listeners.admin) })
-	d.log.Info().Str("host", d.settings.HostID).Str("listen", d.settings.Listen).Msg("serving")
+	d.log.Info().Str("listen", d.settings.Listen).Msg("serving")
 	select {
 	case <-ctx.Done():
 	case <-loopCtx.Done():
--- a/internal/process/membership/keeper_test.go
+++ b/internal/process/membership/keeper_test.go
@@ -547,3 +547,24 @@
 	// Without this the property would hold for hosts that never send.
 	require.Greater(t, sent, 100)
 }
+
+// Guards against a daemon that stays out of the view because it was restarted
+// before the host list showed a new incarnation.
+func TestRestartEndsTheLeavingMark(t *testing.T) {
+	f := newFleet(3)
+	f.settle(t)
+	n := f.nodes[0]
+	n.NoteRequest("host-1", true)
+	require.Equal(t, platform.HostLeaving, hostState(n, "host-1"))
+	n.NoteRequest("host-1", false)
+	require.Equal(t, platform.HostLive, hostState(n, "host-1"))
+}
+
+func hostState(n *node, id string) platform.HostState {
+	for _, h := range n.Hosts() {
+		if h.ID == id {
+			return h.State
+		}
+	}
+	return ""
+}
--- a/internal/process/membership/membership.go
+++ b/internal/process/membership/membership.go
@@ -235,11 +235,19 @@
 	if at.After(p.contactAt) {
 		p.contactAt, p.failed = at, 0
 	}
-	if draining {
-		if h, ok := k.host(host); ok {
-			k.leaving[incarnation{host, h.Incarnation}] = true
-		}
+	if h, ok := k.host(host); ok && h.Role == platform.RoleEntry {
+		// A daemon that no longer says that it is draining has been restarted,
+		// perhaps before the host list shows a new incarnation.
+		k.setLeaving(incarnation{host, h.Incarnation}, draining)
+	}
+}
+
+func (k *Keeper) setLeaving(i incarnation, leaving bool) {
+	if leaving {
+		k.leaving[i] = true
+		return
 	}
+	delete(k.leaving, i)
 }
 
 func (k *Keeper) peer(host string) *peerState {
--- a/internal/request/problem.go
+++ b/internal/request/problem.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/valyala/fasthttp"
 
 	"monsoonkeel.example/monsoonkeel/core/verdict"
@@ -76,11 +77,16 @@
 	case isTimeout(err):
 		status, code = 408, "request_timeout"
 	}
+	id := string(ctx.Request.Header.Peek(headerRequestID))
+	if id == "" || len(id) > maxRequestIDBytes {
+		id = uuid.NewString()
+	}
 	body, _ := json.Marshal(Problem{
 		Type: "urn:monsoonkeel:problem:" + code, Title: code, Status: status,
-		Detail: "the request could not be read", Verdict: verdict.NotRun,
+		Detail: "the request could not be read", Verdict: verdict.NotRun, RequestID: id,
 	})
 	ctx.Response.Reset()
+	ctx.Response.Header.Set(headerRequestID, id)
 	ctx.SetStatusCode(status)
 	ctx.SetContentType(problemContentType)
 	ctx.SetBody(body)
--- a/internal/request/request_test.go
+++ b/internal/request/request_test.go
@@ -207,6 +207,8 @@
 			require.NoError(t, json.NewDecoder(resp.Body).Decode(&p))
 			require.Equal(t, c.code, p.Title)
 			require.Equal(t, verdict.NotRun, p.Verdict)
+			require.Equal(t, resp.Header.Get(headerRequestID), p.RequestID)
+			require.NotEmpty(t, p.RequestID)
 		})
 	}
 }
