--- a/internal/process/daemon/polling.go
+++ b/internal/process/daemon/polling.go
@@ -93,13 +93,13 @@
 	for _, h := range backends {
 		next[h.ID] = last[h.ID]
 	}
-	target := tightestFirstToken(doc)
 	var g errgroup.Group
 	g.SetLimit(maxPolls)
 	for _, h := range chosen {
 		next[h.ID] = now
 		g.Go(func() error {
-			r.poll(ctx, h, doc.Services[h.Service], target)
+			svc := doc.Services[h.Service]
+			r.poll(ctx, h, svc, tightestFirstToken(doc, svc))
 			return nil
 		})
 	}
@@ -154,13 +154,24 @@
 }
 
 // tightestFirstToken is the first-token target that a backend server must meet
-// to count as warming up.
-func tightestFirstToken(doc *config.Document) time.Duration {
+// to count as warming up: that of the classes in the service's rules, or of all
+// classes for generations if there are no rules.
+func tightestFirstToken(doc *config.Document, svc config.Service) time.Duration {
 	tightest := 0
-	for _, c := range doc.Classes {
+	consider := func(c config.Class) {
 		if c.FirstTokenMS > 0 && (tightest == 0 || c.FirstTokenMS < tightest) {
 			tightest = c.FirstTokenMS
 		}
 	}
+	for _, r := range svc.Rules {
+		consider(doc.Classes[r.Class])
+	}
+	if len(svc.Rules) == 0 {
+		for _, c := range doc.Classes {
+			if !c.Order && !c.Idempotent {
+				consider(c)
+			}
+		}
+	}
 	return time.Duration(tightest) * time.Millisecond
 }
--- a/internal/process/membership/keeper_test.go
+++ b/internal/process/membership/keeper_test.go
@@ -568,3 +568,18 @@
 	}
 	return ""
 }
+
+// Guards against a host list that falls back to a state from before this host
+// was listed taking away all backend servers; seen in a scenario with a lag of
+// 20 s. A host that stays away from the list has been removed.
+func TestListWithoutThisHostIsIgnoredForAWhile(t *testing.T) {
+	f := newFleet(2)
+	f.settle(t)
+	n := f.nodes[0]
+	n.list.hosts = nil
+	n.ReadHosts(t.Context())
+	require.Len(t, n.Hosts(), 2)
+	f.now = f.now.Add(absentTrust)
+	n.ReadHosts(t.Context())
+	require.Empty(t, n.Hosts())
+}
--- a/internal/process/membership/loop.go
+++ b/internal/process/membership/loop.go
@@ -51,9 +51,13 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if !unchanged {
-		k.hosts = hosts
+		k.offered = hosts
 	}
-	k.hostsAt = readAt
+	if k.fallsBack(readAt) {
+		k.cfg.Log.Warn().Msg("host list does not show this host any more, the last one stays in use")
+		return
+	}
+	k.hosts, k.hostsAt = k.offered, readAt
 	for _, h := range k.hosts {
 		if h.State == platform.HostLeaving {
 			k.leaving[incarnation{h.ID, h.Incarnation}] = true
@@ -66,6 +70,17 @@
 	}
 }
 
+// fallsBack reports whether the offered host list is one from before this host
+// was listed. Such a list would take all backend servers away that came since.
+// The lock is held.
+func (k *Keeper) fallsBack(readAt time.Time) bool {
+	listed := slices.ContainsFunc(k.offered, func(h platform.Host) bool { return h.ID == k.cfg.Self.ID })
+	if listed {
+		k.selfListedAt = readAt
+	}
+	return !listed && !k.draining && !k.selfListedAt.IsZero() && readAt.Sub(k.selfListedAt) < absentTrust
+}
+
 // ownCell returns the hosts of this cell. An id that is listed twice is kept
 // once.
 func (k *Keeper) ownCell(all []platform.Host) []platform.Host {
--- a/internal/process/membership/membership.go
+++ b/internal/process/membership/membership.go
@@ -28,6 +28,9 @@
 	// heartbeat also goes to the renewer. A heartbeat comes every second, so that
 	// it normally gets a confirmation before readAfter.
 	askAfter = time.Second
+	// absentTrust is how long a host list without this host is taken for one
+	// that fell back to an older state. Later the host has really been removed.
+	absentTrust = time.Minute
 	// hostListTrust is how long a host list may be used to remove members.
 	hostListTrust = 10 * time.Second
 	// newAfter is the pause after which a calling peer counts as new; a rotation
@@ -91,8 +94,12 @@
 	draining    bool
 	repeatNext  int
 
-	hosts    []platform.Host
-	hostsAt  time.Time
+	hosts   []platform.Host
+	hostsAt time.Time
+	// offered is the newest host list read; hosts is the one in use.
+	offered      []platform.Host
+	selfListedAt time.Time
+
 	leaving  map[incarnation]bool
 	peers    map[string]*peerState
 	backends map[string]*backendState
