Treat an engine that fails requests as cold

Cause: an engine that turned cold without notice and without a restart kept the load of a warm one, failed all its requests and so never warmed up. Ruled out: first tokens above the target as the sign: under overload every engine shows it, and taking them for cold would shed capacity in a spiral. Conclusion: the engine recovers on its own; the requests that it fails before the first sighting are not avoided.

--- a/internal/process/daemon/adapters.go
+++ b/internal/process/daemon/adapters.go
@@ -108,6 +108,12 @@
 	c.d.peers.NotifyCold(membership.Sighting{Backend: backend, Incarnation: incarnation, At: time.Now()})
 }
 
+// Failed implements request.ColdReporter. An engine that turned cold without
+// notice fails requests when it gets the load of a warm one.
+func (c coldReporter) Failed(backend, incarnation string) {
+	c.d.peers.NotifyCold(membership.Sighting{Backend: backend, Incarnation: incarnation, At: time.Now()})
+}
+
 // Incarnation implements request.ColdReporter.
 func (c coldReporter) Incarnation(backend, _, seen string) {
 	// The limits in the routing snapshot are those of the process before.
--- a/internal/request/gateway.go
+++ b/internal/request/gateway.go
@@ -44,6 +44,8 @@
 type ColdReporter interface {
 	// Refused is called when a backend server refused a connection.
 	Refused(backend, incarnation string)
+	// Failed is called when a backend server failed a request by itself.
+	Failed(backend, incarnation string)
 	// Incarnation is called when an answer names another incarnation than expected.
 	Incarnation(backend, expected, seen string)
 }
--- a/internal/request/generation.go
+++ b/internal/request/generation.go
@@ -152,6 +152,9 @@
 	}
 	if status != 200 {
 		ex.Finish(false)
+		if status == fasthttp.StatusInternalServerError {
+			gen.c.g.Cold.Failed(gen.host.ID, gen.incarnation)
+		}
 		return gen.c.failure(502, "backend_refused", "the backend server answered %d", status)
 	}
 	if err := gen.checkIdentity(ex); err != nil {
--- a/internal/request/request_test.go
+++ b/internal/request/request_test.go
@@ -335,3 +335,21 @@
 		return resp.StatusCode == 200
 	}, 5*time.Second, 20*time.Millisecond)
 }
+
+// Guards against an engine that fails under load keeping the load of a warm one.
+func TestFailedRequestIsReportedAndRetried(t *testing.T) {
+	r := &rig{t: t}
+	r.addBackend("models", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusInternalServerError)
+	}))
+	r.addBackend("models", newEngine("i-models-1", standin.EngineFaults{}).Handler())
+	r.start()
+	for range 4 {
+		resp := r.do("POST", "/v1/completions", streamBodyJSON(3))
+		require.True(t, readStream(t, resp.Body, 0).done)
+		resp.Body.Close()
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	require.Contains(t, r.failed, "models-0")
+}
--- a/internal/request/rig_test.go
+++ b/internal/request/rig_test.go
@@ -45,6 +45,7 @@
 	mu       sync.Mutex
 	outcomes []Outcome
 	refused  []string
+	failed   []string
 }
 
 // Record implements Recorder.
@@ -61,6 +62,13 @@
 	r.refused = append(r.refused, backend)
 }
 
+// Failed implements ColdReporter.
+func (r *rig) Failed(backend, _ string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.failed = append(r.failed, backend)
+}
+
 // Incarnation implements ColdReporter.
 func (r *rig) Incarnation(_, _, _ string) {}
 
