--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -89,7 +89,10 @@
 	queue   *admit.Queue
 	reserve schedule.Reserve
 
+	// servers may get new work. departed ones may not, but still run requests
+	// of this host; they keep their books in case they return.
 	servers    []*server
+	departed   []*server
 	byID       map[string]*server
 	candidates []schedule.Candidate
 	waiting    map[uint64]*Request
@@ -130,9 +133,12 @@
 
 // SetServers replaces the backend servers that may get new work, sorted by
 // region and id. This host is number position of hosts, sorted the same way.
+// A backend server that is listed again in the same incarnation still counts
+// the requests that it runs for this host.
 func (d *Dispatcher) SetServers(servers []Server, position, hosts int) {
 	d.hosts = hosts
-	d.servers = d.servers[:0]
+	before := slices.Concat(d.servers, d.departed)
+	d.servers, d.departed = d.servers[:0], d.departed[:0]
 	byID := make(map[string]*server, len(servers))
 	for _, s := range servers {
 		known := d.byID[s.ID]
@@ -143,6 +149,13 @@
 		byID[s.ID] = known
 		d.servers = append(d.servers, known)
 	}
+	for _, s := range before {
+		if byID[s.ID] == nil && s.tracker.Own() > 0 {
+			s.share = 0
+			byID[s.ID] = s
+			d.departed = append(d.departed, s)
+		}
+	}
 	d.byID = byID
 	d.candidates = append(d.candidates[:0], make([]schedule.Candidate, len(servers))...)
 	d.divide(position)
@@ -309,8 +322,10 @@
 	}
 	var sum schedule.Survival
 	n := 0
-	for _, s := range d.servers {
-		n += s.tracker.AddPopulation(&sum)
+	for _, list := range [][]*server{d.servers, d.departed} {
+		for _, s := range list {
+			n += s.tracker.AddPopulation(&sum)
+		}
 	}
 	for i := range sum {
 		if n > 0 {
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -186,3 +186,37 @@
 	require.Greater(t, used["cold"], 5)
 	require.Greater(t, used["warm"], 5)
 }
+
+// Guards against more requests than the limit at a backend server that was
+// taken out of service and returns while it still runs earlier ones.
+func TestReturningServerKeepsItsRequests(t *testing.T) {
+	servers := []Server{{ID: "s1", Incarnation: "1", Region: "a", Limit: 1, Warm: true, Capacity: 4}}
+	d := newTest(false, servers...)
+	require.Equal(t, admit.Place, d.Offer(request(1), start).Action)
+	d.SetServers(nil, 0, 1)
+	require.Equal(t, 1, d.InFlight("s1"))
+	require.Equal(t, admit.Wait, d.Offer(request(2), start).Action)
+	d.SetServers(servers, 0, 1)
+	require.Empty(t, d.Drain(start))
+	d.SetServers(nil, 0, 1)
+	d.Ended(1, true, start)
+	d.SetServers(servers, 0, 1)
+	require.Equal(t, []Outcome{{ID: 2, Action: admit.Place, Server: "s1"}}, d.Drain(start))
+	require.Equal(t, 1, d.InFlight("s1"))
+}
+
+// Guards against the requests of a process that was replaced counting at its
+// successor, and against ended departed servers staying in the books.
+func TestReplacedServerStartsWithoutRequests(t *testing.T) {
+	s := Server{ID: "s1", Incarnation: "1", Region: "a", Limit: 1, Warm: true, Capacity: 4}
+	d := newTest(false, s)
+	require.Equal(t, admit.Place, d.Offer(request(1), start).Action)
+	d.SetServers(nil, 0, 1)
+	s.Incarnation = "2"
+	d.SetServers([]Server{s}, 0, 1)
+	require.Equal(t, 0, d.InFlight("s1"))
+	d.Ended(1, false, start)
+	d.SetServers(nil, 0, 1)
+	require.Empty(t, d.byID)
+	require.Empty(t, d.departed)
+}
--- a/internal/policybench/workload.go
+++ b/internal/policybench/workload.go
@@ -68,9 +68,6 @@
 	done      bool
 	refused   bool
 	cut       bool
-
-	// estimate is the work that admission was charged, in tokens.
-	estimate float64
 }
 
 // source draws requests. One source drives one run, so that all policies get
