Charge a team for the uncached part of its prompt

Cause: core/dispatch charged the whole prompt, although admit.Item.Tokens is defined as uncached work. Change: a prefix that this host sent before counts as cached, in the estimate and in the correction at the end. TestTeamIsChargedForUncachedPrompt guards the rule.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -121,6 +121,8 @@
 	sent     time.Time
 	produced int
 	estimate float64
+	// uncached is the part of the prompt expected to be computed, in tokens.
+	uncached int
 }
 
 // New returns a Dispatcher without backend servers.
@@ -229,7 +231,16 @@
 	if !d.opt.Engine {
 		return 1
 	}
-	return float64(r.Prompt) + dist.Mean(0)
+	return float64(d.uncached(r)) + dist.Mean(0)
+}
+
+// uncached is the part of r's prompt that is expected to be computed: a prefix
+// that this host sent before is taken to be cached.
+func (d *Dispatcher) uncached(r *Request) int {
+	if r.Prefix == 0 || len(d.prefixes.holders(r.Prefix)) == 0 {
+		return r.Prompt
+	}
+	return max(r.Prompt-r.PrefixTokens, 0)
 }
 
 func item(r *Request, estimate float64) admit.Item {
@@ -310,7 +321,7 @@
 	if !r.request.Opaque {
 		d.lengths.Observe(r.request.Class, r.request.Team, r.produced)
 	}
-	d.queue.Finished(r.request.Team, r.estimate, float64(r.request.Prompt+r.produced))
+	d.queue.Finished(r.request.Team, r.estimate, float64(r.uncached+r.produced))
 }
 
 // Refresh predicts the memory demand anew; it is called several times a second.
@@ -356,9 +367,9 @@
 
 func (d *Dispatcher) place(r *Request, s *server, dist *length.Dist, estimate float64, now time.Time) Outcome {
 	s.tracker.Sent(r.ID, r.Prompt, dist, now)
-	d.prefixes.placed(r.Prefix, s.ID)
 	d.gapMS = tighter(d.gapMS, r.GapMS)
-	d.running[r.ID] = &run{request: *r, server: s, sent: now, estimate: estimate}
+	d.running[r.ID] = &run{request: *r, server: s, sent: now, estimate: estimate, uncached: d.uncached(r)}
+	d.prefixes.placed(r.Prefix, s.ID)
 	return Outcome{ID: r.ID, Action: admit.Place, Server: s.ID}
 }
 
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -220,3 +220,24 @@
 	require.Empty(t, d.byID)
 	require.Empty(t, d.departed)
 }
+
+// Guards against a team being charged for prompt tokens that a prefix cache
+// serves, and against a correction that charges them at the end.
+func TestTeamIsChargedForUncachedPrompt(t *testing.T) {
+	d := newTest(true, Server{ID: "s1", Region: "a", Limit: 20, Warm: true, Capacity: 40})
+	r := request(1)
+	r.Prefix, r.PrefixTokens = 7, 80
+	dist := d.lengths.Dist(r.Class, r.Team)
+	first := d.estimate(&r, &dist)
+	require.Equal(t, admit.Place, d.Offer(r, start).Action)
+	require.Equal(t, r.Prompt, d.running[1].uncached)
+	d.Progress(1, 1)
+	r.ID = 2
+	require.Equal(t, first-80, d.estimate(&r, &dist))
+	require.Equal(t, admit.Place, d.Offer(r, start).Action)
+	require.Equal(t, r.Prompt-80, d.running[2].uncached)
+	r.Prefix = 8
+	require.Equal(t, first, d.estimate(&r, &dist), "another prefix is not cached")
+	r.Prefix, r.PrefixTokens = 7, 1000
+	require.Equal(t, 0, d.uncached(&r), "a prefix estimate beyond the prompt")
+}
