Send short requests to cold engines first

Cause: after a failure domain returned, its engines needed 45 s to 80 s to produce 80% of their earlier tokens/s, longer than with power of two at the same load. The ramp waits for completed requests, and long ones held the few cold slots. Change: an engine's free cold slot counts as an own share only for requests of at most the mean estimated work, or when no engine is warm. TestColdEngineGetsShortRequests guards the rule.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -21,6 +21,8 @@
 	// maxPrefill bounds a host's concurrent prefills at an engine, since a
 	// prefill delays the tokens of all running streams.
 	maxPrefill = 1
+	// workSmoothing is the weight of a new request in the mean work.
+	workSmoothing = 0.01
 	// defaultStepMS is the decode step assumed before an engine reports one.
 	defaultStepMS = 20
 )
@@ -102,9 +104,13 @@
 	// gapMS is the tightest token gap target of the running requests, in
 	// milliseconds; 0 means none.
 	gapMS int
-	hosts int
-	seed  uint64
-	out   []Outcome
+	// warm is the number of warm backend servers.
+	warm int
+	// meanWork is the decayed mean of the offered requests' estimated work.
+	meanWork float64
+	hosts    int
+	seed     uint64
+	out      []Outcome
 }
 
 type server struct {
@@ -165,17 +171,17 @@
 
 // divide computes this host's shares of the warm backend servers.
 func (d *Dispatcher) divide(position int) {
-	warm := 0
+	d.warm = 0
 	for _, s := range d.servers {
 		if s.Warm {
-			warm++
+			d.warm++
 		}
 	}
 	at := 0
 	for _, s := range d.servers {
 		s.share = 0
 		if s.Warm {
-			s.share = schedule.Share(position, d.hosts, at, warm)
+			s.share = schedule.Share(position, d.hosts, at, d.warm)
 			at++
 		}
 	}
@@ -201,6 +207,7 @@
 	}
 	dist := d.lengths.Dist(r.Class, r.Team)
 	estimate := d.estimate(&r, &dist)
+	d.observeWork(estimate)
 	s := d.pick(&r, &dist, true, now)
 	decision := d.queue.Offer(item(&r, estimate), s != nil, now)
 	switch decision.Action {
@@ -217,6 +224,14 @@
 	return Outcome{ID: r.ID, Action: admit.Refuse, RetryAfter: decision.RetryAfter}
 }
 
+// observeWork updates the mean work of a request.
+func (d *Dispatcher) observeWork(estimate float64) {
+	if d.meanWork == 0 {
+		d.meanWork = estimate
+	}
+	d.meanWork += workSmoothing * (estimate - d.meanWork)
+}
+
 // anyUntried says whether a retry has a backend server left to wait for.
 func (d *Dispatcher) anyUntried(tried []string) bool {
 	for _, s := range d.servers {
@@ -375,8 +390,11 @@
 
 func (d *Dispatcher) pick(r *Request, dist *length.Dist, localOnly bool, now time.Time) *server {
 	reserve, gapMS := d.reserve.Value(now), tighter(d.gapMS, r.GapMS)
+	// The ramp of a cold engine waits for completed requests, so short ones go
+	// there first. Long ones have as much right to it when all are cold.
+	suitsCold := d.warm == 0 || d.estimate(r, dist) <= d.meanWork
 	for i, s := range d.servers {
-		d.fill(i, s, r, reserve, gapMS)
+		d.fill(i, s, r, suitsCold, reserve, gapMS)
 	}
 	var b [8]byte
 	binary.LittleEndian.PutUint64(b[:], d.seed)
@@ -412,11 +430,11 @@
 	return false
 }
 
-func (d *Dispatcher) fill(i int, s *server, r *Request, reserve float32, gapMS int) {
+func (d *Dispatcher) fill(i int, s *server, r *Request, suitsCold bool, reserve float32, gapMS int) {
 	k := &d.candidates[i]
 	k.Index, k.Domain, k.Region = i, s.Domain, s.Region
 	k.Limit, k.Capacity, k.Hosts, k.Share = s.Limit, s.Capacity, d.hosts, s.share
-	if !s.Warm {
+	if !s.Warm && suitsCold {
 		// Cold slots are this host's own. Without a share they came after all
 		// warm backend servers, and at low load a cold one stayed cold.
 		k.Share = 1
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -241,3 +241,33 @@
 	r.Prefix, r.PrefixTokens = 7, 1000
 	require.Equal(t, 0, d.uncached(&r), "a prefix estimate beyond the prompt")
 }
+
+// Guards against long requests taking the few slots of a cold engine, whose
+// ramp waits for completed requests, while a warm one has room.
+func TestColdEngineGetsShortRequests(t *testing.T) {
+	d := New(Options{Region: "a", Engine: true, Seed: 1})
+	servers := []Server{
+		{ID: "cold", Region: "a", Limit: 1, Capacity: 16},
+		{ID: "warm", Region: "a", Limit: 16, Warm: true, Capacity: 16},
+	}
+	d.SetServers(servers, 0, 2)
+	used := map[string]int{}
+	offer := func(id uint64, class string, prompt int) {
+		r := request(id)
+		r.Class, r.Prompt = class, prompt
+		out := d.Offer(r, start)
+		require.Equal(t, admit.Place, out.Action)
+		used[class+" "+out.Server]++
+		d.Ended(id, false, start)
+	}
+	for id := uint64(1); id <= 80; id += 2 {
+		offer(id, "short", 100)
+		offer(id+1, "long", 1000)
+	}
+	require.Greater(t, used["short cold"], 5)
+	require.Zero(t, used["long cold"])
+	d.SetServers(servers[:1], 0, 2)
+	offer(100, "long", 1000)
+	require.Equal(t, 1, used["long cold"], "a long request goes to a cold engine when no engine is warm")
+	require.EqualValues(t, 1, d.candidates[0].Share, "with the rights of a short one")
+}
