--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -21,6 +21,8 @@
 	// maxPrefill bounds a host's concurrent prefills at an engine, since a
 	// prefill delays the tokens of all running streams.
 	maxPrefill = 1
+	// workSmoothing is the weight of a new request in the mean work.
+	workSmoothing = 0.01
 	// defaultStepMS is the decode step assumed before an engine reports one.
 	defaultStepMS = 20
 )
@@ -89,7 +91,10 @@
 	queue   *admit.Queue
 	reserve schedule.Reserve
 
+	// servers may get new work. departed ones may not, but still run requests
+	// of this host; they keep their books in case they return.
 	servers    []*server
+	departed   []*server
 	byID       map[string]*server
 	candidates []schedule.Candidate
 	waiting    map[uint64]*Request
@@ -99,9 +104,13 @@
 	// gapMS is the tightest token gap target of the running requests, in
 	// milliseconds; 0 means none.
 	gapMS int
-	hosts int
-	seed  uint64
-	out   []Outcome
+	// warm is the number of warm backend servers.
+	warm int
+	// meanWork is the decayed mean of the offered requests' estimated work.
+	meanWork float64
+	hosts    int
+	seed     uint64
+	out      []Outcome
 }
 
 type server struct {
@@ -118,6 +127,8 @@
 	sent     time.Time
 	produced int
 	estimate float64
+	// uncached is the part of the prompt expected to be computed, in tokens.
+	uncached int
 }
 
 // New returns a Dispatcher without backend servers.
@@ -130,9 +141,12 @@
 
 // SetServers replaces the backend servers that may get new work, sorted by
 // region and id. This host is number position of hosts, sorted the same way.
+// A backend server that is listed again in the same incarnation still counts
+// the requests that it runs for this host.
 func (d *Dispatcher) SetServers(servers []Server, position, hosts int) {
 	d.hosts = hosts
-	d.servers = d.servers[:0]
+	before := slices.Concat(d.servers, d.departed)
+	d.servers, d.departed = d.servers[:0], d.departed[:0]
 	byID := make(map[string]*server, len(servers))
 	for _, s := range servers {
 		known := d.byID[s.ID]
@@ -143,6 +157,13 @@
 		byID[s.ID] = known
 		d.servers = append(d.servers, known)
 	}
+	for _, s := range before {
+		if byID[s.ID] == nil && s.tracker.Own() > 0 {
+			s.share = 0
+			byID[s.ID] = s
+			d.departed = append(d.departed, s)
+		}
+	}
 	d.byID = byID
 	d.candidates = append(d.candidates[:0], make([]schedule.Candidate, len(servers))...)
 	d.divide(position)
@@ -150,17 +171,17 @@
 
 // divide computes this host's shares of the warm backend servers.
 func (d *Dispatcher) divide(position int) {
-	warm := 0
+	d.warm = 0
 	for _, s := range d.servers {
 		if s.Warm {
-			warm++
+			d.warm++
 		}
 	}
 	at := 0
 	for _, s := range d.servers {
 		s.share = 0
 		if s.Warm {
-			s.share = schedule.Share(position, d.hosts, at, warm)
+			s.share = schedule.Share(position, d.hosts, at, d.warm)
 			at++
 		}
 	}
@@ -186,6 +207,7 @@
 	}
 	dist := d.lengths.Dist(r.Class, r.Team)
 	estimate := d.estimate(&r, &dist)
+	d.observeWork(estimate)
 	s := d.pick(&r, &dist, true, now)
 	decision := d.queue.Offer(item(&r, estimate), s != nil, now)
 	switch decision.Action {
@@ -202,6 +224,14 @@
 	return Outcome{ID: r.ID, Action: admit.Refuse, RetryAfter: decision.RetryAfter}
 }
 
+// observeWork updates the mean work of a request.
+func (d *Dispatcher) observeWork(estimate float64) {
+	if d.meanWork == 0 {
+		d.meanWork = estimate
+	}
+	d.meanWork += workSmoothing * (estimate - d.meanWork)
+}
+
 // anyUntried says whether a retry has a backend server left to wait for.
 func (d *Dispatcher) anyUntried(tried []string) bool {
 	for _, s := range d.servers {
@@ -216,7 +246,16 @@
 	if !d.opt.Engine {
 		return 1
 	}
-	return float64(r.Prompt) + dist.Mean(0)
+	return float64(d.uncached(r)) + dist.Mean(0)
+}
+
+// uncached is the part of r's prompt that is expected to be computed: a prefix
+// that this host sent before is taken to be cached.
+func (d *Dispatcher) uncached(r *Request) int {
+	if r.Prefix == 0 || len(d.prefixes.holders(r.Prefix)) == 0 {
+		return r.Prompt
+	}
+	return max(r.Prompt-r.PrefixTokens, 0)
 }
 
 func item(r *Request, estimate float64) admit.Item {
@@ -297,7 +336,7 @@
 	if !r.request.Opaque {
 		d.lengths.Observe(r.request.Class, r.request.Team, r.produced)
 	}
-	d.queue.Finished(r.request.Team, r.estimate, float64(r.request.Prompt+r.produced))
+	d.queue.Finished(r.request.Team, r.estimate, float64(r.uncached+r.produced))
 }
 
 // Refresh predicts the memory demand anew; it is called several times a second.
@@ -309,8 +348,10 @@
 	}
 	var sum schedule.Survival
 	n := 0
-	for _, s := range d.servers {
-		n += s.tracker.AddPopulation(&sum)
+	for _, list := range [][]*server{d.servers, d.departed} {
+		for _, s := range list {
+			n += s.tracker.AddPopulation(&sum)
+		}
 	}
 	for i := range sum {
 		if n > 0 {
@@ -341,16 +382,19 @@
 
 func (d *Dispatcher) place(r *Request, s *server, dist *length.Dist, estimate float64, now time.Time) Outcome {
 	s.tracker.Sent(r.ID, r.Prompt, dist, now)
-	d.prefixes.placed(r.Prefix, s.ID)
 	d.gapMS = tighter(d.gapMS, r.GapMS)
-	d.running[r.ID] = &run{request: *r, server: s, sent: now, estimate: estimate}
+	d.running[r.ID] = &run{request: *r, server: s, sent: now, estimate: estimate, uncached: d.uncached(r)}
+	d.prefixes.placed(r.Prefix, s.ID)
 	return Outcome{ID: r.ID, Action: admit.Place, Server: s.ID}
 }
 
 func (d *Dispatcher) pick(r *Request, dist *length.Dist, localOnly bool, now time.Time) *server {
 	reserve, gapMS := d.reserve.Value(now), tighter(d.gapMS, r.GapMS)
+	// The ramp of a cold engine waits for completed requests, so short ones go
+	// there first. Long ones have as much right to it when all are cold.
+	suitsCold := d.warm == 0 || d.estimate(r, dist) <= d.meanWork
 	for i, s := range d.servers {
-		d.fill(i, s, r, reserve, gapMS)
+		d.fill(i, s, r, suitsCold, reserve, gapMS)
 	}
 	var b [8]byte
 	binary.LittleEndian.PutUint64(b[:], d.seed)
@@ -386,11 +430,11 @@
 	return false
 }
 
-func (d *Dispatcher) fill(i int, s *server, r *Request, reserve float32, gapMS int) {
+func (d *Dispatcher) fill(i int, s *server, r *Request, suitsCold bool, reserve float32, gapMS int) {
 	k := &d.candidates[i]
 	k.Index, k.Domain, k.Region = i, s.Domain, s.Region
 	k.Limit, k.Capacity, k.Hosts, k.Share = s.Limit, s.Capacity, d.hosts, s.share
-	if !s.Warm {
+	if !s.Warm && suitsCold {
 		// Cold slots are this host's own. Without a share they came after all
 		// warm backend servers, and at low load a cold one stayed cold.
 		k.Share = 1
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -186,3 +186,88 @@
 	require.Greater(t, used["cold"], 5)
 	require.Greater(t, used["warm"], 5)
 }
+
+// Guards against more requests than the limit at a backend server that was
+// taken out of service and returns while it still runs earlier ones.
+func TestReturningServerKeepsItsRequests(t *testing.T) {
+	servers := []Server{{ID: "s1", Incarnation: "1", Region: "a", Limit: 1, Warm: true, Capacity: 4}}
+	d := newTest(false, servers...)
+	require.Equal(t, admit.Place, d.Offer(request(1), start).Action)
+	d.SetServers(nil, 0, 1)
+	require.Equal(t, 1, d.InFlight("s1"))
+	require.Equal(t, admit.Wait, d.Offer(request(2), start).Action)
+	d.SetServers(servers, 0, 1)
+	require.Empty(t, d.Drain(start))
+	d.SetServers(nil, 0, 1)
+	d.Ended(1, true, start)
+	d.SetServers(servers, 0, 1)
+	require.Equal(t, []Outcome{{ID: 2, Action: admit.Place, Server: "s1"}}, d.Drain(start))
+	require.Equal(t, 1, d.InFlight("s1"))
+}
+
+// Guards against the requests of a process that was replaced counting at its
+// successor, and against ended departed servers staying in the books.
+func TestReplacedServerStartsWithoutRequests(t *testing.T) {
+	s := Server{ID: "s1", Incarnation: "1", Region: "a", Limit: 1, Warm: true, Capacity: 4}
+	d := newTest(false, s)
+	require.Equal(t, admit.Place, d.Offer(request(1), start).Action)
+	d.SetServers(nil, 0, 1)
+	s.Incarnation = "2"
+	d.SetServers([]Server{s}, 0, 1)
+	require.Equal(t, 0, d.InFlight("s1"))
+	d.Ended(1, false, start)
+	d.SetServers(nil, 0, 1)
+	require.Empty(t, d.byID)
+	require.Empty(t, d.departed)
+}
+
+// Guards against a team being charged for prompt tokens that a prefix cache
+// serves, and against a correction that charges them at the end.
+func TestTeamIsChargedForUncachedPrompt(t *testing.T) {
+	d := newTest(true, Server{ID: "s1", Region: "a", Limit: 20, Warm: true, Capacity: 40})
+	r := request(1)
+	r.Prefix, r.PrefixTokens = 7, 80
+	dist := d.lengths.Dist(r.Class, r.Team)
+	first := d.estimate(&r, &dist)
+	require.Equal(t, admit.Place, d.Offer(r, start).Action)
+	require.Equal(t, r.Prompt, d.running[1].uncached)
+	d.Progress(1, 1)
+	r.ID = 2
+	require.Equal(t, first-80, d.estimate(&r, &dist))
+	require.Equal(t, admit.Place, d.Offer(r, start).Action)
+	require.Equal(t, r.Prompt-80, d.running[2].uncached)
+	r.Prefix = 8
+	require.Equal(t, first, d.estimate(&r, &dist), "another prefix is not cached")
+	r.Prefix, r.PrefixTokens = 7, 1000
+	require.Equal(t, 0, d.uncached(&r), "a prefix estimate beyond the prompt")
+}
+
+// Guards against long requests taking the few slots of a cold engine, whose
+// ramp waits for completed requests, while a warm one has room.
+func TestColdEngineGetsShortRequests(t *testing.T) {
+	d := New(Options{Region: "a", Engine: true, Seed: 1})
+	servers := []Server{
+		{ID: "cold", Region: "a", Limit: 1, Capacity: 16},
+		{ID: "warm", Region: "a", Limit: 16, Warm: true, Capacity: 16},
+	}
+	d.SetServers(servers, 0, 2)
+	used := map[string]int{}
+	offer := func(id uint64, class string, prompt int) {
+		r := request(id)
+		r.Class, r.Prompt = class, prompt
+		out := d.Offer(r, start)
+		require.Equal(t, admit.Place, out.Action)
+		used[class+" "+out.Server]++
+		d.Ended(id, false, start)
+	}
+	for id := uint64(1); id <= 80; id += 2 {
+		offer(id, "short", 100)
+		offer(id+1, "long", 1000)
+	}
+	require.Greater(t, used["short cold"], 5)
+	require.Zero(t, used["long cold"])
+	d.SetServers(servers[:1], 0, 2)
+	offer(100, "long", 1000)
+	require.Equal(t, 1, used["long cold"], "a long request goes to a cold engine when no engine is warm")
+	require.EqualValues(t, 1, d.candidates[0].Share, "with the rights of a short one")
+}
