Fix what a review of the request path found

Cause: a review with trials on a scratch copy found: tokens of two generations in one stream when the first run failed in the same write as its first token (caller got X:1, Y:1, Y:2, Y:3, [DONE]); paths passed on decoded, so that their bytes became query or request line; an engine that never sends a head held a request without bound (still waiting at 9 s); a deleted service never decided its waiting requests; one retry blocked a service's queue (4 free places, 5 requests refused); one bad request turned several engines cold; a slow oversized body held a connection for more than 6 s; resumed generations were not cancelled, failed cancels not repeated; [DONE] waited for the engine's end of body (2.0 s); hop-by-hop headers named by Connection passed; resumes did not count against the team limit; streams of engines that write a blank after "finish_reason": failed; order answers were stored encoded. Ruled out: queueing retries apart from first tries, since a server that failed once may serve later and exclusion handles dead ones. Change: one fix for each, and a test for each in faults_test.go and beside the packages; unused parameters and fields removed.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -281,6 +281,12 @@
 		r := d.waiting[next.ID]
 		dist := d.lengths.Dist(r.Class, r.Team)
 		s := d.pick(r, &dist, now.Sub(r.Arrival) < localWait, now)
+		if s == nil && len(r.Tried) > 0 {
+			// A retry whose other backend servers are full must not hold back
+			// the requests behind it: one that failed it before may serve it.
+			r.Tried = nil
+			s = d.pick(r, &dist, now.Sub(r.Arrival) < localWait, now)
+		}
 		if s == nil {
 			return d.out
 		}
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -271,3 +271,19 @@
 	require.Equal(t, 1, used["long cold"], "a long request goes to a cold engine when no engine is warm")
 	require.EqualValues(t, 1, d.candidates[0].Share, "with the rights of a short one")
 }
+
+// Guards against a retry whose other backend servers are full holding back all
+// requests behind it.
+func TestRetryDoesNotBlockTheQueue(t *testing.T) {
+	d := newTest(false,
+		Server{ID: "s1", Region: "a", Limit: 4, Warm: true, Capacity: 4},
+		Server{ID: "s2", Region: "a", Limit: 0, Warm: true, Capacity: 4})
+	r := request(1)
+	r.Tried = []string{"s1"}
+	require.Equal(t, admit.Wait, d.Offer(r, start).Action)
+	for id := uint64(2); id < 5; id++ {
+		d.Offer(request(id), start)
+	}
+	require.Len(t, d.Drain(start), 4)
+	require.Zero(t, d.Waiting())
+}
--- a/internal/connection/connection_test.go
+++ b/internal/connection/connection_test.go
@@ -155,3 +155,17 @@
 	require.ErrorAs(t, err, &withheld)
 	require.Equal(t, verdict.NotRun, verdict.Of(err))
 }
+
+// Guards against a backend server that accepts a request and never answers.
+func TestHeadTimeout(t *testing.T) {
+	release := make(chan struct{})
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
+	defer s.Close()
+	defer close(release)
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.SetRequestURI("/")
+	req.Header.SetHost("engine")
+	_, err := NewPool().Do(context.Background(), strings.TrimPrefix(s.URL, "http://"), req, Options{HeadTimeout: 50 * time.Millisecond})
+	require.Equal(t, verdict.MayHaveRun, verdict.Of(err))
+}
--- a/internal/connection/upstream.go
+++ b/internal/connection/upstream.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -121,6 +122,9 @@
 	// limit of requests in flight holds for it alone, and a process that was
 	// replaced at the same address is cold.
 	Incarnation string
+	// HeadTimeout bounds the wait for the head of the answer; 0 means no bound
+	// but that of the context.
+	HeadTimeout time.Duration
 	// Check, if set, is called when the connection is ready, right before the
 	// first byte is sent. The setup may take long or the process may have been
 	// paused, so rights that lapse must be checked here.
@@ -163,7 +167,7 @@
 	conn.written.Store(0)
 	e := &Exchange{conn: conn, pool: p, Reused: reused, Response: fasthttp.AcquireResponse()}
 	e.stop = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
-	if err := e.roundTrip(req); err != nil {
+	if err := e.roundTrip(ctx, req, opts.HeadTimeout); err != nil {
 		v := verdict.MayHaveRun
 		if conn.written.Load() == 0 {
 			v = verdict.NotRun
@@ -174,7 +178,7 @@
 	return e, nil
 }
 
-func (e *Exchange) roundTrip(req *fasthttp.Request) error {
+func (e *Exchange) roundTrip(ctx context.Context, req *fasthttp.Request, headTimeout time.Duration) error {
 	w := bufio.NewWriter(e.conn)
 	if err := req.Write(w); err != nil {
 		return err
@@ -186,7 +190,15 @@
 	if req.Header.IsHead() {
 		e.Response.SkipBody = true
 	}
-	return e.Response.ReadLimitBody(e.conn.reader, 0)
+	if headTimeout > 0 {
+		e.SetReadDeadline(time.Now().Add(headTimeout))
+	}
+	if err := e.Response.ReadLimitBody(e.conn.reader, 0); err != nil {
+		return err
+	}
+	e.SetReadDeadline(time.Time{})
+	// The context may have ended meanwhile, and its deadline was just removed.
+	return ctx.Err()
 }
 
 func (p *Pool) get(ctx context.Context, address string, opts Options) (*upstreamConn, bool, error) {
@@ -245,6 +257,9 @@
 		return errors.New("the backend server closed the new connection")
 	}
 	c.incarnation = string(resp.Header.Peek("X-Incarnation"))
+	if resp.StatusCode() != fasthttp.StatusOK || c.incarnation == "" {
+		return fmt.Errorf("the load report that identifies the connection answered %d", resp.StatusCode())
+	}
 	if !stop() {
 		return ctx.Err()
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -46,6 +46,23 @@
 	return created.(*Service)
 }
 
+// Retain updates the services that keep returns false for as services without
+// backend servers, so that their waiting requests are refused at their targets,
+// and forgets those that have no request left.
+func (t *Table) Retain(keep func(name string) bool, around Surroundings, now time.Time) {
+	t.services.Range(func(name, known any) bool {
+		if keep(name.(string)) {
+			return true
+		}
+		s := known.(*Service)
+		s.Update(&version.Service{}, around, now)
+		if s.idle() {
+			t.services.Delete(name)
+		}
+		return true
+	})
+}
+
 // Uses says whether this host has a share of a backend server or work there.
 func (t *Table) Uses(service, backend string) bool {
 	known, ok := t.services.Load(service)
@@ -216,9 +233,21 @@
 	}
 }
 
-// Waiting returns the number of waiting requests.
-func (s *Service) Waiting() int {
+func (s *Service) idle() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.d.Waiting()
+	return s.d.Waiting() == 0 && len(s.running) == 0
+}
+
+// Waiting returns the number of waiting requests by service.
+func (t *Table) Waiting() map[string]int {
+	out := map[string]int{}
+	t.services.Range(func(name, known any) bool {
+		s := known.(*Service)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		out[name.(string)] = s.d.Waiting()
+		return true
+	})
+	return out
 }
--- a/internal/process/daemon/adapters.go
+++ b/internal/process/daemon/adapters.go
@@ -104,7 +104,7 @@
 
 // Refused implements request.ColdReporter.
 func (c coldReporter) Refused(backend, incarnation string) {
-	c.d.routing.exclude(backend, incarnation)
+	c.d.routing.exclude(backend)
 	c.d.peers.NotifyCold(membership.Sighting{Backend: backend, Incarnation: incarnation, At: time.Now()})
 }
 
@@ -117,6 +117,6 @@
 // Incarnation implements request.ColdReporter.
 func (c coldReporter) Incarnation(backend, _, seen string) {
 	// The limits in the routing snapshot are those of the process before.
-	c.d.routing.exclude(backend, seen)
+	c.d.routing.exclude(backend)
 	c.d.peers.NotifyCold(membership.Sighting{Backend: backend, Incarnation: seen, At: time.Now()})
 }
--- a/internal/process/daemon/admin.go
+++ b/internal/process/daemon/admin.go
@@ -141,6 +141,7 @@
 	Status   Status          `json:"status"`
 	View     view.View       `json:"view"`
 	Backends []BackendDump   `json:"backends"`
+	Waiting  map[string]int  `json:"waiting"`
 	Claims   any             `json:"claims"`
 	Excluded []string        `json:"excluded_backends"`
 	Config   json.RawMessage `json:"config"`
@@ -149,7 +150,7 @@
 // Dump implements admin.DumpProvider.
 func (d *Daemon) Dump() any {
 	now := time.Now()
-	out := Dump{Status: d.status(), View: d.keeper.View(), Claims: d.claims.Stats(), Excluded: d.routing.excludedIDs()}
+	out := Dump{Status: d.status(), View: d.keeper.View(), Waiting: d.places.Waiting(), Claims: d.claims.Stats(), Excluded: d.routing.excludedIDs()}
 	out.Config, _ = json.Marshal(d.config.Current())
 	d.snapshot.Load().Services(func(s *version.Service) {
 		for _, b := range s.Backends {
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -147,7 +147,6 @@
 		Log:      d.log,
 		Now:      time.Now,
 		NewID:    uuid.NewString,
-		Region:   d.settings.Region,
 		Draining: d.draining.Load,
 		Hosts:    func() int { return int(d.hosts.Load()) },
 	}
@@ -234,11 +233,12 @@
 	d.peers.Push()
 	d.log.Info().Msg("draining")
 	time.Sleep(d.settings.DrainDelay)
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx := context.Background()
 	if d.settings.DrainTimeout > 0 {
-		ctx, cancel = context.WithTimeout(context.Background(), d.settings.DrainTimeout)
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, d.settings.DrainTimeout)
+		defer cancel()
 	}
-	defer cancel()
 	if err := d.callers.ShutdownWithContext(ctx); err != nil {
 		d.log.Error().Err(err).Msg("requests were cut off at shutdown")
 	}
--- a/internal/process/daemon/routing.go
+++ b/internal/process/daemon/routing.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"monsoonkeel.example/monsoonkeel/core/config"
 	"monsoonkeel.example/monsoonkeel/internal/placement"
 	"monsoonkeel.example/monsoonkeel/internal/platform"
 	"monsoonkeel.example/monsoonkeel/internal/version"
@@ -48,7 +47,7 @@
 	}
 }
 
-func (r *routing) exclude(backend, _ string) {
+func (r *routing) exclude(backend string) {
 	r.mu.Lock()
 	r.excluded[backend] = time.Now()
 	r.mu.Unlock()
@@ -95,9 +94,11 @@
 	r.d.pool.Retain(func(address string) bool { return listed[address] })
 	around := r.surroundings()
 	r.d.hosts.Store(int32(around.Hosts))
+	now := time.Now()
 	snap.Services(func(svc *version.Service) {
-		r.d.places.Service(svc.Name, svc.Kind).Update(svc, around, time.Now())
+		r.d.places.Service(svc.Name, svc.Kind).Update(svc, around, now)
 	})
+	r.d.places.Retain(func(name string) bool { _, ok := snap.Service(name); return ok }, around, now)
 }
 
 // surroundings places this host among the view's members, sorted by region and id.
@@ -139,7 +140,7 @@
 }
 
 // limit asks the keeper, which knows leases and cold starts.
-func (r *routing) limit(h platform.Host, _ config.Service, _ platform.LoadReport, _ time.Time) (int, time.Time, bool) {
+func (r *routing) limit(h platform.Host) (int, time.Time, bool) {
 	now := time.Now()
 	if report, ok := r.reports[h.ID]; !ok || now.Sub(report.Asked) > reportExpiry {
 		return 0, time.Time{}, false
--- a/internal/request/call.go
+++ b/internal/request/call.go
@@ -140,6 +140,14 @@
 	return max(time.Until(d).Milliseconds(), 1)
 }
 
+// deadlinePassed says whether the call's deadline is due. A connection that
+// failed then says nothing about the backend server, even if the context has
+// not ended yet.
+func (c *call) deadlinePassed() bool {
+	d, ok := c.ctx.Deadline()
+	return ok && !time.Now().Before(d)
+}
+
 // interrupted explains why ctx ended.
 func (c *call) interrupted() error {
 	if c.ctx.Err() == context.DeadlineExceeded {
--- /dev/null
+++ b/internal/request/faults_test.go
@@ -0,0 +1,246 @@
+package request
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"monsoonkeel.example/monsoonkeel/internal/standin"
+)
+
+// scriptedEngine answers a generation with the events that script returns for
+// its id, and every resume with 404. It counts cancellations.
+type scriptedEngine struct {
+	script  func(w http.ResponseWriter, id string)
+	cancels atomic.Int32
+}
+
+// ServeHTTP implements http.Handler.
+func (e *scriptedEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.Method == http.MethodDelete:
+		e.cancels.Add(1)
+	case strings.HasPrefix(r.URL.Path, "/v1/generations/"):
+		w.WriteHeader(http.StatusNotFound)
+	default:
+		id := r.Header.Get(headerGenerationID)
+		w.Header().Set(headerGenerationID, id)
+		e.script(w, id)
+	}
+}
+
+func event(id string, offset int, finish string) string {
+	return fmt.Sprintf("id: %s:%d\ndata: {\"choices\":[{\"index\":0,\"text\":%q,\"finish_reason\":%s}]}\n\n",
+		id, offset, standin.Token(id, offset), finish)
+}
+
+func write(w http.ResponseWriter, parts ...string) {
+	_, _ = io.WriteString(w, strings.Join(parts, ""))
+	_ = http.NewResponseController(w).Flush()
+}
+
+// Guards against tokens of two generations in one stream (G1): the first one
+// fails in the same write as its first token, before anything was delivered.
+func TestFirstBatchOfAFailedRunIsDiscarded(t *testing.T) {
+	r := &rig{t: t}
+	r.addBackend("models", &scriptedEngine{script: func(w http.ResponseWriter, id string) {
+		write(w, event(id, 1, "null"), "event: error\ndata: {}\n\n")
+	}})
+	r.addBackend("models", newEngine("i-models-1", standin.EngineFaults{}).Handler())
+	r.start()
+	for range 4 {
+		resp := r.do("POST", "/v1/completions", streamBodyJSON(3))
+		s := readStream(t, resp.Body, 0)
+		resp.Body.Close()
+		require.True(t, s.done)
+		r.requireWhole(s, 1, 3)
+	}
+}
+
+// Guards against an engine whose JSON has blanks failing every stream, and
+// against the end marker waiting for the end of the engine's body.
+func TestEndMarkerIsRelayedAtOnce(t *testing.T) {
+	r := &rig{t: t}
+	r.addBackend("models", &scriptedEngine{script: func(w http.ResponseWriter, id string) {
+		write(w, event(id, 1, "null"), event(id, 2, ` "stop"`), "data: [DONE]\n\n")
+		time.Sleep(2 * time.Second)
+	}})
+	r.start()
+	resp := r.do("POST", "/v1/completions", streamBodyJSON(2))
+	defer resp.Body.Close()
+	began := time.Now()
+	buf, done := make([]byte, 4096), ""
+	for !strings.Contains(done, "[DONE]") {
+		n, err := resp.Body.Read(buf)
+		require.NoError(t, err)
+		done += string(buf[:n])
+	}
+	require.Less(t, time.Since(began), time.Second)
+}
+
+// Guards against one malformed request turning engines cold that work well.
+func TestRequestThatFailsEverywhereIsNotReported(t *testing.T) {
+	r := &rig{t: t}
+	for range 2 {
+		r.addBackend("models", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusInternalServerError)
+		}))
+	}
+	r.start()
+	resp := r.do("POST", "/v1/completions", streamBodyJSON(3))
+	resp.Body.Close()
+	require.Equal(t, 502, resp.StatusCode)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	require.Empty(t, r.failed)
+}
+
+// Guards against an engine's rejection on a second run reaching the caller as
+// an internal error.
+func TestRejectionOfASecondRun(t *testing.T) {
+	r := &rig{t: t}
+	var runs atomic.Int32
+	engine := &scriptedEngine{script: func(w http.ResponseWriter, _ string) {
+		if runs.Add(1) == 1 {
+			write(w, "event: error\ndata: {}\n\n")
+			return
+		}
+		w.WriteHeader(http.StatusUnprocessableEntity)
+		_, _ = io.WriteString(w, "too long")
+	}}
+	r.addBackend("models", engine)
+	r.addBackend("models", engine)
+	r.start()
+	resp := r.do("POST", "/v1/completions", streamBodyJSON(3))
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.Equal(t, 422, resp.StatusCode)
+	require.Equal(t, "too long", string(body))
+}
+
+// Guards against a resumed generation running on when its caller leaves before
+// the first new token.
+func TestResumedGenerationIsCancelled(t *testing.T) {
+	r := &rig{t: t}
+	silent := make(chan struct{})
+	defer close(silent)
+	var cancels atomic.Int32
+	r.addBackend("models", http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		id := req.Header.Get(headerGenerationID)
+		switch {
+		case req.Method == http.MethodDelete:
+			cancels.Add(1)
+		case strings.HasPrefix(req.URL.Path, "/v1/generations/"):
+			write(w, ": waiting\n\n")
+			select {
+			case <-silent:
+			case <-req.Context().Done():
+			}
+		default:
+			w.Header().Set(headerGenerationID, id)
+			write(w, event(id, 1, "null"))
+			<-req.Context().Done()
+		}
+	}))
+	r.start()
+	ctx, cancel := context.WithCancel(context.Background())
+	resp, err := r.try(ctx, "POST", "/v1/completions", streamBodyJSON(5))
+	require.NoError(t, err)
+	first := readStream(t, resp.Body, 1)
+	cancel()
+	resp.Body.Close()
+	require.Eventually(t, func() bool { return cancels.Load() == 1 }, 5*time.Second, 10*time.Millisecond)
+	ctx, cancel = context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	_, err = r.try(ctx, "POST", "/v1/completions", "", headerLastEventID, first.ids[0])
+	require.Error(t, err)
+	require.Eventually(t, func() bool { return cancels.Load() == 2 }, 5*time.Second, 10*time.Millisecond)
+}
+
+// Guards against path bytes that become a part of the request line or query,
+// headers of one connection or of this system that a caller sets at a backend
+// server, and answers without a body that are counted as cut.
+func TestPassThroughDetails(t *testing.T) {
+	r := &rig{t: t}
+	var uri string
+	var head http.Header
+	r.addBackend("desk", http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		uri, head = req.RequestURI, req.Header.Clone()
+		w.Header().Set("Connection", "X-Secret")
+		w.Header().Set("X-Secret", "s")
+		w.WriteHeader(http.StatusNoContent)
+	}))
+	r.start()
+	resp := r.do("GET", "/services/desk/a%20b%3Fx=1?y=%20z", "", headerClass, "lookup",
+		"Connection", "X-Hop", "X-Hop", "h", headerPriority, "9", "TE", "gzip")
+	resp.Body.Close()
+	require.Equal(t, http.StatusNoContent, resp.StatusCode)
+	require.Equal(t, "/a%20b%3Fx=1?y=%20z", uri)
+	for _, name := range []string{"X-Hop", "Te", headerPriority, "Authorization"} {
+		require.Empty(t, head.Get(name), name)
+	}
+	require.Empty(t, resp.Header.Get("X-Secret"))
+	require.Eventually(t, func() bool {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return len(r.outcomes) == 1 && r.outcomes[0].Code == ""
+	}, time.Second, time.Millisecond)
+}
+
+// grantedOrders grants every claim.
+type grantedOrders struct{ answers chan OrderAnswer }
+
+// Claim implements Orders.
+func (o grantedOrders) Claim(context.Context, OrderRequest) (OrderOutcome, error) {
+	return OrderOutcome{Grant: o}, nil
+}
+func (grantedOrders) MaySend(time.Time) bool { return true }
+func (o grantedOrders) Finish(_ context.Context, a OrderAnswer) error {
+	o.answers <- a
+	return nil
+}
+func (grantedOrders) Release(context.Context) error { return nil }
+func (grantedOrders) Abandon()                      {}
+
+// Guards against a stored answer that a repeat cannot decode.
+func TestOrderAnswerIsStoredUnencoded(t *testing.T) {
+	r := &rig{t: t}
+	r.addBackend("desk", http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		_ = json.NewEncoder(w).Encode(req.Header.Get("Accept-Encoding"))
+	}))
+	r.start()
+	orders := grantedOrders{answers: make(chan OrderAnswer, 1)}
+	r.gateway.Orders = orders
+	resp := r.do("POST", "/services/desk/orders", "x", headerClass, "order", headerIdempotencyKey, "k", "Accept-Encoding", "gzip")
+	resp.Body.Close()
+	require.Equal(t, "\"\"\n", string((<-orders.answers).Body))
+}
+
+// Guards against a caller that sends an oversized body byte by byte holding its
+// connection.
+func TestDiscardBodyIsBounded(t *testing.T) {
+	caller, server := net.Pipe()
+	defer caller.Close()
+	go func() {
+		for {
+			if _, err := caller.Write([]byte("x")); err != nil {
+				return
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}()
+	began := time.Now()
+	discardBody(server, 200*time.Millisecond)
+	require.Less(t, time.Since(began), 2*time.Second)
+	server.Close()
+}
--- a/internal/request/gateway.go
+++ b/internal/request/gateway.go
@@ -95,8 +95,6 @@
 	Log      zerolog.Logger
 	Now      func() time.Time
 	NewID    func() string
-	// Region is the region of this host.
-	Region string
 	// Draining says that the host is about to stop.
 	Draining func() bool
 
--- a/internal/request/generation.go
+++ b/internal/request/generation.go
@@ -23,6 +23,12 @@
 	// stallTimeout is how long an engine's stream may be silent before the
 	// host asks for it again on a new connection.
 	stallTimeout = 5 * time.Second
+	// streamHeadTimeout bounds the wait for the head of a streamed answer, which
+	// engines send when they accept a request.
+	streamHeadTimeout = 10 * time.Second
+	// wholeHeadTimeout bounds an unstreamed answer, whose head comes with its
+	// end: tens of thousands of tokens at 52 ms take about half an hour.
+	wholeHeadTimeout = time.Hour
 	// maxResumes bounds the attempts to resume without a new token.
 	maxResumes = 3
 	// resumeBackoff is the pause before a repeated attempt to resume.
@@ -70,8 +76,9 @@
 	// resumed says that the caller asked for an existing generation.
 	resumed bool
 	// runs counts generations started for this call.
-	runs  int
-	tried []string
+	runs     int
+	tried    []string
+	failedAt []failedRun
 }
 
 func newGeneration(c *call, path string, body []byte, stream bool) *generation {
@@ -86,12 +93,20 @@
 }
 
 func (gen *generation) startAnew() error {
+	var failure error
 	for {
 		err := gen.attempt()
 		var rejected *rejection
-		if err == nil || errors.As(err, &rejected) || gen.place == nil {
+		switch {
+		case err == nil || errors.As(err, &rejected):
+			return err
+		case gen.place == nil && failure != nil && verdict.From(err).Code == codeNoCapacity:
+			// The caller learns more from why the last run failed.
+			return failure
+		case gen.place == nil:
 			return err
 		}
+		failure = err
 		gen.abandon()
 		if !gen.c.mayRetry(gen.runs) {
 			return err
@@ -128,7 +143,12 @@
 	req.Header.Set(headerGenerationID, gen.id)
 	req.Header.Set(headerPriority, strconv.Itoa(gen.c.class.Priority))
 	req.SetBodyRaw(gen.body)
-	ex, err := gen.c.g.Pool.Do(gen.c.ctx, gen.host.Address, req, gen.c.sendOptions(gen.place, false))
+	options := gen.c.sendOptions(gen.place, false)
+	options.HeadTimeout = streamHeadTimeout
+	if !gen.streamed {
+		options.HeadTimeout = wholeHeadTimeout
+	}
+	ex, err := gen.c.g.Pool.Do(gen.c.ctx, gen.host.Address, req, options)
 	if err != nil {
 		return gen.sendFailed(err)
 	}
@@ -153,7 +173,7 @@
 	if status != 200 {
 		ex.Finish(false)
 		if status == fasthttp.StatusInternalServerError {
-			gen.c.g.Cold.Failed(gen.host.ID, gen.incarnation)
+			gen.failedAt = append(gen.failedAt, failedRun{gen.host.ID, gen.incarnation})
 		}
 		return gen.c.failure(502, "backend_refused", "the backend server answered %d", status)
 	}
@@ -162,9 +182,22 @@
 		return verdict.Wrap(err, verdict.MayHaveRun, 502, "backend_protocol", "the answer does not belong to the request")
 	}
 	gen.ex, gen.events = ex, sse.NewReader(ex.Body())
+	gen.reportFailed()
 	return nil
 }
 
+// failedRun is a backend server that answered a request with status 500.
+type failedRun struct{ backend, incarnation string }
+
+// reportFailed reports the backend servers that failed a request which another
+// one accepts. A request that fails everywhere says nothing about them.
+func (gen *generation) reportFailed() {
+	for _, f := range gen.failedAt {
+		gen.c.g.Cold.Failed(f.backend, f.incarnation)
+	}
+	gen.failedAt = nil
+}
+
 func (gen *generation) checkIdentity(ex *connection.Exchange) error {
 	h := &ex.Response.Header
 	if id := h.Peek(headerGenerationID); len(id) > 0 && string(id) != gen.id {
@@ -257,13 +290,17 @@
 	if gen.place != nil {
 		gen.place.Token(offset)
 	}
-	// Chunks before the last carry a null finish_reason.
-	if bytes.Contains(ev.Data, []byte(`"finish_reason":"`)) {
-		gen.finished = true
-	}
+	gen.finished = gen.finished || hasFinishReason(ev.Data)
 	return eventToken, nil
 }
 
+// hasFinishReason says whether a chunk is the last one of a choice; earlier ones
+// carry a null finish_reason. It is asked for each token, so it does not parse.
+func hasFinishReason(chunk []byte) bool {
+	_, rest, found := bytes.Cut(chunk, []byte(`"finish_reason":`))
+	return found && bytes.HasPrefix(bytes.TrimLeft(rest, " \t\n\r"), []byte(`"`))
+}
+
 func splitEngineEventID(id []byte) (string, int, bool) {
 	at := bytes.LastIndexByte(id, ':')
 	if at < 0 {
@@ -325,7 +362,7 @@
 	defer fasthttp.ReleaseRequest(req)
 	gen.c.requestTo(req, gen.host.Address)
 	req.SetRequestURI("/v1/generations/" + gen.id + "?offset=" + strconv.Itoa(gen.offset))
-	ex, err := gen.c.g.Pool.Do(gen.c.ctx, gen.host.Address, req, connection.Options{Fresh: true})
+	ex, err := gen.c.g.Pool.Do(gen.c.ctx, gen.host.Address, req, connection.Options{Fresh: true, HeadTimeout: streamHeadTimeout})
 	if err != nil {
 		return err
 	}
@@ -369,8 +406,9 @@
 // finish ends a complete generation.
 func (gen *generation) finish() {
 	// The end marker came, and only the end of the chunked body is left.
-	_, err := io.Copy(io.Discard, io.LimitReader(gen.ex.Body(), 1<<10))
-	gen.ex.Finish(err == nil)
+	const limit = 1 << 10
+	n, err := io.Copy(io.Discard, io.LimitReader(gen.ex.Body(), limit))
+	gen.ex.Finish(err == nil && n < limit)
 	if gen.place != nil {
 		gen.place.Release(true)
 	}
@@ -407,7 +445,7 @@
 		if err != nil {
 			g.Log.Debug().Err(err).Str("backend", host.ID).Msg("cancel at engine failed")
 		}
-		if status != fasthttp.StatusConflict {
+		if err == nil && status != fasthttp.StatusConflict {
 			return
 		}
 	}
--- a/internal/request/place.go
+++ b/internal/request/place.go
@@ -8,8 +8,13 @@
 	"monsoonkeel.example/monsoonkeel/core/verdict"
 	"monsoonkeel.example/monsoonkeel/internal/connection"
 	"monsoonkeel.example/monsoonkeel/internal/placement"
+	"monsoonkeel.example/monsoonkeel/internal/platform"
 )
 
+// codeNoCapacity is the reason of a refusal because no backend server can start
+// the request in time.
+const codeNoCapacity = "no_capacity"
+
 // maxTries bounds the backend servers that one request is tried at.
 const maxTries = 3
 
@@ -39,6 +44,11 @@
 		e.RetryAfterSeconds = 1
 		return e
 	}
+	snap := c.g.Snapshot()
+	host, listed := snap.Reachable(p.Host.ID)
+	if !listed || host.State != platform.HostLive || snap.Document.IsOut(host.ID, host.Domain) {
+		return verdict.New(verdict.NotRun, 503, "backend_leaving", "the backend server was taken out before the request was sent")
+	}
 	return c.g.Fresh(now)
 }
 
@@ -52,7 +62,7 @@
 		c.g.Cold.Incarnation(p.Host.ID, p.Load.Incarnation, other.Seen)
 	case verdict.Of(err) != verdict.NotRun:
 		c.attempted = true
-	case c.ctx.Err() == nil:
+	case c.ctx.Err() == nil && !c.deadlinePassed():
 		c.g.Cold.Refused(p.Host.ID, p.Host.Incarnation)
 	}
 }
@@ -75,7 +85,7 @@
 	var refused *placement.Refused
 	switch {
 	case errors.As(err, &refused):
-		e := c.failure(503, "no_capacity", "no backend server of %s can start the request in time", c.service.Name)
+		e := c.failure(503, codeNoCapacity, "no backend server of %s can start the request in time", c.service.Name)
 		e.RetryAfterSeconds = int(refused.RetryAfter / time.Second)
 		return nil, e
 	case err != nil:
--- a/internal/request/plain.go
+++ b/internal/request/plain.go
@@ -1,6 +1,7 @@
 package request
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"strings"
@@ -78,17 +79,42 @@
 // this system's own headers stay here.
 func (c *call) copyRequest(req *fasthttp.Request, path string) {
 	c.http.Request.CopyTo(req)
-	uri := path
-	if q := c.http.URI().QueryString(); len(q) > 0 {
-		uri += "?" + string(q)
+	// The path is decoded; it is encoded again, so that none of its bytes
+	// becomes a part of the request line or of the query.
+	var uri fasthttp.URI
+	uri.SetPath(path)
+	uri.SetQueryStringBytes(c.http.URI().QueryString())
+	req.SetRequestURIBytes(uri.RequestURI())
+	delHopByHop(&req.Header, req.Header.Peek("Connection"))
+	if !bytes.Contains(req.Header.Peek("TE"), []byte("trailers")) {
+		req.Header.Del("TE")
 	}
-	req.SetRequestURI(uri)
-	for _, h := range hopByHop {
+	for _, h := range ownHeaders {
 		req.Header.Del(h)
 	}
-	req.Header.Del("Authorization")
-	req.Header.Del(headerClass)
-	req.Header.Del(headerTimeout)
+	if c.class.Order {
+		// The answer is stored without its Content-Encoding.
+		req.Header.Del("Accept-Encoding")
+	}
+}
+
+// ownHeaders are this system's own towards callers and backend servers; a
+// caller cannot set them at a backend server.
+var ownHeaders = []string{
+	"Authorization", headerClass, headerTimeout, headerGenerationID, headerIncarnation, headerPriority, headerDeadline,
+}
+
+// delHopByHop removes the headers of one connection: the usual ones and those
+// that its Connection header names.
+func delHopByHop(h interface{ Del(string) }, connection []byte) {
+	for name := range strings.SplitSeq(string(connection), ",") {
+		if name = strings.TrimSpace(name); name != "" {
+			h.Del(name)
+		}
+	}
+	for _, name := range hopByHop {
+		h.Del(name)
+	}
 }
 
 // idempotent says whether the call may be repeated after it may have run.
@@ -156,7 +182,8 @@
 // relayAnswer passes the answer on: whole if it is small, else as a stream.
 func (c *call) relayAnswer(ex *connection.Exchange, p *placement.Placement) error {
 	length := ex.Response.Header.ContentLength()
-	if ex.Response.SkipBody || (length >= 0 && length <= maxBufferedBody) {
+	// Status 204 and 304 have neither a body nor a length.
+	if ex.Response.SkipBody || ex.Body() == nil || (length >= 0 && length <= maxBufferedBody) {
 		body, err := readAnswer(ex, maxBufferedBody)
 		if err != nil {
 			ex.Finish(false)
@@ -199,10 +226,9 @@
 func (c *call) copyHead(ex *connection.Exchange) {
 	out := &c.http.Response
 	closing := out.ConnectionClose()
+	named := append([]byte(nil), ex.Response.Header.Peek("Connection")...)
 	ex.Response.Header.CopyTo(&out.Header)
-	for _, h := range hopByHop {
-		out.Header.Del(h)
-	}
+	delHopByHop(&out.Header, named)
 	out.Header.Set(headerRequestID, c.out.RequestID)
 	if closing {
 		out.SetConnectionClose()
--- a/internal/request/problem.go
+++ b/internal/request/problem.go
@@ -73,7 +73,7 @@
 	switch {
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		status, code = 413, "body_too_large"
-		discardBody(ctx.Conn())
+		discardBody(ctx.Conn(), discardTime)
 	case isTimeout(err):
 		status, code = 408, "request_timeout"
 	}
@@ -98,14 +98,21 @@
 	maxDiscard = 64 << 20
 	// discardIdle ends the discarding of a body when no byte came for so long.
 	discardIdle = 100 * time.Millisecond
+	// discardTime bounds the discarding in all, for callers that send slowly.
+	discardTime = 5 * time.Second
 )
 
 // discardBody reads what the caller is still sending. Closing a connection
 // with unread bytes resets it, and the caller would lose the answer.
-func discardBody(conn net.Conn) {
+func discardBody(conn net.Conn, limit time.Duration) {
 	buf := make([]byte, 32<<10)
+	end := time.Now().Add(limit)
 	for total := 0; total < maxDiscard; {
-		_ = conn.SetReadDeadline(time.Now().Add(discardIdle))
+		idle := time.Now().Add(discardIdle)
+		if idle.After(end) {
+			idle = end
+		}
+		_ = conn.SetReadDeadline(idle)
 		n, err := conn.Read(buf)
 		if err != nil {
 			return
--- a/internal/request/relay.go
+++ b/internal/request/relay.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"io"
 	"strconv"
 	"time"
@@ -23,13 +24,17 @@
 // awaited before the answer starts, so that a failure until then is a plain
 // refusal with its own status.
 func (gen *generation) stream() error {
-	body := &streamBody{gen: gen}
+	body := &streamBody{gen: gen, runs: gen.runs}
 	var err error
 	if gen.c.class.Delivery == config.DeliveryWhole && !gen.resumed {
 		err = body.fillWhole()
 	} else {
 		err = body.fill()
 	}
+	var rejected *rejection
+	if errors.As(err, &rejected) {
+		return gen.startFailed(err)
+	}
 	if err != nil {
 		gen.dispose()
 		return err
@@ -52,25 +57,41 @@
 	if gen.ex != nil {
 		gen.ex.Finish(false)
 	}
-	if gen.place != nil {
+	switch {
+	case gen.place != nil:
 		gen.cancelLater(0, true, gen.place)
+	case gen.resumed && gen.c.ctx.Err() != nil:
+		// The host that this caller left first gave up its own cancellation
+		// when it saw this reader.
+		gen.cancelLater(gen.grace(), true, nil)
 	}
 }
 
+// grace is how long a generation without a reader is kept.
+func (gen *generation) grace() time.Duration {
+	return time.Duration(gen.c.class.ResumeGraceMS) * time.Millisecond
+}
+
 // streamBody is the body of a streamed answer. fasthttp pulls from it, which
 // keeps the relay in the connection's own goroutine.
 type streamBody struct {
 	gen     *generation
 	pending []byte
 	read    int
-	ended   bool
-	last    time.Time
+	// runs is the number of generations started so far; events of an earlier
+	// one are never followed by those of a later one.
+	runs  int
+	ended bool
+	// finished says that the generation's end was handled after the end marker.
+	finished bool
+	last     time.Time
 }
 
 // Read implements io.Reader.
 func (b *streamBody) Read(p []byte) (int, error) {
 	for b.read == len(b.pending) {
 		if b.ended {
+			b.finish()
 			return 0, io.EOF
 		}
 		b.pending, b.read = b.pending[:0], 0
@@ -86,7 +107,7 @@
 // fill waits for one event and takes those that have already arrived.
 func (b *streamBody) fill() error {
 	for {
-		ev, kind, err := b.gen.next()
+		ev, kind, err := b.next()
 		if err != nil {
 			return err
 		}
@@ -97,18 +118,24 @@
 	}
 }
 
-// fillWhole collects the complete answer. A new run discards what an earlier
-// one produced.
+// next returns the generation's next event. A new run, which starts only while
+// nothing was delivered, discards what an earlier one produced.
+func (b *streamBody) next() (sse.Event, eventKind, error) {
+	ev, kind, err := b.gen.next()
+	if b.gen.runs != b.runs {
+		b.runs, b.pending, b.last = b.gen.runs, b.pending[:0], time.Time{}
+		b.gen.c.out.Tokens, b.gen.c.out.LateGaps, b.gen.c.out.WorstGap = 0, 0, 0
+	}
+	return ev, kind, err
+}
+
+// fillWhole collects the complete answer.
 func (b *streamBody) fillWhole() error {
-	runs := b.gen.runs
 	for !b.ended {
-		ev, kind, err := b.gen.next()
+		ev, kind, err := b.next()
 		if err != nil {
 			return err
 		}
-		if b.gen.runs != runs {
-			runs, b.pending = b.gen.runs, b.pending[:0]
-		}
 		b.append(ev, kind)
 		if len(b.pending) > maxWholeBytes {
 			return verdict.New(verdict.Ran, 502, "answer_too_large", "the answer exceeds %d bytes", maxWholeBytes)
@@ -121,7 +148,7 @@
 	switch kind {
 	case eventDone:
 		b.pending = append(b.pending, "data: [DONE]\n\n"...)
-		b.end()
+		b.ended = true
 	case eventExtra:
 		b.pending = appendData(b.pending, ev.Data)
 	default:
@@ -168,7 +195,7 @@
 // fail makes the problem document the last event.
 func (b *streamBody) fail(err error) {
 	b.pending = append(b.pending, b.gen.c.problemEvent(err)...)
-	b.ended = true
+	b.ended, b.finished = true, true
 	if b.gen.c.ctx.Err() == nil {
 		b.gen.dispose()
 		return
@@ -176,10 +203,13 @@
 	b.detach()
 }
 
-// end finishes a complete answer.
-func (b *streamBody) end() {
-	b.ended = true
-	b.gen.finish()
+// finish ends a complete generation, once. It comes after the end marker was
+// handed over, since the engine may take its time to end the body.
+func (b *streamBody) finish() {
+	if !b.finished {
+		b.finished = true
+		b.gen.finish()
+	}
 }
 
 // detach leaves the generation at the engine for the class's grace period, so
@@ -190,18 +220,18 @@
 	if gen.ex != nil {
 		gen.ex.Finish(false)
 	}
-	grace := time.Duration(gen.c.class.ResumeGraceMS) * time.Millisecond
-	gen.cancelLater(grace, true, gen.place)
+	gen.cancelLater(gen.grace(), true, gen.place)
 }
 
 // Close implements io.Closer; fasthttp calls it when the answer is written or
 // the caller is gone.
 func (b *streamBody) Close() error {
 	if !b.ended {
-		b.ended = true
+		b.ended, b.finished = true, true
 		b.gen.c.cancel()
 		b.detach()
 	}
+	b.finish()
 	b.gen.c.end()
 	return nil
 }
--- a/internal/request/resume.go
+++ b/internal/request/resume.go
@@ -39,6 +39,9 @@
 	if err := c.deadline(); err != nil {
 		return err
 	}
+	if err := c.limitTeam(); err != nil {
+		return err
+	}
 	c.attempted = true
 	gen := newGeneration(c, "", nil, true)
 	gen.resumed = true
--- a/internal/request/rig_test.go
+++ b/internal/request/rig_test.go
@@ -129,7 +129,7 @@
 		Document: testDocument(),
 		Hosts:    r.hosts,
 		Counters: func(h platform.Host) *version.Counters { return counters[h.ID] },
-		Limit: func(platform.Host, config.Service, platform.LoadReport, time.Time) (int, time.Time, bool) {
+		Limit: func(platform.Host) (int, time.Time, bool) {
 			return limit, time.Time{}, true
 		},
 		Excluded: func(platform.Host) bool { return false },
@@ -149,7 +149,7 @@
 		Watcher:  connection.NewWatcher(),
 		Tokens:   gentoken.NewCodec([]byte("0123456789abcdef")),
 		Retries:  r, Cold: r, Recorder: r,
-		Log: zerolog.Nop(), Now: time.Now, NewID: uuid.NewString, Region: "r",
+		Log: zerolog.Nop(), Now: time.Now, NewID: uuid.NewString,
 		Draining: func() bool { return false },
 		Hosts:    func() int { return 2 },
 	}
--- a/internal/version/snapshot.go
+++ b/internal/version/snapshot.go
@@ -78,7 +78,7 @@
 
 // Limiter decides how many requests this host may have in flight at a backend
 // server. A zero until means that the limit does not lapse.
-type Limiter func(host platform.Host, service config.Service, load platform.LoadReport, taken time.Time) (limit int, until time.Time, warm bool)
+type Limiter func(host platform.Host) (limit int, until time.Time, warm bool)
 
 // Report is a load report with the moment it describes.
 type Report struct {
@@ -169,7 +169,7 @@
 	}
 	report := in.Reports[h.ID]
 	b := &Backend{Host: h, Counters: in.Counters(h), Load: report.Load, LoadTaken: report.Taken, Capacity: svc.WarmLimit}
-	b.Limit, b.LimitUntil, b.Warm = in.Limit(h, svc.Service, report.Load, report.Taken)
+	b.Limit, b.LimitUntil, b.Warm = in.Limit(h)
 	svc.Backends = append(svc.Backends, b)
 }
 
--- a/internal/version/snapshot_bench_test.go
+++ b/internal/version/snapshot_bench_test.go
@@ -33,7 +33,7 @@
 	return Inputs{
 		Document: doc, Hosts: hosts, Reports: reports,
 		Counters: func(h platform.Host) *Counters { return counters[h.ID] },
-		Limit: func(platform.Host, config.Service, platform.LoadReport, time.Time) (int, time.Time, bool) {
+		Limit: func(platform.Host) (int, time.Time, bool) {
 			return 4, time.Time{}, true
 		},
 		Excluded: func(platform.Host) bool { return false },
--- a/internal/version/snapshot_test.go
+++ b/internal/version/snapshot_test.go
@@ -29,7 +29,7 @@
 			host("leaving", "in", platform.HostLeaving), host("refusing", "in", platform.HostLive),
 		},
 		Counters: func(platform.Host) *Counters { return &Counters{} },
-		Limit: func(platform.Host, config.Service, platform.LoadReport, time.Time) (int, time.Time, bool) {
+		Limit: func(platform.Host) (int, time.Time, bool) {
 			return 2, time.Time{}, true
 		},
 		Excluded: func(h platform.Host) bool { return h.ID == "refusing" },
