Use the usual terms for membership and topology

Cause: names such as Keeper, Surroundings and coolReturned, and "books" in comments, were figurative; a reader looks for manager, topology and tracker. Ruled out: aliases for the old names, which would keep both. Change: membership.Manager, placement.Topology, markReturnedCold; receivers renamed to match; no behaviour changed. Conclusion: the names are those of the field.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -89,7 +89,7 @@
 	reserve schedule.Reserve
 
 	// servers may get new work. departed ones may not, but still run requests
-	// of this host; they keep their books in case they return.
+	// of this host; their trackers are kept in case they return.
 	servers    []*server
 	departed   []*server
 	byID       map[string]*server
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -206,7 +206,7 @@
 }
 
 // Guards against the requests of a process that was replaced counting at its
-// successor, and against ended departed servers staying in the books.
+// successor, and against departed servers without work being tracked for ever.
 func TestReplacedServerStartsWithoutRequests(t *testing.T) {
 	s := Server{ID: "s1", Incarnation: "1", Region: "a", Limit: 1, Warm: true, Capacity: 4}
 	d := newTest(false, s)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -49,13 +49,13 @@
 // Retain updates the services that keep returns false for as services without
 // backend servers, so that their waiting requests are refused at their targets,
 // and forgets those that have no request left.
-func (t *Table) Retain(keep func(name string) bool, around Surroundings, now time.Time) {
+func (t *Table) Retain(keep func(name string) bool, topology Topology, now time.Time) {
 	t.services.Range(func(name, known any) bool {
 		if keep(name.(string)) {
 			return true
 		}
 		s := known.(*Service)
-		s.Update(&version.Service{}, around, now)
+		s.Update(&version.Service{}, topology, now)
 		if s.idle() {
 			t.services.Delete(name)
 		}
@@ -193,14 +193,14 @@
 	s.drain(now)
 }
 
-// Surroundings are what a dispatcher needs to know about this host's peers.
-type Surroundings struct {
+// Topology is what a dispatcher needs to know about the entry hosts.
+type Topology struct {
 	// Position is this host's place among Hosts hosts sorted by region and id.
 	Position, Hosts int
 }
 
 // Update takes a new version of the service and decides about waiting requests.
-func (s *Service) Update(svc *version.Service, around Surroundings, now time.Time) {
+func (s *Service) Update(svc *version.Service, topology Topology, now time.Time) {
 	servers := make([]dispatch.Server, len(svc.Backends))
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -212,7 +212,7 @@
 			Limit: b.CurrentLimit(now), Warm: b.Warm, Capacity: b.Capacity,
 		}
 	}
-	s.d.SetServers(servers, around.Position, around.Hosts)
+	s.d.SetServers(servers, topology.Position, topology.Hosts)
 	for _, b := range svc.Backends {
 		s.d.Report(b.Host.ID, report(b), now)
 	}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -29,7 +29,7 @@
 func TestRemovedServiceRefusesItsWaitingRequests(t *testing.T) {
 	table := NewTable("r", 1)
 	s := table.Service("gone", config.KindPlain)
-	s.Update(service(1), Surroundings{Hosts: 1}, time.Now())
+	s.Update(service(1), Topology{Hosts: 1}, time.Now())
 	p, err := s.Place(t.Context(), request())
 	require.NoError(t, err)
 	waited := make(chan error, 1)
@@ -40,7 +40,7 @@
 	require.Eventually(t, func() bool { return table.Waiting()["gone"] == 1 }, time.Second, time.Millisecond)
 	none := func(string) bool { return false }
 	require.Eventually(t, func() bool {
-		table.Retain(none, Surroundings{Hosts: 1}, time.Now())
+		table.Retain(none, Topology{Hosts: 1}, time.Now())
 		select {
 		case err = <-waited:
 			return true
@@ -52,7 +52,7 @@
 	require.True(t, errors.As(err, &refused))
 	require.Contains(t, table.Waiting(), "gone", "a request still runs")
 	p.Release(true)
-	table.Retain(none, Surroundings{Hosts: 1}, time.Now())
+	table.Retain(none, Topology{Hosts: 1}, time.Now())
 	require.NotContains(t, table.Waiting(), "gone")
 }
 
@@ -61,7 +61,7 @@
 	table := NewTable("r", 1)
 	s := table.Service("s", config.KindPlain)
 	svc := service(1)
-	s.Update(svc, Surroundings{Hosts: 1}, time.Now())
+	s.Update(svc, Topology{Hosts: 1}, time.Now())
 	for range 50 {
 		p, err := s.Place(t.Context(), request())
 		require.NoError(t, err)
--- a/internal/policybench/sim.go
+++ b/internal/policybench/sim.go
@@ -331,7 +331,7 @@
 	}
 }
 
-// leave takes a request off its engine in the host's books.
+// leave removes a request from the host's record of its engine.
 func (r *run) leave(q *request) {
 	h := r.hosts[q.host]
 	h.views[q.engine].own--
--- a/internal/process/daemon/adapters.go
+++ b/internal/process/daemon/adapters.go
@@ -76,7 +76,7 @@
 // an outage of the object API the rule is applied to each request: what peers
 // were last heard to say can change the finding at any moment.
 func (d *Daemon) refreshFreshness(now time.Time) bool {
-	state := d.keeper.Freshness(now)
+	state := d.membership.Freshness(now)
 	until := now
 	if age, known := d.config.ConfirmedAge(now); known && state == view.Fresh {
 		until = now.Add(view.FreshFor - age)
@@ -85,16 +85,16 @@
 	return state.MayServe()
 }
 
-// coolReturned treats the backend servers of a returned failure domain, or
+// markReturnedCold treats the backend servers of a returned failure domain, or
 // undrained ones, as cold: their caches and batches are empty, and all hosts
 // would send to them at once. Every host does the same for the same change.
-func (d *Daemon) coolReturned(before, after *config.Document) {
+func (d *Daemon) markReturnedCold(before, after *config.Document) {
 	if before == nil {
 		return
 	}
-	for _, h := range d.keeper.Hosts() {
+	for _, h := range d.membership.Hosts() {
 		if h.Role == platform.RoleBackend && before.IsOut(h.ID, h.Domain) && !after.IsOut(h.ID, h.Domain) {
-			d.keeper.NoteCold(membership.Sighting{Backend: h.ID, Incarnation: h.Incarnation, At: time.Now()})
+			d.membership.NoteCold(membership.Sighting{Backend: h.ID, Incarnation: h.Incarnation, At: time.Now()})
 		}
 	}
 }
--- a/internal/process/daemon/admin.go
+++ b/internal/process/daemon/admin.go
@@ -52,7 +52,7 @@
 		return false, "draining"
 	case d.config.Current().Revision == 0:
 		return false, "no configuration yet"
-	case !d.keeper.Freshness(time.Now()).MayServe():
+	case !d.membership.Freshness(time.Now()).MayServe():
 		return false, "configuration not confirmed"
 	case d.excludedFromService():
 		return false, "host is drained or its failure domain is out"
@@ -101,7 +101,7 @@
 	s := Status{
 		Host: d.settings.HostID, Region: d.settings.Region, Domain: d.settings.Domain,
 		ConfigRevision: d.config.Current().Revision, ConfigAgeMS: -1,
-		Freshness: d.keeper.Freshness(now).String(),
+		Freshness: d.membership.Freshness(now).String(),
 		Uptime:    now.Sub(d.started).Round(time.Second).String(),
 		Alarms:    len(d.recorder.alarms()),
 	}
@@ -112,7 +112,7 @@
 	if err := d.config.LastError(); err != nil {
 		s.ConfigError = err.Error()
 	}
-	v := d.keeper.View()
+	v := d.membership.View()
 	s.ViewEpoch, s.Members = v.Epoch, v.Members
 	return s
 }
@@ -150,7 +150,7 @@
 // Dump implements admin.DumpProvider.
 func (d *Daemon) Dump() any {
 	now := time.Now()
-	out := Dump{Status: d.status(), View: d.keeper.View(), Waiting: d.places.Waiting(), Claims: d.claims.Stats(), Excluded: d.routing.excludedIDs()}
+	out := Dump{Status: d.status(), View: d.membership.View(), Waiting: d.places.Waiting(), Claims: d.claims.Stats(), Excluded: d.routing.excludedIDs()}
 	out.Config, _ = json.Marshal(d.config.Current())
 	d.snapshot.Load().Services(func(s *version.Service) {
 		for _, b := range s.Backends {
--- a/internal/process/daemon/commands.go
+++ b/internal/process/daemon/commands.go
@@ -26,11 +26,11 @@
 		Store:   d.store,
 		Engines: httpapi.NewEngineControl(),
 		Hosts: func() ([]platform.Host, bool) {
-			hosts := d.keeper.Hosts()
+			hosts := d.membership.Hosts()
 			return hosts, len(hosts) > 0
 		},
 		Candidate: func(service string) bool {
-			members := view.Ranked("issuer/"+service, d.keeper.View().Members, issuerCandidates)
+			members := view.Ranked("issuer/"+service, d.membership.View().Members, issuerCandidates)
 			return !d.draining.Load() && slices.Contains(members, d.settings.HostID)
 		},
 		Now:     time.Now,
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -44,22 +44,22 @@
 	log      zerolog.Logger
 	started  time.Time
 
-	store    platform.ObjectStore
-	loads    platform.LoadReporter
-	config   *configlog.Log
-	keeper   *membership.Keeper
-	peers    *peers.Peers
-	claims   *claims.Service
-	commands *issuer.Manager
-	places   *placement.Table
-	retries  *retryBudget
-	pool     *connection.Pool
-	watcher  *connection.Watcher
-	gateway  *request.Gateway
-	recorder *recorder
-	routing  *routing
-	callers  *fasthttp.Server
-	admin    *fasthttp.Server
+	store      platform.ObjectStore
+	loads      platform.LoadReporter
+	config     *configlog.Log
+	membership *membership.Manager
+	peers      *peers.Peers
+	claims     *claims.Service
+	commands   *issuer.Manager
+	places     *placement.Table
+	retries    *retryBudget
+	pool       *connection.Pool
+	watcher    *connection.Watcher
+	gateway    *request.Gateway
+	recorder   *recorder
+	routing    *routing
+	callers    *fasthttp.Server
+	admin      *fasthttp.Server
 
 	// lastConfig is used by configChanged only, which the configuration log
 	// calls in revision order.
@@ -80,7 +80,7 @@
 	d.store = httpapi.NewObjectStore(s.ObjectAPI)
 	d.loads = httpapi.NewLoadReporter()
 	d.config = configlog.New(configlog.Options{Store: d.store, Watching: d.watching, Logger: log})
-	d.keeper = membership.New(membership.Config{
+	d.membership = membership.New(membership.Config{
 		Self: platform.Host{
 			ID: s.HostID, Role: platform.RoleEntry, Region: s.Region, Domain: s.Domain, State: platform.HostLive,
 			Address: s.Listen, PeerAddress: s.PeerListen, Incarnation: uuid.NewString(),
@@ -93,13 +93,13 @@
 		Log:       log,
 	})
 	d.peers = peers.New(peers.Config{
-		Keeper: d.keeper,
-		Source: configSource{d.config},
-		Claims: claimServer{d},
-		TLS:    s.PeerTLS,
-		Rand:   newRand(),
-		Now:    time.Now,
-		Log:    log,
+		Manager: d.membership,
+		Source:  configSource{d.config},
+		Claims:  claimServer{d},
+		TLS:     s.PeerTLS,
+		Rand:    newRand(),
+		Now:     time.Now,
+		Log:     log,
 	})
 	var err error
 	if d.claims, err = newClaims(d); err != nil {
@@ -155,11 +155,11 @@
 // watching says whether this host watches the configuration head. Until a view
 // is known every host does, since there is no peer to ask.
 func (d *Daemon) watching() bool {
-	return d.keeper.View().Epoch == 0 || d.keeper.IsWatcher()
+	return d.membership.View().Epoch == 0 || d.membership.IsWatcher()
 }
 
 func (d *Daemon) configChanged(doc *config.Document) {
-	d.coolReturned(d.lastConfig, doc)
+	d.markReturnedCold(d.lastConfig, doc)
 	d.lastConfig = doc
 	d.recorder.setTargets(doc)
 	d.routing.changed()
@@ -177,7 +177,7 @@
 	defer stopLoops()
 	g, loopCtx := errgroup.WithContext(loopCtx)
 	for _, loop := range []func(context.Context) error{
-		d.config.Run, d.keeper.Run, d.peers.Run, d.watcher.Run, d.routing.run, d.routing.pollLoads, d.commands.Run,
+		d.config.Run, d.membership.Run, d.peers.Run, d.watcher.Run, d.routing.run, d.routing.pollLoads, d.commands.Run,
 		func(ctx context.Context) error { return d.peers.Serve(ctx, listeners.peers) },
 	} {
 		g.Go(func() error { return ignoreCancel(loop(loopCtx)) })
@@ -229,7 +229,7 @@
 // running requests finish and flushes what remains.
 func (d *Daemon) shutdown() {
 	d.draining.Store(true)
-	d.keeper.SetDraining()
+	d.membership.SetDraining()
 	d.peers.Push()
 	d.log.Info().Msg("draining")
 	time.Sleep(d.settings.DrainDelay)
--- a/internal/process/daemon/orders.go
+++ b/internal/process/daemon/orders.go
@@ -29,7 +29,7 @@
 
 // Owner implements claims.Forwarder.
 func (f forwarder) Owner(shard uint32) (host string, self bool) {
-	owner := view.Owner("claims/"+strconv.FormatUint(uint64(shard), 10), f.d.keeper.View().Members)
+	owner := view.Owner("claims/"+strconv.FormatUint(uint64(shard), 10), f.d.membership.View().Members)
 	return owner, owner == f.d.settings.HostID
 }
 
--- a/internal/process/daemon/polling.go
+++ b/internal/process/daemon/polling.go
@@ -82,7 +82,7 @@
 func (r *routing) pollOnce(ctx context.Context, last map[string]time.Time) {
 	doc := r.d.config.Current()
 	var backends []platform.Host
-	for _, h := range r.d.keeper.Hosts() {
+	for _, h := range r.d.membership.Hosts() {
 		if _, configured := doc.Services[h.Service]; configured && h.Role == platform.RoleBackend {
 			backends = append(backends, h)
 		}
@@ -117,7 +117,7 @@
 	_, reported := r.reports[h.ID]
 	_, excluded := r.excluded[h.ID]
 	r.mu.Unlock()
-	n, until := r.d.keeper.Limit(h.ID, time.Now())
+	n, until := r.d.membership.Limit(h.ID, time.Now())
 	switch {
 	case !reported, excluded, n > 0 && !until.IsZero():
 		return usedCold
@@ -140,9 +140,9 @@
 		return
 	}
 	limits := coldstart.Limits{Cold: svc.ColdLimit, Warm: svc.WarmLimit}
-	r.d.keeper.ObserveLoad(h.ID, limits, target, report, sentAt, own)
+	r.d.membership.ObserveLoad(h.ID, limits, target, report, sentAt, own)
 	if report.Leaving {
-		r.d.keeper.MarkLeaving(h.ID, report.Incarnation)
+		r.d.membership.MarkLeaving(h.ID, report.Incarnation)
 	}
 	taken := sentAt.Add(-time.Duration(report.AgeMS) * time.Millisecond)
 	r.mu.Lock()
--- a/internal/process/daemon/rebuild_bench_test.go
+++ b/internal/process/daemon/rebuild_bench_test.go
@@ -74,16 +74,16 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	d.keeper.ReadHosts(context.Background())
+	d.membership.ReadHosts(context.Background())
 	if err := d.config.Merge(nil, document); err != nil {
 		b.Fatal(err)
 	}
 	now := time.Now()
 	limits := coldstart.Limits{Cold: 4, Warm: 64}
-	for _, h := range d.keeper.Hosts() {
+	for _, h := range d.membership.Hosts() {
 		if h.Role == platform.RoleBackend {
 			report := platform.LoadReport{Incarnation: h.Incarnation, Sequence: 1, Running: 30, Completed: 1 << 20, BlocksTotal: 65536, BlockTokens: 16}
-			d.keeper.ObserveLoad(h.ID, limits, time.Second, report, now, 0)
+			d.membership.ObserveLoad(h.ID, limits, time.Second, report, now, 0)
 			d.routing.reports[h.ID] = version.Report{Load: report, Taken: now, Asked: now}
 		}
 	}
--- a/internal/process/daemon/routing.go
+++ b/internal/process/daemon/routing.go
@@ -71,7 +71,7 @@
 }
 
 func (r *routing) rebuild() {
-	hosts := r.d.keeper.Hosts()
+	hosts := r.d.membership.Hosts()
 	r.mu.Lock()
 	snap := version.Build(version.Inputs{
 		Document: r.d.config.Current(),
@@ -92,31 +92,31 @@
 		listed[hosts[i].Address] = true
 	}
 	r.d.pool.Retain(func(address string) bool { return listed[address] })
-	around := r.surroundings()
-	r.d.hosts.Store(int32(around.Hosts))
+	topology := r.topology()
+	r.d.hosts.Store(int32(topology.Hosts))
 	now := time.Now()
 	snap.Services(func(svc *version.Service) {
-		r.d.places.Service(svc.Name, svc.Kind).Update(svc, around, now)
+		r.d.places.Service(svc.Name, svc.Kind).Update(svc, topology, now)
 	})
-	r.d.places.Retain(func(name string) bool { _, ok := snap.Service(name); return ok }, around, now)
+	r.d.places.Retain(func(name string) bool { _, ok := snap.Service(name); return ok }, topology, now)
 }
 
-// surroundings places this host among the view's members, sorted by region and id.
-func (r *routing) surroundings() placement.Surroundings {
-	around := placement.Surroundings{Hosts: 1}
+// topology places this host among the view's members, sorted by region and id.
+func (r *routing) topology() placement.Topology {
+	topology := placement.Topology{Hosts: 1}
 	type member struct{ region, id string }
 	self := member{r.d.settings.Region, r.d.settings.HostID}
-	for _, id := range r.d.keeper.View().Members {
-		h, known := r.d.keeper.HostByID(id)
+	for _, id := range r.d.membership.View().Members {
+		h, known := r.d.membership.HostByID(id)
 		if !known || id == self.id {
 			continue
 		}
-		around.Hosts++
+		topology.Hosts++
 		if other := (member{h.Region, id}); other.region < self.region || other.region == self.region && other.id < self.id {
-			around.Position++
+			topology.Position++
 		}
 	}
-	return around
+	return topology
 }
 
 // incarnationOf returns the process that the limits hold for. It is the one of
@@ -139,13 +139,13 @@
 	return c
 }
 
-// limit asks the keeper, which knows leases and cold starts.
+// limit asks the membership manager, which knows leases and cold starts.
 func (r *routing) limit(h platform.Host) (int, time.Time, bool) {
 	now := time.Now()
 	if report, ok := r.reports[h.ID]; !ok || now.Sub(report.Asked) > reportExpiry {
 		return 0, time.Time{}, false
 	}
-	n, until := r.d.keeper.Limit(h.ID, now)
+	n, until := r.d.membership.Limit(h.ID, now)
 	return n, until, n > 0 && until.IsZero()
 }
 
@@ -173,5 +173,5 @@
 			delete(r.excluded, id)
 		}
 	}
-	r.d.keeper.Forget(func(id string) bool { return ids[id] })
+	r.d.membership.Forget(func(id string) bool { return ids[id] })
 }
--- a/internal/process/membership/backend.go
+++ b/internal/process/membership/backend.go
@@ -26,19 +26,19 @@
 	At          time.Time
 }
 
-func (k *Keeper) grant() coldstart.Grant {
-	g := coldstart.Grant{Self: k.cfg.Self.ID, View: k.current, RightsBegin: k.rightsBegin}
-	if k.lease.Epoch == k.current.Epoch {
-		g.LeaseUntil = k.lease.Until()
+func (m *Manager) grant() coldstart.Grant {
+	g := coldstart.Grant{Self: m.cfg.Self.ID, View: m.current, RightsBegin: m.rightsBegin}
+	if m.lease.Epoch == m.current.Epoch {
+		g.LeaseUntil = m.lease.Until()
 	}
 	return g
 }
 
-func (k *Keeper) backend(id string) *backendState {
-	b := k.backends[id]
+func (m *Manager) backend(id string) *backendState {
+	b := m.backends[id]
 	if b == nil {
 		b = &backendState{State: coldstart.State{Backend: id}}
-		k.backends[id] = b
+		m.backends[id] = b
 	}
 	return b
 }
@@ -47,13 +47,13 @@
 // was sent at sentAt; ownInFlight is this host's number of requests in flight
 // there at that time, and target the first-token target of the service's
 // tightest class (0: none).
-func (k *Keeper) ObserveLoad(id string, limits coldstart.Limits, target time.Duration, r platform.LoadReport, sentAt time.Time, ownInFlight int) {
+func (m *Manager) ObserveLoad(id string, limits coldstart.Limits, target time.Duration, r platform.LoadReport, sentAt time.Time, ownInFlight int) {
 	// A report's age is relative to its answer, which was sent after sentAt. The
 	// age is rounded up by 1 ms and 1% for the resolution and drift of the clock.
 	age := time.Duration(max(r.AgeMS, 0)+1) * time.Millisecond * 101 / 100
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	b := k.backend(id)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	b := m.backend(id)
 	b.limits = limits
 	b.Observe(coldstart.Report{
 		Incarnation: r.Incarnation,
@@ -63,19 +63,19 @@
 		Completed:   r.Completed,
 		FirstToken:  time.Duration(r.RecentFirstTokenMS) * time.Millisecond,
 		OwnInFlight: ownInFlight,
-	}, limits, target, k.grant())
+	}, limits, target, m.grant())
 }
 
 // NoteCold records that a backend server was seen cold, by this host or by a
 // peer. It reports whether the sighting is new, so that it is pushed to peers.
-func (k *Keeper) NoteCold(s Sighting) bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if _, known := k.host(s.Backend); !known && k.backends[s.Backend] == nil {
+func (m *Manager) NoteCold(s Sighting) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, known := m.host(s.Backend); !known && m.backends[s.Backend] == nil {
 		return false
 	}
-	b := k.backend(s.Backend)
-	now := k.cfg.Now()
+	b := m.backend(s.Backend)
+	now := m.cfg.Now()
 	if s.At.After(now) {
 		s.At = now
 	}
@@ -86,12 +86,12 @@
 // again: the recent ones and, in turn, a few older ones, or all of them. They
 // are repeated, so that a host that joins late or missed a push does not take
 // such a backend server for warm.
-func (k *Keeper) Sightings(all bool) []Sighting {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	now := k.cfg.Now()
+func (m *Manager) Sightings(all bool) []Sighting {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.cfg.Now()
 	var recent, older []Sighting
-	for id, b := range k.backends {
+	for id, b := range m.backends {
 		at, cold := b.Sighting(b.limits)
 		s := Sighting{Backend: id, Incarnation: b.Incarnation(), At: at}
 		switch {
@@ -104,8 +104,8 @@
 	slices.SortFunc(recent, func(a, b Sighting) int { return b.At.Compare(a.At) })
 	slices.SortFunc(older, func(a, b Sighting) int { return cmp.Compare(a.Backend, b.Backend) })
 	for range min(repeatedSightings, len(older)) {
-		k.repeatNext = (k.repeatNext + 1) % len(older)
-		recent = append(recent, older[k.repeatNext])
+		m.repeatNext = (m.repeatNext + 1) % len(older)
+		recent = append(recent, older[m.repeatNext])
 	}
 	return recent[:min(len(recent), maxSightings)]
 }
@@ -114,14 +114,14 @@
 // server at now. Backend servers in cold start get 0 without a valid lease. A
 // positive limit that depends on the lease ends at until, which the sender must
 // check again right before it sends; until is zero for a warm backend server.
-func (k *Keeper) Limit(id string, now time.Time) (n int, until time.Time) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	b := k.backends[id]
+func (m *Manager) Limit(id string, now time.Time) (n int, until time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	b := m.backends[id]
 	if b == nil {
 		return 0, time.Time{}
 	}
-	g := k.grant()
+	g := m.grant()
 	n = b.Limit(now, b.limits, g)
 	if n > 0 && b.Level() < max(b.limits.Warm, b.limits.Cold, 1) {
 		until = g.LeaseUntil
@@ -131,12 +131,12 @@
 
 // Forget drops the ramp states of backend servers that keep returns false for.
 // A dropped backend server starts again with an idle report.
-func (k *Keeper) Forget(keep func(id string) bool) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	for id := range k.backends {
+func (m *Manager) Forget(keep func(id string) bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for id := range m.backends {
 		if !keep(id) {
-			delete(k.backends, id)
+			delete(m.backends, id)
 		}
 	}
 }
--- a/internal/process/membership/keeper_bench_test.go
+++ b/internal/process/membership/manager_bench_test.go
@@ -14,9 +14,9 @@
 	"monsoonkeel.example/monsoonkeel/internal/platform/platformtest"
 )
 
-// benchKeeper returns a keeper of a cell with the given members, which renews
+// benchKeeper returns a manager of a cell with the given members, which renews
 // its view, and backend servers.
-func benchKeeper(b *testing.B, members, backends int) (*Keeper, *platformtest.Store) {
+func benchKeeper(b *testing.B, members, backends int) (*Manager, *platformtest.Store) {
 	list := &hostList{}
 	for i := range members {
 		list.hosts = append(list.hosts, entry(i))
--- a/internal/process/membership/keeper_test.go
+++ b/internal/process/membership/manager_test.go
@@ -59,7 +59,7 @@
 
 // node is one daemon with a clock that may drift.
 type node struct {
-	*Keeper
+	*Manager
 	list     *hostList
 	link     *link
 	rate     float64
@@ -97,7 +97,7 @@
 func (f *fleet) restart(i int) {
 	n := f.nodes[i]
 	n.inFlight, n.configAt = 0, time.Time{}
-	n.Keeper = New(Config{Self: entry(i), Cells: 1, Store: n.link, Hosts: n.list, Log: zerolog.Nop(),
+	n.Manager = New(Config{Self: entry(i), Cells: 1, Store: n.link, Hosts: n.list, Log: zerolog.Nop(),
 		Now: func() time.Time { return f.clock(n) },
 		ConfigAge: func(now time.Time) (time.Duration, bool) {
 			return now.Sub(n.configAt), !n.configAt.IsZero()
--- a/internal/process/membership/membership.go
+++ b/internal/process/membership/membership.go
@@ -43,7 +43,7 @@
 	manyCells   = 8
 )
 
-// Config configures a Keeper. All fields but Log are required.
+// Config configures a Manager. All fields but Log are required.
 type Config struct {
 	Self platform.Host
 	// Cells is the number of cells of the deployment, at least 1.
@@ -73,9 +73,9 @@
 	limits coldstart.Limits
 }
 
-// Keeper runs the view protocol of one daemon. Its methods are safe for
+// Manager runs the view protocol of one daemon. Its methods are safe for
 // concurrent use.
-type Keeper struct {
+type Manager struct {
 	cfg  Config
 	cell int
 
@@ -105,9 +105,9 @@
 	backends map[string]*backendState
 }
 
-// New returns a Keeper that knows no view yet.
-func New(cfg Config) *Keeper {
-	return &Keeper{
+// New returns a Manager that knows no view yet.
+func New(cfg Config) *Manager {
+	return &Manager{
 		cfg:      cfg,
 		cell:     view.CellOf(cfg.Self.ID, cfg.Cells),
 		leaving:  map[incarnation]bool{},
@@ -117,157 +117,157 @@
 }
 
 // Self returns the host id of this daemon.
-func (k *Keeper) Self() string { return k.cfg.Self.ID }
+func (m *Manager) Self() string { return m.cfg.Self.ID }
 
 // View returns the newest view known; its epoch is 0 if there is none.
-func (k *Keeper) View() view.View {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.current
+func (m *Manager) View() view.View {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.current
 }
 
 // LeaseValid reports whether this host may act under the view's epoch at now.
-func (k *Keeper) LeaseValid(now time.Time) bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.current.Has(k.cfg.Self.ID) && k.lease.Valid(k.current.Epoch, now)
+func (m *Manager) LeaseValid(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.current.Has(m.cfg.Self.ID) && m.lease.Valid(m.current.Epoch, now)
 }
 
 // ViewAge returns the view's epoch and the age of its newest confirmation.
-func (k *Keeper) ViewAge(now time.Time) (epoch uint64, age time.Duration, ok bool) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.current.Epoch == 0 || k.lease.Epoch != k.current.Epoch {
-		return k.current.Epoch, 0, false
+func (m *Manager) ViewAge(now time.Time) (epoch uint64, age time.Duration, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.current.Epoch == 0 || m.lease.Epoch != m.current.Epoch {
+		return m.current.Epoch, 0, false
 	}
-	return k.current.Epoch, now.Sub(k.lease.ConfirmedAt), true
+	return m.current.Epoch, now.Sub(m.lease.ConfirmedAt), true
 }
 
 // RenewerToAsk returns the renewer if this host should ask it for a confirmation
 // because the one relayed by other members is getting old.
-func (k *Keeper) RenewerToAsk(now time.Time) (platform.Host, bool) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.current.Renewer == k.cfg.Self.ID || k.lease.Epoch == k.current.Epoch && now.Sub(k.lease.ConfirmedAt) < askAfter {
+func (m *Manager) RenewerToAsk(now time.Time) (platform.Host, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.current.Renewer == m.cfg.Self.ID || m.lease.Epoch == m.current.Epoch && now.Sub(m.lease.ConfirmedAt) < askAfter {
 		return platform.Host{}, false
 	}
-	return k.host(k.current.Renewer)
+	return m.host(m.current.Renewer)
 }
 
 // Freshness applies the freshness rule: may this host take new work at now?
-func (k *Keeper) Freshness(now time.Time) view.FreshnessState {
-	age, known := k.cfg.ConfigAge(now)
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	heard := make([]view.Heard, 0, len(k.peers))
-	for _, p := range k.peers {
+func (m *Manager) Freshness(now time.Time) view.FreshnessState {
+	age, known := m.cfg.ConfigAge(now)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	heard := make([]view.Heard, 0, len(m.peers))
+	for _, p := range m.peers {
 		if p.hasHeard {
 			heard = append(heard, p.heard)
 		}
 	}
-	return view.Freshness(now, k.cfg.Self.ID, view.Age{Known: known, Value: age}, heard, k.current)
+	return view.Freshness(now, m.cfg.Self.ID, view.Age{Known: known, Value: age}, heard, m.current)
 }
 
 // IsWatcher reports whether this host watches the configuration head. A host
 // that knows no view watches, since it cannot know of others that do.
-func (k *Keeper) IsWatcher() bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if !k.current.Has(k.cfg.Self.ID) {
+func (m *Manager) IsWatcher() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.current.Has(m.cfg.Self.ID) {
 		return true
 	}
-	region := []string{k.cfg.Self.ID}
-	for _, h := range k.hosts {
-		if h.Role == platform.RoleEntry && h.Region == k.cfg.Self.Region && h.ID != k.cfg.Self.ID && k.current.Has(h.ID) {
+	region := []string{m.cfg.Self.ID}
+	for _, h := range m.hosts {
+		if h.Role == platform.RoleEntry && h.Region == m.cfg.Self.Region && h.ID != m.cfg.Self.ID && m.current.Has(h.ID) {
 			region = append(region, h.ID)
 		}
 	}
 	n := maxWatchers
-	if k.cfg.Cells > manyCells {
+	if m.cfg.Cells > manyCells {
 		n = 1
 	}
-	return slices.Contains(view.Ranked("config/head", region, n), k.cfg.Self.ID)
+	return slices.Contains(view.Ranked("config/head", region, n), m.cfg.Self.ID)
 }
 
 // SetDraining marks this daemon as leaving; the renewer removes it from the view.
-func (k *Keeper) SetDraining() {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.draining = true
+func (m *Manager) SetDraining() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.draining = true
 }
 
 // Draining reports whether SetDraining was called.
-func (k *Keeper) Draining() bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.draining
+func (m *Manager) Draining() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.draining
 }
 
 // NoteAnswer records a peer's answer to a Sync call that was sent at sentAt.
-func (k *Keeper) NoteAnswer(host string, sentAt time.Time, configAge view.Age, draining bool) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	p := k.peer(host)
+func (m *Manager) NoteAnswer(host string, sentAt time.Time, configAge view.Age, draining bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := m.peer(host)
 	if !p.hasHeard || sentAt.After(p.heard.At) {
 		p.heard, p.hasHeard = view.Heard{Host: host, At: sentAt, ConfigAge: configAge}, true
 	}
-	k.contact(p, host, sentAt, draining)
+	m.contact(p, host, sentAt, draining)
 }
 
 // NoteRequest records a Sync call received from a peer. It counts as a sign of
 // life only: how long the request was on its way is unknown, so its age and
 // time do not enter the freshness rule. It reports whether the peer is new or
 // returns after a while, so that it has to be told about all cold sightings.
-func (k *Keeper) NoteRequest(host string, draining bool) (isNew bool) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if _, known := k.host(host); !known && !k.current.Has(host) {
+func (m *Manager) NoteRequest(host string, draining bool) (isNew bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, known := m.host(host); !known && !m.current.Has(host) {
 		return true
 	}
-	p, now := k.peer(host), k.cfg.Now()
+	p, now := m.peer(host), m.cfg.Now()
 	isNew = now.Sub(p.requestAt) > newAfter
 	p.requestAt = now
-	k.contact(p, host, now, draining)
+	m.contact(p, host, now, draining)
 	return isNew
 }
 
 // NoteFailure records a Sync call to a peer that failed.
-func (k *Keeper) NoteFailure(host string) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.peer(host).failed++
+func (m *Manager) NoteFailure(host string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.peer(host).failed++
 }
 
-func (k *Keeper) contact(p *peerState, host string, at time.Time, draining bool) {
+func (m *Manager) contact(p *peerState, host string, at time.Time, draining bool) {
 	if at.After(p.contactAt) {
 		p.contactAt, p.failed = at, 0
 	}
-	if h, ok := k.host(host); ok && h.Role == platform.RoleEntry {
+	if h, ok := m.host(host); ok && h.Role == platform.RoleEntry {
 		// A daemon that no longer says that it is draining has been restarted,
 		// perhaps before the host list shows a new incarnation.
-		k.setLeaving(incarnation{host, h.Incarnation}, draining)
+		m.setLeaving(incarnation{host, h.Incarnation}, draining)
 	}
 }
 
-func (k *Keeper) setLeaving(i incarnation, leaving bool) {
+func (m *Manager) setLeaving(i incarnation, leaving bool) {
 	if leaving {
-		k.leaving[i] = true
+		m.leaving[i] = true
 		return
 	}
-	delete(k.leaving, i)
+	delete(m.leaving, i)
 }
 
-func (k *Keeper) peer(host string) *peerState {
-	p := k.peers[host]
+func (m *Manager) peer(host string) *peerState {
+	p := m.peers[host]
 	if p == nil {
 		p = &peerState{}
-		k.peers[host] = p
+		m.peers[host] = p
 	}
 	return p
 }
 
-func (k *Keeper) host(id string) (platform.Host, bool) {
-	for _, h := range k.hosts {
+func (m *Manager) host(id string) (platform.Host, bool) {
+	for _, h := range m.hosts {
 		if h.ID == id {
 			return h, true
 		}
@@ -276,38 +276,38 @@
 }
 
 // MarkLeaving records from any source that an incarnation of a host is leaving.
-func (k *Keeper) MarkLeaving(host, id string) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.leaving[incarnation{host, id}] = true
+func (m *Manager) MarkLeaving(host, id string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.leaving[incarnation{host, id}] = true
 }
 
 // Hosts returns the last host list of this cell. A host that any source marked
 // as leaving stays leaving until its incarnation changes.
-func (k *Keeper) Hosts() []platform.Host {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	out := slices.Clone(k.hosts)
+func (m *Manager) Hosts() []platform.Host {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := slices.Clone(m.hosts)
 	for i := range out {
-		if k.isLeaving(out[i]) {
+		if m.isLeaving(out[i]) {
 			out[i].State = platform.HostLeaving
 		}
 	}
 	return out
 }
 
-func (k *Keeper) isLeaving(h platform.Host) bool {
-	return h.State == platform.HostLeaving || k.leaving[incarnation{h.ID, h.Incarnation}]
+func (m *Manager) isLeaving(h platform.Host) bool {
+	return h.State == platform.HostLeaving || m.leaving[incarnation{h.ID, h.Incarnation}]
 }
 
 // Peers returns the other entry hosts of the cell that the host list shows,
 // sorted by id. Sync calls go to them.
-func (k *Keeper) Peers() []platform.Host {
-	k.mu.Lock()
-	defer k.mu.Unlock()
+func (m *Manager) Peers() []platform.Host {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	var out []platform.Host
-	for _, h := range k.hosts {
-		if h.Role == platform.RoleEntry && h.ID != k.cfg.Self.ID && h.PeerAddress != "" {
+	for _, h := range m.hosts {
+		if h.Role == platform.RoleEntry && h.ID != m.cfg.Self.ID && h.PeerAddress != "" {
 			out = append(out, h)
 		}
 	}
@@ -316,8 +316,8 @@
 }
 
 // HostByID returns the host list's entry of a host in this cell.
-func (k *Keeper) HostByID(id string) (platform.Host, bool) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.host(id)
+func (m *Manager) HostByID(id string) (platform.Host, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.host(id)
 }
--- a/internal/process/membership/status.go
+++ b/internal/process/membership/status.go
@@ -8,7 +8,7 @@
 	"monsoonkeel.example/monsoonkeel/core/view"
 )
 
-// Status is the keeper's part of a state dump. Ages are in milliseconds; -1
+// Status is the manager's part of a state dump. Ages are in milliseconds; -1
 // means that there was no such event.
 type Status struct {
 	Self       string          `json:"self"`
@@ -23,7 +23,7 @@
 	Backends   []BackendStatus `json:"backends"`
 }
 
-// PeerStatus is what the keeper knows about another entry host.
+// PeerStatus is what the manager knows about another entry host.
 type PeerStatus struct {
 	Host string `json:"host"`
 	// AnswerAgeMS is the time since the last answered call was sent.
@@ -42,23 +42,23 @@
 	Limit int `json:"limit"`
 }
 
-// Status returns the keeper's state at now for a state dump.
-func (k *Keeper) Status(now time.Time) Status {
+// Status returns the manager's state at now for a state dump.
+func (m *Manager) Status(now time.Time) Status {
 	s := Status{
-		Self: k.Self(), Draining: k.Draining(), View: k.View(), LeaseValid: k.LeaseValid(now),
-		Freshness: k.Freshness(now).String(), Watcher: k.IsWatcher(),
+		Self: m.Self(), Draining: m.Draining(), View: m.View(), LeaseValid: m.LeaseValid(now),
+		Freshness: m.Freshness(now).String(), Watcher: m.IsWatcher(),
 		Peers: []PeerStatus{}, Backends: []BackendStatus{},
 	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	s.ViewAgeMS, s.HostsAgeMS = since(now, k.lease.ConfirmedAt), since(now, k.hostsAt)
-	for id, p := range k.peers {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s.ViewAgeMS, s.HostsAgeMS = since(now, m.lease.ConfirmedAt), since(now, m.hostsAt)
+	for id, p := range m.peers {
 		s.Peers = append(s.Peers, PeerStatus{
 			Host: id, AnswerAgeMS: since(now, p.heard.At), ContactMS: since(now, p.contactAt), FailedCalls: p.failed,
 		})
 	}
-	g := k.grant()
-	for id, b := range k.backends {
+	g := m.grant()
+	for id, b := range m.backends {
 		s.Backends = append(s.Backends, BackendStatus{
 			Backend: id, Incarnation: b.Incarnation(), Level: b.Level(), WarmLimit: b.limits.Warm, Limit: b.Limit(now, b.limits, g),
 		})
--- a/internal/process/peers/peers.go
+++ b/internal/process/peers/peers.go
@@ -79,8 +79,8 @@
 
 // Config configures Peers.
 type Config struct {
-	Keeper *membership.Keeper
-	Source ConfigSource
+	Manager *membership.Manager
+	Source  ConfigSource
 	// Claims may be nil: claim calls are then refused as not run.
 	Claims ClaimServer
 	// TLS, if not nil, is used for both directions; clients are authenticated.
@@ -160,7 +160,7 @@
 // NotifyCold records a backend server that this host saw cold and pushes the
 // sighting to peers.
 func (p *Peers) NotifyCold(s membership.Sighting) {
-	if p.cfg.Keeper.NoteCold(s) {
+	if p.cfg.Manager.NoteCold(s) {
 		p.Push()
 	}
 }
@@ -171,7 +171,7 @@
 	hosts := p.pick(fanOut)
 	// Without this, 31% of the members of a cell of 64 read the view object every
 	// second, since confirmations relayed at random often take more than 2 s.
-	renewer, ask := p.cfg.Keeper.RenewerToAsk(p.cfg.Now())
+	renewer, ask := p.cfg.Manager.RenewerToAsk(p.cfg.Now())
 	if ask && renewer.PeerAddress != "" && !slices.Contains(hosts, renewer) {
 		hosts = append(hosts, renewer)
 	}
@@ -195,7 +195,7 @@
 // distinct members than independent choices, which the freshness rule needs:
 // 36 of 63 in 3 s instead of about 30.
 func (p *Peers) pick(n int) []platform.Host {
-	hosts := p.cfg.Keeper.Peers()
+	hosts := p.cfg.Manager.Peers()
 	byID := make(map[string]platform.Host, len(hosts))
 	for _, h := range hosts {
 		byID[h.ID] = h
@@ -238,7 +238,7 @@
 		err = checkAnswer(resp.GetHeartbeat(), h.ID)
 	}
 	if err != nil {
-		p.cfg.Keeper.NoteFailure(h.ID)
+		p.cfg.Manager.NoteFailure(h.ID)
 		return err
 	}
 	return p.take(resp, sentAt)
@@ -256,8 +256,8 @@
 	if configAge.Known {
 		p.cfg.Source.NoteConfirmation(config.Revision(beat.ConfigRevision), configAge.Value, sentAt)
 	}
-	failed.Add(p.cfg.Keeper.NoteView(beat.ViewEpoch, ageOf(beat.ViewAgeMs), resp.View, sentAt))
-	p.cfg.Keeper.NoteAnswer(beat.Host, sentAt, configAge, beat.Draining)
+	failed.Add(p.cfg.Manager.NoteView(beat.ViewEpoch, ageOf(beat.ViewAgeMs), resp.View, sentAt))
+	p.cfg.Manager.NoteAnswer(beat.Host, sentAt, configAge, beat.Draining)
 	p.noteCold(beat, sentAt)
 	if p.cfg.Source.Revision() > before {
 		p.Push()
@@ -283,17 +283,17 @@
 	now := p.cfg.Now()
 	age, known := p.cfg.Source.ConfirmedAge(now)
 	revision := p.cfg.Source.Revision()
-	epoch, viewAge, viewKnown := p.cfg.Keeper.ViewAge(now)
+	epoch, viewAge, viewKnown := p.cfg.Manager.ViewAge(now)
 	beat := &peerpb.Heartbeat{
 		Protocol:       Protocol,
-		Host:           p.cfg.Keeper.Self(),
+		Host:           p.cfg.Manager.Self(),
 		ConfigRevision: uint64(revision),
 		ConfigAgeMs:    ageMS(age, known),
 		ViewEpoch:      epoch,
 		ViewAgeMs:      ageMS(viewAge, viewKnown),
-		Draining:       p.cfg.Keeper.Draining(),
+		Draining:       p.cfg.Manager.Draining(),
 	}
-	for _, s := range p.cfg.Keeper.Sightings(allSightings) {
+	for _, s := range p.cfg.Manager.Sightings(allSightings) {
 		beat.Cold = append(beat.Cold, &peerpb.ColdSighting{
 			Backend: s.Backend, Incarnation: s.Incarnation, AgeMs: max(now.Sub(s.At), 0).Milliseconds(),
 		})
@@ -356,7 +356,7 @@
 		case <-ctx.Done():
 			return nil
 		case next := <-p.pulls:
-			h, ok := p.cfg.Keeper.HostByID(next.host)
+			h, ok := p.cfg.Manager.HostByID(next.host)
 			if !ok || h.PeerAddress == "" || p.cfg.Source.Revision() >= next.revision {
 				continue // Several peers push the same change; one pull is enough.
 			}
@@ -390,7 +390,7 @@
 }
 
 func (p *Peers) callHost(ctx context.Context, host string, limit time.Duration, f func(context.Context, peerpb.DRPCPeerClient) error) error {
-	h, ok := p.cfg.Keeper.HostByID(host)
+	h, ok := p.cfg.Manager.HostByID(host)
 	if !ok || h.PeerAddress == "" {
 		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "unknown_peer", "host %q has no known peer address", host)
 	}
--- a/internal/process/peers/peers_bench_test.go
+++ b/internal/process/peers/peers_bench_test.go
@@ -88,7 +88,7 @@
 	store            *countedStore
 	logs             []*configlog.Log
 	members          []*Peers
-	keepers          []*membership.Keeper
+	managers         []*membership.Manager
 	bytes, transfers atomic.Int64
 }
 
@@ -116,13 +116,13 @@
 		k := membership.New(membership.Config{Self: list[i], Cells: 1, Store: c.store, Hosts: list, Now: time.Now,
 			ConfigAge: log.ConfirmedAge, Log: zerolog.Nop()})
 		k.ReadHosts(ctx)
-		p := New(Config{Keeper: k, Source: logSource{log}, Now: time.Now, Log: zerolog.Nop(), Rand: rand.New(rand.NewPCG(uint64(i), 2))})
+		p := New(Config{Manager: k, Source: logSource{log}, Now: time.Now, Log: zerolog.Nop(), Rand: rand.New(rand.NewPCG(uint64(i), 2))})
 		dial := p.caller.dialTCP
 		p.caller.dialTCP = func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dial(ctx, network, address)
 			return linkConn{conn, c}, err
 		}
-		c.logs, c.members, c.keepers = append(c.logs, log), append(c.members, p), append(c.keepers, k)
+		c.logs, c.members, c.managers = append(c.logs, log), append(c.members, p), append(c.managers, k)
 		wg.Go(func() { _ = p.Serve(ctx, lis) }) // Ends with ctx.
 		if loops {
 			log.Subscribe(func(*config.Document) { p.Push() })
@@ -199,7 +199,7 @@
 				c.round(ctx) // Opens the connections.
 			}
 			for range 2 {
-				for _, k := range c.keepers {
+				for _, k := range c.managers {
 					k.Step(ctx)
 				}
 				c.round(ctx)
--- a/internal/process/peers/peers_test.go
+++ b/internal/process/peers/peers_test.go
@@ -90,8 +90,8 @@
 
 type daemon struct {
 	*Peers
-	keeper *membership.Keeper
-	source *source
+	manager *membership.Manager
+	source  *source
 }
 
 func newDaemon(self platform.Host, list hostList, store platform.ObjectStore, conf *tls.Config, c ClaimServer) *daemon {
@@ -99,9 +99,9 @@
 	k := membership.New(membership.Config{Self: self, Cells: 1, Store: store, Hosts: list, Now: time.Now,
 		ConfigAge: src.ConfirmedAge, Log: zerolog.Nop()})
 	k.ReadHosts(context.Background())
-	p := New(Config{Keeper: k, Source: src, Claims: c, TLS: conf, Now: time.Now, Log: zerolog.Nop(),
+	p := New(Config{Manager: k, Source: src, Claims: c, TLS: conf, Now: time.Now, Log: zerolog.Nop(),
 		Rand: rand.New(rand.NewPCG(1, 2))})
-	return &daemon{Peers: p, keeper: k, source: src}
+	return &daemon{Peers: p, manager: k, source: src}
 }
 
 // pair starts two daemons on loopback that know each other and a backend server.
@@ -144,20 +144,20 @@
 	}
 	limits := coldstart.Limits{Cold: 2, Warm: 8}
 	warm := platform.LoadReport{Incarnation: "i", Sequence: 1, Completed: 1000}
-	a.keeper.Step(ctx)
-	b.keeper.ObserveLoad("backend", limits, 0, warm, time.Now(), 0)
+	a.manager.Step(ctx)
+	b.manager.ObserveLoad("backend", limits, 0, warm, time.Now(), 0)
 	a.source.mu.Lock()
 	a.source.changes, a.source.confirmedAt = [][]byte{{1}, {2}}, time.Now()
 	a.source.mu.Unlock()
 	a.Push()
-	require.Eventually(t, func() bool { return b.source.Revision() == 2 && b.keeper.View().Epoch > 0 }, 5*time.Second, 5*time.Millisecond)
+	require.Eventually(t, func() bool { return b.source.Revision() == 2 && b.manager.View().Epoch > 0 }, 5*time.Second, 5*time.Millisecond)
 	age, known := b.source.ConfirmedAge(time.Now())
 	require.True(t, known && age >= 0 && age < 5*time.Second)
 	a.NotifyCold(membership.Sighting{Backend: "backend", Incarnation: "i", At: time.Now()})
-	require.Eventually(t, func() bool { return len(b.keeper.Sightings(false)) == 1 }, 5*time.Second, 5*time.Millisecond)
-	b.keeper.SetDraining()
+	require.Eventually(t, func() bool { return len(b.manager.Sightings(false)) == 1 }, 5*time.Second, 5*time.Millisecond)
+	b.manager.SetDraining()
 	b.Push()
-	require.Eventually(t, func() bool { return a.keeper.Hosts()[2].State == platform.HostLeaving }, 5*time.Second, 5*time.Millisecond)
+	require.Eventually(t, func() bool { return a.manager.Hosts()[2].State == platform.HostLeaving }, 5*time.Second, 5*time.Millisecond)
 }
 
 // Guards against a call reported as not run although the callee may have got it.
@@ -220,7 +220,7 @@
 	require.NoError(t, err)
 	for _, bad := range []*tls.Config{{RootCAs: conf.RootCAs}, selfSigned(t), nil} {
 		stranger := newCaller(bad)
-		h, _ := a.keeper.HostByID(b.keeper.Self())
+		h, _ := a.manager.HostByID(b.manager.Self())
 		err = stranger.call(t.Context(), h.PeerAddress, time.Second, func(ctx context.Context, c peerpb.DRPCPeerClient) error {
 			_, err := c.Claim(ctx, &peerpb.ClaimRequest{Protocol: Protocol})
 			return err
--- a/internal/request/rig_test.go
+++ b/internal/request/rig_test.go
@@ -137,7 +137,7 @@
 	places := placement.NewTable("r", 1)
 	update := func() {
 		snap.Services(func(svc *version.Service) {
-			places.Service(svc.Name, svc.Kind).Update(svc, placement.Surroundings{Hosts: 1}, time.Now())
+			places.Service(svc.Name, svc.Kind).Update(svc, placement.Topology{Hosts: 1}, time.Now())
 		})
 	}
 	update()
