Join what the request path had written twice

Ruled out: keeping the tolerant check of the first answer: event ids would name a process that does not run the generation, and no resume would find it. Change: one function for each; an answer of another process or generation is refused at the start and at each resume. Conclusion: one rule for answers, wherever they come in.

--- a/internal/request/call.go
+++ b/internal/request/call.go
@@ -124,11 +124,16 @@
 	if err != nil || ms <= 0 || ms > int64(24*time.Hour/time.Millisecond) {
 		return verdict.New(verdict.NotRun, 400, "bad_timeout", "%s must be 1 to 86400000, got %q", headerTimeout, raw)
 	}
+	c.endAfter(time.Duration(ms) * time.Millisecond)
+	return nil
+}
+
+// endAfter bounds the call.
+func (c *call) endAfter(d time.Duration) {
 	parent := c.cancel
-	ctx, cancel := context.WithTimeout(c.ctx, time.Duration(ms)*time.Millisecond)
+	ctx, cancel := context.WithTimeout(c.ctx, d)
 	c.ctx = ctx
 	c.cancel = func() { cancel(); parent() }
-	return nil
 }
 
 // remainingMS returns the time left for the call, or 0 without a deadline.
--- a/internal/request/generation.go
+++ b/internal/request/generation.go
@@ -196,6 +196,8 @@
 	gen.failedAt = nil
 }
 
+// checkIdentity refuses an answer of another generation, and of another process
+// than the one whose incarnation the event ids will name.
 func (gen *generation) checkIdentity(ex *connection.Exchange) error {
 	h := &ex.Response.Header
 	if id := h.Peek(headerGenerationID); len(id) > 0 && string(id) != gen.id {
@@ -203,9 +205,7 @@
 	}
 	if seen := string(h.Peek(headerIncarnation)); seen != "" && seen != gen.incarnation {
 		gen.c.g.Cold.Incarnation(gen.host.ID, gen.incarnation, seen)
-		if gen.resumed {
-			return errGenerationLost
-		}
+		return errGenerationLost
 	}
 	return nil
 }
--- a/internal/request/order.go
+++ b/internal/request/order.go
@@ -51,8 +51,8 @@
 	Abandon()
 }
 
-// OrderOutcome is what a claim found. Exactly one of Grant and Answer is set,
-// or neither when another run holds the order.
+// OrderOutcome is what a claim found: a Grant, the Answer of an earlier run, or
+// neither when an earlier run has no known answer.
 type OrderOutcome struct {
 	Grant  OrderGrant
 	Answer *OrderAnswer
@@ -142,8 +142,9 @@
 	}
 }
 
-// sendOrder sends the order to one backend server. The placement is set when
-// another one may be tried.
+// sendOrder sends the order to one backend server. After an error the placement
+// is set if there was one; the call's attempted flag says whether another
+// backend server may be tried.
 func (c *call) sendOrder(ctx context.Context, req *fasthttp.Request, grant OrderGrant, tried []string) (*connection.Exchange, *placement.Placement, error) {
 	p, err := c.place(work{}, tried)
 	if err != nil {
--- a/internal/request/plain.go
+++ b/internal/request/plain.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"io"
 	"strings"
 	"time"
@@ -66,13 +65,9 @@
 
 // defaultDeadline applies when the caller gave none.
 func (c *call) defaultDeadline() {
-	if _, ok := c.ctx.Deadline(); ok {
-		return
+	if _, ok := c.ctx.Deadline(); !ok {
+		c.endAfter(defaultPlainTimeout)
 	}
-	parent := c.cancel
-	ctx, cancel := context.WithTimeout(c.ctx, defaultPlainTimeout)
-	c.ctx = ctx
-	c.cancel = func() { cancel(); parent() }
 }
 
 // copyRequest prepares the request for a backend server. The team's key and
@@ -102,6 +97,7 @@
 // caller cannot set them at a backend server.
 var ownHeaders = []string{
 	"Authorization", headerClass, headerTimeout, headerGenerationID, headerIncarnation, headerPriority, headerDeadline,
+	headerFencing,
 }
 
 // delHopByHop removes the headers of one connection: the usual ones and those
--- a/internal/request/problem.go
+++ b/internal/request/problem.go
@@ -36,14 +36,13 @@
 	}
 	c.out.Code = e.Code
 	c.out.Verdict = v.String()
+	return describe(e.Code, e.Status, e.Detail, v, c.out.RequestID), e
+}
+
+func describe(code string, status int, detail string, v verdict.Verdict, requestID string) Problem {
 	return Problem{
-		Type:      "urn:monsoonkeel:problem:" + e.Code,
-		Title:     e.Code,
-		Status:    e.Status,
-		Detail:    e.Detail,
-		Verdict:   v,
-		RequestID: c.out.RequestID,
-	}, e
+		Type: "urn:monsoonkeel:problem:" + code, Title: code, Status: status, Detail: detail, Verdict: v, RequestID: requestID,
+	}
 }
 
 func (c *call) writeProblem(err error) {
@@ -81,10 +80,7 @@
 	if id == "" || len(id) > maxRequestIDBytes {
 		id = uuid.NewString()
 	}
-	body, _ := json.Marshal(Problem{
-		Type: "urn:monsoonkeel:problem:" + code, Title: code, Status: status,
-		Detail: "the request could not be read", Verdict: verdict.NotRun, RequestID: id,
-	})
+	body, _ := json.Marshal(describe(code, status, "the request could not be read", verdict.NotRun, id))
 	ctx.Response.Reset()
 	ctx.Response.Header.Set(headerRequestID, id)
 	ctx.SetStatusCode(status)
--- a/internal/request/recover.go
+++ b/internal/request/recover.go
@@ -45,7 +45,8 @@
 }
 
 // reattach asks the engine for the rest of the generation. It returns nil with
-// gen.ex set, errGenerationLost, or another error that is worth a new attempt.
+// gen.ex set, or an error when the engine does not have the generation, does not
+// answer or the call ended.
 func (gen *generation) reattach(resumes int) error {
 	gen.ex = nil
 	var err error
@@ -76,9 +77,9 @@
 		}
 		return fmt.Errorf("resume answered %d", status)
 	}
-	if seen := string(ex.Response.Header.Peek(headerIncarnation)); seen != "" && seen != gen.incarnation {
+	if err := gen.checkIdentity(ex); err != nil {
 		ex.Finish(false)
-		return errGenerationLost
+		return err
 	}
 	gen.ex, gen.events = ex, sse.NewReader(ex.Body())
 	return nil
--- a/internal/request/relay.go
+++ b/internal/request/relay.go
@@ -263,17 +263,11 @@
 }
 
 func (gen *generation) readWhole() ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(gen.ex.Body(), maxWholeBytes+1))
-	if err != nil {
-		return nil, err
-	}
-	if n := gen.ex.Response.Header.ContentLength(); n >= 0 && n != len(body) {
-		return nil, io.ErrUnexpectedEOF
-	}
-	if len(body) > maxWholeBytes || !json.Valid(body) {
-		return nil, errProtocol
+	body, err := readAnswer(gen.ex, maxWholeBytes)
+	if err == nil && !json.Valid(body) {
+		err = errProtocol
 	}
-	return body, nil
+	return body, err
 }
 
 func (gen *generation) deliver(body []byte) {
