--- a/internal/process/daemon/routing.go
+++ b/internal/process/daemon/routing.go
@@ -123,10 +123,7 @@
 // the load report, since the host list may show a new process later than that:
 // work counted under an old name would not count against the cold limit.
 func (r *routing) incarnationOf(h platform.Host) incarnation {
-	if seen := r.reports[h.ID].Load.Incarnation; seen != "" {
-		return incarnation{h.ID, seen}
-	}
-	return incarnation{h.ID, h.Incarnation}
+	return incarnation{h.ID, version.IncarnationOf(h, r.reports[h.ID].Load)}
 }
 
 func (r *routing) counter(h platform.Host) *version.Counters {
--- a/internal/version/snapshot.go
+++ b/internal/version/snapshot.go
@@ -30,11 +30,15 @@
 
 // Incarnation returns the process that Limit holds for: the one of the load
 // report, since the host list may lag behind it.
-func (b *Backend) Incarnation() string {
-	if b.Load.Incarnation != "" {
-		return b.Load.Incarnation
+func (b *Backend) Incarnation() string { return IncarnationOf(b.Host, b.Load) }
+
+// IncarnationOf returns the process of a backend server that answers at
+// present: the one of its load report, if there is one.
+func IncarnationOf(h platform.Host, load platform.LoadReport) string {
+	if load.Incarnation != "" {
+		return load.Incarnation
 	}
-	return b.Host.Incarnation
+	return h.Incarnation
 }
 
 // CurrentLimit returns the limit that holds at now.
