--- /dev/null
+++ b/cmd/monsoonkeel-entry/main.go
@@ -0,0 +1,7 @@
+// Command monsoonkeel-entry forwards callers' requests on an entry host of the
+// users' platform.
+package main
+
+import "monsoonkeel.example/monsoonkeel/internal/cmd/entrycmd"
+
+func main() { entrycmd.Main() }
--- /dev/null
+++ b/core/balance/balance.go
@@ -0,0 +1,275 @@
+// Package balance chooses the backend server of a service for each request of
+// one entry host. It weighs the work that the host itself and the other hosts
+// have there, keeps a cold backend server within its rate, and passes over
+// those that just failed. It is pure: callers pass the time and hold the lock.
+package balance
+
+import "time"
+
+const (
+	// engineRegionCost is the load, as a share of an engine's memory, that
+	// another region must have less to be chosen: a round trip there takes a
+	// few percent of the time to a first event.
+	engineRegionCost = 0.10
+	// engineDomainCost is the same for another failure domain of the region.
+	engineDomainCost = 0.02
+	// plainRegionCost is the load, as a share of a server's slots, for plain
+	// services, where a round trip to another region exceeds the work itself.
+	plainRegionCost = 0.8
+	// plainDomainCost is the same for another failure domain of the region.
+	plainDomainCost = 0.05
+	// suspectMin and suspectMax bound how long a server is passed over after a failure.
+	suspectMin = 300 * time.Millisecond
+	suspectMax = 4 * time.Second
+	// rateWindow is the window of the rate of a cold server.
+	rateWindow = time.Second
+)
+
+// Server is a backend server that may get work.
+type Server struct {
+	ID, Address, Domain, Region string
+	Slots                       int
+}
+
+// Settings describe the service and the place of the host.
+type Settings struct {
+	Domain, Region string
+	// KVTokens is the memory of an engine in tokens, 0 for plain services.
+	KVTokens int
+	// PerSecond bounds what this host sends to one server in a second, because
+	// any may have turned cold unnoticed; 0 means no bound.
+	PerSecond int
+}
+
+// Job is a request that needs a server.
+type Job struct {
+	// Tokens is the memory that the run is expected to need, 0 for plain requests.
+	Tokens int
+	// Allowed reports whether a region may serve the request.
+	Allowed func(region string) bool
+	// Exclude lists servers that were tried.
+	Exclude []string
+}
+
+// Load is work at one server.
+type Load struct {
+	Requests, Tokens int
+}
+
+// Why says why no server was chosen.
+type Why uint8
+
+// Reasons of Pick.
+const (
+	Chosen Why = iota
+	// Full means that servers exist and have no room.
+	Full
+	// None means that no server may serve the request.
+	None
+)
+
+// String returns the name used in logs.
+func (w Why) String() string { return [...]string{"chosen", "full", "none"}[w] }
+
+type server struct {
+	Server
+	own, peers Load
+	sent       []time.Time // sends within rateWindow
+	failures   int
+	suspect    time.Time
+	present    bool
+}
+
+// Balancer holds what one host knows of a service's servers.
+type Balancer struct {
+	settings Settings
+	servers  map[string]*server
+	turn     int
+}
+
+// New returns a Balancer without servers.
+func New() *Balancer { return &Balancer{servers: map[string]*server{}} }
+
+// Configure replaces the settings.
+func (b *Balancer) Configure(s Settings) { b.settings = s }
+
+// SetServers replaces the servers that may get work. The work at others is
+// still counted.
+func (b *Balancer) SetServers(list []Server) {
+	for _, s := range b.servers {
+		s.present = false
+	}
+	for _, s := range list {
+		st := b.at(s.ID)
+		if st.Address != s.Address {
+			st.failures, st.suspect = 0, time.Time{}
+		}
+		st.Server, st.present = s, true
+	}
+	for id, s := range b.servers {
+		if !s.present && s.own == (Load{}) {
+			delete(b.servers, id)
+		}
+	}
+}
+
+// SetPeerLoad replaces the work that the other hosts have at the servers.
+func (b *Balancer) SetPeerLoad(loads map[string]Load) {
+	for id, s := range b.servers {
+		s.peers = loads[id]
+	}
+}
+
+// OwnLoad returns the work of this host by server.
+func (b *Balancer) OwnLoad() map[string]Load {
+	out := map[string]Load{}
+	for id, s := range b.servers {
+		if s.own != (Load{}) {
+			out[id] = s.own
+		}
+	}
+	return out
+}
+
+func (b *Balancer) at(id string) *server {
+	s := b.servers[id]
+	if s == nil {
+		s = &server{}
+		b.servers[id] = s
+	}
+	return s
+}
+
+// Pick chooses the server with the least load that has room. A server under
+// suspicion is chosen only if no other is left.
+func (b *Balancer) Pick(job Job, now time.Time) (Server, Why) {
+	best, why := b.pick(job, now, false)
+	if why == None {
+		best, why = b.pick(job, now, true)
+	}
+	if best == nil {
+		return Server{}, why
+	}
+	return best.Server, Chosen
+}
+
+func (b *Balancer) pick(job Job, now time.Time, suspects bool) (*server, Why) {
+	var best *server
+	bestCost := 0.0
+	why := None
+	for id, s := range b.servers {
+		if !s.present || excluded(job.Exclude, id) || job.Allowed != nil && !job.Allowed(s.Region) {
+			continue
+		}
+		if !suspects && now.Before(s.suspect) {
+			continue
+		}
+		if why == None {
+			why = Full
+		}
+		if !b.hasRoom(s, job, now) {
+			continue
+		}
+		cost := b.cost(s, job)
+		// Map order is random, which divides equal servers among hosts.
+		if best == nil || cost < bestCost {
+			best, bestCost = s, cost
+		}
+	}
+	if best != nil {
+		why = Chosen
+	}
+	return best, why
+}
+
+func (b *Balancer) hasRoom(s *server, job Job, now time.Time) bool {
+	if n := b.settings.PerSecond; n > 0 && s.recent(now) >= n {
+		return false
+	}
+	if b.settings.KVTokens == 0 {
+		return true
+	}
+	load := s.own.Tokens + s.peers.Tokens
+	return load == 0 || load+job.Tokens <= b.settings.KVTokens
+}
+
+// recent counts the sends of the last second.
+func (s *server) recent(now time.Time) int {
+	i := 0
+	for i < len(s.sent) && now.Sub(s.sent[i]) >= rateWindow {
+		i++
+	}
+	s.sent = s.sent[i:]
+	return len(s.sent)
+}
+
+func (b *Balancer) cost(s *server, job Job) float64 {
+	if b.settings.KVTokens > 0 {
+		load := float64(s.own.Tokens+s.peers.Tokens+job.Tokens) / float64(b.settings.KVTokens)
+		return load + b.distance(s, engineRegionCost, engineDomainCost)
+	}
+	load := float64(s.own.Requests+s.peers.Requests) / float64(max(1, s.Slots))
+	return load + b.distance(s, plainRegionCost, plainDomainCost)
+}
+
+func (b *Balancer) distance(s *server, region, domain float64) float64 {
+	switch {
+	case s.Region != b.settings.Region:
+		return region
+	case s.Domain != b.settings.Domain:
+		return domain
+	default:
+		return 0
+	}
+}
+
+// Start counts a request that is sent to a server.
+func (b *Balancer) Start(id string, tokens int, now time.Time) {
+	s := b.at(id)
+	s.own.Requests++
+	s.own.Tokens += tokens
+	if b.settings.PerSecond > 0 {
+		s.recent(now)
+		s.sent = append(s.sent, now)
+	}
+}
+
+// End counts a request that left a server.
+func (b *Balancer) End(id string, tokens int) {
+	s := b.servers[id]
+	if s == nil {
+		return
+	}
+	s.own.Requests--
+	s.own.Tokens -= tokens
+	if !s.present && s.own == (Load{}) {
+		delete(b.servers, id)
+	}
+}
+
+// Failed records that a server could not be reached or broke off. It is passed
+// over for a time that doubles with each failure in a row.
+func (b *Balancer) Failed(id string, now time.Time) {
+	s := b.servers[id]
+	if s == nil {
+		return
+	}
+	s.suspect = now.Add(min(suspectMin<<min(s.failures, 8), suspectMax))
+	s.failures++
+}
+
+// Succeeded ends the suspicion against a server.
+func (b *Balancer) Succeeded(id string) {
+	if s := b.servers[id]; s != nil {
+		s.failures, s.suspect = 0, time.Time{}
+	}
+}
+
+func excluded(list []string, id string) bool {
+	for _, v := range list {
+		if v == id {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/connection/caller.go
@@ -0,0 +1,442 @@
+package connection
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	// bodyTimeout bounds the time for a request's body.
+	bodyTimeout = 30 * time.Second
+	// refusedLinger is how long a connection is read on after a request that
+	// was refused unread, so that the answer is not lost in a reset.
+	refusedLinger = 500 * time.Millisecond
+	// minHeaderBytes is the smallest buffer for a request head.
+	minHeaderBytes = 4 << 10
+	// maxHeaderBytes bounds the limit that a configuration may set.
+	maxHeaderBytes = 1 << 20
+)
+
+// CallerLimits bound what a caller may send.
+type CallerLimits struct {
+	HeaderBytes, BodyBytes int
+	HeaderTime, IdleTime   time.Duration
+}
+
+// Server accepts callers' connections and hands their requests, one at a time
+// for each connection, to Handle.
+type Server struct {
+	// Limits is asked at the start of each request.
+	Limits func() CallerLimits
+	// Handle must answer the call.
+	Handle func(*Call)
+	// MaxConns bounds the open connections; further ones are closed.
+	MaxConns int
+
+	stopping atomic.Bool
+	open     atomic.Int64
+	mu       sync.Mutex
+	conns    map[*caller]struct{}
+	active   sync.WaitGroup
+	readers  sync.Pool
+}
+
+// caller is one connection of a caller.
+type caller struct {
+	server *Server
+	conn   net.Conn
+	reader *bufio.Reader
+	// idle is true while no request was begun.
+	idle atomic.Bool
+	// served says that the connection carried a request.
+	served bool
+}
+
+// Serve accepts connections until the listener is closed.
+func (s *Server) Serve(l net.Listener) error {
+	s.mu.Lock()
+	if s.conns == nil {
+		s.conns = map[*caller]struct{}{}
+	}
+	s.mu.Unlock()
+	for {
+		conn, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			// Out of descriptors or memory: waiting lets others end.
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		if s.MaxConns > 0 && s.open.Load() >= int64(s.MaxConns) {
+			_ = conn.Close()
+			continue
+		}
+		s.open.Add(1)
+		go s.serve(&caller{server: s, conn: &callerConn{Conn: conn}})
+	}
+}
+
+// Open returns the number of open connections.
+func (s *Server) Open() int64 { return s.open.Load() }
+
+// Stop lets each connection end with its present or next answer.
+func (s *Server) Stop() { s.stopping.Store(true) }
+
+// Stopping reports whether Stop was called.
+func (s *Server) Stopping() bool { return s.stopping.Load() }
+
+// CloseIdle closes the connections on which no request was begun.
+func (s *Server) CloseIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if c.idle.Load() {
+			_ = c.conn.SetReadDeadline(time.Unix(1, 0))
+		}
+	}
+}
+
+// Wait waits until no request is running, or until ctx ends.
+func (s *Server) Wait(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		s.active.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (s *Server) serve(c *caller) {
+	s.mu.Lock()
+	s.conns[c] = struct{}{}
+	s.mu.Unlock()
+	defer func() {
+		_ = c.conn.Close()
+		c.releaseReader()
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+		s.open.Add(-1)
+	}()
+	for c.awaitRequest() {
+		c.served = true
+		s.active.Add(1)
+		again := c.serveRequest()
+		s.active.Done()
+		if !again {
+			return
+		}
+	}
+}
+
+// firstByte returns a byte that was read ahead, then reads the connection.
+type firstByte struct {
+	io.Reader
+	b    byte
+	have bool
+}
+
+func (f *firstByte) Read(p []byte) (int, error) {
+	if f.have && len(p) > 0 {
+		p[0], f.have = f.b, false
+		return 1, nil
+	}
+	return f.Reader.Read(p)
+}
+
+// awaitRequest waits for the first byte of a request. An idle connection holds
+// no buffer.
+func (c *caller) awaitRequest() bool {
+	if c.reader != nil {
+		if c.reader.Buffered() > 0 {
+			return true
+		}
+		c.releaseReader()
+	}
+	limits := c.server.Limits()
+	c.idle.Store(true)
+	defer c.idle.Store(false)
+	_ = c.conn.SetReadDeadline(time.Now().Add(limits.IdleTime))
+	if c.served && c.server.Stopping() {
+		return false
+	}
+	var b [1]byte
+	for skipped := 0; ; skipped++ {
+		if _, err := io.ReadFull(c.conn, b[:]); err != nil || skipped > 2 {
+			return false
+		}
+		// Empty lines before a request line are allowed.
+		if b[0] != '\r' && b[0] != '\n' {
+			break
+		}
+	}
+	c.acquireReader(&firstByte{Reader: c.conn, b: b[0], have: true}, limits.HeaderBytes)
+	return true
+}
+
+func (c *caller) acquireReader(r io.Reader, headerBytes int) {
+	size := min(max(headerBytes, minHeaderBytes), maxHeaderBytes) + 4
+	if pooled, ok := c.server.readers.Get().(*bufio.Reader); ok && pooled.Size() >= size {
+		pooled.Reset(r)
+		c.reader = pooled
+		return
+	}
+	c.reader = bufio.NewReaderSize(r, size)
+}
+
+func (c *caller) releaseReader() {
+	if c.reader != nil {
+		c.reader.Reset(nil)
+		c.server.readers.Put(c.reader)
+		c.reader = nil
+	}
+}
+
+// serveRequest reads and handles one request and reports whether the
+// connection can carry another.
+func (c *caller) serveRequest() bool {
+	call := &Call{conn: c, Received: time.Now()}
+	call.Request = fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(call.Request)
+	if fault := c.readRequest(call); fault != nil {
+		if fault.status != 0 {
+			call.close = true
+			call.Answer(fault.status, plainText, []byte(fault.reason+"\n"))
+			c.linger()
+		}
+		return false
+	}
+	call.ctx, call.cancel = context.WithCancel(context.Background())
+	defer call.cancel()
+	stopWatch := c.watch(call.cancel)
+	call.close = call.Request.Header.ConnectionClose()
+	c.server.Handle(call)
+	alive := stopWatch()
+	return alive && call.done && !call.close
+}
+
+// linger reads what the caller still sends, for a short time: closing with
+// unread bytes would reset the connection and lose the answer.
+func (c *caller) linger() {
+	if tcp, ok := c.conn.(*callerConn).Conn.(*net.TCPConn); ok {
+		_ = tcp.CloseWrite()
+	}
+	_ = c.conn.SetReadDeadline(time.Now().Add(refusedLinger))
+	_, _ = io.Copy(io.Discard, c.reader)
+}
+
+func (c *caller) readRequest(call *Call) *headFault {
+	limits := c.server.Limits()
+	_ = c.conn.SetReadDeadline(time.Now().Add(limits.HeaderTime))
+	head, fault := c.peekHead(limits.HeaderBytes)
+	if fault != nil {
+		return fault
+	}
+	if fault := checkHead(head); fault != nil {
+		return fault
+	}
+	if err := call.Request.Header.Read(c.reader); err != nil {
+		return &headFault{400, "malformed request head"}
+	}
+	return c.readBody(call, limits.BodyBytes)
+}
+
+// peekHead returns the request head up to its empty line without consuming it.
+func (c *caller) peekHead(limit int) ([]byte, *headFault) {
+	for want := 1; ; {
+		if _, err := c.reader.Peek(want); err != nil {
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				return nil, &headFault{408, "the request head took too long"}
+			}
+			return nil, &headFault{}
+		}
+		have, _ := c.reader.Peek(c.reader.Buffered())
+		if end := bytes.Index(have, []byte("\r\n\r\n")); end >= 0 && end+4 <= limit {
+			return have[:end+4], nil
+		}
+		if len(have) >= limit {
+			return nil, &headFault{431, "the request head is too large"}
+		}
+		want = len(have) + 1
+	}
+}
+
+func (c *caller) readBody(call *Call, limit int) *headFault {
+	req := call.Request
+	if req.Header.ContentLength() > limit {
+		return &headFault{413, "the request body is too large"}
+	}
+	if req.MayContinue() {
+		if _, err := io.WriteString(c.conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+			return &headFault{}
+		}
+	}
+	_ = c.conn.SetReadDeadline(time.Now().Add(bodyTimeout))
+	err := req.ContinueReadBody(c.reader, limit, false)
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		return &headFault{413, "the request body is too large"}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return &headFault{408, "the request body took too long"}
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed):
+		return &headFault{}
+	}
+	return &headFault{400, "malformed request body"}
+}
+
+// watch cancels when the caller closes the connection while its request runs.
+// The returned function ends the watch and reports whether the connection is
+// still usable.
+func (c *caller) watch(cancel func()) (stop func() bool) {
+	_ = c.conn.SetReadDeadline(time.Time{})
+	done := make(chan bool, 1)
+	var ended atomic.Bool
+	go func() {
+		for {
+			// Bytes of a next request may come; a close can follow them.
+			_, err := c.reader.Peek(c.reader.Buffered() + 1)
+			if err == nil {
+				continue
+			}
+			alive := ended.Load() && errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, bufio.ErrBufferFull)
+			if !alive {
+				cancel()
+			}
+			done <- alive
+			return
+		}
+	}()
+	return func() bool {
+		ended.Store(true)
+		_ = c.conn.SetReadDeadline(time.Unix(1, 0))
+		return <-done
+	}
+}
+
+// Call is one request of a caller and its answer.
+type Call struct {
+	Request *fasthttp.Request
+	// Received is when the first byte of the request was read.
+	Received time.Time
+	conn     *caller
+	ctx      context.Context
+	cancel   context.CancelFunc
+	close    bool
+	done     bool
+	chunked  bool
+}
+
+// Context ends when the caller closes the connection.
+func (c *Call) Context() context.Context { return c.ctx }
+
+// RemoteAddr is the caller's address.
+func (c *Call) RemoteAddr() string { return c.conn.conn.RemoteAddr().String() }
+
+// Header yields the header fields of an answer.
+type Header func(yield func(name, value string) bool)
+
+func plainText(yield func(name, value string) bool) { yield("Content-Type", "text/plain; charset=utf-8") }
+
+// Answer sends a complete answer.
+func (c *Call) Answer(status int, header Header, body []byte) {
+	w := c.head(status, header)
+	w = fmt.Appendf(w, "Content-Length: %d\r\n\r\n", len(body))
+	if !c.Request.Header.IsHead() {
+		w = append(w, body...)
+	}
+	_, err := c.conn.conn.Write(w)
+	c.done = err == nil
+}
+
+// Begin sends the head of an answer whose body follows in pieces.
+func (c *Call) Begin(status int, header Header) error {
+	w := c.head(status, header)
+	if c.Request.Header.IsHTTP11() {
+		c.chunked = true
+		w = append(w, "Transfer-Encoding: chunked\r\n\r\n"...)
+	} else {
+		c.close = true
+		w = append(w, "\r\n"...)
+	}
+	_, err := c.conn.conn.Write(w)
+	return err
+}
+
+// Write sends a piece of the body.
+func (c *Call) Write(p []byte) (int, error) {
+	if len(p) == 0 {
+		return 0, nil
+	}
+	if !c.chunked {
+		return c.conn.conn.Write(p)
+	}
+	w := make([]byte, 0, len(p)+16)
+	w = strconv.AppendInt(w, int64(len(p)), 16)
+	w = append(w, "\r\n"...)
+	w = append(w, p...)
+	w = append(w, "\r\n"...)
+	if _, err := c.conn.conn.Write(w); err != nil {
+		return 0, err
+	}
+	return len(p), nil
+}
+
+// End marks the body that Begin started as complete.
+func (c *Call) End() error {
+	var err error
+	if c.chunked {
+		_, err = io.WriteString(c.conn.conn, "0\r\n\r\n")
+	}
+	c.done = err == nil
+	return err
+}
+
+// Abort closes the connection, so that an unfinished answer does not look
+// complete. An answer that ends with its connection needs a reset for that.
+func (c *Call) Abort() {
+	c.close = true
+	if tcp, ok := c.conn.conn.(*callerConn).Conn.(*net.TCPConn); ok && !c.chunked {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.conn.conn.Close()
+}
+
+func (c *Call) head(status int, header Header) []byte {
+	if c.conn.server.Stopping() {
+		c.close = true
+	}
+	w := make([]byte, 0, 1024)
+	w = fmt.Appendf(w, "HTTP/1.1 %d %s\r\n", status, fasthttp.StatusMessage(status))
+	header(func(name, value string) bool {
+		w = append(w, name...)
+		w = append(w, ": "...)
+		w = append(w, value...)
+		w = append(w, "\r\n"...)
+		return true
+	})
+	if c.close {
+		w = append(w, "Connection: close\r\n"...)
+	}
+	return w
+}
--- /dev/null
+++ b/internal/connection/dial.go
@@ -0,0 +1,45 @@
+package connection
+
+import (
+	"context"
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// keepAliveInterval and keepAliveCount find a peer that vanished without a
+	// reset within about three seconds.
+	keepAliveInterval = time.Second
+	keepAliveCount    = 2
+	// unackedTimeout is how long sent bytes may stay unacknowledged; several
+	// round trips between regions and some lost packets fit in.
+	unackedTimeout = 3 * time.Second
+)
+
+// Dial opens a TCP connection that reports an error soon after its peer fell
+// silent.
+func Dial(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
+	d := net.Dialer{
+		Timeout: timeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount,
+		},
+		Control: setUnackedTimeout,
+	}
+	return d.DialContext(ctx, "tcp", address)
+}
+
+func setUnackedTimeout(_, _ string, raw syscall.RawConn) error {
+	var failure error
+	err := raw.Control(func(fd uintptr) {
+		ms := int(unackedTimeout / time.Millisecond)
+		failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, ms)
+	})
+	if err != nil {
+		return err
+	}
+	return failure
+}
--- a/internal/connection/upstream.go
+++ b/internal/connection/upstream.go
@@ -26,6 +26,11 @@
 	maxIdleAge = 20 * time.Second
 	// readBufferBytes holds several SSE events.
 	readBufferBytes = 16 << 10
+	// inlineBodyBytes is the largest request body that is written before the
+	// answer is read. A server may answer early and read the rest later.
+	inlineBodyBytes = 16 << 10
+	// maxForeignAnswers is how many late answers to earlier requests are passed over.
+	maxForeignAnswers = 3
 	// maxReportBytes bounds the load report that identifies a connection.
 	maxReportBytes = 64 << 10
 )
@@ -82,6 +87,9 @@
 	// Reused says that the connection carried an earlier request, so that a
 	// failure may only mean that the server had closed it.
 	Reused bool
+	// sent receives the outcome of writing the request, if that goes on while
+	// the answer is read.
+	sent chan error
 }
 
 // Body streams the answer's body.
@@ -99,7 +107,7 @@
 	conn := e.conn
 	e.conn = nil
 	notCancelled := e.stop()
-	keep := complete && notCancelled && !e.Response.ConnectionClose()
+	keep := complete && notCancelled && !e.Response.ConnectionClose() && e.requestSent()
 	if !keep {
 		// Closed first, so that closing the body stream does not wait for
 		// the rest of an unfinished answer.
@@ -129,6 +137,14 @@
 	// first byte is sent. The setup may take long or the process may have been
 	// paused, so rights that lapse must be checked here.
 	Check func() error
+	// DialTimeout bounds the connection setup; 0 means the default of 1 s.
+	DialTimeout time.Duration
+	// MaxIdle is the longest idle time of a reused connection; 0 means the
+	// default of 20 s.
+	MaxIdle time.Duration
+	// Belongs, if set, reports whether an answer belongs to the request. Others
+	// are late answers to earlier requests on the connection and passed over.
+	Belongs func(*fasthttp.ResponseHeader) bool
 }
 
 // IncarnationError says that another process than the expected one listens at
@@ -167,7 +183,7 @@
 	conn.written.Store(0)
 	e := &Exchange{conn: conn, pool: p, Reused: reused, Response: fasthttp.AcquireResponse()}
 	e.stop = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
-	if err := e.roundTrip(ctx, req, opts.HeadTimeout); err != nil {
+	if err := e.roundTrip(ctx, req, opts); err != nil {
 		v := verdict.MayHaveRun
 		if conn.written.Load() == 0 {
 			v = verdict.NotRun
@@ -178,32 +194,75 @@
 	return e, nil
 }
 
-func (e *Exchange) roundTrip(ctx context.Context, req *fasthttp.Request, headTimeout time.Duration) error {
-	w := bufio.NewWriter(e.conn)
-	if err := req.Write(w); err != nil {
-		return err
+// requestSent reports whether the whole request was written.
+func (e *Exchange) requestSent() bool {
+	if e.sent == nil {
+		return true
 	}
-	if err := w.Flush(); err != nil {
-		return err
+	select {
+	case err := <-e.sent:
+		return err == nil
+	default:
+		return false
 	}
-	e.Response.StreamBody = true
-	if req.Header.IsHead() {
-		e.Response.SkipBody = true
+}
+
+func (e *Exchange) roundTrip(ctx context.Context, req *fasthttp.Request, opts Options) error {
+	if err := e.send(req); err != nil {
+		return err
 	}
-	if headTimeout > 0 {
-		e.SetReadDeadline(time.Now().Add(headTimeout))
+	if opts.HeadTimeout > 0 {
+		e.SetReadDeadline(time.Now().Add(opts.HeadTimeout))
 	}
-	if err := e.Response.ReadLimitBody(e.conn.reader, 0); err != nil {
-		return err
+	for foreign := 0; ; foreign++ {
+		if err := e.readHead(req.Header.IsHead()); err != nil {
+			return err
+		}
+		if opts.Belongs == nil || opts.Belongs(&e.Response.Header) {
+			break
+		}
+		if foreign >= maxForeignAnswers {
+			return errors.New("the answers belong to other requests")
+		}
+		if _, err := io.Copy(io.Discard, e.Body()); err != nil {
+			return err
+		}
+		_ = e.Response.CloseBodyStream()
 	}
 	e.SetReadDeadline(time.Time{})
 	// The context may have ended meanwhile, and its deadline was just removed.
 	return ctx.Err()
 }
 
+// send writes the request. A long body is written while the answer is read.
+func (e *Exchange) send(req *fasthttp.Request) error {
+	write := func(req *fasthttp.Request) error {
+		w := bufio.NewWriter(e.conn)
+		if err := req.Write(w); err != nil {
+			return err
+		}
+		return w.Flush()
+	}
+	if len(req.Body()) <= inlineBodyBytes {
+		return write(req)
+	}
+	own := &fasthttp.Request{}
+	req.CopyTo(own)
+	e.sent = make(chan error, 1)
+	go func() { e.sent <- write(own) }()
+	return nil
+}
+
+func (e *Exchange) readHead(isHead bool) error {
+	e.Response.Reset()
+	e.Response.StreamBody = true
+	e.Response.SkipBody = isHead
+	return e.Response.ReadLimitBody(e.conn.reader, 0)
+}
+
 func (p *Pool) get(ctx context.Context, address string, opts Options) (*upstreamConn, bool, error) {
 	for !opts.Fresh {
-		c := p.takeIdle(address)
+		c := p.takeIdle(address, orDefault(opts.MaxIdle, maxIdleAge))
 		if c == nil {
 			break
 		}
@@ -212,8 +271,7 @@
 		}
 		_ = c.Close()
 	}
-	d := net.Dialer{Timeout: dialTimeout}
-	c, err := d.DialContext(ctx, "tcp", address)
+	c, err := Dial(ctx, address, orDefault(opts.DialTimeout, dialTimeout))
 	if err != nil {
 		return nil, false, err
 	}
@@ -266,14 +324,21 @@
 	return c.SetDeadline(time.Time{})
 }
 
-func (p *Pool) takeIdle(address string) *upstreamConn {
+func orDefault(d, missing time.Duration) time.Duration {
+	if d > 0 {
+		return d
+	}
+	return missing
+}
+
+func (p *Pool) takeIdle(address string, maxIdle time.Duration) *upstreamConn {
 	for {
 		c := p.popIdle(address)
 		if c == nil {
 			return nil
 		}
 		// Unread bytes on an idle connection belong to an earlier answer.
-		stale := c.reader.Buffered() > 0 || time.Since(c.idledAt) > maxIdleAge || readable(c.Conn)
+		stale := c.reader.Buffered() > 0 || time.Since(c.idledAt) > maxIdle || readable(c.Conn)
 		if !stale {
 			return c
 		}
--- /dev/null
+++ b/internal/directory/hosts.go
@@ -0,0 +1,77 @@
+package directory
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// registerInterval is how often a host renews its entry.
+	registerInterval = 20 * time.Second
+	// hostListInterval is how often the entries of all hosts are read, after
+	// the first reads.
+	hostListInterval = 5 * time.Second
+	// firstHostLists are read soon after the start, when all hosts register.
+	firstHostLists = 4
+	// firstHostListInterval is the pause between them.
+	firstHostListInterval = 700 * time.Millisecond
+	// hostRetention is how long a host counts after its last registration.
+	hostRetention = 60 * time.Second
+	// registerTimeout bounds a registration.
+	registerTimeout = 2 * time.Second
+)
+
+// registerLoop keeps the entry of this host and reads those of the others.
+func (d *Directory) registerLoop(ctx context.Context) {
+	var registered time.Duration
+	var due bool
+	for n := 0; ctx.Err() == nil; n++ {
+		now := d.opts.Clock()
+		if registered == 0 || now-registered > registerInterval {
+			due = true
+		}
+		if due && d.register(ctx) {
+			registered, due = now, false
+		}
+		if batch, err := d.list(ctx, Hosts, n >= firstHostLists); err == nil {
+			d.apply(Hosts, recent(batch), true, now)
+		}
+		pause := hostListInterval
+		if n < firstHostLists {
+			pause = firstHostListInterval
+		}
+		sleep(ctx, pause*3/4+rand.N(pause/2))
+	}
+}
+
+func (d *Directory) register(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+	self := d.opts.Self
+	self.Beat = time.Now().Unix()
+	if err := d.opts.Store.Register(ctx, self); err != nil {
+		d.opts.Log.Warn().Err(err).Msg("registration failed")
+		return false
+	}
+	return true
+}
+
+// recent drops the hosts whose last registration is too old. Wall clocks differ
+// and step by seconds, which the retention exceeds.
+func recent(b Batch) Batch {
+	newest := int64(0)
+	for _, c := range b.Changes {
+		if c.Host != nil {
+			newest = max(newest, c.Host.Beat)
+		}
+	}
+	kept := b.Changes[:0]
+	for _, c := range b.Changes {
+		if c.Host != nil && newest-c.Host.Beat <= int64(hostRetention/time.Second) {
+			kept = append(kept, c)
+		}
+	}
+	b.Changes = kept
+	return b
+}
--- /dev/null
+++ b/internal/entry/dump.go
@@ -0,0 +1,26 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+)
+
+// dump writes the state of the process as JSON.
+func (p *Process) dump(w http.ResponseWriter, _ *http.Request) {
+	age, known := p.directory.ConfigurationAge()
+	state := map[string]any{
+		"host":                    p.settings.HostID,
+		"ready":                   p.gateway.Ready(),
+		"configuration_age_ms":    age.Milliseconds(),
+		"configuration_age_known": known,
+		"connections":             p.callers.Open(),
+		"snapshot":                p.directory.Snapshot(),
+		"load":                    p.gateway.OwnLoad(),
+	}
+	w.Header().Set("Content-Type", "application/json")
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	if err := encoder.Encode(state); err != nil {
+		p.log.Warn().Err(err).Msg("state dump")
+	}
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,229 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"strconv"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"monsoonkeel.example/monsoonkeel/core/fleet"
+	"monsoonkeel.example/monsoonkeel/core/retry"
+	"monsoonkeel.example/monsoonkeel/internal/boottime"
+	"monsoonkeel.example/monsoonkeel/internal/connection"
+	"monsoonkeel.example/monsoonkeel/internal/directory"
+	"monsoonkeel.example/monsoonkeel/internal/forward"
+)
+
+const (
+	// memoryShare is the share of the host's memory at which the collector
+	// works harder; the rest is for bytes in the kernel and short peaks.
+	memoryShare = 0.6
+	// reservedFiles are descriptors that callers' connections leave to those
+	// towards backend servers, the store and other hosts, as a share.
+	reservedFiles = 0.4
+	// stopMargin is the part of the grace that remains for the end of the process.
+	stopMargin = 400 * time.Millisecond
+	// probeTimeout bounds a readiness probe.
+	probeTimeout = 2 * time.Second
+	// configWaitShare of the bound on a removed key is how long the
+	// configuration's watch waits: each return confirms the keys.
+	configWaitShare = 0.25
+	// serversWait and domainsWait bound how long a watch that fell silent goes
+	// unnoticed, below the bounds on leaving servers and domains.
+	serversWait = 1800 * time.Millisecond
+	domainsWait = 3000 * time.Millisecond
+)
+
+// Adapter is what a platform brings.
+type Adapter struct {
+	Store   directory.Store
+	Engines forward.Engines
+	Dialect forward.Dialect
+	// ReadyPath is the path of the readiness probe.
+	ReadyPath string
+	// Reload reads the settings again; it reports whether they changed.
+	Reload func() (bool, error)
+}
+
+// Process is the running host.
+type Process struct {
+	settings  *Settings
+	adapter   Adapter
+	log       zerolog.Logger
+	directory *directory.Directory
+	gateway   *forward.Gateway
+	callers   *connection.Server
+}
+
+// New joins the parts of the process.
+func New(s *Settings, a Adapter, log zerolog.Logger) *Process {
+	debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryShare))
+	p := &Process{settings: s, adapter: a, log: log}
+	p.directory = directory.New(directory.Options{
+		Store:        a.Store,
+		Clock:        boottime.Now,
+		Log:          log,
+		AbsenceGrace: s.AbsenceGrace,
+		Waits: map[directory.Kind]time.Duration{
+			directory.Configuration: time.Duration(float64(s.RevokeBound) * configWaitShare),
+			directory.Backends:      serversWait,
+			directory.DomainsOut:    domainsWait,
+		},
+		Changed: func(old, now *directory.Snapshot) { p.gateway.Changed(old, now) },
+		Self: fleet.Host{
+			ID:          s.HostID,
+			PeerAddress: net.JoinHostPort(s.PeerIP, strconv.Itoa(s.PeerPort)),
+			Domain:      s.Domain,
+			Incarnation: time.Now().UnixMilli(),
+		},
+	})
+	p.gateway = forward.New(forward.Options{
+		Directory:    p.directory,
+		Dialect:      a.Dialect,
+		Engines:      a.Engines,
+		Log:          log,
+		Domain:       s.Domain,
+		Region:       s.Region,
+		StrictRevoke: s.StrictRevoke,
+		RevokeBound:  s.RevokeBound,
+		Retries:      retry.Limits{Share: s.RetryShare, Window: s.RetryWindow, Slack: s.RetrySlack},
+		ColdFactor:   s.ColdFactor,
+		ColdSlack:    s.ColdSlack,
+	})
+	p.callers = &connection.Server{
+		Limits:   p.gateway.Limits,
+		Handle:   p.gateway.Handle,
+		MaxConns: int(float64(s.MaxFiles) * (1 - reservedFiles)),
+	}
+	return p
+}
+
+// Run serves until ctx ends and then stops gracefully. reload is signalled when
+// the settings may have changed.
+func (p *Process) Run(ctx context.Context, metricsListen string, reload <-chan os.Signal) error {
+	front, err := net.Listen("tcp", p.settings.Listen)
+	if err != nil {
+		return err
+	}
+	ready, err := net.Listen("tcp", p.settings.ReadyListen)
+	if err != nil {
+		return err
+	}
+	p.log.Info().Str("listen", p.settings.Listen).Str("store", p.settings.Store).Msg("started")
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	var group errgroup.Group
+	group.Go(func() error { return p.callers.Serve(front) })
+	probe := &http.Server{Handler: p.probes(), ReadTimeout: probeTimeout, WriteTimeout: probeTimeout}
+	group.Go(func() error { return ignoreClosed(probe.Serve(ready)) })
+	group.Go(func() error { p.directory.Run(background); return nil })
+	group.Go(func() error { return p.serveMetrics(background, metricsListen) })
+	group.Go(func() error { p.watchSettings(background, reload); return nil })
+
+	<-ctx.Done()
+	p.stop()
+	stop()
+	_ = front.Close()
+	_ = probe.Close()
+	err = group.Wait()
+	p.log.Info().Msg("stopped")
+	return err
+}
+
+// stop lets running requests end within the grace.
+func (p *Process) stop() {
+	grace := p.settings.StopGrace - stopMargin
+	p.log.Info().Dur("grace", grace).Int64("connections", p.callers.Open()).Msg("stopping")
+	p.gateway.Stop(grace)
+	p.callers.Stop()
+	p.callers.CloseIdle()
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	defer cancel()
+	// The load balancer goes on sending callers until it has missed the probe twice.
+	p.waitForProbes(ctx)
+	if err := p.callers.Wait(ctx); err != nil {
+		p.log.Warn().Msg("requests were still running at the end of the grace")
+	}
+}
+
+// unreadyAfter is how long a host must fail its probe to get no new callers:
+// two probes, one a second, and one lost.
+const unreadyAfter = 3200 * time.Millisecond
+
+func (p *Process) waitForProbes(ctx context.Context) {
+	t := time.NewTimer(unreadyAfter)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+func (p *Process) probes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc(p.adapter.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if why := p.gateway.Ready(); why != "" {
+			http.Error(w, why, http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+func (p *Process) serveMetrics(ctx context.Context, address string) error {
+	if address == "" {
+		return nil
+	}
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	expvar.Publish("forward", &p.gateway.Metrics)
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", expvar.Handler())
+	mux.HandleFunc("/state", p.dump)
+	server := &http.Server{Handler: mux, ReadTimeout: probeTimeout, WriteTimeout: probeTimeout}
+	go func() {
+		<-ctx.Done()
+		_ = server.Close()
+	}()
+	return ignoreClosed(server.Serve(l))
+}
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// settingsInterval is how often the settings file is looked at; it may change
+// without a signal.
+const settingsInterval = 5 * time.Second
+
+func (p *Process) watchSettings(ctx context.Context, reload <-chan os.Signal) {
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-reload:
+		case <-ticker.C:
+		}
+		changed, err := p.adapter.Reload()
+		switch {
+		case err != nil:
+			p.log.Error().Err(err).Msg("settings not reloaded, the former ones hold")
+		case changed:
+			p.log.Info().Msg("settings changed; they take effect at the next start")
+		}
+	}
+}
--- /dev/null
+++ b/internal/forward/gateway.go
@@ -0,0 +1,148 @@
+package forward
+
+import (
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"monsoonkeel.example/monsoonkeel/core/balance"
+	"monsoonkeel.example/monsoonkeel/core/retry"
+	"monsoonkeel.example/monsoonkeel/core/route"
+	"monsoonkeel.example/monsoonkeel/core/verdict"
+	"monsoonkeel.example/monsoonkeel/internal/connection"
+	"monsoonkeel.example/monsoonkeel/internal/directory"
+)
+
+// Options configure a Gateway.
+type Options struct {
+	Directory *directory.Directory
+	Dialect   Dialect
+	Engines   Engines
+	Log       zerolog.Logger
+	// Domain and Region are those of the host.
+	Domain, Region string
+	// StrictRevoke and RevokeBound: see entry.Settings.
+	StrictRevoke bool
+	RevokeBound  time.Duration
+	Retries      retry.Limits
+	// ColdFactor and ColdSlack bound what all hosts send to a cold server.
+	ColdFactor, ColdSlack float64
+}
+
+// Gateway forwards requests.
+type Gateway struct {
+	opts    Options
+	pool    *connection.Pool
+	places  *places
+	runs    runs
+	Metrics Metrics
+	// leaveBy is the Unix nanosecond by which running requests must have ended
+	// because the host stops; 0 while it does not stop.
+	leaveBy atomic.Int64
+}
+
+// New returns a Gateway.
+func New(opts Options) *Gateway {
+	g := &Gateway{opts: opts, pool: connection.NewPool()}
+	g.places = newPlaces(opts)
+	g.runs.byServer = map[string]map[*run]struct{}{}
+	return g
+}
+
+// Limits returns the callers' limits of the present configuration.
+func (g *Gateway) Limits() connection.CallerLimits {
+	l := defaultLimits
+	if t := g.opts.Directory.Snapshot().Table; t != nil {
+		l = t.Limits
+	}
+	return connection.CallerLimits{
+		HeaderBytes: orDefault(l.HeaderBytes, defaultLimits.HeaderBytes),
+		BodyBytes:   orDefault(l.BodyBytes, defaultLimits.BodyBytes),
+		HeaderTime:  orDefault(l.HeaderTime, defaultLimits.HeaderTime),
+		IdleTime:    orDefault(l.IdleTime, defaultLimits.IdleTime),
+	}
+}
+
+// defaultLimits hold until a configuration was read and where it sets none.
+var defaultLimits = route.Limits{
+	HeaderBytes: 16 << 10, BodyBytes: 4 << 20, HeaderTime: 3 * time.Second, IdleTime: 15 * time.Second,
+}
+
+func orDefault[T int | time.Duration](v, missing T) T {
+	if v > 0 {
+		return v
+	}
+	return missing
+}
+
+// Ready reports why the host should get no new callers, or "".
+func (g *Gateway) Ready() string {
+	s := g.opts.Directory.Snapshot()
+	switch {
+	case g.leaveBy.Load() != 0:
+		return "the host stops"
+	case !s.Complete:
+		return "the deployment was not read yet"
+	case !g.keysCurrent():
+		return "the configuration may have changed unnoticed"
+	}
+	return ""
+}
+
+// keysCurrent reports whether a key that is known now cannot have been removed
+// longer ago than the bound.
+func (g *Gateway) keysCurrent() bool {
+	if !g.opts.StrictRevoke {
+		return true
+	}
+	age, ok := g.opts.Directory.ConfigurationAge()
+	return ok && age < g.opts.RevokeBound-revokeMargin
+}
+
+// revokeMargin covers what passes between the check of a key and the moment
+// that the caller's request counts as sent, and the drift of clocks.
+const revokeMargin = 100 * time.Millisecond
+
+// Changed takes over a new snapshot.
+func (g *Gateway) Changed(old, now *directory.Snapshot) {
+	g.places.changed(now)
+	g.leaveServers(old, now)
+	g.pool.Retain(func(address string) bool { return g.places.knows(address) })
+}
+
+// Stop makes the gateway refuse what cannot end within grace.
+func (g *Gateway) Stop(grace time.Duration) { g.leaveBy.Store(time.Now().Add(grace).UnixNano()) }
+
+// Handle answers one request.
+func (g *Gateway) Handle(call *connection.Call) {
+	g.Metrics.Requests.Add(1)
+	r := newRequest(g, call)
+	err := r.serve()
+	if err != nil && !r.answered {
+		r.refuse(verdict.From(err))
+	}
+	r.log(err)
+}
+
+// refuse answers with a status of this system's own.
+func (r *request) refuse(e *verdict.Error) {
+	r.status = e.Status
+	r.call.Answer(e.Status, func(yield func(name, value string) bool) {
+		yield("Content-Type", "text/plain; charset=utf-8")
+		if r.id != "" {
+			yield(r.g.opts.Dialect.RequestID, r.id)
+		}
+		if r.retryAfter > 0 {
+			yield("Retry-After", strconv.FormatFloat(r.retryAfter.Seconds(), 'f', 3, 64))
+		}
+	}, []byte(e.Code+": "+e.Detail+"\n"))
+	r.answered = true
+}
+
+// OwnLoad returns the work of this host by backend server.
+func (g *Gateway) OwnLoad() map[string]balance.Load { return g.places.ownLoad() }
+
+// SetPeerLoad takes over the work of the other hosts by backend server.
+func (g *Gateway) SetPeerLoad(loads map[string]balance.Load) { g.places.setPeers(loads) }
--- /dev/null
+++ b/internal/forward/metrics.go
@@ -0,0 +1,77 @@
+package forward
+
+import (
+	"encoding/json"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Metrics are the gateway's counters and latencies.
+type Metrics struct {
+	Requests, Repeats, Moves, MovesFailed, BrokenStreams atomic.Int64
+	Latency, FirstEvent                                  Histogram
+	mu                                                   sync.Mutex
+	failures                                             map[string]int64
+}
+
+func (m *Metrics) failed(code string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.failures == nil {
+		m.failures = map[string]int64{}
+	}
+	m.failures[code]++
+}
+
+// String implements expvar.Var.
+func (m *Metrics) String() string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out, err := json.Marshal(map[string]any{
+		"requests":       m.Requests.Load(),
+		"repeats":        m.Repeats.Load(),
+		"moves":          m.Moves.Load(),
+		"moves_failed":   m.MovesFailed.Load(),
+		"broken_streams": m.BrokenStreams.Load(),
+		"failures":       m.failures,
+		"latency_ms":     m.Latency.quantiles(),
+		"first_event_ms": m.FirstEvent.quantiles(),
+	})
+	if err != nil {
+		return "{}" // the map holds only numbers and strings, which always encode
+	}
+	return string(out)
+}
+
+// maxLatencyMS is the largest latency that a histogram tells apart.
+const maxLatencyMS = 10 * 60 * 1000
+
+// Histogram counts latencies. The zero value is ready to use.
+type Histogram struct {
+	mu sync.Mutex
+	h  *hdrhistogram.Histogram
+}
+
+func (h *Histogram) observe(d time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.h == nil {
+		h.h = hdrhistogram.New(1, maxLatencyMS, 2)
+	}
+	// The value is clamped to the histogram's range, so recording cannot fail.
+	_ = h.h.RecordValue(min(max(d.Milliseconds(), 1), maxLatencyMS))
+}
+
+func (h *Histogram) quantiles() map[string]int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.h == nil {
+		return nil
+	}
+	return map[string]int64{
+		"count": h.h.TotalCount(), "p50": h.h.ValueAtQuantile(50), "p95": h.h.ValueAtQuantile(95), "p99": h.h.ValueAtQuantile(99),
+	}
+}
--- /dev/null
+++ b/internal/forward/places.go
@@ -0,0 +1,250 @@
+package forward
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"monsoonkeel.example/monsoonkeel/core/balance"
+	"monsoonkeel.example/monsoonkeel/core/retry"
+	"monsoonkeel.example/monsoonkeel/core/route"
+	"monsoonkeel.example/monsoonkeel/internal/directory"
+)
+
+// assumedHosts divides shared bounds until the entries of the hosts were read.
+const assumedHosts = 16
+
+// places holds the balancers of all services.
+type places struct {
+	opts Options
+
+	mu       sync.Mutex
+	services map[string]*serviceState
+	hosts    int
+	known    map[string]bool // addresses of servers in the snapshot
+	peers    map[string]balance.Load
+}
+
+// serviceState is what the host knows of one service; places.mu guards it.
+type serviceState struct {
+	balancer *balance.Balancer
+	budget   retry.Shared
+	waiters  []*waiter
+	engine   *route.Engine
+}
+
+type waiter struct {
+	job      balance.Job
+	priority int
+	since    time.Time
+	given    chan balance.Server // capacity 1
+}
+
+// place is the right to send a request to a server; it must be released.
+type place struct {
+	server  balance.Server
+	places  *places
+	service string
+	tokens  int
+	once    sync.Once
+}
+
+func newPlaces(opts Options) *places {
+	return &places{opts: opts, services: map[string]*serviceState{}, known: map[string]bool{}}
+}
+
+func (p *places) service(name string) *serviceState {
+	s := p.services[name]
+	if s == nil {
+		s = &serviceState{balancer: balance.New()}
+		p.services[name] = s
+	}
+	return s
+}
+
+// changed takes over the servers and settings of a snapshot.
+func (p *places) changed(now *directory.Snapshot) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.hosts = len(now.Hosts)
+	open := map[string][]balance.Server{}
+	known := make(map[string]bool, len(now.Servers))
+	for id, s := range now.Servers {
+		known[s.Address] = true
+		p.service(s.Service)
+		if s.Closing() || now.Out[s.Domain] {
+			continue
+		}
+		open[s.Service] = append(open[s.Service], balance.Server{
+			ID: id, Address: s.Address, Domain: s.Domain, Region: s.Region, Slots: s.Slots,
+		})
+	}
+	p.known = known
+	for name, s := range p.services {
+		settings := balance.Settings{Domain: p.opts.Domain, Region: p.opts.Region}
+		s.engine = nil
+		if now.Table != nil {
+			if config := now.Table.Services[name]; config != nil {
+				p.configure(&settings, s, config)
+			}
+		}
+		s.balancer.Configure(settings)
+		s.balancer.SetServers(open[name])
+		s.balancer.SetPeerLoad(p.peers)
+		s.wake()
+	}
+}
+
+func (p *places) configure(settings *balance.Settings, s *serviceState, config *route.Service) {
+	if config.Engine != nil {
+		s.engine = config.Engine
+		settings.KVTokens = config.Engine.KVTokens
+	}
+	if config.ColdPerSecond > 0 {
+		all := config.ColdPerSecond*p.opts.ColdFactor + p.opts.ColdSlack
+		settings.PerSecond = max(1, int(all)/p.hostCount())
+	}
+}
+
+func (p *places) hostCount() int {
+	if p.hosts == 0 {
+		return assumedHosts
+	}
+	return p.hosts
+}
+
+// setPeers takes over the work of the other hosts, by server.
+func (p *places) setPeers(loads map[string]balance.Load) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.peers = loads
+	for _, s := range p.services {
+		s.balancer.SetPeerLoad(loads)
+		s.wake()
+	}
+}
+
+// ownLoad returns this host's work by server.
+func (p *places) ownLoad() map[string]balance.Load {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := map[string]balance.Load{}
+	for _, s := range p.services {
+		for id, l := range s.balancer.OwnLoad() {
+			out[id] = l
+		}
+	}
+	return out
+}
+
+func (p *places) knows(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.known[address]
+}
+
+// firstTry counts a request towards the budget of repeats.
+func (p *places) firstTry(service string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.service(service).budget.FirstTry(p.opts.Retries, time.Now())
+}
+
+// mayRepeat charges a repeat if the budget allows one.
+func (p *places) mayRepeat(service string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.service(service).budget.Allow(p.opts.Retries, p.hostCount(), time.Now())
+}
+
+// acquire chooses a server, waiting for room until ctx ends or wait has passed.
+func (p *places) acquire(ctx context.Context, service string, job balance.Job, priority int, wait time.Duration) (*place, balance.Why) {
+	p.mu.Lock()
+	s := p.service(service)
+	server, why := s.balancer.Pick(job, time.Now())
+	if why == balance.Chosen {
+		s.balancer.Start(server.ID, job.Tokens, time.Now())
+		p.mu.Unlock()
+		return p.newPlace(service, server, job.Tokens), why
+	}
+	if wait <= 0 {
+		p.mu.Unlock()
+		return nil, why
+	}
+	w := &waiter{job: job, priority: priority, since: time.Now(), given: make(chan balance.Server, 1)}
+	s.enqueue(w)
+	p.mu.Unlock()
+
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case server := <-w.given:
+		return p.newPlace(service, server, job.Tokens), balance.Chosen
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s.remove(w)
+	select {
+	case server := <-w.given: // given just before the end
+		return p.newPlace(service, server, job.Tokens), balance.Chosen
+	default:
+		return nil, why
+	}
+}
+
+func (p *places) newPlace(service string, server balance.Server, tokens int) *place {
+	return &place{server: server, places: p, service: service, tokens: tokens}
+}
+
+// enqueue keeps the waiters in the order in which they are served.
+func (s *serviceState) enqueue(w *waiter) {
+	i := sort.Search(len(s.waiters), func(i int) bool { return s.waiters[i].priority > w.priority })
+	s.waiters = append(s.waiters, nil)
+	copy(s.waiters[i+1:], s.waiters[i:])
+	s.waiters[i] = w
+}
+
+func (s *serviceState) remove(w *waiter) {
+	for i, other := range s.waiters {
+		if other == w {
+			s.waiters = append(s.waiters[:i], s.waiters[i+1:]...)
+			return
+		}
+	}
+}
+
+// wake gives room to the waiters it suffices for.
+func (s *serviceState) wake() {
+	kept := s.waiters[:0]
+	for _, w := range s.waiters {
+		server, why := s.balancer.Pick(w.job, time.Now())
+		if why != balance.Chosen {
+			kept = append(kept, w)
+			continue
+		}
+		s.balancer.Start(server.ID, w.job.Tokens, time.Now())
+		w.given <- server
+	}
+	s.waiters = kept
+}
+
+// release ends the place. failed says that the server could not be reached or
+// broke off.
+func (pl *place) release(failed bool) {
+	pl.once.Do(func() {
+		p := pl.places
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		s := p.service(pl.service)
+		s.balancer.End(pl.server.ID, pl.tokens)
+		if failed {
+			s.balancer.Failed(pl.server.ID, time.Now())
+		} else {
+			s.balancer.Succeeded(pl.server.ID)
+		}
+		s.wake()
+	})
+}
--- /dev/null
+++ b/internal/forward/plain.go
@@ -0,0 +1,258 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"monsoonkeel.example/monsoonkeel/core/balance"
+	"monsoonkeel.example/monsoonkeel/core/route"
+	"monsoonkeel.example/monsoonkeel/core/verdict"
+	"monsoonkeel.example/monsoonkeel/internal/connection"
+)
+
+const (
+	// maxBufferedBody is the largest answer that is read whole before it is
+	// passed on, so that a broken one can be repeated or reported.
+	maxBufferedBody = 256 << 10
+	// connectTimeout bounds a new connection to a backend server: a round trip
+	// between regions takes 60 ms, and one lost packet costs a second.
+	connectTimeout = 400 * time.Millisecond
+	// maxIdleReuse is how long an idle connection is reused. A backend server
+	// may close one at any time, which loses a request that may not be repeated.
+	maxIdleReuse = 3 * time.Second
+	// maxRefusals is how many backend servers may refuse a request unrun before
+	// the caller is refused.
+	maxRefusals = 3
+	// headShare of the time left is how long the first of several tries waits
+	// for an answer.
+	headShare = 0.4
+)
+
+// Codes of the failures of one try.
+const (
+	codeNotRun      = "backend_refused"
+	codeBroken      = "answer_broken"
+	codeServerError = "backend_error"
+)
+
+// servePlain forwards a request with one answer.
+func (r *request) servePlain() error {
+	r.g.places.firstTry(r.service)
+	var tried []string
+	var last error
+	for ran := 0; ; {
+		p, why := r.place(0, tried)
+		if p == nil {
+			return r.noPlace(last, why)
+		}
+		r.tries++
+		again := r.route.Kind == route.Idempotent && ran+1 < r.route.Attempts
+		err := r.tryPlain(p, again)
+		if err == nil {
+			return nil
+		}
+		if r.ctx.Err() != nil {
+			return r.interrupted(verdict.Of(err) != verdict.NotRun || ran > 0)
+		}
+		last = err
+		tried = append(tried, p.server.ID)
+		if verdict.Of(err) != verdict.NotRun {
+			ran++
+			if !again {
+				return err
+			}
+		}
+		if !r.mayTryAgain(err, len(tried)) {
+			return r.giveUp(err, ran)
+		}
+	}
+}
+
+// mayTryAgain charges another try. A server that was not reached saw no request.
+func (r *request) mayTryAgain(err error, tries int) bool {
+	if tries >= maxRefusals+r.route.Attempts {
+		return false
+	}
+	if verdict.From(err).Code == connection.CodeConnectFailed {
+		return true
+	}
+	if !r.g.places.mayRepeat(r.service) {
+		return false
+	}
+	r.g.Metrics.Repeats.Add(1)
+	return true
+}
+
+// giveUp turns the failure of the last try into the caller's answer.
+func (r *request) giveUp(err error, ran int) error {
+	if ran > 0 || verdict.Of(err) != verdict.NotRun {
+		e := verdict.From(err)
+		return &verdict.Error{Verdict: verdict.MayHaveRun, Status: 502, Code: e.Code, Detail: e.Detail, Cause: e.Cause}
+	}
+	r.retryAfter = r.comeBack()
+	e := verdict.From(err)
+	return &verdict.Error{Verdict: verdict.NotRun, Status: 503, Code: e.Code, Detail: e.Detail, Cause: e.Cause}
+}
+
+// noPlace is the error of a request that found no server.
+func (r *request) noPlace(last error, why balance.Why) error {
+	if last != nil {
+		ran := 0
+		if verdict.Of(last) != verdict.NotRun {
+			ran = 1
+		}
+		return r.giveUp(last, ran)
+	}
+	if r.ctx.Err() != nil {
+		return r.interrupted(false)
+	}
+	r.retryAfter = r.comeBack()
+	return notRun(503, "no_backend_"+why.String(), "no backend server of "+r.service+" can take the request now")
+}
+
+// comeBack is when a refused caller should try again: another host may have
+// room at once, and a part of the time left must remain for the work.
+func (r *request) comeBack() time.Duration {
+	return min(orDefault(r.route.Objective, time.Second)/4, max(time.Until(r.deadline)/4, 0))
+}
+
+// place waits for room at a server that was not tried.
+func (r *request) place(tokens int, tried []string) (*place, balance.Why) {
+	job := balance.Job{Tokens: tokens, Allowed: route.Regions(r.route, r.team), Exclude: tried}
+	start := time.Now()
+	p, why := r.g.places.acquire(r.ctx, r.service, job, r.priority(), r.waitBound())
+	r.waited += time.Since(start)
+	if p != nil {
+		r.backend = p.server.ID
+	}
+	return p, why
+}
+
+// waitBound is how long the request may wait for room: past half of its
+// objective it would miss it, and another host may have room.
+func (r *request) waitBound() time.Duration {
+	return orDefault(r.route.Objective, time.Second)/2 - r.waited
+}
+
+// priority ranks the request; 0 is the most urgent.
+func (r *request) priority() int {
+	if r.team != nil && r.team.Priority != nil {
+		return *r.team.Priority
+	}
+	return r.route.Priority
+}
+
+// tryPlain sends the request to one server and delivers the answer. again says
+// that another try may follow.
+func (r *request) tryPlain(p *place, again bool) error {
+	opts := connection.Options{
+		Fresh:       r.route.Kind == route.NonIdempotent,
+		DialTimeout: connectTimeout,
+		MaxIdle:     maxIdleReuse,
+		Belongs:     r.belongs,
+	}
+	if again {
+		opts.HeadTimeout = time.Duration(float64(time.Until(r.deadline)) * headShare)
+	}
+	req := r.outgoing(p.server.ID)
+	defer fasthttp.ReleaseRequest(req)
+	ex, err := r.g.pool.Do(r.ctx, p.server.Address, req, opts)
+	if err != nil {
+		p.release(r.call.Context().Err() == nil)
+		return err
+	}
+	if err := r.check(ex, again); err != nil {
+		ex.Finish(false)
+		p.release(verdict.From(err).Code == codeBroken)
+		return err
+	}
+	err = r.deliver(ex)
+	p.release(err != nil)
+	return err
+}
+
+// belongs reports whether an answer carries the request's id.
+func (r *request) belongs(h *fasthttp.ResponseHeader) bool {
+	return string(h.Peek(r.g.opts.Dialect.RequestID)) == r.id
+}
+
+// check decides from the head whether an answer is one that can be delivered.
+func (r *request) check(ex *connection.Exchange, again bool) error {
+	h := &ex.Response.Header
+	d := &r.g.opts.Dialect
+	status := h.StatusCode()
+	switch {
+	case len(h.Peek(d.NotRun)) > 0 || status == fasthttp.StatusMisdirectedRequest:
+		return notRun(503, codeNotRun, "the backend server did not run the request")
+	case len(h.Peek(d.Receipt)) == 0 || len(h.Peek("Content-Encoding")) > 0:
+		return broken(errors.New("the answer is not the backend server's own"))
+	case isPromise(status):
+		// Callers take these as "not run", which this answer doesn't say.
+		return broken(errors.New("the backend server refused without saying that it did not run the request"))
+	case status >= 500 && again:
+		return verdict.New(verdict.MayHaveRun, 502, codeServerError, "the backend server answered %d", status)
+	}
+	return nil
+}
+
+func broken(cause error) error {
+	return verdict.Wrap(cause, verdict.MayHaveRun, 502, codeBroken, "the backend server's answer cannot be used")
+}
+
+// isPromise reports whether callers take a status as "not run".
+func isPromise(status int) bool {
+	return status == 408 || status == 421 || status == 429 || status == 503
+}
+
+// deliver passes an answer on, whole if it is not too long.
+func (r *request) deliver(ex *connection.Exchange) error {
+	status := ex.Response.StatusCode()
+	body, whole, err := readUpTo(ex.Body(), maxBufferedBody)
+	if err != nil {
+		ex.Finish(false)
+		return broken(err)
+	}
+	r.status = status
+	r.answered = true
+	if whole {
+		r.call.Answer(status, answerHeader(&ex.Response.Header), body)
+		ex.Finish(true)
+		return nil
+	}
+	return r.deliverLong(ex, body)
+}
+
+// readUpTo reads a body to its end or up to a size.
+func readUpTo(body io.Reader, limit int) (read []byte, whole bool, err error) {
+	if body == nil {
+		return nil, true, nil
+	}
+	read, err = io.ReadAll(io.LimitReader(body, int64(limit)))
+	return read, err == nil && len(read) < limit, err
+}
+
+func (r *request) deliverLong(ex *connection.Exchange, begun []byte) error {
+	err := r.call.Begin(r.status, answerHeader(&ex.Response.Header))
+	if err == nil {
+		_, err = r.call.Write(begun)
+	}
+	if err == nil {
+		_, err = io.Copy(r.call, ex.Body())
+	}
+	if err == nil {
+		err = r.call.End()
+	}
+	ex.Finish(err == nil)
+	if err != nil {
+		r.call.Abort()
+		return broken(err)
+	}
+	return nil
+}
+
+// cancelled reports whether a context ended.
+func cancelled(ctx context.Context) bool { return ctx.Err() != nil }
--- /dev/null
+++ b/internal/forward/request.go
@@ -0,0 +1,249 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+
+	"monsoonkeel.example/monsoonkeel/core/route"
+	"monsoonkeel.example/monsoonkeel/core/verdict"
+	"monsoonkeel.example/monsoonkeel/internal/connection"
+	"monsoonkeel.example/monsoonkeel/internal/directory"
+)
+
+// request is one request of a caller from its receipt to its answer.
+type request struct {
+	g        *Gateway
+	call     *connection.Call
+	snapshot *directory.Snapshot
+	id       string
+	route    *route.Route
+	service  string
+	team     *route.Team
+	// deadline is when the caller or the route gives up.
+	deadline time.Time
+	ctx      context.Context
+	cancel   context.CancelFunc
+	prompt   int // tokens
+	output   int // expected tokens
+
+	// What the log line says.
+	answered   bool
+	retryAfter time.Duration
+	status     int
+	backend    string
+	tries      int
+	moves      int
+	events     int
+	waited     time.Duration
+	configAge  time.Duration
+	firstEvent time.Duration
+	worstGap   time.Duration
+}
+
+func newRequest(g *Gateway, call *connection.Call) *request {
+	r := &request{g: g, call: call, snapshot: g.opts.Directory.Snapshot()}
+	r.id = string(call.Request.Header.Peek(g.opts.Dialect.RequestID))
+	r.configAge, _ = g.opts.Directory.ConfigurationAge()
+	return r
+}
+
+// notRun is a refusal of a request that reached no backend server.
+func notRun(status int, code, detail string) *verdict.Error {
+	return &verdict.Error{Verdict: verdict.NotRun, Status: status, Code: code, Detail: detail}
+}
+
+func (r *request) serve() error {
+	if err := r.admit(); err != nil {
+		return err
+	}
+	r.ctx, r.cancel = context.WithDeadline(r.call.Context(), r.deadline)
+	defer r.cancel()
+	if r.route.Kind == route.Stream {
+		return r.serveStream()
+	}
+	return r.servePlain()
+}
+
+// admit finds the route and the team and checks that both may be served.
+func (r *request) admit() error {
+	t := r.snapshot.Table
+	if t == nil {
+		r.retryAfter = time.Second
+		return notRun(503, "no_configuration", "no configuration was read yet")
+	}
+	if r.id == "" {
+		return notRun(400, "no_request_id", "the request carries no id")
+	}
+	h := &r.call.Request.Header
+	path, _, _ := strings.Cut(string(h.RequestURI()), "?")
+	if r.route = t.Match(string(h.Host()), path); r.route == nil {
+		return notRun(404, "no_route", "no route matches")
+	}
+	r.service = r.route.Target(r.id)
+	if err := r.authenticate(t); err != nil {
+		return err
+	}
+	r.setDeadline()
+	r.parseTokens()
+	return nil
+}
+
+func (r *request) authenticate(t *route.Table) error {
+	if !t.NeedsKey || r.route.Public {
+		return nil
+	}
+	key := string(r.call.Request.Header.Peek(r.g.opts.Dialect.Key))
+	if r.team = t.Team(key); r.team == nil {
+		return notRun(401, "unknown_key", "the key is unknown")
+	}
+	if !r.g.keysCurrent() {
+		r.retryAfter = staleRetryAfter
+		return notRun(503, "keys_not_current", "the host cannot tell whether the key is still valid")
+	}
+	return nil
+}
+
+// staleRetryAfter sends callers to another host, which a new connection finds.
+const staleRetryAfter = 200 * time.Millisecond
+
+// maxTimeLeft bounds a deadline that a caller may ask for.
+const maxTimeLeft = 10 * time.Minute
+
+func (r *request) setDeadline() {
+	left := maxTimeLeft
+	if t := r.route.Timeout; t > 0 {
+		left = min(left, t)
+	}
+	value := r.call.Request.Header.Peek(r.g.opts.Dialect.TimeLeft)
+	if ms, err := strconv.ParseInt(string(value), 10, 64); err == nil && ms >= 0 {
+		left = min(left, time.Duration(ms)*time.Millisecond)
+	}
+	r.deadline = r.call.Received.Add(left)
+}
+
+func (r *request) parseTokens() {
+	d := &r.g.opts.Dialect
+	h := &r.call.Request.Header
+	prompt, output, ok := d.ParseTokens(string(h.Peek(d.Tokens)))
+	if !ok {
+		return
+	}
+	r.prompt, r.output = prompt, output
+	if hint, err := strconv.Atoi(string(h.Peek(d.LengthHint))); err == nil && hint > 0 {
+		r.output = min(hint, output)
+	}
+}
+
+// outgoing prepares the request for a backend server.
+func (r *request) outgoing(backend string) *fasthttp.Request {
+	d := &r.g.opts.Dialect
+	req := fasthttp.AcquireRequest()
+	r.call.Request.CopyTo(req)
+	req.Header.SetNoDefaultContentType(true)
+	for name := range strings.SplitSeq(string(req.Header.Peek("Connection")), ",") {
+		if name = strings.TrimSpace(name); name != "" {
+			req.Header.Del(name)
+		}
+	}
+	for _, name := range hopByHop {
+		req.Header.Del(name)
+	}
+	for _, name := range d.Reserved {
+		req.Header.Del(name)
+	}
+	req.Header.Del(d.Key)
+	req.Header.Del(d.Team)
+	req.Header.Del(d.CopySource)
+	if r.team != nil {
+		req.Header.Set(d.Team, r.team.Name)
+	}
+	req.Header.Set(d.ExpectBackend, backend)
+	left := max(time.Until(r.deadline).Milliseconds(), 1)
+	req.Header.Set(d.TimeLeft, strconv.FormatInt(left, 10))
+	return req
+}
+
+// hopByHop fields concern one connection only (RFC 9110, section 7.6.1).
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Expect",
+}
+
+// answerHeader yields the fields of a backend server's answer that the caller gets.
+func answerHeader(h *fasthttp.ResponseHeader) connection.Header {
+	named := strings.Split(string(h.Peek("Connection")), ",")
+	return func(yield func(name, value string) bool) {
+		for key, value := range h.All() {
+			name := string(key)
+			if isHopByHop(name, named) || strings.EqualFold(name, "Content-Length") {
+				continue
+			}
+			if !yield(name, string(value)) {
+				return
+			}
+		}
+	}
+}
+
+func isHopByHop(name string, named []string) bool {
+	for _, list := range [][]string{hopByHop, named} {
+		for _, v := range list {
+			if strings.EqualFold(strings.TrimSpace(v), name) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// interrupted is the error of a request whose caller left or whose time ran out.
+func (r *request) interrupted(sent bool) error {
+	if r.call.Context().Err() != nil {
+		r.answered = true // nobody reads an answer
+		return &verdict.Error{Verdict: verdict.MayHaveRun, Status: 499, Code: "caller_left", Detail: "the caller closed the connection"}
+	}
+	if !sent {
+		return notRun(503, "no_place_in_time", "no backend server had room in time")
+	}
+	return &verdict.Error{Verdict: verdict.MayHaveRun, Status: 504, Code: "timeout", Detail: "no answer in time"}
+}
+
+// log writes the request's line.
+func (r *request) log(err error) {
+	var e *zerolog.Event
+	switch {
+	case err == nil:
+		e = r.g.opts.Log.Info()
+	default:
+		e = r.g.opts.Log.Warn()
+		var v *verdict.Error
+		if errors.As(err, &v) {
+			e = e.Str("code", v.Code).Stringer("verdict", v.Verdict)
+			if v.Cause != nil {
+				e = e.AnErr("cause", v.Cause)
+			}
+		}
+		r.g.Metrics.failed(verdict.From(err).Code)
+	}
+	if r.route != nil {
+		e = e.Str("route", r.route.Name).Int64("config", r.snapshot.Table.Version)
+	}
+	if r.team != nil {
+		e = e.Str("team", r.team.Name)
+	}
+	if r.route != nil && r.route.Kind == route.Stream {
+		e = e.Int("events", r.events).Int64("first_event_ms", r.firstEvent.Milliseconds()).
+			Int64("worst_gap_ms", r.worstGap.Milliseconds()).Int("moves", r.moves).Int("prompt", r.prompt).Int("output", r.output)
+	}
+	e.Str("request", r.id).Str("service", r.service).Str("backend", r.backend).Int("status", r.status).
+		Int("tries", r.tries).Int64("waited_ms", r.waited.Milliseconds()).
+		Int64("config_age_ms", r.configAge.Milliseconds()).
+		Int64("ms", time.Since(r.call.Received).Milliseconds()).Msg("request")
+	r.g.Metrics.Latency.observe(time.Since(r.call.Received))
+}
--- /dev/null
+++ b/internal/forward/stream.go
@@ -0,0 +1,238 @@
+package forward
+
+import (
+	"errors"
+	"io"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"monsoonkeel.example/monsoonkeel/core/verdict"
+	"monsoonkeel.example/monsoonkeel/internal/connection"
+	"monsoonkeel.example/monsoonkeel/internal/request/sse"
+)
+
+// errGap says that an event is missing.
+var errGap = errors.New("an event of the stream is missing")
+
+// serveStream forwards a request that is answered by events.
+func (r *request) serveStream() error {
+	r.g.places.firstTry(r.service)
+	if err := r.endsInTime(); err != nil {
+		return err
+	}
+	var tried []string
+	var last error
+	for {
+		p, why := r.place(r.prompt+r.output, tried)
+		if p == nil {
+			return r.noPlace(last, why)
+		}
+		r.tries++
+		s, err := r.startStream(p)
+		if err == nil {
+			return s.relay()
+		}
+		if r.ctx.Err() != nil {
+			return r.interrupted(verdict.Of(err) != verdict.NotRun)
+		}
+		last = err
+		if verdict.Of(err) != verdict.NotRun {
+			return r.giveUp(err, 1)
+		}
+		tried = append(tried, p.server.ID)
+		if !r.mayTryAgain(err, len(tried)) {
+			return r.giveUp(err, 0)
+		}
+	}
+}
+
+// tokenTime is the time that a token takes on a moderately loaded engine.
+const tokenTime = 10 * time.Millisecond
+
+// endsInTime refuses a stream that would be cut off by the host's own stop.
+// The caller's next connection finds another host.
+func (r *request) endsInTime() error {
+	by := r.g.leaveBy.Load()
+	if by == 0 {
+		return nil
+	}
+	if expected := time.Duration(r.output) * tokenTime; time.Until(time.Unix(0, by)) < expected {
+		r.retryAfter = staleRetryAfter
+		return notRun(503, "host_stops", "the host stops before the stream would end")
+	}
+	return nil
+}
+
+// stream is a generation that is relayed to its caller. It may go on at another
+// engine than the one where it started.
+type stream struct {
+	r      *request
+	run    *run
+	ex     *connection.Exchange
+	frames *sse.FrameReader
+	// header is that of the first answer.
+	header  connection.Header
+	begun   bool
+	lastID  int64 // newest event delivered
+	lastAt  time.Time
+	startAt time.Time
+}
+
+// startStream sends the request and reads the head of the answer.
+func (r *request) startStream(p *place) (*stream, error) {
+	ex, err := r.send(p, func(*fasthttp.Request) {})
+	if err != nil {
+		return nil, err
+	}
+	if ex.Response.StatusCode() != fasthttp.StatusOK {
+		return nil, r.deliverFailure(ex, p)
+	}
+	s := &stream{r: r, ex: ex, frames: sse.NewFrameReader(ex.Body())}
+	s.run = r.g.runs.add(r, p)
+	s.header = copyHeader(answerHeader(&ex.Response.Header))
+	return s, nil
+}
+
+// send sends the request to the engine of a place. The place is released on failure.
+func (r *request) send(p *place, prepare func(*fasthttp.Request)) (*connection.Exchange, error) {
+	req := r.outgoing(p.server.ID)
+	defer fasthttp.ReleaseRequest(req)
+	prepare(req)
+	ex, err := r.g.pool.Do(r.ctx, p.server.Address, req, connection.Options{
+		Fresh: true, DialTimeout: connectTimeout, Belongs: r.belongs,
+	})
+	if err != nil {
+		p.release(r.call.Context().Err() == nil)
+		return nil, err
+	}
+	if err := r.check(ex, false); err != nil {
+		ex.Finish(false)
+		p.release(verdict.From(err).Code == codeBroken)
+		return nil, err
+	}
+	return ex, nil
+}
+
+// deliverFailure passes on an engine's own answer other than a stream. It
+// returns an error only if that failed.
+func (r *request) deliverFailure(ex *connection.Exchange, p *place) error {
+	err := r.deliver(ex)
+	p.release(err != nil)
+	if err == nil {
+		err = errDelivered
+	}
+	return err
+}
+
+// errDelivered ends a request whose answer was delivered.
+var errDelivered = verdict.New(verdict.Ran, 0, "backend_failed", "the backend server answered with a failure")
+
+// copyHeader keeps header fields beyond the life of their answer.
+func copyHeader(h connection.Header) connection.Header {
+	var fields [][2]string
+	h(func(name, value string) bool {
+		fields = append(fields, [2]string{name, value})
+		return true
+	})
+	return func(yield func(name, value string) bool) {
+		for _, f := range fields {
+			if !yield(f[0], f[1]) {
+				return
+			}
+		}
+	}
+}
+
+// relay delivers the events until the stream ends.
+func (s *stream) relay() error {
+	defer s.close()
+	for {
+		frame, err := s.frames.Next()
+		if err == nil {
+			err = s.deliver(frame)
+		} else {
+			err = s.sourceEnded(err)
+		}
+		if errors.Is(err, io.EOF) {
+			return s.complete()
+		}
+		if err != nil {
+			return s.fail(err)
+		}
+	}
+}
+
+// deliver passes one event on. An event that the caller has is dropped.
+func (s *stream) deliver(f sse.Frame) error {
+	if f.HasID && s.lastID != 0 {
+		if f.ID <= s.lastID {
+			return nil
+		}
+		if f.ID != s.lastID+1 {
+			return errGap
+		}
+	}
+	if !s.begun {
+		s.begun = true
+		s.r.status = fasthttp.StatusOK
+		s.r.answered = true
+		if err := s.r.call.Begin(s.r.status, s.header); err != nil {
+			return err
+		}
+	}
+	if _, err := s.r.call.Write(f.Raw); err != nil {
+		return err
+	}
+	if f.HasID {
+		s.lastID = f.ID
+	}
+	s.observe()
+	s.run.delivered(s.r.events)
+	return nil
+}
+
+func (s *stream) observe() {
+	now := time.Now()
+	if s.r.events == 0 {
+		s.r.firstEvent = now.Sub(s.r.call.Received)
+		s.r.g.Metrics.FirstEvent.observe(s.r.firstEvent)
+	} else {
+		s.r.worstGap = max(s.r.worstGap, now.Sub(s.lastAt))
+	}
+	s.r.events++
+	s.lastAt = now
+}
+
+// complete ends the caller's answer after the last event.
+func (s *stream) complete() error {
+	s.ex.Finish(true)
+	if !s.begun {
+		s.begun = true
+		s.r.answered = true
+		s.r.status = fasthttp.StatusOK
+		s.r.call.Answer(s.r.status, s.header, nil)
+		return nil
+	}
+	return s.r.call.End()
+}
+
+// fail ends the caller's answer early, in a way that does not look complete.
+func (s *stream) fail(cause error) error {
+	s.ex.Finish(false)
+	if s.r.ctx.Err() != nil {
+		err := s.r.interrupted(true)
+		if s.begun {
+			s.r.call.Abort()
+		}
+		return err
+	}
+	if !s.begun {
+		return broken(cause)
+	}
+	s.r.g.Metrics.BrokenStreams.Add(1)
+	s.r.call.Abort()
+	return verdict.Wrap(cause, verdict.Ran, 502, "stream_broken", "the engine broke the stream off")
+}
+
+func (s *stream) close() { s.r.g.runs.remove(s.run) }
