--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -84,7 +84,6 @@
 type Balancer struct {
 	settings Settings
 	servers  map[string]*server
-	turn     int
 }
 
 // New returns a Balancer without servers.
--- a/internal/connection/caller.go
+++ b/internal/connection/caller.go
@@ -356,7 +356,9 @@
 // Header yields the header fields of an answer.
 type Header func(yield func(name, value string) bool)
 
-func plainText(yield func(name, value string) bool) { yield("Content-Type", "text/plain; charset=utf-8") }
+func plainText(yield func(name, value string) bool) {
+	yield("Content-Type", "text/plain; charset=utf-8")
+}
 
 // Answer sends a complete answer.
 func (c *Call) Answer(status int, header Header, body []byte) {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -72,11 +72,10 @@
 	ex     *connection.Exchange
 	frames *sse.FrameReader
 	// header is that of the first answer.
-	header  connection.Header
-	begun   bool
-	lastID  int64 // newest event delivered
-	lastAt  time.Time
-	startAt time.Time
+	header connection.Header
+	begun  bool
+	lastID int64 // newest event delivered
+	lastAt time.Time
 }
 
 // startStream sends the request and reads the head of the answer.
