Move runs off leaving engines by a plan that all hosts share

Copies leave an engine over one link in order; hosts that copied at once waited for one another, copies to another region (11 times slower, measured) held up all others, and a last part that waits is a stall for its caller. Ruled out: no memory at the targets (reports showed half of it free); a limit on copies in parallel (three were accepted at once). Change: hosts exchange their work and runs by datagrams; each computes the same order and start times (core/migrate); targets stay in the region; the connection to the target is opened ahead; prompts waiting to be read weigh in the choice of an engine (core/balance).

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -8,11 +8,19 @@
 
 const (
 	// engineRegionCost is the load, as a share of an engine's memory, that
-	// another region must have less to be chosen: a round trip there takes a
-	// few percent of the time to a first event.
-	engineRegionCost = 0.10
+	// another region must have less to be chosen. Events cross the slow link
+	// between regions, and a run is moved in time only if its host is near.
+	engineRegionCost = 0.35
 	// engineDomainCost is the same for another failure domain of the region.
-	engineDomainCost = 0.02
+	engineDomainCost = 0.05
+	// promptWeight is what a token of a prompt that waits to be read weighs more
+	// than one in memory: prompts are read one after another, and a first event
+	// waits for all before it.
+	promptWeight = 2
+	// moveRegionCost and moveDomainCost keep a moved run near its source:
+	// between failure domains a copy takes twice as long, between regions more.
+	moveRegionCost = 8.0
+	moveDomainCost = 2.0
 	// plainRegionCost is the load, as a share of a server's slots, for plain
 	// services, where a round trip to another region exceeds the work itself.
 	plainRegionCost = 0.8
@@ -45,15 +53,28 @@
 type Job struct {
 	// Tokens is the memory that the run is expected to need, 0 for plain requests.
 	Tokens int
+	// Prompt is the part of it that has to be read first.
+	Prompt int
 	// Allowed reports whether a region may serve the request.
 	Allowed func(region string) bool
 	// Exclude lists servers that were tried.
 	Exclude []string
+	// Near, if set, is the server from which the run is moved.
+	Near *Server
 }
 
 // Load is work at one server.
 type Load struct {
-	Requests, Tokens int
+	Requests int `json:"r,omitempty"`
+	// Tokens is the memory that the requests are expected to need.
+	Tokens int `json:"t,omitempty"`
+	// Prompt is the part of it that has still to be read before a first token.
+	Prompt int `json:"p,omitempty"`
+}
+
+// Plus returns the sum.
+func (l Load) Plus(o Load) Load {
+	return Load{Requests: l.Requests + o.Requests, Tokens: l.Tokens + o.Tokens, Prompt: l.Prompt + o.Prompt}
 }
 
 // Why says why no server was chosen.
@@ -185,7 +206,9 @@
 	if n := b.settings.PerSecond; n > 0 && s.recent(now) >= n {
 		return false
 	}
-	if b.settings.KVTokens == 0 {
+	if b.settings.KVTokens == 0 || job.Near != nil {
+		// A run that is not moved is lost, and its target refuses it if it has
+		// no memory left.
 		return true
 	}
 	load := s.own.Tokens + s.peers.Tokens
@@ -204,43 +227,46 @@
 
 func (b *Balancer) cost(s *server, job Job) float64 {
 	if b.settings.KVTokens > 0 {
-		load := float64(s.own.Tokens+s.peers.Tokens+job.Tokens) / float64(b.settings.KVTokens)
-		return load + b.distance(s, engineRegionCost, engineDomainCost)
+		work := s.own.Plus(s.peers)
+		load := float64(work.Tokens+job.Tokens+promptWeight*work.Prompt) / float64(b.settings.KVTokens)
+		if job.Near != nil {
+			return load + distance(s, job.Near.Domain, job.Near.Region, moveRegionCost, moveDomainCost)
+		}
+		return load + distance(s, b.settings.Domain, b.settings.Region, engineRegionCost, engineDomainCost)
 	}
 	load := float64(s.own.Requests+s.peers.Requests) / float64(max(1, s.Slots))
-	return load + b.distance(s, plainRegionCost, plainDomainCost)
+	return load + distance(s, b.settings.Domain, b.settings.Region, plainRegionCost, plainDomainCost)
 }
 
-func (b *Balancer) distance(s *server, region, domain float64) float64 {
+// distance is the cost of the way from a domain and region to a server.
+func distance(s *server, domain, region string, otherRegion, otherDomain float64) float64 {
 	switch {
-	case s.Region != b.settings.Region:
-		return region
-	case s.Domain != b.settings.Domain:
-		return domain
+	case s.Region != region:
+		return otherRegion
+	case s.Domain != domain:
+		return otherDomain
 	default:
 		return 0
 	}
 }
 
 // Start counts a request that is sent to a server.
-func (b *Balancer) Start(id string, tokens int, now time.Time) {
+func (b *Balancer) Start(id string, work Load, now time.Time) {
 	s := b.at(id)
-	s.own.Requests++
-	s.own.Tokens += tokens
+	s.own = s.own.Plus(work)
 	if b.settings.PerSecond > 0 {
 		s.recent(now)
 		s.sent = append(s.sent, now)
 	}
 }
 
-// End counts a request that left a server.
-func (b *Balancer) End(id string, tokens int) {
+// End counts work that left a server.
+func (b *Balancer) End(id string, work Load) {
 	s := b.servers[id]
 	if s == nil {
 		return
 	}
-	s.own.Requests--
-	s.own.Tokens -= tokens
+	s.own = s.own.Plus(Load{Requests: -work.Requests, Tokens: -work.Tokens, Prompt: -work.Prompt})
 	if !s.present && s.own == (Load{}) {
 		delete(b.servers, id)
 	}
--- /dev/null
+++ b/core/migrate/migrate.go
@@ -0,0 +1,92 @@
+// Package migrate plans the moves of running generations off an engine that is
+// about to end. All copies leave the engine over one link, one after another,
+// and several entry hosts relay runs of the same engine. Each of them computes
+// the same plan from the engine's own report, so that no two copies wait for
+// each other: a run that waits while its last part is copied is a stall for
+// its caller. It is pure.
+package migrate
+
+import (
+	"sort"
+	"time"
+)
+
+const (
+	// stepOverhead is the time of a move besides its transfer: two calls to the
+	// engine, and the part that grew meanwhile.
+	stepOverhead = 15 * time.Millisecond
+	// remoteLead is how much later a host in another region hears of the notice
+	// and is heard by the engine: two ways between regions.
+	remoteLead = 60 * time.Millisecond
+	// remoteOverhead is added for such a host: the round trip between the end of
+	// the first copy and the call for the last part.
+	remoteOverhead = 60 * time.Millisecond
+	// shortOutput is the number of tokens below which a run most likely ends
+	// within the notice; its copy would only hold up the others.
+	shortOutput = 75
+	// shortRank comes after the rank of every longer run.
+	shortRank = 1 << 30
+)
+
+// Rank orders the runs of an engine by what does not change while they run, so
+// that hosts with figures of different age agree: short prompts first, since
+// more of them fit into the notice, and last those that will soon end anyway.
+func Rank(promptTokens, expectedOutput int) int {
+	if expectedOutput < shortOutput {
+		return shortRank + promptTokens
+	}
+	return promptTokens
+}
+
+// Run is a generation at the engine.
+type Run struct {
+	ID string
+	// Tokens is the memory that it holds.
+	Tokens int
+	// Rank is the order in which runs are moved.
+	Rank int
+	// Remote says that its host is in another region than the engine.
+	Remote bool
+	// Own says that this host relays it.
+	Own bool
+}
+
+// Step is the move of one run.
+type Step struct {
+	ID string
+	// Start is when the first copy may begin, counted from the notice.
+	Start time.Duration
+}
+
+// TransferTime is how long the memory of tokens takes over a link of mbps
+// Mbit/s.
+func TransferTime(tokens, tokenBytes int, mbps float64) time.Duration {
+	if mbps <= 0 {
+		return 0
+	}
+	bits := float64(tokens) * float64(tokenBytes) * 8
+	return time.Duration(bits / (mbps * 1e6) * float64(time.Second))
+}
+
+// Plan orders all runs of an engine. It returns the steps of those that this
+// host relays, and when the last of all has been moved.
+func Plan(all []Run, transfer func(tokens int) time.Duration) (steps []Step, end time.Duration) {
+	runs := append([]Run(nil), all...)
+	sort.Slice(runs, func(i, j int) bool {
+		if runs[i].Rank != runs[j].Rank {
+			return runs[i].Rank < runs[j].Rank
+		}
+		return runs[i].ID < runs[j].ID
+	})
+	for _, r := range runs {
+		start, took := end, transfer(r.Tokens)+stepOverhead
+		if r.Remote {
+			start, took = max(0, end-remoteLead), took+remoteOverhead
+		}
+		if r.Own {
+			steps = append(steps, Step{ID: r.ID, Start: start})
+		}
+		end += took
+	}
+	return steps, end
+}
--- a/internal/cmd/entrycmd/main.go
+++ b/internal/cmd/entrycmd/main.go
@@ -74,6 +74,7 @@
 	queue := diode.NewWriter(out, logQueueLines, logPollInterval, func(lost int) {
 		fmt.Fprintf(out, `{"level":"warn","lost_lines":%d,"message":"log queue full"}`+"\n", lost)
 	})
+	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
 	parsed, err := zerolog.ParseLevel(level)
 	if err != nil {
 		parsed = zerolog.InfoLevel // the flag admits known levels only
--- a/internal/connection/upstream.go
+++ b/internal/connection/upstream.go
@@ -260,6 +260,23 @@
 	return e.Response.ReadLimitBody(e.conn.reader, 0)
 }
 
+// Open opens a connection ahead of its use, unless an idle one is there.
+func (p *Pool) Open(ctx context.Context, address string, timeout time.Duration) error {
+	idle := p.idle(address)
+	idle.mu.Lock()
+	have := len(idle.conns) > 0
+	idle.mu.Unlock()
+	if have {
+		return nil
+	}
+	c, err := Dial(ctx, address, timeout)
+	if err != nil {
+		return err
+	}
+	p.put(&upstreamConn{Conn: c, address: address, reader: bufio.NewReaderSize(c, readBufferBytes)})
+	return nil
+}
+
 func (p *Pool) get(ctx context.Context, address string, opts Options) (*upstreamConn, bool, error) {
 	for !opts.Fresh {
 		c := p.takeIdle(address, orDefault(opts.MaxIdle, maxIdleAge))
--- a/internal/entry/dump.go
+++ b/internal/entry/dump.go
@@ -8,6 +8,7 @@
 // dump writes the state of the process as JSON.
 func (p *Process) dump(w http.ResponseWriter, _ *http.Request) {
 	age, known := p.directory.ConfigurationAge()
+	loads, runs := p.gateway.LocalState()
 	state := map[string]any{
 		"host":                    p.settings.HostID,
 		"ready":                   p.gateway.Ready(),
@@ -15,7 +16,8 @@
 		"configuration_age_known": known,
 		"connections":             p.callers.Open(),
 		"snapshot":                p.directory.Snapshot(),
-		"load":                    p.gateway.OwnLoad(),
+		"load":                    loads,
+		"runs":                    runs,
 	}
 	w.Header().Set("Content-Type", "application/json")
 	encoder := json.NewEncoder(w)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,6 +20,7 @@
 	"monsoonkeel.example/monsoonkeel/internal/connection"
 	"monsoonkeel.example/monsoonkeel/internal/directory"
 	"monsoonkeel.example/monsoonkeel/internal/forward"
+	"monsoonkeel.example/monsoonkeel/internal/gossip"
 )
 
 const (
@@ -61,12 +62,19 @@
 	directory *directory.Directory
 	gateway   *forward.Gateway
 	callers   *connection.Server
+	gossip    *gossip.Exchange
 }
 
 // New joins the parts of the process.
 func New(s *Settings, a Adapter, log zerolog.Logger) *Process {
 	debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryShare))
 	p := &Process{settings: s, adapter: a, log: log}
+	self := fleet.Host{
+		ID:          s.HostID,
+		PeerAddress: net.JoinHostPort(s.PeerIP, strconv.Itoa(s.PeerPort)),
+		Domain:      s.Domain,
+		Incarnation: time.Now().UnixMilli(),
+	}
 	p.directory = directory.New(directory.Options{
 		Store:        a.Store,
 		Clock:        boottime.Now,
@@ -78,12 +86,7 @@
 			directory.DomainsOut:    domainsWait,
 		},
 		Changed: func(old, now *directory.Snapshot) { p.gateway.Changed(old, now) },
-		Self: fleet.Host{
-			ID:          s.HostID,
-			PeerAddress: net.JoinHostPort(s.PeerIP, strconv.Itoa(s.PeerPort)),
-			Domain:      s.Domain,
-			Incarnation: time.Now().UnixMilli(),
-		},
+		Self:    self,
 	})
 	p.gateway = forward.New(forward.Options{
 		Directory:    p.directory,
@@ -98,6 +101,14 @@
 		ColdFactor:   s.ColdFactor,
 		ColdSlack:    s.ColdSlack,
 	})
+	p.gossip = gossip.New(gossip.Options{
+		Self:    self,
+		Region:  s.Region,
+		Hosts:   func() map[string]fleet.Host { return p.directory.Snapshot().Hosts },
+		Local:   p.gateway.LocalState,
+		Changed: p.gateway.SetPeers,
+		Log:     log,
+	})
 	p.callers = &connection.Server{
 		Limits:   p.gateway.Limits,
 		Handle:   p.gateway.Handle,
@@ -125,6 +136,7 @@
 	probe := &http.Server{Handler: p.probes(), ReadTimeout: probeTimeout, WriteTimeout: probeTimeout}
 	group.Go(func() error { return ignoreClosed(probe.Serve(ready)) })
 	group.Go(func() error { p.directory.Run(background); return nil })
+	group.Go(func() error { return p.gossip.Run(background) })
 	group.Go(func() error { return p.serveMetrics(background, metricsListen) })
 	group.Go(func() error { p.watchSettings(background, reload); return nil })
 
--- a/internal/forward/gateway.go
+++ b/internal/forward/gateway.go
@@ -13,6 +13,7 @@
 	"monsoonkeel.example/monsoonkeel/core/verdict"
 	"monsoonkeel.example/monsoonkeel/internal/connection"
 	"monsoonkeel.example/monsoonkeel/internal/directory"
+	"monsoonkeel.example/monsoonkeel/internal/gossip"
 )
 
 // Options configure a Gateway.
@@ -41,12 +42,16 @@
 	// leaveBy is the Unix nanosecond by which running requests must have ended
 	// because the host stops; 0 while it does not stop.
 	leaveBy atomic.Int64
+	// peers are the states of the other hosts.
+	peers atomic.Pointer[[]gossip.State]
 }
 
 // New returns a Gateway.
 func New(opts Options) *Gateway {
 	g := &Gateway{opts: opts, pool: connection.NewPool()}
 	g.places = newPlaces(opts)
+	g.peers.Store(&[]gossip.State{})
+	g.runs.plannedUntil = map[string]time.Time{}
 	g.runs.byServer = map[string]map[*run]struct{}{}
 	return g
 }
@@ -141,8 +146,19 @@
 	r.answered = true
 }
 
-// OwnLoad returns the work of this host by backend server.
-func (g *Gateway) OwnLoad() map[string]balance.Load { return g.places.ownLoad() }
+// LocalState returns the work of this host by backend server, and its runs.
+func (g *Gateway) LocalState() (map[string]balance.Load, []gossip.Run) {
+	return g.places.ownLoad(), g.runs.list(g.places)
+}
 
-// SetPeerLoad takes over the work of the other hosts by backend server.
-func (g *Gateway) SetPeerLoad(loads map[string]balance.Load) { g.places.setPeers(loads) }
+// SetPeers takes over the states of the other hosts.
+func (g *Gateway) SetPeers(states []gossip.State) {
+	g.peers.Store(&states)
+	loads := map[string]balance.Load{}
+	for _, s := range states {
+		for id, l := range s.Loads {
+			loads[id] = loads[id].Plus(l)
+		}
+	}
+	g.places.setPeers(loads)
+}
--- a/internal/forward/places.go
+++ b/internal/forward/places.go
@@ -46,7 +46,7 @@
 	server  balance.Server
 	places  *places
 	service string
-	tokens  int
+	work    balance.Load // guarded by places.mu
 	once    sync.Once
 }
 
@@ -107,6 +107,13 @@
 	}
 }
 
+// engineOf returns the engines of a service, or nil for plain services.
+func (p *places) engineOf(service string) *route.Engine {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.service(service).engine
+}
+
 func (p *places) hostCount() int {
 	if p.hosts == 0 {
 		return assumedHosts
@@ -164,9 +171,9 @@
 	s := p.service(service)
 	server, why := s.balancer.Pick(job, time.Now())
 	if why == balance.Chosen {
-		s.balancer.Start(server.ID, job.Tokens, time.Now())
+		s.balancer.Start(server.ID, workOf(job), time.Now())
 		p.mu.Unlock()
-		return p.newPlace(service, server, job.Tokens), why
+		return p.newPlace(service, server, job), why
 	}
 	if wait <= 0 {
 		p.mu.Unlock()
@@ -180,7 +187,7 @@
 	defer timer.Stop()
 	select {
 	case server := <-w.given:
-		return p.newPlace(service, server, job.Tokens), balance.Chosen
+		return p.newPlace(service, server, job), balance.Chosen
 	case <-ctx.Done():
 	case <-timer.C:
 	}
@@ -189,14 +196,32 @@
 	s.remove(w)
 	select {
 	case server := <-w.given: // given just before the end
-		return p.newPlace(service, server, job.Tokens), balance.Chosen
+		return p.newPlace(service, server, job), balance.Chosen
 	default:
 		return nil, why
 	}
 }
 
-func (p *places) newPlace(service string, server balance.Server, tokens int) *place {
-	return &place{server: server, places: p, service: service, tokens: tokens}
+func (p *places) newPlace(service string, server balance.Server, job balance.Job) *place {
+	return &place{server: server, places: p, service: service, work: workOf(job)}
+}
+
+func workOf(job balance.Job) balance.Load {
+	return balance.Load{Requests: 1, Tokens: job.Tokens, Prompt: job.Prompt}
+}
+
+// promptRead records that the request's prompt was read.
+func (pl *place) promptRead() {
+	p := pl.places
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if pl.work.Prompt == 0 {
+		return
+	}
+	s := p.service(pl.service)
+	s.balancer.End(pl.server.ID, balance.Load{Prompt: pl.work.Prompt})
+	pl.work.Prompt = 0
+	s.wake()
 }
 
 // enqueue keeps the waiters in the order in which they are served.
@@ -225,12 +250,25 @@
 			kept = append(kept, w)
 			continue
 		}
-		s.balancer.Start(server.ID, w.job.Tokens, time.Now())
+		s.balancer.Start(server.ID, workOf(w.job), time.Now())
 		w.given <- server
 	}
 	s.waiters = kept
 }
 
+// expect replaces the memory that the request is expected to need.
+func (pl *place) expect(tokens int) {
+	p := pl.places
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if pl.work.Requests == 0 || pl.work.Tokens == tokens {
+		return
+	}
+	s := p.service(pl.service)
+	s.balancer.End(pl.server.ID, balance.Load{Tokens: pl.work.Tokens - tokens})
+	pl.work.Tokens = tokens
+}
+
 // release ends the place. failed says that the server could not be reached or
 // broke off.
 func (pl *place) release(failed bool) {
@@ -239,7 +277,8 @@
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		s := p.service(pl.service)
-		s.balancer.End(pl.server.ID, pl.tokens)
+		s.balancer.End(pl.server.ID, pl.work)
+		pl.work = balance.Load{}
 		if failed {
 			s.balancer.Failed(pl.server.ID, time.Now())
 		} else {
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -45,7 +45,7 @@
 	var tried []string
 	var last error
 	for ran := 0; ; {
-		p, why := r.place(0, tried)
+		p, why := r.place(balance.Job{}, tried)
 		if p == nil {
 			return r.noPlace(last, why)
 		}
@@ -121,8 +121,8 @@
 }
 
 // place waits for room at a server that was not tried.
-func (r *request) place(tokens int, tried []string) (*place, balance.Why) {
-	job := balance.Job{Tokens: tokens, Allowed: route.Regions(r.route, r.team), Exclude: tried}
+func (r *request) place(job balance.Job, tried []string) (*place, balance.Why) {
+	job.Allowed, job.Exclude = route.Regions(r.route, r.team), tried
 	start := time.Now()
 	p, why := r.g.places.acquire(r.ctx, r.service, job, r.priority(), r.waitBound())
 	r.waited += time.Since(start)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -7,6 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"monsoonkeel.example/monsoonkeel/core/balance"
 	"monsoonkeel.example/monsoonkeel/core/verdict"
 	"monsoonkeel.example/monsoonkeel/internal/connection"
 	"monsoonkeel.example/monsoonkeel/internal/request/sse"
@@ -24,7 +25,7 @@
 	var tried []string
 	var last error
 	for {
-		p, why := r.place(r.prompt+r.output, tried)
+		p, why := r.place(balance.Job{Tokens: r.expectedTokens(r.prompt), Prompt: r.prompt}, tried)
 		if p == nil {
 			return r.noPlace(last, why)
 		}
@@ -80,7 +81,7 @@
 
 // startStream sends the request and reads the head of the answer.
 func (r *request) startStream(p *place) (*stream, error) {
-	ex, err := r.send(p, func(*fasthttp.Request) {})
+	ex, err := r.send(p, true, func(*fasthttp.Request) {})
 	if err != nil {
 		return nil, err
 	}
@@ -93,13 +94,14 @@
 	return s, nil
 }
 
-// send sends the request to the engine of a place. The place is released on failure.
-func (r *request) send(p *place, prepare func(*fasthttp.Request)) (*connection.Exchange, error) {
+// send sends the request to the engine of a place, if asked for on a new
+// connection. The place is released on failure.
+func (r *request) send(p *place, fresh bool, prepare func(*fasthttp.Request)) (*connection.Exchange, error) {
 	req := r.outgoing(p.server.ID)
 	defer fasthttp.ReleaseRequest(req)
 	prepare(req)
 	ex, err := r.g.pool.Do(r.ctx, p.server.Address, req, connection.Options{
-		Fresh: true, DialTimeout: connectTimeout, Belongs: r.belongs,
+		Fresh: fresh, DialTimeout: connectTimeout, MaxIdle: maxIdleReuse, Belongs: r.belongs,
 	})
 	if err != nil {
 		p.release(r.call.Context().Err() == nil)
@@ -196,6 +198,7 @@
 	if s.r.events == 0 {
 		s.r.firstEvent = now.Sub(s.r.call.Received)
 		s.r.g.Metrics.FirstEvent.observe(s.r.firstEvent)
+		s.run.promptRead()
 	} else {
 		s.r.worstGap = max(s.r.worstGap, now.Sub(s.lastAt))
 	}
--- /dev/null
+++ b/internal/gossip/gossip.go
@@ -0,0 +1,191 @@
+// Package gossip tells the other entry hosts several times a second what work
+// this host has at each backend server. Messages are datagrams that hold the
+// whole state: a lost one is made good by the next.
+package gossip
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"reflect"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"monsoonkeel.example/monsoonkeel/core/balance"
+	"monsoonkeel.example/monsoonkeel/core/fleet"
+)
+
+const (
+	// sendInterval is how often changed state is sent.
+	sendInterval = 150 * time.Millisecond
+	// quietInterval is how often unchanged state is sent.
+	quietInterval = 900 * time.Millisecond
+	// expiry is how long a host's state counts: three quiet intervals.
+	expiry = 3 * quietInterval
+	// maxMessageBytes is the largest datagram.
+	maxMessageBytes = 60 << 10
+)
+
+// Run is a generation that a host relays.
+type Run struct {
+	ID     string `json:"i"`
+	Server string `json:"s"`
+	// Tokens is the memory that it holds.
+	Tokens int `json:"t"`
+	// Rank is its place among the runs that leave an engine; see core/migrate.
+	Rank int `json:"k"`
+}
+
+// State is what a host tells.
+type State struct {
+	Host   string `json:"h"`
+	Region string `json:"r"`
+	// Incarnation and Sequence order the messages of a host.
+	Incarnation int64                   `json:"b"`
+	Sequence    int64                   `json:"q"`
+	Loads       map[string]balance.Load `json:"l,omitempty"`
+	Runs        []Run                   `json:"u,omitempty"`
+}
+
+// Options configure an Exchange.
+type Options struct {
+	Self   fleet.Host
+	Region string
+	// Hosts returns the entry hosts.
+	Hosts func() map[string]fleet.Host
+	// Local returns the state of this host.
+	Local func() (map[string]balance.Load, []Run)
+	// Changed gets the states of the other hosts.
+	Changed func([]State)
+	Log     zerolog.Logger
+}
+
+// Exchange sends and receives states.
+type Exchange struct {
+	opts  Options
+	mu    sync.Mutex
+	peers map[string]received
+}
+
+type received struct {
+	state State
+	at    time.Time
+}
+
+// New returns an Exchange; Run must be called for it to work.
+func New(opts Options) *Exchange {
+	return &Exchange{opts: opts, peers: map[string]received{}}
+}
+
+// Run exchanges states until ctx ends.
+func (e *Exchange) Run(ctx context.Context) error {
+	address, err := net.ResolveUDPAddr("udp", e.opts.Self.PeerAddress)
+	if err != nil {
+		return err
+	}
+	conn, err := net.ListenUDP("udp", address)
+	if err != nil {
+		return err
+	}
+	go func() {
+		<-ctx.Done()
+		_ = conn.Close()
+	}()
+	go e.sendLoop(ctx, conn)
+	return e.receiveLoop(conn)
+}
+
+func (e *Exchange) receiveLoop(conn *net.UDPConn) error {
+	buffer := make([]byte, maxMessageBytes)
+	for {
+		n, _, err := conn.ReadFromUDP(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			e.opts.Log.Warn().Err(err).Msg("gossip: receive")
+			time.Sleep(sendInterval)
+			continue
+		}
+		e.receive(buffer[:n], time.Now())
+	}
+}
+
+// receive takes over a message if it is newer than what is known of its host.
+func (e *Exchange) receive(message []byte, now time.Time) {
+	var s State
+	if err := json.Unmarshal(message, &s); err != nil || s.Host == "" || s.Host == e.opts.Self.ID {
+		e.opts.Log.Warn().AnErr("error", err).Int("bytes", len(message)).Msg("gossip: message not understood")
+		return
+	}
+	e.mu.Lock()
+	known, ok := e.peers[s.Host]
+	newer := !ok || s.Incarnation > known.state.Incarnation ||
+		s.Incarnation == known.state.Incarnation && s.Sequence > known.state.Sequence
+	if newer {
+		e.peers[s.Host] = received{state: s, at: now}
+	}
+	states := e.current(now)
+	e.mu.Unlock()
+	if newer {
+		e.opts.Changed(states)
+	}
+}
+
+// current returns the states that still count and forgets the others.
+func (e *Exchange) current(now time.Time) []State {
+	states := make([]State, 0, len(e.peers))
+	for host, r := range e.peers {
+		if now.Sub(r.at) > expiry {
+			delete(e.peers, host)
+			continue
+		}
+		states = append(states, r.state)
+	}
+	return states
+}
+
+func (e *Exchange) sendLoop(ctx context.Context, conn *net.UDPConn) {
+	ticker := time.NewTicker(sendInterval)
+	defer ticker.Stop()
+	last := State{Host: e.opts.Self.ID, Region: e.opts.Region, Incarnation: e.opts.Self.Incarnation}
+	var sent time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		next := last
+		next.Loads, next.Runs = e.opts.Local()
+		if reflect.DeepEqual(next, last) && time.Since(sent) < quietInterval {
+			continue
+		}
+		next.Sequence++
+		last, sent = next, time.Now()
+		e.send(conn, next)
+	}
+}
+
+func (e *Exchange) send(conn *net.UDPConn, s State) {
+	message, err := json.Marshal(s)
+	if err != nil || len(message) > maxMessageBytes {
+		e.opts.Log.Error().AnErr("error", err).Int("bytes", len(message)).Msg("gossip: state cannot be sent")
+		return
+	}
+	for id, h := range e.opts.Hosts() {
+		if id == e.opts.Self.ID {
+			continue
+		}
+		address, err := net.ResolveUDPAddr("udp", h.PeerAddress)
+		if err == nil {
+			_, err = conn.WriteToUDP(message, address)
+		}
+		if err != nil && !errors.Is(err, net.ErrClosed) {
+			e.opts.Log.Debug().Str("peer", id).Err(err).Msg("gossip: send")
+		}
+	}
+}
