Keep few idle connections and deliver a backend server's own failure

Ruled out: the servers' load (a sixth of their slots in use). Change: two idle connections per server and host; a repeat goes to the same server if there is no other; a failure is held back only if the budget allows a repeat.

--- a/core/retry/shared.go
+++ b/core/retry/shared.go
@@ -22,13 +22,18 @@
 	b.first = append(b.first, now)
 }
 
-// Allow reports whether a repeat may be sent now, and charges it if so. The
-// slack is divided by the number of hosts; the share needs no division, since
-// each host counts its own requests.
-func (b *Shared) Allow(l Limits, hosts int, now time.Time) bool {
+// Left reports whether a repeat may be sent now. The slack is divided by the
+// number of hosts; the share needs no division, since each host counts its own
+// requests.
+func (b *Shared) Left(l Limits, hosts int, now time.Time) bool {
 	b.expire(l, now)
 	limit := l.Share*float64(len(b.first)) + l.Slack/float64(max(1, hosts))
-	if float64(len(b.repeats)+1) > limit {
+	return float64(len(b.repeats)+1) <= limit
+}
+
+// Allow reports whether a repeat may be sent now, and charges it if so.
+func (b *Shared) Allow(l Limits, hosts int, now time.Time) bool {
+	if !b.Left(l, hosts, now) {
 		return false
 	}
 	b.repeats = append(b.repeats, now)
--- a/internal/connection/upstream.go
+++ b/internal/connection/upstream.go
@@ -19,8 +19,8 @@
 const (
 	// dialTimeout bounds connection setup: one regional round trip takes 60 ms.
 	dialTimeout = 1 * time.Second
-	// maxIdlePerAddress bounds the idle connections kept per backend server.
-	maxIdlePerAddress = 64
+	// DefaultMaxIdle bounds the idle connections kept per backend server.
+	DefaultMaxIdle = 64
 	// maxIdleAge is below the usual keep-alive timeout of servers, so that few
 	// reused connections turn out to be closed.
 	maxIdleAge = 20 * time.Second
@@ -41,6 +41,7 @@
 	// addresses holds an *idleConns for each address, so that requests to
 	// different backend servers share no lock.
 	addresses sync.Map
+	maxIdle   int
 }
 
 type idleConns struct {
@@ -48,8 +49,13 @@
 	conns []*upstreamConn
 }
 
-// NewPool returns an empty pool.
-func NewPool() *Pool { return &Pool{} }
+// NewPool returns an empty pool that keeps up to DefaultMaxIdle idle connections
+// per address.
+func NewPool() *Pool { return NewPoolSize(DefaultMaxIdle) }
+
+// NewPoolSize returns an empty pool that keeps up to maxIdle idle connections
+// per address.
+func NewPoolSize(maxIdle int) *Pool { return &Pool{maxIdle: maxIdle} }
 
 func (p *Pool) idle(address string) *idleConns {
 	if known, ok := p.addresses.Load(address); ok {
@@ -381,7 +387,7 @@
 	idle := p.idle(c.address)
 	idle.mu.Lock()
 	defer idle.mu.Unlock()
-	if len(idle.conns) >= maxIdlePerAddress {
+	if len(idle.conns) >= p.maxIdle {
 		_ = c.Close()
 		return
 	}
--- a/internal/forward/gateway.go
+++ b/internal/forward/gateway.go
@@ -46,9 +46,13 @@
 	peers atomic.Pointer[[]gossip.State]
 }
 
+// maxIdlePerServer bounds the idle connections to a backend server. It accepts
+// few from all hosts together and resets those beyond.
+const maxIdlePerServer = 2
+
 // New returns a Gateway.
 func New(opts Options) *Gateway {
-	g := &Gateway{opts: opts, pool: connection.NewPool()}
+	g := &Gateway{opts: opts, pool: connection.NewPoolSize(maxIdlePerServer)}
 	g.places = newPlaces(opts)
 	g.peers.Store(&[]gossip.State{})
 	g.runs.plannedUntil = map[string]time.Time{}
--- a/internal/forward/places.go
+++ b/internal/forward/places.go
@@ -165,6 +165,13 @@
 	return p.service(service).budget.Allow(p.opts.Retries, p.hostCount(), time.Now())
 }
 
+// budgetLeft reports whether the budget of repeats allows one now.
+func (p *places) budgetLeft(service string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.service(service).budget.Left(p.opts.Retries, p.hostCount(), time.Now())
+}
+
 // acquire chooses a server, waiting for room until ctx ends or wait has passed.
 func (p *places) acquire(ctx context.Context, service string, job balance.Job, priority int, wait time.Duration) (*place, balance.Why) {
 	p.mu.Lock()
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -27,6 +27,9 @@
 	// maxRefusals is how many backend servers may refuse a request unrun before
 	// the caller is refused.
 	maxRefusals = 3
+	// minRepeatTime is the least time left for a repeat: two round trips between
+	// regions.
+	minRepeatTime = 120 * time.Millisecond
 	// headShare of the time left is how long the first of several tries waits
 	// for an answer.
 	headShare = 0.4
@@ -44,14 +47,14 @@
 	r.g.places.firstTry(r.service)
 	var tried []string
 	var last error
-	for ran := 0; ; {
-		p, why := r.place(balance.Job{}, tried)
+	ran := 0
+	for {
+		p, why := r.placeAgain(tried)
 		if p == nil {
 			return r.noPlace(last, why)
 		}
 		r.tries++
-		again := r.route.Kind == route.Idempotent && ran+1 < r.route.Attempts
-		err := r.tryPlain(p, again)
+		err := r.tryPlain(p, ran)
 		if err == nil {
 			return nil
 		}
@@ -62,7 +65,7 @@
 		tried = append(tried, p.server.ID)
 		if verdict.Of(err) != verdict.NotRun {
 			ran++
-			if !again {
+			if !r.mayRunAgain(ran) {
 				return err
 			}
 		}
@@ -72,6 +75,21 @@
 	}
 }
 
+// mayRunAgain reports whether the request may run once more after it ran a
+// number of times.
+func (r *request) mayRunAgain(ran int) bool {
+	return r.route.Kind == route.Idempotent && ran < r.route.Attempts
+}
+
+// placeAgain takes a place at a server that was not tried, or else at any.
+func (r *request) placeAgain(tried []string) (*place, balance.Why) {
+	p, why := r.place(balance.Job{}, tried)
+	if p == nil && why == balance.None && len(tried) > 0 && r.route.Kind == route.Idempotent {
+		return r.place(balance.Job{}, nil)
+	}
+	return p, why
+}
+
 // mayTryAgain charges another try. A server that was not reached saw no request.
 func (r *request) mayTryAgain(err error, tries int) bool {
 	if tries >= maxRefusals+r.route.Attempts {
@@ -146,9 +164,10 @@
 	return r.route.Priority
 }
 
-// tryPlain sends the request to one server and delivers the answer. again says
-// that another try may follow.
-func (r *request) tryPlain(p *place, again bool) error {
+// tryPlain sends the request, which ran a number of times before, to one server
+// and delivers the answer.
+func (r *request) tryPlain(p *place, ran int) error {
+	again := r.mayRunAgain(ran + 1)
 	opts := connection.Options{
 		Fresh:       r.route.Kind == route.NonIdempotent,
 		DialTimeout: connectTimeout,
@@ -165,6 +184,8 @@
 		p.release(r.call.Context().Err() == nil)
 		return err
 	}
+	// A failure is held back only if another try is sure to be sent.
+	again = again && r.canRepeat()
 	if err := r.check(ex, again); err != nil {
 		ex.Finish(false)
 		p.release(verdict.From(err).Code == codeBroken)
@@ -175,6 +196,11 @@
 	return err
 }
 
+// canRepeat reports whether the budget allows a repeat now and time is left.
+func (r *request) canRepeat() bool {
+	return time.Until(r.deadline) > minRepeatTime && r.g.places.budgetLeft(r.service)
+}
+
 // belongs reports whether an answer carries the request's id.
 func (r *request) belongs(h *fasthttp.ResponseHeader) bool {
 	return string(h.Peek(r.g.opts.Dialect.RequestID)) == r.id
