Bound request bodies in memory, reload bounds, resume only runs that have ended

Cause: reading the path against the promises: large bodies in parallel could exceed the host's memory; a run whose last copy failed could go on from its first copy while its engine still ran it; settings were read again and not used; a lookup that ran and then found no server was refused as not run; the process waited for store calls at its stop and was killed by the platform. Change: a byte budget for bodies; an engine is asked before a run goes on from a first copy; bounds are swapped at a reload; the stop waits for no call.

--- a/internal/connection/caller.go
+++ b/internal/connection/caller.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/semaphore"
 )
 
 const (
@@ -23,6 +24,8 @@
 	// refusedLinger is how long a connection is read on after a request that
 	// was refused unread, so that the answer is not lost in a reset.
 	refusedLinger = 500 * time.Millisecond
+	// bodyWait is how long a request waits for room for its body.
+	bodyWait = time.Second
 	// minHeaderBytes is the smallest buffer for a request head.
 	minHeaderBytes = 4 << 10
 	// maxHeaderBytes bounds the limit that a configuration may set.
@@ -44,6 +47,8 @@
 	Handle func(*Call)
 	// MaxConns bounds the open connections; further ones are closed.
 	MaxConns int
+	// BodyBudget bounds the bytes of request bodies in memory; nil means no bound.
+	BodyBudget *semaphore.Weighted
 
 	stopping atomic.Bool
 	open     atomic.Int64
@@ -217,6 +222,7 @@
 	call := &Call{conn: c, Received: time.Now()}
 	call.Request = fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(call.Request)
+	defer call.releaseBody(0)
 	if fault := c.readRequest(call); fault != nil {
 		if fault.status != 0 {
 			call.close = true
@@ -285,6 +291,9 @@
 	if req.Header.ContentLength() > limit {
 		return &headFault{413, "the request body is too large"}
 	}
+	if !call.reserveBody(limit) {
+		return &headFault{503, "too many request bodies are in memory"}
+	}
 	if req.MayContinue() {
 		if _, err := io.WriteString(c.conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return &headFault{}
@@ -294,6 +303,7 @@
 	err := req.ContinueReadBody(c.reader, limit, false)
 	switch {
 	case err == nil:
+		call.releaseBody(int64(len(req.Body())))
 		return nil
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		return &headFault{413, "the request body is too large"}
@@ -305,6 +315,34 @@
 	return &headFault{400, "malformed request body"}
 }
 
+// reserveBody takes room for the body out of the budget: its length, or the
+// limit if the length is not known yet.
+func (c *Call) reserveBody(limit int) bool {
+	budget := c.conn.server.BodyBudget
+	need := int64(c.Request.Header.ContentLength())
+	if budget == nil || need == 0 || need < -1 {
+		return true
+	}
+	if need < 0 {
+		need = int64(limit)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), bodyWait)
+	defer cancel()
+	if budget.Acquire(ctx, need) != nil {
+		return false
+	}
+	c.reserved = need
+	return true
+}
+
+// releaseBody gives back what the body doesn't need.
+func (c *Call) releaseBody(needed int64) {
+	if surplus := c.reserved - needed; surplus > 0 {
+		c.conn.server.BodyBudget.Release(surplus)
+		c.reserved = needed
+	}
+}
+
 // watch cancels when the caller closes the connection while its request runs.
 // The returned function ends the watch and reports whether the connection is
 // still usable.
@@ -345,6 +383,8 @@
 	close    bool
 	done     bool
 	chunked  bool
+	// reserved is the call's part of the body budget.
+	reserved int64
 }
 
 // Context ends when the caller closes the connection.
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -143,6 +143,8 @@
 	absent  map[string]time.Duration // ids of missing servers, since when
 	goneAt  map[string]time.Duration
 	backoff map[Kind]time.Duration
+	// oldHosts are entries to delete; only registerLoop uses it.
+	oldHosts []string
 }
 
 // New returns a Directory; Run must be called for it to work.
--- a/internal/directory/hosts.go
+++ b/internal/directory/hosts.go
@@ -35,8 +35,10 @@
 			registered, due = now, false
 		}
 		if batch, err := d.list(ctx, Hosts, n >= firstHostLists); err == nil {
+			d.oldHosts = oldHosts(batch)
 			d.apply(Hosts, recent(batch), true, now)
 		}
+		d.forgetOld(ctx)
 		pause := hostListInterval
 		if n < firstHostLists {
 			pause = firstHostListInterval
@@ -75,3 +77,39 @@
 	b.Changes = kept
 	return b
 }
+
+// forgottenAfter is how long after its last registration a host's entry is
+// deleted from the store.
+const forgottenAfter = 10 * time.Minute
+
+// oldHosts returns the hosts whose entries can be deleted.
+func oldHosts(b Batch) []string {
+	newest := int64(0)
+	for _, c := range b.Changes {
+		if c.Host != nil {
+			newest = max(newest, c.Host.Beat)
+		}
+	}
+	var old []string
+	for _, c := range b.Changes {
+		if c.Host != nil && newest-c.Host.Beat > int64(forgottenAfter/time.Second) {
+			old = append(old, c.Name)
+		}
+	}
+	return old
+}
+
+// forgetOld deletes one old entry. Hosts that do so at the same time do no harm.
+func (d *Directory) forgetOld(ctx context.Context) {
+	if len(d.oldHosts) == 0 {
+		return
+	}
+	id := d.oldHosts[rand.IntN(len(d.oldHosts))]
+	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+	if err := d.opts.Store.Forget(ctx, id); err != nil {
+		d.opts.Log.Info().Str("entry_host", id).Err(err).Msg("old entry not deleted")
+		return
+	}
+	d.opts.Log.Info().Str("entry_host", id).Msg("old entry deleted")
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"expvar"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -13,6 +14,7 @@
 
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/semaphore"
 
 	"monsoonkeel.example/monsoonkeel/core/fleet"
 	"monsoonkeel.example/monsoonkeel/core/retry"
@@ -27,6 +29,11 @@
 	// memoryShare is the share of the host's memory at which the collector
 	// works harder; the rest is for bytes in the kernel and short peaks.
 	memoryShare = 0.6
+	// bodyShare is the share of the memory for callers' request bodies, which
+	// are kept until the answer and copied once when they are sent.
+	bodyShare = 0.15
+	// minBodyBudget lets the largest body that a configuration usually allows in.
+	minBodyBudget = 8 << 20
 	// reservedFiles are descriptors that callers' connections leave to those
 	// towards backend servers, the store and other hosts, as a share.
 	reservedFiles = 0.4
@@ -50,8 +57,8 @@
 	Dialect forward.Dialect
 	// ReadyPath is the path of the readiness probe.
 	ReadyPath string
-	// Reload reads the settings again; it reports whether they changed.
-	Reload func() (bool, error)
+	// Reload reads the settings again. It returns nil if they did not change.
+	Reload func() (*Settings, error)
 }
 
 // Process is the running host.
@@ -89,17 +96,13 @@
 		Self:    self,
 	})
 	p.gateway = forward.New(forward.Options{
-		Directory:    p.directory,
-		Dialect:      a.Dialect,
-		Engines:      a.Engines,
-		Log:          log,
-		Domain:       s.Domain,
-		Region:       s.Region,
-		StrictRevoke: s.StrictRevoke,
-		RevokeBound:  s.RevokeBound,
-		Retries:      retry.Limits{Share: s.RetryShare, Window: s.RetryWindow, Slack: s.RetrySlack},
-		ColdFactor:   s.ColdFactor,
-		ColdSlack:    s.ColdSlack,
+		Directory: p.directory,
+		Dialect:   a.Dialect,
+		Engines:   a.Engines,
+		Log:       log,
+		Domain:    s.Domain,
+		Region:    s.Region,
+		Bounds:    bounds(s),
 	})
 	p.gossip = gossip.New(gossip.Options{
 		Self:    self,
@@ -110,13 +113,24 @@
 		Log:     log,
 	})
 	p.callers = &connection.Server{
-		Limits:   p.gateway.Limits,
-		Handle:   p.gateway.Handle,
-		MaxConns: int(float64(s.MaxFiles) * (1 - reservedFiles)),
+		Limits:     p.gateway.Limits,
+		Handle:     p.gateway.Handle,
+		BodyBudget: semaphore.NewWeighted(max(int64(float64(s.MemoryBytes)*bodyShare), minBodyBudget)),
+		MaxConns:   int(float64(s.MaxFiles) * (1 - reservedFiles)),
 	}
 	return p
 }
 
+func bounds(s *Settings) forward.Bounds {
+	return forward.Bounds{
+		StrictRevoke: s.StrictRevoke,
+		RevokeBound:  s.RevokeBound,
+		Retries:      retry.Limits{Share: s.RetryShare, Window: s.RetryWindow, Slack: s.RetrySlack},
+		ColdFactor:   s.ColdFactor,
+		ColdSlack:    s.ColdSlack,
+	}
+}
+
 // Run serves until ctx ends and then stops gracefully. reload is signalled when
 // the settings may have changed.
 func (p *Process) Run(ctx context.Context, metricsListen string, reload <-chan os.Signal) error {
@@ -140,16 +154,28 @@
 	group.Go(func() error { return p.serveMetrics(background, metricsListen) })
 	group.Go(func() error { p.watchSettings(background, reload); return nil })
 
-	<-ctx.Done()
-	p.stop()
+	ended := make(chan error, 1)
+	go func() { ended <- group.Wait() }()
+	select {
+	case <-ctx.Done():
+		p.stop()
+	case err = <-ended: // a listener failed
+	}
 	stop()
 	_ = front.Close()
 	_ = probe.Close()
-	err = group.Wait()
+	select {
+	case err = <-ended:
+	case <-time.After(endTimeout):
+		// Calls to the store end by their own deadlines; the process need not wait.
+	}
 	p.log.Info().Msg("stopped")
 	return err
 }
 
+// endTimeout bounds the end of the background work.
+const endTimeout = 100 * time.Millisecond
+
 // stop lets running requests end within the grace.
 func (p *Process) stop() {
 	grace := p.settings.StopGrace - stopMargin
@@ -197,9 +223,17 @@
 	if err != nil {
 		return err
 	}
-	expvar.Publish("forward", &p.gateway.Metrics)
+	vars := new(expvar.Map).Init()
+	vars.Set("forward", &p.gateway.Metrics)
+	vars.Set("connections", expvar.Func(func() any { return p.callers.Open() }))
+	vars.Set("memstats", expvar.Get("memstats"))
 	mux := http.NewServeMux()
-	mux.Handle("/metrics", expvar.Handler())
+	mux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		if _, err := io.WriteString(w, vars.String()+"\n"); err != nil {
+			p.log.Debug().Err(err).Msg("metrics")
+		}
+	})
 	mux.HandleFunc("/state", p.dump)
 	server := &http.Server{Handler: mux, ReadTimeout: probeTimeout, WriteTimeout: probeTimeout}
 	go func() {
@@ -230,12 +264,13 @@
 		case <-reload:
 		case <-ticker.C:
 		}
-		changed, err := p.adapter.Reload()
+		s, err := p.adapter.Reload()
 		switch {
 		case err != nil:
 			p.log.Error().Err(err).Msg("settings not reloaded, the former ones hold")
-		case changed:
-			p.log.Info().Msg("settings changed; they take effect at the next start")
+		case s != nil:
+			p.gateway.SetBounds(bounds(s))
+			p.log.Info().Msg("settings reloaded: bounds are in force, addresses and places at the next start")
 		}
 	}
 }
--- a/internal/forward/gateway.go
+++ b/internal/forward/gateway.go
@@ -24,7 +24,14 @@
 	Log       zerolog.Logger
 	// Domain and Region are those of the host.
 	Domain, Region string
-	// StrictRevoke and RevokeBound: see entry.Settings.
+	Bounds         Bounds
+}
+
+// Bounds are promises that hold for all hosts together. They may change while
+// the process runs.
+type Bounds struct {
+	// StrictRevoke says that a removed key must not be served after RevokeBound,
+	// not even by a host without access to the store.
 	StrictRevoke bool
 	RevokeBound  time.Duration
 	Retries      retry.Limits
@@ -42,6 +49,7 @@
 	// leaveBy is the Unix nanosecond by which running requests must have ended
 	// because the host stops; 0 while it does not stop.
 	leaveBy atomic.Int64
+	bounds  atomic.Pointer[Bounds]
 	// peers are the states of the other hosts.
 	peers atomic.Pointer[[]gossip.State]
 }
@@ -53,6 +61,7 @@
 // New returns a Gateway.
 func New(opts Options) *Gateway {
 	g := &Gateway{opts: opts, pool: connection.NewPoolSize(maxIdlePerServer)}
+	g.bounds.Store(&opts.Bounds)
 	g.places = newPlaces(opts)
 	g.peers.Store(&[]gossip.State{})
 	g.runs.plannedUntil = map[string]time.Time{}
@@ -103,17 +112,24 @@
 // keysCurrent reports whether a key that is known now cannot have been removed
 // longer ago than the bound.
 func (g *Gateway) keysCurrent() bool {
-	if !g.opts.StrictRevoke {
+	bounds := g.bounds.Load()
+	if !bounds.StrictRevoke {
 		return true
 	}
 	age, ok := g.opts.Directory.ConfigurationAge()
-	return ok && age < g.opts.RevokeBound-revokeMargin
+	return ok && age < bounds.RevokeBound-revokeMargin
 }
 
 // revokeMargin covers what passes between the check of a key and the moment
 // that the caller's request counts as sent, and the drift of clocks.
 const revokeMargin = 100 * time.Millisecond
 
+// SetBounds replaces the bounds.
+func (g *Gateway) SetBounds(b Bounds) {
+	g.bounds.Store(&b)
+	g.places.setBounds(b, g.opts.Directory.Snapshot())
+}
+
 // Changed takes over a new snapshot.
 func (g *Gateway) Changed(old, now *directory.Snapshot) {
 	g.places.changed(now)
--- a/internal/forward/move.go
+++ b/internal/forward/move.go
@@ -7,6 +7,7 @@
 	"sort"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -362,16 +363,34 @@
 	return result, err
 }
 
-// stopped decides where a run goes on whose last part was not copied.
+// stopped keeps the result of a last part that failed. Only its first copy, if
+// it is sure that the engine does not run it any more, can go on.
 func (ru *run) stopped(m *move, result CopyResult) {
 	m.result = result
-	if result.Outcome == CopyFailed && m.copied.Handle != "" {
-		// The engine ended meanwhile; what the copy lacks is read again.
-		m.result = m.copied
-		m.result.Outcome = Copied
-		return
+	if m.copied.Handle == "" || result.Outcome == NoRoom {
+		m.dropTarget()
 	}
-	m.dropTarget()
+}
+
+// resumable reports whether the run of a broken stream may go on from its first
+// copy: only when its engine surely does not run it any more. It may have been
+// asked to stop without its answer having arrived.
+func (ru *run) resumable(m *move) bool {
+	if m.copied.Handle == "" || m.target == nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ru.r.ctx, connectTimeout)
+	defer cancel()
+	result, err := ru.r.g.opts.Engines.Copy(ctx, m.source.Address, ru.r.id, m.target.server.Address, true)
+	ru.log(m, "engine asked after its stream broke", result, err)
+	switch result.Outcome {
+	case Copied:
+		m.copied = result
+		return true
+	case NoRun:
+		return true
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
 func (m *move) dropTarget() {
@@ -423,10 +442,11 @@
 	switch {
 	case m.result.Outcome == Copied:
 		return s.continueAt(m)
-	case m.copied.Handle != "" && m.target != nil:
+	case ru.resumable(m):
 		m.result = m.copied
 		return s.continueAt(m)
 	}
+	m.dropTarget()
 	s.r.g.Metrics.MovesFailed.Add(1)
 	return errors.Join(err, errors.New("the run stopped and was not moved: "+m.result.Outcome.String()))
 }
--- a/internal/forward/places.go
+++ b/internal/forward/places.go
@@ -20,6 +20,7 @@
 	opts Options
 
 	mu       sync.Mutex
+	bounds   Bounds
 	services map[string]*serviceState
 	hosts    int
 	known    map[string]bool // addresses of servers in the snapshot
@@ -51,7 +52,7 @@
 }
 
 func newPlaces(opts Options) *places {
-	return &places{opts: opts, services: map[string]*serviceState{}, known: map[string]bool{}}
+	return &places{opts: opts, bounds: opts.Bounds, services: map[string]*serviceState{}, known: map[string]bool{}}
 }
 
 func (p *places) service(name string) *serviceState {
@@ -63,6 +64,14 @@
 	return s
 }
 
+// setBounds replaces the bounds.
+func (p *places) setBounds(b Bounds, now *directory.Snapshot) {
+	p.mu.Lock()
+	p.bounds = b
+	p.mu.Unlock()
+	p.changed(now)
+}
+
 // changed takes over the servers and settings of a snapshot.
 func (p *places) changed(now *directory.Snapshot) {
 	p.mu.Lock()
@@ -102,7 +111,7 @@
 		settings.KVTokens = config.Engine.KVTokens
 	}
 	if config.ColdPerSecond > 0 {
-		all := config.ColdPerSecond*p.opts.ColdFactor + p.opts.ColdSlack
+		all := config.ColdPerSecond*p.bounds.ColdFactor + p.bounds.ColdSlack
 		settings.PerSecond = max(1, int(all)/p.hostCount())
 	}
 }
@@ -155,21 +164,21 @@
 func (p *places) firstTry(service string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.service(service).budget.FirstTry(p.opts.Retries, time.Now())
+	p.service(service).budget.FirstTry(p.bounds.Retries, time.Now())
 }
 
 // mayRepeat charges a repeat if the budget allows one.
 func (p *places) mayRepeat(service string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.service(service).budget.Allow(p.opts.Retries, p.hostCount(), time.Now())
+	return p.service(service).budget.Allow(p.bounds.Retries, p.hostCount(), time.Now())
 }
 
 // budgetLeft reports whether the budget of repeats allows one now.
 func (p *places) budgetLeft(service string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.service(service).budget.Left(p.opts.Retries, p.hostCount(), time.Now())
+	return p.service(service).budget.Left(p.bounds.Retries, p.hostCount(), time.Now())
 }
 
 // acquire chooses a server, waiting for room until ctx ends or wait has passed.
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -51,7 +51,7 @@
 	for {
 		p, why := r.placeAgain(tried)
 		if p == nil {
-			return r.noPlace(last, why)
+			return r.noPlace(last, ran, why)
 		}
 		r.tries++
 		err := r.tryPlain(p, ran)
@@ -116,13 +116,10 @@
 	return &verdict.Error{Verdict: verdict.NotRun, Status: 503, Code: e.Code, Detail: e.Detail, Cause: e.Cause}
 }
 
-// noPlace is the error of a request that found no server.
-func (r *request) noPlace(last error, why balance.Why) error {
+// noPlace is the error of a request that found no server after it ran a number
+// of times.
+func (r *request) noPlace(last error, ran int, why balance.Why) error {
 	if last != nil {
-		ran := 0
-		if verdict.Of(last) != verdict.NotRun {
-			ran = 1
-		}
 		return r.giveUp(last, ran)
 	}
 	if r.ctx.Err() != nil {
@@ -188,7 +185,7 @@
 	again = again && r.canRepeat()
 	if err := r.check(ex, again); err != nil {
 		ex.Finish(false)
-		p.release(verdict.From(err).Code == codeBroken)
+		p.release(verdict.From(err).Code != codeServerError)
 		return err
 	}
 	err = r.deliver(ex)
@@ -201,9 +198,10 @@
 	return time.Until(r.deadline) > minRepeatTime && r.g.places.budgetLeft(r.service)
 }
 
-// belongs reports whether an answer carries the request's id.
+// belongs reports whether an answer is not known to belong to another request.
 func (r *request) belongs(h *fasthttp.ResponseHeader) bool {
-	return string(h.Peek(r.g.opts.Dialect.RequestID)) == r.id
+	id := string(h.Peek(r.g.opts.Dialect.RequestID))
+	return id == "" || id == r.id
 }
 
 // check decides from the head whether an answer is one that can be delivered.
@@ -214,7 +212,7 @@
 	switch {
 	case len(h.Peek(d.NotRun)) > 0 || status == fasthttp.StatusMisdirectedRequest:
 		return notRun(503, codeNotRun, "the backend server did not run the request")
-	case len(h.Peek(d.Receipt)) == 0 || len(h.Peek("Content-Encoding")) > 0:
+	case string(h.Peek(d.RequestID)) != r.id, len(h.Peek(d.Receipt)) == 0, len(h.Peek("Content-Encoding")) > 0:
 		return broken(errors.New("the answer is not the backend server's own"))
 	case isPromise(status):
 		// Callers take these as "not run", which this answer doesn't say.
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -95,11 +95,15 @@
 }
 
 func (r *request) authenticate(t *route.Table) error {
-	if !t.NeedsKey || r.route.Public {
+	if !t.NeedsKey {
 		return nil
 	}
 	key := string(r.call.Request.Header.Peek(r.g.opts.Dialect.Key))
-	if r.team = t.Team(key); r.team == nil {
+	r.team = t.Team(key)
+	if r.route.Public {
+		return nil
+	}
+	if r.team == nil {
 		return notRun(401, "unknown_key", "the key is unknown")
 	}
 	if !r.g.keysCurrent() {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -27,7 +27,7 @@
 	for {
 		p, why := r.place(balance.Job{Tokens: r.expectedTokens(r.prompt), Prompt: r.prompt}, tried)
 		if p == nil {
-			return r.noPlace(last, why)
+			return r.noPlace(last, 0, why)
 		}
 		r.tries++
 		s, err := r.startStream(p)
@@ -109,7 +109,7 @@
 	}
 	if err := r.check(ex, false); err != nil {
 		ex.Finish(false)
-		p.release(verdict.From(err).Code == codeBroken)
+		p.release(true)
 		return nil, err
 	}
 	return ex, nil
