--- /dev/null
+++ b/core/balance/balance_test.go
@@ -0,0 +1,141 @@
+package balance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+var start = time.Unix(1000, 0)
+
+func engines() *Balancer {
+	b := New()
+	b.Configure(Settings{Domain: "west-a", Region: "west", KVTokens: 10000})
+	b.SetServers([]Server{
+		{ID: "w1", Address: "w1", Domain: "west-a", Region: "west", Slots: 64},
+		{ID: "w2", Address: "w2", Domain: "west-a", Region: "west", Slots: 64},
+		{ID: "e1", Address: "e1", Domain: "east-a", Region: "east", Slots: 64},
+	})
+	return b
+}
+
+func pick(t *testing.T, b *Balancer, job Job, now time.Time) string {
+	t.Helper()
+	s, why := b.Pick(job, now)
+	require.Equal(t, Chosen, why)
+	return s.ID
+}
+
+// Pattern: several hosts send to the same engines. The work of the others,
+// which the host learns by gossip, must count like its own.
+func TestWorkOfOtherHostsCounts(t *testing.T) {
+	b := engines()
+	b.SetPeerLoad(map[string]Load{"w1": {Requests: 2, Tokens: 3000}})
+	assert.Equal(t, "w2", pick(t, b, Job{Tokens: 1000}, start))
+	b.Start("w2", Load{Requests: 1, Tokens: 4000}, start)
+	assert.Equal(t, "w1", pick(t, b, Job{Tokens: 1000}, start))
+}
+
+// Pattern: a burst of long prompts. They are read one after another, so an
+// engine with less memory in use may still answer later.
+func TestPromptsStillToBeReadWeighMoreThanMemory(t *testing.T) {
+	b := engines()
+	b.Start("w1", Load{Requests: 1, Tokens: 2000, Prompt: 2000}, start)
+	b.Start("w2", Load{Requests: 1, Tokens: 3000}, start)
+	assert.Equal(t, "w2", pick(t, b, Job{Tokens: 1000}, start))
+	b.End("w1", Load{Prompt: 2000})
+	assert.Equal(t, "w1", pick(t, b, Job{Tokens: 1000}, start))
+}
+
+// Pattern: uneven load between regions. Another region is chosen only if it is
+// clearly emptier.
+func TestAnotherRegionOnlyIfClearlyEmptier(t *testing.T) {
+	b := engines()
+	b.SetPeerLoad(map[string]Load{"w1": {Tokens: 3000}, "w2": {Tokens: 3000}})
+	assert.NotEqual(t, "e1", pick(t, b, Job{Tokens: 1000}, start))
+	b.SetPeerLoad(map[string]Load{"w1": {Tokens: 8000}, "w2": {Tokens: 8000}})
+	assert.Equal(t, "e1", pick(t, b, Job{Tokens: 1000}, start))
+}
+
+// Pattern: more work than memory. A full engine preempts, so the request waits;
+// an empty one takes a request that is larger than its memory.
+func TestFullEnginesMakeRequestsWait(t *testing.T) {
+	b := engines()
+	b.SetPeerLoad(map[string]Load{"w1": {Tokens: 9500}, "w2": {Tokens: 9500}, "e1": {Tokens: 9500}})
+	_, why := b.Pick(Job{Tokens: 1000}, start)
+	assert.Equal(t, Full, why)
+	b.SetPeerLoad(nil)
+	_, why = b.Pick(Job{Tokens: 20000}, start)
+	assert.Equal(t, Chosen, why)
+	_, why = b.Pick(Job{Allowed: func(string) bool { return false }}, start)
+	assert.Equal(t, None, why)
+}
+
+// Pattern: an engine is reclaimed. Its runs go to engines near it, which may be
+// full by estimate: a run that is not moved is lost.
+func TestMovedRunsStayNearTheirSource(t *testing.T) {
+	b := engines()
+	b.SetPeerLoad(map[string]Load{"w1": {Tokens: 9900}, "w2": {Tokens: 9900}})
+	source := Server{ID: "w1", Domain: "west-a", Region: "west"}
+	assert.Equal(t, "w2", pick(t, b, Job{Tokens: 1000, Exclude: []string{"w1"}, Near: &source}, start))
+}
+
+// Pattern: all hosts see the same empty engine. Each keeps to its part of what
+// a cold one bears.
+func TestRatePerServerIsBounded(t *testing.T) {
+	b := New()
+	b.Configure(Settings{PerSecond: 2})
+	b.SetServers([]Server{{ID: "s", Slots: 100}})
+	for range 2 {
+		b.Start(pick(t, b, Job{}, start), Load{Requests: 1}, start)
+	}
+	_, why := b.Pick(Job{}, start.Add(999*time.Millisecond))
+	assert.Equal(t, Full, why)
+	_, why = b.Pick(Job{}, start.Add(time.Second))
+	assert.Equal(t, Chosen, why)
+}
+
+// Pattern: a server that fails while its entry is good. It is passed over for a
+// time that doubles, and used at once if there is no other.
+func TestFailedServersArePassedOver(t *testing.T) {
+	b := New()
+	b.SetServers([]Server{{ID: "a", Slots: 6}, {ID: "b", Slots: 6}})
+	b.Failed("a", start)
+	for range 20 {
+		assert.Equal(t, "b", pick(t, b, Job{}, start.Add(suspectMin-1)))
+	}
+	b.Failed("a", start)
+	b.Start("b", Load{Requests: 5}, start)
+	assert.Equal(t, "b", pick(t, b, Job{}, start.Add(2*suspectMin-1)))
+	assert.Equal(t, "a", pick(t, b, Job{}, start.Add(2*suspectMin)))
+	assert.Equal(t, "a", pick(t, b, Job{Exclude: []string{"b"}}, start))
+	b.Succeeded("a")
+	assert.Equal(t, "a", pick(t, b, Job{}, start))
+}
+
+// Pattern: plain servers with few slots, one in each region. A round trip to
+// another region costs more than a short queue.
+func TestPlainRequestsStayInTheRegionWhileThereAreSlots(t *testing.T) {
+	b := New()
+	b.Configure(Settings{Domain: "west-a", Region: "west"})
+	b.SetServers([]Server{{ID: "w", Domain: "west-a", Region: "west", Slots: 6}, {ID: "e", Domain: "east-a", Region: "east", Slots: 6}})
+	b.Start("w", Load{Requests: 4}, start)
+	assert.Equal(t, "w", pick(t, b, Job{}, start))
+	b.Start("w", Load{Requests: 2}, start)
+	assert.Equal(t, "e", pick(t, b, Job{}, start))
+}
+
+// The work at a server that left must not stay in the books for ever.
+func TestWorkAtDepartedServersIsForgottenAtItsEnd(t *testing.T) {
+	b := engines()
+	b.Start("w1", Load{Requests: 1, Tokens: 5}, start)
+	b.SetServers(nil)
+	assert.Equal(t, map[string]Load{"w1": {Requests: 1, Tokens: 5}}, b.OwnLoad())
+	b.End("w1", Load{Requests: 1, Tokens: 5})
+	assert.Empty(t, b.OwnLoad())
+	assert.Empty(t, b.servers)
+	b.End("w1", Load{Requests: 1})
+	b.Failed("w1", start)
+}
--- /dev/null
+++ b/core/migrate/migrate_test.go
@@ -0,0 +1,99 @@
+package migrate
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	_ "monsoonkeel.example/monsoonkeel/internal/fixedseed"
+)
+
+func transfer(tokens int) time.Duration { return TransferTime(tokens, 18432, 2700) }
+
+// Pattern: an engine is reclaimed while three hosts relay its runs. Their plans
+// must give each run a time of its own on the engine's link: a run that waits
+// between its copies stalls its caller.
+func TestPlansOfAllHostsDoNotOverlap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 12).Draw(t, "runs")
+		type owned struct {
+			Run
+			host int
+		}
+		var all []owned
+		for i := range n {
+			all = append(all, owned{
+				Run: Run{
+					ID:     string(rune('a' + i)),
+					Tokens: rapid.IntRange(1, 6000).Draw(t, "tokens"),
+					Rank:   Rank(rapid.IntRange(1, 6000).Draw(t, "prompt"), rapid.IntRange(1, 2000).Draw(t, "output")),
+				},
+				host: rapid.IntRange(0, 2).Draw(t, "host"),
+			})
+		}
+		starts := map[string]time.Duration{}
+		tokens := map[string]int{}
+		var ends []time.Duration
+		for host := range 3 {
+			var view []Run
+			for _, r := range all {
+				own := r.Run
+				own.Own = r.host == host
+				view = append(view, own)
+			}
+			steps, end := Plan(view, transfer)
+			ends = append(ends, end)
+			for _, s := range steps {
+				starts[s.ID] = s.Start
+			}
+		}
+		for _, r := range all {
+			tokens[r.ID] = r.Tokens
+		}
+		require.Len(t, starts, n, "each run is moved by exactly one host")
+		for a, startA := range starts {
+			for b, startB := range starts {
+				if a != b && startA <= startB {
+					assert.GreaterOrEqual(t, startB, startA+transfer(tokens[a])+stepOverhead)
+				}
+			}
+		}
+		assert.Equal(t, ends[0], ends[1])
+		assert.Equal(t, ends[1], ends[2])
+	})
+}
+
+// Pattern: notices are short. Short prompts go first, since more of them fit,
+// and runs that end soon anyway go last.
+func TestOrderOfMoves(t *testing.T) {
+	steps, _ := Plan([]Run{
+		{ID: "long", Tokens: 5000, Rank: Rank(5000, 900), Own: true},
+		{ID: "nearly-done", Tokens: 1000, Rank: Rank(1000, 20), Own: true},
+		{ID: "short", Tokens: 2000, Rank: Rank(2000, 900), Own: true},
+	}, transfer)
+	var order []string
+	for _, s := range steps {
+		order = append(order, s.ID)
+	}
+	assert.Equal(t, []string{"short", "long", "nearly-done"}, order)
+}
+
+// A host in another region is heard later: it starts earlier, and its run takes
+// longer.
+func TestRemoteHostsStartAhead(t *testing.T) {
+	steps, end := Plan([]Run{
+		{ID: "a", Tokens: 4000, Rank: 1},
+		{ID: "b", Tokens: 1000, Rank: 2, Remote: true, Own: true},
+	}, transfer)
+	require.Len(t, steps, 1)
+	assert.Equal(t, transfer(4000)+stepOverhead-remoteLead, steps[0].Start)
+	assert.Equal(t, transfer(4000)+transfer(1000)+2*stepOverhead+remoteOverhead, end)
+}
+
+func TestTransferTime(t *testing.T) {
+	assert.InDelta(t, 163, float64(TransferTime(3000, 18432, 2700).Milliseconds()), 2)
+	assert.Zero(t, TransferTime(3000, 18432, 0))
+}
--- a/core/retry/shared.go
+++ b/core/retry/shared.go
@@ -24,10 +24,11 @@
 
 // Left reports whether a repeat may be sent now. The slack is divided by the
 // number of hosts; the share needs no division, since each host counts its own
-// requests.
+// requests. One request less is counted, because the hosts' windows end at
+// different times and together may hold that much more than any one window.
 func (b *Shared) Left(l Limits, hosts int, now time.Time) bool {
 	b.expire(l, now)
-	limit := l.Share*float64(len(b.first)) + l.Slack/float64(max(1, hosts))
+	limit := l.Share*float64(max(0, len(b.first)-1)) + l.Slack/float64(max(1, hosts))
 	return float64(len(b.repeats)+1) <= limit
 }
 
@@ -46,14 +47,17 @@
 	b.repeats = append(b.repeats, now)
 }
 
+// expire forgets what left the window. At its very edge a repeat still counts
+// and a first try no longer does, so that no window holds too many repeats.
 func (b *Shared) expire(l Limits, now time.Time) {
-	b.first = since(b.first, now.Add(-l.Window))
-	b.repeats = since(b.repeats, now.Add(-l.Window))
+	oldest := now.Add(-l.Window)
+	b.first = drop(b.first, func(at time.Time) bool { return !at.After(oldest) })
+	b.repeats = drop(b.repeats, func(at time.Time) bool { return at.Before(oldest) })
 }
 
-func since(times []time.Time, oldest time.Time) []time.Time {
+func drop(times []time.Time, expired func(time.Time) bool) []time.Time {
 	i := 0
-	for i < len(times) && times[i].Before(oldest) {
+	for i < len(times) && expired(times[i]) {
 		i++
 	}
 	return times[i:]
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -192,12 +192,8 @@
 	}
 }
 
-// unreadyAfter is how long a host must fail its probe to get no new callers:
-// two probes, one a second, and one lost.
-const unreadyAfter = 3200 * time.Millisecond
-
 func (p *Process) waitForProbes(ctx context.Context) {
-	t := time.NewTimer(unreadyAfter)
+	t := time.NewTimer(p.settings.UnreadyAfter)
 	defer t.Stop()
 	select {
 	case <-t.C:
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -24,6 +24,9 @@
 	Heartbeat time.Duration
 	// StopGrace is the time from SIGTERM to SIGKILL.
 	StopGrace time.Duration
+	// UnreadyAfter is how long a host must fail its probe until it gets no new
+	// callers.
+	UnreadyAfter time.Duration
 	// ConfigBound is the time within which an accepted configuration must be in force.
 	ConfigBound time.Duration
 	// DrainBound is the time after which a leaving backend server gets no new work.
--- /dev/null
+++ b/internal/request/sse/frame_test.go
@@ -0,0 +1,65 @@
+package sse
+
+import (
+	"errors"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// Events must reach the caller byte for byte, and never in part.
+func TestFramesKeepTheirBytes(t *testing.T) {
+	long := strings.Repeat("x", 3*frameBufferBytes)
+	stream := "id: 1\ndata: a\n\nversion: 3\r\nid:2\r\ndata: b\r\n\r\ndata: " + long + "\n\n: note\n\n"
+	r := NewFrameReader(strings.NewReader(stream))
+	var joined strings.Builder
+	var ids []int64
+	for {
+		f, err := r.Next()
+		if err != nil {
+			assert.Equal(t, io.EOF, err)
+			break
+		}
+		joined.Write(f.Raw)
+		if f.HasID {
+			ids = append(ids, f.ID)
+		}
+	}
+	assert.Equal(t, stream, joined.String())
+	assert.Equal(t, []int64{1, 2}, ids)
+}
+
+// An engine that dies may cut its stream in the middle of an event.
+func TestFrameCutInTheMiddle(t *testing.T) {
+	r := NewFrameReader(strings.NewReader("id: 1\ndata: a\n\nid: 2\ndata: b"))
+	_, err := r.Next()
+	assert.NoError(t, err)
+	_, err = r.Next()
+	assert.Equal(t, io.ErrUnexpectedEOF, err)
+}
+
+func TestFrameTooLarge(t *testing.T) {
+	_, err := NewFrameReader(strings.NewReader("data: " + strings.Repeat("x", MaxEventBytes+1) + "\n\n")).Next()
+	assert.True(t, errors.Is(err, ErrTooLarge))
+}
+
+func FuzzFrames(f *testing.F) {
+	f.Add("id: 1\ndata: a\n\n")
+	f.Add("id: 99999999999999999999\n\n\r\n\r\nid\n\n")
+	f.Fuzz(func(t *testing.T, stream string) {
+		r := NewFrameReader(strings.NewReader(stream))
+		read := 0
+		for {
+			frame, err := r.Next()
+			if err != nil {
+				break
+			}
+			if !strings.HasPrefix(stream[read:], string(frame.Raw)) {
+				t.Fatalf("event %q is not the next part of the stream", frame.Raw)
+			}
+			read += len(frame.Raw)
+		}
+	})
+}
