--- a/internal/connection/caller.go
+++ b/internal/connection/caller.go
@@ -172,7 +172,7 @@
 // no buffer.
 func (c *caller) awaitRequest() bool {
 	if c.reader != nil {
-		if c.reader.Buffered() > 0 {
+		if c.skipEmptyLine(); c.reader.Buffered() > 0 {
 			return true
 		}
 		c.releaseReader()
@@ -198,6 +198,17 @@
 	return true
 }
 
+// skipEmptyLine drops an empty line before a request that is already buffered.
+func (c *caller) skipEmptyLine() {
+	for range 2 {
+		b, _ := c.reader.Peek(min(1, c.reader.Buffered()))
+		if len(b) == 0 || b[0] != '\r' && b[0] != '\n' {
+			return
+		}
+		_, _ = c.reader.Discard(1) // buffered, so it cannot fail
+	}
+}
+
 func (c *caller) acquireReader(r io.Reader, headerBytes int) {
 	size := min(max(headerBytes, minHeaderBytes), maxHeaderBytes) + 4
 	if pooled, ok := c.server.readers.Get().(*bufio.Reader); ok && pooled.Size() >= size {
--- /dev/null
+++ b/internal/connection/caller_test.go
@@ -0,0 +1,235 @@
+package connection
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/semaphore"
+)
+
+var testLimits = CallerLimits{HeaderBytes: 4096, BodyBytes: 1000, HeaderTime: 300 * time.Millisecond, IdleTime: 500 * time.Millisecond}
+
+func echo(c *Call) {
+	body := fmt.Sprintf("%s %s", c.Request.Header.RequestURI(), c.Request.Body())
+	c.Answer(200, plainText, []byte(body))
+}
+
+func startCallers(t *testing.T, s *Server) string {
+	t.Helper()
+	if s.Limits == nil {
+		s.Limits = func() CallerLimits { return testLimits }
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() { _ = s.Serve(l) }()
+	return l.Addr().String()
+}
+
+func dialCaller(t *testing.T, address string) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	require.NoError(t, conn.SetDeadline(time.Now().Add(5*time.Second)))
+	return conn, bufio.NewReader(conn)
+}
+
+func readAnswer(t *testing.T, r *bufio.Reader) (*http.Response, string) {
+	t.Helper()
+	resp, err := http.ReadResponse(r, nil)
+	require.NoError(t, err)
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	return resp, string(body)
+}
+
+// Requests that come before the answers to earlier ones are answered in order.
+func TestPipelinedRequestsAreAnsweredInOrder(t *testing.T) {
+	conn, r := dialCaller(t, startCallers(t, &Server{Handle: echo}))
+	_, err := io.WriteString(conn, "POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\none"+
+		"POST /2 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\ntwo\r\n0\r\n\r\n\r\nGET /3 HTTP/1.1\r\nHost: a\r\n\r\n")
+	require.NoError(t, err)
+	for _, want := range []string{"/1 one", "/2 two", "/3 "} {
+		_, body := readAnswer(t, r)
+		assert.Equal(t, want, body)
+	}
+}
+
+// A caller that breaks a limit gets a clear status, and the connection closes.
+func TestLimits(t *testing.T) {
+	for name, c := range map[string]struct {
+		send   string
+		status int
+	}{
+		"large head":         {"GET / HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 5000) + "\r\n\r\n", 431},
+		"slow head":          {"GET / HTTP/1.1\r\nHost:", 408},
+		"large body":         {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1001\r\n\r\n" + strings.Repeat("x", 1001), 413},
+		"large chunked body": {"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n7d0\r\n" + strings.Repeat("x", 2000) + "\r\n0\r\n\r\n", 413},
+		"malformed chunk":    {"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400},
+		"hidden request":     {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /hidden HTTP/1.1\r\nHost: a\r\n\r\n", 400},
+	} {
+		var handled atomic.Int32
+		address := startCallers(t, &Server{Handle: func(c *Call) { handled.Add(1); echo(c) }})
+		conn, r := dialCaller(t, address)
+		_, err := io.WriteString(conn, c.send)
+		require.NoError(t, err, name)
+		resp, _ := readAnswer(t, r)
+		assert.Equal(t, c.status, resp.StatusCode, name)
+		_, err = r.ReadByte()
+		assert.Error(t, err, name)
+		assert.Zero(t, handled.Load(), name)
+	}
+}
+
+// An idle connection is kept for the idle time, and then closed.
+func TestIdleConnections(t *testing.T) {
+	conn, r := dialCaller(t, startCallers(t, &Server{Handle: echo}))
+	send := func() {
+		_, err := io.WriteString(conn, "GET /x HTTP/1.1\r\nHost: a\r\n\r\n")
+		require.NoError(t, err)
+		readAnswer(t, r)
+	}
+	send()
+	time.Sleep(testLimits.IdleTime * 4 / 5)
+	send()
+	start := time.Now()
+	_, err := r.ReadByte()
+	assert.Equal(t, io.EOF, err)
+	assert.InDelta(t, testLimits.IdleTime.Seconds(), time.Since(start).Seconds(), 0.2)
+}
+
+// Pattern: callers leave while their request waits. The handler must hear of it
+// at once, also if a next request was already sent.
+func TestCallersThatLeaveCancelTheirRequest(t *testing.T) {
+	for _, pipelined := range []string{"", "GET /next HTTP/1.1\r\nHost: a\r\n\r\n"} {
+		cancelled := make(chan struct{})
+		begun := make(chan struct{}, 1)
+		address := startCallers(t, &Server{Handle: func(c *Call) {
+			begun <- struct{}{}
+			<-c.Context().Done()
+			close(cancelled)
+		}})
+		conn, _ := dialCaller(t, address)
+		_, err := io.WriteString(conn, "GET /x HTTP/1.1\r\nHost: a\r\n\r\n"+pipelined)
+		require.NoError(t, err)
+		<-begun
+		require.NoError(t, conn.Close())
+		select {
+		case <-cancelled:
+		case <-time.After(400 * time.Millisecond):
+			t.Fatal("the request was not cancelled")
+		}
+	}
+}
+
+// An answer that is broken off must not look complete, however it is framed.
+func TestAbortedAnswersDoNotLookComplete(t *testing.T) {
+	address := startCallers(t, &Server{Handle: func(c *Call) {
+		_ = c.Begin(200, plainText)
+		_, _ = c.Write([]byte("begun"))
+		time.Sleep(20 * time.Millisecond)
+		c.Abort()
+	}})
+	for _, version := range []string{"1.1", "1.0"} {
+		conn, r := dialCaller(t, address)
+		_, err := io.WriteString(conn, "GET /x HTTP/"+version+"\r\nHost: a\r\n\r\n")
+		require.NoError(t, err)
+		resp, err := http.ReadResponse(r, nil)
+		require.NoError(t, err)
+		_, err = io.ReadAll(resp.Body)
+		assert.Error(t, err, version)
+	}
+}
+
+// A stop lets what runs end, closes what is idle, and serves the callers that
+// the load balancer still sends, each once.
+func TestStop(t *testing.T) {
+	release := make(chan struct{})
+	begun := make(chan struct{}, 1)
+	s := &Server{Handle: func(c *Call) {
+		if string(c.Request.Header.RequestURI()) == "/slow" {
+			begun <- struct{}{}
+			<-release
+		}
+		echo(c)
+	}}
+	address := startCallers(t, s)
+	idle, idleReader := dialCaller(t, address)
+	_, err := io.WriteString(idle, "GET /x HTTP/1.1\r\nHost: a\r\n\r\n")
+	require.NoError(t, err)
+	readAnswer(t, idleReader)
+	busy, busyReader := dialCaller(t, address)
+	_, err = io.WriteString(busy, "GET /slow HTTP/1.1\r\nHost: a\r\n\r\n")
+	require.NoError(t, err)
+	<-begun
+
+	s.Stop()
+	s.CloseIdle()
+	_, err = idleReader.ReadByte()
+	assert.Equal(t, io.EOF, err)
+	late, lateReader := dialCaller(t, address)
+	_, err = io.WriteString(late, "GET /late HTTP/1.1\r\nHost: a\r\n\r\n")
+	require.NoError(t, err)
+	resp, body := readAnswer(t, lateReader)
+	assert.Equal(t, "/late ", body)
+	assert.True(t, resp.Close)
+
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	assert.Error(t, s.Wait(ctx))
+	close(release)
+	resp, body = readAnswer(t, busyReader)
+	assert.Equal(t, "/slow ", body)
+	assert.True(t, resp.Close)
+	assert.NoError(t, s.Wait(context.Background()))
+}
+
+// Pattern: large bodies in parallel. Together they stay within the budget; what
+// doesn't fit is refused.
+func TestBodyBudget(t *testing.T) {
+	release := make(chan struct{})
+	begun := make(chan struct{}, 4)
+	s := &Server{BodyBudget: semaphore.NewWeighted(1500), Handle: func(c *Call) {
+		begun <- struct{}{}
+		<-release
+		echo(c)
+	}}
+	address := startCallers(t, s)
+	post := "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 1000\r\n\r\n" + strings.Repeat("x", 1000)
+	first, firstReader := dialCaller(t, address)
+	_, err := io.WriteString(first, post)
+	require.NoError(t, err)
+	<-begun
+	second, secondReader := dialCaller(t, address)
+	_, err = io.WriteString(second, post)
+	require.NoError(t, err)
+	resp, _ := readAnswer(t, secondReader)
+	assert.Equal(t, 503, resp.StatusCode)
+	// A chunked body is charged by its real size once it was read.
+	close(release)
+	readAnswer(t, firstReader)
+	for range 3 {
+		_, err = io.WriteString(first, "POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\ntwo\r\n0\r\n\r\n")
+		require.NoError(t, err)
+		resp, _ = readAnswer(t, firstReader)
+		assert.Equal(t, 200, resp.StatusCode)
+	}
+	require.Eventually(t, func() bool {
+		if !s.BodyBudget.TryAcquire(1500) {
+			return false
+		}
+		s.BodyBudget.Release(1500)
+		return true
+	}, time.Second, time.Millisecond)
+}
--- a/internal/connection/upstream_test.go
+++ b/internal/connection/upstream_test.go
@@ -1,12 +1,18 @@
 package connection
 
 import (
+	"bytes"
+	"context"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 
@@ -86,3 +92,70 @@
 	require.Equal(t, verdict.NotRun, verdict.Of(err))
 	require.Equal(t, []string{"/v1/load"}, b.paths)
 }
+
+// Pattern: a backend server sends a second answer to an earlier request where
+// the next one is due. Its id tells them apart.
+func TestLateAnswersToOtherRequestsArePassedOver(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = conn.Read(make([]byte, 4096))
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 3\r\n\r\nold"+
+			"HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 4\r\n\r\nmine")
+	}()
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.SetRequestURI("/x")
+	req.Header.SetHost("a")
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	ex, err := NewPool().Do(ctx, l.Addr().String(), req, Options{Belongs: func(h *fasthttp.ResponseHeader) bool {
+		return string(h.Peek("Id")) == "mine"
+	}})
+	require.NoError(t, err)
+	body, err := io.ReadAll(ex.Body())
+	require.NoError(t, err)
+	assert.Equal(t, "mine", string(body))
+	ex.Finish(true)
+}
+
+// Pattern: a long request is refused before it was read, and the rest of it is
+// read later. The connection carries no other request until then.
+func TestEarlyAnswersToLongRequests(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	body := bytes.Repeat([]byte("x"), 8<<20)
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = conn.Read(make([]byte, 4096))
+		_, _ = io.WriteString(conn, "HTTP/1.1 400 Bad Request\r\nContent-Length: 2\r\n\r\nno")
+		time.Sleep(time.Second)
+	}()
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.SetRequestURI("/x")
+	req.Header.SetHost("a")
+	req.Header.SetMethod("POST")
+	req.SetBody(body)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	pool := NewPool()
+	start := time.Now()
+	ex, err := pool.Do(ctx, l.Addr().String(), req, Options{})
+	require.NoError(t, err)
+	assert.Equal(t, 400, ex.Response.StatusCode())
+	assert.Less(t, time.Since(start), 800*time.Millisecond)
+	_, err = io.ReadAll(ex.Body())
+	require.NoError(t, err)
+	ex.Finish(true)
+	assert.Nil(t, pool.popIdle(l.Addr().String()), "the rest of the body may still be sent")
+}
