Refuse, while stopping, what the stop could cut off

Ruled out: the load balancer's delay, which covers only the first seconds; the guess is right at the median and often far off.

--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -31,6 +31,8 @@
 	cancel   context.CancelFunc
 	prompt   int // tokens
 	output   int // expected tokens
+	// maxOutput is the number of tokens that the caller allows.
+	maxOutput int
 
 	// What the log line says.
 	answered   bool
@@ -91,7 +93,23 @@
 	}
 	r.setDeadline()
 	r.parseTokens()
-	return nil
+	return r.endsInTime()
+}
+
+// endsInTime refuses a request that the host's own stop could cut off. The
+// caller's next connection finds another host. A guess of the output is not
+// enough: a stream that is cut off is lost, one that is refused goes elsewhere.
+func (r *request) endsInTime() error {
+	by := r.g.leaveBy.Load()
+	if by == 0 {
+		return nil
+	}
+	longest := r.route.Objective + time.Duration(r.maxOutput)*slowTokenTime
+	if time.Until(time.Unix(0, by)) >= longest {
+		return nil
+	}
+	r.retryAfter = staleRetryAfter
+	return notRun(503, "host_stops", "the host stops before the request would surely end")
 }
 
 func (r *request) authenticate(t *route.Table) error {
@@ -138,7 +156,7 @@
 	if !ok {
 		return
 	}
-	r.prompt, r.output = prompt, output
+	r.prompt, r.output, r.maxOutput = prompt, output, output
 	if hint, err := strconv.Atoi(string(h.Peek(d.LengthHint))); err == nil && hint > 0 {
 		r.output = min(hint, output)
 	}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -19,9 +19,6 @@
 // serveStream forwards a request that is answered by events.
 func (r *request) serveStream() error {
 	r.g.places.firstTry(r.service)
-	if err := r.endsInTime(); err != nil {
-		return err
-	}
 	var tried []string
 	var last error
 	for {
@@ -48,22 +45,8 @@
 	}
 }
 
-// tokenTime is the time that a token takes on a moderately loaded engine.
-const tokenTime = 10 * time.Millisecond
-
-// endsInTime refuses a stream that would be cut off by the host's own stop.
-// The caller's next connection finds another host.
-func (r *request) endsInTime() error {
-	by := r.g.leaveBy.Load()
-	if by == 0 {
-		return nil
-	}
-	if expected := time.Duration(r.output) * tokenTime; time.Until(time.Unix(0, by)) < expected {
-		r.retryAfter = staleRetryAfter
-		return notRun(503, "host_stops", "the host stops before the stream would end")
-	}
-	return nil
-}
+// slowTokenTime is the time of a token on an engine that also reads prompts.
+const slowTokenTime = 15 * time.Millisecond
 
 // stream is a generation that is relayed to its caller. It may go on at another
 // engine than the one where it started.
