Learn notices from engines and other hosts while the store is down

Ruled out: a backup of every run (it doubles the memory in use). Change: hosts pass on notices by gossip; while no host reaches the store, the first host with runs at an engine asks it every 300 ms. A move is tried again on a new connection.

--- a/internal/connection/upstream.go
+++ b/internal/connection/upstream.go
@@ -169,8 +169,12 @@
 // Unwrap returns the error of Options.Check.
 func (e *WithheldError) Unwrap() error { return e.Cause }
 
-// CodeConnectFailed marks a backend server that could not be connected to.
-const CodeConnectFailed = "connect_failed"
+const (
+	// CodeConnectFailed marks a backend server that could not be connected to.
+	CodeConnectFailed = "connect_failed"
+	// CodeNoAnswer marks a connection that failed before an answer came.
+	CodeNoAnswer = "backend_failed"
+)
 
 // Do sends req to address and reads the head of the answer. A failure is a
 // verdict error: NotRun if no byte of the request left this process. The
@@ -195,7 +199,7 @@
 			v = verdict.NotRun
 		}
 		e.Finish(false)
-		return nil, verdict.Wrap(err, v, 502, "backend_failed", "the backend server did not answer")
+		return nil, verdict.Wrap(err, v, 502, CodeNoAnswer, "the backend server did not answer")
 	}
 	return e, nil
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -174,6 +174,30 @@
 	return d.opts.Clock() - time.Duration(at), true
 }
 
+// Lost reports whether the last call on backend servers failed, so that notices
+// may go unseen.
+func (d *Directory) Lost() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.backoff[Backends] != 0
+}
+
+// Leaving records that a process was told to end, as learned from itself or
+// from another host.
+func (d *Directory) Leaving(id string, born int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	old := d.state.Servers[id]
+	if old == nil || old.Born != born || old.Closing() {
+		return
+	}
+	s := *old
+	s.Leaving = true
+	d.setServer(id, &s)
+	d.opts.Log.Info().Str("backend", id).Msg("backend server leaves, learned without the store")
+	d.publish()
+}
+
 // Run follows the store until ctx ends.
 func (d *Directory) Run(ctx context.Context) {
 	var wg sync.WaitGroup
--- a/internal/entry/dump.go
+++ b/internal/entry/dump.go
@@ -3,12 +3,15 @@
 import (
 	"encoding/json"
 	"net/http"
+
+	"monsoonkeel.example/monsoonkeel/internal/gossip"
 )
 
 // dump writes the state of the process as JSON.
 func (p *Process) dump(w http.ResponseWriter, _ *http.Request) {
 	age, known := p.directory.ConfigurationAge()
-	loads, runs := p.gateway.LocalState()
+	var local gossip.State
+	p.gateway.LocalState(&local)
 	state := map[string]any{
 		"host":                    p.settings.HostID,
 		"ready":                   p.gateway.Ready(),
@@ -16,8 +19,7 @@
 		"configuration_age_known": known,
 		"connections":             p.callers.Open(),
 		"snapshot":                p.directory.Snapshot(),
-		"load":                    loads,
-		"runs":                    runs,
+		"local":                   local,
 	}
 	w.Header().Set("Content-Type", "application/json")
 	encoder := json.NewEncoder(w)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -100,6 +100,7 @@
 		Dialect:   a.Dialect,
 		Engines:   a.Engines,
 		Log:       log,
+		HostID:    s.HostID,
 		Domain:    s.Domain,
 		Region:    s.Region,
 		Bounds:    bounds(s),
@@ -151,6 +152,7 @@
 	group.Go(func() error { return ignoreClosed(probe.Serve(ready)) })
 	group.Go(func() error { p.directory.Run(background); return nil })
 	group.Go(func() error { return p.gossip.Run(background) })
+	group.Go(func() error { p.gateway.WatchEngines(background); return nil })
 	group.Go(func() error { return p.serveMetrics(background, metricsListen) })
 	group.Go(func() error { p.watchSettings(background, reload); return nil })
 
--- a/internal/forward/dialect.go
+++ b/internal/forward/dialect.go
@@ -53,6 +53,8 @@
 type Report struct {
 	Queued, Active   int
 	KVUsed, KVTokens int
+	// Leaving says that the engine has been told to end.
+	Leaving bool
 	// LeavesIn is the time left until the engine ends; negative if unknown.
 	LeavesIn time.Duration
 	Runs     []Run
--- a/internal/forward/gateway.go
+++ b/internal/forward/gateway.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"sort"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -22,8 +23,8 @@
 	Dialect   Dialect
 	Engines   Engines
 	Log       zerolog.Logger
-	// Domain and Region are those of the host.
-	Domain, Region string
+	// HostID, Domain and Region are those of the host.
+	HostID, Domain, Region string
 	Bounds         Bounds
 }
 
@@ -166,9 +167,17 @@
 	r.answered = true
 }
 
-// LocalState returns the work of this host by backend server, and its runs.
-func (g *Gateway) LocalState() (map[string]balance.Load, []gossip.Run) {
-	return g.places.ownLoad(), g.runs.list(g.places)
+// LocalState fills in what the other hosts need to know of this one.
+func (g *Gateway) LocalState(s *gossip.State) {
+	s.Loads, s.Runs = g.places.ownLoad(), g.runs.list(g.places)
+	s.StoreLost = g.opts.Directory.Lost()
+	s.Leaving = nil
+	for id, server := range g.opts.Directory.Snapshot().Servers {
+		if server.Leaving && !server.Gone && g.places.engineOf(server.Service) != nil {
+			s.Leaving = append(s.Leaving, gossip.Process{ID: id, Born: server.Born})
+		}
+	}
+	sort.Slice(s.Leaving, func(i, j int) bool { return s.Leaving[i].ID < s.Leaving[j].ID })
 }
 
 // SetPeers takes over the states of the other hosts.
@@ -181,4 +190,9 @@
 		}
 	}
 	g.places.setPeers(loads)
+	for _, s := range states {
+		for _, p := range s.Leaving {
+			g.opts.Directory.Leaving(p.ID, p.Born)
+		}
+	}
 }
--- a/internal/forward/move.go
+++ b/internal/forward/move.go
@@ -16,6 +16,7 @@
 	"monsoonkeel.example/monsoonkeel/core/migrate"
 	"monsoonkeel.example/monsoonkeel/core/route"
 	"monsoonkeel.example/monsoonkeel/core/verdict"
+	"monsoonkeel.example/monsoonkeel/internal/connection"
 	"monsoonkeel.example/monsoonkeel/internal/directory"
 	"monsoonkeel.example/monsoonkeel/internal/gossip"
 	"monsoonkeel.example/monsoonkeel/internal/request/sse"
@@ -462,19 +463,24 @@
 	r := s.r
 	d := &r.g.opts.Dialect
 	s.ex.Finish(false)
-	ex, err := r.send(m.target, false, func(req *fasthttp.Request) {
+	prepare := func(req *fasthttp.Request) {
 		req.Header.Set(d.CopySource, d.CopyRef(m.source.Address, m.result.Handle))
 		req.Header.Set(d.LastEvent, strconv.FormatInt(s.lastID, 10))
-	})
-	if err != nil {
-		r.g.Metrics.MovesFailed.Add(1)
-		return err
 	}
-	if ex.Response.StatusCode() != fasthttp.StatusOK {
+	ex, err := r.exchange(m.target, false, prepare)
+	if verdict.From(err).Code == connection.CodeNoAnswer {
+		// The connection opened ahead may have been closed. A copy can be used
+		// once, so a second request cannot run beside the first.
+		ex, err = r.exchange(m.target, true, prepare)
+	}
+	if err == nil && ex.Response.StatusCode() != fasthttp.StatusOK {
+		err = verdict.New(verdict.Ran, 502, "move_refused", "the target of a move answered %d", ex.Response.StatusCode())
 		ex.Finish(false)
-		m.target.release(false)
+	}
+	if err != nil {
+		m.target.release(r.call.Context().Err() == nil)
 		r.g.Metrics.MovesFailed.Add(1)
-		return verdict.New(verdict.Ran, 502, "move_refused", "the target of a move answered %d", ex.Response.StatusCode())
+		return err
 	}
 	s.ex, s.frames = ex, sse.NewFrameReader(ex.Body())
 	r.moves++
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -64,7 +64,7 @@
 
 // startStream sends the request and reads the head of the answer.
 func (r *request) startStream(p *place) (*stream, error) {
-	ex, err := r.send(p, true, func(*fasthttp.Request) {})
+	ex, err := r.send(p)
 	if err != nil {
 		return nil, err
 	}
@@ -77,9 +77,18 @@
 	return s, nil
 }
 
-// send sends the request to the engine of a place, if asked for on a new
-// connection. The place is released on failure.
-func (r *request) send(p *place, fresh bool, prepare func(*fasthttp.Request)) (*connection.Exchange, error) {
+// send sends the request to the engine of a place, which is released on failure.
+func (r *request) send(p *place) (*connection.Exchange, error) {
+	ex, err := r.exchange(p, true, func(*fasthttp.Request) {})
+	if err != nil {
+		p.release(r.call.Context().Err() == nil)
+	}
+	return ex, err
+}
+
+// exchange sends the request to the engine of a place, if asked for on a new
+// connection.
+func (r *request) exchange(p *place, fresh bool, prepare func(*fasthttp.Request)) (*connection.Exchange, error) {
 	req := r.outgoing(p.server.ID)
 	defer fasthttp.ReleaseRequest(req)
 	prepare(req)
@@ -87,12 +96,10 @@
 		Fresh: fresh, DialTimeout: connectTimeout, MaxIdle: maxIdleReuse, Belongs: r.belongs,
 	})
 	if err != nil {
-		p.release(r.call.Context().Err() == nil)
 		return nil, err
 	}
 	if err := r.check(ex, false); err != nil {
 		ex.Finish(false)
-		p.release(true)
 		return nil, err
 	}
 	return ex, nil
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -39,6 +39,12 @@
 	Rank int `json:"k"`
 }
 
+// Process is one process of a backend server.
+type Process struct {
+	ID   string `json:"i"`
+	Born int64  `json:"b"`
+}
+
 // State is what a host tells.
 type State struct {
 	Host   string `json:"h"`
@@ -48,6 +54,10 @@
 	Sequence    int64                   `json:"q"`
 	Loads       map[string]balance.Load `json:"l,omitempty"`
 	Runs        []Run                   `json:"u,omitempty"`
+	// Leaving are the processes with runs that were told to end.
+	Leaving []Process `json:"g,omitempty"`
+	// StoreLost says that the host does not reach the store.
+	StoreLost bool `json:"x,omitempty"`
 }
 
 // Options configure an Exchange.
@@ -56,8 +66,8 @@
 	Region string
 	// Hosts returns the entry hosts.
 	Hosts func() map[string]fleet.Host
-	// Local returns the state of this host.
-	Local func() (map[string]balance.Load, []Run)
+	// Local fills in the state of this host.
+	Local func(*State)
 	// Changed gets the states of the other hosts.
 	Changed func([]State)
 	Log     zerolog.Logger
@@ -160,7 +170,7 @@
 		case <-ticker.C:
 		}
 		next := last
-		next.Loads, next.Runs = e.opts.Local()
+		e.opts.Local(&next)
 		if reflect.DeepEqual(next, last) && time.Since(sent) < quietInterval {
 			continue
 		}
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -70,8 +70,9 @@
 		e := New(Options{
 			Self: h, Region: "west", Log: zerolog.Nop(),
 			Hosts: func() map[string]fleet.Host { return hosts },
-			Local: func() (map[string]balance.Load, []Run) {
-				return map[string]balance.Load{"s": {Requests: 1}}, []Run{{ID: "run-" + id, Server: "s", Tokens: 5}}
+			Local: func(s *State) {
+				s.Loads = map[string]balance.Load{"s": {Requests: 1}}
+				s.Runs = []Run{{ID: "run-" + id, Server: "s", Tokens: 5}}
 			},
 			Changed: func(states []State) {
 				mu.Lock()
