--- a/internal/forward/move.go
+++ b/internal/forward/move.go
@@ -236,6 +236,9 @@
 	g.runs.mu.Lock()
 	g.runs.plannedUntil[s.ID] = notice.Add(end)
 	g.runs.mu.Unlock()
+	if len(leaving) == 0 {
+		return
+	}
 	g.opts.Log.Info().Str("backend", s.ID).Int("runs", len(leaving)).Int("all", len(all)).Dur("planned", end).
 		Msg("moving runs off a leaving backend server")
 	for _, step := range steps {
