Divide targets among leaving engines and give each move its whole time

Change: migrate.Targets; remote runs are planned from when they can begin; 30 ms besides the transfer; runs of one host wait for one another.

--- a/core/migrate/migrate.go
+++ b/core/migrate/migrate.go
@@ -13,8 +13,9 @@
 
 const (
 	// stepOverhead is the time of a move besides its transfer: two calls to the
-	// engine, and the part that grew meanwhile.
-	stepOverhead = 15 * time.Millisecond
+	// engine, the part that grew meanwhile, and what clocks and timers are off. A
+	// run that starts too early makes the one before it wait between its copies.
+	stepOverhead = 30 * time.Millisecond
 	// remoteLead is how much later a host in another region hears of the notice
 	// and is heard by the engine: two ways between regions.
 	remoteLead = 60 * time.Millisecond
@@ -79,14 +80,33 @@
 		return runs[i].ID < runs[j].ID
 	})
 	for _, r := range runs {
-		start, took := end, transfer(r.Tokens)+stepOverhead
+		start, begin, took := end, end, transfer(r.Tokens)+stepOverhead
 		if r.Remote {
-			start, took = max(0, end-remoteLead), took+remoteOverhead
+			start, begin, took = max(0, end-remoteLead), max(end, remoteLead), took+remoteOverhead
 		}
 		if r.Own {
 			steps = append(steps, Step{ID: r.ID, Start: start})
 		}
-		end += took
+		end = begin + took
 	}
 	return steps, end
 }
+
+// Targets divides the engines that may take runs among those that leave at the
+// same time, so that no two send to one: their copies would wait for each other.
+// It returns the engines for one source, or all if there are too few.
+func Targets(source string, leaving, open []string) []string {
+	sort.Strings(leaving)
+	sort.Strings(open)
+	place := sort.SearchStrings(leaving, source)
+	if len(open) < len(leaving) || place == len(leaving) {
+		return open
+	}
+	var mine []string
+	for i, id := range open {
+		if i%len(leaving) == place {
+			mine = append(mine, id)
+		}
+	}
+	return mine
+}
--- a/core/migrate/migrate_test.go
+++ b/core/migrate/migrate_test.go
@@ -91,6 +91,20 @@
 	require.Len(t, steps, 1)
 	assert.Equal(t, transfer(4000)+stepOverhead-remoteLead, steps[0].Start)
 	assert.Equal(t, transfer(4000)+transfer(1000)+2*stepOverhead+remoteOverhead, end)
+	_, end = Plan([]Run{{ID: "b", Tokens: 1000, Rank: 2, Remote: true}}, transfer)
+	assert.Equal(t, remoteLead+transfer(1000)+stepOverhead+remoteOverhead, end, "its first copy cannot begin at once")
+}
+
+// Pattern: two engines of a region are reclaimed at the same time. Their copies
+// must not meet at one target.
+func TestTargetsAreDividedAmongLeavingEngines(t *testing.T) {
+	leaving := []string{"l2", "l1"}
+	open := []string{"t3", "t1", "t2"}
+	assert.Equal(t, []string{"t1", "t3"}, Targets("l1", leaving, open))
+	assert.Equal(t, []string{"t2"}, Targets("l2", leaving, open))
+	assert.Equal(t, []string{"t1"}, Targets("l1", leaving, []string{"t1"}), "one target is shared")
+	assert.Equal(t, open, Targets("x", leaving, open))
+	assert.Empty(t, Targets("l1", leaving, nil))
 }
 
 func TestTransferTime(t *testing.T) {
--- a/internal/forward/gateway.go
+++ b/internal/forward/gateway.go
@@ -25,7 +25,7 @@
 	Log       zerolog.Logger
 	// HostID, Domain and Region are those of the host.
 	HostID, Domain, Region string
-	Bounds         Bounds
+	Bounds                 Bounds
 }
 
 // Bounds are promises that hold for all hosts together. They may change while
--- a/internal/forward/move.go
+++ b/internal/forward/move.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"sort"
 	"strconv"
 	"sync"
@@ -241,11 +242,28 @@
 	}
 	g.opts.Log.Info().Str("backend", s.ID).Int("runs", len(leaving)).Int("all", len(all)).Dur("planned", end).
 		Msg("moving runs off a leaving backend server")
-	for _, step := range steps {
-		go byID[step.ID].leave(notice.Add(step.Start))
-	}
+	go func() {
+		for _, step := range steps {
+			start := notice.Add(step.Start)
+			pause(context.Background(), time.Until(start))
+			moved := make(chan struct{})
+			go func() {
+				byID[step.ID].leave(start)
+				close(moved)
+			}()
+			// The next run of this host also waits for this one, but not for
+			// one that finds no room.
+			select {
+			case <-moved:
+			case <-time.After(stuckAfter):
+			}
+		}
+	}()
 }
 
+// stuckAfter is how long the move of a long run takes at most, if it goes well.
+const stuckAfter = 600 * time.Millisecond
+
 // peerRuns returns the runs that the other hosts have at an engine.
 func (g *Gateway) peerRuns(s *directory.Server) []migrate.Run {
 	var out []migrate.Run
@@ -321,7 +339,10 @@
 func (ru *run) chooseTarget(m *move, tried []string) bool {
 	allowed := route.Regions(ru.r.route, ru.r.team)
 	near := func(region string) bool { return region == m.source.Region && allowed(region) }
-	target, why := ru.acquireTarget(m, tried[:1], near)
+	target, why := ru.acquireTarget(m, append(ru.othersTargets(m), tried...), near)
+	if target == nil {
+		target, why = ru.acquireTarget(m, tried[:1], near)
+	}
 	if why == balance.None {
 		target, why = ru.acquireTarget(m, tried, allowed)
 	}
@@ -334,6 +355,24 @@
 	return true
 }
 
+// othersTargets are the engines of the region that are left to others of its
+// engines that leave at the same time.
+func (ru *run) othersTargets(m *move) []string {
+	var leaving, open []string
+	snapshot := ru.r.g.opts.Directory.Snapshot()
+	for id, s := range snapshot.Servers {
+		switch {
+		case s.Service != ru.r.service || s.Region != m.source.Region || s.Gone:
+		case s.Leaving:
+			leaving = append(leaving, id)
+		case !snapshot.Out[s.Domain]:
+			open = append(open, id)
+		}
+	}
+	mine := migrate.Targets(m.source.ID, leaving, open)
+	return slices.DeleteFunc(open, func(id string) bool { return slices.Contains(mine, id) })
+}
+
 // openTarget opens the connection on which the run will go on.
 func (ru *run) openTarget(address string) {
 	if err := ru.r.g.pool.Open(ru.r.ctx, address, connectTimeout); err != nil {
--- a/internal/forward/notice.go
+++ b/internal/forward/notice.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"time"
-
 )
 
 const (
@@ -83,4 +82,3 @@
 	}
 	return false
 }
-
