Doubt the store when it has answered no host for a while

Ruled out: shorter watches for all (each call is paid for). Change: hosts tell how long ago the store answered them; when it has answered none for four mean gaps, engines with runs are asked. Watches end at times of their own.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -125,6 +125,8 @@
 	goneRetention = 30 * time.Second
 	// listTimeout bounds a list call.
 	listTimeout = 2 * time.Second
+	// waitJitter is the part of a wait that is left to chance: a fifth.
+	waitJitter = 5
 	// watchMargin is added to a watch's wait before it counts as failed.
 	watchMargin = 700 * time.Millisecond
 )
@@ -134,6 +136,7 @@
 	opts      Options
 	snapshot  atomic.Pointer[Snapshot]
 	confirmed atomic.Int64 // Clock at which the configuration was last known to be current; 0: never
+	answered  atomic.Int64 // Clock of the last answer to a call
 	// regained is when a call on backend servers last succeeded after a failure.
 	regained time.Duration
 
@@ -174,12 +177,9 @@
 	return d.opts.Clock() - time.Duration(at), true
 }
 
-// Lost reports whether the last call on backend servers failed, so that notices
-// may go unseen.
-func (d *Directory) Lost() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.backoff[Backends] != 0
+// AnswerAge returns how long ago the store last answered a call of this host.
+func (d *Directory) AnswerAge() time.Duration {
+	return d.opts.Clock() - time.Duration(d.answered.Load())
 }
 
 // Leaving records that a process was told to end, as learned from itself or
@@ -259,7 +259,9 @@
 }
 
 func (d *Directory) watch(ctx context.Context, kind Kind, at int64) (Batch, error) {
+	// Hosts that heard of the same change would otherwise call in step.
 	wait := d.opts.Waits[kind]
+	wait -= rand.N(wait/waitJitter + 1)
 	ctx, cancel := context.WithTimeout(ctx, wait+watchMargin)
 	defer cancel()
 	return d.opts.Store.Watch(ctx, kind, at, wait)
@@ -278,6 +280,7 @@
 }
 
 func (d *Directory) succeeded(kind Kind) {
+	d.answered.Store(int64(d.opts.Clock()))
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.backoff[kind] == 0 {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -88,7 +88,7 @@
 		Log:          log,
 		AbsenceGrace: s.AbsenceGrace,
 		Waits: map[directory.Kind]time.Duration{
-			directory.Configuration: time.Duration(float64(s.RevokeBound) * configWaitShare),
+			directory.Configuration: configWait(s),
 			directory.Backends:      serversWait,
 			directory.DomainsOut:    domainsWait,
 		},
@@ -101,6 +101,7 @@
 		Engines:   a.Engines,
 		Log:       log,
 		HostID:    s.HostID,
+		WatchWait: configWait(s),
 		Domain:    s.Domain,
 		Region:    s.Region,
 		Bounds:    bounds(s),
@@ -122,6 +123,11 @@
 	return p
 }
 
+// configWait is how long the configuration's watch waits.
+func configWait(s *Settings) time.Duration {
+	return time.Duration(float64(s.RevokeBound) * configWaitShare)
+}
+
 func bounds(s *Settings) forward.Bounds {
 	return forward.Bounds{
 		StrictRevoke: s.StrictRevoke,
--- a/internal/forward/gateway.go
+++ b/internal/forward/gateway.go
@@ -25,7 +25,9 @@
 	Log       zerolog.Logger
 	// HostID, Domain and Region are those of the host.
 	HostID, Domain, Region string
-	Bounds                 Bounds
+	// WatchWait is how long the shortest of the watches waits.
+	WatchWait time.Duration
+	Bounds    Bounds
 }
 
 // Bounds are promises that hold for all hosts together. They may change while
@@ -170,7 +172,7 @@
 // LocalState fills in what the other hosts need to know of this one.
 func (g *Gateway) LocalState(s *gossip.State) {
 	s.Loads, s.Runs = g.places.ownLoad(), g.runs.list(g.places)
-	s.StoreLost = g.opts.Directory.Lost()
+	s.AnswerAgeMS = g.opts.Directory.AnswerAge().Milliseconds()
 	s.Leaving = nil
 	for id, server := range g.opts.Directory.Snapshot().Servers {
 		if server.Leaving && !server.Gone && g.places.engineOf(server.Service) != nil {
--- a/internal/forward/notice.go
+++ b/internal/forward/notice.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"monsoonkeel.example/monsoonkeel/core/outage"
 )
 
 const (
@@ -31,17 +33,16 @@
 	}
 }
 
-// noticesUnseen reports whether neither this host nor another reaches the store.
+// noticesUnseen reports whether the store has answered no host for longer than
+// the hosts' watches, which end at times of their own, leave open.
 func (g *Gateway) noticesUnseen() bool {
-	if !g.opts.Directory.Lost() {
-		return false
-	}
-	for _, peer := range *g.peers.Load() {
-		if !peer.StoreLost {
-			return false
-		}
+	peers := *g.peers.Load()
+	age := g.opts.Directory.AnswerAge()
+	now := time.Now()
+	for _, p := range peers {
+		age = min(age, time.Duration(p.AnswerAgeMS)*time.Millisecond+now.Sub(p.At))
 	}
-	return true
+	return age > outage.Doubt(g.opts.WatchWait, len(peers)+1)
 }
 
 // askEngines asks the engines where this host has runs. Of several hosts with
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -56,8 +56,10 @@
 	Runs        []Run                   `json:"u,omitempty"`
 	// Leaving are the processes with runs that were told to end.
 	Leaving []Process `json:"g,omitempty"`
-	// StoreLost says that the host does not reach the store.
-	StoreLost bool `json:"x,omitempty"`
+	// AnswerAgeMS is how long ago the store last answered the host, in ms.
+	AnswerAgeMS int64 `json:"a"`
+	// At is when the message was received; it is not sent.
+	At time.Time `json:"-"`
 }
 
 // Options configure an Exchange.
@@ -77,17 +79,12 @@
 type Exchange struct {
 	opts  Options
 	mu    sync.Mutex
-	peers map[string]received
-}
-
-type received struct {
-	state State
-	at    time.Time
+	peers map[string]State
 }
 
 // New returns an Exchange; Run must be called for it to work.
 func New(opts Options) *Exchange {
-	return &Exchange{opts: opts, peers: map[string]received{}}
+	return &Exchange{opts: opts, peers: map[string]State{}}
 }
 
 // Run exchanges states until ctx ends.
@@ -133,10 +130,11 @@
 	}
 	e.mu.Lock()
 	known, ok := e.peers[s.Host]
-	newer := !ok || s.Incarnation > known.state.Incarnation ||
-		s.Incarnation == known.state.Incarnation && s.Sequence > known.state.Sequence
+	newer := !ok || s.Incarnation > known.Incarnation ||
+		s.Incarnation == known.Incarnation && s.Sequence > known.Sequence
 	if newer {
-		e.peers[s.Host] = received{state: s, at: now}
+		s.At = now
+		e.peers[s.Host] = s
 	}
 	states := e.current(now)
 	e.mu.Unlock()
@@ -148,12 +146,12 @@
 // current returns the states that still count and forgets the others.
 func (e *Exchange) current(now time.Time) []State {
 	states := make([]State, 0, len(e.peers))
-	for host, r := range e.peers {
-		if now.Sub(r.at) > expiry {
+	for host, s := range e.peers {
+		if now.Sub(s.At) > expiry {
 			delete(e.peers, host)
 			continue
 		}
-		states = append(states, r.state)
+		states = append(states, s)
 	}
 	return states
 }
@@ -171,7 +169,7 @@
 		}
 		next := last
 		e.opts.Local(&next)
-		if reflect.DeepEqual(next, last) && time.Since(sent) < quietInterval {
+		if unchanged(next, last) && time.Since(sent) < quietInterval {
 			continue
 		}
 		next.Sequence++
@@ -180,6 +178,13 @@
 	}
 }
 
+// unchanged compares all but the age of the store's last answer, which always
+// changes and matters only when it is long.
+func unchanged(a, b State) bool {
+	a.AnswerAgeMS, b.AnswerAgeMS = 0, 0
+	return reflect.DeepEqual(a, b)
+}
+
 func (e *Exchange) send(conn *net.UDPConn, s State) {
 	message, err := json.Marshal(s)
 	if err != nil || len(message) > maxMessageBytes {
