--- a/internal/connection/caller.go
+++ b/internal/connection/caller.go
@@ -5,11 +5,9 @@
 	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"os"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -326,34 +324,6 @@
 	return &headFault{400, "malformed request body"}
 }
 
-// reserveBody takes room for the body out of the budget: its length, or the
-// limit if the length is not known yet.
-func (c *Call) reserveBody(limit int) bool {
-	budget := c.conn.server.BodyBudget
-	need := int64(c.Request.Header.ContentLength())
-	if budget == nil || need == 0 || need < -1 {
-		return true
-	}
-	if need < 0 {
-		need = int64(limit)
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), bodyWait)
-	defer cancel()
-	if budget.Acquire(ctx, need) != nil {
-		return false
-	}
-	c.reserved = need
-	return true
-}
-
-// releaseBody gives back what the body doesn't need.
-func (c *Call) releaseBody(needed int64) {
-	if surplus := c.reserved - needed; surplus > 0 {
-		c.conn.server.BodyBudget.Release(surplus)
-		c.reserved = needed
-	}
-}
-
 // watch cancels when the caller closes the connection while its request runs.
 // The returned function ends the watch and reports whether the connection is
 // still usable.
@@ -382,114 +352,3 @@
 		return <-done
 	}
 }
-
-// Call is one request of a caller and its answer.
-type Call struct {
-	Request *fasthttp.Request
-	// Received is when the first byte of the request was read.
-	Received time.Time
-	conn     *caller
-	ctx      context.Context
-	cancel   context.CancelFunc
-	close    bool
-	done     bool
-	chunked  bool
-	// reserved is the call's part of the body budget.
-	reserved int64
-}
-
-// Context ends when the caller closes the connection.
-func (c *Call) Context() context.Context { return c.ctx }
-
-// RemoteAddr is the caller's address.
-func (c *Call) RemoteAddr() string { return c.conn.conn.RemoteAddr().String() }
-
-// Header yields the header fields of an answer.
-type Header func(yield func(name, value string) bool)
-
-func plainText(yield func(name, value string) bool) {
-	yield("Content-Type", "text/plain; charset=utf-8")
-}
-
-// Answer sends a complete answer.
-func (c *Call) Answer(status int, header Header, body []byte) {
-	w := c.head(status, header)
-	w = fmt.Appendf(w, "Content-Length: %d\r\n\r\n", len(body))
-	if !c.Request.Header.IsHead() {
-		w = append(w, body...)
-	}
-	_, err := c.conn.conn.Write(w)
-	c.done = err == nil
-}
-
-// Begin sends the head of an answer whose body follows in pieces.
-func (c *Call) Begin(status int, header Header) error {
-	w := c.head(status, header)
-	if c.Request.Header.IsHTTP11() {
-		c.chunked = true
-		w = append(w, "Transfer-Encoding: chunked\r\n\r\n"...)
-	} else {
-		c.close = true
-		w = append(w, "\r\n"...)
-	}
-	_, err := c.conn.conn.Write(w)
-	return err
-}
-
-// Write sends a piece of the body.
-func (c *Call) Write(p []byte) (int, error) {
-	if len(p) == 0 {
-		return 0, nil
-	}
-	if !c.chunked {
-		return c.conn.conn.Write(p)
-	}
-	w := make([]byte, 0, len(p)+16)
-	w = strconv.AppendInt(w, int64(len(p)), 16)
-	w = append(w, "\r\n"...)
-	w = append(w, p...)
-	w = append(w, "\r\n"...)
-	if _, err := c.conn.conn.Write(w); err != nil {
-		return 0, err
-	}
-	return len(p), nil
-}
-
-// End marks the body that Begin started as complete.
-func (c *Call) End() error {
-	var err error
-	if c.chunked {
-		_, err = io.WriteString(c.conn.conn, "0\r\n\r\n")
-	}
-	c.done = err == nil
-	return err
-}
-
-// Abort closes the connection, so that an unfinished answer does not look
-// complete. An answer that ends with its connection needs a reset for that.
-func (c *Call) Abort() {
-	c.close = true
-	if tcp, ok := c.conn.conn.(*callerConn).Conn.(*net.TCPConn); ok && !c.chunked {
-		_ = tcp.SetLinger(0)
-	}
-	_ = c.conn.conn.Close()
-}
-
-func (c *Call) head(status int, header Header) []byte {
-	if c.conn.server.Stopping() {
-		c.close = true
-	}
-	w := make([]byte, 0, 1024)
-	w = fmt.Appendf(w, "HTTP/1.1 %d %s\r\n", status, fasthttp.StatusMessage(status))
-	header(func(name, value string) bool {
-		w = append(w, name...)
-		w = append(w, ": "...)
-		w = append(w, value...)
-		w = append(w, "\r\n"...)
-		return true
-	})
-	if c.close {
-		w = append(w, "Connection: close\r\n"...)
-	}
-	return w
-}
--- /dev/null
+++ b/internal/forward/leave.go
@@ -0,0 +1,98 @@
+package forward
+
+import (
+	"context"
+	"time"
+
+	"monsoonkeel.example/monsoonkeel/core/migrate"
+	"monsoonkeel.example/monsoonkeel/internal/directory"
+)
+
+// leaveServers moves runs off the servers that began to leave.
+func (g *Gateway) leaveServers(old, now *directory.Snapshot) {
+	for id, s := range now.Servers {
+		before := old.Servers[id]
+		if s.Closing() && (before == nil || !before.Closing()) {
+			go g.leaveServer(s)
+		}
+	}
+	g.runs.forget(now)
+}
+
+// leaveIfClosing moves a run whose server gave notice before the run was known.
+// It comes after those of the server's plan.
+func (g *Gateway) leaveIfClosing(ru *run, server string) {
+	if s := g.opts.Directory.Snapshot().Servers[server]; s != nil && !s.Closing() {
+		return
+	}
+	g.runs.mu.Lock()
+	start := time.Now()
+	if end := g.runs.plannedUntil[server]; end.After(start) {
+		start = end
+	}
+	g.runs.mu.Unlock()
+	go ru.leave(start)
+}
+
+// leaveServer moves the runs of this host off an engine, each when its turn
+// among the runs of all hosts comes.
+func (g *Gateway) leaveServer(s *directory.Server) {
+	notice := time.Now()
+	leaving := g.runs.at(s.ID)
+	engine := g.places.engineOf(s.Service)
+	if engine == nil || !engine.Moves {
+		return
+	}
+	byID := make(map[string]*run, len(leaving))
+	all := g.peerRuns(s)
+	for _, ru := range leaving {
+		byID[ru.r.id] = ru
+		all = append(all, migrate.Run{
+			ID: ru.r.id, Tokens: ru.tokens(engine.EventTokens), Rank: ru.rank(), Remote: s.Region != g.opts.Region, Own: true,
+		})
+	}
+	steps, end := migrate.Plan(all, func(tokens int) time.Duration {
+		return migrate.TransferTime(tokens, engine.KVTokenBytes, engine.LinkMbps)
+	})
+	g.runs.mu.Lock()
+	g.runs.plannedUntil[s.ID] = notice.Add(end)
+	g.runs.mu.Unlock()
+	if len(leaving) == 0 {
+		return
+	}
+	g.opts.Log.Info().Str("backend", s.ID).Int("runs", len(leaving)).Int("all", len(all)).Dur("planned", end).
+		Msg("moving runs off a leaving backend server")
+	go func() {
+		for _, step := range steps {
+			start := notice.Add(step.Start)
+			pause(context.Background(), time.Until(start))
+			moved := make(chan struct{})
+			go func() {
+				byID[step.ID].leave(start)
+				close(moved)
+			}()
+			// The next run of this host also waits for this one, but not for
+			// one that finds no room.
+			select {
+			case <-moved:
+			case <-time.After(stuckAfter):
+			}
+		}
+	}()
+}
+
+// stuckAfter is how long the move of a long run takes at most, if it goes well.
+const stuckAfter = 600 * time.Millisecond
+
+// peerRuns returns the runs that the other hosts have at an engine.
+func (g *Gateway) peerRuns(s *directory.Server) []migrate.Run {
+	var out []migrate.Run
+	for _, peer := range *g.peers.Load() {
+		for _, r := range peer.Runs {
+			if r.Server == s.ID {
+				out = append(out, migrate.Run{ID: r.ID, Tokens: r.Tokens, Rank: r.Rank, Remote: peer.Region != s.Region})
+			}
+		}
+	}
+	return out
+}
