Move a run only from the engine it was planned for

Cause: reading the moves: a run that had already gone on elsewhere could be moved again by the plan of its former engine, and a move that found no room barred every later one. Ruled out, tried and taken back: moving runs off a domain that is taken out before their engines are reclaimed. Change: a move names its engine; one that did nothing may be followed by another. Conclusion: the fix is kept, the try is not.

--- a/internal/forward/leave.go
+++ b/internal/forward/leave.go
@@ -8,7 +8,8 @@
 	"monsoonkeel.example/monsoonkeel/internal/directory"
 )
 
-// leaveServers moves runs off the servers that began to leave.
+// leaveServers moves runs off the servers that began to leave. Those of failure
+// domains that were taken out stay: a copy to another domain stalls its caller.
 func (g *Gateway) leaveServers(old, now *directory.Snapshot) {
 	for id, s := range now.Servers {
 		before := old.Servers[id]
@@ -31,7 +32,7 @@
 		start = end
 	}
 	g.runs.mu.Unlock()
-	go ru.leave(start)
+	go ru.leave(server, start)
 }
 
 // leaveServer moves the runs of this host off an engine, each when its turn
@@ -61,14 +62,14 @@
 		return
 	}
 	g.opts.Log.Info().Str("backend", s.ID).Int("runs", len(leaving)).Int("all", len(all)).Dur("planned", end).
-		Msg("moving runs off a leaving backend server")
+		Msg("moving runs off a backend server")
 	go func() {
 		for _, step := range steps {
 			start := notice.Add(step.Start)
 			pause(context.Background(), time.Until(start))
 			moved := make(chan struct{})
 			go func() {
-				byID[step.ID].leave(start)
+				byID[step.ID].leave(s.ID, start)
 				close(moved)
 			}()
 			// The next run of this host also waits for this one, but not for
--- a/internal/forward/move.go
+++ b/internal/forward/move.go
@@ -42,13 +42,13 @@
 	target              *place
 }
 
-// leave moves the run to another engine, not before a time.
-func (ru *run) leave(start time.Time) {
+// leave moves the run from an engine to another, not before a time.
+func (ru *run) leave(server string, start time.Time) {
 	if !pause(ru.r.ctx, time.Until(start)) {
 		return
 	}
 	ru.mu.Lock()
-	if ru.move != nil || ru.ended {
+	if ru.move != nil || ru.ended || ru.place.server.ID != server {
 		ru.mu.Unlock()
 		return
 	}
@@ -60,6 +60,11 @@
 	ru.mu.Unlock()
 	ru.tryMove(m)
 	close(m.done)
+	ru.mu.Lock()
+	if !m.stopping && m.copied.Handle == "" {
+		ru.move = nil // nothing was done; a later move may find room
+	}
+	ru.mu.Unlock()
 }
 
 // tryMove copies the run while it goes on, and then the rest.
