--- a/core/retry/shared.go
+++ b/core/retry/shared.go
@@ -41,12 +41,6 @@
 	return true
 }
 
-// Charge records a repeat that has to be sent in any case.
-func (b *Shared) Charge(l Limits, now time.Time) {
-	b.expire(l, now)
-	b.repeats = append(b.repeats, now)
-}
-
 // expire forgets what left the window. At its very edge a repeat still counts
 // and a first try no longer does, so that no window holds too many repeats.
 func (b *Shared) expire(l Limits, now time.Time) {
--- a/core/retry/shared_test.go
+++ b/core/retry/shared_test.go
@@ -54,6 +54,6 @@
 	assert.False(t, b.Allow(l, 1, now.Add(time.Second)))
 	assert.True(t, b.Allow(l, 1, now.Add(time.Second+1)))
 	assert.False(t, b.Left(l, 9, now), "a ninth of 2 allows nothing")
-	b.Charge(l, now.Add(time.Second+1))
+	assert.True(t, b.Allow(l, 1, now.Add(time.Second+1)))
 	assert.False(t, b.Left(l, 1, now.Add(time.Second+1)))
 }
