Let few hosts of a region read the store and relay it to the others

Ruled out: longer waits (a watch that fell silent must be found within the bounds); relaying the configuration itself (a datagram does not hold it). Change: the first host of a region, by hash, among those that the store answers relays changes of servers and domains and confirmations of the configuration by gossip. A confirmation's age counts from the follower's message that the reader had got. A follower whose relays fall silent or grow old reads for itself.

--- a/core/outage/outage.go
+++ b/core/outage/outage.go
@@ -5,7 +5,7 @@
 import "time"
 
 const (
-	// gaps is how many times the mean time between answers, over all hosts, may
+	// gaps is how many times the mean time between answers, over all readers, may
 	// pass without one.
 	gaps = 4
 	// shortest covers a store that is slow and the delay of gossip.
@@ -15,9 +15,18 @@
 )
 
 // Doubt is how long all hosts together may go without an answer of the store
-// until it counts as away. Each has a watch that returns after wait at the
-// latest, at times of its own.
-func Doubt(wait time.Duration, hosts int) time.Duration {
-	mean := wait / time.Duration(max(1, hosts))
-	return min(max(gaps*mean, shortest), wait+slack)
+// until it counts as away. Each reader has watches that return after their waits
+// at the latest, at times of their own.
+func Doubt(waits []time.Duration, readers int) time.Duration {
+	if len(waits) == 0 {
+		return shortest
+	}
+	answers := 0.0    // a second, of one reader
+	first := waits[0] // the watch that ends first
+	for _, w := range waits {
+		answers += 1 / w.Seconds()
+		first = min(first, w)
+	}
+	mean := time.Duration(float64(time.Second) / (answers * float64(max(1, readers))))
+	return min(max(gaps*mean, shortest), first+slack)
 }
--- a/core/outage/outage_test.go
+++ b/core/outage/outage_test.go
@@ -11,10 +11,11 @@
 // Its notice lasts 1.5 s, so a fleet must doubt the store in less than half of
 // that, and a single host not before its own watch is due.
 func TestDoubt(t *testing.T) {
-	const wait = 1250 * time.Millisecond
-	for hosts, want := range map[int]time.Duration{
-		0: wait + slack, 1: wait + slack, 3: wait + slack, 6: 833 * time.Millisecond, 9: 555 * time.Millisecond, 80: shortest,
+	waits := []time.Duration{1200 * time.Millisecond, 900 * time.Millisecond, 1500 * time.Millisecond}
+	for readers, want := range map[int]time.Duration{
+		0: 900*time.Millisecond + slack, 1: 900*time.Millisecond + slack, 3: 511 * time.Millisecond, 80: shortest,
 	} {
-		assert.InDelta(t, want.Seconds(), Doubt(wait, hosts).Seconds(), 0.001, "%d hosts", hosts)
+		assert.InDelta(t, want.Seconds(), Doubt(waits, readers).Seconds(), 0.001, "%d readers", readers)
 	}
+	assert.Equal(t, shortest, Doubt(nil, 1))
 }
--- a/internal/directory/apply.go
+++ b/internal/directory/apply.go
@@ -24,12 +24,27 @@
 	if changed {
 		d.publish()
 	}
-	if kind == Configuration && d.state.Table != nil {
+	d.advance(kind, batch, whole)
+	if kind == Configuration && d.state.Table != nil && int64(sent) > d.confirmed.Load() {
 		// Stored after the table: a request that reads the time finds it.
 		d.confirmed.Store(int64(sent))
 	}
 }
 
+// advance moves the cursor of a kind past a batch and keeps it for the relay. A
+// list replaces what was known, so nothing before it can be relayed.
+func (d *Directory) advance(kind Kind, batch Batch, whole bool) {
+	d.cursor[kind] = max(d.cursor[kind], batch.At)
+	d.behind[kind] = false
+	switch {
+	case kind != Backends && kind != DomainsOut:
+	case whole:
+		d.logs[kind], d.base[kind] = nil, batch.At
+	case len(batch.Changes) > 0:
+		d.logs[kind] = append(d.logs[kind], logged{at: batch.At, changes: batch.Changes, read: d.opts.Clock()})
+	}
+}
+
 // missing returns deletions of what a whole list doesn't hold.
 func (d *Directory) missing(kind Kind, batch Batch) []Change {
 	held := make(map[string]bool, len(batch.Changes))
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -66,6 +66,18 @@
 	absent  map[string]time.Duration // ids of missing servers, since when
 	goneAt  map[string]time.Duration
 	backoff map[Kind]time.Duration
+	// cursor is the revision up to which a kind is known, logs its newest
+	// batches, base the revision after which these hold all changes. behind says
+	// that relays lack changes.
+	cursor map[Kind]int64
+	base   map[Kind]int64
+	logs   map[Kind][]logged
+	behind map[Kind]bool
+	// relayedAt is when the newest relayed configuration was confirmed, heardAt
+	// when this host sent the message that the newest relay answers.
+	relayedAt, heardAt time.Duration
+	reader             atomic.Bool
+	failedAt           atomic.Int64 // Clock of the last failed call; 0: none
 	// oldHosts are entries to delete; only registerLoop uses it.
 	oldHosts []string
 }
@@ -78,7 +90,12 @@
 		absent:  map[string]time.Duration{},
 		goneAt:  map[string]time.Duration{},
 		backoff: map[Kind]time.Duration{},
+		cursor:  map[Kind]int64{},
+		base:    map[Kind]int64{},
+		logs:    map[Kind][]logged{},
+		behind:  map[Kind]bool{},
 	}
+	d.reader.Store(true) // until other hosts are heard
 	d.state = Snapshot{Servers: map[string]*Server{}, Out: map[string]bool{}, Hosts: map[string]fleet.Host{}}
 	d.snapshot.Store(&Snapshot{})
 	return d
@@ -140,17 +157,20 @@
 	wg.Wait()
 }
 
-// follow lists a kind and then watches it. It lists again only when changes
-// were missed.
+// follow lists a kind and then watches it, unless a reader relays it. It lists
+// again only when changes were missed.
 func (d *Directory) follow(ctx context.Context, kind Kind) {
-	listed := false
-	var at int64
-	for ctx.Err() == nil {
+	for listed := false; ctx.Err() == nil; {
+		wait := time.Duration(0)
+		if listed {
+			wait = d.awaitRelay(ctx, kind)
+		}
+		at := d.position(kind)
 		sent := d.opts.Clock()
 		var batch Batch
 		var err error
-		if listed {
-			batch, err = d.watch(ctx, kind, at)
+		if listed && !d.configurationBehind(kind) {
+			batch, err = d.watch(ctx, kind, at, wait)
 		} else {
 			batch, err = d.list(ctx, kind, false)
 		}
@@ -165,22 +185,35 @@
 		}
 		d.succeeded(kind)
 		d.apply(kind, batch, !listed, sent)
-		listed, at = true, batch.At
+		listed = true
 		if len(batch.Changes) > 0 && kind == Backends {
 			sleep(ctx, batchPause)
 		}
 	}
 }
 
+// configurationBehind reports whether a newer configuration was heard of. Its
+// history may be gone by now, and a list holds a single object.
+func (d *Directory) configurationBehind(kind Kind) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return kind == Configuration && d.behind[kind]
+}
+
+func (d *Directory) position(kind Kind) int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.cursor[kind]
+}
+
 func (d *Directory) list(ctx context.Context, kind Kind, stale bool) (Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	return d.opts.Store.List(ctx, kind, stale)
 }
 
-func (d *Directory) watch(ctx context.Context, kind Kind, at int64) (Batch, error) {
+func (d *Directory) watch(ctx context.Context, kind Kind, at int64, wait time.Duration) (Batch, error) {
 	// Hosts that heard of the same change would otherwise call in step.
-	wait := d.opts.Waits[kind]
 	wait -= rand.N(wait/waitJitter + 1)
 	ctx, cancel := context.WithTimeout(ctx, wait+watchMargin)
 	defer cancel()
@@ -188,6 +221,7 @@
 }
 
 func (d *Directory) failed(ctx context.Context, kind Kind, err error) {
+	d.failedAt.Store(int64(d.opts.Clock()))
 	d.mu.Lock()
 	pause := d.backoff[kind]
 	if pause == 0 {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -43,11 +43,11 @@
 	probeTimeout = 2 * time.Second
 	// configWaitShare of the bound on a removed key is how long the
 	// configuration's watch waits: each return confirms the keys.
-	configWaitShare = 0.25
+	configWaitShare = 0.18
 	// serversWait and domainsWait bound how long a watch that fell silent goes
-	// unnoticed, below the bounds on leaving servers and domains.
-	serversWait = 1800 * time.Millisecond
-	domainsWait = 3000 * time.Millisecond
+	// unnoticed, below the bounds on leaving servers and domains. Few hosts watch.
+	serversWait = 1200 * time.Millisecond
+	domainsWait = 1500 * time.Millisecond
 )
 
 // Adapter is what a platform brings.
@@ -96,15 +96,15 @@
 		Self:    self,
 	})
 	p.gateway = forward.New(forward.Options{
-		Directory: p.directory,
-		Dialect:   a.Dialect,
-		Engines:   a.Engines,
-		Log:       log,
-		HostID:    s.HostID,
-		WatchWait: configWait(s),
-		Domain:    s.Domain,
-		Region:    s.Region,
-		Bounds:    bounds(s),
+		Directory:  p.directory,
+		Dialect:    a.Dialect,
+		Engines:    a.Engines,
+		Log:        log,
+		HostID:     s.HostID,
+		WatchWaits: []time.Duration{configWait(s), serversWait, domainsWait},
+		Domain:     s.Domain,
+		Region:     s.Region,
+		Bounds:     bounds(s),
 	})
 	p.gossip = gossip.New(gossip.Options{
 		Self:    self,
@@ -112,6 +112,7 @@
 		Hosts:   func() map[string]fleet.Host { return p.directory.Snapshot().Hosts },
 		Local:   p.gateway.LocalState,
 		Changed: p.gateway.SetPeers,
+		Clock:   boottime.Now,
 		Log:     log,
 	})
 	p.callers = &connection.Server{
--- a/internal/forward/gateway.go
+++ b/internal/forward/gateway.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"monsoonkeel.example/monsoonkeel/core/balance"
@@ -25,9 +26,9 @@
 	Log       zerolog.Logger
 	// HostID, Domain and Region are those of the host.
 	HostID, Domain, Region string
-	// WatchWait is how long the shortest of the watches waits.
-	WatchWait time.Duration
-	Bounds    Bounds
+	// WatchWaits are how long the watches on the store wait.
+	WatchWaits []time.Duration
+	Bounds     Bounds
 }
 
 // Bounds are promises that hold for all hosts together. They may change while
@@ -173,6 +174,8 @@
 func (g *Gateway) LocalState(s *gossip.State) {
 	s.Loads, s.Runs = g.places.ownLoad(), g.runs.list(g.places)
 	s.AnswerAgeMS = g.opts.Directory.AnswerAge().Milliseconds()
+	s.Reader, s.Unfit = g.opts.Directory.Reader(), g.opts.Directory.Unfit()
+	s.Relay = g.opts.Directory.Relay()
 	s.Leaving = nil
 	for id, server := range g.opts.Directory.Snapshot().Servers {
 		if server.Leaving && !server.Gone && g.places.engineOf(server.Service) != nil {
@@ -192,9 +195,33 @@
 		}
 	}
 	g.places.setPeers(loads)
+	g.opts.Directory.SetReader(g.isReader(states))
 	for _, s := range states {
+		if s.Relay != nil && s.Region == g.opts.Region && s.Answers > 0 {
+			g.opts.Directory.Relayed(s.Relay, s.Answers)
+		}
 		for _, p := range s.Leaving {
 			g.opts.Directory.Leaving(p.ID, p.Born)
 		}
 	}
 }
+
+// isReader reports whether this host reads the store for its region: it is the
+// first, by a hash, of the hosts heard there that the store answers.
+func (g *Gateway) isReader(states []gossip.State) bool {
+	own := xxhash.Sum64String(g.opts.HostID)
+	unfit := g.opts.Directory.Unfit()
+	for _, s := range states {
+		if s.Region != g.opts.Region {
+			continue
+		}
+		before := xxhash.Sum64String(s.Host) < own
+		if s.Unfit != unfit {
+			before = unfit
+		}
+		if before {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/forward/notice.go
+++ b/internal/forward/notice.go
@@ -38,11 +38,18 @@
 func (g *Gateway) noticesUnseen() bool {
 	peers := *g.peers.Load()
 	age := g.opts.Directory.AnswerAge()
+	readers := 0
+	if g.opts.Directory.Reader() {
+		readers++
+	}
 	now := time.Now()
 	for _, p := range peers {
+		if p.Reader {
+			readers++
+		}
 		age = min(age, time.Duration(p.AnswerAgeMS)*time.Millisecond+now.Sub(p.At))
 	}
-	return age > outage.Doubt(g.opts.WatchWait, len(peers)+1)
+	return age > outage.Doubt(g.opts.WatchWaits, readers)
 }
 
 // askEngines asks the engines where this host has runs. Of several hosts with
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -16,15 +16,21 @@
 
 	"monsoonkeel.example/monsoonkeel/core/balance"
 	"monsoonkeel.example/monsoonkeel/core/fleet"
+	"monsoonkeel.example/monsoonkeel/internal/directory"
 )
 
 const (
 	// sendInterval is how often changed state is sent.
 	sendInterval = 150 * time.Millisecond
 	// quietInterval is how often unchanged state is sent.
-	quietInterval = 900 * time.Millisecond
-	// expiry is how long a host's state counts: three quiet intervals.
-	expiry = 3 * quietInterval
+	quietInterval = 450 * time.Millisecond
+	// expiry is how long a host's state counts: five quiet intervals.
+	expiry = 5 * quietInterval
+	// sentKept messages may be echoed: more than are sent within expiry.
+	sentKept = 64
+	// crowd is the number of hosts up to which sendInterval holds; among more,
+	// the interval grows in proportion, since each message goes to all.
+	crowd = 24
 	// maxMessageBytes is the largest datagram.
 	maxMessageBytes = 60 << 10
 )
@@ -58,8 +64,26 @@
 	Leaving []Process `json:"g,omitempty"`
 	// AnswerAgeMS is how long ago the store last answered the host, in ms.
 	AnswerAgeMS int64 `json:"a"`
+	// Reader says that the host reads the store for others.
+	Reader bool `json:"w,omitempty"`
+	// Unfit says that the store lately did not answer the host.
+	Unfit bool `json:"f,omitempty"`
+	// Relay is what the host, if it reads the store for others, read.
+	Relay *directory.Relay `json:"y,omitempty"`
+	// Echo is the newest message that the host got from each host of its region
+	// before it sent this one.
+	Echo map[string]Mark `json:"e,omitempty"`
 	// At is when the message was received; it is not sent.
 	At time.Time `json:"-"`
+	// Answers is the time, on Options.Clock, at which this host sent the message
+	// that Echo names; 0 if it names none. It is not sent.
+	Answers time.Duration `json:"-"`
+}
+
+// Mark names one message of a host.
+type Mark struct {
+	Incarnation int64 `json:"b"`
+	Sequence    int64 `json:"q"`
 }
 
 // Options configure an Exchange.
@@ -72,7 +96,9 @@
 	Local func(*State)
 	// Changed gets the states of the other hosts.
 	Changed func([]State)
-	Log     zerolog.Logger
+	// Clock counts suspended time too.
+	Clock func() time.Duration
+	Log   zerolog.Logger
 }
 
 // Exchange sends and receives states.
@@ -80,6 +106,9 @@
 	opts  Options
 	mu    sync.Mutex
 	peers map[string]State
+	// sent holds when the newest messages were sent, by sequence.
+	sent     [sentKept]time.Duration
+	sequence int64
 }
 
 // New returns an Exchange; Run must be called for it to work.
@@ -133,7 +162,7 @@
 	newer := !ok || s.Incarnation > known.Incarnation ||
 		s.Incarnation == known.Incarnation && s.Sequence > known.Sequence
 	if newer {
-		s.At = now
+		s.At, s.Answers = now, e.echoed(s.Echo[e.opts.Self.ID])
 		e.peers[s.Host] = s
 	}
 	states := e.current(now)
@@ -143,6 +172,30 @@
 	}
 }
 
+// echoed returns when the message that a mark names was sent, or 0.
+func (e *Exchange) echoed(m Mark) time.Duration {
+	if m.Incarnation != e.opts.Self.Incarnation || m.Sequence <= e.sequence-sentKept || m.Sequence > e.sequence {
+		return 0
+	}
+	return e.sent[m.Sequence%sentKept]
+}
+
+// mark records that a message is sent now and returns its sequence and the
+// marks for the hosts of the region.
+func (e *Exchange) mark() (sequence int64, echo map[string]Mark) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.sequence++
+	e.sent[e.sequence%sentKept] = e.opts.Clock()
+	echo = map[string]Mark{}
+	for host, s := range e.peers {
+		if s.Region == e.opts.Region {
+			echo[host] = Mark{Incarnation: s.Incarnation, Sequence: s.Sequence}
+		}
+	}
+	return e.sequence, echo
+}
+
 // current returns the states that still count and forgets the others.
 func (e *Exchange) current(now time.Time) []State {
 	states := make([]State, 0, len(e.peers))
@@ -159,6 +212,7 @@
 func (e *Exchange) sendLoop(ctx context.Context, conn *net.UDPConn) {
 	ticker := time.NewTicker(sendInterval)
 	defer ticker.Stop()
+	var interval time.Duration
 	last := State{Host: e.opts.Self.ID, Region: e.opts.Region, Incarnation: e.opts.Self.Incarnation}
 	var sent time.Time
 	for {
@@ -167,34 +221,52 @@
 			return
 		case <-ticker.C:
 		}
+		if wanted := sendInterval * time.Duration(max(crowd, len(e.opts.Hosts()))) / crowd; wanted != interval {
+			interval = wanted
+			ticker.Reset(interval)
+		}
 		next := last
+		next.Echo = nil
 		e.opts.Local(&next)
 		if unchanged(next, last) && time.Since(sent) < quietInterval {
 			continue
 		}
-		next.Sequence++
 		last, sent = next, time.Now()
+		next.Sequence, next.Echo = e.mark()
+		if next.Relay == nil {
+			next.Echo = nil
+		}
 		e.send(conn, next)
 	}
 }
 
-// unchanged compares all but the age of the store's last answer, which always
-// changes and matters only when it is long.
+// unchanged compares all but the ages, which always change.
 func unchanged(a, b State) bool {
 	a.AnswerAgeMS, b.AnswerAgeMS = 0, 0
+	if a.Relay != nil && b.Relay != nil {
+		x, y := *a.Relay, *b.Relay
+		x.ConfirmedAgoMS, y.ConfirmedAgoMS = 0, 0
+		a.Relay, b.Relay = &x, &y
+	}
 	return reflect.DeepEqual(a, b)
 }
 
+// send sends a state to all hosts. What a reader relays goes to its region only.
 func (e *Exchange) send(conn *net.UDPConn, s State) {
-	message, err := json.Marshal(s)
-	if err != nil || len(message) > maxMessageBytes {
-		e.opts.Log.Error().AnErr("error", err).Int("bytes", len(message)).Msg("gossip: state cannot be sent")
-		return
-	}
+	near := e.encode(s)
+	s.Relay, s.Echo = nil, nil
+	far := e.encode(s)
 	for id, h := range e.opts.Hosts() {
 		if id == e.opts.Self.ID {
 			continue
 		}
+		message := far
+		if e.isNear(id) {
+			message = near
+		}
+		if message == nil {
+			continue
+		}
 		address, err := net.ResolveUDPAddr("udp", h.PeerAddress)
 		if err == nil {
 			_, err = conn.WriteToUDP(message, address)
@@ -204,3 +276,19 @@
 		}
 	}
 }
+
+// encode returns the message, or nil if it cannot be sent.
+func (e *Exchange) encode(s State) []byte {
+	message, err := json.Marshal(s)
+	if err != nil || len(message) > maxMessageBytes {
+		e.opts.Log.Error().AnErr("error", err).Int("bytes", len(message)).Msg("gossip: state cannot be sent")
+		return nil
+	}
+	return message
+}
+
+func (e *Exchange) isNear(host string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.peers[host].Region == e.opts.Region
+}
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -16,6 +16,8 @@
 	"monsoonkeel.example/monsoonkeel/core/fleet"
 )
 
+func clock() time.Duration { return time.Duration(time.Now().UnixNano()) }
+
 func message(t *testing.T, host string, incarnation, sequence int64, requests int) []byte {
 	t.Helper()
 	m, err := json.Marshal(State{
@@ -29,7 +31,7 @@
 // known, and a host that fell silent no longer counts.
 func TestOnlyNewerMessagesCount(t *testing.T) {
 	var states []State
-	e := New(Options{Self: fleet.Host{ID: "me"}, Changed: func(s []State) { states = s }, Log: zerolog.Nop()})
+	e := New(Options{Self: fleet.Host{ID: "me"}, Changed: func(s []State) { states = s }, Log: zerolog.Nop(), Clock: clock})
 	now := time.Unix(1000, 0)
 	for _, step := range []struct {
 		message []byte
@@ -68,7 +70,7 @@
 	heard := map[string]string{}
 	for id, h := range hosts {
 		e := New(Options{
-			Self: h, Region: "west", Log: zerolog.Nop(),
+			Self: h, Region: "west", Log: zerolog.Nop(), Clock: clock,
 			Hosts: func() map[string]fleet.Host { return hosts },
 			Local: func(s *State) {
 				s.Loads = map[string]balance.Load{"s": {Requests: 1}}
@@ -93,7 +95,32 @@
 	f.Add([]byte(`{"h":"a","b":1,"q":2,"l":{"s":{"r":1}},"u":[{"i":"x","s":"s","t":5}]}`))
 	f.Add([]byte(`{"h":"a","l":null,"u":[null]}`))
 	f.Fuzz(func(_ *testing.T, m []byte) {
-		e := New(Options{Self: fleet.Host{ID: "me"}, Changed: func([]State) {}, Log: zerolog.Nop()})
+		e := New(Options{Self: fleet.Host{ID: "me"}, Changed: func([]State) {}, Log: zerolog.Nop(), Clock: clock})
 		e.receive(m, time.Now())
 	})
 }
+
+// A relayed age counts from the message that the relay had got. A mark of a
+// former start of this host, or of a message never sent, answers nothing.
+func TestMarksNameTheMessageThatWasAnswered(t *testing.T) {
+	now := 10 * time.Second
+	e := New(Options{
+		Self: fleet.Host{ID: "me", Incarnation: 7}, Region: "west", Log: zerolog.Nop(),
+		Clock: func() time.Duration { return now }, Changed: func([]State) {},
+	})
+	e.receive([]byte(`{"h":"near","r":"west","b":3,"q":4}`), time.Unix(1, 0))
+	e.receive([]byte(`{"h":"far","r":"east","b":3,"q":4}`), time.Unix(1, 0))
+	sequence, echo := e.mark()
+	assert.Equal(t, map[string]Mark{"near": {Incarnation: 3, Sequence: 4}}, echo)
+	now += time.Second
+	e.mark()
+	assert.Equal(t, 10*time.Second, e.echoed(Mark{Incarnation: 7, Sequence: sequence}))
+	assert.Equal(t, 11*time.Second, e.echoed(Mark{Incarnation: 7, Sequence: sequence + 1}))
+	for _, m := range []Mark{{}, {Incarnation: 6, Sequence: sequence}, {Incarnation: 7, Sequence: sequence + 2}} {
+		assert.Zero(t, e.echoed(m))
+	}
+	for range sentKept {
+		e.mark()
+	}
+	assert.Zero(t, e.echoed(Mark{Incarnation: 7, Sequence: sequence}), "too long ago")
+}
