Divide a cold server's rate among more hosts than it bears requests

Cause: reading the bound for larger sites: with more hosts than the rate, one request a second of each host exceeds what a cold server bears. Ruled out: a call to others on the request path. Change: beyond one request a second and host, a hash gives each host a part of the servers. Figures: 200 hosts and a rate of 50: at most 50 hosts use a server in the test.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -4,7 +4,12 @@
 // those that just failed. It is pure: callers pass the time and hold the lock.
 package balance
 
-import "time"
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 const (
 	// engineRegionCost is the load, as a share of an engine's memory, that
@@ -44,9 +49,39 @@
 	Domain, Region string
 	// KVTokens is the memory of an engine in tokens, 0 for plain services.
 	KVTokens int
-	// PerSecond bounds what this host sends to one server in a second, because
-	// any may have turned cold unnoticed; 0 means no bound.
+	// Rate bounds what this host sends to one server in a second, because any may
+	// have turned cold unnoticed; 0 means no bound.
+	Rate Rate
+}
+
+// Rate is one host's part of a rate that all hosts share.
+type Rate struct {
+	// PerSecond is the number of requests a second; 0 means no bound.
 	PerSecond int
+	// Host is the host's id, and Part, if not 0, the part of the servers that it
+	// may use: the rate is less than one request a second for each host.
+	Host string
+	Part float64
+}
+
+// crowdMargin covers that a hash gives some servers to more hosts than others.
+const crowdMargin = 0.7
+
+// RatePart divides a rate, in requests a second, among a number of hosts.
+func RatePart(all float64, hosts int, host string) Rate {
+	each := all / float64(max(1, hosts))
+	if each >= 1 {
+		return Rate{PerSecond: int(each)}
+	}
+	return Rate{PerSecond: 1, Host: host, Part: each * crowdMargin}
+}
+
+// allows reports whether the host may use a server at all.
+func (r Rate) allows(server string) bool {
+	if r.Part == 0 {
+		return true
+	}
+	return float64(xxhash.Sum64String(r.Host+"/"+server))/math.MaxUint64 < r.Part
 }
 
 // Job is a request that needs a server.
@@ -203,7 +238,7 @@
 }
 
 func (b *Balancer) hasRoom(s *server, job Job, now time.Time) bool {
-	if n := b.settings.PerSecond; n > 0 && s.recent(now) >= n {
+	if n := b.settings.Rate.PerSecond; n > 0 && (s.recent(now) >= n || !b.settings.Rate.allows(s.ID)) {
 		return false
 	}
 	if b.settings.KVTokens == 0 || job.Near != nil {
@@ -254,7 +289,7 @@
 func (b *Balancer) Start(id string, work Load, now time.Time) {
 	s := b.at(id)
 	s.own = s.own.Plus(work)
-	if b.settings.PerSecond > 0 {
+	if b.settings.Rate.PerSecond > 0 {
 		s.recent(now)
 		s.sent = append(s.sent, now)
 	}
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -86,7 +87,7 @@
 // a cold one bears.
 func TestRatePerServerIsBounded(t *testing.T) {
 	b := New()
-	b.Configure(Settings{PerSecond: 2})
+	b.Configure(Settings{Rate: RatePart(5, 2, "host")})
 	b.SetServers([]Server{{ID: "s", Slots: 100}})
 	for range 2 {
 		b.Start(pick(t, b, Job{}, start), Load{Requests: 1}, start)
@@ -139,3 +140,26 @@
 	b.End("w1", Load{Requests: 1})
 	b.Failed("w1", start)
 }
+
+// Pattern: more hosts than a cold server bears requests a second, all of which
+// see the same empty server. Together they keep to the rate, and every host has
+// servers to use.
+func TestRateIsDividedAmongManyHosts(t *testing.T) {
+	const all, hosts, servers = 50.0, 200, 71
+	using := map[string]int{}
+	for h := range hosts {
+		rate := RatePart(all, hosts, fmt.Sprint("host-", h))
+		usable := 0
+		for s := range servers {
+			if id := fmt.Sprint("server-", s); rate.allows(id) {
+				using[id] += rate.PerSecond
+				usable++
+			}
+		}
+		assert.NotZero(t, usable)
+	}
+	for id, n := range using {
+		assert.LessOrEqual(t, float64(n), all, id)
+	}
+	assert.Equal(t, Rate{PerSecond: 5}, RatePart(all, 9, "x"))
+}
--- a/internal/forward/places.go
+++ b/internal/forward/places.go
@@ -112,7 +112,7 @@
 	}
 	if config.ColdPerSecond > 0 {
 		all := config.ColdPerSecond*p.bounds.ColdFactor + p.bounds.ColdSlack
-		settings.PerSecond = max(1, int(all)/p.hostCount())
+		settings.Rate = balance.RatePart(all, p.hostCount(), p.opts.HostID)
 	}
 }
 
