Announce no body where an answer has none

Cause: reading the answers: a 204 carried a Content-Length. Figures: the test fails without the change.

--- a/internal/connection/call.go
+++ b/internal/connection/call.go
@@ -42,14 +42,22 @@
 // Answer sends a complete answer.
 func (c *Call) Answer(status int, header Header, body []byte) {
 	w := c.head(status, header)
-	w = fmt.Appendf(w, "Content-Length: %d\r\n\r\n", len(body))
-	if !c.Request.Header.IsHead() {
+	if hasBody(status) {
+		w = fmt.Appendf(w, "Content-Length: %d\r\n", len(body))
+	}
+	w = append(w, "\r\n"...)
+	if hasBody(status) && !c.Request.Header.IsHead() {
 		w = append(w, body...)
 	}
 	_, err := c.conn.conn.Write(w)
 	c.done = err == nil
 }
 
+// hasBody reports whether answers with a status have a body (RFC 9110, section 6.4.1).
+func hasBody(status int) bool {
+	return status >= 200 && status != fasthttp.StatusNoContent && status != fasthttp.StatusNotModified
+}
+
 // Begin sends the head of an answer whose body follows in pieces.
 func (c *Call) Begin(status int, header Header) error {
 	w := c.head(status, header)
--- a/internal/connection/caller_test.go
+++ b/internal/connection/caller_test.go
@@ -233,3 +233,26 @@
 		return true
 	}, time.Second, time.Millisecond)
 }
+
+// An answer without a body must not announce one, or the next answer on the
+// connection is read as its body.
+func TestAnswersWithoutABody(t *testing.T) {
+	conn, r := dialCaller(t, startCallers(t, &Server{Handle: func(c *Call) {
+		status := 204
+		if c.Request.Header.IsHead() {
+			status = 200
+		}
+		c.Answer(status, plainText, []byte("body"))
+	}}))
+	_, err := io.WriteString(conn, "GET /x HTTP/1.1\r\nHost: a\r\n\r\nHEAD /x HTTP/1.1\r\nHost: a\r\n\r\n")
+	require.NoError(t, err)
+	resp, err := http.ReadResponse(r, nil)
+	require.NoError(t, err)
+	assert.Equal(t, 204, resp.StatusCode)
+	assert.Empty(t, resp.Header.Get("Content-Length"))
+	resp, err = http.ReadResponse(r, &http.Request{Method: "HEAD"})
+	require.NoError(t, err)
+	assert.Equal(t, 200, resp.StatusCode)
+	assert.Equal(t, "4", resp.Header.Get("Content-Length"))
+	assert.Zero(t, r.Buffered())
+}
