--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -100,7 +100,7 @@
 				p.gossip.Poke()
 			}
 		},
-		Self:    self,
+		Self: self,
 	})
 	p.gateway = forward.New(forward.Options{
 		Directory:  p.directory,
