Free what a move holds when its run ends without it

Cause: reading the moves: a run that ended between its first copy and its last part left the copy at the target and counted there for ever, so that the host believed the target full. Ruled out: the engine's own expiry, which frees its memory but not the host's books. Change: the end of a run releases its move's place and drops the copy.

--- a/internal/forward/move.go
+++ b/internal/forward/move.go
@@ -99,7 +99,7 @@
 		pause(ru.r.ctx, notRunningPause)
 	}
 	if m.copied.Handle == "" {
-		m.dropTarget()
+		m.dropTarget() // else abandonMove does
 	}
 }
 
@@ -213,6 +213,29 @@
 	}
 }
 
+// abandonMove frees what a move holds whose run has ended without it.
+func (ru *run) abandonMove() {
+	ru.mu.Lock()
+	m := ru.move
+	ru.mu.Unlock()
+	if m == nil {
+		return
+	}
+	go func() {
+		<-m.done
+		m.dropTarget()
+		if m.copied.Handle == "" {
+			return
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), copyTimeout)
+		defer cancel()
+		if err := ru.r.g.opts.Engines.DropCopy(ctx, m.source.Address, m.copied.Handle); err != nil {
+			// The target frees it by itself after a while.
+			ru.r.g.opts.Log.Info().Str("request", ru.r.id).Str("source", m.source.ID).Err(err).Msg("move: copy not dropped")
+		}
+	}()
+}
+
 func (ru *run) isEnded() bool {
 	ru.mu.Lock()
 	defer ru.mu.Unlock()
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -227,4 +227,7 @@
 	return verdict.Wrap(cause, verdict.Ran, 502, "stream_broken", "the engine broke the stream off")
 }
 
-func (s *stream) close() { s.r.g.runs.remove(s.run) }
+func (s *stream) close() {
+	s.r.g.runs.remove(s.run)
+	s.run.abandonMove()
+}
