Tell the region as often in a large fleet as in a small one

The interval of gossip grows with the hosts, to 0.44 s there, so relays looked silent and all hosts read for themselves. Change: only the interval to other regions grows with all hosts.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -28,8 +28,9 @@
 	expiry = 5 * quietInterval
 	// sentKept messages may be echoed: more than are sent within expiry.
 	sentKept = 64
-	// crowd is the number of hosts up to which sendInterval holds; among more,
-	// the interval grows in proportion, since each message goes to all.
+	// crowd is the number of hosts, in the region or in all, up to which
+	// sendInterval holds; among more, the interval grows in proportion, since each
+	// message goes to all of them.
 	crowd = 24
 	// maxMessageBytes is the largest datagram.
 	maxMessageBytes = 60 << 10
@@ -219,19 +220,21 @@
 }
 
 func (e *Exchange) sendLoop(ctx context.Context, conn *net.UDPConn) {
-	ticker := time.NewTicker(sendInterval)
+	interval := sendInterval
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
-	var interval time.Duration
 	last := State{Host: e.opts.Self.ID, Region: e.opts.Region, Incarnation: e.opts.Self.Incarnation}
-	var sent time.Time
+	var sent, sentFar time.Time
 	for {
+		poked := false
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		case <-e.poke:
+			poked = true
 		}
-		if wanted := sendInterval * time.Duration(max(crowd, len(e.opts.Hosts()))) / crowd; wanted != interval {
+		if wanted := crowded(e.nearCount()); wanted != interval {
 			interval = wanted
 			ticker.Reset(interval)
 		}
@@ -246,10 +249,32 @@
 		if next.Relay == nil {
 			next.Echo = nil
 		}
-		e.send(conn, next)
+		far := poked || time.Since(sentFar) >= crowded(len(e.opts.Hosts()))
+		if far {
+			sentFar = sent
+		}
+		e.send(conn, next, far)
 	}
 }
 
+// crowded is the interval of messages to a number of hosts.
+func crowded(hosts int) time.Duration {
+	return sendInterval * time.Duration(max(crowd, hosts)) / crowd
+}
+
+// nearCount is the number of hosts heard in the region.
+func (e *Exchange) nearCount() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
+	for _, s := range e.peers {
+		if s.Region == e.opts.Region {
+			n++
+		}
+	}
+	return n
+}
+
 // unchanged compares all but the ages, which always change.
 func unchanged(a, b State) bool {
 	a.AnswerAgeMS, b.AnswerAgeMS = 0, 0
@@ -261,16 +286,20 @@
 	return reflect.DeepEqual(a, b)
 }
 
-// send sends a state to all hosts. What a reader relays goes to its region only.
-func (e *Exchange) send(conn *net.UDPConn, s State) {
+// send sends a state to the hosts of the region, and with far to all others too.
+// What a reader relays goes to its region only.
+func (e *Exchange) send(conn *net.UDPConn, s State, far bool) {
 	near := e.encode(s)
 	s.Relay, s.Echo = nil, nil
-	far := e.encode(s)
+	var others []byte
+	if far {
+		others = e.encode(s)
+	}
 	for id, h := range e.opts.Hosts() {
 		if id == e.opts.Self.ID {
 			continue
 		}
-		message := far
+		message := others
 		if e.isNear(id) {
 			message = near
 		}
