Allow relayed confirmations the age that two waits give them

Change: a wait and 1.6 s instead of 1.1 s; the bound on leaving servers still holds with a call of the follower's own.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -73,6 +73,8 @@
 	base   map[Kind]int64
 	logs   map[Kind][]logged
 	behind map[Kind]bool
+	// relayed says that a kind was last left to the readers.
+	relayed map[Kind]bool
 	// relayedAt is when the newest relayed configuration was confirmed, heardAt
 	// when this host sent the message that the newest relay answers.
 	relayedAt, heardAt time.Duration
@@ -94,6 +96,7 @@
 		base:    map[Kind]int64{},
 		logs:    map[Kind][]logged{},
 		behind:  map[Kind]bool{},
+		relayed: map[Kind]bool{},
 	}
 	d.reader.Store(true) // until other hosts are heard
 	d.state = Snapshot{Servers: map[string]*Server{}, Out: map[string]bool{}, Hosts: map[string]fleet.Host{}}
--- a/internal/directory/relay.go
+++ b/internal/directory/relay.go
@@ -16,8 +16,10 @@
 	// message of this host that it answers: two messages and a lost one. With a
 	// call of its own, a host stays below the bounds on leaving servers.
 	relaySilence = 1200 * time.Millisecond
-	// relayedAge is how much older than a reader's wait a relayed confirmation may be.
-	relayedAge = 1100 * time.Millisecond
+	// relayedAge is how much older than a reader's wait a relayed confirmation may
+	// be: it counts from when the reader's call was sent, so just before the next
+	// one it is two waits old, and the messages add two quiet intervals.
+	relayedAge = 1600 * time.Millisecond
 	// unfitFor is how long a host whose call failed leaves the reading to others.
 	unfitFor = 5 * time.Second
 	// relayedChanges is for how long a change is repeated in relayed messages,
@@ -185,6 +187,11 @@
 	defer d.mu.Unlock()
 	now := d.opts.Clock()
 	relayed = d.relayedAt > 0 && now-d.relayedAt < relayedAge+d.opts.Waits[Configuration] && now-d.heardAt < relaySilence
+	if relayed != d.relayed[kind] {
+		d.relayed[kind] = relayed
+		d.opts.Log.Info().Stringer("kind", kind).Bool("relayed", relayed).Dur("heard_ago", now-d.heardAt).
+			Dur("confirmed_ago", now-d.relayedAt).Msg("relay changed")
+	}
 	return relayed, d.behind[kind]
 }
 
