--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"monsoonkeel.example/monsoonkeel/core/fleet"
+	"monsoonkeel.example/monsoonkeel/internal/wait"
 )
 
 // Options configure a Directory.
@@ -164,16 +165,16 @@
 // again only when changes were missed.
 func (d *Directory) follow(ctx context.Context, kind Kind) {
 	for listed := false; ctx.Err() == nil; {
-		wait := time.Duration(0)
+		bound := time.Duration(0)
 		if listed {
-			wait = d.awaitRelay(ctx, kind)
+			bound = d.awaitRelay(ctx, kind)
 		}
 		at := d.position(kind)
 		sent := d.opts.Clock()
 		var batch Batch
 		var err error
 		if listed && !d.configurationBehind(kind) {
-			batch, err = d.watch(ctx, kind, at, wait)
+			batch, err = d.watch(ctx, kind, at, bound)
 		} else {
 			batch, err = d.list(ctx, kind, false)
 		}
@@ -190,7 +191,7 @@
 		d.apply(kind, batch, !listed, sent)
 		listed = true
 		if len(batch.Changes) > 0 && kind == Backends {
-			sleep(ctx, batchPause)
+			wait.For(ctx, batchPause)
 		}
 	}
 }
@@ -233,7 +234,7 @@
 	}
 	d.backoff[kind] = min(2*pause, retryMax)
 	d.mu.Unlock()
-	sleep(ctx, pause/2+rand.N(pause/2+1))
+	wait.For(ctx, pause/2+rand.N(pause/2+1))
 }
 
 func (d *Directory) succeeded(kind Kind) {
@@ -253,7 +254,7 @@
 // expireLoop ends the grace of missing servers and forgets those long gone.
 func (d *Directory) expireLoop(ctx context.Context) {
 	const interval = 250 * time.Millisecond
-	for sleep(ctx, interval) {
+	for wait.For(ctx, interval) {
 		d.expire()
 	}
 }
@@ -284,15 +285,3 @@
 		d.publish()
 	}
 }
-
-// sleep waits and reports whether ctx goes on.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/directory/hosts.go
+++ b/internal/directory/hosts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"monsoonkeel.example/monsoonkeel/internal/wait"
 	"time"
 )
 
@@ -43,7 +44,7 @@
 		if n < firstHostLists {
 			pause = firstHostListInterval
 		}
-		sleep(ctx, pause*3/4+rand.N(pause/2))
+		wait.For(ctx, pause*3/4+rand.N(pause/2))
 	}
 }
 
--- a/internal/directory/relay.go
+++ b/internal/directory/relay.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"monsoonkeel.example/monsoonkeel/core/fleet"
+	"monsoonkeel.example/monsoonkeel/internal/wait"
 )
 
 // Few hosts of a region read the store; they relay what they read to the others,
@@ -206,7 +207,7 @@
 		case behind:
 			return time.Millisecond
 		}
-		sleep(ctx, followPause)
+		wait.For(ctx, followPause)
 	}
 	return 0
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -5,10 +5,12 @@
 	"errors"
 	"expvar"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"time"
 
@@ -41,13 +43,15 @@
 	stopMargin = 400 * time.Millisecond
 	// probeTimeout bounds a readiness probe.
 	probeTimeout = 2 * time.Second
-	// configWaitShare of the bound on a removed key is how long the
-	// configuration's watch waits: each return confirms the keys.
-	configWaitShare = 0.18
-	// serversWait and domainsWait bound how long a watch that fell silent goes
-	// unnoticed, below the bounds on leaving servers and domains. Few hosts watch.
-	serversWait = 1200 * time.Millisecond
-	domainsWait = 1500 * time.Millisecond
+	// revokeWaitShare of the bound on a removed key and configWaitShare of that on
+	// a configuration are how long the configuration's watch waits: each return
+	// confirms the keys, and a relayed one is up to two waits old.
+	revokeWaitShare = 0.18
+	configWaitShare = 0.3
+	// serversWaitShare of the bound on a leaving server and domainsWaitShare of
+	// that on a domain are how long a watch that fell silent goes unnoticed.
+	serversWaitShare = 0.4
+	domainsWaitShare = 0.3
 )
 
 // Adapter is what a platform brings.
@@ -87,11 +91,7 @@
 		Clock:        boottime.Now,
 		Log:          log,
 		AbsenceGrace: s.AbsenceGrace,
-		Waits: map[directory.Kind]time.Duration{
-			directory.Configuration: configWait(s),
-			directory.Backends:      serversWait,
-			directory.DomainsOut:    domainsWait,
-		},
+		Waits:        waits(s),
 		Changed: func(old, now *directory.Snapshot) {
 			p.gateway.Changed(old, now)
 			if p.directory.Reader() {
@@ -108,7 +108,7 @@
 		Engines:    a.Engines,
 		Log:        log,
 		HostID:     s.HostID,
-		WatchWaits: []time.Duration{configWait(s), serversWait, domainsWait},
+		WatchWaits: slices.Collect(maps.Values(waits(s))),
 		Domain:     s.Domain,
 		Region:     s.Region,
 		Bounds:     bounds(s),
@@ -131,9 +131,16 @@
 	return p
 }
 
-// configWait is how long the configuration's watch waits.
-func configWait(s *Settings) time.Duration {
-	return time.Duration(float64(s.RevokeBound) * configWaitShare)
+// waits are how long the watches on the store wait.
+func waits(s *Settings) map[directory.Kind]time.Duration {
+	part := func(bound time.Duration, share float64) time.Duration {
+		return time.Duration(float64(bound) * share)
+	}
+	return map[directory.Kind]time.Duration{
+		directory.Configuration: min(part(s.RevokeBound, revokeWaitShare), part(s.ConfigBound, configWaitShare)),
+		directory.Backends:      part(s.DrainBound, serversWaitShare),
+		directory.DomainsOut:    part(s.OutBound, domainsWaitShare),
+	}
 }
 
 func bounds(s *Settings) forward.Bounds {
--- a/internal/forward/dialect.go
+++ b/internal/forward/dialect.go
@@ -26,8 +26,6 @@
 	Tokens string
 	// LengthHint is the caller's estimate of the output tokens.
 	LengthHint string
-	// Priority is the urgency of a run at its engine.
-	Priority string
 	// LastEvent is the last event that a continued run has delivered.
 	LastEvent string
 	// CopySource names the engine and copy from which a run continues.
--- a/internal/forward/leave.go
+++ b/internal/forward/leave.go
@@ -6,6 +6,7 @@
 
 	"monsoonkeel.example/monsoonkeel/core/migrate"
 	"monsoonkeel.example/monsoonkeel/internal/directory"
+	"monsoonkeel.example/monsoonkeel/internal/wait"
 )
 
 // leaveServers moves runs off the servers that began to leave. Those of failure
@@ -66,7 +67,7 @@
 	go func() {
 		for _, step := range steps {
 			start := notice.Add(step.Start)
-			pause(context.Background(), time.Until(start))
+			wait.For(context.Background(), time.Until(start))
 			moved := make(chan struct{})
 			go func() {
 				byID[step.ID].leave(s.ID, start)
--- a/internal/forward/move.go
+++ b/internal/forward/move.go
@@ -10,6 +10,7 @@
 	"monsoonkeel.example/monsoonkeel/core/balance"
 	"monsoonkeel.example/monsoonkeel/core/migrate"
 	"monsoonkeel.example/monsoonkeel/core/route"
+	"monsoonkeel.example/monsoonkeel/internal/wait"
 )
 
 const (
@@ -44,7 +45,7 @@
 
 // leave moves the run from an engine to another, not before a time.
 func (ru *run) leave(server string, start time.Time) {
-	if !pause(ru.r.ctx, time.Until(start)) {
+	if !wait.For(ru.r.ctx, time.Until(start)) {
 		return
 	}
 	ru.mu.Lock()
@@ -71,10 +72,10 @@
 func (ru *run) tryMove(m *move) {
 	tried := []string{m.source.ID}
 	failures := 0
-	for try := 0; try < maxCopyTries && !cancelled(ru.r.ctx) && !ru.isEnded(); try++ {
+	for try := 0; try < maxCopyTries && ru.r.ctx.Err() == nil && !ru.isEnded(); try++ {
 		if m.target == nil && !ru.chooseTarget(m, tried) {
 			tried = tried[:1]
-			pause(ru.r.ctx, notRunningPause)
+			wait.For(ru.r.ctx, notRunningPause)
 			continue
 		}
 		result, err := ru.copyParts(m)
@@ -96,7 +97,7 @@
 		if failures >= maxCopyFailures {
 			break
 		}
-		pause(ru.r.ctx, notRunningPause)
+		wait.For(ru.r.ctx, notRunningPause)
 	}
 	if m.copied.Handle == "" {
 		m.dropTarget() // else abandonMove does
@@ -257,15 +258,3 @@
 		Bool("last", m.stopping).Stringer("outcome", result.Outcome).Int("made", result.Events).AnErr("error", err).
 		Int64("first_ms", m.firstTook.Milliseconds()).Int64("last_ms", m.lastTook.Milliseconds()).Msg("move: " + what)
 }
-
-// pause waits and reports whether ctx goes on.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"context"
 	"errors"
 	"io"
 	"time"
@@ -277,6 +276,3 @@
 	}
 	return nil
 }
-
-// cancelled reports whether a context ended.
-func cancelled(ctx context.Context) bool { return ctx.Err() != nil }
