Divide equal servers by chance, not by the order of a map

Ruled out: suspicion of the other server (it was chosen for every read). Change: the balancer draws among equal servers; the source is injected.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -140,10 +140,14 @@
 type Balancer struct {
 	settings Settings
 	servers  map[string]*server
+	intn     func(n int) int
 }
 
-// New returns a Balancer without servers.
-func New() *Balancer { return &Balancer{servers: map[string]*server{}} }
+// New returns a Balancer without servers. intn returns a random number from 0
+// to n-1.
+func New(intn func(n int) int) *Balancer {
+	return &Balancer{servers: map[string]*server{}, intn: intn}
+}
 
 // Configure replaces the settings.
 func (b *Balancer) Configure(s Settings) { b.settings = s }
@@ -210,7 +214,7 @@
 
 func (b *Balancer) pick(job Job, now time.Time, suspects bool) (*server, Why) {
 	var best *server
-	bestCost := 0.0
+	bestCost, ties := 0.0, 0
 	why := None
 	for id, s := range b.servers {
 		if !s.present || excluded(job.Exclude, id) || job.Allowed != nil && !job.Allowed(s.Region) {
@@ -226,9 +230,15 @@
 			continue
 		}
 		cost := b.cost(s, job)
-		// Map order is random, which divides equal servers among hosts.
-		if best == nil || cost < bestCost {
-			best, bestCost = s, cost
+		switch {
+		case best == nil || cost < bestCost:
+			best, bestCost, ties = s, cost, 1
+		case cost == bestCost:
+			// Chance divides equal servers among hosts. The order of a map does
+			// not: it favours the entry that was stored first.
+			if ties++; b.intn(ties) == 0 {
+				best = s
+			}
 		}
 	}
 	if best != nil {
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -12,7 +13,7 @@
 var start = time.Unix(1000, 0)
 
 func engines() *Balancer {
-	b := New()
+	b := New(rand.New(rand.NewPCG(1, 2)).IntN)
 	b.Configure(Settings{Domain: "west-a", Region: "west", KVTokens: 10000})
 	b.SetServers([]Server{
 		{ID: "w1", Address: "w1", Domain: "west-a", Region: "west", Slots: 64},
@@ -86,7 +87,7 @@
 // Pattern: all hosts see the same empty engine. Each keeps to its part of what
 // a cold one bears.
 func TestRatePerServerIsBounded(t *testing.T) {
-	b := New()
+	b := New(rand.New(rand.NewPCG(1, 2)).IntN)
 	b.Configure(Settings{Rate: RatePart(5, 2, "host")})
 	b.SetServers([]Server{{ID: "s", Slots: 100}})
 	for range 2 {
@@ -101,7 +102,7 @@
 // Pattern: a server that fails while its entry is good. It is passed over for a
 // time that doubles, and used at once if there is no other.
 func TestFailedServersArePassedOver(t *testing.T) {
-	b := New()
+	b := New(rand.New(rand.NewPCG(1, 2)).IntN)
 	b.SetServers([]Server{{ID: "a", Slots: 6}, {ID: "b", Slots: 6}})
 	b.Failed("a", start)
 	for range 20 {
@@ -119,7 +120,7 @@
 // Pattern: plain servers with few slots, one in each region. A round trip to
 // another region costs more than a short queue.
 func TestPlainRequestsStayInTheRegionWhileThereAreSlots(t *testing.T) {
-	b := New()
+	b := New(rand.New(rand.NewPCG(1, 2)).IntN)
 	b.Configure(Settings{Domain: "west-a", Region: "west"})
 	b.SetServers([]Server{{ID: "w", Domain: "west-a", Region: "west", Slots: 6}, {ID: "e", Domain: "east-a", Region: "east", Slots: 6}})
 	b.Start("w", Load{Requests: 4}, start)
@@ -163,3 +164,17 @@
 	}
 	assert.Equal(t, Rate{PerSecond: 5}, RatePart(all, 9, "x"))
 }
+
+// Pattern: a calm site, where servers are equal most of the time. If hosts
+// favoured one of them, all would send to the same.
+func TestEqualServersAreChosenEquallyOften(t *testing.T) {
+	b := New(rand.New(rand.NewPCG(1, 2)).IntN)
+	b.SetServers([]Server{{ID: "a", Slots: 6}, {ID: "b", Slots: 6}, {ID: "c", Slots: 6}})
+	counts := map[string]int{}
+	for range 3000 {
+		counts[pick(t, b, Job{}, start)]++
+	}
+	for _, id := range []string{"a", "b", "c"} {
+		assert.InDelta(t, 1000, counts[id], 100, id)
+	}
+}
--- a/internal/forward/places.go
+++ b/internal/forward/places.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sort"
 	"sync"
 	"time"
@@ -58,7 +59,7 @@
 func (p *places) service(name string) *serviceState {
 	s := p.services[name]
 	if s == nil {
-		s = &serviceState{balancer: balance.New()}
+		s = &serviceState{balancer: balance.New(rand.IntN)}
 		p.services[name] = s
 	}
 	return s
