Hold the claims' writes until the host is frozen

Cause: the freeze came too late. The script froze the host after the first claim's write began and gave the object API 700 ms a call. On a busy machine the freeze can come after the write, and then an order is claimed (1.4 s) before its deadline (1.5 s) and runs, as it may. Ruled out: an order sent after the thaw. Change: the object stand-in can hold writes until a switch is turned off.

--- a/internal/standin/objects.go
+++ b/internal/standin/objects.go
@@ -18,12 +18,18 @@
 // maxWatch bounds a long poll, whatever the caller asks for.
 const maxWatch = 5 * time.Minute
 
+// holdPoll is how often a held write looks whether it may go on: often against
+// the scenarios' waits of seconds.
+const holdPoll = 5 * time.Millisecond
+
 // ObjectFaults are the fault switches of the object API.
 type ObjectFaults struct {
 	// Refuse answers every call with 503.
 	Refuse bool `json:"refuse"`
 	// DelayMS delays each call before it takes effect.
 	DelayMS int `json:"delay_ms"`
+	// HoldWrites holds each write, before it takes effect, until the switch is off.
+	HoldWrites bool `json:"hold_writes"`
 	// LoseWriteAnswers is the number of next successful writes whose
 	// connection is closed without an answer.
 	LoseWriteAnswers int `json:"lose_write_answers"`
@@ -117,10 +123,26 @@
 		// The delay ignores the caller's disconnect: a write of a caller that
 		// gave up still takes effect late.
 		time.Sleep(milliseconds(f.DelayMS))
+		if kind == "writes" {
+			o.awaitRelease()
+		}
 		next(w, r)
 	}
 }
 
+// awaitRelease returns when writes are not held or the stand-in stops.
+func (o *Objects) awaitRelease() {
+	tick := time.NewTicker(holdPoll)
+	defer tick.Stop()
+	for o.faults.get().HoldWrites {
+		select {
+		case <-tick.C:
+		case <-o.stop:
+			return
+		}
+	}
+}
+
 func (o *Objects) list(w http.ResponseWriter, r *http.Request) {
 	type entry struct {
 		Key     string           `json:"key"`
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -289,3 +289,33 @@
 	require.Equal(t, http.StatusOK, status(t, "PUT", hosts.URL+"/faults", `{"lag_ms":60000}`, ""))
 	require.Empty(t, listed(), "before the first registration")
 }
+
+func TestHeldWritesTakeEffectWhenReleased(t *testing.T) {
+	objects := NewObjects(ObjectFaults{HoldWrites: true})
+	server := httptest.NewServer(objects.Handler())
+	t.Cleanup(server.Close)
+	t.Cleanup(objects.Stop)
+	put := make(chan int, 1)
+	go func() {
+		request, _ := http.NewRequestWithContext(t.Context(), http.MethodPut, server.URL+"/objects/claims/1", strings.NewReader("x"))
+		request.Header.Set("If-None-Match", "*")
+		answer, err := http.DefaultClient.Do(request)
+		if err != nil {
+			put <- 0
+			return
+		}
+		_ = answer.Body.Close()
+		put <- answer.StatusCode
+	}()
+	require.Eventually(t, func() bool {
+		objects.mu.Lock()
+		defer objects.mu.Unlock()
+		return objects.counts["writes"] == 1
+	}, 5*time.Second, time.Millisecond)
+	require.Equal(t, http.StatusNotFound, status(t, http.MethodGet, server.URL+"/objects/claims/1", "", ""), "reads are not held")
+	require.Empty(t, put)
+
+	objects.faults.update(func(f *ObjectFaults) bool { f.HoldWrites = false; return true })
+	require.Equal(t, http.StatusNoContent, <-put)
+	require.Equal(t, http.StatusOK, status(t, http.MethodGet, server.URL+"/objects/claims/1", "", ""))
+}
