Bound the memory of slow readers, announced bodies and idle connections

A host of 134 MB took 292 MB with 800 callers that read long answers slowly: each answer was read whole up to 256 KB, grown by doubling, and copied once more to be written. A body took room in the budget by the length it announced, so five callers that announce 4 MB and send one byte kept all other bodies out for 30 s. At the bound on connections new callers were closed while thousands idled. A body was copied twice on its way to the backend server, not once. Bodies take room as they come in and are shared, not copied, with the request to the backend server. A new connection takes the place of the one that is idle longest. A body without room is refused with Retry-After.

--- a/internal/connection/call.go
+++ b/internal/connection/call.go
@@ -11,8 +11,17 @@
 	"github.com/valyala/fasthttp"
 )
 
+const (
+	// copiedBytes is the longest body that is sent in one write with its frame:
+	// the events of a stream and most answers.
+	copiedBytes = 4 << 10
+	// chunkFrameBytes holds the size of a chunk and both line ends.
+	chunkFrameBytes = 20
+)
+
 // Call is one request of a caller and its answer.
 type Call struct {
+	// Request is the caller's. Its body is not reused after the call.
 	Request *fasthttp.Request
 	// Received is when the first byte of the request was read.
 	Received time.Time
@@ -39,6 +48,14 @@
 	yield("Content-Type", "text/plain; charset=utf-8")
 }
 
+// plainTextLater also says when a caller without room may try again: as long as
+// it waited for room here.
+func plainTextLater(yield func(name, value string) bool) {
+	if yield("Content-Type", "text/plain; charset=utf-8") {
+		yield("Retry-After", strconv.Itoa(int(bodyWait/time.Second)))
+	}
+}
+
 // Answer sends a complete answer.
 func (c *Call) Answer(status int, header Header, body []byte) {
 	w := c.head(status, header)
@@ -46,11 +63,28 @@
 		w = fmt.Appendf(w, "Content-Length: %d\r\n", len(body))
 	}
 	w = append(w, "\r\n"...)
-	if hasBody(status) && !c.Request.Header.IsHead() {
-		w = append(w, body...)
+	if !hasBody(status) || c.Request.Header.IsHead() {
+		body = nil
 	}
-	_, err := c.conn.conn.Write(w)
-	c.done = err == nil
+	c.done = c.writeAll(w, body, nil) == nil
+}
+
+// writeAll writes a body between two short pieces. A short body is copied to
+// save writes; a long one is not, as a slow caller would hold the copy.
+func (c *Call) writeAll(before, body, after []byte) error {
+	if len(body) <= copiedBytes {
+		_, err := c.conn.conn.Write(append(append(before, body...), after...))
+		return err
+	}
+	for _, piece := range [][]byte{before, body, after} {
+		if len(piece) == 0 {
+			continue
+		}
+		if _, err := c.conn.conn.Write(piece); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // hasBody reports whether answers with a status have a body (RFC 9110, section 6.4.1).
@@ -80,12 +114,10 @@
 	if !c.chunked {
 		return c.conn.conn.Write(p)
 	}
-	w := make([]byte, 0, len(p)+16)
-	w = strconv.AppendInt(w, int64(len(p)), 16)
-	w = append(w, "\r\n"...)
-	w = append(w, p...)
-	w = append(w, "\r\n"...)
-	if _, err := c.conn.conn.Write(w); err != nil {
+	size := make([]byte, 0, min(len(p), copiedBytes)+chunkFrameBytes)
+	size = strconv.AppendInt(size, int64(len(p)), 16)
+	size = append(size, "\r\n"...)
+	if err := c.writeAll(size, p, []byte("\r\n")); err != nil {
 		return 0, err
 	}
 	return len(p), nil
@@ -130,23 +162,20 @@
 	return w
 }
 
-// reserveBody takes room for the body out of the budget: its length, or the
-// limit if the length is not known yet.
-func (c *Call) reserveBody(limit int) bool {
+// reserveBody takes room for the body out of the budget until it has the bytes
+// needed in all, and reports whether there was room within bodyWait.
+func (c *Call) reserveBody(needed int64) bool {
 	budget := c.conn.server.BodyBudget
-	need := int64(c.Request.Header.ContentLength())
-	if budget == nil || need == 0 || need < -1 {
+	more := needed - c.reserved
+	if budget == nil || more <= 0 {
 		return true
 	}
-	if need < 0 {
-		need = int64(limit)
-	}
 	ctx, cancel := context.WithTimeout(context.Background(), bodyWait)
 	defer cancel()
-	if budget.Acquire(ctx, need) != nil {
+	if budget.Acquire(ctx, more) != nil {
 		return false
 	}
-	c.reserved = need
+	c.reserved = needed
 	return true
 }
 
--- a/internal/connection/caller.go
+++ b/internal/connection/caller.go
@@ -24,6 +24,9 @@
 	refusedLinger = 500 * time.Millisecond
 	// bodyWait is how long a request waits for room for its body.
 	bodyWait = time.Second
+	// bodyPart is the room that a body of known length takes first, in bytes;
+	// each further step doubles it, so that few bodies are copied often.
+	bodyPart = 64 << 10
 	// minHeaderBytes is the smallest buffer for a request head.
 	minHeaderBytes = 4 << 10
 	// maxHeaderBytes bounds the limit that a configuration may set.
@@ -43,7 +46,8 @@
 	Limits func() CallerLimits
 	// Handle must answer the call.
 	Handle func(*Call)
-	// MaxConns bounds the open connections; further ones are closed.
+	// MaxConns bounds the open connections. A further one takes the place of the
+	// one that is idle longest, or is closed if none is idle.
 	MaxConns int
 	// BodyBudget bounds the bytes of request bodies in memory; nil means no bound.
 	BodyBudget *semaphore.Weighted
@@ -63,6 +67,8 @@
 	reader *bufio.Reader
 	// idle is true while no request was begun.
 	idle atomic.Bool
+	// idleSince is when the connection last became idle, in Unix nanoseconds.
+	idleSince atomic.Int64
 	// served says that the connection carried a request.
 	served bool
 }
@@ -84,7 +90,7 @@
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		if s.MaxConns > 0 && s.open.Load() >= int64(s.MaxConns) {
+		if s.MaxConns > 0 && s.open.Load() >= int64(s.MaxConns) && !s.closeLongestIdle() {
 			_ = conn.Close()
 			continue
 		}
@@ -113,6 +119,25 @@
 	}
 }
 
+// closeLongestIdle closes the connection that is idle longest and reports
+// whether there was one. Its goroutine ends soon after, so for a moment one
+// connection more than MaxConns is open.
+func (s *Server) closeLongestIdle() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var longest *caller
+	for c := range s.conns {
+		if c.idle.Load() && (longest == nil || c.idleSince.Load() < longest.idleSince.Load()) {
+			longest = c
+		}
+	}
+	if longest == nil || !longest.idle.CompareAndSwap(true, false) {
+		return false
+	}
+	_ = longest.conn.SetReadDeadline(time.Unix(1, 0))
+	return true
+}
+
 // Wait waits until no request is running, or until ctx ends.
 func (s *Server) Wait(ctx context.Context) error {
 	done := make(chan struct{})
@@ -176,9 +201,11 @@
 		c.releaseReader()
 	}
 	limits := c.server.Limits()
+	now := time.Now()
+	_ = c.conn.SetReadDeadline(now.Add(limits.IdleTime))
+	c.idleSince.Store(now.UnixNano())
 	c.idle.Store(true)
 	defer c.idle.Store(false)
-	_ = c.conn.SetReadDeadline(time.Now().Add(limits.IdleTime))
 	if c.served && c.server.Stopping() {
 		return false
 	}
@@ -235,7 +262,7 @@
 	if fault := c.readRequest(call); fault != nil {
 		if fault.status != 0 {
 			call.close = true
-			call.Answer(fault.status, plainText, []byte(fault.reason+"\n"))
+			call.Answer(fault.status, fault.header, []byte(fault.reason+"\n"))
 			c.linger()
 		}
 		return false
@@ -300,20 +327,23 @@
 	if req.Header.ContentLength() > limit {
 		return &headFault{413, "the request body is too large"}
 	}
-	if !call.reserveBody(limit) {
-		return &headFault{503, "too many request bodies are in memory"}
-	}
 	if req.MayContinue() {
 		if _, err := io.WriteString(c.conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return &headFault{}
 		}
 	}
 	_ = c.conn.SetReadDeadline(time.Now().Add(bodyTimeout))
-	err := req.ContinueReadBody(c.reader, limit, false)
+	var err error
+	if length := req.Header.ContentLength(); length > 0 {
+		err = c.readSizedBody(call, length)
+	} else {
+		err = c.readOpenBody(call, limit)
+	}
 	switch {
 	case err == nil:
-		call.releaseBody(int64(len(req.Body())))
 		return nil
+	case errors.Is(err, errNoRoom):
+		return &headFault{503, "too many request bodies are in memory"}
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		return &headFault{413, "the request body is too large"}
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -324,6 +354,46 @@
 	return &headFault{400, "malformed request body"}
 }
 
+// errNoRoom says that a body did not get room within bodyWait.
+var errNoRoom = errors.New("no room for the request body")
+
+// readSizedBody reads a body of known length. It takes room as the body comes
+// in, so that callers who announce much and send little do not keep others out.
+func (c *caller) readSizedBody(call *Call, length int) error {
+	var body []byte
+	for len(body) < length {
+		grown := make([]byte, min(length, max(2*len(body), bodyPart)))
+		if !call.reserveBody(int64(len(grown))) {
+			return errNoRoom
+		}
+		if _, err := io.ReadFull(c.reader, grown[copy(grown, body):]); err != nil {
+			return err
+		}
+		body = grown
+	}
+	call.Request.SetBodyRaw(body)
+	return nil
+}
+
+// readOpenBody reads a body that is empty or whose length is not known yet. It
+// takes room for the largest body and then gives back what was not needed. The
+// body is cloned because the request's own buffer is used again later.
+func (c *caller) readOpenBody(call *Call, limit int) error {
+	if call.Request.Header.ContentLength() == -1 && !call.reserveBody(int64(limit)) {
+		return errNoRoom
+	}
+	if err := call.Request.ContinueReadBody(c.reader, limit, false); err != nil {
+		return err
+	}
+	if body := call.Request.Body(); len(body) > 0 {
+		call.releaseBody(int64(len(body)))
+		call.Request.SetBodyRaw(bytes.Clone(body))
+		return nil
+	}
+	call.releaseBody(0)
+	return nil
+}
+
 // watch cancels when the caller closes the connection while its request runs.
 // The returned function ends the watch and reports whether the connection is
 // still usable.
--- a/internal/connection/caller_test.go
+++ b/internal/connection/caller_test.go
@@ -216,6 +216,7 @@
 	require.NoError(t, err)
 	resp, _ := readAnswer(t, secondReader)
 	assert.Equal(t, 503, resp.StatusCode)
+	assert.Equal(t, "1", resp.Header.Get("Retry-After"))
 	// A chunked body is charged by its real size once it was read.
 	close(release)
 	readAnswer(t, firstReader)
@@ -256,3 +257,76 @@
 	assert.Equal(t, "4", resp.Header.Get("Content-Length"))
 	assert.Zero(t, r.Buffered())
 }
+
+// Pattern: callers that announce large bodies and send little. They hold room for
+// what they sent, not for what they announced.
+func TestAnnouncedBodiesTakeNoRoom(t *testing.T) {
+	const length = 1 << 20
+	limits := testLimits
+	limits.BodyBytes = length
+	s := &Server{
+		BodyBudget: semaphore.NewWeighted(2 * length),
+		Limits:     func() CallerLimits { return limits },
+		Handle:     func(c *Call) { c.Answer(200, plainText, fmt.Append(nil, len(c.Request.Body()))) },
+	}
+	address := startCallers(t, s)
+	post := fmt.Sprintf("POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", length)
+	for range 8 {
+		slow, _ := dialCaller(t, address)
+		_, err := io.WriteString(slow, post+"x")
+		require.NoError(t, err)
+	}
+	conn, r := dialCaller(t, address)
+	_, err := io.WriteString(conn, post+strings.Repeat("x", length))
+	require.NoError(t, err)
+	resp, body := readAnswer(t, r)
+	assert.Equal(t, 200, resp.StatusCode)
+	assert.Equal(t, fmt.Sprint(length), body)
+}
+
+// Pattern: thousands of idle connections. A new caller gets the place of the one
+// that is idle longest; running requests keep theirs.
+func TestNewCallersReplaceIdleOnes(t *testing.T) {
+	release := make(chan struct{})
+	limits := testLimits
+	limits.IdleTime = time.Minute
+	s := &Server{MaxConns: 3, Limits: func() CallerLimits { return limits }, Handle: func(c *Call) {
+		if string(c.Request.Header.RequestURI()) == "/wait" {
+			<-release
+		}
+		echo(c)
+	}}
+	address := startCallers(t, s)
+	running, runningReader := dialCaller(t, address)
+	_, err := io.WriteString(running, "GET /wait HTTP/1.1\r\nHost: a\r\n\r\n")
+	require.NoError(t, err)
+	ask := func(conn net.Conn, r *bufio.Reader) {
+		_, err := io.WriteString(conn, "GET /x HTTP/1.1\r\nHost: a\r\n\r\n")
+		require.NoError(t, err)
+		resp, _ := readAnswer(t, r)
+		require.Equal(t, 200, resp.StatusCode)
+	}
+	oldest, oldestReader := dialCaller(t, address)
+	ask(oldest, oldestReader)
+	kept, keptReader := dialCaller(t, address)
+	ask(kept, keptReader)
+	require.Eventually(t, func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		idle := 0
+		for c := range s.conns {
+			if c.idle.Load() {
+				idle++
+			}
+		}
+		return idle == 2
+	}, time.Second, time.Millisecond)
+	another, anotherReader := dialCaller(t, address)
+	ask(another, anotherReader)
+	_, err = oldestReader.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+	ask(kept, keptReader)
+	close(release)
+	resp, _ := readAnswer(t, runningReader)
+	assert.Equal(t, 200, resp.StatusCode)
+}
--- a/internal/connection/head.go
+++ b/internal/connection/head.go
@@ -11,6 +11,15 @@
 	reason string
 }
 
+// header is that of the answer to the faulty request.
+func (f *headFault) header(yield func(name, value string) bool) {
+	if f.status == 503 {
+		plainTextLater(yield)
+		return
+	}
+	plainText(yield)
+}
+
 // checkHead examines a whole request head, its empty last line included. It
 // refuses whatever two parsers could frame in different ways, because a second
 // request could then be hidden in the body of the first.
--- a/internal/connection/upstream.go
+++ b/internal/connection/upstream.go
@@ -26,9 +26,6 @@
 	maxIdleAge = 20 * time.Second
 	// readBufferBytes holds several SSE events.
 	readBufferBytes = 16 << 10
-	// inlineBodyBytes is the largest request body that is written before the
-	// answer is read. A server may answer early and read the rest later.
-	inlineBodyBytes = 16 << 10
 	// maxForeignAnswers is how many late answers to earlier requests are passed over.
 	maxForeignAnswers = 3
 	// maxReportBytes bounds the load report that identifies a connection.
@@ -151,6 +148,9 @@
 	// Belongs, if set, reports whether an answer belongs to the request. Others
 	// are late answers to earlier requests on the connection and passed over.
 	Belongs func(*fasthttp.ResponseHeader) bool
+	// BodyKept promises that the request's body is not reused after Do returns,
+	// so that a long one is sent without a copy.
+	BodyKept bool
 }
 
 // IncarnationError says that another process than the expected one listens at
@@ -218,7 +218,7 @@
 }
 
 func (e *Exchange) roundTrip(ctx context.Context, req *fasthttp.Request, opts Options) error {
-	if err := e.send(req); err != nil {
+	if err := e.send(req, opts.BodyKept); err != nil {
 		return err
 	}
 	if opts.HeadTimeout > 0 {
@@ -244,25 +244,6 @@
 	return ctx.Err()
 }
 
-// send writes the request. A long body is written while the answer is read.
-func (e *Exchange) send(req *fasthttp.Request) error {
-	write := func(req *fasthttp.Request) error {
-		w := bufio.NewWriter(e.conn)
-		if err := req.Write(w); err != nil {
-			return err
-		}
-		return w.Flush()
-	}
-	if len(req.Body()) <= inlineBodyBytes {
-		return write(req)
-	}
-	own := &fasthttp.Request{}
-	req.CopyTo(own)
-	e.sent = make(chan error, 1)
-	go func() { e.sent <- write(own) }()
-	return nil
-}
-
 func (e *Exchange) readHead(isHead bool) error {
 	e.Response.Reset()
 	e.Response.StreamBody = true
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -34,6 +34,9 @@
 	// bodyShare is the share of the memory for callers' request bodies, which
 	// are kept until the answer and copied once when they are sent.
 	bodyShare = 0.15
+	// answerShare is the share of the memory for long answers that are read whole
+	// before they are passed on; others pass through in pieces.
+	answerShare = 0.1
 	// minBodyBudget lets the largest body that a configuration usually allows in.
 	minBodyBudget = 8 << 20
 	// reservedFiles are descriptors that callers' connections leave to those
@@ -112,6 +115,7 @@
 		Domain:     s.Domain,
 		Region:     s.Region,
 		Bounds:     bounds(s),
+		AnswerRoom: int64(float64(s.MemoryBytes) * answerShare),
 	})
 	p.gossip = gossip.New(gossip.Options{
 		Self:    self,
--- a/internal/forward/gateway.go
+++ b/internal/forward/gateway.go
@@ -29,6 +29,8 @@
 	// WatchWaits are how long the watches on the store wait.
 	WatchWaits []time.Duration
 	Bounds     Bounds
+	// AnswerRoom bounds the memory of long answers that are read whole, in bytes.
+	AnswerRoom int64
 }
 
 // Bounds are promises that hold for all hosts together. They may change while
@@ -48,6 +50,7 @@
 	opts    Options
 	pool    *connection.Pool
 	places  *places
+	answers *answers
 	runs    runs
 	Metrics Metrics
 	// leaveBy is the Unix nanosecond by which running requests must have ended
@@ -67,6 +70,7 @@
 	g := &Gateway{opts: opts, pool: connection.NewPoolSize(maxIdlePerServer)}
 	g.bounds.Store(&opts.Bounds)
 	g.places = newPlaces(opts)
+	g.answers = newAnswers(opts.AnswerRoom)
 	g.peers.Store(&[]gossip.State{})
 	g.runs.plannedUntil = map[string]time.Time{}
 	g.runs.byServer = map[string]map[*run]struct{}{}
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -14,9 +13,6 @@
 )
 
 const (
-	// maxBufferedBody is the largest answer that is read whole before it is
-	// passed on, so that a broken one can be repeated or reported.
-	maxBufferedBody = 256 << 10
 	// connectTimeout bounds a new connection to a backend server: a round trip
 	// between regions takes 60 ms, and one lost packet costs a second.
 	connectTimeout = 400 * time.Millisecond
@@ -169,6 +165,7 @@
 		DialTimeout: connectTimeout,
 		MaxIdle:     maxIdleReuse,
 		Belongs:     r.belongs,
+		BodyKept:    true,
 	}
 	if again {
 		opts.HeadTimeout = time.Duration(float64(time.Until(r.deadline)) * headShare)
@@ -230,49 +227,3 @@
 func isPromise(status int) bool {
 	return status == 408 || status == 421 || status == 429 || status == 503
 }
-
-// deliver passes an answer on, whole if it is not too long.
-func (r *request) deliver(ex *connection.Exchange) error {
-	status := ex.Response.StatusCode()
-	body, whole, err := readUpTo(ex.Body(), maxBufferedBody)
-	if err != nil {
-		ex.Finish(false)
-		return broken(err)
-	}
-	r.status = status
-	r.answered = true
-	if whole {
-		r.call.Answer(status, answerHeader(&ex.Response.Header), body)
-		ex.Finish(true)
-		return nil
-	}
-	return r.deliverLong(ex, body)
-}
-
-// readUpTo reads a body to its end or up to a size.
-func readUpTo(body io.Reader, limit int) (read []byte, whole bool, err error) {
-	if body == nil {
-		return nil, true, nil
-	}
-	read, err = io.ReadAll(io.LimitReader(body, int64(limit)))
-	return read, err == nil && len(read) < limit, err
-}
-
-func (r *request) deliverLong(ex *connection.Exchange, begun []byte) error {
-	err := r.call.Begin(r.status, answerHeader(&ex.Response.Header))
-	if err == nil {
-		_, err = r.call.Write(begun)
-	}
-	if err == nil {
-		_, err = io.Copy(r.call, ex.Body())
-	}
-	if err == nil {
-		err = r.call.End()
-	}
-	ex.Finish(err == nil)
-	if err != nil {
-		r.call.Abort()
-		return broken(err)
-	}
-	return nil
-}
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -166,7 +166,8 @@
 func (r *request) outgoing(backend string) *fasthttp.Request {
 	d := &r.g.opts.Dialect
 	req := fasthttp.AcquireRequest()
-	r.call.Request.CopyTo(req)
+	r.call.Request.Header.CopyTo(&req.Header)
+	req.SetBodyRaw(r.call.Request.Body())
 	req.Header.SetNoDefaultContentType(true)
 	for name := range strings.SplitSeq(string(req.Header.Peek("Connection")), ",") {
 		if name = strings.TrimSpace(name); name != "" {
