Let runs go on from their first copy while their engine still works

A move stopped its run for the last part of the copy, which waits behind other copies on both links, and then asked the target: two round trips and a queue in which the caller gets nothing. Change: after the first copy the target is asked to go on from it at once, and the caller gets the old engine's events until it answers; then the connection to the old engine is closed, 200 ms later at most. The target reads the few tokens that the copy lacks. Only a target that refuses makes the engine stop for the last part, as before. Where no engine gave notice in the last 10 s, an engine of the region with memory to spare keeps a copy of each long run as it grows (memory that the runs of two engines would need is never taken). A stream goes on there when its engine dies, or stands still for twice the pause that is on time. Engines that break streams off are suspects. What is left of the loss: engines that find no memory in their region, zones that die, and the final fault.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -26,6 +26,14 @@
 	// between failure domains a copy takes twice as long, between regions more.
 	moveRegionCost = 8.0
 	moveDomainCost = 2.0
+	// standbyLosses is the number of engines of a region whose runs must still find
+	// room in the others when they leave at once: copies held ahead must not take
+	// the memory that those runs need.
+	standbyLosses = 2
+	// sameDomainCost is the load, as a share of an engine's memory, that a standby
+	// in another failure domain of the region may have more, because an outage of
+	// the domain would take the run and its copy.
+	sameDomainCost = 0.2
 	// plainRegionCost is the load, as a share of a server's slots, for plain
 	// services, where a round trip to another region exceeds the work itself.
 	plainRegionCost = 0.8
@@ -96,6 +104,8 @@
 	Exclude []string
 	// Near, if set, is the server from which the run is moved.
 	Near *Server
+	// Standby asks for an engine that keeps a copy of a run at Near.
+	Standby bool
 }
 
 // Load is work at one server.
@@ -248,6 +258,10 @@
 }
 
 func (b *Balancer) hasRoom(s *server, job Job, now time.Time) bool {
+	if job.Standby {
+		held := s.own.Tokens + s.peers.Tokens + job.Tokens
+		return held <= b.spare(s.Region)
+	}
 	if n := b.settings.Rate.PerSecond; n > 0 && (s.recent(now) >= n || !b.settings.Rate.allows(s.ID)) {
 		return false
 	}
@@ -260,6 +274,18 @@
 	return load == 0 || load+job.Tokens <= b.settings.KVTokens
 }
 
+// spare is how much memory of an engine may be in use, in tokens, so that the
+// runs of standbyLosses engines of the region fit into the others.
+func (b *Balancer) spare(region string) int {
+	engines := 0
+	for _, s := range b.servers {
+		if s.present && s.Region == region {
+			engines++
+		}
+	}
+	return b.settings.KVTokens * max(0, engines-standbyLosses) / max(1, engines)
+}
+
 // recent counts the sends of the last second.
 func (s *server) recent(now time.Time) int {
 	i := 0
@@ -274,6 +300,12 @@
 	if b.settings.KVTokens > 0 {
 		work := s.own.Plus(s.peers)
 		load := float64(work.Tokens+job.Tokens+promptWeight*work.Prompt) / float64(b.settings.KVTokens)
+		if job.Standby {
+			if s.Domain == job.Near.Domain {
+				load += sameDomainCost
+			}
+			return load
+		}
 		if job.Near != nil {
 			return load + distance(s, job.Near.Domain, job.Near.Region, moveRegionCost, moveDomainCost)
 		}
@@ -295,10 +327,16 @@
 	}
 }
 
+// Hold counts memory that is taken without a request.
+func (b *Balancer) Hold(id string, work Load) {
+	s := b.at(id)
+	s.own = s.own.Plus(work)
+}
+
 // Start counts a request that is sent to a server.
 func (b *Balancer) Start(id string, work Load, now time.Time) {
+	b.Hold(id, work)
 	s := b.at(id)
-	s.own = s.own.Plus(work)
 	if b.settings.Rate.PerSecond > 0 {
 		s.recent(now)
 		s.sent = append(s.sent, now)
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -178,3 +178,35 @@
 		assert.InDelta(t, 1000, counts[id], 100, id)
 	}
 }
+
+// Pattern: engines die without notice, and others are reclaimed two at a time. A
+// copy is held ahead in the region of its run, but not in memory that the runs of
+// two more engines would need.
+func TestStandbysLeaveRoomForTheRunsOfTwoEngines(t *testing.T) {
+	b := New(rand.New(rand.NewPCG(1, 2)).IntN)
+	b.Configure(Settings{Domain: "west-a", Region: "west", KVTokens: 10000})
+	list := []Server{
+		{ID: "a1", Domain: "west-a", Region: "west"}, {ID: "a2", Domain: "west-a", Region: "west"},
+		{ID: "b1", Domain: "west-b", Region: "west"}, {ID: "b2", Domain: "west-b", Region: "west"},
+	}
+	b.SetServers(list)
+	job := Job{Tokens: 1000, Exclude: []string{"a1"}, Near: &list[0], Standby: true}
+	first := pick(t, b, job, start)
+	assert.Contains(t, []string{"b1", "b2"}, first, "an outage of west-a must not take the run and its copy")
+	for _, id := range []string{"a2", "b1", "b2"} {
+		b.Hold(id, Load{Requests: 1, Tokens: 4000})
+	}
+	pick(t, b, job, start)
+	for _, id := range []string{"a2", "b1", "b2"} {
+		b.Hold(id, Load{Requests: 1, Tokens: 1})
+	}
+	_, why := b.Pick(job, start)
+	assert.Equal(t, Full, why, "half of the memory of four engines is kept for the runs of two")
+	assert.Equal(t, Chosen, func() Why { _, why := b.Pick(Job{Tokens: 5000}, start); return why }(), "requests still get it")
+
+	small := New(rand.New(rand.NewPCG(1, 2)).IntN)
+	small.Configure(Settings{Domain: "west-a", Region: "west", KVTokens: 10000})
+	small.SetServers(list[:2])
+	_, why = small.Pick(job, start)
+	assert.Equal(t, Full, why, "two engines have nothing to spare")
+}
--- a/core/migrate/migrate.go
+++ b/core/migrate/migrate.go
@@ -1,9 +1,9 @@
 // Package migrate plans the moves of running generations off an engine that is
 // about to end. All copies leave the engine over one link, one after another,
 // and several entry hosts relay runs of the same engine. Each of them computes
-// the same plan from the engine's own report, so that no two copies wait for
-// each other: a run that waits while its last part is copied is a stall for
-// its caller. It is pure.
+// the same plan from the same figures, so that the copies of short prompts come
+// first whichever host asks for them, and more runs are moved within the notice.
+// It is pure.
 package migrate
 
 import (
@@ -12,16 +12,9 @@
 )
 
 const (
-	// stepOverhead is the time of a move besides its transfer: two calls to the
-	// engine, the part that grew meanwhile, and what clocks and timers are off. A
-	// run that starts too early makes the one before it wait between its copies.
-	stepOverhead = 30 * time.Millisecond
 	// remoteLead is how much later a host in another region hears of the notice
 	// and is heard by the engine: two ways between regions.
 	remoteLead = 60 * time.Millisecond
-	// remoteOverhead is added for such a host: the round trip between the end of
-	// the first copy and the call for the last part.
-	remoteOverhead = 60 * time.Millisecond
 	// shortOutput is the number of tokens below which a run most likely ends
 	// within the notice; its copy would only hold up the others.
 	shortOutput = 75
@@ -33,12 +26,15 @@
 // that hosts with figures of different age agree: short prompts first, since
 // more of them fit into the notice, and last those that will soon end anyway.
 func Rank(promptTokens, expectedOutput int) int {
-	if expectedOutput < shortOutput {
+	if Short(expectedOutput) {
 		return shortRank + promptTokens
 	}
 	return promptTokens
 }
 
+// Short reports whether a run of some output most likely ends within a notice.
+func Short(expectedOutput int) bool { return expectedOutput < shortOutput }
+
 // Run is a generation at the engine.
 type Run struct {
 	ID string
@@ -80,14 +76,14 @@
 		return runs[i].ID < runs[j].ID
 	})
 	for _, r := range runs {
-		start, begin, took := end, end, transfer(r.Tokens)+stepOverhead
+		start, begin := end, end
 		if r.Remote {
-			start, begin, took = max(0, end-remoteLead), max(end, remoteLead), took+remoteOverhead
+			start, begin = max(0, end-remoteLead), max(end, remoteLead)
 		}
 		if r.Own {
 			steps = append(steps, Step{ID: r.ID, Start: start})
 		}
-		end = begin + took
+		end = begin + transfer(r.Tokens)
 	}
 	return steps, end
 }
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -77,6 +77,8 @@
 	LinkMbps float64
 	// Moves says that running requests can be moved to another engine.
 	Moves bool
+	// Standbys says that an engine can copy a run to another one as it grows.
+	Standbys bool
 	// EventTokens is the number of tokens in one event.
 	EventTokens int
 	// CopyTTL is how long an engine keeps a copied run that nobody continues.
--- a/internal/connection/upstream.go
+++ b/internal/connection/upstream.go
@@ -92,7 +92,8 @@
 	Reused bool
 	// sent receives the outcome of writing the request, if that goes on while
 	// the answer is read.
-	sent chan error
+	sent    chan error
+	aborted atomic.Bool
 }
 
 // Body streams the answer's body.
@@ -101,6 +102,13 @@
 // SetReadDeadline bounds the next read of the body. Zero removes the bound.
 func (e *Exchange) SetReadDeadline(t time.Time) { _ = e.conn.SetReadDeadline(t) }
 
+// Abort closes the connection, also while another goroutine reads the body,
+// which must call Finish afterwards.
+func (e *Exchange) Abort() {
+	e.aborted.Store(true)
+	_ = e.conn.Close()
+}
+
 // Finish ends the exchange. The connection is reused only if complete is true,
 // which promises that the body was read to its end and matched the request.
 func (e *Exchange) Finish(complete bool) {
@@ -110,7 +118,7 @@
 	conn := e.conn
 	e.conn = nil
 	notCancelled := e.stop()
-	keep := complete && notCancelled && !e.Response.ConnectionClose() && e.requestSent()
+	keep := complete && notCancelled && !e.aborted.Load() && !e.Response.ConnectionClose() && e.requestSent()
 	if !keep {
 		// Closed first, so that closing the body stream does not wait for
 		// the rest of an unfinished answer.
--- a/internal/forward/dialect.go
+++ b/internal/forward/dialect.go
@@ -30,6 +30,9 @@
 	LastEvent string
 	// CopySource names the engine and copy from which a run continues.
 	CopySource string
+	// Standby names the engine that the run is copied to as it grows. The copy is
+	// named by the request's id.
+	Standby string
 	// Reserved are further fields that only this system may set.
 	Reserved []string
 	// ParseTokens decodes the value of Tokens.
--- a/internal/forward/leave.go
+++ b/internal/forward/leave.go
@@ -15,6 +15,9 @@
 	for id, s := range now.Servers {
 		before := old.Servers[id]
 		if s.Closing() && (before == nil || !before.Closing()) {
+			if s.Leaving && !s.Gone {
+				g.places.noticed(s.Service)
+			}
 			go g.leaveServer(s)
 		}
 	}
@@ -33,7 +36,11 @@
 		start = end
 	}
 	g.runs.mu.Unlock()
-	go ru.leave(server, start)
+	go func() {
+		if !ru.handOverToStandby(server) {
+			ru.leave(server, start)
+		}
+	}()
 }
 
 // leaveServer moves the runs of this host off an engine, each when its turn
@@ -47,7 +54,12 @@
 	}
 	byID := make(map[string]*run, len(leaving))
 	all := g.peerRuns(s)
+	var covered []*run
 	for _, ru := range leaving {
+		if ru.covered() {
+			covered = append(covered, ru)
+			continue
+		}
 		byID[ru.r.id] = ru
 		all = append(all, migrate.Run{
 			ID: ru.r.id, Tokens: ru.tokens(engine.EventTokens), Rank: ru.rank(), Remote: s.Region != g.opts.Region, Own: true,
@@ -62,36 +74,30 @@
 	if len(leaving) == 0 {
 		return
 	}
-	g.opts.Log.Info().Str("backend", s.ID).Int("runs", len(leaving)).Int("all", len(all)).Dur("planned", end).
+	for _, ru := range covered {
+		go func() {
+			if !ru.handOverToStandby(s.ID) {
+				ru.leave(s.ID, notice.Add(end))
+			}
+		}()
+	}
+	g.opts.Log.Info().Str("backend", s.ID).Int("runs", len(leaving)).Int("covered", len(covered)).Int("all", len(all)).Dur("planned", end).
 		Msg("moving runs off a backend server")
 	go func() {
 		for _, step := range steps {
 			start := notice.Add(step.Start)
 			wait.For(context.Background(), time.Until(start))
-			moved := make(chan struct{})
-			go func() {
-				byID[step.ID].leave(s.ID, start)
-				close(moved)
-			}()
-			// The next run of this host also waits for this one, but not for
-			// one that finds no room.
-			select {
-			case <-moved:
-			case <-time.After(stuckAfter):
-			}
+			go byID[step.ID].leave(s.ID, start)
 		}
 	}()
 }
 
-// stuckAfter is how long the move of a long run takes at most, if it goes well.
-const stuckAfter = 600 * time.Millisecond
-
 // peerRuns returns the runs that the other hosts have at an engine.
 func (g *Gateway) peerRuns(s *directory.Server) []migrate.Run {
 	var out []migrate.Run
 	for _, peer := range *g.peers.Load() {
 		for _, r := range peer.Runs {
-			if r.Server == s.ID {
+			if r.Server == s.ID && !r.Standby {
 				out = append(out, migrate.Run{ID: r.ID, Tokens: r.Tokens, Rank: r.Rank, Remote: peer.Region != s.Region})
 			}
 		}
--- a/internal/forward/move.go
+++ b/internal/forward/move.go
@@ -167,6 +167,10 @@
 			return result, err
 		}
 		m.copied = result
+		ref := ru.r.g.opts.Dialect.CopyRef(m.source.Address, result.Handle)
+		if ru.handOverTo(m.source.ID, m, m.target, ref) {
+			return result, nil
+		}
 	}
 	ru.mu.Lock()
 	m.stopping = true
--- a/internal/forward/places.go
+++ b/internal/forward/places.go
@@ -34,6 +34,8 @@
 	budget   retry.Shared
 	waiters  []*waiter
 	engine   *route.Engine
+	// noticedAt is when a server last gave notice that it leaves.
+	noticedAt time.Time
 }
 
 type waiter struct {
@@ -219,6 +221,35 @@
 	}
 }
 
+// noticed records that a server of a service gave notice.
+func (p *places) noticed(service string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.service(service).noticedAt = time.Now()
+}
+
+// noticeMemory is how long a notice makes another one likely: about the time of
+// a long generation. Engines that leave with notice hand their runs over, and
+// need the memory and links of the others for it; copies held ahead help only
+// where engines die without notice.
+const noticeMemory = 10 * time.Second
+
+// standby takes memory for a copy of a run, if an engine has some to spare.
+func (p *places) standby(service string, job balance.Job) *place {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.service(service)
+	if time.Since(s.noticedAt) < noticeMemory {
+		return nil
+	}
+	server, why := s.balancer.Pick(job, time.Now())
+	if why != balance.Chosen {
+		return nil
+	}
+	s.balancer.Hold(server.ID, workOf(job))
+	return p.newPlace(service, server, job)
+}
+
 func (p *places) newPlace(service string, server balance.Server, job balance.Job) *place {
 	return &place{server: server, places: p, service: service, work: workOf(job)}
 }
--- a/internal/forward/runs.go
+++ b/internal/forward/runs.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"monsoonkeel.example/monsoonkeel/core/migrate"
+	"monsoonkeel.example/monsoonkeel/internal/connection"
 	"monsoonkeel.example/monsoonkeel/internal/directory"
 	"monsoonkeel.example/monsoonkeel/internal/gossip"
 )
@@ -24,13 +25,21 @@
 	mu    sync.Mutex
 	place *place
 	// move is set while the run is moved to another engine.
-	move   *move
-	events int
+	move *move
+	// ex is the answer that is relayed; nil while none is.
+	ex *connection.Exchange
+	// standby is the engine that keeps a copy of the run; nil if none does.
+	standby *place
+	// handover is set while the run goes on at its standby.
+	handover *handover
+	events   int
+	// lastID is the newest event delivered.
+	lastID int64
 	ended  bool
 }
 
-func (rs *runs) add(r *request, p *place) *run {
-	ru := &run{r: r, place: p}
+func (rs *runs) add(r *request, p, standby *place) *run {
+	ru := &run{r: r, place: p, standby: standby}
 	rs.mu.Lock()
 	rs.put(p.server.ID, ru)
 	rs.mu.Unlock()
@@ -69,6 +78,7 @@
 	ru.ended = true
 	p := ru.place
 	ru.mu.Unlock()
+	ru.setStandby(nil)
 	rs.mu.Lock()
 	rs.drop(p.server.ID, ru)
 	rs.mu.Unlock()
@@ -99,7 +109,7 @@
 			}
 			held := ru.tokens(perEvent)
 			ru.expect(held)
-			out = append(out, gossip.Run{ID: ru.r.id, Server: server, Tokens: held, Rank: ru.rank()})
+			out = append(out, gossip.Run{ID: ru.r.id, Server: server, Tokens: held, Rank: ru.rank(), Standby: ru.covered()})
 		}
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
@@ -118,10 +128,14 @@
 // expect corrects the memory that the run is expected to need.
 func (ru *run) expect(held int) {
 	ru.mu.Lock()
-	p, ended := ru.place, ru.ended
+	p, standby, ended := ru.place, ru.standby, ru.ended
 	ru.mu.Unlock()
-	if !ended {
-		p.expect(ru.r.expectedTokens(held))
+	if ended {
+		return
+	}
+	p.expect(ru.r.expectedTokens(held))
+	if standby != nil {
+		standby.expect(ru.r.expectedTokens(held))
 	}
 }
 
@@ -139,8 +153,8 @@
 	return ru.r.prompt + ru.events*perEvent
 }
 
-func (ru *run) delivered(events int) {
+func (ru *run) delivered(events int, lastID int64) {
 	ru.mu.Lock()
-	ru.events = events
+	ru.events, ru.lastID = events, lastID
 	ru.mu.Unlock()
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"errors"
 	"io"
 	"time"
@@ -27,7 +28,7 @@
 			return r.noPlace(last, 0, why)
 		}
 		r.tries++
-		s, err := r.startStream(p)
+		s, err := r.startStream(p, r.standbyFor(p.server))
 		if err == nil {
 			return s.relay()
 		}
@@ -63,23 +64,26 @@
 }
 
 // startStream sends the request and reads the head of the answer.
-func (r *request) startStream(p *place) (*stream, error) {
-	ex, err := r.send(p)
+func (r *request) startStream(p, standby *place) (*stream, error) {
+	ex, err := r.send(p, standby)
 	if err != nil {
+		standby.drop()
 		return nil, err
 	}
 	if ex.Response.StatusCode() != fasthttp.StatusOK {
+		standby.drop()
 		return nil, r.deliverFailure(ex, p)
 	}
 	s := &stream{r: r, ex: ex, frames: sse.NewFrameReader(ex.Body())}
-	s.run = r.g.runs.add(r, p)
+	s.run = r.g.runs.add(r, p, standby)
+	s.run.setExchange(ex)
 	s.header = copyHeader(answerHeader(&ex.Response.Header))
 	return s, nil
 }
 
 // send sends the request to the engine of a place, which is released on failure.
-func (r *request) send(p *place) (*connection.Exchange, error) {
-	ex, err := r.exchange(p, true, func(*fasthttp.Request) {})
+func (r *request) send(p, standby *place) (*connection.Exchange, error) {
+	ex, err := r.exchange(r.ctx, p, true, func(req *fasthttp.Request) { r.nameStandby(req, standby) })
 	if err != nil {
 		p.release(r.call.Context().Err() == nil)
 	}
@@ -88,11 +92,11 @@
 
 // exchange sends the request to the engine of a place, if asked for on a new
 // connection.
-func (r *request) exchange(p *place, fresh bool, prepare func(*fasthttp.Request)) (*connection.Exchange, error) {
+func (r *request) exchange(ctx context.Context, p *place, fresh bool, prepare func(*fasthttp.Request)) (*connection.Exchange, error) {
 	req := r.outgoing(p.server.ID)
 	defer fasthttp.ReleaseRequest(req)
 	prepare(req)
-	ex, err := r.g.pool.Do(r.ctx, p.server.Address, req, connection.Options{
+	ex, err := r.g.pool.Do(ctx, p.server.Address, req, connection.Options{
 		Fresh: fresh, DialTimeout: connectTimeout, MaxIdle: maxIdleReuse, Belongs: r.belongs,
 	})
 	if err != nil {
@@ -139,6 +143,7 @@
 func (s *stream) relay() error {
 	defer s.close()
 	for {
+		s.boundPause()
 		frame, err := s.frames.Next()
 		if err == nil {
 			err = s.deliver(frame)
@@ -154,6 +159,22 @@
 	}
 }
 
+// stalledAfter is after how many of the longest pauses that are on time an engine
+// counts as gone, if another one holds a copy of the run. The stream is late
+// then, and a caller is better served by the rest than by nothing.
+const stalledAfter = 2
+
+// boundPause ends the next read when the engine stalls and the run can go on at
+// its standby.
+func (s *stream) boundPause() {
+	gap := s.r.route.GapObjective
+	if gap <= 0 || !s.run.covered() {
+		s.ex.SetReadDeadline(time.Time{})
+		return
+	}
+	s.ex.SetReadDeadline(time.Now().Add(stalledAfter * gap))
+}
+
 // deliver passes one event on. An event that the caller has is dropped.
 func (s *stream) deliver(f sse.Frame) error {
 	if f.HasID && s.lastID != 0 {
@@ -179,7 +200,7 @@
 		s.lastID = f.ID
 	}
 	s.observe()
-	s.run.delivered(s.r.events)
+	s.run.delivered(s.r.events, s.lastID)
 	return nil
 }
 
@@ -198,7 +219,7 @@
 
 // complete ends the caller's answer after the last event.
 func (s *stream) complete() error {
-	s.ex.Finish(true)
+	s.finish(true)
 	if !s.begun {
 		s.begun = true
 		s.r.answered = true
@@ -211,7 +232,7 @@
 
 // fail ends the caller's answer early, in a way that does not look complete.
 func (s *stream) fail(cause error) error {
-	s.ex.Finish(false)
+	s.finish(false)
 	if s.r.ctx.Err() != nil {
 		err := s.r.interrupted(true)
 		if s.begun {
@@ -222,12 +243,14 @@
 	if !s.begun {
 		return broken(cause)
 	}
+	s.run.engineFailed()
 	s.r.g.Metrics.BrokenStreams.Add(1)
 	s.r.call.Abort()
 	return verdict.Wrap(cause, verdict.Ran, 502, "stream_broken", "the engine broke the stream off")
 }
 
 func (s *stream) close() {
+	s.run.endHandover()
 	s.r.g.runs.remove(s.run)
 	s.run.abandonMove()
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -44,6 +44,9 @@
 	Tokens int `json:"t"`
 	// Rank is its place among the runs that leave an engine; see core/migrate.
 	Rank int `json:"k"`
+	// Standby says that another engine holds a copy, so that the run needs no part
+	// of the link when its engine leaves.
+	Standby bool `json:"b,omitempty"`
 }
 
 // Process is one process of a backend server.
