Calibrate the engine model against recorded runs

Change: enginemodel.Measured holds what their pages state (64 at once, 34,431 tokens, steps of 7 ms and more, 14 prompt tokens a ms, chunks of 112).

--- /dev/null
+++ b/internal/enginemodel/calibration/plot.go
@@ -0,0 +1,65 @@
+package calibration
+
+import (
+	"image/color"
+	"path/filepath"
+	"sort"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+)
+
+const plotWidth, plotHeight = 22 * vg.Centimeter, 11 * vg.Centimeter
+
+// Series is a record and what the model makes of it.
+type Series struct {
+	Load            string
+	Measured, Model []Run
+}
+
+var colors = []color.Color{
+	color.RGBA{R: 0x1b, G: 0x6c, B: 0xa8, A: 0xff},
+	color.RGBA{R: 0xd9, G: 0x5f, B: 0x02, A: 0xff},
+	color.RGBA{R: 0x2a, G: 0x8c, B: 0x4a, A: 0xff},
+}
+
+// WritePlot writes the distribution of the time to the first event, measured and
+// by the model, to dir.
+func WritePlot(dir string, all []Series) error {
+	p := plot.New()
+	p.Title.Text = "Time to the first event: measured (solid), model (dashed)"
+	p.X.Label.Text = "ms"
+	p.Y.Label.Text = "share of runs"
+	p.Legend.Top, p.Legend.Left = false, false
+	for i, s := range all {
+		for _, runs := range []struct {
+			name   string
+			runs   []Run
+			dashes []vg.Length
+		}{{s.Load + " load, measured", s.Measured, nil}, {s.Load + " load, model", s.Model, []vg.Length{vg.Points(4), vg.Points(3)}}} {
+			line, err := plotter.NewLine(distribution(runs.runs))
+			if err != nil {
+				return Error.Wrap(err)
+			}
+			line.Color, line.Dashes = colors[i%len(colors)], runs.dashes
+			p.Add(line)
+			p.Legend.Add(runs.name, line)
+		}
+	}
+	return Error.Wrap(p.Save(plotWidth, plotHeight, filepath.Join(dir, "engine-model.png")))
+}
+
+func distribution(runs []Run) plotter.XYs {
+	times := make([]time.Duration, len(runs))
+	for i, r := range runs {
+		times[i] = r.First
+	}
+	sort.Slice(times, func(i, j int) bool { return times[i] < times[j] })
+	points := make(plotter.XYs, len(times))
+	for i, t := range times {
+		points[i] = plotter.XY{X: milliseconds(t), Y: float64(i+1) / float64(len(times))}
+	}
+	return points
+}
--- a/internal/enginemodel/params.go
+++ b/internal/enginemodel/params.go
@@ -78,3 +78,21 @@
 		EventLag: DefaultEventLag, EventLoss: DefaultEventLoss,
 	}
 }
+
+// MeasuredEventTokens is the number of tokens in an event of the engines of
+// Measured.
+const MeasuredEventTokens = 4
+
+// Measured returns the parameters of the users' engines as their pages state
+// them; package calibration compares the model with recorded runs.
+func Measured() Params {
+	p := Defaults()
+	p.Blocks = 2152 // 34,431 tokens
+	p.MaxRunning = 64
+	p.StepTokens = 112
+	p.StepBase = 7 * time.Millisecond
+	p.StepPerRequest = 120 * time.Microsecond
+	p.StepPerContext = 4 * time.Microsecond
+	p.StepPerPrefill = time.Millisecond / 14
+	return p
+}
