Go on from every copy in one way

Streams that stopped for their last part, broke off with a standby, or are handed over asked their target with two copies of the same code. One function now; the documents say how runs go on.

--- a/internal/forward/move.go
+++ b/internal/forward/move.go
@@ -68,7 +68,7 @@
 	ru.mu.Unlock()
 }
 
-// tryMove copies the run while it goes on, and then the rest.
+// tryMove moves the run, trying again while there is no room.
 func (ru *run) tryMove(m *move) {
 	tried := []string{m.source.ID}
 	failures := 0
@@ -157,7 +157,8 @@
 	return r.g.places.acquire(r.ctx, r.service, job, r.priority(), 0)
 }
 
-// copyParts makes a first copy while the run goes on, and then the last one.
+// copyParts makes a first copy while the run goes on and hands the run over. If
+// the target refuses, the run stops for the last part of the copy.
 func (ru *run) copyParts(m *move) (CopyResult, error) {
 	if m.copied.Handle == "" {
 		start := time.Now()
--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -3,11 +3,7 @@
 import (
 	"errors"
 	"io"
-	"strconv"
 
-	"github.com/valyala/fasthttp"
-
-	"monsoonkeel.example/monsoonkeel/core/verdict"
 	"monsoonkeel.example/monsoonkeel/internal/connection"
 	"monsoonkeel.example/monsoonkeel/internal/request/sse"
 )
@@ -56,34 +52,27 @@
 	return m.stopping
 }
 
-// continueAt goes on with the stream at the engine that holds its copy.
+// continueAt goes on at the engine that holds the copy of a move.
 func (s *stream) continueAt(m *move) error {
-	r := s.r
-	d := &r.g.opts.Dialect
 	s.finish(false)
-	standby := r.standbyFor(m.target.server)
-	prepare := func(req *fasthttp.Request) {
-		req.Header.Set(d.CopySource, d.CopyRef(m.source.Address, m.result.Handle))
-		req.Header.Set(d.LastEvent, strconv.FormatInt(s.lastID, 10))
-		r.nameStandby(req, standby)
-	}
-	ex, err := r.exchange(r.ctx, m.target, false, prepare)
-	if verdict.From(err).Code == connection.CodeNoAnswer {
-		// The connection opened ahead may have been closed. A copy can be used
-		// once, so a second request cannot run beside the first.
-		ex, err = r.exchange(r.ctx, m.target, true, prepare)
-	}
-	if err == nil && ex.Response.StatusCode() != fasthttp.StatusOK {
-		err = verdict.New(verdict.Ran, 502, "move_refused", "the target of a move answered %d", ex.Response.StatusCode())
-		ex.Finish(false)
-	}
-	if err != nil {
-		standby.drop()
-		m.target.release(r.call.Context().Err() == nil)
+	return s.continueFrom(&handover{
+		target: m.target, ref: s.r.g.opts.Dialect.CopyRef(m.source.Address, m.result.Handle),
+	})
+}
+
+// continueFrom goes on at the target of a handover after the run's own engine ended.
+func (s *stream) continueFrom(h *handover) error {
+	r := s.r
+	h.standby = r.standbyFor(h.target.server)
+	h.ex, h.err = s.run.resume(r.ctx, h)
+	s.run.logHandover(h, s.run.serverID())
+	if h.ex == nil {
+		h.standby.drop()
+		h.target.release(r.call.Context().Err() == nil)
 		r.g.Metrics.MovesFailed.Add(1)
-		return err
+		return h.err
 	}
-	s.goesOn(ex, m.target, standby)
+	s.goesOn(h.ex, h.target, h.standby)
 	return nil
 }
 
--- a/internal/forward/standby.go
+++ b/internal/forward/standby.go
@@ -106,16 +106,10 @@
 	}
 	s.finish(false)
 	ru.engineFailed()
-	h := &handover{target: standby, ref: s.r.g.opts.Dialect.CopyRef(standby.server.Address, s.r.id)}
-	h.standby = s.r.standbyFor(h.target.server)
-	h.ex, h.err = ru.resume(s.r.ctx, h)
-	ru.logHandover(h, ru.serverID())
-	if h.ex == nil {
-		h.standby.drop()
-		s.r.g.Metrics.MovesFailed.Add(1)
-		return errors.Join(cause, h.err)
+	err := s.continueFrom(&handover{target: standby, ref: s.r.g.opts.Dialect.CopyRef(standby.server.Address, s.r.id)})
+	if err != nil {
+		return errors.Join(cause, err)
 	}
-	s.goesOn(h.ex, h.target, h.standby)
 	return nil
 }
 
