Keep the end of a request when a read's bound is replaced

Cause: found by reading the diff. A request's end sets the read deadline of its connection to the engine into the past, once. The bound on pauses, new for every event, replaced it: a stream whose caller left, or whose time ran out, between two events went on reading until the next one. The product's own stall timeout had the same gap. Ruled out: an end that comes after the bound was set (it sets its own deadline). Change: Exchange.SetReadDeadline looks at the context after it set a deadline. Test that fails before: TestBoundsOnPausesKeepTheEndOfTheRequest (2 s in the read).

--- a/internal/connection/upstream.go
+++ b/internal/connection/upstream.go
@@ -86,6 +86,7 @@
 	Response *fasthttp.Response
 	conn     *upstreamConn
 	pool     *Pool
+	ctx      context.Context
 	stop     func() bool
 	// Reused says that the connection carried an earlier request, so that a
 	// failure may only mean that the server had closed it.
@@ -99,8 +100,15 @@
 // Body streams the answer's body.
 func (e *Exchange) Body() io.Reader { return e.Response.BodyStream() }
 
-// SetReadDeadline bounds the next read of the body. Zero removes the bound.
-func (e *Exchange) SetReadDeadline(t time.Time) { _ = e.conn.SetReadDeadline(t) }
+// SetReadDeadline bounds the next read of the body. Zero removes the bound. The
+// end of the exchange's context ends the read in any case.
+func (e *Exchange) SetReadDeadline(t time.Time) {
+	_ = e.conn.SetReadDeadline(t)
+	if e.ctx.Err() != nil {
+		// The context's own deadline may just have been replaced.
+		_ = e.conn.SetReadDeadline(time.Unix(1, 0))
+	}
+}
 
 // Abort closes the connection, also while another goroutine reads the body,
 // which must call Finish afterwards.
@@ -199,7 +207,7 @@
 		}
 	}
 	conn.written.Store(0)
-	e := &Exchange{conn: conn, pool: p, Reused: reused, Response: fasthttp.AcquireResponse()}
+	e := &Exchange{conn: conn, pool: p, ctx: ctx, Reused: reused, Response: fasthttp.AcquireResponse()}
 	e.stop = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	if err := e.roundTrip(ctx, req, opts); err != nil {
 		v := verdict.MayHaveRun
--- a/internal/forward/runs.go
+++ b/internal/forward/runs.go
@@ -30,7 +30,7 @@
 	ex *connection.Exchange
 	// standby is the engine that keeps a copy of the run; nil if none does.
 	standby *place
-	// handover is set while the run goes on at its standby.
+	// handover is set while the run goes on at an engine with a copy.
 	handover *handover
 	events   int
 	// lastID is the newest event delivered.
--- /dev/null
+++ b/internal/forward/stream_test.go
@@ -0,0 +1,52 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"monsoonkeel.example/monsoonkeel/core/route"
+	"monsoonkeel.example/monsoonkeel/internal/connection"
+)
+
+// Pattern: a caller leaves between two events of a stream whose engine pauses. The
+// bound on the pause must not undo that the end of the request ends the read.
+func TestBoundsOnPausesKeepTheEndOfTheRequest(t *testing.T) {
+	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	}))
+	defer engine.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	req := &fasthttp.Request{}
+	req.SetRequestURI("/s/x")
+	req.Header.SetHost("a.example")
+	pool := connection.NewPoolSize(1)
+	ex, err := pool.Do(ctx, strings.TrimPrefix(engine.URL, "http://"), req, connection.Options{Fresh: true})
+	require.NoError(t, err)
+	s := &stream{r: &request{ctx: ctx, route: &route.Route{GapObjective: time.Hour}}, run: &run{}, ex: ex}
+
+	cancel()
+	time.Sleep(50 * time.Millisecond) // for the connection to learn of it
+	s.boundPause()
+	ended := make(chan error, 1)
+	go func() {
+		_, err := ex.Body().Read(make([]byte, 1))
+		ended <- err
+	}()
+	select {
+	case err := <-ended:
+		assert.Error(t, err)
+	case <-time.After(2 * time.Second):
+		t.Error("the read goes on after the end of the request")
+	}
+	ex.Finish(false)
+}
--- a/internal/movebench/movebench.go
+++ b/internal/movebench/movebench.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"monsoonkeel.example/monsoonkeel/core/balance"
-	"monsoonkeel.example/monsoonkeel/core/migrate"
 	"monsoonkeel.example/monsoonkeel/internal/enginemodel"
 )
 
@@ -34,26 +33,37 @@
 	return [...]string{"runs stay", "stop for the last part", "hand over from the first copy"}[p]
 }
 
-// Figures of the users' region and engines, from their pages.
+// The region that is played. What no line says otherwise comes from the users'
+// pages, rounded.
 const (
+	// engineCount is the number of engines of the region.
 	engineCount = 4
-	tokenBytes  = 18432
-	linkMbps    = 2700
+	// tokenBytes is the memory of one token, linkMbps the rate of an engine's link
+	// in Mbit/s.
+	tokenBytes = 18432
+	linkMbps   = 2700
+	// eventTokens is the number of tokens in an event.
 	eventTokens = enginemodel.MeasuredEventTokens
-	meanPrompt  = 3079
-	meanOutput  = 932
-	gapTarget   = 180 * time.Millisecond
+	// meanPrompt and meanOutput are the tokens of the long generations.
+	meanPrompt = 3079
+	meanOutput = 932
+	// gapTarget is the longest pause between events that is on time.
+	gapTarget = 180 * time.Millisecond
+	// noticeEvery, noticeTime and returnTime are the time between two notices, from
+	// a notice to the end, and from the end to the next engine.
 	noticeEvery = 3300 * time.Millisecond
 	noticeTime  = 1600 * time.Millisecond
 	returnTime  = 4 * time.Second
-	nearWay     = time.Millisecond
-	farWay      = 30 * time.Millisecond
-	// farShare of the runs belong to hosts of another region.
+	// nearWay and farWay are one way to a host of this and of another region.
+	nearWay = time.Millisecond
+	farWay  = 30 * time.Millisecond
+	// farShare of the runs belong to hosts of another region (assumed).
 	farShare = 0.3
 	// lastPartTime is the time that a plan leaves on the link for the last part of
-	// a run, besides the round trip to its host.
+	// a run, besides the round trip to its host (as core/migrate once did).
 	lastPartTime = 30 * time.Millisecond
-	// retryPause is the pause before a move without a target is tried again.
+	// retryPause is the pause before a move without a target is tried again, as in
+	// internal/forward.
 	retryPause = 60 * time.Millisecond
 	// tickTime is the resolution of the simulation.
 	tickTime = time.Millisecond
@@ -288,93 +298,3 @@
 	sort.Slice(out, func(i, j int) bool { return out[i].id < out[j].id })
 	return out
 }
-
-// plan moves the runs of an engine in the order that core/migrate gives them.
-func (s *simulation) plan(engine int) {
-	var all []migrate.Run
-	byID := map[string]*generation{}
-	for _, r := range s.at(engine) {
-		id := fmt.Sprint(r.id)
-		byID[id] = r
-		all = append(all, migrate.Run{ID: id, Tokens: r.prompt + r.delivered, Rank: migrate.Rank(r.prompt, r.output), Remote: r.way == farWay, Own: true})
-	}
-	steps, _ := migrate.Plan(all, transferOf)
-	gaps := time.Duration(0)
-	for _, step := range steps {
-		r := byID[step.ID]
-		s.after(step.Start+gaps, func() { s.move(r, engine) })
-		if s.policy == StopForLast {
-			gaps += lastPartTime + 2*r.way
-		}
-	}
-}
-
-func transferOf(tokens int) time.Duration {
-	return migrate.TransferTime(tokens, tokenBytes, linkMbps)
-}
-
-// move makes the first copy of a run, if it runs and a target has memory.
-func (s *simulation) move(r *generation, from int) {
-	source := s.engines[from]
-	if s.runs[r.id] != r || r.engine != from || !source.model.Up() {
-		return
-	}
-	held, _, running := source.model.Held(r.id)
-	target := s.pick(balance.Job{Tokens: r.prompt + r.output/2, Exclude: []string{nameOf(from)}, Near: &balance.Server{Domain: "a", Region: "west"}})
-	if !running || r.delivered == 0 || target < 0 || !s.engines[target].model.Reserve(r.id, held) {
-		s.after(retryPause, func() { s.move(r, from) })
-		return
-	}
-	s.copy(r.id, r.way, source, s.engines[target], held, func() {
-		if s.policy == HandOver {
-			s.resume(r, target, held)
-			return
-		}
-		s.stop(r, from, target, held)
-	})
-}
-
-// copy transfers tokens over both links, each one copy after another, and calls
-// done when the answer reaches the host.
-func (s *simulation) copy(id uint64, way time.Duration, source, target *engine, tokens int, done func()) {
-	s.after(way, func() {
-		end := max(s.now, source.linkFree, target.linkFree) + transferOf(tokens)
-		source.linkFree, target.linkFree = end, end
-		s.after(end-s.now+way, func() {
-			if source.model.Up() {
-				done()
-			} else {
-				target.model.Unreserve(id)
-			}
-		})
-	})
-}
-
-// stop ends the run at its engine, copies the last part, and goes on.
-func (s *simulation) stop(r *generation, from, target, copied int) {
-	source := s.engines[from]
-	s.after(r.way, func() {
-		held, _, running := source.model.Held(r.id)
-		if !running {
-			return
-		}
-		source.model.Cancel(r.id, s.clock())
-		s.copy(r.id, 0, source, s.engines[target], held-copied, func() {
-			s.after(r.way, func() { s.resume(r, target, held) })
-		})
-	})
-}
-
-// resume asks the target to go on after what the caller has.
-func (s *simulation) resume(r *generation, target, held int) {
-	delivered := r.delivered
-	s.after(r.way, func() {
-		if s.runs[r.id] != r || delivered >= r.output {
-			s.engines[target].model.Unreserve(r.id)
-			return
-		}
-		if s.engines[target].model.Adopt(s.request(r), delivered, min(held, r.prompt+delivered), s.clock()) == nil {
-			r.moved, r.target = true, target+1
-		}
-	})
-}
