Give the scenarios' processes groups of their own

Its process group was orphaned then, and the kernel hangs up a group that is orphaned with a stopped member: entry-1 ended by SIGHUP. Reproduced: the test in the background of a shell that ends 0.3 s after entry-1 is frozen fails with "signal: hangup" at the second in which the shell ends. Change: each process has a group of its own. The test's error says how a process ended. With the same shell the test passes. Test that fails before: TestProcessesHaveGroupsOfTheirOwn.

--- a/scenarios/process_test.go
+++ b/scenarios/process_test.go
@@ -12,9 +12,11 @@
 	"strings"
 	"sync/atomic"
 	"syscall"
+	"testing"
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
 
 	"monsoonkeel.example/monsoonkeel/internal/platform"
 )
@@ -53,6 +55,8 @@
 
 	cmd  *exec.Cmd
 	done chan struct{}
+	// ended says how the process ended; valid once done is closed.
+	ended string
 }
 
 // loopback is this test process's own loopback address, so that its ports
@@ -98,14 +102,17 @@
 	p.cmd = exec.Command(path, p.args...)
 	p.cmd.Env = append(os.Environ(), p.env...)
 	p.cmd.Stdout, p.cmd.Stderr = log, log
-	// Ends the process also when the test binary dies, for example by its timeout.
-	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	// Pdeathsig ends the process also when the test binary dies, for example by its
+	// timeout. In a group of its own a stopped process is not hung up when the shell
+	// that began the tests ends: the kernel does that to groups that are orphaned.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
 	if err := p.cmd.Start(); err != nil {
 		return err
 	}
 	p.done = make(chan struct{})
 	go func(cmd *exec.Cmd, done chan struct{}) {
-		_ = cmd.Wait()
+		_ = cmd.Wait() // a process may be killed; how it ended is kept
+		p.ended = fmt.Sprintf("%s at %s", cmd.ProcessState, time.Now().Format(time.TimeOnly))
 		close(done)
 	}(p.cmd, p.done)
 	return nil
@@ -126,7 +133,7 @@
 // signal sends a signal to the running process.
 func (p *process) signal(s syscall.Signal) error {
 	if !p.running() {
-		return fmt.Errorf("%s is not running", p.name)
+		return fmt.Errorf("%s is not running: %s", p.name, p.ended)
 	}
 	return p.cmd.Process.Signal(s)
 }
@@ -240,3 +247,13 @@
 		}
 	}
 }
+
+// Guards against frozen processes that end because the shell of the tests does.
+func TestProcessesHaveGroupsOfTheirOwn(t *testing.T) {
+	p := &process{name: "sleeper", command: "sleep", args: []string{"60"}, logPath: filepath.Join(t.TempDir(), "log")}
+	require.NoError(t, p.start())
+	defer func() { require.NoError(t, p.kill()) }()
+	group, err := syscall.Getpgid(p.cmd.Process.Pid)
+	require.NoError(t, err)
+	require.Equal(t, p.cmd.Process.Pid, group)
+}
