--- a/internal/connection/call.go
+++ b/internal/connection/call.go
@@ -161,28 +161,3 @@
 	}
 	return w
 }
-
-// reserveBody takes room for the body out of the budget until it has the bytes
-// needed in all, and reports whether there was room within bodyWait.
-func (c *Call) reserveBody(needed int64) bool {
-	budget := c.conn.server.BodyBudget
-	more := needed - c.reserved
-	if budget == nil || more <= 0 {
-		return true
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), bodyWait)
-	defer cancel()
-	if budget.Acquire(ctx, more) != nil {
-		return false
-	}
-	c.reserved = needed
-	return true
-}
-
-// releaseBody gives back what the body doesn't need.
-func (c *Call) releaseBody(needed int64) {
-	if surplus := c.reserved - needed; surplus > 0 {
-		c.conn.server.BodyBudget.Release(surplus)
-		c.reserved = needed
-	}
-}
--- a/internal/connection/caller.go
+++ b/internal/connection/caller.go
@@ -17,16 +17,9 @@
 )
 
 const (
-	// bodyTimeout bounds the time for a request's body.
-	bodyTimeout = 30 * time.Second
 	// refusedLinger is how long a connection is read on after a request that
 	// was refused unread, so that the answer is not lost in a reset.
 	refusedLinger = 500 * time.Millisecond
-	// bodyWait is how long a request waits for room for its body.
-	bodyWait = time.Second
-	// bodyPart is the room that a body of known length takes first, in bytes;
-	// each further step doubles it, so that few bodies are copied often.
-	bodyPart = 64 << 10
 	// minHeaderBytes is the smallest buffer for a request head.
 	minHeaderBytes = 4 << 10
 	// maxHeaderBytes bounds the limit that a configuration may set.
@@ -65,9 +58,8 @@
 	server *Server
 	conn   net.Conn
 	reader *bufio.Reader
-	// idle is true while no request was begun.
-	idle atomic.Bool
-	// idleSince is when the connection last became idle, in Unix nanoseconds.
+	// idleSince is when the connection became idle, in Unix nanoseconds; 0 while it
+	// carries a request.
 	idleSince atomic.Int64
 	// served says that the connection carried a request.
 	served bool
@@ -113,7 +105,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if c.idle.Load() {
+		if c.idleSince.Load() != 0 {
 			_ = c.conn.SetReadDeadline(time.Unix(1, 0))
 		}
 	}
@@ -126,12 +118,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var longest *caller
+	var since int64
 	for c := range s.conns {
-		if c.idle.Load() && (longest == nil || c.idleSince.Load() < longest.idleSince.Load()) {
-			longest = c
+		if at := c.idleSince.Load(); at != 0 && (longest == nil || at < since) {
+			longest, since = c, at
 		}
 	}
-	if longest == nil || !longest.idle.CompareAndSwap(true, false) {
+	if longest == nil || !longest.idleSince.CompareAndSwap(since, 0) {
 		return false
 	}
 	_ = longest.conn.SetReadDeadline(time.Unix(1, 0))
@@ -204,8 +197,7 @@
 	now := time.Now()
 	_ = c.conn.SetReadDeadline(now.Add(limits.IdleTime))
 	c.idleSince.Store(now.UnixNano())
-	c.idle.Store(true)
-	defer c.idle.Store(false)
+	defer c.idleSince.Store(0)
 	if c.served && c.server.Stopping() {
 		return false
 	}
@@ -322,78 +314,6 @@
 	}
 }
 
-func (c *caller) readBody(call *Call, limit int) *headFault {
-	req := call.Request
-	if req.Header.ContentLength() > limit {
-		return &headFault{413, "the request body is too large"}
-	}
-	if req.MayContinue() {
-		if _, err := io.WriteString(c.conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return &headFault{}
-		}
-	}
-	_ = c.conn.SetReadDeadline(time.Now().Add(bodyTimeout))
-	var err error
-	if length := req.Header.ContentLength(); length > 0 {
-		err = c.readSizedBody(call, length)
-	} else {
-		err = c.readOpenBody(call, limit)
-	}
-	switch {
-	case err == nil:
-		return nil
-	case errors.Is(err, errNoRoom):
-		return &headFault{503, "too many request bodies are in memory"}
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		return &headFault{413, "the request body is too large"}
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return &headFault{408, "the request body took too long"}
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed):
-		return &headFault{}
-	}
-	return &headFault{400, "malformed request body"}
-}
-
-// errNoRoom says that a body did not get room within bodyWait.
-var errNoRoom = errors.New("no room for the request body")
-
-// readSizedBody reads a body of known length. It takes room as the body comes
-// in, so that callers who announce much and send little do not keep others out.
-func (c *caller) readSizedBody(call *Call, length int) error {
-	var body []byte
-	for len(body) < length {
-		grown := make([]byte, min(length, max(2*len(body), bodyPart)))
-		if !call.reserveBody(int64(len(grown))) {
-			return errNoRoom
-		}
-		if _, err := io.ReadFull(c.reader, grown[copy(grown, body):]); err != nil {
-			return err
-		}
-		body = grown
-	}
-	call.Request.SetBodyRaw(body)
-	return nil
-}
-
-// readOpenBody reads a body that is empty or whose length is not known yet. It
-// takes room for the largest body and then gives back what was not needed. The
-// body is cloned because the request's own buffer is used again later.
-func (c *caller) readOpenBody(call *Call, limit int) error {
-	if call.Request.Header.ContentLength() == -1 && !call.reserveBody(int64(limit)) {
-		return errNoRoom
-	}
-	if err := call.Request.ContinueReadBody(c.reader, limit, false); err != nil {
-		return err
-	}
-	if body := call.Request.Body(); len(body) > 0 {
-		call.releaseBody(int64(len(body)))
-		call.Request.SetBodyRaw(bytes.Clone(body))
-		return nil
-	}
-	call.releaseBody(0)
-	return nil
-}
-
 // watch cancels when the caller closes the connection while its request runs.
 // The returned function ends the watch and reports whether the connection is
 // still usable.
--- a/internal/connection/caller_test.go
+++ b/internal/connection/caller_test.go
@@ -315,7 +315,7 @@
 		defer s.mu.Unlock()
 		idle := 0
 		for c := range s.conns {
-			if c.idle.Load() {
+			if c.idleSince.Load() != 0 {
 				idle++
 			}
 		}
