--- a/internal/process/claims/claim.go
+++ b/internal/process/claims/claim.go
@@ -26,6 +26,7 @@
 		return Outcome{}, notRun(503, "shutting_down", "the host is shutting down")
 	}
 	defer s.end()
+	s.count.asked.Add(1)
 	op, err := s.claimOp(o)
 	if err != nil {
 		return Outcome{}, err
--- a/internal/process/claims/service.go
+++ b/internal/process/claims/service.go
@@ -129,11 +129,13 @@
 // Stats are the counters of a Service for the state dump.
 type Stats struct {
 	Running, CachedAnswers, Background                                      int
+	Asked                                                                   uint64 // orders whose claim began
 	Grants, Writes, Operations, Conflicts, AmbiguousWrites, RefusedCalls    uint64
 	Forwards, ForwardFailures, Releases, DroppedReleases, Timeouts, Damaged uint64
 }
 
 type counters struct {
+	asked                                                           atomic.Uint64
 	grants, writes, operations, conflicts, ambiguous, refused       atomic.Uint64
 	forwards, forwardFailures, releases, dropped, timeouts, damaged atomic.Uint64
 	background                                                      atomic.Int64
@@ -190,7 +192,7 @@
 	c := &s.count
 	return Stats{
 		Running: running, CachedAnswers: cached, Background: int(c.background.Load()),
-		Grants: c.grants.Load(), Writes: c.writes.Load(), Operations: c.operations.Load(),
+		Asked: c.asked.Load(), Grants: c.grants.Load(), Writes: c.writes.Load(), Operations: c.operations.Load(),
 		Conflicts: c.conflicts.Load(), AmbiguousWrites: c.ambiguous.Load(), RefusedCalls: c.refused.Load(),
 		Forwards: c.forwards.Load(), ForwardFailures: c.forwardFailures.Load(), Releases: c.releases.Load(),
 		DroppedReleases: c.dropped.Load(), Timeouts: c.timeouts.Load(), Damaged: c.damaged.Load(),
