Log and count how a relayed stream ended

Ruled out: a line for each end of a source, which would double the volume under load; a stream has one source unless it is resumed, and then the line of the switchover has the field. Change: source_end and framing in the request line of streams, source_end in the line of a switchover that follows the end of the source, and the counter completed_streams beside broken_streams.

--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -11,10 +11,10 @@
 
 // Metrics holds the gateway's counters and latency histograms.
 type Metrics struct {
-	Requests, Retries, Migrations, FailedMigrations, BrokenStreams atomic.Int64
-	Latency, FirstEvent                                            Histogram
-	mu                                                             sync.Mutex
-	failures                                                       map[string]int64
+	Requests, Retries, Migrations, FailedMigrations, CompletedStreams, BrokenStreams atomic.Int64
+	Latency, FirstEvent                                                              Histogram
+	mu                                                                               sync.Mutex
+	failures                                                                         map[string]int64
 }
 
 func (m *Metrics) countFailure(code string) {
@@ -31,14 +31,15 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	out, err := json.Marshal(map[string]any{
-		"requests":       m.Requests.Load(),
-		"repeats":        m.Retries.Load(),
-		"moves":          m.Migrations.Load(),
-		"moves_failed":   m.FailedMigrations.Load(),
-		"broken_streams": m.BrokenStreams.Load(),
-		"failures":       m.failures,
-		"latency_ms":     m.Latency.quantiles(),
-		"first_event_ms": m.FirstEvent.quantiles(),
+		"requests":          m.Requests.Load(),
+		"repeats":           m.Retries.Load(),
+		"moves":             m.Migrations.Load(),
+		"moves_failed":      m.FailedMigrations.Load(),
+		"broken_streams":    m.BrokenStreams.Load(),
+		"completed_streams": m.CompletedStreams.Load(),
+		"failures":          m.failures,
+		"latency_ms":        m.Latency.quantiles(),
+		"first_event_ms":    m.FirstEvent.quantiles(),
 	})
 	if err != nil {
 		return "{}" // the map holds only numbers and strings, which always encode
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -46,6 +46,10 @@
 	configAge  time.Duration
 	firstEvent time.Duration
 	worstGap   time.Duration
+	// sourceEnd is the error with which the body of a stream's last source ended, io.EOF
+	// for a regular end; framing is how the source delimits its body.
+	sourceEnd error
+	framing   string
 }
 
 func newRequest(g *Gateway, call *connection.Call) *request {
@@ -270,6 +274,9 @@
 	if r.route != nil && r.route.Kind == route.Stream {
 		e = e.Int("events", r.events).Int64("first_event_ms", r.firstEvent.Milliseconds()).
 			Int64("worst_gap_ms", r.worstGap.Milliseconds()).Int("moves", r.migrations).Int("prompt", r.promptTokens).Int("output", r.outputTokens)
+		if r.sourceEnd != nil {
+			e = e.Str("source_end", r.sourceEnd.Error()).Str("framing", r.framing)
+		}
 	}
 	e.Str("request", r.id).Str("service", r.service).Str("backend", r.backend).Int("status", r.status).
 		Int("tries", r.attempts).Int64("waited_ms", r.waited.Milliseconds()).
--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -63,6 +63,7 @@
 // resumeAt resumes the generation at the target after the current engine's stream ended.
 func (s *stream) resumeAt(sw *switchover) error {
 	r := s.r
+	sw.sourceEnd = r.sourceEnd
 	sw.standby = r.reserveStandby(sw.target.server)
 	sw.ex, sw.err = s.generation.resume(r.ctx, sw)
 	s.generation.logSwitchover(sw, s.generation.serverID())
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -148,6 +148,7 @@
 		if err == nil {
 			err = s.deliver(frame)
 		} else {
+			s.recordSourceEnd(err)
 			err = s.handleSourceEnd(err)
 		}
 		if errors.Is(err, io.EOF) {
@@ -159,6 +160,19 @@
 	}
 }
 
+// recordSourceEnd keeps how the source's body ended, for the log lines.
+func (s *stream) recordSourceEnd(err error) {
+	s.r.sourceEnd = err
+	switch length := s.ex.Response.Header.ContentLength(); {
+	case length >= 0:
+		s.r.framing = "length"
+	case length == -1:
+		s.r.framing = "chunked"
+	default:
+		s.r.framing = "connection_close"
+	}
+}
+
 // stallFactor is the idle timeout of a generation with a standby replica, as a multiple
 // of the target token gap. The stream is late then, and resuming it serves the caller
 // better than breaking it off.
@@ -219,6 +233,7 @@
 
 // complete ends the caller's response after the last event.
 func (s *stream) complete() error {
+	s.r.g.Metrics.CompletedStreams.Add(1)
 	s.finish(true)
 	if !s.headerSent {
 		s.headerSent = true
--- a/internal/forward/switchover.go
+++ b/internal/forward/switchover.go
@@ -24,9 +24,11 @@
 	// standby is the reservation of a standby replica of the target; nil if there is none.
 	standby *reservation
 	// ref is the copy from which the generation resumes, in the format of KVSource.
-	ref    string
-	cancel context.CancelFunc
-	done   chan struct{}
+	ref string
+	// sourceEnd is how the source's body had ended before; nil while the source ran.
+	sourceEnd error
+	cancel    context.CancelFunc
+	done      chan struct{}
 	// Valid once done is closed; ex is nil if the target did not resume.
 	ex  *connection.Exchange
 	err error
@@ -154,5 +156,6 @@
 
 func (gen *generation) logSwitchover(sw *switchover, source string) {
 	gen.r.g.opts.Log.Info().Str("request", gen.r.id).Str("source", source).Str("target", sw.target.server.ID).
-		Bool("went_on", sw.ex != nil).AnErr("error", sw.err).Msg("generation switchover to another engine attempted")
+		Bool("went_on", sw.ex != nil).AnErr("error", sw.err).AnErr("source_end", sw.sourceEnd).
+		Msg("generation switchover to another engine attempted")
 }
