End a stream as complete only at the regular end of its engine's response

Cause: the relay ended a stream as complete on any error whose chain contains io.EOF, and the same error value carried the result of the resume attempt. fasthttp returns io.EOF for a connection that closes or is reset before the first byte of a response header, so a target that resets its connections turned a broken stream into a complete one. The class: the end of one source signalled by a sentinel error that another operation returns for a reason of its own. Ruled out: a source that ends its body regularly too early. Change: isRegularEnd decides from the error of reading the source's body alone, compared exactly; resume returns only the error that broke the stream, whatever it contains. A failed write to the caller cannot end a stream as complete either. Conclusion: a stream completes only where its current engine's response does.

--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -8,23 +8,31 @@
 	"monsoonkeel.example/monsoonkeel/internal/request/sse"
 )
 
-// handleSourceEnd is called when the engine's stream has ended. It returns io.EOF if the
-// generation is complete, nil if it was resumed at another engine, and otherwise the
-// error that broke it.
-func (s *stream) handleSourceEnd(err error) error {
+// isRegularEnd reports whether the response of the current source is complete. end is the
+// error of reading its body, and only that: io.EOF in the error of another operation, such
+// as a resume request, says nothing about the body.
+func (s *stream) isRegularEnd(end error) bool {
+	if end != io.EOF {
+		return false
+	}
+	// A source that was stopped for the final copy ends a body without framing in the
+	// same way as a complete one.
+	return s.r.framing != framingClose || !s.generation.finalCopyStarted()
+}
+
+// resume continues the generation at another engine after the source's response ended
+// before the last event; cause is how it ended. It returns the error that broke the stream
+// if the generation was not resumed.
+func (s *stream) resume(cause error) error {
 	gen := s.generation
 	gen.mu.Lock()
 	m := gen.migration
 	gen.mu.Unlock()
-	framed := s.ex.Response.Header.ContentLength() != -2
-	if errors.Is(err, io.EOF) && (framed || m == nil || !m.finalCopyStarted(gen)) {
-		return err
-	}
 	if sw := gen.currentSwitchover(); sw != nil {
-		return s.completeSwitchover(sw, err)
+		return s.completeSwitchover(sw, cause)
 	}
 	if m == nil {
-		return s.resumeAtStandby(err)
+		return s.resumeAtStandby(cause)
 	}
 	select {
 	case <-m.done:
@@ -32,7 +40,7 @@
 		return s.r.ctx.Err()
 	}
 	if sw := gen.currentSwitchover(); sw != nil {
-		return s.completeSwitchover(sw, err)
+		return s.completeSwitchover(sw, cause)
 	}
 	switch {
 	case m.result.Outcome == Copied:
@@ -43,13 +51,15 @@
 	}
 	m.releaseTarget()
 	s.r.g.Metrics.FailedMigrations.Add(1)
-	return errors.Join(err, errors.New("the generation stopped and its migration failed: "+m.result.Outcome.String()))
+	return errors.Join(cause, errors.New("the generation stopped and its migration failed: "+m.result.Outcome.String()))
 }
 
-func (m *migration) finalCopyStarted(gen *generation) bool {
+// finalCopyStarted reports whether the generation may have been stopped for the final copy
+// of its migration.
+func (gen *generation) finalCopyStarted() bool {
 	gen.mu.Lock()
 	defer gen.mu.Unlock()
-	return m.finalCopy
+	return gen.migration != nil && gen.migration.finalCopy
 }
 
 // resumeFromCopy resumes the generation at the target of a migration.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -146,30 +145,36 @@
 		s.setStallDeadline()
 		frame, err := s.frames.Next()
 		if err == nil {
-			err = s.deliver(frame)
-		} else {
-			s.recordSourceEnd(err)
-			err = s.handleSourceEnd(err)
+			if err = s.deliver(frame); err != nil {
+				return s.fail(err)
+			}
+			continue
 		}
-		if errors.Is(err, io.EOF) {
+		s.r.sourceEnd, s.r.framing = err, framing(&s.ex.Response.Header)
+		if s.isRegularEnd(err) {
 			return s.complete()
 		}
-		if err != nil {
+		if err = s.resume(err); err != nil {
 			return s.fail(err)
 		}
 	}
 }
 
-// recordSourceEnd keeps how the source's body ended, for the log lines.
-func (s *stream) recordSourceEnd(err error) {
-	s.r.sourceEnd = err
-	switch length := s.ex.Response.Header.ContentLength(); {
+// Framings of a response body: what shows where it ends.
+const (
+	framingLength  = "length"
+	framingChunked = "chunked"
+	framingClose   = "connection_close"
+)
+
+func framing(h *fasthttp.ResponseHeader) string {
+	switch length := h.ContentLength(); {
 	case length >= 0:
-		s.r.framing = "length"
+		return framingLength
 	case length == -1:
-		s.r.framing = "chunked"
+		return framingChunked
 	default:
-		s.r.framing = "connection_close"
+		return framingClose
 	}
 }
 
