Do not relay an incomplete rejection as complete

Cause: an engine's 4xx response was relayed as read so far. The error of the read was dropped and a body over maxRejectionBytes was cut, so callers got a rejection with a matching Content-Length whose body was not the engine's. Ruled out: aborting the caller's connection; nothing was delivered yet, so the request can be sent to another engine, or fail with a verdict. Change: the body is read by readResponse, which reports a short and an oversized body; the attempt then fails with backend_failed. Conclusion: the end of a rejection's body is taken from its framing, not from the end of the read.

--- a/internal/request/faults_test.go
+++ b/internal/request/faults_test.go
@@ -12,8 +12,10 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"monsoonkeel.example/monsoonkeel/core/verdict"
 	"monsoonkeel.example/monsoonkeel/internal/standin"
 )
 
@@ -129,6 +131,38 @@
 	require.Equal(t, "too long", string(body))
 }
 
+// Guards against a rejection that is relayed as complete although its body broke off or
+// exceeds the limit.
+func TestIncompleteRejectionIsNotRelayed(t *testing.T) {
+	for name, respond := range map[string]func(w http.ResponseWriter){
+		"broken off": func(w http.ResponseWriter) {
+			w.Header().Set("Content-Length", "100")
+			w.WriteHeader(http.StatusUnprocessableEntity)
+			write(w, "too long")
+			panic(http.ErrAbortHandler)
+		},
+		"over the limit": func(w http.ResponseWriter) {
+			w.WriteHeader(http.StatusUnprocessableEntity)
+			write(w, strings.Repeat("x", maxRejectionBytes+1))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := &testGateway{t: t}
+			for range 2 {
+				r.addBackend("models", &scriptedEngine{script: func(w http.ResponseWriter, _ string) { respond(w) }})
+			}
+			r.start()
+			resp := r.do("POST", "/v1/completions", streamRequestJSON(3))
+			defer resp.Body.Close()
+			var p Problem
+			assert.Equal(t, 502, resp.StatusCode)
+			require.NoError(t, json.NewDecoder(resp.Body).Decode(&p))
+			assert.Equal(t, "backend_failed", p.Title)
+			assert.Equal(t, verdict.MayHaveRun, p.Verdict)
+		})
+	}
+}
+
 // Guards against a resumed generation that keeps running after its caller disconnects
 // before the first new token.
 func TestResumedGenerationIsCancelled(t *testing.T) {
--- a/internal/request/generation.go
+++ b/internal/request/generation.go
@@ -171,7 +171,7 @@
 func (gen *generation) acceptResponse(ex *connection.Exchange) error {
 	status := ex.Response.StatusCode()
 	if status >= 400 && status < 500 && status != 408 && status != 409 && status != 429 {
-		return newRejection(ex)
+		return gen.readRejection(ex)
 	}
 	if status != 200 {
 		ex.Finish(false)
--- a/internal/request/rejection.go
+++ b/internal/request/rejection.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 
 	"monsoonkeel.example/monsoonkeel/core/verdict"
 	"monsoonkeel.example/monsoonkeel/internal/connection"
@@ -19,14 +18,18 @@
 	body        []byte
 }
 
-func newRejection(ex *connection.Exchange) error {
-	r := &rejection{
-		status:      ex.Response.StatusCode(),
-		contentType: string(ex.Response.Header.ContentType()),
+// readRejection returns the response as a *rejection, or another error if its body broke
+// off or exceeds maxRejectionBytes.
+func (gen *generation) readRejection(ex *connection.Exchange) error {
+	defer ex.Finish(false)
+	body, err := readResponse(ex, maxRejectionBytes)
+	switch {
+	case err == nil:
+		return &rejection{status: ex.Response.StatusCode(), contentType: string(ex.Response.Header.ContentType()), body: body}
+	case gen.c.ctx.Err() != nil:
+		return gen.c.contextError()
 	}
-	r.body, _ = io.ReadAll(io.LimitReader(ex.Body(), maxRejectionBytes))
-	ex.Finish(false)
-	return r
+	return verdict.Wrap(err, verdict.MayHaveRun, 502, "backend_failed", "the backend server's rejection broke off or exceeds %d bytes", maxRejectionBytes)
 }
 
 // Error implements error.
