Keep the error of a read that also returned data

Cause: a streamed response of a plain service ended as complete although a chunk of the backend server was malformed. fasthttp's chunked reader returns the last bytes of a chunk together with the error of its line end, and its writer drops an error that comes with data and reads on, into the bytes after the malformed chunk. Ruled out: buffering every chunked response, which has no bound; a check in the plain path only, since the drain of late responses reads the same way. Change: the body of an exchange returns its first error again. Conclusion: a malformed body ends with an error for each of its readers.

--- a/internal/connection/exchange.go
+++ b/internal/connection/exchange.go
@@ -24,10 +24,33 @@
 	// response is read; otherwise it is nil.
 	sendResult chan error
 	aborted    atomic.Bool
+	// readErr is the first error of a read of the body.
+	readErr error
 }
 
-// Body returns the stream of the response body. It must not be read after Finish.
-func (e *Exchange) Body() io.Reader { return e.Response.BodyStream() }
+// Body returns the stream of the response body, or nil if the response has none. It must
+// not be read after Finish.
+func (e *Exchange) Body() io.Reader {
+	if e.Response.BodyStream() == nil {
+		return nil
+	}
+	return (*responseBody)(e)
+}
+
+// responseBody is the body of the exchange's response. After an error, all reads return
+// that error: a body with malformed chunks could otherwise be read on to its apparent end
+// by a caller that ignores an error returned together with data, as fasthttp does.
+type responseBody Exchange
+
+// Read implements io.Reader.
+func (b *responseBody) Read(p []byte) (int, error) {
+	if b.readErr != nil {
+		return 0, b.readErr
+	}
+	n, err := b.Response.BodyStream().Read(p)
+	b.readErr = err
+	return n, err
+}
 
 // SetReadDeadline sets the deadline of reads of the body; zero means none. The end of
 // the exchange's context ends a read in any case.
@@ -113,6 +136,7 @@
 
 func (e *Exchange) readResponseHeader(isHead bool) error {
 	e.Response.Reset()
+	e.readErr = nil
 	e.Response.StreamBody = true
 	e.Response.SkipBody = isHead
 	return e.Response.ReadLimitBody(e.conn.reader, 0)
--- a/internal/request/faults_test.go
+++ b/internal/request/faults_test.go
@@ -163,6 +163,25 @@
 	}
 }
 
+// Guards against a streamed response that looks complete although its chunked framing was
+// malformed: fasthttp drops an error that a read returns together with data.
+func TestMalformedChunkBreaksResponse(t *testing.T) {
+	r := &testGateway{t: t}
+	r.addBackend("desk", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err == nil {
+			// The first chunk is one byte longer than announced.
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfirst.0\r\n\r\n")
+			_ = conn.Close()
+		}
+	}))
+	r.start()
+	resp := r.do("GET", "/services/desk/a", "", "Monsoonkeel-Class", "lookup")
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	require.Error(t, err, "the response ends as complete after %q", body)
+}
+
 // Guards against a resumed generation that keeps running after its caller disconnects
 // before the first new token.
 func TestResumedGenerationIsCancelled(t *testing.T) {
