Detect a reset that a pending send received

Cause: a response without a length, reset by its backend server while a long request was still being sent, could end as complete. The kernel returns the error of a reset to one system call; when that is the write of the request, the read that follows returns the end of the stream. Ruled out: the result of the send, which may not be there yet when the read ends; a longer wait for it, which a server that responds early would cause. Change: at the end of a body that ends with its connection, the TCP state tells a reset from a regular end. Conclusion: such a response counts as broken. One that was complete before its server reset the connection counts as broken too, as it does when the reader receives the reset.

--- a/internal/connection/exchange.go
+++ b/internal/connection/exchange.go
@@ -37,6 +37,9 @@
 	return (*responseBody)(e)
 }
 
+// identityLength is fasthttp's Content-Length of a body that ends with its connection.
+const identityLength = -2
+
 // responseBody is the body of the exchange's response. After an error, all reads return
 // that error: a body with malformed chunks could otherwise be read on to its apparent end
 // by a caller that ignores an error returned together with data, as fasthttp does.
@@ -48,6 +51,9 @@
 		return 0, b.readErr
 	}
 	n, err := b.Response.BodyStream().Read(p)
+	if err == io.EOF && b.Response.Header.ContentLength() == identityLength && wasReset(b.conn.Conn) {
+		err = io.ErrUnexpectedEOF
+	}
 	b.readErr = err
 	return n, err
 }
--- a/internal/connection/peek.go
+++ b/internal/connection/peek.go
@@ -26,6 +26,17 @@
 	return closed || errors.Is(err, net.ErrClosed)
 }
 
+// wasReset reports whether the remote side reset the connection. The kernel returns the
+// error of a reset only once, perhaps from a write; reads then return the end of the stream.
+func wasReset(c net.Conn) bool {
+	reset := false
+	err := control(c, func(fd int) {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		reset = err == nil && info.State == tcpClose
+	})
+	return reset || errors.Is(err, net.ErrClosed)
+}
+
 // readable reports whether a read would return without blocking: with data, the end of
 // the stream or an error. It consumes no data.
 func readable(c net.Conn) bool {
--- a/internal/connection/upstream_test.go
+++ b/internal/connection/upstream_test.go
@@ -159,3 +159,39 @@
 	ex.Finish(true)
 	assert.Nil(t, pool.popIdle(l.Addr().String()), "the rest of the body may still be sent")
 }
+
+// Guards against a truncated response that looks complete: the kernel reports a reset once,
+// and the goroutine that sends a long request can receive it instead of the reader, which
+// then reads the end of the stream.
+func TestResetWhileSendingBreaksResponse(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	accepted := make(chan *net.TCPConn, 1)
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = io.ReadFull(conn, make([]byte, 10))
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nstart")
+		accepted <- conn.(*net.TCPConn)
+	}()
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.Header.SetMethod("POST")
+	req.SetRequestURI("/x")
+	req.Header.SetHost("a")
+	req.SetBodyRaw(make([]byte, 16<<20)) // more than the socket buffers hold
+	ex, err := NewPool().Do(t.Context(), l.Addr().String(), req, Options{BodyNotReused: true})
+	require.NoError(t, err)
+	_, err = io.ReadFull(ex.Body(), make([]byte, len("start")))
+	require.NoError(t, err)
+	conn := <-accepted
+	require.NoError(t, conn.SetLinger(0))
+	require.NoError(t, conn.Close())
+	require.Eventually(t, func() bool { return len(ex.sendResult) == 1 }, 5*time.Second, time.Millisecond)
+	_, err = io.ReadAll(ex.Body())
+	assert.Error(t, err, "the body ends as complete")
+	ex.Finish(false)
+}
