Skip a late response that has no body

Cause: the process ended with a nil pointer dereference when a backend server sent a response of another request with status 204 or 304 before the expected one: such a response has no body stream, and it was drained all the same. Ruled out: closing the connection, which would lose the response that follows. Change: only a response with a body is drained. Conclusion: late responses are skipped whatever their status.

--- a/internal/connection/exchange.go
+++ b/internal/connection/exchange.go
@@ -131,8 +131,10 @@
 		if unmatched >= maxUnmatchedResponses {
 			return errors.New("the responses on the connection belong to other requests")
 		}
-		if _, err := io.Copy(io.Discard, e.Body()); err != nil {
-			return err
+		if body := e.Body(); body != nil {
+			if _, err := io.Copy(io.Discard, body); err != nil {
+				return err
+			}
 		}
 		_ = e.Response.CloseBodyStream()
 	}
--- a/internal/connection/upstream_test.go
+++ b/internal/connection/upstream_test.go
@@ -195,3 +195,31 @@
 	assert.Error(t, err, "the body ends as complete")
 	ex.Finish(false)
 }
+
+// Guards against a crash when a late response to another request has no body.
+func TestLateResponseWithoutBodyIsSkipped(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = conn.Read(make([]byte, 4096))
+		_, _ = io.WriteString(conn, "HTTP/1.1 204 No Content\r\nId: old\r\n\r\n"+
+			"HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 4\r\n\r\nmine")
+	}()
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.SetRequestURI("/x")
+	req.Header.SetHost("a")
+	ex, err := NewPool().Do(t.Context(), l.Addr().String(), req, Options{MatchesRequest: func(h *fasthttp.ResponseHeader) bool {
+		return string(h.Peek("Id")) == "mine"
+	}})
+	require.NoError(t, err)
+	body, err := io.ReadAll(ex.Body())
+	assert.NoError(t, err)
+	assert.Equal(t, "mine", string(body))
+	ex.Finish(true)
+}
