--- a/internal/request/faults_test.go
+++ b/internal/request/faults_test.go
@@ -12,8 +12,10 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"monsoonkeel.example/monsoonkeel/core/verdict"
 	"monsoonkeel.example/monsoonkeel/internal/standin"
 )
 
@@ -129,6 +131,57 @@
 	require.Equal(t, "too long", string(body))
 }
 
+// Guards against a rejection that is relayed as complete although its body broke off or
+// exceeds the limit.
+func TestIncompleteRejectionIsNotRelayed(t *testing.T) {
+	for name, respond := range map[string]func(w http.ResponseWriter){
+		"broken off": func(w http.ResponseWriter) {
+			w.Header().Set("Content-Length", "100")
+			w.WriteHeader(http.StatusUnprocessableEntity)
+			write(w, "too long")
+			panic(http.ErrAbortHandler)
+		},
+		"over the limit": func(w http.ResponseWriter) {
+			w.WriteHeader(http.StatusUnprocessableEntity)
+			write(w, strings.Repeat("x", maxRejectionBytes+1))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := &testGateway{t: t}
+			for range 2 {
+				r.addBackend("models", &scriptedEngine{script: func(w http.ResponseWriter, _ string) { respond(w) }})
+			}
+			r.start()
+			resp := r.do("POST", "/v1/completions", streamRequestJSON(3))
+			defer resp.Body.Close()
+			var p Problem
+			assert.Equal(t, 502, resp.StatusCode)
+			require.NoError(t, json.NewDecoder(resp.Body).Decode(&p))
+			assert.Equal(t, "backend_failed", p.Title)
+			assert.Equal(t, verdict.MayHaveRun, p.Verdict)
+		})
+	}
+}
+
+// Guards against a streamed response that looks complete although its chunked framing was
+// malformed: fasthttp drops an error that a read returns together with data.
+func TestMalformedChunkBreaksResponse(t *testing.T) {
+	r := &testGateway{t: t}
+	r.addBackend("desk", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err == nil {
+			// The first chunk is one byte longer than announced.
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfirst.0\r\n\r\n")
+			_ = conn.Close()
+		}
+	}))
+	r.start()
+	resp := r.do("GET", "/services/desk/a", "", "Monsoonkeel-Class", "lookup")
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	require.Error(t, err, "the response ends as complete after %q", body)
+}
+
 // Guards against a resumed generation that keeps running after its caller disconnects
 // before the first new token.
 func TestResumedGenerationIsCancelled(t *testing.T) {
