Send requests to backend servers as HTTP/1.1

Cause: the request of a caller that uses HTTP/1.0 was forwarded with that version. The backend server then ended its response with the connection, so a server that died in the middle looked as if it had completed the response, and the caller got it as complete. Ruled out: the version in each place that copies a caller's request; all of them send through the pool, whose connections use HTTP/1.1. Change: the pool sets the version of each request. Conclusion: the response is framed as for any other caller, and its loss is seen.

--- a/internal/connection/exchange.go
+++ b/internal/connection/exchange.go
@@ -115,6 +115,8 @@
 
 // roundTrip sends the request and reads the header section of the response to it.
 func (e *Exchange) roundTrip(ctx context.Context, req *fasthttp.Request, opts Options) error {
+	// The request may be a copy of a caller's, which has the version of that connection.
+	req.Header.SetProtocol("HTTP/1.1")
 	if err := e.send(req, opts.BodyNotReused); err != nil {
 		return err
 	}
--- a/internal/connection/upstream_test.go
+++ b/internal/connection/upstream_test.go
@@ -223,3 +223,27 @@
 	assert.Equal(t, "mine", string(body))
 	ex.Finish(true)
 }
+
+// Guards against a truncated response that looks complete to a caller that uses HTTP/1.0: a backend
+// server ends its response to an HTTP/1.0 request with the connection, which shows no loss.
+func TestRequestsAreSentAsHTTP11(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Seen", r.Proto)
+		_, _ = io.WriteString(w, "start")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}))
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.SetRequestURI("/x")
+	req.Header.SetHost(address)
+	req.Header.SetProtocol("HTTP/1.0")
+	ex, err := NewPool().Do(t.Context(), address, req, Options{})
+	require.NoError(t, err)
+	defer ex.Finish(false)
+	assert.Equal(t, "HTTP/1.1", string(ex.Response.Header.Peek("Seen")))
+	body, err := io.ReadAll(ex.Body())
+	assert.Error(t, err, "the body ends as complete after %q", body)
+}
