Limit the framing of a backend server's response

Cause: after a chunk size the parser reads an extension until its line ends. A server that sent such an extension without end kept the request until its deadline: the caller got a 504, an idempotent request was not retried, and the host read at full speed meanwhile. Ruled out: a limit on the whole response, since a body has none; a shorter deadline for bodies, since a server may pause. Change: the connection counts the bytes read since the last byte of a body was returned and fails a read beyond 64 KiB plus the size of the caller's buffer. The count belongs to the reading goroutine; it takes no lock and allocates nothing. Reads of a body allocate nothing. Conclusion: framing without end fails the request at a bound in bytes and closes the connection.

--- /dev/null
+++ b/internal/connection/endless_test.go
@@ -0,0 +1,148 @@
+package connection
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+)
+
+// rawServer accepts connections, and on each of them writes a response once it has read a
+// request. It then writes the unit again and again, if there is one, until the client closes
+// the connection. Each closed connection is reported on closed.
+type rawServer struct {
+	net.Listener
+	closed chan struct{}
+}
+
+func newRawServer(t *testing.T, response, unit string) *rawServer {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	s := &rawServer{Listener: l, closed: make(chan struct{}, 16)}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(conn, response, unit)
+		}
+	}()
+	return s
+}
+
+func (s *rawServer) serve(conn net.Conn, response, unit string) {
+	defer func() { _ = conn.Close() }()
+	buffer := make([]byte, 4096)
+	_, err := conn.Read(buffer)
+	if err == nil {
+		_, err = io.WriteString(conn, response)
+	}
+	for err == nil && unit != "" {
+		_, err = io.WriteString(conn, strings.Repeat(unit, 1+len(buffer)/len(unit)))
+	}
+	for err == nil {
+		_, err = conn.Read(buffer)
+	}
+	s.closed <- struct{}{}
+}
+
+func (s *rawServer) address() string { return s.Addr().String() }
+
+// waitClosed waits until a connection was closed by the client.
+func (s *rawServer) waitClosed(t *testing.T) {
+	t.Helper()
+	select {
+	case <-s.closed:
+	case <-time.After(10 * time.Second):
+		require.Fail(t, "the connection is still open")
+	}
+}
+
+// exchangeTimeout is longer than a test may take, so that no test passes by a timeout.
+const exchangeTimeout = time.Minute
+
+func (s *rawServer) do(t *testing.T, p *Pool, method string, opts Options) (*Exchange, error) {
+	t.Helper()
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.Header.SetMethod(method)
+	req.SetRequestURI("/x")
+	req.Header.SetHost("a")
+	ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
+	t.Cleanup(cancel)
+	return p.Do(ctx, s.address(), req, opts)
+}
+
+const chunkedHeader = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+// Guards against a body read that lasts until the deadline while the server sends framing
+// without end.
+func TestEndlessFramingEndsTheBody(t *testing.T) {
+	for name, response := range map[string]string{
+		"extension of the first chunk": chunkedHeader + "1;",
+		"extension after data":         chunkedHeader + "2\r\nok\r\n1;",
+		"extension of the last chunk":  chunkedHeader + "2\r\nok\r\n0;",
+		"trailer line":                 chunkedHeader + "2\r\nok\r\n0\r\nX-T: ",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newRawServer(t, response, "x")
+			ex, err := s.do(t, NewPool(), "GET", Options{})
+			require.NoError(t, err)
+			body, err := io.ReadAll(ex.Body())
+			assert.Error(t, err)
+			assert.Contains(t, []string{"", "ok"}, string(body))
+			ex.Finish(false)
+			s.waitClosed(t)
+		})
+	}
+}
+
+// Guards against a valid response that is taken for one with too much framing: chunks of any
+// size, and chunk extensions of some kilobytes.
+func TestLongBodiesAreReadCompletely(t *testing.T) {
+	extension := ";x=" + strings.Repeat("y", maxFramingBytes/4)
+	long := strings.Repeat("z", 4*maxFramingBytes)
+	for name, c := range map[string]struct{ response, body string }{
+		"length":          {"HTTP/1.1 200 OK\r\nContent-Length: 262144\r\n\r\n" + long, long},
+		"one chunk":       {chunkedHeader + "40000\r\n" + long + "\r\n0\r\n\r\n", long},
+		"short chunks":    {chunkedHeader + strings.Repeat("1\r\nz\r\n", len(long)) + "0\r\n\r\n", long},
+		"long extensions": {chunkedHeader + strings.Repeat("1"+extension+"\r\nz\r\n", 100) + "0\r\n\r\n", long[:100]},
+	} {
+		for _, readBytes := range []int{1, 512, 1 << 20} {
+			s := newRawServer(t, c.response, "")
+			ex, err := s.do(t, NewPool(), "GET", Options{})
+			require.NoError(t, err, name)
+			var body bytes.Buffer
+			_, err = io.CopyBuffer(struct{ io.Writer }{&body}, ex.Body(), make([]byte, readBytes))
+			require.NoError(t, err, name)
+			require.Equal(t, c.body, body.String(), name)
+			ex.Finish(false)
+		}
+	}
+}
+
+// Guards against an allocation for each read of a response body.
+func TestBodyReadsDoNotAllocate(t *testing.T) {
+	e := &Exchange{}
+	conn := &upstreamConn{Conn: repeatedRead{}}
+	e.body = responseBody{stream: conn, conn: conn}
+	buffer := make([]byte, 4096)
+	assert.Zero(t, testing.AllocsPerRun(100, func() {
+		_, err := e.Body().Read(buffer)
+		assert.NoError(t, err)
+	}))
+}
+
+// repeatedRead is a connection whose reads always succeed.
+type repeatedRead struct{ net.Conn }
+
+func (repeatedRead) Read(b []byte) (int, error) { return len(b), nil }
--- a/internal/connection/exchange.go
+++ b/internal/connection/exchange.go
@@ -24,10 +24,34 @@
 	// response is read; otherwise it is nil.
 	sendResult chan error
 	aborted    atomic.Bool
+	body       responseBody
 }
 
-// Body returns the stream of the response body. It must not be read after Finish.
-func (e *Exchange) Body() io.Reader { return e.Response.BodyStream() }
+// Body returns the stream of the response body, or nil if the response has none. It must
+// not be read after Finish. A read fails if the server sends more than 64 KiB of framing,
+// such as chunk extensions, without a byte of the body.
+func (e *Exchange) Body() io.Reader {
+	if e.body.stream == nil {
+		return nil
+	}
+	return &e.body
+}
+
+// responseBody is the stream of a response body with a limit on the framing in it.
+type responseBody struct {
+	stream io.Reader
+	conn   *upstreamConn
+}
+
+// Read implements io.Reader.
+func (b *responseBody) Read(p []byte) (int, error) {
+	b.conn.unusedLimit = maxFramingBytes + len(p)
+	n, err := b.stream.Read(p)
+	if n > 0 {
+		b.conn.unusedBytes = 0
+	}
+	return n, err
+}
 
 // SetReadDeadline sets the deadline of reads of the body; zero means none. The end of
 // the exchange's context ends a read in any case.
@@ -115,5 +139,9 @@
 	e.Response.Reset()
 	e.Response.StreamBody = true
 	e.Response.SkipBody = isHead
-	return e.Response.ReadLimitBody(e.conn.reader, 0)
+	e.conn.expectBody(0)
+	err := e.Response.ReadLimitBody(e.conn.reader, 0)
+	e.conn.expectBody(0)
+	e.body = responseBody{stream: e.Response.BodyStream(), conn: e.conn}
+	return err
 }
--- a/internal/connection/upstream.go
+++ b/internal/connection/upstream.go
@@ -30,6 +30,9 @@
 	maxUnmatchedResponses = 3
 	// maxReportBytes limits the load report that identifies the server of a connection.
 	maxReportBytes = 64 << 10
+	// maxFramingBytes limits the bytes of a response between two reads that return a part of
+	// its body: the header section, chunk extensions, trailers and the read buffer.
+	maxFramingBytes = 64 << 10
 )
 
 // Pool sends requests to backend servers and keeps idle connections to them. It never
@@ -70,6 +73,9 @@
 	address string
 	// written is the number of bytes written since the current request was started.
 	written atomic.Int64
+	// unusedBytes is the number of bytes read since the last byte of a body was returned,
+	// and unusedLimit the number from which reads fail. Only the reader accesses them.
+	unusedBytes, unusedLimit int
 	// idledAt is when the connection was last returned to the pool.
 	idledAt time.Time
 	// incarnation is that of the process at the other end; empty if it was not
@@ -85,6 +91,30 @@
 	return n, err
 }
 
+// errNoBody is returned when a backend server sends too many bytes that are no body.
+var errNoBody = fmt.Errorf("the backend server sent more than %d bytes that are no part of a body", maxFramingBytes)
+
+// Read fails once unusedLimit bytes were read.
+func (c *upstreamConn) Read(b []byte) (int, error) {
+	if c.unusedBytes >= c.unusedLimit {
+		return 0, errNoBody
+	}
+	n, err := c.Conn.Read(b)
+	c.unusedBytes += n
+	return n, err
+}
+
+// expectBody starts a new count of unused bytes, of which up to bodyBytes may be a body.
+func (c *upstreamConn) expectBody(bodyBytes int) {
+	c.unusedBytes, c.unusedLimit = 0, maxFramingBytes+bodyBytes
+}
+
+func newUpstreamConn(c net.Conn, address string) *upstreamConn {
+	conn := &upstreamConn{Conn: c, address: address}
+	conn.reader = bufio.NewReaderSize(conn, readBufferBytes)
+	return conn
+}
+
 // Options select how a request is sent.
 type Options struct {
 	// NoReuse requires a new connection. The server may have closed an idle one
@@ -181,7 +211,7 @@
 	if err != nil {
 		return err
 	}
-	p.put(&upstreamConn{Conn: c, address: address, reader: bufio.NewReaderSize(c, readBufferBytes)})
+	p.put(newUpstreamConn(c, address))
 	return nil
 }
 
@@ -200,8 +230,7 @@
 	if err != nil {
 		return nil, false, err
 	}
-	conn := &upstreamConn{Conn: c, address: address}
-	conn.reader = bufio.NewReaderSize(c, readBufferBytes)
+	conn := newUpstreamConn(c, address)
 	if opts.Incarnation == "" {
 		return conn, false, nil
 	}
@@ -225,6 +254,7 @@
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
+	c.expectBody(maxReportBytes)
 	req.SetRequestURI("/v1/load")
 	req.Header.SetHost(c.address)
 	w := bufio.NewWriter(c)
