Skip late responses that have no body

Cause: a response to another request is skipped by reading its body. The body of a 204, a 304 or a response to HEAD is nil, and reading it dereferenced a nil pointer. Nothing recovers the panic on the request path: one such response from a backend server ended the host's process, and the callers of all its requests lost their connections. Evidence: TestLateResponsesWithoutBodyAreSkipped failed with "invalid memory address or nil pointer dereference" in io.discard.ReadFrom, called by Exchange.roundTrip. Ruled out: a recover on the request path, which would hide the fault and leave the reservation unreleased. Change: a response without a body is skipped without a read. Conclusion: the next response on the connection is read as the request's own.

--- a/internal/connection/endless_test.go
+++ b/internal/connection/endless_test.go
@@ -146,3 +146,24 @@
 type repeatedRead struct{ net.Conn }
 
 func (repeatedRead) Read(b []byte) (int, error) { return len(b), nil }
+
+// matchesID reports whether a response has the ID "mine".
+func matchesID(h *fasthttp.ResponseHeader) bool { return string(h.Peek("Id")) == "mine" }
+
+// Guards against a crash while a late response without a body is skipped.
+func TestLateResponsesWithoutBodyAreSkipped(t *testing.T) {
+	const mine = "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 0\r\n\r\n"
+	for response, method := range map[string]string{
+		"HTTP/1.1 204 No Content\r\nId: old\r\n\r\n":                       "GET",
+		"HTTP/1.1 304 Not Modified\r\nId: old\r\n\r\n":                     "GET",
+		"HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 0\r\n\r\n":          "GET",
+		"HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 2\r\n\r\n":          "HEAD",
+		"HTTP/1.1 200 OK\r\nId: old\r\nTransfer-Encoding: chunked\r\n\r\n": "HEAD",
+	} {
+		s := newRawServer(t, response+mine, "")
+		ex, err := s.do(t, NewPool(), method, Options{MatchesRequest: matchesID})
+		require.NoError(t, err, response)
+		require.Equal(t, "mine", string(ex.Response.Header.Peek("Id")))
+		ex.Finish(true)
+	}
+}
--- a/internal/connection/exchange.go
+++ b/internal/connection/exchange.go
@@ -126,15 +126,26 @@
 		if unmatched >= maxUnmatchedResponses {
 			return errors.New("the responses on the connection belong to other requests")
 		}
-		if _, err := io.Copy(io.Discard, e.Body()); err != nil {
+		if err := e.skipBody(); err != nil {
 			return err
 		}
-		_ = e.Response.CloseBodyStream()
 	}
 	e.SetReadDeadline(time.Time{})
 	return ctx.Err()
 }
 
+// skipBody reads the body of a response to another request.
+func (e *Exchange) skipBody() error {
+	body := e.Body()
+	if body == nil {
+		return nil
+	}
+	if _, err := io.Copy(io.Discard, body); err != nil {
+		return err
+	}
+	return e.Response.CloseBodyStream()
+}
+
 func (e *Exchange) readResponseHeader(isHead bool) error {
 	e.Response.Reset()
 	e.Response.StreamBody = true
