Limit the body of a late response that is skipped

Cause: a response to another request is read to its end, so that the next one can follow on the connection. A body without end was read until the deadline of the request that waited behind it. Evidence: the rows of TestEndlessUnusableResponsesAreRejected with the body of another request failed: an order got a 504 after 1,508 to 1,526 ms, a stream after 7,000 ms. TestEndlessResponseToAnotherRequestIsNotSkipped failed with an i/o timeout at its deadline of 4 s in the rows "chunked", "unsized" and "length". Ruled out: closing the connection after every response to another request. A late response may precede the request's own, which would then be lost although the request has run. Change: the skipped body is limited to 1 MiB, beside the limit of three responses. A longer one fails the request and closes the connection.

--- a/internal/connection/endless_test.go
+++ b/internal/connection/endless_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -12,6 +13,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
+
+	"monsoonkeel.example/monsoonkeel/core/verdict"
 )
 
 // rawServer accepts connections, and on each of them writes a response once it has read a
@@ -150,6 +153,25 @@
 // matchesID reports whether a response has the ID "mine".
 func matchesID(h *fasthttp.ResponseHeader) bool { return string(h.Peek("Id")) == "mine" }
 
+// Guards against a request that waits for its deadline while the server sends the body of a
+// response to another request without end.
+func TestEndlessResponseToAnotherRequestIsNotSkipped(t *testing.T) {
+	for name, c := range map[string]struct{ response, unit string }{
+		"chunked":   {"HTTP/1.1 200 OK\r\nId: old\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+		"unsized":   {"HTTP/1.1 200 OK\r\nId: old\r\nConnection: close\r\n\r\n", "x"},
+		"length":    {"HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 99999999999999\r\n\r\n", "x"},
+		"responses": {"", "HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 2\r\n\r\nok"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newRawServer(t, c.response, c.unit)
+			_, err := s.do(t, NewPool(), "GET", Options{MatchesRequest: matchesID})
+			require.Equal(t, verdict.MayHaveRun, verdict.Of(err))
+			require.NotErrorIs(t, err, os.ErrDeadlineExceeded)
+			s.waitClosed(t)
+		})
+	}
+}
+
 // Guards against a crash while a late response without a body is skipped.
 func TestLateResponsesWithoutBodyAreSkipped(t *testing.T) {
 	const mine = "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 0\r\n\r\n"
--- a/internal/connection/exchange.go
+++ b/internal/connection/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"sync/atomic"
 	"time"
@@ -134,15 +135,20 @@
 	return ctx.Err()
 }
 
-// skipBody reads the body of a response to another request.
+// skipBody reads the body of a response to another request. A body of maxSkippedBytes or
+// more is an error.
 func (e *Exchange) skipBody() error {
 	body := e.Body()
 	if body == nil {
 		return nil
 	}
-	if _, err := io.Copy(io.Discard, body); err != nil {
+	skipped, err := io.Copy(io.Discard, io.LimitReader(body, maxSkippedBytes))
+	if err != nil {
 		return err
 	}
+	if skipped == maxSkippedBytes {
+		return fmt.Errorf("the body of a response to another request is longer than %d bytes", maxSkippedBytes)
+	}
 	return e.Response.CloseBodyStream()
 }
 
--- a/internal/connection/upstream.go
+++ b/internal/connection/upstream.go
@@ -28,6 +28,8 @@
 	readBufferBytes = 16 << 10
 	// maxUnmatchedResponses is how many late responses to earlier requests are skipped.
 	maxUnmatchedResponses = 3
+	// maxSkippedBytes limits the body of a late response, which is read to reuse the connection.
+	maxSkippedBytes = 1 << 20
 	// maxReportBytes limits the load report that identifies the server of a connection.
 	maxReportBytes = 64 << 10
 	// maxFramingBytes limits the bytes of a response between two reads that return a part of
