Reject a response that switches protocols

Cause: fasthttp returns a response with status 101 as a final one, and its bytes after the header section are no HTTP. The host requests no upgrade, but it passed the 101 to the caller with the server's mark, and returned the connection to the pool. Ruled out: a check in the forwarding path only, since no request of this repository asks for an upgrade. Change: a status under 200 fails the exchange, with the verdict that the request may have run. Conclusion: the caller gets a 502 or a response of another server, and the connection is closed.

--- a/internal/connection/endless_test.go
+++ b/internal/connection/endless_test.go
@@ -189,3 +189,14 @@
 		ex.Finish(true)
 	}
 }
+
+// Guards against a status that ends no request, such as a switch of protocols that nobody
+// requested, which is taken for the response.
+func TestStatusBelow200IsNoResponse(t *testing.T) {
+	for _, status := range []string{"101 Switching Protocols", "199 x", "099 x", "-1 x"} {
+		s := newRawServer(t, "HTTP/1.1 "+status+"\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n", "x")
+		_, err := s.do(t, NewPool(), "GET", Options{})
+		require.Equal(t, verdict.MayHaveRun, verdict.Of(err), status)
+		s.waitClosed(t)
+	}
+}
--- a/internal/connection/exchange.go
+++ b/internal/connection/exchange.go
@@ -121,6 +121,9 @@
 		if err := e.readResponseHeader(req.Header.IsHead()); err != nil {
 			return err
 		}
+		if status := e.Response.StatusCode(); status < fasthttp.StatusOK {
+			return fmt.Errorf("the backend server sent status %d instead of a final response", status)
+		}
 		if opts.MatchesRequest == nil || opts.MatchesRequest(&e.Response.Header) {
 			break
 		}
