Close idle connections on which a server sends bytes

Cause: a server may send more bytes after a complete response, which belong to no request. The pool kept such a connection until it was to be reused, and then closed it. Without a further request to that address it stayed open, with bytes in the read buffer and in the kernel's, and it counted against the connections that the server accepts. Evidence: TestSurplusBytesCloseTheConnection failed in all eight rows: the connection was still open after 2 s, with bytes that came with the response and with bytes that came later. Ruled out: a goroutine for each idle connection that waits in a read, for its memory and since the next request must first end that read. Change: a connection with unread bytes is not returned to the pool. Every 2 s while there are idle connections, the pool closes those with unread bytes, those that the server closed and those too old to be reused. A check makes one system call for each idle connection. Conclusion: a connection with surplus bytes is closed by the next check, and is not reused, as before.

--- a/internal/connection/endless_test.go
+++ b/internal/connection/endless_test.go
@@ -23,13 +23,18 @@
 type rawServer struct {
 	net.Listener
 	closed chan struct{}
+	// surplus makes a connection write a few bytes after its response.
+	surplus chan struct{}
 }
 
 func newRawServer(t *testing.T, response, unit string) *rawServer {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	s := &rawServer{Listener: l, closed: make(chan struct{}, 16)}
+	s := &rawServer{Listener: l, closed: make(chan struct{}, 16), surplus: make(chan struct{})}
+	t.Cleanup(func() {
+		_ = l.Close()
+		close(s.surplus)
+	})
 	go func() {
 		for {
 			conn, err := l.Accept()
@@ -52,6 +57,11 @@
 	for err == nil && unit != "" {
 		_, err = io.WriteString(conn, strings.Repeat(unit, 1+len(buffer)/len(unit)))
 	}
+	go func() {
+		for range s.surplus {
+			_, _ = io.WriteString(conn, "surplus")
+		}
+	}()
 	for err == nil {
 		_, err = conn.Read(buffer)
 	}
@@ -200,3 +210,68 @@
 		s.waitClosed(t)
 	}
 }
+
+// surplusResponses are complete responses, of requests with the given method. The server
+// sends more bytes after them.
+var surplusResponses = map[string]struct{ method, response string }{
+	"length":     {"GET", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"},
+	"chunked":    {"GET", chunkedHeader + "2\r\nok\r\n0\r\n\r\n"},
+	"no content": {"GET", "HTTP/1.1 204 No Content\r\n\r\n"},
+	"HEAD":       {"HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"},
+}
+
+func readBody(t *testing.T, ex *Exchange) {
+	t.Helper()
+	if body := ex.Body(); body != nil {
+		_, err := io.ReadAll(body)
+		require.NoError(t, err)
+	}
+}
+
+// Guards against a connection that stays in the pool with bytes that belong to no request.
+func TestSurplusBytesCloseTheConnection(t *testing.T) {
+	for name, c := range surplusResponses {
+		t.Run("with the response/"+name, func(t *testing.T) {
+			s := newRawServer(t, c.response+"surplus", "")
+			p := NewPool()
+			p.checkInterval = exchangeTimeout
+			ex, err := s.do(t, p, c.method, Options{})
+			require.NoError(t, err)
+			readBody(t, ex)
+			ex.Finish(true)
+			s.waitClosed(t)
+			assert.Nil(t, p.popIdle(s.address()))
+		})
+		t.Run("later/"+name, func(t *testing.T) {
+			s := newRawServer(t, c.response, "")
+			p := NewPool()
+			p.checkInterval = 10 * time.Millisecond
+			ex, err := s.do(t, p, c.method, Options{})
+			require.NoError(t, err)
+			readBody(t, ex)
+			ex.Finish(true)
+			s.surplus <- struct{}{}
+			s.waitClosed(t)
+			assert.Nil(t, p.popIdle(s.address()))
+		})
+	}
+}
+
+// Guards against an idle connection that is closed although it can be reused, and against
+// checks that go on while there is nothing to check.
+func TestChecksKeepReusableConnections(t *testing.T) {
+	s := newRawServer(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "")
+	p := NewPool()
+	p.checkInterval = exchangeTimeout
+	ex, err := s.do(t, p, "GET", Options{})
+	require.NoError(t, err)
+	readBody(t, ex)
+	ex.Finish(true)
+	p.closeStale()
+	assert.True(t, p.checking.Load())
+	c := p.takeIdle(s.address(), maxIdleAge)
+	require.NotNil(t, c)
+	p.closeStale()
+	assert.False(t, p.checking.Load())
+	require.NoError(t, c.Close())
+}
--- a/internal/connection/upstream.go
+++ b/internal/connection/upstream.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,6 +25,9 @@
 	// is below the usual keep-alive timeout of servers, so that few reused connections
 	// turn out to be closed.
 	maxIdleAge = 20 * time.Second
+	// idleCheckInterval is the time between two checks of the idle connections, which hold
+	// bytes in the kernel that a backend server sent without a request.
+	idleCheckInterval = 2 * time.Second
 	// readBufferBytes is enough for several SSE events.
 	readBufferBytes = 16 << 10
 	// maxUnmatchedResponses is how many late responses to earlier requests are skipped.
@@ -44,6 +48,10 @@
 	// different backend servers share no lock.
 	addresses sync.Map
 	maxIdle   int
+	// checkInterval is the time between two checks of the idle connections; checking is
+	// set while a check is due.
+	checkInterval time.Duration
+	checking      atomic.Bool
 }
 
 // idleConns holds the idle connections to one address. The last one is reused first.
@@ -58,7 +66,7 @@
 
 // NewPoolSize returns an empty pool that keeps up to maxIdle idle connections
 // per address.
-func NewPoolSize(maxIdle int) *Pool { return &Pool{maxIdle: maxIdle} }
+func NewPoolSize(maxIdle int) *Pool { return &Pool{maxIdle: maxIdle, checkInterval: idleCheckInterval} }
 
 func (p *Pool) idle(address string) *idleConns {
 	if existing, ok := p.addresses.Load(address); ok {
@@ -295,15 +303,19 @@
 		if c == nil {
 			return nil
 		}
-		// Unread bytes on an idle connection belong to an earlier response.
-		stale := c.reader.Buffered() > 0 || time.Since(c.idledAt) > maxIdle || readable(c.Conn)
-		if !stale {
+		if !c.stale(maxIdle) {
 			return c
 		}
 		_ = c.Close()
 	}
 }
 
+// stale reports whether an idle connection must not be reused: it was idle for longer than
+// maxIdle, the server closed it, or it has unread bytes, which belong to an earlier response.
+func (c *upstreamConn) stale(maxIdle time.Duration) bool {
+	return c.reader.Buffered() > 0 || time.Since(c.idledAt) > maxIdle || readable(c.Conn)
+}
+
 func (p *Pool) popIdle(address string) *upstreamConn {
 	idle := p.idle(address)
 	idle.mu.Lock()
@@ -317,7 +329,13 @@
 	return c
 }
 
+// put keeps an idle connection, unless the server has already sent more than its response.
 func (p *Pool) put(c *upstreamConn) {
+	if c.reader.Buffered() > 0 {
+		_ = c.Close()
+		return
+	}
+	defer p.scheduleCheck()
 	c.idledAt = time.Now()
 	idle := p.idle(c.address)
 	idle.mu.Lock()
@@ -329,6 +347,41 @@
 	idle.conns = append(idle.conns, c)
 }
 
+// scheduleCheck schedules a check of the idle connections, unless one is due.
+func (p *Pool) scheduleCheck() {
+	if !p.checking.Load() && p.checking.CompareAndSwap(false, true) {
+		time.AfterFunc(p.checkInterval, p.closeStale)
+	}
+}
+
+// closeStale closes the idle connections that must not be reused, and schedules the next
+// check if others remain.
+func (p *Pool) closeStale() {
+	p.checking.Store(false)
+	remaining := 0
+	p.addresses.Range(func(_, value any) bool {
+		remaining += value.(*idleConns).closeStale()
+		return true
+	})
+	if remaining > 0 {
+		p.scheduleCheck()
+	}
+}
+
+// closeStale closes stale connections and returns the number of the others.
+func (i *idleConns) closeStale() int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.conns = slices.DeleteFunc(i.conns, func(c *upstreamConn) bool {
+		if !c.stale(maxIdleAge) {
+			return false
+		}
+		_ = c.Close()
+		return true
+	})
+	return len(i.conns)
+}
+
 // Retain closes the idle connections to addresses for which keep returns false.
 func (p *Pool) Retain(keep func(address string) bool) {
 	p.addresses.Range(func(key, value any) bool {
