Do not retry a plain request after its response was begun

Cause: a response longer than the buffer is relayed as it arrives. If it broke off, the host closed the caller's connection, which cancels the request's context a moment later from another goroutine. Depending on which came first, the request was logged as "caller_left", though the server had failed or the deadline had passed, or an idempotent request was sent again for a caller that could no longer receive the response. Evidence: TestEndlessBodiesAreBrokenOffAtTheDeadline failed in all six rows with the code "caller_left" instead of "timeout". Ruled out: ending the context in Abort. It would make the order certain, but still name the caller as the cause. Change: the error is determined before the connection is closed, and a request whose response was begun is not attempted again. Conclusion: the log and the failure counters name the deadline or the server, and there is one attempt.

--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -53,6 +53,9 @@
 		if err == nil {
 			return nil
 		}
+		if r.responded {
+			return err // the caller has a part of the response
+		}
 		if r.ctx.Err() != nil {
 			return r.interruptionError(verdict.Of(err) != verdict.NotRun || ran > 0)
 		}
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -101,9 +101,14 @@
 		err = r.call.End()
 	}
 	ex.Finish(err == nil)
-	if err != nil {
-		r.call.Abort()
-		return unusableResponse(err)
+	if err == nil {
+		return nil
+	}
+	// The error is determined first, since the abort also cancels the call's context.
+	failure := error(unusableResponse(err))
+	if r.ctx.Err() != nil {
+		failure = r.interruptionError(true)
 	}
-	return nil
+	r.call.Abort()
+	return failure
 }
