Read the fields of events from whole lines

Cause: a line longer than the read buffer of 8 KiB arrives in parts, and the field was read from the last part only. If that part was just the line end, it ended the event; if it began with "id:", it set the event's id. An event with a wrong id breaks its stream off or is dropped as delivered before. Evidence: TestFramesWithLongLines failed in all twelve cases: nine events were split within their data, three had the id 9 instead of 1. Ruled out: a larger buffer, which moves the boundary only. Change: a line is appended to the event completely before its field is read. Conclusion: the bytes relayed are the same; events and ids no longer depend on the position of a line in the buffer.

--- a/internal/request/sse/frame.go
+++ b/internal/request/sse/frame.go
@@ -38,21 +38,14 @@
 	f.raw = f.raw[:0]
 	frame := Frame{}
 	for {
-		line, err := f.r.ReadSlice('\n')
-		f.raw = append(f.raw, line...)
-		if err == bufio.ErrBufferFull && len(f.raw) <= MaxEventBytes {
-			continue
-		}
-		if err == nil && len(f.raw) > MaxEventBytes || err == bufio.ErrBufferFull {
-			return Frame{}, ErrTooLarge
-		}
-		if err != nil {
+		start := len(f.raw)
+		if err := f.appendLine(); err != nil {
 			if err == io.EOF && len(f.raw) > 0 {
 				err = io.ErrUnexpectedEOF
 			}
 			return Frame{}, err
 		}
-		text := bytes.TrimRight(line, "\r\n")
+		text := bytes.TrimRight(f.raw[start:], "\r\n")
 		if len(text) == 0 {
 			frame.Raw = f.raw
 			return frame, nil
@@ -63,3 +56,17 @@
 		}
 	}
 }
+
+// appendLine reads a line of any length and appends it to the raw bytes of the event.
+func (f *FrameReader) appendLine() error {
+	for {
+		part, err := f.r.ReadSlice('\n')
+		f.raw = append(f.raw, part...)
+		if len(f.raw) > MaxEventBytes {
+			return ErrTooLarge
+		}
+		if err != bufio.ErrBufferFull {
+			return err
+		}
+	}
+}
--- a/internal/request/sse/frame_test.go
+++ b/internal/request/sse/frame_test.go
@@ -31,6 +31,35 @@
 	assert.Equal(t, []int64{1, 2}, ids)
 }
 
+// Guards against an event that is split, or that gets an id from its data, because a line is
+// longer than the read buffer.
+func TestFramesWithLongLines(t *testing.T) {
+	for _, line := range []string{
+		"data: " + strings.Repeat("x", frameBufferBytes-len("data: ")),
+		"data: " + strings.Repeat("x", frameBufferBytes-len("data: ")) + "id: 9",
+		"data: " + strings.Repeat("x", frameBufferBytes-len("data: ")) + "\r",
+		"data: " + strings.Repeat("x", 2*frameBufferBytes-len("data: ")),
+	} {
+		event := "id: 1\n" + line + "\ndata: y\n\n"
+		for offset := range 3 {
+			// An event before it moves the line in the buffer.
+			before := strings.Repeat(":", offset*7) + "\n\n"
+			if offset == 0 {
+				before = ""
+			}
+			r := NewFrameReader(strings.NewReader(before + event))
+			if offset > 0 {
+				_, err := r.Next()
+				assert.NoError(t, err)
+			}
+			f, err := r.Next()
+			assert.NoError(t, err)
+			assert.Equal(t, event, string(f.Raw))
+			assert.Equal(t, int64(1), f.ID)
+		}
+	}
+}
+
 // Guards against relaying an incomplete event when an engine dies while writing it.
 func TestTruncatedFrameIsNotReturned(t *testing.T) {
 	r := NewFrameReader(strings.NewReader("id: 1\ndata: a\n\nid: 2\ndata: b"))
