Limit events of a stream to 64 KiB

Cause: an event was buffered up to 1 MiB, and twice that while the buffer grew. All streams of an engine in trouble may reach that at the same time, and the smallest host has 112 MB. Comments, empty lines and events without content were relayed without a limit, until the deadline. Ruled out: dropping comments and empty lines, since a stream is relayed byte by byte and they keep it open for the caller. Change: an event has at most 64 KiB, and so have the bytes between two events. A frame states whether it is an event. TestOversizedFrameIsRejected now reads endless input of eight kinds against the lower limit; it had one line of 1 MiB. Conclusion: a stream without end of line, of event or of comments breaks off after 64 KiB.

--- a/internal/request/sse/frame_test.go
+++ b/internal/request/sse/frame_test.go
@@ -1,7 +1,6 @@
 package sse
 
 import (
-	"errors"
 	"io"
 	"strings"
 	"testing"
@@ -69,10 +68,56 @@
 	assert.Equal(t, io.ErrUnexpectedEOF, err)
 }
 
-// Guards against unbounded buffering of an event that never ends.
+// endlessReader repeats a unit without end.
+type endlessReader struct{ unit string }
+
+func (e endlessReader) Read(p []byte) (int, error) {
+	n := 0
+	for n+len(e.unit) <= len(p) {
+		n += copy(p[n:], e.unit)
+	}
+	return n, nil
+}
+
+// Guards against unbounded buffering of an event that never ends, and against a read that goes
+// on for as long as the stream has no event.
 func TestOversizedFrameIsRejected(t *testing.T) {
-	_, err := NewFrameReader(strings.NewReader("data: " + strings.Repeat("x", MaxEventBytes+1) + "\n\n")).Next()
-	assert.True(t, errors.Is(err, ErrTooLarge))
+	for _, c := range []struct{ start, unit string }{
+		{"data: ", "x"}, {"id: 1\n", "data: x\n"}, {"id: 1\n", ": x\n"},
+		{"", "\n"}, {"", "\r\n"}, {"", ": x\n\n"}, {"", "event: x\n\n"}, {"", "id: x\n\n"},
+	} {
+		r := NewFrameReader(io.MultiReader(strings.NewReader(c.start), endlessReader{c.unit}))
+		read := 0
+		for {
+			f, err := r.Next()
+			if err != nil {
+				assert.ErrorIs(t, err, ErrTooLarge)
+				break
+			}
+			read += len(f.Raw)
+		}
+		assert.LessOrEqual(t, read, MaxFrameBytes, "%q %q", c.start, c.unit)
+	}
+}
+
+// Guards against the rejection of an event of the maximum size, or of comments that keep a
+// paused stream open.
+func TestFramesUpToTheMaximumAreReturned(t *testing.T) {
+	event := "data: " + strings.Repeat("x", MaxFrameBytes-len("data: \n\n")) + "\n\n"
+	comment := ": " + strings.Repeat("x", MaxFrameBytes/2-len(": \n\n")) + "\n\n"
+	stream := strings.Repeat(event+comment+comment, 3)
+	r := NewFrameReader(strings.NewReader(stream))
+	var joined strings.Builder
+	for {
+		f, err := r.Next()
+		if err != nil {
+			assert.Equal(t, io.EOF, err)
+			break
+		}
+		assert.Equal(t, strings.HasPrefix(string(f.Raw), "data"), f.Event)
+		joined.Write(f.Raw)
+	}
+	assert.Equal(t, stream, joined.String())
 }
 
 // Guards against frames whose bytes differ from those of the stream, and against malformed
