Limit the events of a stream by the maximum output of its request

Cause: nothing limited the number of events. An engine that sent events without end, without an id, or with an id delivered before, was relayed or read until the deadline. Ruled out: a limit on the ids, since a stream may begin with any id; no margin, since a final event may hold no token. Change: the relay breaks a stream off after 16 events more than the request allows output tokens, and after as many repeated events in a row. A request without token counts has no such limit, and its deadline ends it.

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -17,6 +17,13 @@
 // errGap is returned when an event of the stream is missing.
 var errGap = errors.New("an event of the stream is missing")
 
+// errTooManyEvents is returned when a stream has more events than its request allows tokens.
+var errTooManyEvents = errors.New("the stream has more events than the request allows output tokens")
+
+// extraEvents is how many events a stream may have beyond the maximum number of output tokens:
+// an event holds a token, except for one that ends the stream or states an error.
+const extraEvents = 16
+
 // serveStream forwards a request whose response is a stream of events.
 func (r *request) serveStream() error {
 	r.g.balancers.recordFirstAttempt(r.service)
@@ -61,6 +68,8 @@
 	headerSent bool
 	lastID     int64 // newest event delivered
 	lastAt     time.Time
+	// delivered counts the events delivered, and repeated those dropped since then.
+	delivered, repeated int
 }
 
 // startStream sends the request and reads the response header.
@@ -193,12 +202,18 @@
 func (s *stream) deliver(f sse.Frame) error {
 	if f.HasID && s.lastID != 0 {
 		if f.ID <= s.lastID {
-			return nil
+			return s.count(&s.repeated)
 		}
 		if f.ID != s.lastID+1 {
 			return errGap
 		}
 	}
+	if f.Event {
+		s.repeated = 0
+		if err := s.count(&s.delivered); err != nil {
+			return err
+		}
+	}
 	if !s.headerSent {
 		s.headerSent = true
 		s.r.status = fasthttp.StatusOK
@@ -218,6 +233,16 @@
 	return nil
 }
 
+// count adds an event to a counter. Beyond the maximum output of the request it returns
+// errTooManyEvents; a request that states none has no such limit.
+func (s *stream) count(events *int) error {
+	*events++
+	if limit := s.r.maxOutput; limit > 0 && *events > limit+extraEvents {
+		return errTooManyEvents
+	}
+	return nil
+}
+
 func (s *stream) observe() {
 	now := time.Now()
 	if s.r.events == 0 {
