--- a/internal/connection/exchange.go
+++ b/internal/connection/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"sync/atomic"
 	"time"
@@ -24,37 +25,48 @@
 	// response is read; otherwise it is nil.
 	sendResult chan error
 	aborted    atomic.Bool
-	// readErr is the first error of a read of the body.
-	readErr error
+	body       responseBody
 }
 
 // Body returns the stream of the response body, or nil if the response has none. It must
-// not be read after Finish.
+// not be read after Finish. A read fails if the server sends more than 64 KiB of framing,
+// such as chunk extensions, without a byte of the body.
 func (e *Exchange) Body() io.Reader {
-	if e.Response.BodyStream() == nil {
+	if e.body.stream == nil {
 		return nil
 	}
-	return (*responseBody)(e)
+	return &e.body
 }
 
 // identityLength is fasthttp's Content-Length of a body that ends with its connection.
 const identityLength = -2
 
-// responseBody is the body of the exchange's response. After an error, all reads return
-// that error: a body with malformed chunks could otherwise be read on to its apparent end
-// by a caller that ignores an error returned together with data, as fasthttp does.
-type responseBody Exchange
+// responseBody is the stream of a response body with a limit on the framing in it. After an
+// error, all reads return that error: a body with malformed chunks could otherwise be read
+// on to its apparent end by a caller that ignores an error returned together with data, as
+// fasthttp does.
+type responseBody struct {
+	stream io.Reader
+	conn   *upstreamConn
+	// endsWithConnection is set for a body without a length or chunks.
+	endsWithConnection bool
+	err                error
+}
 
 // Read implements io.Reader.
 func (b *responseBody) Read(p []byte) (int, error) {
-	if b.readErr != nil {
-		return 0, b.readErr
+	if b.err != nil {
+		return 0, b.err
+	}
+	b.conn.unusedLimit = maxFramingBytes + len(p)
+	n, err := b.stream.Read(p)
+	if n > 0 {
+		b.conn.unusedBytes = 0
 	}
-	n, err := b.Response.BodyStream().Read(p)
-	if err == io.EOF && b.Response.Header.ContentLength() == identityLength && wasReset(b.conn.Conn) {
+	if err == io.EOF && b.endsWithConnection && wasReset(b.conn.Conn) {
 		err = io.ErrUnexpectedEOF
 	}
-	b.readErr = err
+	b.err = err
 	return n, err
 }
 
@@ -127,27 +139,49 @@
 		if err := e.readResponseHeader(req.Header.IsHead()); err != nil {
 			return err
 		}
+		if status := e.Response.StatusCode(); status < fasthttp.StatusOK {
+			return fmt.Errorf("the backend server sent status %d instead of a final response", status)
+		}
 		if opts.MatchesRequest == nil || opts.MatchesRequest(&e.Response.Header) {
 			break
 		}
 		if unmatched >= maxUnmatchedResponses {
 			return errors.New("the responses on the connection belong to other requests")
 		}
-		if body := e.Body(); body != nil {
-			if _, err := io.Copy(io.Discard, body); err != nil {
-				return err
-			}
+		if err := e.skipBody(); err != nil {
+			return err
 		}
-		_ = e.Response.CloseBodyStream()
 	}
 	e.SetReadDeadline(time.Time{})
 	return ctx.Err()
 }
 
+// skipBody reads the body of a response to another request. A body of maxSkippedBytes or
+// more is an error.
+func (e *Exchange) skipBody() error {
+	body := e.Body()
+	if body == nil {
+		return nil
+	}
+	skipped, err := io.Copy(io.Discard, io.LimitReader(body, maxSkippedBytes))
+	if err != nil {
+		return err
+	}
+	if skipped == maxSkippedBytes {
+		return fmt.Errorf("the body of a response to another request is longer than %d bytes", maxSkippedBytes)
+	}
+	return e.Response.CloseBodyStream()
+}
+
 func (e *Exchange) readResponseHeader(isHead bool) error {
 	e.Response.Reset()
-	e.readErr = nil
 	e.Response.StreamBody = true
 	e.Response.SkipBody = isHead
-	return e.Response.ReadLimitBody(e.conn.reader, 0)
+	e.conn.expectBody(0)
+	err := e.Response.ReadLimitBody(e.conn.reader, 0)
+	e.conn.expectBody(0)
+	e.body = responseBody{
+		stream: e.Response.BodyStream(), conn: e.conn, endsWithConnection: e.Response.Header.ContentLength() == identityLength,
+	}
+	return err
 }
--- a/internal/connection/upstream.go
+++ b/internal/connection/upstream.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,12 +25,20 @@
 	// is below the usual keep-alive timeout of servers, so that few reused connections
 	// turn out to be closed.
 	maxIdleAge = 20 * time.Second
+	// idleCheckInterval is the time between two checks of the idle connections, which hold
+	// bytes in the kernel that a backend server sent without a request.
+	idleCheckInterval = 2 * time.Second
 	// readBufferBytes is enough for several SSE events.
 	readBufferBytes = 16 << 10
 	// maxUnmatchedResponses is how many late responses to earlier requests are skipped.
 	maxUnmatchedResponses = 3
+	// maxSkippedBytes limits the body of a late response, which is read to reuse the connection.
+	maxSkippedBytes = 64 << 10
 	// maxReportBytes limits the load report that identifies the server of a connection.
 	maxReportBytes = 64 << 10
+	// maxFramingBytes limits the bytes of a response between two reads that return a part of
+	// its body: the header section, chunk extensions, trailers and the read buffer.
+	maxFramingBytes = 64 << 10
 )
 
 // Pool sends requests to backend servers and keeps idle connections to them. It never
@@ -39,6 +48,10 @@
 	// different backend servers share no lock.
 	addresses sync.Map
 	maxIdle   int
+	// checkInterval is the time between two checks of the idle connections; checking is
+	// set while a check is due.
+	checkInterval time.Duration
+	checking      atomic.Bool
 }
 
 // idleConns holds the idle connections to one address. The last one is reused first.
@@ -53,7 +66,7 @@
 
 // NewPoolSize returns an empty pool that keeps up to maxIdle idle connections
 // per address.
-func NewPoolSize(maxIdle int) *Pool { return &Pool{maxIdle: maxIdle} }
+func NewPoolSize(maxIdle int) *Pool { return &Pool{maxIdle: maxIdle, checkInterval: idleCheckInterval} }
 
 func (p *Pool) idle(address string) *idleConns {
 	if existing, ok := p.addresses.Load(address); ok {
@@ -70,6 +83,9 @@
 	address string
 	// written is the number of bytes written since the current request was started.
 	written atomic.Int64
+	// unusedBytes is the number of bytes read since the last byte of a body was returned,
+	// and unusedLimit the number from which reads fail. Only the reader accesses them.
+	unusedBytes, unusedLimit int
 	// idledAt is when the connection was last returned to the pool.
 	idledAt time.Time
 	// incarnation is that of the process at the other end; empty if it was not
@@ -85,6 +101,30 @@
 	return n, err
 }
 
+// errNoBody is returned when a backend server sends too many bytes that are no body.
+var errNoBody = fmt.Errorf("the backend server sent more than %d bytes that are no part of a body", maxFramingBytes)
+
+// Read fails once unusedLimit bytes were read.
+func (c *upstreamConn) Read(b []byte) (int, error) {
+	if c.unusedBytes >= c.unusedLimit {
+		return 0, errNoBody
+	}
+	n, err := c.Conn.Read(b)
+	c.unusedBytes += n
+	return n, err
+}
+
+// expectBody starts a new count of unused bytes, of which up to bodyBytes may be a body.
+func (c *upstreamConn) expectBody(bodyBytes int) {
+	c.unusedBytes, c.unusedLimit = 0, maxFramingBytes+bodyBytes
+}
+
+func newUpstreamConn(c net.Conn, address string) *upstreamConn {
+	conn := &upstreamConn{Conn: c, address: address}
+	conn.reader = bufio.NewReaderSize(conn, readBufferBytes)
+	return conn
+}
+
 // Options select how a request is sent.
 type Options struct {
 	// NoReuse requires a new connection. The server may have closed an idle one
@@ -181,7 +221,7 @@
 	if err != nil {
 		return err
 	}
-	p.put(&upstreamConn{Conn: c, address: address, reader: bufio.NewReaderSize(c, readBufferBytes)})
+	p.put(newUpstreamConn(c, address))
 	return nil
 }
 
@@ -200,8 +240,7 @@
 	if err != nil {
 		return nil, false, err
 	}
-	conn := &upstreamConn{Conn: c, address: address}
-	conn.reader = bufio.NewReaderSize(c, readBufferBytes)
+	conn := newUpstreamConn(c, address)
 	if opts.Incarnation == "" {
 		return conn, false, nil
 	}
@@ -225,6 +264,7 @@
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
+	c.expectBody(maxReportBytes)
 	req.SetRequestURI("/v1/load")
 	req.Header.SetHost(c.address)
 	w := bufio.NewWriter(c)
@@ -263,15 +303,19 @@
 		if c == nil {
 			return nil
 		}
-		// Unread bytes on an idle connection belong to an earlier response.
-		stale := c.reader.Buffered() > 0 || time.Since(c.idledAt) > maxIdle || readable(c.Conn)
-		if !stale {
+		if !c.stale(maxIdle) {
 			return c
 		}
 		_ = c.Close()
 	}
 }
 
+// stale reports whether an idle connection must not be reused: it was idle for longer than
+// maxIdle, the server closed it, or it has unread bytes, which belong to an earlier response.
+func (c *upstreamConn) stale(maxIdle time.Duration) bool {
+	return c.reader.Buffered() > 0 || time.Since(c.idledAt) > maxIdle || readable(c.Conn)
+}
+
 func (p *Pool) popIdle(address string) *upstreamConn {
 	idle := p.idle(address)
 	idle.mu.Lock()
@@ -285,7 +329,13 @@
 	return c
 }
 
+// put keeps an idle connection, unless the server has already sent more than its response.
 func (p *Pool) put(c *upstreamConn) {
+	if c.reader.Buffered() > 0 {
+		_ = c.Close()
+		return
+	}
+	defer p.scheduleCheck()
 	c.idledAt = time.Now()
 	idle := p.idle(c.address)
 	idle.mu.Lock()
@@ -297,6 +347,41 @@
 	idle.conns = append(idle.conns, c)
 }
 
+// scheduleCheck schedules a check of the idle connections, unless one is due.
+func (p *Pool) scheduleCheck() {
+	if !p.checking.Load() && p.checking.CompareAndSwap(false, true) {
+		time.AfterFunc(p.checkInterval, p.closeStale)
+	}
+}
+
+// closeStale closes the idle connections that must not be reused, and schedules the next
+// check if others remain.
+func (p *Pool) closeStale() {
+	p.checking.Store(false)
+	remaining := 0
+	p.addresses.Range(func(_, value any) bool {
+		remaining += value.(*idleConns).closeStale()
+		return true
+	})
+	if remaining > 0 {
+		p.scheduleCheck()
+	}
+}
+
+// closeStale closes stale connections and returns the number of the others.
+func (i *idleConns) closeStale() int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.conns = slices.DeleteFunc(i.conns, func(c *upstreamConn) bool {
+		if !c.stale(maxIdleAge) {
+			return false
+		}
+		_ = c.Close()
+		return true
+	})
+	return len(i.conns)
+}
+
 // Retain closes the idle connections to addresses for which keep returns false.
 func (p *Pool) Retain(keep func(address string) bool) {
 	p.addresses.Range(func(key, value any) bool {
--- a/internal/request/sse/frame_test.go
+++ b/internal/request/sse/frame_test.go
@@ -1,7 +1,6 @@
 package sse
 
 import (
-	"errors"
 	"io"
 	"strings"
 	"testing"
@@ -31,6 +30,35 @@
 	assert.Equal(t, []int64{1, 2}, ids)
 }
 
+// Guards against an event that is split, or that gets an id from its data, because a line is
+// longer than the read buffer.
+func TestFramesWithLongLines(t *testing.T) {
+	for _, line := range []string{
+		"data: " + strings.Repeat("x", frameBufferBytes-len("data: ")),
+		"data: " + strings.Repeat("x", frameBufferBytes-len("data: ")) + "id: 9",
+		"data: " + strings.Repeat("x", frameBufferBytes-len("data: ")) + "\r",
+		"data: " + strings.Repeat("x", 2*frameBufferBytes-len("data: ")),
+	} {
+		event := "id: 1\n" + line + "\ndata: y\n\n"
+		for offset := range 3 {
+			// An event before it moves the line in the buffer.
+			before := strings.Repeat(":", offset*7) + "\n\n"
+			if offset == 0 {
+				before = ""
+			}
+			r := NewFrameReader(strings.NewReader(before + event))
+			if offset > 0 {
+				_, err := r.Next()
+				assert.NoError(t, err)
+			}
+			f, err := r.Next()
+			assert.NoError(t, err)
+			assert.Equal(t, event, string(f.Raw))
+			assert.Equal(t, int64(1), f.ID)
+		}
+	}
+}
+
 // Guards against relaying an incomplete event when an engine dies while writing it.
 func TestTruncatedFrameIsNotReturned(t *testing.T) {
 	r := NewFrameReader(strings.NewReader("id: 1\ndata: a\n\nid: 2\ndata: b"))
@@ -40,10 +68,56 @@
 	assert.Equal(t, io.ErrUnexpectedEOF, err)
 }
 
-// Guards against unbounded buffering of an event that never ends.
+// endlessReader repeats a unit without end.
+type endlessReader struct{ unit string }
+
+func (e endlessReader) Read(p []byte) (int, error) {
+	n := 0
+	for n+len(e.unit) <= len(p) {
+		n += copy(p[n:], e.unit)
+	}
+	return n, nil
+}
+
+// Guards against unbounded buffering of an event that never ends, and against a read that goes
+// on for as long as the stream has no event.
 func TestOversizedFrameIsRejected(t *testing.T) {
-	_, err := NewFrameReader(strings.NewReader("data: " + strings.Repeat("x", MaxEventBytes+1) + "\n\n")).Next()
-	assert.True(t, errors.Is(err, ErrTooLarge))
+	for _, c := range []struct{ start, unit string }{
+		{"data: ", "x"}, {"id: 1\n", "data: x\n"}, {"id: 1\n", ": x\n"},
+		{"", "\n"}, {"", "\r\n"}, {"", ": x\n\n"}, {"", "event: x\n\n"}, {"", "id: x\n\n"},
+	} {
+		r := NewFrameReader(io.MultiReader(strings.NewReader(c.start), endlessReader{c.unit}))
+		read := 0
+		for {
+			f, err := r.Next()
+			if err != nil {
+				assert.ErrorIs(t, err, ErrTooLarge)
+				break
+			}
+			read += len(f.Raw)
+		}
+		assert.LessOrEqual(t, read, MaxFrameBytes, "%q %q", c.start, c.unit)
+	}
+}
+
+// Guards against the rejection of an event of the maximum size, or of comments that keep a
+// paused stream open.
+func TestFramesUpToTheMaximumAreReturned(t *testing.T) {
+	event := "data: " + strings.Repeat("x", MaxFrameBytes-len("data: \n\n")) + "\n\n"
+	comment := ": " + strings.Repeat("x", MaxFrameBytes/2-len(": \n\n")) + "\n\n"
+	stream := strings.Repeat(event+comment+comment, 3)
+	r := NewFrameReader(strings.NewReader(stream))
+	var joined strings.Builder
+	for {
+		f, err := r.Next()
+		if err != nil {
+			assert.Equal(t, io.EOF, err)
+			break
+		}
+		assert.Equal(t, strings.HasPrefix(string(f.Raw), "data"), f.Event)
+		joined.Write(f.Raw)
+	}
+	assert.Equal(t, stream, joined.String())
 }
 
 // Guards against frames whose bytes differ from those of the stream, and against malformed
