Do not request a final copy again once its generation has ended

Callers of a broken stream got neither an event nor an end for 2.5 s; they may leave after 2 s. Cause: a final copy of which the source says that it does not run the generation was retried 40 times, 60 ms apart, and the relay waits for the migration before it resumes the generation or breaks off the stream. Ruled out: a generation that has not started yet, which the answer can also mean; a final copy is requested only after a pre-copy succeeded. Change: the answer ends the migration, as a final copy that failed does. A broken stream resumes from the pre-copy at once, if there is one. Conclusion: the end of a stream does not wait for copies that cannot succeed.

--- a/internal/forward/migration.go
+++ b/internal/forward/migration.go
@@ -86,8 +86,8 @@
 		case result.Outcome == Copied:
 			m.result = result
 			return
-		case m.finalCopy && (result.Outcome == CopyFailed || result.Handle != ""):
-			// The generation has stopped; it can resume from a copy, if there is one.
+		case m.finalCopy && (result.Outcome == CopyFailed || result.Outcome == GenerationNotFound || result.Handle != ""):
+			// The generation has ended; it can resume from a copy, if there is one.
 			gen.recordFailedFinalCopy(m, result)
 			return
 		case result.Outcome == TargetUnavailable && m.preCopy.Handle == "":
