Test header sections without end in the request path

Cause: a backend server in trouble may send bytes that are not a response until the host closes the connection. No test covered that for generations, plain services and orders. Ruled out: a change of the request path for this case. The read buffer of a connection (16 KiB) already bounds a header section, and 100 interim responses end the read. Change: TestEndlessHeaderSection sends bytes without a line end, empty lines, an endless status line, an endless header line, endless header lines and endless interim responses to each of seven kinds of request, and requires an error response, closed connections, and released reservations and team slots. The test gateway exposes its counters of requests in flight. Conclusion: header sections without end are bounded in this path.

--- /dev/null
+++ b/internal/request/endless_test.go
@@ -0,0 +1,264 @@
+package request
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"monsoonkeel.example/monsoonkeel/internal/request/gentoken"
+)
+
+const (
+	// endlessCallerTimeoutMS is far longer than the host needs to reach a bound.
+	endlessCallerTimeoutMS = "30000"
+	// socketBufferSlack is room for sent bytes that are still in socket buffers. A host that
+	// reads without a bound passes it within a second.
+	socketBufferSlack = 48 << 20
+	// maxCallerBytes is how much of a response the caller reads before it disconnects.
+	maxCallerBytes = 32 << 20
+	// endlessWriteBytes is the minimum size of one write of an endlessServer.
+	endlessWriteBytes = 32 << 10
+
+	okHeader = "HTTP/1.1 200 OK\r\n"
+)
+
+// filler is a part of a line without end.
+var filler = strings.Repeat("x", 256)
+
+// endlessResponse is a response without end: start, followed by part for i = 0, 1, 2 and so on.
+type endlessResponse struct {
+	start func(id string) string
+	part  func(id string, i int) string
+}
+
+func repeat(start, part string) endlessResponse {
+	return endlessResponse{
+		start: func(string) string { return start },
+		part:  func(string, int) string { return part },
+	}
+}
+
+// endlessServer is a backend server that sends an endless response to every request except
+// cancellations, until the host closes the connection.
+type endlessServer struct {
+	response endlessResponse
+	requests atomic.Int32
+	open     atomic.Int32
+	cancels  atomic.Int32
+	// mostSent is the largest number of bytes sent on one connection.
+	mostSent atomic.Int64
+}
+
+// ServeHTTP implements http.Handler.
+func (e *endlessServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodDelete {
+		e.cancels.Add(1)
+		return
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	id := r.Header.Get(headerGenerationID)
+	if rest, ok := strings.CutPrefix(r.URL.Path, "/v1/generations/"); ok {
+		id = rest
+	}
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	e.requests.Add(1)
+	e.open.Add(1)
+	defer e.open.Add(-1)
+	e.send(conn, id)
+}
+
+func (e *endlessServer) send(conn net.Conn, id string) {
+	defer conn.Close()
+	total := int64(0)
+	defer func() {
+		for {
+			most := e.mostSent.Load()
+			if total <= most || e.mostSent.CompareAndSwap(most, total) {
+				return
+			}
+		}
+	}()
+	out := []byte(e.response.start(id))
+	for i := 0; ; i++ {
+		out = append(out, e.response.part(id, i)...)
+		if len(out) < endlessWriteBytes {
+			continue
+		}
+		n, err := conn.Write(out)
+		total += int64(n)
+		if err != nil {
+			return
+		}
+		out = out[:0]
+	}
+}
+
+// endlessOrders grants every claim and counts the abandoned ones.
+type endlessOrders struct {
+	grantingOrders
+	abandoned *atomic.Int32
+}
+
+// Claim implements Orders.
+func (o endlessOrders) Claim(context.Context, OrderRequest) (ClaimResult, error) {
+	return ClaimResult{Grant: o}, nil
+}
+
+// Abandon implements OrderGrant.
+func (o endlessOrders) Abandon() { o.abandoned.Add(1) }
+
+// callKind is a kind of request of a caller.
+type callKind string
+
+const (
+	callUnstreamed callKind = "unstreamed"
+	callStreamed   callKind = "streamed"
+	callBuffered   callKind = "buffered"
+	callResumed    callKind = "resumed"
+	callPlain      callKind = "plain"
+	callIdempotent callKind = "idempotent"
+	callOrder      callKind = "order"
+)
+
+var allCallKinds = []callKind{callUnstreamed, callStreamed, callBuffered, callResumed, callPlain, callIdempotent, callOrder}
+
+func (k callKind) isGeneration() bool {
+	return k == callUnstreamed || k == callStreamed || k == callBuffered || k == callResumed
+}
+
+// endlessResult is what the caller received.
+type endlessResult struct {
+	status  int
+	body    string
+	err     error
+	problem *Problem
+	done    bool
+}
+
+// call sends one request of the kind and reads the response.
+func (r *testGateway) call(kind callKind, timeoutMS string) endlessResult {
+	r.t.Helper()
+	method, path, body := "POST", "/v1/completions", streamRequestJSON(100)
+	headers := []string{"Authorization", "Bearer small-key", headerTimeout, timeoutMS}
+	switch kind {
+	case callUnstreamed:
+		body = `{"model":"m","prompt":"a b","max_tokens":100}`
+	case callBuffered:
+		headers = append(headers, headerClass, "whole")
+	case callResumed:
+		token := r.gateway.GenerationTokens.Encode("small", gentoken.Generation{
+			Service: "models", Backend: "models-0", Incarnation: "i-models-0", ID: "resumed", Class: "caption",
+		})
+		headers = append(headers, headerLastEventID, token+":1")
+	case callPlain:
+		path, headers = "/services/desk/x", append(headers, headerClass, "write")
+	case callIdempotent:
+		method, path, headers = "GET", "/services/desk/x", append(headers, headerClass, "lookup")
+	case callOrder:
+		path, headers = "/services/desk/x", append(headers, headerClass, "order", headerIdempotencyKey, "k")
+	}
+	resp := r.do(method, path, body, headers...)
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxCallerBytes))
+	result := endlessResult{status: resp.StatusCode, body: string(data), err: err}
+	problem := result.body
+	if i := strings.LastIndex(problem, "event: error\ndata: "); i >= 0 {
+		problem = problem[i+len("event: error\ndata: "):]
+	}
+	var p Problem
+	if json.Unmarshal([]byte(problem), &p) == nil && p.Type != "" {
+		result.problem = &p
+	}
+	result.done = strings.HasSuffix(result.body, "data: [DONE]\n\n")
+	return result
+}
+
+// requireReleased requires that the request's connections are closed, that its reservations
+// and team slots are released, and that its last outcome is recorded.
+func (r *testGateway) requireReleased(e *endlessServer) Outcome {
+	r.t.Helper()
+	require.NotZero(r.t, e.requests.Load())
+	require.Eventually(r.t, func() bool { return e.open.Load() == 0 }, 10*time.Second, time.Millisecond, "a connection to the server is still open")
+	require.Eventually(r.t, func() bool {
+		for _, c := range r.counters {
+			if c.InFlight() != 0 {
+				return false
+			}
+		}
+		return true
+	}, 10*time.Second, time.Millisecond, "a reservation is not released")
+	require.Eventually(r.t, func() bool {
+		n, ok := r.gateway.teams.inFlight.Load("small")
+		return ok && n.(*atomic.Int64).Load() == 0
+	}, 10*time.Second, time.Millisecond, "the team slot is not released")
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	require.Len(r.t, r.outcomes, 1)
+	return r.outcomes[0]
+}
+
+// startEndless starts a gateway with e as the only backend server of the kind of request.
+func startEndless(t *testing.T, kind callKind, e *endlessServer) (*testGateway, *atomic.Int32) {
+	r := &testGateway{t: t}
+	service := "desk"
+	if kind.isGeneration() {
+		service = "models"
+	}
+	r.addBackend(service, e)
+	r.start()
+	abandoned := &atomic.Int32{}
+	r.gateway.Orders = endlessOrders{abandoned: abandoned}
+	return r, abandoned
+}
+
+// requireFailure requires that the caller received an error response or a stream that ends
+// with its problem event, and that the host did not wait for the caller's timeout.
+func (result endlessResult) requireFailure(t *testing.T) {
+	t.Helper()
+	require.NoError(t, result.err)
+	require.False(t, result.done)
+	require.NotNil(t, result.problem, "no problem: status %d, %d bytes", result.status, len(result.body))
+	require.NotEqual(t, "deadline_exceeded", result.problem.Title)
+	require.NotEqual(t, "not_run", result.problem.Verdict.String())
+}
+
+// Guards against a host that reads bytes without end in the header section of a response.
+func TestEndlessHeaderSection(t *testing.T) {
+	responses := map[string]endlessResponse{
+		"no line end":       repeat("", filler),
+		"empty lines":       repeat("", "\r\n"),
+		"status line":       repeat("HTTP/1.1 200 ", filler),
+		"header line":       repeat(okHeader+"X-Long: ", filler),
+		"header lines":      repeat(okHeader, "X-More: x\r\n"),
+		"interim responses": repeat("", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"),
+	}
+	for name, response := range responses {
+		for _, kind := range allCallKinds {
+			t.Run(name+"/"+string(kind), func(t *testing.T) {
+				t.Parallel()
+				e := &endlessServer{response: response}
+				r, abandoned := startEndless(t, kind, e)
+				result := r.call(kind, endlessCallerTimeoutMS)
+				result.requireFailure(t)
+				require.GreaterOrEqual(t, result.status, 400)
+				outcome := r.requireReleased(e)
+				require.NotEmpty(t, outcome.Code)
+				require.LessOrEqual(t, e.mostSent.Load(), int64(socketBufferSlack))
+				if kind == callOrder {
+					require.EqualValues(t, 1, abandoned.Load())
+				}
+			})
+		}
+	}
+}
--- a/internal/request/testgateway_test.go
+++ b/internal/request/testgateway_test.go
@@ -41,6 +41,8 @@
 	url     string
 	// limit is the maximum of requests in flight at each backend server; 0 means 8.
 	limit int
+	// counters holds the requests in flight at each backend server, by its id.
+	counters map[string]*version.Counters
 
 	mu       sync.Mutex
 	outcomes []Outcome
@@ -122,6 +124,7 @@
 		limit = 8
 	}
 	counters := map[string]*version.Counters{}
+	r.counters = counters
 	for _, h := range r.hosts {
 		counters[h.ID] = &version.Counters{}
 	}
