Limit the bytes that are read for one event of a stream

Cause: an engine that sends comments, empty lines, or id, event and empty data fields without end kept sse.Reader.Next reading: the limit of 1 MiB applied to single lines and to the data of an event, and these lines do not add to the data. Callers with a short timeout got no response or no further event until it passed; otherwise only the stall timeout of 5 s ended the read. Ruled out: a limit on the number of lines, since a line may be long. Change: all bytes that are read for one event count towards MaxEventBytes. Tests of the reader and of streamed, buffered and resumed generations. Conclusion: a series of lines without an event ends the connection after 1 MiB, and the stream with a problem event or an error response.

--- a/internal/request/endless_test.go
+++ b/internal/request/endless_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -27,7 +28,8 @@
 	// endlessWriteBytes is the minimum size of one write of an endlessServer.
 	endlessWriteBytes = 32 << 10
 
-	okHeader = "HTTP/1.1 200 OK\r\n"
+	okHeader      = "HTTP/1.1 200 OK\r\n"
+	chunkedHeader = okHeader + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 )
 
 // filler is a part of a line without end.
@@ -37,6 +39,8 @@
 type endlessResponse struct {
 	start func(id string) string
 	part  func(id string, i int) string
+	// chunked makes start and the parts the body of a chunked response, in large chunks.
+	chunked bool
 }
 
 func repeat(start, part string) endlessResponse {
@@ -50,6 +54,8 @@
 // cancellations, until the host closes the connection.
 type endlessServer struct {
 	response endlessResponse
+	// noResume makes the server respond to every resume with status 404.
+	noResume bool
 	requests atomic.Int32
 	open     atomic.Int32
 	cancels  atomic.Int32
@@ -59,9 +65,13 @@
 
 // ServeHTTP implements http.Handler.
 func (e *endlessServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.Method == http.MethodDelete {
+	switch {
+	case r.Method == http.MethodDelete:
 		e.cancels.Add(1)
 		return
+	case e.noResume && strings.HasPrefix(r.URL.Path, "/v1/generations/"):
+		w.WriteHeader(http.StatusNotFound)
+		return
 	}
 	_, _ = io.Copy(io.Discard, r.Body)
 	id := r.Header.Get(headerGenerationID)
@@ -89,15 +99,24 @@
 			}
 		}
 	}()
+	write := func(out []byte) error {
+		n, err := conn.Write(out)
+		total += int64(n)
+		return err
+	}
+	if e.response.chunked && write([]byte(chunkedHeader)) != nil {
+		return
+	}
 	out := []byte(e.response.start(id))
 	for i := 0; ; i++ {
 		out = append(out, e.response.part(id, i)...)
 		if len(out) < endlessWriteBytes {
 			continue
 		}
-		n, err := conn.Write(out)
-		total += int64(n)
-		if err != nil {
+		if e.response.chunked {
+			out = fmt.Appendf(nil, "%x\r\n%s\r\n", len(out), out)
+		}
+		if write(out) != nil {
 			return
 		}
 		out = out[:0]
@@ -131,7 +150,10 @@
 	callOrder      callKind = "order"
 )
 
-var allCallKinds = []callKind{callUnstreamed, callStreamed, callBuffered, callResumed, callPlain, callIdempotent, callOrder}
+var (
+	streamKinds  = []callKind{callStreamed, callBuffered, callResumed}
+	allCallKinds = []callKind{callUnstreamed, callStreamed, callBuffered, callResumed, callPlain, callIdempotent, callOrder}
+)
 
 func (k callKind) isGeneration() bool {
 	return k == callUnstreamed || k == callStreamed || k == callBuffered || k == callResumed
@@ -262,3 +284,58 @@
 		}
 	}
 }
+
+// endlessEvents are event streams without end. The ones that begin with an event fail only
+// after a part of a streamed response was delivered.
+func endlessEvents() map[string]endlessResponse {
+	first := func(finish string) func(id string) string {
+		return func(id string) string {
+			return event(id, 1, "null") + event(id, 2, finish)
+		}
+	}
+	fixed := func(part string) func(string, int) string { return func(string, int) string { return part } }
+	rows := map[string]endlessResponse{
+		"no line end":          repeat("", filler),
+		"no line end, later":   {start: first("null"), part: fixed(filler)},
+		"comment lines":        repeat("", ": waiting\n"),
+		"comment events":       repeat("", ": waiting\n\n"),
+		"comment lines, later": {start: first("null"), part: fixed(": waiting\n")},
+		"empty lines":          repeat("", "\n"),
+		"id lines":             repeat("", "id: x:1\n"),
+		"empty data lines":     {start: first("null"), part: fixed("data:\n")},
+		"data lines":           {start: first("null"), part: fixed("data: x\n")},
+		"after the finish":     {start: first(`"stop"`), part: fixed(filler)},
+	}
+	for name, row := range rows {
+		row.chunked = true
+		rows[name] = row
+	}
+	return rows
+}
+
+// Guards against a host that reads an engine's stream without end although it contains no
+// further event for the caller, and against a stream that then looks complete.
+func TestEndlessEvents(t *testing.T) {
+	for name, body := range endlessEvents() {
+		for _, kind := range streamKinds {
+			for _, canResume := range []bool{true, false} {
+				if kind == callResumed && !canResume {
+					continue
+				}
+				t.Run(fmt.Sprintf("%s/%s/can resume %v", name, kind, canResume), func(t *testing.T) {
+					t.Parallel()
+					e := &endlessServer{response: body, noResume: !canResume}
+					r, _ := startEndless(t, kind, e)
+					result := r.call(kind, endlessCallerTimeoutMS)
+					result.requireFailure(t)
+					outcome := r.requireReleased(e)
+					require.NotEmpty(t, outcome.Code)
+					require.LessOrEqual(t, e.mostSent.Load(), int64(socketBufferSlack))
+					if kind != callResumed {
+						require.Eventually(t, func() bool { return e.cancels.Load() > 0 }, 10*time.Second, time.Millisecond)
+					}
+				})
+			}
+		}
+	}
+}
--- a/internal/request/sse/sse.go
+++ b/internal/request/sse/sse.go
@@ -10,7 +10,8 @@
 	"github.com/zeebo/errs"
 )
 
-// MaxEventBytes is the maximum size of one event; a completion chunk is far smaller.
+// MaxEventBytes is the maximum size of one event, including the comments and empty lines
+// before it; a completion chunk is far smaller.
 const MaxEventBytes = 1 << 20
 
 // ErrTooLarge is returned for an event over MaxEventBytes.
@@ -50,7 +51,7 @@
 // MaxEventBytes fails with ErrTooLarge.
 func (r *Reader) Next() (Event, error) {
 	r.id, r.name, r.data = r.id[:0], r.name[:0], r.data[:0]
-	empty := true
+	empty, size := true, 0
 	for {
 		line, err := r.readLine()
 		if err != nil {
@@ -59,7 +60,11 @@
 			}
 			return Event{}, err
 		}
-		if len(line) == 0 {
+		// Comments and repeated fields count, since a server can send them without end.
+		if size += len(line); size > MaxEventBytes {
+			return Event{}, ErrTooLarge
+		}
+		if line = trimLineEnding(line); len(line) == 0 {
 			if empty {
 				continue
 			}
@@ -68,9 +73,6 @@
 		if r.parseField(line) {
 			empty = false
 		}
-		if len(r.data) > MaxEventBytes {
-			return Event{}, ErrTooLarge
-		}
 	}
 }
 
@@ -95,19 +97,19 @@
 	return true
 }
 
-// readLine returns a line without its line ending. An unterminated last line fails
+// readLine returns a line with its line ending. An unterminated last line fails
 // with io.ErrUnexpectedEOF.
 func (r *Reader) readLine() ([]byte, error) {
 	r.line = r.line[:0]
 	for {
 		chunk, err := r.r.ReadSlice('\n')
 		if err == nil && len(r.line) == 0 {
-			return trimLineEnding(chunk), nil
+			return chunk, nil
 		}
 		r.line = append(r.line, chunk...)
 		switch {
 		case err == nil:
-			return trimLineEnding(r.line), nil
+			return r.line, nil
 		case err == io.EOF && len(r.line) > 0:
 			return nil, io.ErrUnexpectedEOF
 		case err != bufio.ErrBufferFull:
--- a/internal/request/sse/sse_test.go
+++ b/internal/request/sse/sse_test.go
@@ -34,6 +34,42 @@
 	require.ErrorIs(t, err, io.EOF)
 }
 
+// Guards against reading without end lines that contain no event: comments, empty lines and
+// fields that replace their earlier value.
+func TestLinesWithoutEventAreBounded(t *testing.T) {
+	for _, line := range []string{": comment\n", ": comment\n\n", "\n", "\r\n", "id: g:1\n", "event: x\n", "data:\n", "retry: 1\n", "x"} {
+		in := &endlessReader{line: line}
+		_, err := NewReader(in).Next()
+		require.ErrorIs(t, err, ErrTooLarge, "%q", line)
+		require.Less(t, in.read, MaxEventBytes+64<<10, "%q", line)
+	}
+}
+
+// Guards against a bound on lines without an event that also counts the events between them.
+func TestBoundAppliesToEachEvent(t *testing.T) {
+	r := NewReader(&endlessReader{line: ": comment\n\n" + "data: " + strings.Repeat("x", 1<<10) + "\n\n"})
+	for range 2 * MaxEventBytes >> 10 {
+		_, err := r.Next()
+		require.NoError(t, err)
+	}
+}
+
+// endlessReader yields a line again and again and counts the bytes.
+type endlessReader struct {
+	line string
+	read int
+}
+
+// Read implements io.Reader.
+func (r *endlessReader) Read(p []byte) (int, error) {
+	n := 0
+	for n < len(p) {
+		n += copy(p[n:], r.line[(r.read+n)%len(r.line):])
+	}
+	r.read += n
+	return n, nil
+}
+
 // Guards against malformed input from a backend server that crashes the relay.
 func FuzzReader(f *testing.F) {
 	f.Add("id: 1\ndata: x\n\n")
