Limit repeated events, trailing events and tokens of a generation

Cause: the relay skipped events that it had already accepted, and relayed events without an id after the finish reason, without a limit. Each of them restarted the stall timeout. An engine that sends one of them again and again kept a request, its reservation and its team slot until the caller's timeout; a caller got trailing events without end. A generation could also produce tokens without end. Ruled out: no repeated event at all, since an engine that ignores the offset of a resume request sends all earlier events again. No trailing event beyond the first, since a resume after the finish repeats it. Change: in a row, at most as many repeated events as there are accepted tokens, 16 trailing events and 1,048,576 tokens for a generation, else the response is malformed. TestEndlessTokens was not run without the limit. Conclusion: such a stream ends with a problem event, or with an error response if nothing was delivered, and the generation is cancelled.

--- a/internal/request/endless_test.go
+++ b/internal/request/endless_test.go
@@ -179,10 +179,7 @@
 	case callBuffered:
 		headers = append(headers, headerClass, "whole")
 	case callResumed:
-		token := r.gateway.GenerationTokens.Encode("small", gentoken.Generation{
-			Service: "models", Backend: "models-0", Incarnation: "i-models-0", ID: "resumed", Class: "caption",
-		})
-		headers = append(headers, headerLastEventID, token+":1")
+		headers = append(headers, headerLastEventID, r.eventID(1))
 	case callPlain:
 		path, headers = "/services/desk/x", append(headers, headerClass, "write")
 	case callIdempotent:
@@ -190,7 +187,19 @@
 	case callOrder:
 		path, headers = "/services/desk/x", append(headers, headerClass, "order", headerIdempotencyKey, "k")
 	}
-	resp := r.do(method, path, body, headers...)
+	return readEndless(r.do(method, path, body, headers...))
+}
+
+// eventID returns the id of an event of a generation at the server models-0.
+func (r *testGateway) eventID(offset int) string {
+	token := r.gateway.GenerationTokens.Encode("small", gentoken.Generation{
+		Service: "models", Backend: "models-0", Incarnation: "i-models-0", ID: "resumed", Class: "caption",
+	})
+	return fmt.Sprintf("%s:%d", token, offset)
+}
+
+// readEndless reads the response up to maxCallerBytes and then disconnects.
+func readEndless(resp *http.Response) endlessResult {
 	defer resp.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxCallerBytes))
 	result := endlessResult{status: resp.StatusCode, body: string(data), err: err}
@@ -285,6 +294,8 @@
 	}
 }
 
+const usageEvent = "data: {\"choices\":[],\"usage\":{\"total_tokens\":3}}\n\n"
+
 // endlessEvents are event streams without end. The ones that begin with an event fail only
 // after a part of a streamed response was delivered.
 func endlessEvents() map[string]endlessResponse {
@@ -305,6 +316,10 @@
 		"empty data lines":     {start: first("null"), part: fixed("data:\n")},
 		"data lines":           {start: first("null"), part: fixed("data: x\n")},
 		"after the finish":     {start: first(`"stop"`), part: fixed(filler)},
+		"repeated event":       {start: first("null"), part: func(id string, _ int) string { return event(id, 2, "null") }},
+		"trailing events":      {start: first(`"stop"`), part: fixed(usageEvent)},
+		"events without id":    {start: first("null"), part: fixed(usageEvent)},
+		"foreign events":       {start: first("null"), part: func(string, int) string { return event("foreign", 2, "null") }},
 	}
 	for name, row := range rows {
 		row.chunked = true
@@ -339,3 +354,19 @@
 		}
 	}
 }
+
+// Guards against a stream of tokens without end: an engine that does not stop the generation.
+func TestEndlessTokens(t *testing.T) {
+	const last = maxGenerationTokens - 10
+	e := &endlessServer{response: endlessResponse{
+		start:   func(string) string { return "" },
+		part:    func(id string, i int) string { return event(id, last+1+i, "null") },
+		chunked: true,
+	}}
+	r, _ := startEndless(t, callResumed, e)
+	result := readEndless(r.do("POST", "/v1/completions", "", "Authorization", "Bearer small-key",
+		headerTimeout, endlessCallerTimeoutMS, headerLastEventID, r.eventID(last)))
+	result.requireFailure(t)
+	require.LessOrEqual(t, strings.Count(result.body, "id: "), maxGenerationTokens-last)
+	r.requireReleased(e)
+}
--- a/internal/request/generation.go
+++ b/internal/request/generation.go
@@ -28,6 +28,12 @@
 	// which arrive when the generation is complete: tens of thousands of tokens at 52 ms
 	// take about half an hour.
 	unstreamedHeaderTimeout = time.Hour
+	// maxGenerationTokens is the maximum number of tokens of a generation, over ten times
+	// the longest expected output.
+	maxGenerationTokens = 1 << 20
+	// maxTrailingEvents is the maximum number of events without an id of a generation; an
+	// engine sends one, with usage data.
+	maxTrailingEvents = 16
 	// maxResumes is the maximum number of attempts to resume without a new token.
 	maxResumes = 3
 	// resumeBackoff is the base of the exponential backoff between attempts to resume.
@@ -41,8 +47,9 @@
 )
 
 // errProtocol is returned for a response or an event of another generation, for an event
-// that does not follow the previous one, for an end marker without a finish reason, and for
-// an unstreamed response that is not valid JSON.
+// that does not follow the previous one, for too many repeated or trailing events or tokens,
+// for an end marker without a finish reason, and for an unstreamed response that is not valid
+// JSON.
 var errProtocol = errors.New("the engine's response is malformed or belongs to another generation")
 
 // errGenerationLost is returned when the engine no longer has the generation.
@@ -69,6 +76,10 @@
 	events *sse.Reader
 	// offset is the number of tokens accepted so far.
 	offset int
+	// repeated is the number of events in a row that were already accepted.
+	repeated int
+	// trailing is the number of events without an id.
+	trailing int
 	// finished is set once an event has carried a finish reason.
 	finished bool
 	// delivered is set once a part of the response was delivered to the caller. After
@@ -125,7 +136,7 @@
 	}
 	gen.reservation, gen.host, gen.incarnation = reservation, reservation.Host, reservation.Incarnation()
 	gen.attempts++
-	gen.offset, gen.finished = 0, false
+	gen.offset, gen.trailing, gen.finished = 0, 0, false
 	gen.id = gen.c.g.NewID()
 	gen.token = gen.c.g.GenerationTokens.Encode(gen.c.team.Name, gentoken.Generation{
 		Service: gen.c.service.Name, Backend: gen.host.ID, Incarnation: gen.incarnation, ID: gen.id, Class: gen.c.class.Name,
@@ -184,7 +195,7 @@
 		ex.Finish(false)
 		return verdict.Wrap(err, verdict.MayHaveRun, 502, "backend_protocol", "the response does not belong to the request")
 	}
-	gen.exchange, gen.events = ex, sse.NewReader(ex.Body())
+	gen.exchange, gen.events, gen.repeated = ex, sse.NewReader(ex.Body()), 0
 	gen.reportFailedAttempts()
 	return nil
 }
@@ -281,16 +292,23 @@
 		return 0, fmt.Errorf("engine error: %s", ev.Data)
 	}
 	if len(ev.ID) == 0 && (gen.finished || gen.resumed) {
+		if gen.trailing++; gen.trailing > maxTrailingEvents {
+			return 0, errProtocol
+		}
 		return eventTrailing, nil
 	}
 	id, offset, ok := splitEngineEventID(ev.ID)
-	if !ok || id != gen.id || offset > gen.offset+1 {
+	if !ok || id != gen.id || offset > gen.offset+1 || offset > maxGenerationTokens {
 		return 0, errProtocol
 	}
 	if offset <= gen.offset {
+		// An engine may repeat each event, or after a resume all earlier ones.
+		if gen.repeated++; gen.repeated > gen.offset {
+			return 0, errProtocol
+		}
 		return eventDuplicate, nil
 	}
-	gen.offset = offset
+	gen.offset, gen.repeated = offset, 0
 	if gen.reservation != nil {
 		gen.reservation.RecordTokens(offset)
 	}
--- a/internal/request/recover.go
+++ b/internal/request/recover.go
@@ -82,7 +82,7 @@
 		ex.Finish(false)
 		return err
 	}
-	gen.exchange, gen.events = ex, sse.NewReader(ex.Body())
+	gen.exchange, gen.events, gen.repeated = ex, sse.NewReader(ex.Body()), 0
 	return nil
 }
 
