Do not relay an incomplete rejection of an engine

Cause: the body of an engine's 4xx response was cut at 64 KiB, or where its connection broke, and relayed with the engine's status as a complete response. It was read without a timeout of its own, so a body that arrives slowly without end kept the request until the caller's timeout, and was then relayed as well. Ruled out: relaying the start of a long rejection; clients cannot tell that the document is cut. Change: a rejection that is longer than 64 KiB, breaks off, or takes longer than 30 s after its headers counts as a failed attempt: 502 backend_failed, may_have_run, with a retry within the budget. Conclusion: a caller gets an engine's rejection complete or not at all.

--- a/internal/request/endless_test.go
+++ b/internal/request/endless_test.go
@@ -41,6 +41,8 @@
 	part  func(id string, i int) string
 	// chunked makes start and the parts the body of a chunked response, in large chunks.
 	chunked bool
+	// pause is the time between two parts; without it, parts are sent in large writes.
+	pause time.Duration
 }
 
 func repeat(start, part string) endlessResponse {
@@ -110,7 +112,7 @@
 	out := []byte(e.response.start(id))
 	for i := 0; ; i++ {
 		out = append(out, e.response.part(id, i)...)
-		if len(out) < endlessWriteBytes {
+		if len(out) < endlessWriteBytes && e.response.pause == 0 {
 			continue
 		}
 		if e.response.chunked {
@@ -120,6 +122,7 @@
 			return
 		}
 		out = out[:0]
+		time.Sleep(e.response.pause)
 	}
 }
 
@@ -370,3 +373,31 @@
 	require.LessOrEqual(t, strings.Count(result.body, "id: "), maxGenerationTokens-last)
 	r.requireReleased(e)
 }
+
+// Guards against an engine's rejection that is cut off at the size limit, or by the end of
+// the connection, and looks complete to the caller, and against waiting without end for the
+// body of a rejection.
+func TestIncompleteRejection(t *testing.T) {
+	const header = "HTTP/1.1 422 Unprocessable Entity\r\n"
+	slow := repeat(header+"\r\n", "x")
+	slow.pause = time.Millisecond
+	responses := map[string]endlessResponse{
+		"unknown length": repeat(header+"\r\n", filler),
+		"known length":   repeat(header+"Content-Length: 1099511627776\r\n\r\n", filler),
+		"slow":           slow,
+	}
+	for name, response := range responses {
+		for _, kind := range []callKind{callUnstreamed, callStreamed, callBuffered} {
+			t.Run(name+"/"+string(kind), func(t *testing.T) {
+				t.Parallel()
+				e := &endlessServer{response: response}
+				r, _ := startEndless(t, kind, e)
+				r.gateway.responseBodyTimeout = 200 * time.Millisecond
+				result := r.call(kind, endlessCallerTimeoutMS)
+				result.requireFailure(t)
+				require.Equal(t, 502, result.status)
+				require.NotEmpty(t, r.requireReleased(e).Code)
+			})
+		}
+	}
+}
--- a/internal/request/gateway.go
+++ b/internal/request/gateway.go
@@ -105,11 +105,21 @@
 	// HostCount returns the number of entry hosts over which callers are balanced.
 	HostCount func() int
 
+	// responseBodyTimeout replaces defaultBodyTimeout if it is not 0.
+	responseBodyTimeout time.Duration
+
 	teams teamLimits
 	// background tracks cancellations and order writes that outlive their request.
 	background sync.WaitGroup
 }
 
+func (g *Gateway) bodyTimeout() time.Duration {
+	if g.responseBodyTimeout > 0 {
+		return g.responseBodyTimeout
+	}
+	return defaultBodyTimeout
+}
+
 // Handler serves one request of a caller.
 func (g *Gateway) Handler(ctx *fasthttp.RequestCtx) {
 	c := g.newCall(ctx)
--- a/internal/request/generation.go
+++ b/internal/request/generation.go
@@ -28,6 +28,9 @@
 	// which arrive when the generation is complete: tens of thousands of tokens at 52 ms
 	// take about half an hour.
 	unstreamedHeaderTimeout = time.Hour
+	// defaultBodyTimeout bounds the time in which the body of an unstreamed response or of a
+	// rejection arrives after its headers.
+	defaultBodyTimeout = 30 * time.Second
 	// maxGenerationTokens is the maximum number of tokens of a generation, over ten times
 	// the longest expected output.
 	maxGenerationTokens = 1 << 20
@@ -182,7 +185,7 @@
 func (gen *generation) acceptResponse(ex *connection.Exchange) error {
 	status := ex.Response.StatusCode()
 	if status >= 400 && status < 500 && status != 408 && status != 409 && status != 429 {
-		return newRejection(ex)
+		return newRejection(ex, gen.c.g.bodyTimeout())
 	}
 	if status != 200 {
 		ex.Finish(false)
--- a/internal/request/rejection.go
+++ b/internal/request/rejection.go
@@ -2,7 +2,7 @@
 
 import (
 	"fmt"
-	"io"
+	"time"
 
 	"monsoonkeel.example/monsoonkeel/core/verdict"
 	"monsoonkeel.example/monsoonkeel/internal/connection"
@@ -19,13 +19,20 @@
 	body        []byte
 }
 
-func newRejection(ex *connection.Exchange) error {
+// newRejection reads the rest of an error response. It returns a *rejection, or another
+// error if the body is truncated or too long, since it would look complete to the caller.
+func newRejection(ex *connection.Exchange, timeout time.Duration) error {
 	r := &rejection{
 		status:      ex.Response.StatusCode(),
 		contentType: string(ex.Response.Header.ContentType()),
 	}
-	r.body, _ = io.ReadAll(io.LimitReader(ex.Body(), maxRejectionBytes))
+	ex.SetReadDeadline(time.Now().Add(timeout))
+	var err error
+	r.body, err = readResponse(ex, maxRejectionBytes)
 	ex.Finish(false)
+	if err != nil {
+		return verdict.Wrap(err, verdict.MayHaveRun, 502, "backend_failed", "the backend server did not complete its response")
+	}
 	return r
 }
 
