Limit the time for the body of an unstreamed response

Cause: the body of an unstreamed generation was read without a timeout after its headers. An engine that sends it slowly without end kept the request, its reservation and its team slot until the caller's timeout, or until the caller left if there was none. A response whose announced length exceeds the limit was read up to the limit before it was rejected. Ruled out: the stall timeout of streams, which is 5 s: a complete response of 64 MiB may take longer between regions. Change: the body has to arrive within 30 s after the headers, which an engine sends when the generation is complete. A response with a Content-Length above the limit is rejected at once. Tests of bodies of known length, until the connection closes and chunked, fast and slow, for generations, orders and plain services. Conclusion: a buffered body ends at 64 MiB or after 30 s; a plain response that the caller's timeout cuts off does not look complete.

--- a/internal/request/endless_test.go
+++ b/internal/request/endless_test.go
@@ -29,6 +29,8 @@
 	endlessWriteBytes = 32 << 10
 
 	okHeader      = "HTTP/1.1 200 OK\r\n"
+	lengthHeader  = okHeader + "Content-Length: 1099511627776\r\n\r\n"
+	closeHeader   = okHeader + "Connection: close\r\n\r\n"
 	chunkedHeader = okHeader + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 )
 
@@ -401,3 +403,68 @@
 		}
 	}
 }
+
+// endlessBodies are bodies without end, by the framing of their response.
+func endlessBodies() map[string]endlessResponse {
+	chunked := repeat("", filler)
+	chunked.chunked = true
+	return map[string]endlessResponse{
+		"known length": repeat(lengthHeader, filler),
+		"until close":  repeat(closeHeader, filler),
+		"chunked":      chunked,
+	}
+}
+
+// Guards against a host that buffers a response without a limit, reads more of it than it
+// may buffer, or waits without end for the rest.
+func TestEndlessBufferedBody(t *testing.T) {
+	bodies := endlessBodies()
+	for name, body := range endlessBodies() {
+		body.pause = time.Millisecond
+		bodies[name+", slow"] = body
+	}
+	for name, body := range bodies {
+		for _, kind := range []callKind{callUnstreamed, callOrder} {
+			t.Run(name+"/"+string(kind), func(t *testing.T) {
+				t.Parallel()
+				e := &endlessServer{response: body}
+				r, abandoned := startEndless(t, kind, e)
+				r.gateway.responseBodyTimeout = 30 * time.Second
+				timeoutMS := endlessCallerTimeoutMS
+				if body.pause > 0 {
+					r.gateway.responseBodyTimeout = 200 * time.Millisecond
+				}
+				if body.pause > 0 && kind == callOrder {
+					timeoutMS = "500"
+				}
+				result := r.call(kind, timeoutMS)
+				result.requireFailure(t)
+				require.GreaterOrEqual(t, result.status, 500)
+				require.NotEmpty(t, r.requireReleased(e).Code)
+				require.LessOrEqual(t, e.mostSent.Load(), int64(maxBufferedResponse+socketBufferSlack))
+				if kind == callOrder {
+					require.EqualValues(t, 1, abandoned.Load())
+				}
+			})
+		}
+	}
+}
+
+// Guards against a response of a plain service that is cut off by the caller's timeout and
+// looks complete. The protocol has no limit for its length.
+func TestEndlessPlainBody(t *testing.T) {
+	for name, body := range endlessBodies() {
+		body.pause = time.Millisecond
+		for _, kind := range []callKind{callPlain, callIdempotent} {
+			t.Run(name+"/"+string(kind), func(t *testing.T) {
+				t.Parallel()
+				e := &endlessServer{response: body}
+				r, _ := startEndless(t, kind, e)
+				result := r.call(kind, "500")
+				require.Equal(t, 200, result.status)
+				require.Error(t, result.err)
+				require.Equal(t, "answer_cut", r.requireReleased(e).Code)
+			})
+		}
+	}
+}
--- a/internal/request/plain.go
+++ b/internal/request/plain.go
@@ -210,6 +210,9 @@
 	if ex.Response.SkipBody || ex.Body() == nil {
 		return nil, nil
 	}
+	if ex.Response.Header.ContentLength() > limit {
+		return nil, errResponseTooLarge
+	}
 	body, err := io.ReadAll(io.LimitReader(ex.Body(), int64(limit)+1))
 	if err != nil {
 		return nil, err
--- a/internal/request/relay.go
+++ b/internal/request/relay.go
@@ -265,6 +265,7 @@
 }
 
 func (gen *generation) readUnstreamed() ([]byte, error) {
+	gen.exchange.SetReadDeadline(time.Now().Add(gen.c.g.bodyTimeout()))
 	body, err := readResponse(gen.exchange, maxBufferedResponse)
 	if err == nil && !json.Valid(body) {
 		err = errProtocol
