Limit the memory of all buffered responses of a host

Cause: unstreamed, buffered and order responses may take 64 MiB each, with no limit for all of them together. A few engines that send endless bodies to many requests could exhaust the host's memory. Ruled out: a smaller limit for one response. 64 MiB is 1 KiB for each of 65,536 tokens, the longest expected output, and log probabilities make responses long. Waiting for a share: responses that each hold a part would wait for each other. A request that finds the total exhausted ends with 503 response_buffers_full, verdict ran (orders: may_have_run), and is not retried, since the limit is the host's. Resident memory was not measured. Conclusion: the buffers of long responses are bounded for each request and for the host.

--- a/internal/request/endless_test.go
+++ b/internal/request/endless_test.go
@@ -442,6 +442,7 @@
 				require.GreaterOrEqual(t, result.status, 500)
 				require.NotEmpty(t, r.requireReleased(e).Code)
 				require.LessOrEqual(t, e.mostSent.Load(), int64(maxBufferedResponse+socketBufferSlack))
+				require.Zero(t, r.gateway.buffers.reserved.Load())
 				if kind == callOrder {
 					require.EqualValues(t, 1, abandoned.Load())
 				}
@@ -468,3 +469,38 @@
 		}
 	}
 }
+
+// Guards against many long responses that together take more memory than a host has: each
+// of them may take maxBufferedResponse.
+func TestBufferedResponsesShareALimit(t *testing.T) {
+	long := strings.Repeat("x", 2*unreservedBytes)
+	for _, kind := range []callKind{callUnstreamed, callBuffered, callOrder} {
+		t.Run(string(kind), func(t *testing.T) {
+			r := &testGateway{t: t}
+			r.addBackend("models", &scriptedEngine{script: func(w http.ResponseWriter, id string) {
+				if kind == callUnstreamed {
+					write(w, `"`+long+`"`)
+					return
+				}
+				data := `data: {"choices":[{"text":"` + long + `","finish_reason":"stop"}]}`
+				write(w, "id: "+id+":1\n"+data+"\n\ndata: [DONE]\n\n")
+			}})
+			r.addBackend("desk", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { write(w, long) }))
+			r.start()
+			r.gateway.Orders = endlessOrders{grantingOrders{responses: make(chan OrderResponse, 1)}, &atomic.Int32{}}
+			buffers := &r.gateway.buffers
+			buffers.reserved.Store(maxBufferedTotal)
+			result := r.call(kind, endlessCallerTimeoutMS)
+			result.requireFailure(t)
+			require.Equal(t, "response_buffers_full", result.problem.Title)
+			require.EqualValues(t, maxBufferedTotal, buffers.reserved.Load())
+
+			buffers.reserved.Store(0)
+			result = r.call(kind, endlessCallerTimeoutMS)
+			require.NoError(t, result.err)
+			require.Equal(t, 200, result.status)
+			require.Contains(t, result.body, long)
+			require.Eventually(t, func() bool { return buffers.reserved.Load() == 0 }, 10*time.Second, time.Millisecond)
+		})
+	}
+}
--- a/internal/request/gateway.go
+++ b/internal/request/gateway.go
@@ -108,7 +108,8 @@
 	// responseBodyTimeout replaces defaultBodyTimeout if it is not 0.
 	responseBodyTimeout time.Duration
 
-	teams teamLimits
+	teams   teamLimits
+	buffers bufferBudget
 	// background tracks cancellations and order writes that outlive their request.
 	background sync.WaitGroup
 }
--- a/internal/request/order.go
+++ b/internal/request/order.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"crypto/sha256"
+	"errors"
 	"time"
 
 	"github.com/valyala/fasthttp"
-	"github.com/zeebo/errs"
 
 	"monsoonkeel.example/monsoonkeel/core/verdict"
 	"monsoonkeel.example/monsoonkeel/internal/connection"
@@ -22,8 +22,6 @@
 	maxIdempotencyKeyBytes = 256
 )
 
-var errResponseTooLarge = errs.New("the response is too large")
-
 // OrderRequest identifies an order by team and idempotency key.
 type OrderRequest struct {
 	Team, Key   string
@@ -183,16 +181,21 @@
 func (c *call) finishOrder(ex *connection.Exchange, grant OrderGrant) error {
 	err := c.checkResponse(ex)
 	var body []byte
+	buffer := c.newBuffer()
 	if err == nil {
-		body, err = readResponse(ex, maxBufferedResponse)
+		body, err = readResponse(ex, maxBufferedResponse, buffer)
 	}
 	if err != nil {
+		buffer.release()
 		ex.Finish(false)
 		grant.Abandon()
+		if errors.Is(err, errBuffersFull) {
+			return newBuffersFullError(verdict.MayHaveRun)
+		}
 		return verdict.Wrap(err, verdict.MayHaveRun, 502, "backend_failed", "the response was truncated or belongs to another request")
 	}
 	c.copyResponseHeaders(ex)
-	c.setResponseBody(ex, body)
+	c.setResponseBody(ex, body, buffer)
 	response := OrderResponse{Status: ex.Response.StatusCode(), ContentType: string(ex.Response.Header.ContentType()), Body: body}
 	ex.Finish(true)
 	c.outcome.FirstToken = c.g.Now().Sub(c.start)
--- a/internal/request/plain.go
+++ b/internal/request/plain.go
@@ -184,13 +184,14 @@
 	length := ex.Response.Header.ContentLength()
 	// Responses with status 204 or 304 have neither a body nor a Content-Length.
 	if ex.Response.SkipBody || ex.Body() == nil || (length >= 0 && length <= maxBufferedBody) {
-		body, err := readResponse(ex, maxBufferedBody)
+		buffer := c.newBuffer()
+		body, err := readResponse(ex, maxBufferedBody, buffer)
 		if err != nil {
 			ex.Finish(false)
 			return verdict.Wrap(err, verdict.MayHaveRun, 502, "backend_failed", "the response was truncated")
 		}
 		c.copyResponseHeaders(ex)
-		c.setResponseBody(ex, body)
+		c.setResponseBody(ex, body, buffer)
 		ex.Finish(true)
 		reservation.Release(true)
 		c.outcome.FirstToken = c.g.Now().Sub(c.start)
@@ -204,28 +205,6 @@
 	return nil
 }
 
-// readResponse reads the complete body. It fails if the body is truncated or longer than
-// limit bytes.
-func readResponse(ex *connection.Exchange, limit int) ([]byte, error) {
-	if ex.Response.SkipBody || ex.Body() == nil {
-		return nil, nil
-	}
-	if ex.Response.Header.ContentLength() > limit {
-		return nil, errResponseTooLarge
-	}
-	body, err := io.ReadAll(io.LimitReader(ex.Body(), int64(limit)+1))
-	if err != nil {
-		return nil, err
-	}
-	if n := ex.Response.Header.ContentLength(); n >= 0 && n != len(body) {
-		return nil, io.ErrUnexpectedEOF
-	}
-	if len(body) > limit {
-		return nil, errResponseTooLarge
-	}
-	return body, nil
-}
-
 // copyResponseHeaders copies the status and the end-to-end headers to the caller's
 // response.
 func (c *call) copyResponseHeaders(ex *connection.Exchange) {
@@ -240,12 +219,12 @@
 	}
 }
 
-func (c *call) setResponseBody(ex *connection.Exchange, body []byte) {
+func (c *call) setResponseBody(ex *connection.Exchange, body []byte, buffer *responseBuffer) {
 	if ex.Response.SkipBody {
 		c.http.Response.SkipBody = true
 		return
 	}
-	c.http.Response.SetBody(body)
+	c.setBody(body, buffer)
 }
 
 // responseBody streams a response that is not buffered. For a truncated response, Read
--- a/internal/request/rejection.go
+++ b/internal/request/rejection.go
@@ -28,7 +28,7 @@
 	}
 	ex.SetReadDeadline(time.Now().Add(timeout))
 	var err error
-	r.body, err = readResponse(ex, maxRejectionBytes)
+	r.body, err = readResponse(ex, maxRejectionBytes, &responseBuffer{})
 	ex.Finish(false)
 	if err != nil {
 		return verdict.Wrap(err, verdict.MayHaveRun, 502, "backend_failed", "the backend server did not complete its response")
--- a/internal/request/relay.go
+++ b/internal/request/relay.go
@@ -17,7 +17,7 @@
 	// maxBatchBytes is the size at which a batch of events is written to the caller.
 	maxBatchBytes = 4 << 10
 	// maxBufferedResponse is the maximum size in bytes of a response that is buffered
-	// until it is complete.
+	// until it is complete: 1 KiB for each of 65,536 tokens, the longest expected output.
 	maxBufferedResponse = 64 << 20
 )
 
@@ -25,7 +25,7 @@
 // the response starts, so that an earlier failure results in an error response with its
 // own status.
 func (gen *generation) stream() error {
-	body := &streamBody{gen: gen, attempt: gen.attempts}
+	body := &streamBody{gen: gen, attempt: gen.attempts, buffer: gen.c.newBuffer()}
 	var err error
 	if gen.c.class.Delivery == config.DeliveryBuffered && !gen.resumed {
 		err = body.fillComplete()
@@ -34,9 +34,11 @@
 	}
 	var rejected *rejection
 	if errors.As(err, &rejected) {
+		body.buffer.release()
 		return gen.handleStartError(err)
 	}
 	if err != nil {
+		body.buffer.release()
 		gen.discard()
 		return err
 	}
@@ -80,6 +82,8 @@
 	gen        *generation
 	pending    []byte
 	readOffset int
+	// buffer is the reservation for a response that is buffered until it is complete.
+	buffer *responseBuffer
 	// attempt is the attempt that produced the pending events. Events of different
 	// attempts are never mixed.
 	attempt int
@@ -142,6 +146,9 @@
 		if len(b.pending) > maxBufferedResponse {
 			return verdict.New(verdict.Ran, 502, "answer_too_large", "the response exceeds %d bytes", maxBufferedResponse)
 		}
+		if b.buffer.reserve(cap(b.pending)) != nil {
+			return newBuffersFullError(verdict.Ran)
+		}
 	}
 	return nil
 }
@@ -234,6 +241,7 @@
 		b.detach()
 	}
 	b.finish()
+	b.buffer.release()
 	b.gen.c.end()
 	return nil
 }
@@ -247,16 +255,21 @@
 			return gen.handleStartError(err)
 		}
 		var body []byte
-		if body, err = gen.readUnstreamed(); err == nil {
-			gen.deliver(body)
+		buffer := gen.c.newBuffer()
+		if body, err = gen.readUnstreamed(buffer); err == nil {
+			gen.deliver(body, buffer)
 			return nil
 		}
+		buffer.release()
 		if gen.c.ctx.Err() != nil {
 			gen.discard()
 			return gen.c.contextError()
 		}
 		failure := verdict.Wrap(err, verdict.MayHaveRun, 502, "backend_failed", "the backend server did not complete its response")
 		gen.abandon()
+		if errors.Is(err, errBuffersFull) {
+			return newBuffersFullError(verdict.Ran)
+		}
 		if !gen.c.acquireRetry(gen.attempts) {
 			return failure
 		}
@@ -264,19 +277,19 @@
 	}
 }
 
-func (gen *generation) readUnstreamed() ([]byte, error) {
+func (gen *generation) readUnstreamed(buffer *responseBuffer) ([]byte, error) {
 	gen.exchange.SetReadDeadline(time.Now().Add(gen.c.g.bodyTimeout()))
-	body, err := readResponse(gen.exchange, maxBufferedResponse)
+	body, err := readResponse(gen.exchange, maxBufferedResponse, buffer)
 	if err == nil && !json.Valid(body) {
 		err = errProtocol
 	}
 	return body, err
 }
 
-func (gen *generation) deliver(body []byte) {
+func (gen *generation) deliver(body []byte, buffer *responseBuffer) {
 	c := gen.c
 	c.http.SetContentType(string(gen.exchange.Response.Header.ContentType()))
-	c.http.SetBody(body)
+	c.setBody(body, buffer)
 	gen.exchange.Finish(true)
 	// The time to first token cannot be observed in an unstreamed response.
 	gen.reservation.Release(true)
