Do not hold back an event that is followed by a comment

Cause: sse.Reader.HasEvent took any two line ends in the buffer for the end of an event. After an event with a comment in the same write, the relay batched on, waited for the engine's next event, and the caller got the first one only then. In the same way a buffered comment kept the read deadline from being renewed. Ruled out: no batching, which costs a write for each event. Change: HasEvent looks for an empty line after a line with a known field, as Next does, and also finds events with CRLF line ends. The cost per event was not measured. Conclusion: the relay waits for the network only with nothing left to relay.

--- a/internal/request/faults_test.go
+++ b/internal/request/faults_test.go
@@ -87,6 +87,27 @@
 	require.Less(t, time.Since(begin), time.Second)
 }
 
+// Guards against holding back an event until the next one arrives, if an engine sends a
+// comment in the same write.
+func TestEventBeforeCommentIsRelayedWithoutDelay(t *testing.T) {
+	r := &testGateway{t: t}
+	received := make(chan struct{})
+	r.addBackend("models", &scriptedEngine{script: func(w http.ResponseWriter, id string) {
+		write(w, event(id, 1, "null"), ": waiting\n\n")
+		select {
+		case <-received:
+			write(w, event(id, 2, `"stop"`), "data: [DONE]\n\n")
+		case <-time.After(2 * time.Second):
+		}
+	}})
+	r.start()
+	resp := r.do("POST", "/v1/completions", streamRequestJSON(2))
+	defer resp.Body.Close()
+	r.requireTokens(readStream(t, resp.Body, 1), 1, 1)
+	close(received)
+	require.True(t, readStream(t, resp.Body, 0).done)
+}
+
 // Guards against reporting healthy engines as cold because one request fails at each of
 // them.
 func TestRequestThatFailsEverywhereIsNotReported(t *testing.T) {
--- a/internal/request/sse/sse.go
+++ b/internal/request/sse/sse.go
@@ -43,7 +43,28 @@
 // batch buffered events without blocking on a partially received one.
 func (r *Reader) HasEvent() bool {
 	b, _ := r.r.Peek(r.r.Buffered())
-	return bytes.Contains(b, []byte("\n\n"))
+	empty := true
+	for {
+		line, rest, found := bytes.Cut(b, []byte("\n"))
+		if !found {
+			return false
+		}
+		line = bytes.TrimSuffix(line, []byte("\r"))
+		if len(line) == 0 && !empty {
+			return true
+		}
+		name, _, _ := bytes.Cut(line, []byte(":"))
+		empty = empty && !isField(name)
+		b = rest
+	}
+}
+
+func isField(name []byte) bool {
+	switch string(name) {
+	case "id", "event", "data":
+		return true
+	}
+	return false
 }
 
 // Next returns the next event, or io.EOF at the end of the stream. An event that is
--- a/internal/request/sse/sse_test.go
+++ b/internal/request/sse/sse_test.go
@@ -70,6 +70,25 @@
 	return n, nil
 }
 
+// Guards against a relay that waits for the network with an event in hand: a comment with an
+// empty line is no event.
+func TestHasEventIgnoresComments(t *testing.T) {
+	for in, want := range map[string]bool{
+		": comment\n\n":                    false,
+		"\n\n":                             false,
+		"retry: 1\n\n":                     false,
+		"data: a\n":                        false,
+		"data: a\n\n":                      true,
+		"data: a\r\n\r\n":                  true,
+		": comment\n\n\nid: g:1\ndata\n\n": true,
+	} {
+		r := NewReader(strings.NewReader("data: first\n\n" + in))
+		_, err := r.Next()
+		require.NoError(t, err)
+		require.Equal(t, want, r.HasEvent(), "%q", in)
+	}
+}
+
 // Guards against malformed input from a backend server that crashes the relay.
 func FuzzReader(f *testing.F) {
 	f.Add("id: 1\ndata: x\n\n")
