Count repeated events of a stream as a stall

Cause: each event that the relay had already accepted restarted the stall timeout. An engine that repeats events slowly kept a request without progress: with the limit of repeated events, for up to 5 s for each token of the generation. Ruled out: a fixed, smaller number of repeated events, since an engine that ignores the offset of a resume request repeats all earlier ones. Change: the stall timeout of 5 s runs until the next new event. Conclusion: an engine that sends no new event for 5 s counts as stalled, whatever else it sends.

--- a/internal/request/endless_test.go
+++ b/internal/request/endless_test.go
@@ -504,3 +504,21 @@
 		})
 	}
 }
+
+// Guards against a stream that is kept open without progress by events that were already
+// accepted.
+func TestSlowRepeatedEventsAreAStall(t *testing.T) {
+	const last = 10_000
+	e := &endlessServer{response: endlessResponse{
+		start:   func(string) string { return "" },
+		part:    func(id string, _ int) string { return event(id, last, "null") },
+		chunked: true,
+		pause:   10 * time.Millisecond,
+	}}
+	r, _ := startEndless(t, callResumed, e)
+	r.gateway.streamStallTimeout = 200 * time.Millisecond
+	result := readEndless(r.do("POST", "/v1/completions", "", "Authorization", "Bearer small-key",
+		headerTimeout, endlessCallerTimeoutMS, headerLastEventID, r.eventID(last)))
+	result.requireFailure(t)
+	r.requireReleased(e)
+}
--- a/internal/request/gateway.go
+++ b/internal/request/gateway.go
@@ -105,6 +105,8 @@
 	// HostCount returns the number of entry hosts over which callers are balanced.
 	HostCount func() int
 
+	// streamStallTimeout replaces stallTimeout if it is not 0.
+	streamStallTimeout time.Duration
 	// responseBodyTimeout replaces defaultBodyTimeout if it is not 0.
 	responseBodyTimeout time.Duration
 
@@ -114,6 +116,13 @@
 	background sync.WaitGroup
 }
 
+func (g *Gateway) stallTimeout() time.Duration {
+	if g.streamStallTimeout > 0 {
+		return g.streamStallTimeout
+	}
+	return defaultStallTimeout
+}
+
 func (g *Gateway) bodyTimeout() time.Duration {
 	if g.responseBodyTimeout > 0 {
 		return g.responseBodyTimeout
--- a/internal/request/generation.go
+++ b/internal/request/generation.go
@@ -18,9 +18,9 @@
 )
 
 const (
-	// stallTimeout is the idle timeout of an engine's stream. After it, the host
-	// resumes the stream on a new connection.
-	stallTimeout = 5 * time.Second
+	// defaultStallTimeout bounds the time to the next new event of an engine's stream.
+	// After it, the host resumes the stream on a new connection.
+	defaultStallTimeout = 5 * time.Second
 	// streamHeaderTimeout bounds the wait for the headers of a streamed response, which
 	// engines send when they accept a request.
 	streamHeaderTimeout = 10 * time.Second
@@ -249,8 +249,9 @@
 // new attempt.
 func (gen *generation) next() (sse.Event, eventKind, error) {
 	resumes := 0
+	deadline := time.Now().Add(gen.c.g.stallTimeout())
 	for {
-		ev, err := gen.readEvent()
+		ev, err := gen.readEvent(deadline)
 		if err == nil {
 			var kind eventKind
 			if kind, err = gen.checkEvent(ev); err == nil {
@@ -270,12 +271,13 @@
 			return sse.Event{}, 0, err
 		}
 		resumes++
+		deadline = time.Now().Add(gen.c.g.stallTimeout())
 	}
 }
 
-func (gen *generation) readEvent() (sse.Event, error) {
+func (gen *generation) readEvent(deadline time.Time) (sse.Event, error) {
 	if !gen.events.HasEvent() {
-		gen.exchange.SetReadDeadline(time.Now().Add(stallTimeout))
+		gen.exchange.SetReadDeadline(deadline)
 		if err := gen.c.ctx.Err(); err != nil {
 			return sse.Event{}, err
 		}
