Test chunk framing and end markers without end in the request path

Cause: no test covered chunk sizes and trailers without end, and bytes without end after a complete stream. Ruled out: a change for these cases. The size of a chunk has a maximum length, the read buffer (16 KiB) bounds trailers, and at most 1 KiB is read after the end marker. Change: TestEndlessChunkFraming for seven kinds of request, and TestEndlessBytesAfterEndMarker. Chunk extensions are not covered. Conclusion: these cases are bounded. A plain request gets no response at all if the first chunk is malformed, since its headers are still unsent then.

--- a/internal/request/endless_test.go
+++ b/internal/request/endless_test.go
@@ -192,7 +192,11 @@
 	case callOrder:
 		path, headers = "/services/desk/x", append(headers, headerClass, "order", headerIdempotencyKey, "k")
 	}
-	return readEndless(r.do(method, path, body, headers...))
+	resp, err := r.doWithContext(context.Background(), method, path, body, headers...)
+	if err != nil {
+		return endlessResult{err: err}
+	}
+	return readEndless(resp)
 }
 
 // eventID returns the id of an event of a generation at the server models-0.
@@ -522,3 +526,52 @@
 	result.requireFailure(t)
 	r.requireReleased(e)
 }
+
+// Guards against a host that reads the framing of a chunked response without end: chunk
+// sizes and trailers, which contain no byte of the body.
+func TestEndlessChunkFraming(t *testing.T) {
+	responses := map[string]endlessResponse{
+		"chunk size":   repeat(chunkedHeader, "0"),
+		"trailers":     repeat(chunkedHeader+"0\r\n", "X-More: x\r\n"),
+		"trailer line": repeat(chunkedHeader+"0\r\nX-Long: ", filler),
+	}
+	for name, response := range responses {
+		for _, kind := range allCallKinds {
+			t.Run(name+"/"+string(kind), func(t *testing.T) {
+				t.Parallel()
+				e := &endlessServer{response: response}
+				r, _ := startEndless(t, kind, e)
+				result := r.call(kind, endlessCallerTimeoutMS)
+				if kind == callPlain || kind == callIdempotent {
+					// The connection breaks off before or after the headers.
+					require.Error(t, result.err)
+				} else {
+					result.requireFailure(t)
+				}
+				require.NotEmpty(t, r.requireReleased(e).Code)
+				require.LessOrEqual(t, e.mostSent.Load(), int64(socketBufferSlack))
+			})
+		}
+	}
+}
+
+// Guards against a complete stream whose connection is kept and read while its engine sends
+// bytes after the end marker without end.
+func TestEndlessBytesAfterEndMarker(t *testing.T) {
+	for _, kind := range []callKind{callStreamed, callBuffered} {
+		t.Run(string(kind), func(t *testing.T) {
+			e := &endlessServer{response: endlessResponse{
+				start:   func(id string) string { return event(id, 1, `"stop"`) + "data: [DONE]\n\n" },
+				part:    func(string, int) string { return usageEvent },
+				chunked: true,
+			}}
+			r, _ := startEndless(t, kind, e)
+			result := r.call(kind, endlessCallerTimeoutMS)
+			require.NoError(t, result.err)
+			require.True(t, result.done)
+			require.NotContains(t, result.body, "usage")
+			require.Empty(t, r.requireReleased(e).Code)
+			require.LessOrEqual(t, e.mostSent.Load(), int64(socketBufferSlack))
+		})
+	}
+}
