--- a/internal/request/sse/sse_test.go
+++ b/internal/request/sse/sse_test.go
@@ -38,7 +38,7 @@
 // fields that replace their earlier value.
 func TestLinesWithoutEventAreBounded(t *testing.T) {
 	for _, line := range []string{": comment\n", ": comment\n\n", "\n", "\r\n", "id: g:1\n", "event: x\n", "data:\n", "retry: 1\n", "x"} {
-		in := &endlessReader{line: line}
+		in := &repeatedLine{line: line}
 		_, err := NewReader(in).Next()
 		require.ErrorIs(t, err, ErrTooLarge, "%q", line)
 		require.Less(t, in.read, MaxEventBytes+64<<10, "%q", line)
@@ -47,21 +47,21 @@
 
 // Guards against a bound on lines without an event that also counts the events between them.
 func TestBoundAppliesToEachEvent(t *testing.T) {
-	r := NewReader(&endlessReader{line: ": comment\n\n" + "data: " + strings.Repeat("x", 1<<10) + "\n\n"})
+	r := NewReader(&repeatedLine{line: ": comment\n\n" + "data: " + strings.Repeat("x", 1<<10) + "\n\n"})
 	for range 2 * MaxEventBytes >> 10 {
 		_, err := r.Next()
 		require.NoError(t, err)
 	}
 }
 
-// endlessReader yields a line again and again and counts the bytes.
-type endlessReader struct {
+// repeatedLine yields a line again and again and counts the bytes.
+type repeatedLine struct {
 	line string
 	read int
 }
 
 // Read implements io.Reader.
-func (r *endlessReader) Read(p []byte) (int, error) {
+func (r *repeatedLine) Read(p []byte) (int, error) {
 	n := 0
 	for n < len(p) {
 		n += copy(p[n:], r.line[(r.read+n)%len(r.line):])
