Test chunk extensions without end in the request path

Cause: an endless chunk extension is read without a limit in bytes, since the parser of the HTTP library reads up to its line end. Ruled out: a limit in this path: the framing belongs to internal/connection. Change: two rows of TestEndlessChunkFraming.

--- a/internal/request/endless_test.go
+++ b/internal/request/endless_test.go
@@ -528,12 +528,14 @@
 }
 
 // Guards against a host that reads the framing of a chunked response without end: chunk
-// sizes and trailers, which contain no byte of the body.
+// sizes, chunk extensions and trailers, which contain no byte of the body.
 func TestEndlessChunkFraming(t *testing.T) {
 	responses := map[string]endlessResponse{
-		"chunk size":   repeat(chunkedHeader, "0"),
-		"trailers":     repeat(chunkedHeader+"0\r\n", "X-More: x\r\n"),
-		"trailer line": repeat(chunkedHeader+"0\r\nX-Long: ", filler),
+		"chunk extension":        repeat(chunkedHeader+"5;", filler),
+		"chunk extension, later": repeat(chunkedHeader+"1\r\n \r\n5;", filler),
+		"chunk size":             repeat(chunkedHeader, "0"),
+		"trailers":               repeat(chunkedHeader+"0\r\n", "X-More: x\r\n"),
+		"trailer line":           repeat(chunkedHeader+"0\r\nX-Long: ", filler),
 	}
 	for name, response := range responses {
 		for _, kind := range allCallKinds {
