--- a/internal/request/rejection.go
+++ b/internal/request/rejection.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"monsoonkeel.example/monsoonkeel/core/verdict"
 	"monsoonkeel.example/monsoonkeel/internal/connection"
@@ -18,11 +19,13 @@
 	body        []byte
 }
 
-// readRejection returns the response as a *rejection, or another error if its body broke
-// off or exceeds maxRejectionBytes.
+// readRejection reads the rest of an error response. It returns a *rejection, or another
+// error if the body broke off, exceeds maxRejectionBytes or takes too long: to the caller it
+// would look complete.
 func (gen *generation) readRejection(ex *connection.Exchange) error {
 	defer ex.Finish(false)
-	body, err := readResponse(ex, maxRejectionBytes)
+	ex.SetReadDeadline(time.Now().Add(gen.c.g.bodyTimeout()))
+	body, err := readResponse(ex, maxRejectionBytes, &responseBuffer{})
 	switch {
 	case err == nil:
 		return &rejection{status: ex.Response.StatusCode(), contentType: string(ex.Response.Header.ContentType()), body: body}
