Test load reports without end in the connection setup

Cause: the load report that identifies the server of a new connection had a limit for its body, not for its framing. The limit on the framing of responses, which came first, covers it; no test showed that. Evidence: without that limit the row "chunk extension" fails with an i/o timeout after the 1 s of the connection setup, and three rows of TestEndlessFramingEndsTheBody fail at their deadline; the other rows pass. Ruled out: a check for os.ErrDeadlineExceeded, which fasthttp's error for a broken chunk does not wrap. Change: the test, and a check in TestEndlessFramingEndsTheBody that the read does not end by its deadline. Conclusion: the setup fails at a bound in bytes, and the request has not run.

--- a/internal/connection/endless_test.go
+++ b/internal/connection/endless_test.go
@@ -111,7 +111,8 @@
 			ex, err := s.do(t, NewPool(), "GET", Options{})
 			require.NoError(t, err)
 			body, err := io.ReadAll(ex.Body())
-			assert.Error(t, err)
+			require.Error(t, err)
+			assert.NotContains(t, err.Error(), "i/o timeout")
 			assert.Contains(t, []string{"", "ok"}, string(body))
 			ex.Finish(false)
 			s.waitClosed(t)
@@ -275,3 +276,27 @@
 	assert.False(t, p.checking.Load())
 	require.NoError(t, c.Close())
 }
+
+// Guards against a connection setup that lasts until its timeout, or a connection that stays
+// open, while the server sends a load report without end.
+func TestEndlessLoadReportEndsTheConnectionSetup(t *testing.T) {
+	const report = "HTTP/1.1 200 OK\r\nX-Incarnation: new\r\n"
+	for name, c := range map[string]struct{ response, unit string }{
+		"no line end":       {"", "x"},
+		"header lines":      {report, "X-Filler: x\r\n"},
+		"interim responses": {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+		"chunked body":      {report + "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+		"chunk extension":   {report + "Transfer-Encoding: chunked\r\n\r\n1;", "x"},
+		"trailer line":      {report + "Transfer-Encoding: chunked\r\n\r\n0\r\nX-T: ", "x"},
+		"unsized body":      {report + "Connection: close\r\n\r\n", "x"},
+		"long body":         {report + "Content-Length: 99999999999\r\n\r\n", "x"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newRawServer(t, c.response, c.unit)
+			_, err := s.do(t, NewPool(), "GET", Options{Incarnation: "new"})
+			require.Equal(t, verdict.NotRun, verdict.Of(err))
+			require.NotContains(t, err.Error(), "i/o timeout")
+			s.waitClosed(t)
+		})
+	}
+}
