Do not answer 503 for a response that has run and cannot be buffered

Cause: a request whose response found the buffers of the host exhausted got 503 with Retry-After, though its verdict is ran. Client libraries repeat such a request by themselves. Ruled out: no status of its own; the code response_buffers_full tells it from a failure of the backend server. Change: status 502 without Retry-After. Figures: TestBufferedResponsesShareALimit checks the status and passes. Conclusion: 503 with Retry-After stays for requests that may be repeated.

--- a/internal/request/buffers.go
+++ b/internal/request/buffers.go
@@ -66,11 +66,10 @@
 	b.reserved = 0
 }
 
-// newBuffersFullError returns the error of a request whose response cannot be buffered.
+// newBuffersFullError returns the error of a request whose response cannot be buffered. The
+// status is not 503, which clients repeat by themselves: the request has run.
 func newBuffersFullError(v verdict.Verdict) error {
-	e := verdict.Wrap(errBuffersFull, v, 503, "response_buffers_full", "the host buffers too many long responses")
-	e.RetryAfterSeconds = 1
-	return e
+	return verdict.Wrap(errBuffersFull, v, 502, "response_buffers_full", "the host buffers too many long responses")
 }
 
 // readResponse reads the complete body. It fails if the body is truncated or longer than
--- a/internal/request/endless_test.go
+++ b/internal/request/endless_test.go
@@ -497,6 +497,7 @@
 			result := r.call(kind, endlessCallerTimeoutMS)
 			result.requireFailure(t)
 			require.Equal(t, "response_buffers_full", result.problem.Title)
+			require.Equal(t, 502, result.status)
 			require.EqualValues(t, maxBufferedTotal, buffers.reserved.Load())
 
 			buffers.reserved.Store(0)
