Remove an unused limit of the buffers for long responses

Cause: bufferBudget had a field that replaced its constant limit and was set nowhere, in tests neither. Change: the constant alone; units of the counters. Conclusion: one limit, in one place.

--- a/internal/request/buffers.go
+++ b/internal/request/buffers.go
@@ -27,18 +27,15 @@
 	errBuffersFull      = errors.New("too many long responses are buffered")
 )
 
-// bufferBudget limits the memory of buffered responses. The zero value has the limit
-// maxBufferedTotal.
+// bufferBudget limits the memory of all buffered responses to maxBufferedTotal.
 type bufferBudget struct {
-	reserved atomic.Int64
-	// limit replaces maxBufferedTotal if it is not 0, in bytes.
-	limit int64
+	reserved atomic.Int64 // bytes
 }
 
 // responseBuffer is the part of the budget that one response has reserved.
 type responseBuffer struct {
 	budget   *bufferBudget
-	reserved int64
+	reserved int64 // bytes
 }
 
 func (c *call) newBuffer() *responseBuffer { return &responseBuffer{budget: &c.g.buffers} }
@@ -49,11 +46,7 @@
 	if size <= unreservedBytes || more <= 0 {
 		return nil
 	}
-	limit := b.budget.limit
-	if limit == 0 {
-		limit = maxBufferedTotal
-	}
-	if b.budget.reserved.Add(more) > limit {
+	if b.budget.reserved.Add(more) > maxBufferedTotal {
 		b.budget.reserved.Add(-more)
 		return errBuffersFull
 	}
