Reject HEAD requests of generations

Callers of every request of a host saw their connections close: one HEAD request to a stream route ended the process. Cause: the response to HEAD has no body, so the relay read events from a nil body. Ruled out: forwarding it and responding without a body; an engine would run a generation that nobody receives. Change: 405 with verdict not_run before an engine is chosen. Conclusion: a stream has a body whenever it is relayed.

--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -96,6 +96,10 @@
 	if err := r.authenticate(t); err != nil {
 		return err
 	}
+	if r.route.Kind == route.Stream && h.IsHead() {
+		// The response would have no body, hence no events to relay.
+		return notRun(405, "method_not_allowed", "a generation cannot be requested with HEAD")
+	}
 	r.setDeadline()
 	r.parseTokens()
 	return r.endsBeforeShutdown()
