Require a finish reason for the end of a resumed stream

A caller that resumed a stream got [DONE] after a token without a finish reason: a response cut short like a complete one. Cause: the end marker of a resumed generation was accepted without a finish reason, since an engine does not repeat the reason to a caller that has it. Ruled out: requiring the reason always, which would fail the resume after the last token. Change: the marker, and events without an id, are accepted without a reason only as long as no new token has arrived since the resume.

--- a/internal/request/faults_test.go
+++ b/internal/request/faults_test.go
@@ -242,6 +242,36 @@
 	require.Eventually(t, func() bool { return cancels.Load() == 2 }, 5*time.Second, 10*time.Millisecond)
 }
 
+// Guards against a resumed stream that ends like a complete one although the engine sent its end
+// marker after a token without a finish reason.
+func TestResumedStreamWithoutFinishReasonFails(t *testing.T) {
+	r := &testGateway{t: t}
+	r.addBackend("models", http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		id := req.Header.Get(headerGenerationID)
+		if !strings.HasPrefix(req.URL.Path, "/v1/generations/") {
+			w.Header().Set(headerGenerationID, id)
+			write(w, event(id, 1, "null"))
+			<-req.Context().Done()
+			return
+		}
+		id = strings.TrimPrefix(req.URL.Path, "/v1/generations/")
+		write(w, event(id, 2, "null")+"data: [DONE]\n\n")
+	}))
+	r.start()
+	ctx, cancel := context.WithCancel(context.Background())
+	resp, err := r.doWithContext(ctx, "POST", "/v1/completions", streamRequestJSON(5))
+	require.NoError(t, err)
+	first := readStream(t, resp.Body, 1)
+	cancel()
+	_ = resp.Body.Close()
+	resp = r.do("POST", "/v1/completions", "", headerLastEventID, first.ids[0])
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	assert.NotContains(t, string(body), "[DONE]")
+	assert.Contains(t, string(body), "generation_lost")
+}
+
 // Guards against decoded path bytes in the request line or the query, against forwarding
 // hop-by-hop or internal headers, and against recording a response without a body as
 // truncated.
--- a/internal/request/gateway.go
+++ b/internal/request/gateway.go
@@ -105,7 +105,7 @@
 	// HostCount returns the number of entry hosts over which callers are balanced.
 	HostCount func() int
 
-	// streamStallTimeout replaces stallTimeout if it is not 0.
+	// streamStallTimeout replaces defaultStallTimeout if it is not 0.
 	streamStallTimeout time.Duration
 	// responseBodyTimeout replaces defaultBodyTimeout if it is not 0.
 	responseBodyTimeout time.Duration
--- a/internal/request/generation.go
+++ b/internal/request/generation.go
@@ -88,8 +88,9 @@
 	// delivered is set once a part of the response was delivered to the caller. After
 	// that no other generation may continue the response.
 	delivered bool
-	// resumed is set when the caller resumes an existing generation.
-	resumed bool
+	// resumed is set when the caller resumes an existing generation, after resumeOffset tokens.
+	resumed      bool
+	resumeOffset int
 	// attempts is the number of generations started for this call.
 	attempts          int
 	attemptedBackends []string
@@ -288,7 +289,7 @@
 // checkEvent validates the generation id and offset of an event and classifies it.
 func (gen *generation) checkEvent(ev sse.Event) (eventKind, error) {
 	if bytes.Equal(ev.Data, []byte("[DONE]")) {
-		if !gen.finished && !gen.resumed {
+		if !gen.mayBeFinished() {
 			return 0, errProtocol
 		}
 		return eventDone, nil
@@ -296,7 +297,7 @@
 	if string(ev.Name) == "error" {
 		return 0, fmt.Errorf("engine error: %s", ev.Data)
 	}
-	if len(ev.ID) == 0 && (gen.finished || gen.resumed) {
+	if len(ev.ID) == 0 && gen.mayBeFinished() {
 		if gen.trailing++; gen.trailing > maxTrailingEvents {
 			return 0, errProtocol
 		}
@@ -321,6 +322,12 @@
 	return eventToken, nil
 }
 
+// mayBeFinished reports whether the last token may have been accepted. A caller that resumes
+// may have received the finish reason before, which the engine does not repeat.
+func (gen *generation) mayBeFinished() bool {
+	return gen.finished || gen.resumed && gen.offset == gen.resumeOffset
+}
+
 // hasFinishReason reports whether a chunk is the last one of a choice; earlier chunks
 // carry a null finish_reason. It runs for every token, so it searches the bytes instead
 // of parsing the JSON.
--- a/internal/request/resume.go
+++ b/internal/request/resume.go
@@ -45,7 +45,7 @@
 	c.maybeSent = true
 	gen := newGeneration(c, "", nil, true)
 	gen.resumed = true
-	gen.id, gen.token, gen.offset = id.ID, token, offset
+	gen.id, gen.token, gen.offset, gen.resumeOffset = id.ID, token, offset, offset
 	if err := gen.locate(id); err != nil {
 		return err
 	}
