--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -90,6 +90,7 @@
 // relayFrom continues the relay with the response of the target.
 func (s *stream) relayFrom(ex *connection.Exchange, target, standby *reservation) {
 	s.ex, s.frames = ex, sse.NewFrameReader(ex.Body())
+	s.r.sourceEnd, s.r.framing = nil, ""
 	s.generation.setExchange(ex)
 	s.r.migrations++
 	s.r.backend = target.server.ID
