Log the prompt parts that requests may share

Ruled out: the whole list of parts, which can have hundreds of entries. Change: the request line has parts, the first 8 without the request's own.

--- a/internal/forward/dialect.go
+++ b/internal/forward/dialect.go
@@ -26,6 +26,8 @@
 	TokenCounts string
 	// LengthHint is the caller's estimate of the output tokens.
 	LengthHint string
+	// PromptParts lists the parts of the prompt in order.
+	PromptParts string
 	// LastEventID is the last event that a resumed generation has delivered.
 	LastEventID string
 	// KVSource identifies the engine and the KV cache copy from which to resume.
@@ -37,6 +39,9 @@
 	Reserved []string
 	// ParseTokenCounts decodes the value of TokenCounts.
 	ParseTokenCounts func(value string) (prompt, output int, ok bool)
+	// ParsePromptParts decodes the value of PromptParts to the IDs of the parts that other
+	// requests may share.
+	ParsePromptParts func(value string) []string
 	// FormatKVSource encodes the value of KVSource.
 	FormatKVSource func(sourceAddress, handle string) string
 }
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -34,6 +34,9 @@
 	// maxOutput is the largest number of output tokens that the caller allows.
 	maxOutput int
 
+	// parts are the IDs of the prompt parts that other requests may share.
+	parts []string
+
 	// Outcome of the request, for the log line.
 	responded  bool
 	retryAfter time.Duration
@@ -101,7 +104,7 @@
 		return notRun(405, "method_not_allowed", "a generation cannot be requested with HEAD")
 	}
 	r.setDeadline()
-	r.parseTokens()
+	r.parsePrompt()
 	return r.endsBeforeShutdown()
 }
 
@@ -160,9 +163,12 @@
 	r.deadline = r.call.Received.Add(left)
 }
 
-func (r *request) parseTokens() {
+func (r *request) parsePrompt() {
 	d := &r.g.opts.Dialect
 	h := &r.call.Request.Header
+	if value := h.Peek(d.PromptParts); len(value) > 0 {
+		r.parts = d.ParsePromptParts(string(value))
+	}
 	prompt, output, ok := d.ParseTokenCounts(string(h.Peek(d.TokenCounts)))
 	if !ok {
 		return
@@ -252,6 +258,9 @@
 	return &verdict.Error{Verdict: verdict.MayHaveRun, Status: 504, Code: "timeout", Detail: "no complete response before the deadline"}
 }
 
+// maxLoggedParts limits the prompt parts in a log line.
+const maxLoggedParts = 8
+
 // log writes the log line of the request and counts its latency and failure code.
 func (r *request) log(err error) {
 	var e *zerolog.Event
@@ -275,6 +284,9 @@
 	if r.team != nil {
 		e = e.Str("team", r.team.Name)
 	}
+	if len(r.parts) > 0 {
+		e = e.Strs("parts", r.parts[:min(len(r.parts), maxLoggedParts)])
+	}
 	if r.route != nil && r.route.Kind == route.Stream {
 		e = e.Int("events", r.events).Int64("first_event_ms", r.firstEvent.Milliseconds()).
 			Int64("worst_gap_ms", r.worstGap.Milliseconds()).Int("moves", r.migrations).Int("prompt", r.promptTokens).Int("output", r.outputTokens)
