Eject an engine whose stream ends before the first event

Cause: a stream that failed before its header was sent to the caller returned before the failure was counted, and the release of its reservation counted a success, which also ended an earlier ejection. Why it works: the failure is counted on both ways out of the relay; streams that end by their caller or deadline return before, as they did.

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -285,10 +285,10 @@
 		}
 		return err
 	}
+	s.generation.reportEngineFailure()
 	if !s.headerSent {
 		return unusableResponse(cause)
 	}
-	s.generation.reportEngineFailure()
 	s.r.g.Metrics.BrokenStreams.Add(1)
 	s.r.call.Abort()
 	return verdict.Wrap(cause, verdict.Ran, 502, "stream_broken", "the engine broke off the stream")
