Do not complete a stream without framing that had no event

Callers saw: status 200 with an empty body when the engine ended before the first event of a stream that has neither a length nor chunks. Cause: such a body ends with its connection, and a process that ends closes its connections like one that has sent everything. Evidence: TestStreamWithoutEventsOrFramingIsBroken got 200 on the parent. Why it works: a complete stream has at least one event, so a body without one broke off; bodies with a length or chunks are not affected.

--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -15,9 +15,9 @@
 	if end != io.EOF {
 		return false
 	}
-	// A source that was stopped for the final copy ends a body without framing in the
-	// same way as a complete one.
-	return s.r.framing != framingClose || !s.generation.finalCopyStarted()
+	// A source that was stopped for the final copy, or crashed, ends a body without framing
+	// in the same way as a complete one. A complete stream has at least one event.
+	return s.r.framing != framingClose || s.r.events > 0 && !s.generation.finalCopyStarted()
 }
 
 // resume continues the generation at another engine after the source's response ended
