Reject requests with a prompt part that crashes engines

Cause: a host judged each failed request by itself. Nothing recorded that an engine process had ended, what had been about to begin there, and what requests at the crashes had in common, so the next request with the part went to the next engine. Class: the request is the cause of a failure, and the failure is attributed to the server only. Why it works: a response that ends before its answer began, at an engine that then refuses connections, is recorded with the parts of the request; hosts exchange the records by gossip; core/attribution decides; every send of a request whose answer has not begun asks for the decision, and pending ones are interrupted. Answers that begin clear their parts everywhere.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -115,6 +115,7 @@
 		Domain:              s.Domain,
 		Region:              s.Region,
 		Bounds:              bounds(s),
+		Clock:               boottime.Now,
 		ResponseBufferBytes: int64(float64(s.MemoryBytes) * responseShare),
 	})
 	p.gossip = gossip.New(gossip.Options{
--- a/internal/forward/balancers.go
+++ b/internal/forward/balancers.go
@@ -328,6 +328,20 @@
 // release removes the reservation's load; further calls do nothing. failed is set when the
 // server could not be reached or broke the response off; it counts towards ejection.
 func (res *reservation) release(failed bool) {
+	res.end(func(b *balance.Balancer) {
+		if failed {
+			b.RecordFailure(res.server.ID, time.Now())
+		} else {
+			b.RecordSuccess(res.server.ID)
+		}
+	})
+}
+
+// cancel releases a reservation for which nothing was sent.
+func (res *reservation) cancel() { res.end(func(*balance.Balancer) {}) }
+
+// end removes the reservation's load once and records the result of its use.
+func (res *reservation) end(record func(*balance.Balancer)) {
 	res.once.Do(func() {
 		bs := res.balancers
 		bs.mu.Lock()
@@ -335,11 +349,7 @@
 		s := bs.service(res.service)
 		s.balancer.RemoveLoad(res.server.ID, res.load)
 		res.load = balance.Load{}
-		if failed {
-			s.balancer.RecordFailure(res.server.ID, time.Now())
-		} else {
-			s.balancer.RecordSuccess(res.server.ID)
-		}
+		record(s.balancer)
 		s.wake()
 	})
 }
--- a/internal/forward/gateway.go
+++ b/internal/forward/gateway.go
@@ -31,6 +31,8 @@
 	Bounds        Bounds
 	// ResponseBufferBytes limits the memory for buffered long responses, in bytes.
 	ResponseBufferBytes int64
+	// Clock also counts time in which the machine is suspended; see internal/boottime.
+	Clock func() time.Duration
 }
 
 // Bounds are guarantees that hold for all hosts together. They can be replaced
@@ -54,6 +56,7 @@
 	balancers       *balancers
 	responseBuffers *responseBuffers
 	generations     generations
+	crashes         *crashes
 	Metrics         Metrics
 	// shutdownDeadline is the time, in Unix nanoseconds, by which running requests
 	// must have ended because the host is shutting down; 0 otherwise.
@@ -73,6 +76,7 @@
 	g := &Gateway{opts: opts, pool: connection.NewPoolSize(maxIdlePerServer)}
 	g.bounds.Store(&opts.Bounds)
 	g.balancers = newBalancers(opts)
+	g.crashes = newCrashes(opts)
 	g.responseBuffers = newResponseBuffers(opts.ResponseBufferBytes)
 	g.peers.Store(&[]gossip.State{})
 	g.generations.plannedUntil = map[string]time.Time{}
@@ -188,6 +192,7 @@
 	s.StoreResponseAgeMS = g.opts.Directory.StoreResponseAge().Milliseconds()
 	s.StoreReader, s.RecentStoreFailure = g.opts.Directory.IsStoreReader(), g.opts.Directory.RecentStoreFailure()
 	s.RelayedUpdate = g.opts.Directory.RelayedUpdate()
+	g.crashes.fill(s)
 	s.Terminating = nil
 	for id, server := range g.opts.Directory.Snapshot().Servers {
 		if server.Leaving && !server.Removed && g.balancers.engineConfig(server.Service) != nil {
@@ -207,6 +212,7 @@
 		}
 	}
 	g.balancers.setPeerLoad(loads)
+	g.crashes.merge(states)
 	g.opts.Directory.SetStoreReader(g.isStoreReader(states))
 	for _, s := range states {
 		if s.RelayedUpdate != nil && s.Region == g.opts.Region && s.EchoSentAt > 0 {
@@ -218,6 +224,16 @@
 	}
 }
 
+// peerIDs returns the IDs of the other live hosts.
+func (g *Gateway) peerIDs() []string {
+	peers := *g.peers.Load()
+	ids := make([]string, 0, len(peers))
+	for _, s := range peers {
+		ids = append(ids, s.Host)
+	}
+	return ids
+}
+
 // isStoreReader reports whether this host is the store reader of its region. The store
 // reader is the live host of the region with the lowest hash, where hosts without a
 // recent store failure come before hosts with one.
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -12,9 +12,12 @@
 // Metrics holds the gateway's counters and latency histograms.
 type Metrics struct {
 	Requests, Retries, Migrations, FailedMigrations, CompletedStreams, BrokenStreams atomic.Int64
-	Latency, FirstEvent                                                              Histogram
-	mu                                                                               sync.Mutex
-	failures                                                                         map[string]int64
+	// EngineCrashes counts the crashes of engines before answers of this host began, and
+	// PartTrials the requests that were sent although a prompt part was rejected.
+	EngineCrashes, PartTrials atomic.Int64
+	Latency, FirstEvent       Histogram
+	mu                        sync.Mutex
+	failures                  map[string]int64
 }
 
 func (m *Metrics) countFailure(code string) {
@@ -37,6 +40,8 @@
 		"moves_failed":      m.FailedMigrations.Load(),
 		"broken_streams":    m.BrokenStreams.Load(),
 		"completed_streams": m.CompletedStreams.Load(),
+		"engine_crashes":    m.EngineCrashes.Load(),
+		"part_trials":       m.PartTrials.Load(),
 		"failures":          m.failures,
 		"latency_ms":        m.Latency.quantiles(),
 		"first_event_ms":    m.FirstEvent.quantiles(),
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -59,6 +59,9 @@
 		if r.ctx.Err() != nil {
 			return r.interruptionError(verdict.Of(err) != verdict.NotRun || ran > 0)
 		}
+		if r.rejection != nil {
+			return r.rejectAttempt(err, ran)
+		}
 		last = err
 		attempted = append(attempted, res.server.ID)
 		if verdict.Of(err) != verdict.NotRun {
@@ -73,6 +76,15 @@
 	}
 }
 
+// rejectAttempt returns the error of a request that was rejected for a prompt part after ran
+// executions.
+func (r *request) rejectAttempt(err error, ran int) error {
+	if ran == 0 {
+		return err
+	}
+	return r.rejectionError(r.rejection, true)
+}
+
 // mayExecuteAgain reports whether the request may be executed once more after ran
 // executions.
 func (r *request) mayExecuteAgain(ran int) bool {
@@ -172,6 +184,10 @@
 		MatchesRequest: r.matchesID,
 		BodyNotReused:  true,
 	}
+	if err := r.checkParts(); err != nil {
+		res.cancel()
+		return err
+	}
 	if again {
 		opts.ResponseHeaderTimeout = time.Duration(float64(time.Until(r.deadline)) * headerTimeoutShare)
 	}
@@ -180,8 +196,12 @@
 	ex, err := r.g.pool.Do(r.ctx, res.server.Address, req, opts)
 	if err != nil {
 		res.release(r.call.Context().Err() == nil)
+		if verdict.Of(err) != verdict.NotRun {
+			r.recordBrokenAnswer(res.server, err)
+		}
 		return err
 	}
+	status := ex.Response.StatusCode()
 	// A failure response is withheld only if another attempt is sure to be sent.
 	again = again && r.canRetry()
 	if err := r.checkResponse(ex, again); err != nil {
@@ -191,6 +211,12 @@
 	}
 	err = r.deliver(ex)
 	res.release(err != nil)
+	switch {
+	case err != nil:
+		r.recordBrokenAnswer(res.server, err)
+	case status < 300:
+		r.recordAnswer()
+	}
 	return err
 }
 
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -5,11 +5,13 @@
 	"errors"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
+	"monsoonkeel.example/monsoonkeel/core/attribution"
 	"monsoonkeel.example/monsoonkeel/core/route"
 	"monsoonkeel.example/monsoonkeel/core/verdict"
 	"monsoonkeel.example/monsoonkeel/internal/connection"
@@ -36,6 +38,13 @@
 
 	// parts are the IDs of the prompt parts that other requests may share.
 	parts []string
+	// promptParts are the same as they are known to core/attribution.
+	promptParts []attribution.Part
+	// answerBegun is set once the answer has begun. trial is set if the request is sent although
+	// a part is rejected. interruptedBy is the rejection that interrupted the request.
+	answerBegun   atomic.Bool
+	trial         atomic.Bool
+	interruptedBy atomic.Pointer[attribution.Rejection]
 
 	// Outcome of the request, for the log line.
 	responded  bool
@@ -53,6 +62,8 @@
 	// for a regular end; framing is how the source delimits its body.
 	sourceEnd error
 	framing   string
+	// rejection is the rejection of a prompt part that ended the request.
+	rejection *attribution.Rejection
 }
 
 func newRequest(g *Gateway, call *connection.Call) *request {
@@ -73,6 +84,11 @@
 	}
 	r.ctx, r.cancel = context.WithDeadline(r.call.Context(), r.deadline)
 	defer r.cancel()
+	if err := r.checkParts(); err != nil {
+		return err
+	}
+	r.g.crashes.begin(r)
+	defer r.g.crashes.end(r)
 	if r.route.Kind == route.Stream {
 		return r.serveStream()
 	}
@@ -168,6 +184,10 @@
 	h := &r.call.Request.Header
 	if value := h.Peek(d.PromptParts); len(value) > 0 {
 		r.parts = d.ParsePromptParts(string(value))
+		r.promptParts = make([]attribution.Part, len(r.parts))
+		for i, id := range r.parts {
+			r.promptParts[i] = attribution.PartOf(id)
+		}
 	}
 	prompt, output, ok := d.ParseTokenCounts(string(h.Peek(d.TokenCounts)))
 	if !ok {
@@ -252,6 +272,9 @@
 		r.responded = true // nobody reads a response
 		return &verdict.Error{Verdict: verdict.MayHaveRun, Status: 499, Code: "caller_left", Detail: "the caller closed the connection"}
 	}
+	if rejection := r.interruptedBy.Load(); rejection != nil {
+		return r.rejectionError(rejection, sent)
+	}
 	if !sent {
 		return notRun(503, "no_place_in_time", "no backend server had capacity before the deadline")
 	}
@@ -287,6 +310,9 @@
 	if len(r.parts) > 0 {
 		e = e.Strs("parts", r.parts[:min(len(r.parts), maxLoggedParts)])
 	}
+	if r.rejection != nil {
+		e = e.Str("rejected_part", r.rejectedPart()).EmbedObject(loggedRejection{r.rejection, r.g.opts.Clock()})
+	}
 	if r.route != nil && r.route.Kind == route.Stream {
 		e = e.Int("events", r.events).Int64("first_event_ms", r.firstEvent.Milliseconds()).
 			Int64("worst_gap_ms", r.worstGap.Milliseconds()).Int("moves", r.migrations).Int("prompt", r.promptTokens).Int("output", r.outputTokens)
--- a/internal/forward/standby.go
+++ b/internal/forward/standby.go
@@ -115,8 +115,11 @@
 	return nil
 }
 
-func (gen *generation) serverID() string {
+func (gen *generation) serverID() string { return gen.server().ID }
+
+// server returns the engine that runs the generation.
+func (gen *generation) server() balance.Server {
 	gen.mu.Lock()
 	defer gen.mu.Unlock()
-	return gen.reservation.server.ID
+	return gen.reservation.server
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -41,6 +41,9 @@
 		if r.ctx.Err() != nil {
 			return r.interruptionError(verdict.Of(err) != verdict.NotRun)
 		}
+		if r.rejection != nil {
+			return err
+		}
 		last = err
 		if verdict.Of(err) != verdict.NotRun {
 			return r.giveUp(err, 1)
@@ -92,6 +95,10 @@
 // send sends the request to the reserved engine. The reservation is released on
 // failure.
 func (r *request) send(res, standby *reservation) (*connection.Exchange, error) {
+	if err := r.checkParts(); err != nil {
+		res.cancel()
+		return nil, err
+	}
 	ex, err := r.exchange(r.ctx, res, true, func(req *fasthttp.Request) { r.setStandbyHeader(req, standby) })
 	if err != nil {
 		res.release(r.call.Context().Err() == nil)
@@ -108,6 +115,9 @@
 		NoReuse: fresh, DialTimeout: connectTimeout, MaxIdleTime: maxIdleReuse, MatchesRequest: r.matchesID,
 	})
 	if err != nil {
+		if verdict.Of(err) != verdict.NotRun {
+			r.recordBrokenAnswer(res.server, err)
+		}
 		return nil, err
 	}
 	if err := r.checkResponse(ex, false); err != nil {
@@ -163,6 +173,7 @@
 		if s.isRegularEnd(err) {
 			return s.complete()
 		}
+		s.r.recordBrokenAnswer(s.generation.server(), err)
 		if err = s.resume(err); err != nil {
 			return s.fail(err)
 		}
@@ -258,12 +269,18 @@
 		s.r.worstGap = max(s.r.worstGap, now.Sub(s.lastAt))
 	}
 	s.r.events++
+	if s.r.events == begunEvents {
+		s.r.recordAnswer()
+	}
 	s.lastAt = now
 }
 
 // complete ends the caller's response after the last event.
 func (s *stream) complete() error {
 	s.r.g.Metrics.CompletedStreams.Add(1)
+	if s.r.events > 0 {
+		s.r.recordAnswer()
+	}
 	s.finish(true)
 	if !s.headerSent {
 		s.headerSent = true
--- a/internal/forward/switchover.go
+++ b/internal/forward/switchover.go
@@ -73,6 +73,9 @@
 // resume requests the target to resume after the newest event delivered.
 func (gen *generation) resume(ctx context.Context, sw *switchover) (*connection.Exchange, error) {
 	r := gen.r
+	if !r.answerBegun.Load() && r.g.crashes.rejects(r.promptParts) {
+		return nil, notRun(503, codePartRejected, "engines crashed on a part of the prompt")
+	}
 	d := &r.g.opts.Dialect
 	prepare := func(req *fasthttp.Request) {
 		gen.mu.Lock()
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -10,11 +10,13 @@
 	"errors"
 	"net"
 	"reflect"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"monsoonkeel.example/monsoonkeel/core/attribution"
 	"monsoonkeel.example/monsoonkeel/core/balance"
 	"monsoonkeel.example/monsoonkeel/core/fleet"
 	"monsoonkeel.example/monsoonkeel/internal/directory"
@@ -71,6 +73,9 @@
 	Generations []Generation            `json:"u,omitempty"`
 	// Terminating are the engine processes for which the host has a termination notice.
 	Terminating []Process `json:"g,omitempty"`
+	// Crashes are recent crashes of engines, and Answers say which prompt parts are sound.
+	Crashes []attribution.Report `json:"c,omitempty"`
+	Answers []attribution.Answer `json:"z,omitempty"`
 	// StoreResponseAgeMS is the time since the host's last successful store call, in ms.
 	StoreResponseAgeMS int64 `json:"a"`
 	// StoreReader is set when the host is a store reader of its region.
@@ -289,6 +294,8 @@
 // unchanged reports whether two states are equal except for their ages, which always change.
 func unchanged(a, b State) bool {
 	a.StoreResponseAgeMS, b.StoreResponseAgeMS = 0, 0
+	a.Crashes, a.Answers = withoutAges(a.Crashes, a.Answers)
+	b.Crashes, b.Answers = withoutAges(b.Crashes, b.Answers)
 	if a.RelayedUpdate != nil && b.RelayedUpdate != nil {
 		x, y := *a.RelayedUpdate, *b.RelayedUpdate
 		x.ConfirmedAgoMS, y.ConfirmedAgoMS = 0, 0
@@ -297,6 +304,17 @@
 	return reflect.DeepEqual(a, b)
 }
 
+func withoutAges(crashes []attribution.Report, answers []attribution.Answer) ([]attribution.Report, []attribution.Answer) {
+	crashes, answers = slices.Clone(crashes), slices.Clone(answers)
+	for i := range crashes {
+		crashes[i].AgeMS = 0
+	}
+	for i := range answers {
+		answers[i].AgeMS = 0
+	}
+	return crashes, answers
+}
+
 // send sends a state to the peers of the region, and with toAll to all other hosts.
 // Relayed updates and echoes go to the region only.
 func (e *Exchange) send(conn *net.UDPConn, s State, toAll bool) {
