Keep rejections of prompt parts in the store

Callers saw: nothing yet; after a restart of all hosts the part would crash three more engines before it is rejected again. Cause: the evidence was in the memory of the hosts only. Why it works: one elected host saves the crashes of each rejection, and each host reads them once at its start. A host that joins also learns them by gossip. Figures: one list call a process, one or two writes a rejection and crash.

--- a/core/attribution/attribution.go
+++ b/core/attribution/attribution.go
@@ -13,6 +13,7 @@
 	"math"
 	"slices"
 	"sort"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -74,6 +75,15 @@
 // PartOf returns the Part of a part's ID.
 func PartOf(id string) Part { return Part(xxhash.Sum64String(id) >> (64 - partBits)) }
 
+// String returns the hash in hexadecimal.
+func (p Part) String() string { return strconv.FormatUint(uint64(p), 16) }
+
+// ParsePart is the inverse of String.
+func ParsePart(s string) (Part, error) {
+	n, err := strconv.ParseUint(s, 16, partBits)
+	return Part(n), err
+}
+
 // Process identifies one process of an engine.
 type Process struct {
 	ID string `json:"i"`
--- a/internal/cmd/entrycmd/main.go
+++ b/internal/cmd/entrycmd/main.go
@@ -92,8 +92,9 @@
 	defer stop()
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
+	store := platform.NewStore(settings.Store, settings.DomainRegions, log)
 	adapter := entry.Adapter{
-		Store:        platform.NewStore(settings.Store, settings.DomainRegions, log),
+		Store:        store,
 		EngineClient: platform.NewEngineClient(),
 		Dialect:      platform.Dialect(),
 		ReadyPath:    platform.ReadyPath,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -61,7 +61,9 @@
 type Adapter struct {
 	Store        directory.Store
 	EngineClient forward.EngineClient
-	Dialect      forward.Dialect
+	// EvidenceStore is usually the same as Store; nil for none.
+	EvidenceStore forward.EvidenceStore
+	Dialect       forward.Dialect
 	// ReadyPath is the URL path of the readiness probe.
 	ReadyPath string
 	// Reload reads the settings again. It returns nil if they did not change.
@@ -109,6 +111,7 @@
 		Directory:           p.directory,
 		Dialect:             a.Dialect,
 		EngineClient:        a.EngineClient,
+		EvidenceStore:       a.EvidenceStore,
 		Log:                 log,
 		HostID:              s.HostID,
 		WatchTimeouts:       slices.Collect(maps.Values(watchTimeouts(s))),
@@ -179,6 +182,7 @@
 	group.Go(func() error { p.directory.Run(background); return nil })
 	group.Go(func() error { return p.gossip.Run(background) })
 	group.Go(func() error { p.gateway.PollTerminationNotices(background); return nil })
+	group.Go(func() error { p.gateway.KeepEvidence(background); return nil })
 	group.Go(func() error { return p.serveMetrics(background, metricsListen) })
 	group.Go(func() error { p.watchSettings(background, reload); return nil })
 
--- a/internal/forward/crashes.go
+++ b/internal/forward/crashes.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net"
 	"slices"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -281,6 +280,17 @@
 	}
 }
 
+// mergeReports adds crashes that were read from the store.
+func (c *crashes) mergeReports(reports []attribution.Report, reason string) {
+	c.mu.Lock()
+	changed := c.tracker.Merge(reports, nil, c.opts.Clock())
+	c.publish()
+	c.mu.Unlock()
+	if changed {
+		c.logChange(reason)
+	}
+}
+
 // fill sets the evidence in this host's gossip state.
 func (c *crashes) fill(s *gossip.State) {
 	c.mu.Lock()
@@ -314,7 +324,7 @@
 func (l loggedRejection) MarshalZerologObject(e *zerolog.Event) {
 	hashes := make([]string, 0, len(l.Parts))
 	for _, p := range l.Parts[:min(len(l.Parts), maxLoggedParts)] {
-		hashes = append(hashes, strconv.FormatUint(uint64(p), 16))
+		hashes = append(hashes, p.String())
 	}
 	servers := make([]string, 0, maxLoggedCrashes)
 	for _, crash := range slices.Backward(l.Crashes) {
--- /dev/null
+++ b/internal/forward/evidence.go
@@ -0,0 +1,131 @@
+package forward
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"monsoonkeel.example/monsoonkeel/core/attribution"
+	"monsoonkeel.example/monsoonkeel/internal/wait"
+)
+
+// Evidence is what a rejection of prompt parts is based on, as it is kept in the store for the case
+// that all hosts restart.
+type Evidence struct {
+	// Part is the first of the rejected parts; it names the object.
+	Part      attribution.Part
+	WrittenAt time.Time
+	// Crashes have only the rejected parts. Their ages are relative to WrittenAt.
+	Crashes []attribution.Report
+}
+
+// EvidenceStore keeps Evidence in the platform's store.
+type EvidenceStore interface {
+	ListEvidence(ctx context.Context) ([]Evidence, error)
+	SaveEvidence(ctx context.Context, e Evidence) error
+	DeleteEvidence(ctx context.Context, part attribution.Part) error
+}
+
+const (
+	// evidenceInterval is the time between two checks whether evidence must be saved, and the
+	// least time between two attempts to read it.
+	evidenceInterval = time.Second
+	// evidenceTimeout limits one store call.
+	evidenceTimeout = 2 * time.Second
+	// maxSavedCrashes limits the crashes that are saved of a rejection.
+	maxSavedCrashes = 16
+)
+
+// KeepEvidence reads the evidence of earlier processes from the store and saves that of new
+// rejections until ctx ends.
+func (g *Gateway) KeepEvidence(ctx context.Context) {
+	if g.opts.EvidenceStore == nil {
+		return
+	}
+	// saved holds the number of crashes of each rejection in the store.
+	saved := map[attribution.Part]int{}
+	for !g.loadEvidence(ctx, saved) {
+		if !wait.For(ctx, evidenceInterval) {
+			return
+		}
+	}
+	for wait.For(ctx, evidenceInterval) {
+		g.saveEvidence(ctx, saved)
+	}
+}
+
+// loadEvidence reads the evidence in the store and reports whether it succeeded.
+func (g *Gateway) loadEvidence(ctx context.Context, saved map[attribution.Part]int) bool {
+	ctx, cancel := context.WithTimeout(ctx, evidenceTimeout)
+	defer cancel()
+	list, err := g.opts.EvidenceStore.ListEvidence(ctx)
+	if err != nil {
+		g.opts.Log.Info().Err(err).Msg("reading the evidence on prompt parts from the store failed, trying again")
+		return false
+	}
+	var reports []attribution.Report
+	for _, e := range list {
+		saved[e.Part] = len(e.Crashes)
+		// Wall clocks differ and step; a negative age would keep the evidence longer.
+		age := max(time.Since(e.WrittenAt), 0)
+		for _, c := range e.Crashes {
+			c.AgeMS += age.Milliseconds()
+			reports = append(reports, c)
+		}
+	}
+	if len(reports) > 0 {
+		g.crashes.mergeReports(reports, "evidence was read from the store")
+	}
+	return true
+}
+
+// saveEvidence saves the rejections for which this host is elected and deletes those that ended.
+func (g *Gateway) saveEvidence(ctx context.Context, saved map[attribution.Part]int) {
+	current := map[attribution.Part]bool{}
+	peers := g.peerIDs()
+	for _, r := range g.crashes.rejections.Load().All() {
+		part := r.Parts[0]
+		current[part] = true
+		count := min(len(r.Crashes), maxSavedCrashes)
+		if saved[part] == count || !r.Elected(g.opts.HostID, peers, r.Last()) {
+			continue
+		}
+		if g.callEvidenceStore(ctx, "save", part, func(ctx context.Context) error {
+			return g.opts.EvidenceStore.SaveEvidence(ctx, evidenceOf(r, g.opts.Clock()))
+		}) {
+			saved[part] = count
+		}
+	}
+	for part := range saved {
+		if !current[part] && g.callEvidenceStore(ctx, "delete", part, func(ctx context.Context) error {
+			return g.opts.EvidenceStore.DeleteEvidence(ctx, part)
+		}) {
+			delete(saved, part)
+		}
+	}
+}
+
+// callEvidenceStore makes one call and reports whether it succeeded.
+func (g *Gateway) callEvidenceStore(ctx context.Context, operation string, part attribution.Part, call func(context.Context) error) bool {
+	ctx, cancel := context.WithTimeout(ctx, evidenceTimeout)
+	defer cancel()
+	err := call(ctx)
+	g.opts.Log.Info().Str("operation", operation).Str("part_hash", part.String()).AnErr("error", err).Msg("evidence on a prompt part in the store changed")
+	return err == nil
+}
+
+// evidenceOf returns the evidence of a rejection: its first crash, which the length of its hold
+// depends on, and the newest ones.
+func evidenceOf(r *attribution.Rejection, now time.Duration) Evidence {
+	e := Evidence{Part: r.Parts[0], WrittenAt: time.Now()}
+	crashes := r.Crashes
+	if len(crashes) > maxSavedCrashes {
+		crashes = slices.Concat(crashes[:1], crashes[len(crashes)-maxSavedCrashes+1:])
+	}
+	for _, c := range crashes {
+		e.Crashes = append(e.Crashes, attribution.Report{
+			Process: c.Process, Address: c.Address, Domain: c.Domain, AgeMS: (now - c.At).Milliseconds(), Engines: c.Engines, Parts: r.Parts,
+		})
+	}
+	return e
+}
--- a/internal/forward/gateway.go
+++ b/internal/forward/gateway.go
@@ -23,7 +23,9 @@
 	Directory    *directory.Directory
 	Dialect      Dialect
 	EngineClient EngineClient
-	Log          zerolog.Logger
+	// EvidenceStore keeps rejections of prompt parts for the next processes; nil for none.
+	EvidenceStore EvidenceStore
+	Log           zerolog.Logger
 	// HostID, Domain and Region identify this host.
 	HostID, Domain, Region string
 	// WatchTimeouts are the long-poll timeouts of the store watches.
