--- a/internal/cmd/entrycmd/main.go
+++ b/internal/cmd/entrycmd/main.go
@@ -94,11 +94,12 @@
 	signal.Notify(reload, syscall.SIGHUP)
 	store := platform.NewStore(settings.Store, settings.DomainRegions, log)
 	adapter := entry.Adapter{
-		Store:        store,
-		EngineClient: platform.NewEngineClient(),
-		Dialect:      platform.Dialect(),
-		ReadyPath:    platform.ReadyPath,
-		Reload:       platform.Reloader(path),
+		Store:         store,
+		EvidenceStore: store,
+		EngineClient:  platform.NewEngineClient(),
+		Dialect:       platform.Dialect(),
+		ReadyPath:     platform.ReadyPath,
+		Reload:        platform.Reloader(path),
 	}
 	return entry.New(settings, adapter, log).Run(ctx, metrics, reload)
 }
