Share the handling of prompt parts between the request paths

Cause: the product's own request path needs the same checks of engines, rejections and log lines. Ruled out: a copy in internal/request. Change: internal/crashes, taken out of internal/forward.

--- a/core/attribution/attribution.go
+++ b/core/attribution/attribution.go
@@ -31,8 +31,8 @@
 	// service has fewer.
 	minAddresses = 3
 	// minSpacing is the time between two crashes that count separately, and
-	// minDomainSpacing that between two in one failure domain: engines that crash together,
-	// as when a failure domain loses power, have a common cause.
+	// minDomainSpacing that between two in one of several failure domains: engines that
+	// crash together, as when a domain loses power, have a common cause.
 	minSpacing       = 250 * time.Millisecond
 	minDomainSpacing = time.Second
 	// clockTolerance is the error of times that other hosts report as ages.
@@ -99,8 +99,9 @@
 	Domain string
 	// At is when the crash was noticed.
 	At time.Duration
-	// Engines is the number of engines of the service.
-	Engines int
+	// Engines is the number of engines of the service, and Domains that of their failure
+	// domains.
+	Engines, Domains int
 	// Parts are those of requests that had been sent to the process and whose answers had
 	// not begun.
 	Parts []Part
@@ -113,6 +114,7 @@
 	Domain  string `json:"d"`
 	AgeMS   int64  `json:"t"`
 	Engines int    `json:"n"`
+	Domains int    `json:"z"`
 	Parts   []Part `json:"p"`
 }
 
@@ -297,7 +299,7 @@
 	}
 	for _, r := range reports {
 		at := now - age(r.AgeMS)
-		changed = t.add(Crash{Process: r.Process, Address: r.Address, Domain: r.Domain, At: at, Engines: r.Engines, Parts: r.Parts}, now) || changed
+		changed = t.add(Crash{Process: r.Process, Address: r.Address, Domain: r.Domain, At: at, Engines: r.Engines, Domains: r.Domains, Parts: r.Parts}, now) || changed
 	}
 	return changed && t.evaluate()
 }
@@ -324,7 +326,7 @@
 			parts := t.reportedParts(c, limit)
 			left -= len(parts)
 			reports = append(reports, Report{
-				Process: c.Process, Address: c.Address, Domain: c.Domain, AgeMS: (now - c.At).Milliseconds(), Engines: c.Engines, Parts: parts,
+				Process: c.Process, Address: c.Address, Domain: c.Domain, AgeMS: (now - c.At).Milliseconds(), Engines: c.Engines, Domains: c.Domains, Parts: parts,
 			})
 		}
 	}
--- a/core/attribution/rejections.go
+++ b/core/attribution/rejections.go
@@ -181,7 +181,7 @@
 	inDomain := map[string]time.Duration{}
 	for _, c := range crashes {
 		previous, ok := inDomain[c.Domain]
-		if n > 0 && c.At-last < minSpacing || ok && c.At-previous < minDomainSpacing {
+		if n > 0 && c.At-last < minSpacing || ok && c.Domains > 1 && c.At-previous < minDomainSpacing {
 			continue
 		}
 		n++
--- /dev/null
+++ b/internal/crashes/crashes.go
@@ -0,0 +1,191 @@
+// Package crashes rejects requests with prompt parts that crash engines. It connects the decisions of
+// core/attribution to the requests of a host, to its peers and to the log: it checks whether an engine
+// that broke off a response has crashed, publishes the rejections to the request path, and interrupts
+// requests that would crash their engines.
+package crashes
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"monsoonkeel.example/monsoonkeel/core/attribution"
+	"monsoonkeel.example/monsoonkeel/internal/connection"
+)
+
+const (
+	// dialTimeout limits one connection setup to an engine that broke off a response. A lost
+	// packet costs a second.
+	dialTimeout = 400 * time.Millisecond
+	// maxDials is how often such an engine is dialled until its state is known.
+	maxDials = 2
+	// checkRetention is how long the result of these dials holds for other requests.
+	checkRetention = 5 * time.Second
+	// trialRetryAfter is the Retry-After of a request that a trial of another one may clear.
+	trialRetryAfter = 2 * time.Second
+	// minRetryAfter is the least Retry-After of other rejected requests.
+	minRetryAfter = 10 * time.Second
+)
+
+// Options configure a Guard.
+type Options struct {
+	// HostID is the ID of this host, and Peers returns those of the other live hosts.
+	HostID string
+	Peers  func() []string
+	// Clock also counts time in which the machine is suspended; see internal/boottime.
+	Clock func() time.Duration
+	Log   zerolog.Logger
+}
+
+// Guard holds the rejections of a host and the evidence for them.
+type Guard struct {
+	opts       Options
+	rejections atomic.Pointer[attribution.Rejections]
+	// Crashes counts the crashes of engines before answers of this host began, and Trials the
+	// requests that were sent although a prompt part was rejected.
+	Crashes, Trials atomic.Int64
+
+	mu      sync.Mutex
+	tracker *attribution.Tracker
+	// pending are the requests that were sent and whose answers have not begun.
+	pending map[*Request]struct{}
+	checks  map[attribution.Process]*check
+}
+
+// check is the check whether a process has ended.
+type check struct {
+	done    chan struct{}
+	crashed bool // valid once done is closed
+	started time.Duration
+}
+
+// New returns a Guard without evidence.
+func New(opts Options) *Guard {
+	g := &Guard{opts: opts, tracker: attribution.New(), pending: map[*Request]struct{}{}, checks: map[attribution.Process]*check{}}
+	g.rejections.Store(g.tracker.Rejections())
+	return g
+}
+
+// Rejections returns the current rejections.
+func (g *Guard) Rejections() []*attribution.Rejection { return g.rejections.Load().All() }
+
+// IsElected reports whether this host acts for all hosts on a rejection that does not change.
+func (g *Guard) IsElected(r *attribution.Rejection) bool {
+	return r.Elected(g.opts.HostID, g.opts.Peers(), r.Last())
+}
+
+// Age returns the time since at, which is on the Clock.
+func (g *Guard) Age(at time.Duration) time.Duration { return g.opts.Clock() - at }
+
+// Merge adds the evidence of another host or of the store, as of receivedAt. reason is for the log.
+func (g *Guard) Merge(reports []attribution.Report, answers []attribution.Answer, receivedAt time.Time, reason string) {
+	if len(reports) == 0 && len(answers) == 0 {
+		return
+	}
+	g.update(reason, func(t *attribution.Tracker, now time.Duration) bool {
+		return t.Merge(reports, answers, now-time.Since(receivedAt))
+	})
+}
+
+// Evidence returns the evidence of this host for the others.
+func (g *Guard) Evidence() (reports []attribution.Report, answers []attribution.Answer) {
+	g.update("crashes expired", func(t *attribution.Tracker, now time.Duration) bool {
+		changed := t.Expire(now)
+		reports, answers = t.Reports(now), t.Answers(now)
+		return changed
+	})
+	return reports, answers
+}
+
+// update changes the evidence, publishes the rejections and logs them if they changed.
+func (g *Guard) update(reason string, change func(t *attribution.Tracker, now time.Duration) bool) {
+	now := g.opts.Clock()
+	g.mu.Lock()
+	changed := change(g.tracker, now)
+	g.publish()
+	g.mu.Unlock()
+	if changed {
+		g.logRejections(reason, now)
+	}
+}
+
+// publish makes the tracker's rejections visible to requests and interrupts the pending ones that
+// they cover, which would crash their engines. g.mu must be held.
+func (g *Guard) publish() {
+	rejections := g.tracker.Rejections()
+	if g.rejections.Swap(rejections) == rejections {
+		return
+	}
+	for r := range g.pending {
+		if rejection := rejections.Find(r.parts); rejection != nil && rejection.Covers(r.parts) && !r.trial.Load() {
+			delete(g.pending, r)
+			r.interruptedBy.Store(rejection)
+			r.interrupt()
+		}
+	}
+}
+
+// confirm records a crash if its process does not accept connections any more.
+func (g *Guard) confirm(r *Request, crash attribution.Crash) {
+	c, first := g.startCheck(crash.Process)
+	if first {
+		c.crashed = refuses(crash.Address)
+		close(c.done)
+	}
+	<-c.done
+	log := g.opts.Log.Info().Str("request", r.id).Str("backend", crash.Process.ID).Str("address", crash.Address).Strs("parts", r.LoggedParts())
+	if !c.crashed {
+		log.Msg("response broke off before the answer began, the backend server still accepts connections")
+		return
+	}
+	if first {
+		g.Crashes.Add(1)
+	}
+	log.Int("engines", crash.Engines).Msg("backend server crashed before the answer began")
+	g.update("a backend server crashed", func(t *attribution.Tracker, _ time.Duration) bool { return t.RecordCrash(crash) })
+}
+
+// startCheck returns the check of a process; first is set if the caller must perform it.
+func (g *Guard) startCheck(p attribution.Process) (c *check, first bool) {
+	now := g.opts.Clock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for known, c := range g.checks {
+		if now-c.started > checkRetention {
+			delete(g.checks, known)
+		}
+	}
+	if c := g.checks[p]; c != nil {
+		return c, false
+	}
+	c = &check{done: make(chan struct{}), started: now}
+	g.checks[p] = c
+	return c, true
+}
+
+// refuses reports whether no process listens at an address. A machine that does not respond at all
+// may only be unreachable.
+func refuses(address string) bool {
+	for range maxDials {
+		conn, err := connection.Dial(context.Background(), address, dialTimeout)
+		if err == nil {
+			_ = conn.Close()
+			return false
+		}
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return true
+		}
+	}
+	return false
+}
+
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
--- a/internal/forward/evidence.go
+++ b/internal/forward/evidence.go
@@ -74,7 +74,7 @@
 		}
 	}
 	if len(reports) > 0 {
-		g.crashes.mergeReports(reports, "evidence was read from the store")
+		g.crashes.Merge(reports, nil, time.Now(), "evidence was read from the store")
 	}
 	return true
 }
@@ -82,16 +82,15 @@
 // saveEvidence saves the rejections for which this host is elected and deletes those that ended.
 func (g *Gateway) saveEvidence(ctx context.Context, saved map[attribution.Part]int) {
 	current := map[attribution.Part]bool{}
-	peers := g.peerIDs()
-	for _, r := range g.crashes.rejections.Load().All() {
+	for _, r := range g.crashes.Rejections() {
 		part := r.Parts[0]
 		current[part] = true
 		count := min(len(r.Crashes), maxSavedCrashes)
-		if saved[part] == count || !r.Elected(g.opts.HostID, peers, r.Last()) {
+		if saved[part] == count || !g.crashes.IsElected(r) {
 			continue
 		}
 		if g.callEvidenceStore(ctx, "save", part, func(ctx context.Context) error {
-			return g.opts.EvidenceStore.SaveEvidence(ctx, evidenceOf(r, g.opts.Clock()))
+			return g.opts.EvidenceStore.SaveEvidence(ctx, g.evidenceOf(r))
 		}) {
 			saved[part] = count
 		}
@@ -116,7 +115,7 @@
 
 // evidenceOf returns the evidence of a rejection: its first crash, which the length of its hold
 // depends on, and the newest ones.
-func evidenceOf(r *attribution.Rejection, now time.Duration) Evidence {
+func (g *Gateway) evidenceOf(r *attribution.Rejection) Evidence {
 	e := Evidence{Part: r.Parts[0], WrittenAt: time.Now()}
 	crashes := r.Crashes
 	if len(crashes) > maxSavedCrashes {
@@ -124,7 +123,7 @@
 	}
 	for _, c := range crashes {
 		e.Crashes = append(e.Crashes, attribution.Report{
-			Process: c.Process, Address: c.Address, Domain: c.Domain, AgeMS: (now - c.At).Milliseconds(), Engines: c.Engines, Parts: r.Parts,
+			Process: c.Process, Address: c.Address, Domain: c.Domain, AgeMS: g.crashes.Age(c.At).Milliseconds(), Engines: c.Engines, Domains: c.Domains, Parts: r.Parts,
 		})
 	}
 	return e
--- a/internal/forward/gateway.go
+++ b/internal/forward/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"sort"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +15,7 @@
 	"monsoonkeel.example/monsoonkeel/core/route"
 	"monsoonkeel.example/monsoonkeel/core/verdict"
 	"monsoonkeel.example/monsoonkeel/internal/connection"
+	"monsoonkeel.example/monsoonkeel/internal/crashes"
 	"monsoonkeel.example/monsoonkeel/internal/directory"
 	"monsoonkeel.example/monsoonkeel/internal/gossip"
 )
@@ -58,8 +60,11 @@
 	balancers       *balancers
 	responseBuffers *responseBuffers
 	generations     generations
-	crashes         *crashes
-	Metrics         Metrics
+	crashes         *crashes.Guard
+	// mergedEvidence holds the gossip.MessageID of the newest message of each host whose evidence
+	// on prompt parts was merged.
+	mergedEvidence sync.Map
+	Metrics        Metrics
 	// shutdownDeadline is the time, in Unix nanoseconds, by which running requests
 	// must have ended because the host is shutting down; 0 otherwise.
 	shutdownDeadline atomic.Int64
@@ -78,7 +83,8 @@
 	g := &Gateway{opts: opts, pool: connection.NewPoolSize(maxIdlePerServer)}
 	g.bounds.Store(&opts.Bounds)
 	g.balancers = newBalancers(opts)
-	g.crashes = newCrashes(opts)
+	g.crashes = crashes.New(crashes.Options{HostID: opts.HostID, Peers: g.peerIDs, Clock: opts.Clock, Log: opts.Log})
+	g.Metrics.crashes = g.crashes
 	g.responseBuffers = newResponseBuffers(opts.ResponseBufferBytes)
 	g.peers.Store(&[]gossip.State{})
 	g.generations.plannedUntil = map[string]time.Time{}
@@ -194,7 +200,7 @@
 	s.StoreResponseAgeMS = g.opts.Directory.StoreResponseAge().Milliseconds()
 	s.StoreReader, s.RecentStoreFailure = g.opts.Directory.IsStoreReader(), g.opts.Directory.RecentStoreFailure()
 	s.RelayedUpdate = g.opts.Directory.RelayedUpdate()
-	g.crashes.fill(s)
+	s.Crashes, s.Answers = g.crashes.Evidence()
 	s.Terminating = nil
 	for id, server := range g.opts.Directory.Snapshot().Servers {
 		if server.Leaving && !server.Removed && g.balancers.engineConfig(server.Service) != nil {
@@ -214,7 +220,7 @@
 		}
 	}
 	g.balancers.setPeerLoad(loads)
-	g.crashes.merge(states)
+	g.mergeEvidence(states)
 	g.opts.Directory.SetStoreReader(g.isStoreReader(states))
 	for _, s := range states {
 		if s.RelayedUpdate != nil && s.Region == g.opts.Region && s.EchoSentAt > 0 {
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -7,17 +7,17 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"monsoonkeel.example/monsoonkeel/internal/crashes"
 )
 
 // Metrics holds the gateway's counters and latency histograms.
 type Metrics struct {
 	Requests, Retries, Migrations, FailedMigrations, CompletedStreams, BrokenStreams atomic.Int64
-	// EngineCrashes counts the crashes of engines before answers of this host began, and
-	// PartTrials the requests that were sent although a prompt part was rejected.
-	EngineCrashes, PartTrials atomic.Int64
-	Latency, FirstEvent       Histogram
-	mu                        sync.Mutex
-	failures                  map[string]int64
+	crashes                                                                          *crashes.Guard
+	Latency, FirstEvent                                                              Histogram
+	mu                                                                               sync.Mutex
+	failures                                                                         map[string]int64
 }
 
 func (m *Metrics) countFailure(code string) {
@@ -40,8 +40,9 @@
 		"moves_failed":      m.FailedMigrations.Load(),
 		"broken_streams":    m.BrokenStreams.Load(),
 		"completed_streams": m.CompletedStreams.Load(),
-		"engine_crashes":    m.EngineCrashes.Load(),
-		"part_trials":       m.PartTrials.Load(),
+		"engine_crashes":    m.crashes.Crashes.Load(),
+		"rejected_parts":    len(m.crashes.Rejections()),
+		"part_trials":       m.crashes.Trials.Load(),
 		"failures":          m.failures,
 		"latency_ms":        m.Latency.quantiles(),
 		"first_event_ms":    m.FirstEvent.quantiles(),
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -82,7 +82,7 @@
 	if ran == 0 {
 		return err
 	}
-	return r.rejectionError(r.rejection, true)
+	return r.rejectionError(true)
 }
 
 // mayExecuteAgain reports whether the request may be executed once more after ran
@@ -215,7 +215,7 @@
 	case err != nil:
 		r.recordBrokenAnswer(res.server, err)
 	case status < 300:
-		r.recordAnswer()
+		r.prompt.RecordAnswer()
 	}
 	return err
 }
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -5,7 +5,6 @@
 	"errors"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -15,6 +14,7 @@
 	"monsoonkeel.example/monsoonkeel/core/route"
 	"monsoonkeel.example/monsoonkeel/core/verdict"
 	"monsoonkeel.example/monsoonkeel/internal/connection"
+	"monsoonkeel.example/monsoonkeel/internal/crashes"
 	"monsoonkeel.example/monsoonkeel/internal/directory"
 )
 
@@ -36,15 +36,8 @@
 	// maxOutput is the largest number of output tokens that the caller allows.
 	maxOutput int
 
-	// parts are the IDs of the prompt parts that other requests may share.
-	parts []string
-	// promptParts are the same as they are known to core/attribution.
-	promptParts []attribution.Part
-	// answerBegun is set once the answer has begun. trial is set if the request is sent although
-	// a part is rejected. interruptedBy is the rejection that interrupted the request.
-	answerBegun   atomic.Bool
-	trial         atomic.Bool
-	interruptedBy atomic.Pointer[attribution.Rejection]
+	// prompt holds the prompt parts that other requests may share.
+	prompt *crashes.Request
 
 	// Outcome of the request, for the log line.
 	responded  bool
@@ -87,8 +80,8 @@
 	if err := r.checkParts(); err != nil {
 		return err
 	}
-	r.g.crashes.begin(r)
-	defer r.g.crashes.end(r)
+	r.prompt.Begin()
+	defer r.prompt.End()
 	if r.route.Kind == route.Stream {
 		return r.serveStream()
 	}
@@ -183,11 +176,8 @@
 	d := &r.g.opts.Dialect
 	h := &r.call.Request.Header
 	if value := h.Peek(d.PromptParts); len(value) > 0 {
-		r.parts = d.ParsePromptParts(string(value))
-		r.promptParts = make([]attribution.Part, len(r.parts))
-		for i, id := range r.parts {
-			r.promptParts[i] = attribution.PartOf(id)
-		}
+		interrupt := func() { r.cancel() } // set before the request is registered as sent
+		r.prompt = r.g.crashes.NewRequest(r.id, d.ParsePromptParts(string(value)), interrupt)
 	}
 	prompt, output, ok := d.ParseTokenCounts(string(h.Peek(d.TokenCounts)))
 	if !ok {
@@ -272,8 +262,8 @@
 		r.responded = true // nobody reads a response
 		return &verdict.Error{Verdict: verdict.MayHaveRun, Status: 499, Code: "caller_left", Detail: "the caller closed the connection"}
 	}
-	if rejection := r.interruptedBy.Load(); rejection != nil {
-		return r.rejectionError(rejection, sent)
+	if r.rejection = r.prompt.InterruptedBy(); r.rejection != nil {
+		return r.rejectionError(sent)
 	}
 	if !sent {
 		return notRun(503, "no_place_in_time", "no backend server had capacity before the deadline")
@@ -281,9 +271,6 @@
 	return &verdict.Error{Verdict: verdict.MayHaveRun, Status: 504, Code: "timeout", Detail: "no complete response before the deadline"}
 }
 
-// maxLoggedParts limits the prompt parts in a log line.
-const maxLoggedParts = 8
-
 // log writes the log line of the request and counts its latency and failure code.
 func (r *request) log(err error) {
 	var e *zerolog.Event
@@ -307,11 +294,11 @@
 	if r.team != nil {
 		e = e.Str("team", r.team.Name)
 	}
-	if len(r.parts) > 0 {
-		e = e.Strs("parts", r.parts[:min(len(r.parts), maxLoggedParts)])
+	if parts := r.prompt.LoggedParts(); len(parts) > 0 {
+		e = e.Strs("parts", parts)
 	}
 	if r.rejection != nil {
-		e = e.Str("rejected_part", r.rejectedPart()).EmbedObject(loggedRejection{r.rejection, r.g.opts.Clock()})
+		e = e.Str("rejected_part", r.prompt.RejectedPart(r.rejection)).EmbedObject(r.g.crashes.Logged(r.rejection))
 	}
 	if r.route != nil && r.route.Kind == route.Stream {
 		e = e.Int("events", r.events).Int64("first_event_ms", r.firstEvent.Milliseconds()).
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -270,7 +270,7 @@
 	}
 	s.r.events++
 	if s.r.events == begunEvents {
-		s.r.recordAnswer()
+		s.r.prompt.RecordAnswer()
 	}
 	s.lastAt = now
 }
@@ -279,7 +279,7 @@
 func (s *stream) complete() error {
 	s.r.g.Metrics.CompletedStreams.Add(1)
 	if s.r.events > 0 {
-		s.r.recordAnswer()
+		s.r.prompt.RecordAnswer()
 	}
 	s.finish(true)
 	if !s.headerSent {
--- a/internal/forward/switchover.go
+++ b/internal/forward/switchover.go
@@ -10,6 +10,7 @@
 
 	"monsoonkeel.example/monsoonkeel/core/verdict"
 	"monsoonkeel.example/monsoonkeel/internal/connection"
+	"monsoonkeel.example/monsoonkeel/internal/crashes"
 )
 
 // maxOverlap limits how long the source may continue after the resume request was sent to
@@ -73,8 +74,8 @@
 // resume requests the target to resume after the newest event delivered.
 func (gen *generation) resume(ctx context.Context, sw *switchover) (*connection.Exchange, error) {
 	r := gen.r
-	if !r.answerBegun.Load() && r.g.crashes.rejects(r.promptParts) {
-		return nil, notRun(503, codePartRejected, "engines crashed on a part of the prompt")
+	if r.prompt.Rejection() != nil {
+		return nil, notRun(503, crashes.Code, "engines crashed on a part of the prompt")
 	}
 	d := &r.g.opts.Dialect
 	prepare := func(req *fasthttp.Request) {
