End a host that cannot listen for its peers

Callers saw: nothing directly; such a host served on without the load, notices and evidence of the others, and without a log line. Cause: the process waited for all its loops, so the failure of one, here of the listener for datagrams, was noticed only when all had ended. Why it works: the first loop that fails ends the process with its error.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -175,7 +175,7 @@
 	p.log.Info().Str("listen", p.settings.Listen).Str("store", p.settings.Store).Msg("started")
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
-	var group errgroup.Group
+	group, failed := errgroup.WithContext(context.Background())
 	group.Go(func() error { return p.callers.Serve(callerListener) })
 	probe := &http.Server{Handler: p.probes(), ReadTimeout: probeTimeout, WriteTimeout: probeTimeout}
 	group.Go(func() error { return ignoreClosed(probe.Serve(probeListener)) })
@@ -191,7 +191,7 @@
 	select {
 	case <-ctx.Done():
 		p.shutDown()
-	case err = <-ended: // a listener failed
+	case <-failed.Done(): // a listener failed
 	}
 	stop()
 	_ = callerListener.Close()
@@ -201,6 +201,9 @@
 	case <-time.After(exitTimeout):
 		// Calls to the store end by their own deadlines; the process does not wait for
 		// them.
+		if failed.Err() != nil {
+			err = context.Cause(failed)
+		}
 	}
 	p.log.Info().Msg("stopped")
 	return err
