Reject prompts with a message that crashes engines in the product's path

Callers saw: one request whose prompt crashes engines was retried at up to three engines, and each further request with the message crashed more. Why it works: the messages of a prompt are its parts; internal/crashes decides as on the other path. A request whose engines crashed twice is not retried, on both paths.

--- a/core/attribution/attribution.go
+++ b/core/attribution/attribution.go
@@ -37,6 +37,9 @@
 	minDomainSpacing = time.Second
 	// clockTolerance is the error of times that other hosts report as ages.
 	clockTolerance = 500 * time.Millisecond
+	// maxCrashesBeforeRetry is the number of crashes with a part from which a request with it
+	// is not sent to another engine any more.
+	maxCrashesBeforeRetry = 2
 	// minHold and maxHold bound the time for which a part is rejected without a trial.
 	minHold = 30 * time.Second
 	maxHold = 10 * time.Minute
--- a/core/attribution/attribution_test.go
+++ b/core/attribution/attribution_test.go
@@ -181,6 +181,19 @@
 	assert.Nil(t, tracker.Rejections().Find([]Part{bad}))
 }
 
+// Guards against one request that crashes an engine with each of its retries.
+func TestRetryAfterCrashes(t *testing.T) {
+	tracker := New()
+	parts := []Part{first, bad}
+	assert.True(t, tracker.AllowRetry(parts))
+	tracker.RecordCrash(crashAt(1, s, parts...))
+	assert.True(t, tracker.AllowRetry(parts))
+	tracker.RecordCrash(crashAt(2, 2*s, parts...))
+	assert.False(t, tracker.AllowRetry(parts))
+	tracker.RecordAnswer(parts, 3*s)
+	assert.True(t, tracker.AllowRetry(parts))
+}
+
 // Guards against evidence that is kept for ever.
 func TestEvidenceExpires(t *testing.T) {
 	tracker := New()
--- a/core/attribution/rejections.go
+++ b/core/attribution/rejections.go
@@ -102,6 +102,24 @@
 	return true
 }
 
+// AllowRetry reports whether a request with these parts may be sent to another engine after its
+// engine crashed: not if one of them was present at maxCrashesBeforeRetry crashes, and no answer with
+// it has begun since.
+func (t *Tracker) AllowRetry(parts []Part) bool {
+	for _, p := range parts {
+		crashes := 0
+		for _, c := range t.crashes {
+			if _, ok := c.parts[p]; ok {
+				crashes++
+			}
+		}
+		if crashes >= maxCrashesBeforeRetry {
+			return false
+		}
+	}
+	return true
+}
+
 // evaluate computes the rejections from all evidence and reports whether they changed. The part
 // with the most crashes explains all of them, so that they do not count against other parts of the
 // same requests.
--- a/internal/crashes/request.go
+++ b/internal/crashes/request.go
@@ -21,15 +21,19 @@
 	parts     []attribution.Part
 	interrupt func()
 
+	// checked is closed when the last broken answer of the request has been checked; nil if there
+	// was none.
+	checked chan struct{}
+
 	begun, trial  atomic.Bool
 	interruptedBy atomic.Pointer[attribution.Rejection]
 }
 
 // NewRequest returns the Request of a request with the given ID and IDs of prompt parts, nil without
-// parts. interrupt is called at most once, if a part is rejected after the request was sent and before
+// parts or without a Guard. interrupt is called at most once, if a part is rejected after the request was sent and before
 // its answer begins; it must not block.
 func (g *Guard) NewRequest(id string, partIDs []string, interrupt func()) *Request {
-	if len(partIDs) == 0 {
+	if g == nil || len(partIDs) == 0 {
 		return nil
 	}
 	r := &Request{guard: g, id: id, partIDs: partIDs, parts: make([]attribution.Part, len(partIDs)), interrupt: interrupt}
@@ -137,11 +141,28 @@
 
 // RecordBrokenAnswer records a crash if the engine has ended since it got the request and the answer
 // had not begun. cause is how the response ended. The time and the parts of the crash are set here. It
-// does not wait for the check of the engine.
+// does not wait for the check of the engine. It must not be called concurrently.
 func (r *Request) RecordBrokenAnswer(crash attribution.Crash, cause error) {
 	if !r.HasPendingAnswer() || isTimeout(cause) {
 		return
 	}
 	crash.At, crash.Parts = r.guard.opts.Clock(), r.parts
-	go r.guard.confirm(r, crash)
+	checked := make(chan struct{})
+	r.checked = checked
+	go func() {
+		defer close(checked)
+		r.guard.confirm(r, crash)
+	}()
+}
+
+// AllowRetry reports whether the request may be sent to another engine after a broken answer. It waits
+// for the check of the engine.
+func (r *Request) AllowRetry() bool {
+	if r == nil || r.checked == nil {
+		return true
+	}
+	<-r.checked
+	r.guard.mu.Lock()
+	defer r.guard.mu.Unlock()
+	return r.guard.tracker.AllowRetry(r.parts)
 }
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -110,7 +110,7 @@
 	if verdict.From(err).Code == connection.CodeConnectFailed {
 		return true
 	}
-	if !r.g.balancers.chargeRetry(r.service) {
+	if !r.prompt.AllowRetry() || !r.g.balancers.chargeRetry(r.service) {
 		return false
 	}
 	r.g.Metrics.Retries.Add(1)
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -14,7 +14,9 @@
 	"golang.org/x/sync/errgroup"
 
 	"monsoonkeel.example/monsoonkeel/core/config"
+	"monsoonkeel.example/monsoonkeel/internal/boottime"
 	"monsoonkeel.example/monsoonkeel/internal/connection"
+	"monsoonkeel.example/monsoonkeel/internal/crashes"
 	"monsoonkeel.example/monsoonkeel/internal/placement"
 	"monsoonkeel.example/monsoonkeel/internal/platform"
 	"monsoonkeel.example/monsoonkeel/internal/platform/httpapi"
@@ -58,6 +60,7 @@
 	gateway      *request.Gateway
 	recorder     *recorder
 	routing      *routing
+	crashes      *crashes.Guard
 	callerServer *fasthttp.Server
 	adminServer  *fasthttp.Server
 
@@ -92,6 +95,9 @@
 		Now:       time.Now,
 		Log:       log,
 	})
+	d.crashes = crashes.New(crashes.Options{
+		HostID: s.HostID, Peers: func() []string { return d.membership.View().Members }, Clock: boottime.Now, Log: log,
+	})
 	d.peers = peers.New(peers.Config{
 		Membership: d.membership,
 		Source:     configSource{d.config},
@@ -144,6 +150,7 @@
 		RetryBudget:      d.retries,
 		ColdStarts:       coldReporter{d},
 		Recorder:         d.recorder,
+		Crashes:          d.crashes,
 		Log:              d.log,
 		Now:              time.Now,
 		NewID:            uuid.NewString,
--- a/internal/request/call.go
+++ b/internal/request/call.go
@@ -11,6 +11,7 @@
 
 	"monsoonkeel.example/monsoonkeel/core/config"
 	"monsoonkeel.example/monsoonkeel/core/verdict"
+	"monsoonkeel.example/monsoonkeel/internal/crashes"
 	"monsoonkeel.example/monsoonkeel/internal/version"
 )
 
@@ -31,6 +32,8 @@
 	// maybeSent is set when a byte of the request may have reached a backend server.
 	maybeSent bool
 	streaming bool
+	// prompt holds the messages of a generation's prompt.
+	prompt *crashes.Request
 	// releaseTeam releases the call's slot in its team's limit.
 	releaseTeam func()
 	outcome     Outcome
@@ -51,6 +54,7 @@
 // end releases the call's resources and records its outcome. It is called once.
 func (c *call) end() {
 	c.unwatch()
+	c.prompt.End()
 	c.releaseTeam()
 	c.outcome.Cancelled = c.ctx.Err() == context.Canceled
 	c.cancel()
@@ -156,6 +160,9 @@
 
 // contextError returns the error for a call whose context is done.
 func (c *call) contextError() error {
+	if rejection := c.prompt.InterruptedBy(); rejection != nil {
+		return c.rejectedPrompt(rejection)
+	}
 	if c.ctx.Err() == context.DeadlineExceeded {
 		return c.newError(504, "deadline_exceeded", "the request's deadline passed")
 	}
--- a/internal/request/dispatch.go
+++ b/internal/request/dispatch.go
@@ -106,5 +106,5 @@
 // acquireRetry reports whether a request that has made the given number of attempts may
 // be retried, and consumes a retry from the budget if so.
 func (c *call) acquireRetry(attempts int) bool {
-	return attempts < maxAttempts && c.ctx.Err() == nil && c.g.RetryBudget.AcquireRetry(c.g.Now())
+	return attempts < maxAttempts && c.ctx.Err() == nil && c.prompt.AllowRetry() && c.g.RetryBudget.AcquireRetry(c.g.Now())
 }
--- a/internal/request/gateway.go
+++ b/internal/request/gateway.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"monsoonkeel.example/monsoonkeel/internal/connection"
+	"monsoonkeel.example/monsoonkeel/internal/crashes"
 	"monsoonkeel.example/monsoonkeel/internal/placement"
 	"monsoonkeel.example/monsoonkeel/internal/request/gentoken"
 	"monsoonkeel.example/monsoonkeel/internal/version"
@@ -96,9 +97,11 @@
 	RetryBudget      RetryBudget
 	ColdStarts       ColdStartReporter
 	Recorder         Recorder
-	Log              zerolog.Logger
-	Now              func() time.Time
-	NewID            func() string
+	// Crashes rejects requests with messages that crash engines; nil for none.
+	Crashes *crashes.Guard
+	Log     zerolog.Logger
+	Now     func() time.Time
+	NewID   func() string
 	// Draining reports whether the host is shutting down.
 	Draining func() bool
 
--- a/internal/request/generation.go
+++ b/internal/request/generation.go
@@ -133,11 +133,21 @@
 // attempt sends the request to one backend server with a new generation id. Without a
 // reservation, gen.reservation is nil.
 func (gen *generation) attempt() error {
+	if err := gen.c.checkPrompt(); err != nil {
+		gen.reservation = nil
+		return err
+	}
 	reservation, err := gen.c.acquire(gen.workload, gen.attemptedBackends)
 	if err != nil {
 		gen.reservation = nil
 		return err
 	}
+	// The evidence may have become known during the wait.
+	if err := gen.c.checkPrompt(); err != nil {
+		reservation.Release(false)
+		gen.reservation = nil
+		return err
+	}
 	gen.reservation, gen.host, gen.incarnation = reservation, reservation.Host, reservation.Incarnation()
 	gen.attempts++
 	gen.offset, gen.trailing, gen.finished = 0, 0, false
@@ -175,6 +185,7 @@
 
 func (gen *generation) handleSendError(err error) error {
 	gen.c.reportSendFailure(gen.reservation, err)
+	gen.recordBrokenAnswer(err)
 	if gen.c.ctx.Err() != nil {
 		return gen.c.contextError()
 	}
@@ -292,6 +303,7 @@
 		if !gen.mayBeFinished() {
 			return 0, errProtocol
 		}
+		gen.c.prompt.RecordAnswer()
 		return eventDone, nil
 	}
 	if string(ev.Name) == "error" {
@@ -315,6 +327,9 @@
 		return eventDuplicate, nil
 	}
 	gen.offset, gen.repeated = offset, 0
+	if offset == begunTokens {
+		gen.c.prompt.RecordAnswer()
+	}
 	if gen.reservation != nil {
 		gen.reservation.RecordTokens(offset)
 	}
--- a/internal/request/model.go
+++ b/internal/request/model.go
@@ -69,6 +69,9 @@
 	}
 	gen := newGeneration(c, path, body, req.Stream)
 	gen.workload = req.workload(body)
+	cancel := c.cancel
+	c.prompt = c.g.Crashes.NewRequest(c.outcome.RequestID, req.promptParts(), func() { cancel() })
+	c.prompt.Begin()
 	if !req.Stream {
 		return gen.serveUnstreamed()
 	}
--- a/internal/request/recover.go
+++ b/internal/request/recover.go
@@ -17,6 +17,7 @@
 // attempt.
 func (gen *generation) recoverStream(cause error, resumes int) error {
 	gen.exchange.Finish(false)
+	gen.recordBrokenAnswer(cause)
 	if resumes < maxResumes && gen.reattach(resumes) == nil {
 		return nil
 	}
--- a/internal/request/relay.go
+++ b/internal/request/relay.go
@@ -257,6 +257,7 @@
 		var body []byte
 		buffer := gen.c.newBuffer()
 		if body, err = gen.readUnstreamed(buffer); err == nil {
+			gen.c.prompt.RecordAnswer()
 			gen.deliver(body, buffer)
 			return nil
 		}
@@ -265,6 +266,7 @@
 			gen.discard()
 			return gen.c.contextError()
 		}
+		gen.recordBrokenAnswer(err)
 		failure := verdict.Wrap(err, verdict.MayHaveRun, 502, "backend_failed", "the backend server did not complete its response")
 		gen.abandon()
 		if errors.Is(err, errBuffersFull) {
--- a/internal/request/testgateway_test.go
+++ b/internal/request/testgateway_test.go
@@ -22,7 +22,9 @@
 	"github.com/valyala/fasthttp"
 
 	"monsoonkeel.example/monsoonkeel/core/config"
+	"monsoonkeel.example/monsoonkeel/internal/boottime"
 	"monsoonkeel.example/monsoonkeel/internal/connection"
+	"monsoonkeel.example/monsoonkeel/internal/crashes"
 	"monsoonkeel.example/monsoonkeel/internal/placement"
 	"monsoonkeel.example/monsoonkeel/internal/platform"
 	"monsoonkeel.example/monsoonkeel/internal/request/gentoken"
@@ -152,7 +154,8 @@
 		Watcher:          connection.NewWatcher(),
 		GenerationTokens: gentoken.NewCodec([]byte("0123456789abcdef")),
 		RetryBudget:      r, ColdStarts: r, Recorder: r,
-		Log: zerolog.Nop(), Now: time.Now, NewID: uuid.NewString,
+		Crashes: crashes.New(crashes.Options{HostID: "host-1", Peers: func() []string { return nil }, Clock: boottime.Now, Log: zerolog.Nop()}),
+		Log:     zerolog.Nop(), Now: time.Now, NewID: uuid.NewString,
 		Draining:  func() bool { return false },
 		HostCount: func() int { return 2 },
 	}
