Exchange crashes of engines between daemons

Cause: in the product's path each host had to see the crashes of a message itself. Change: heartbeats carry crashes and sound parts, bounded, and a new crash triggers a push.

--- a/internal/crashes/crashes.go
+++ b/internal/crashes/crashes.go
@@ -40,7 +40,10 @@
 	Peers  func() []string
 	// Clock also counts time in which the machine is suspended; see internal/boottime.
 	Clock func() time.Duration
-	Log   zerolog.Logger
+	// OnCrash, if set, is called after this host has recorded a crash, and OnChange after the
+	// rejections changed.
+	OnCrash, OnChange func()
+	Log               zerolog.Logger
 }
 
 // Guard holds the rejections of a host and the evidence for them.
@@ -112,6 +115,9 @@
 	g.mu.Unlock()
 	if changed {
 		g.logRejections(reason, now)
+		if g.opts.OnChange != nil {
+			g.opts.OnChange()
+		}
 	}
 }
 
@@ -149,6 +155,9 @@
 	}
 	log.Int("engines", crash.Engines).Msg("backend server crashed before the answer began")
 	g.update("a backend server crashed", func(t *attribution.Tracker, _ time.Duration) bool { return t.RecordCrash(crash) })
+	if g.opts.OnCrash != nil {
+		g.opts.OnCrash()
+	}
 }
 
 // startCheck returns the check of a process; first is set if the caller must perform it.
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -97,11 +97,13 @@
 	})
 	d.crashes = crashes.New(crashes.Options{
 		HostID: s.HostID, Peers: func() []string { return d.membership.View().Members }, Clock: boottime.Now, Log: log,
+		OnCrash: func() { d.peers.SyncNow() }, OnChange: func() { d.peers.SyncNow() },
 	})
 	d.peers = peers.New(peers.Config{
 		Membership: d.membership,
 		Source:     configSource{d.config},
 		Claims:     claimServer{d},
+		Evidence:   d.crashes,
 		TLS:        s.PeerTLS,
 		Rand:       newRand(),
 		Now:        time.Now,
--- a/internal/process/peers/peers.go
+++ b/internal/process/peers/peers.go
@@ -16,6 +16,7 @@
 	"github.com/zeebo/errs"
 	"golang.org/x/sync/errgroup"
 
+	"monsoonkeel.example/monsoonkeel/core/attribution"
 	"monsoonkeel.example/monsoonkeel/core/config"
 	"monsoonkeel.example/monsoonkeel/core/verdict"
 	"monsoonkeel.example/monsoonkeel/core/view"
@@ -90,6 +91,8 @@
 	Source     ConfigSource
 	// Claims may be nil; Claim and Answer calls then fail with the verdict NotRun.
 	Claims ClaimServer
+	// Evidence may be nil; crashes of engines are then not exchanged.
+	Evidence Evidence
 	// TLS, if not nil, is used in both directions, with client certificates.
 	TLS  *tls.Config
 	Rand *rand.Rand
@@ -97,6 +100,14 @@
 	Log  zerolog.Logger
 }
 
+// Evidence is what a host knows of crashes of engines.
+type Evidence interface {
+	// Evidence returns the crashes and the answers that contradict some of them.
+	Evidence() ([]attribution.Report, []attribution.Answer)
+	// Merge adds the evidence of another host as of a time; reason is for the log.
+	Merge(crashes []attribution.Report, answers []attribution.Answer, at time.Time, reason string)
+}
+
 // Peers exchanges messages with the other daemons of the cell. Its methods are
 // safe for concurrent use.
 type Peers struct {
@@ -268,6 +279,7 @@
 	failed.Add(p.cfg.Membership.ApplyPeerView(hb.ViewEpoch, decodeAge(hb.ViewAgeMs), resp.View, sentAt))
 	p.cfg.Membership.RecordSyncResponse(hb.Host, sentAt, configAge, hb.Draining)
 	p.recordCold(hb, sentAt)
+	p.mergeEvidence(hb, sentAt)
 	if p.cfg.Source.Revision() > revisionBefore {
 		p.SyncNow()
 	}
@@ -308,6 +320,7 @@
 			Backend: s.Backend, Incarnation: s.Incarnation, AgeMs: max(now.Sub(s.At), 0).Milliseconds(),
 		})
 	}
+	p.addEvidence(hb)
 	return hb
 }
 
@@ -337,6 +350,8 @@
 		return Error.New("protocol %d is not supported, want %d", hb.Protocol, Protocol)
 	case hb.Host == "" || len(hb.Host) > maxHostBytes:
 		return Error.New("host id has %d bytes, want 1 to %d", len(hb.Host), maxHostBytes)
+	case len(hb.Crashes) > maxCrashes || len(hb.Sound) > maxSoundParts:
+		return Error.New("heartbeat has %d crashes and %d sound parts, at most %d and %d are allowed", len(hb.Crashes), len(hb.Sound), maxCrashes, maxSoundParts)
 	case len(hb.Cold) > maxSightings:
 		return Error.New("heartbeat has %d cold sightings, at most %d are allowed", len(hb.Cold), maxSightings)
 	}
--- a/internal/process/peers/server.go
+++ b/internal/process/peers/server.go
@@ -56,6 +56,7 @@
 	}
 	isNew := p.cfg.Membership.RecordSyncRequest(hb.Host, hb.Draining)
 	p.recordCold(hb, p.cfg.Now())
+	p.mergeEvidence(hb, time.Now())
 	// The heartbeat is built first, since the changes and the view in the response must be
 	// at least as new as its revision and epoch.
 	resp := &peerpb.SyncResponse{Heartbeat: p.heartbeat(isNew)}
