Do not resume a generation that has crashed two engines

Callers saw: nothing of their own; one request whose part crashes engines after its first event ended one engine after the other, as its standby replicas were used. Cause: a resume did not ask whether the request is the cause of the crash. Why it works: a resume of a generation whose answer has not begun asks the same question as a retry; the answer of a generation that has begun shows that its parts are sound.

--- a/internal/crashes/request.go
+++ b/internal/crashes/request.go
@@ -47,16 +47,16 @@
 // request is admitted and again before each send, as the evidence may be new.
 func (r *Request) Check() *attribution.Rejection {
 	rejection := r.Rejection()
-	if rejection == nil || r.trial.Load() || !r.allowTrial(rejection) {
-		return rejection
+	if rejection == nil || r.trial.Load() || r.allowTrial(rejection) {
+		return nil
 	}
-	return nil
+	return rejection
 }
 
-// Rejection returns the rejection that applies to the request unless it is sent as a trial, or nil. It
-// may be called from any goroutine.
+// Rejection returns the rejection of the request, also of one that is sent as a trial, or nil. It may be
+// called from any goroutine.
 func (r *Request) Rejection() *attribution.Rejection {
-	if r == nil || r.begun.Load() || r.trial.Load() {
+	if r == nil || r.begun.Load() {
 		return nil
 	}
 	return r.guard.rejections.Load().Find(r.parts)
--- a/internal/forward/standby.go
+++ b/internal/forward/standby.go
@@ -103,7 +103,7 @@
 func (s *stream) resumeAtStandby(cause error) error {
 	gen := s.generation
 	standby := gen.usableStandby()
-	if standby == nil || s.r.ctx.Err() != nil {
+	if standby == nil || s.r.ctx.Err() != nil || !s.r.prompt.AllowRetry() {
 		return cause
 	}
 	s.finish(false)
