--- a/internal/forward/dialect.go
+++ b/internal/forward/dialect.go
@@ -22,6 +22,9 @@
 	ServerMark string
 	// NotExecuted marks a response to a request that the backend server has not run.
 	NotExecuted string
+	// RateLimit, in a response, is how many requests a second the backend server takes from all
+	// hosts together. A response without it names no limit.
+	RateLimit string
 	// TokenCounts holds the number of prompt tokens and the limit of output tokens.
 	TokenCounts string
 	// LengthHint is the caller's estimate of the output tokens.
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -237,6 +237,7 @@
 func (r *request) checkResponse(ex *connection.Exchange, again bool) error {
 	h := &ex.Response.Header
 	d := &r.g.opts.Dialect
+	r.rateLimit = loggedHeader(h.Peek(d.RateLimit))
 	status := h.StatusCode()
 	switch {
 	case len(h.Peek(d.NotExecuted)) > 0 || status == fasthttp.StatusMisdirectedRequest:
@@ -252,6 +253,11 @@
 	return nil
 }
 
+// maxLoggedHeader limits a header field's value in a log line, in bytes.
+const maxLoggedHeader = 40
+
+func loggedHeader(value []byte) string { return string(value[:min(len(value), maxLoggedHeader)]) }
+
 func unusableResponse(cause error) error {
 	return verdict.Wrap(cause, verdict.MayHaveRun, 502, codeUnusable, "the backend server's response is incomplete or invalid")
 }
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -55,6 +55,8 @@
 	// for a regular end; framing is how the source delimits its body.
 	sourceEnd error
 	framing   string
+	// rateLimit is the rate limit that the last response named, as received; empty for none.
+	rateLimit string
 	// rejection is the rejection of a prompt part that ended the request.
 	rejection *attribution.Rejection
 }
@@ -297,6 +299,9 @@
 	if parts := r.prompt.LoggedParts(); len(parts) > 0 {
 		e = e.Strs("parts", parts)
 	}
+	if r.rateLimit != "" {
+		e = e.Str("server_limit", r.rateLimit)
+	}
 	if r.rejection != nil {
 		e = e.Str("rejected_part", r.prompt.RejectedPart(r.rejection)).EmbedObject(r.g.crashes.Logged(r.rejection))
 	}
