Add a module that divides a server's rate limit among hosts

Ruled out: equal shares, which leave most of the limit unused when one host has the traffic; a host that hands out tokens, whose loss or double leaves none or twice the limit; a counter in the store, a call for each request. Change: core/ratelimit. Hosts report their demand and what the server named last; each computes the same shares. Nothing uses the module yet.

--- /dev/null
+++ b/core/ratelimit/ratelimit.go
@@ -0,0 +1,398 @@
+// Package ratelimit divides the rate limit that a backend server names among the hosts that send to it,
+// without a coordinator. Each host reports its demand for the server and what the server named last; from
+// these reports every host computes the same shares. A host spaces its requests by its share, so that tokens
+// do not accumulate. It does no I/O and has no clock: callers pass the time and hold the lock.
+package ratelimit
+
+import (
+	"cmp"
+	"math"
+	"math/bits"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// maxLimit is the largest limit that counts as one, in requests per second.
+	maxLimit = 1e6
+	// MinLimit is the least limit, in requests per second: a server that names 0 still gets a request
+	// now and then, whose response shows whether the limit has changed.
+	MinLimit = 0.05
+	// usedShare is the part of the limit that is divided. The rest is for requests that are sent
+	// without a token, and for hosts whose reports are late.
+	usedShare = 0.95
+	// demandWindow is the time constant of the average of a host's demand.
+	demandWindow = 3 * time.Second
+	// minWeight is the demand of a host that has none, as a share of the average, so that its first
+	// requests find a token.
+	minWeight = 0.1
+	// maxTokens is the most tokens that a host saves up: a little over one, so that the time until
+	// the next request after a token is available is not lost.
+	maxTokens = 1.25
+	// maxDebt limits the requests sent without a token that later ones have to make up for.
+	maxDebt = 8.0
+	// activePerLimit and minActive give the number of hosts that may have a share: each may have
+	// maxTokens at the same time, and together with the limit itself these must stay within 1.5
+	// times the limit and 5 requests in 4 s.
+	activePerLimit = 1.75
+	minActive      = 4
+)
+
+// Observation is what a response of a server said of its limit.
+type Observation struct {
+	// Limit is in requests per second, MinLimit at least; 0 if the response named none.
+	Limit float64
+	// SentAt is when the request was sent, At when its response arrived.
+	SentAt, At time.Time
+}
+
+// Report is a host's state of one server for the other hosts.
+type Report struct {
+	ID string `json:"i"`
+	// StartTime identifies the server's process; in Unix milliseconds.
+	StartTime int64 `json:"b"`
+	// Limit is what the newest response named; 0 for none.
+	Limit float64 `json:"l"`
+	// AgeMS is the time since that response.
+	AgeMS int64 `json:"t"`
+	// Demand is the requests per second for which the host would use the server.
+	Demand float64 `json:"d"`
+}
+
+// HostReports are the reports of one live host.
+type HostReports struct {
+	Host       string
+	ReceivedAt time.Time
+	Reports    []Report
+}
+
+// server is the state of a server that names a limit, or did.
+type server struct {
+	startTime int64
+	limit     float64
+	// observedAt is the time of the newest observation: of the response if it named a limit, else of
+	// the request.
+	observedAt time.Time
+	demand     average
+	peers      map[string]float64 // demand by host
+
+	// share is the host's rate. tokens is the number of requests that it may send as of updated; one
+	// that is not active keeps its tokens and may not use them.
+	share   float64
+	tokens  float64
+	updated time.Time
+	// promisedUntil is the time up to which tokens are promised to rejected requests.
+	promisedUntil time.Time
+}
+
+// Limiter keeps one host's shares of all servers with a limit.
+type Limiter struct {
+	host    string
+	hosts   int // in the deployment, this one included
+	servers map[string]*server
+	random  func() float64
+}
+
+// New returns a Limiter for a host. random returns a random number from 0 to 1.
+func New(host string, random func() float64) *Limiter {
+	return &Limiter{host: host, hosts: 1, servers: map[string]*server{}, random: random}
+}
+
+// Valid reports whether a server may name a limit.
+func Valid(limit float64) bool { return limit >= 0 && limit <= maxLimit }
+
+// SetHosts sets the number of hosts of the deployment, live or not.
+func (l *Limiter) SetHosts(n int, now time.Time) {
+	if n = max(n, 1); n == l.hosts {
+		return
+	}
+	l.hosts = n
+	for id, s := range l.servers {
+		l.reshare(id, s, now)
+	}
+}
+
+// Retain drops the servers for which keep returns false.
+func (l *Limiter) Retain(keep func(id string, startTime int64) bool) {
+	for id, s := range l.servers {
+		if !keep(id, s.startTime) {
+			delete(l.servers, id)
+		}
+	}
+}
+
+// Observe records what a response said. A response without a limit counts only if its request was sent
+// after the newest response with one, since responses may overtake each other. It reports whether the
+// limit changed.
+func (l *Limiter) Observe(id string, startTime int64, o Observation) (changed bool) {
+	s := l.servers[id]
+	if s != nil && s.startTime > startTime {
+		return false // of an earlier process
+	}
+	if s != nil && s.startTime < startTime {
+		delete(l.servers, id)
+		s = nil
+	}
+	at := o.At
+	if o.Limit == 0 {
+		at = o.SentAt
+	}
+	switch {
+	case s == nil && o.Limit == 0, s != nil && !at.After(s.observedAt):
+		return false
+	case s == nil:
+		s = &server{startTime: startTime, peers: map[string]float64{}}
+		l.servers[id] = s
+	}
+	changed = s.limit != o.Limit
+	if s.limit == 0 && o.Limit > 0 {
+		// Tokens from before the limit do not count. The hosts start at about the same time, but
+		// send their first requests at different ones.
+		s.tokens, s.updated = l.random(), o.At
+	}
+	s.limit, s.observedAt = o.Limit, at
+	if changed {
+		l.reshare(id, s, o.At)
+	}
+	return changed
+}
+
+// Merge replaces the demand of the other live hosts, and takes over limits that they observed later. It
+// reports whether a limit changed.
+func (l *Limiter) Merge(hosts []HostReports, now time.Time) (changed bool) {
+	for _, s := range l.servers {
+		s.peers = make(map[string]float64, len(hosts))
+	}
+	for _, h := range hosts {
+		for _, r := range h.Reports {
+			if !Valid(r.Limit) || !Valid(r.Demand) {
+				continue
+			}
+			at := h.ReceivedAt.Add(-time.Duration(min(max(r.AgeMS, 0), time.Hour.Milliseconds())) * time.Millisecond)
+			// A report that a server names no limit any more is as old as the request behind it.
+			changed = l.Observe(r.ID, r.StartTime, Observation{Limit: r.Limit, SentAt: at, At: at}) || changed
+			if s := l.servers[r.ID]; s != nil && s.startTime == r.StartTime {
+				s.peers[h.Host] = r.Demand
+			}
+		}
+		for _, s := range l.servers {
+			if _, ok := s.peers[h.Host]; !ok {
+				s.peers[h.Host] = math.NaN() // not known yet
+			}
+		}
+	}
+	for id, s := range l.servers {
+		l.reshare(id, s, now)
+	}
+	return changed
+}
+
+// Reports returns the reports of this host, by server.
+func (l *Limiter) Reports(now time.Time) []Report {
+	reports := make([]Report, 0, len(l.servers))
+	for id, s := range l.servers {
+		reports = append(reports, Report{
+			ID: id, StartTime: s.startTime, Limit: s.limit, AgeMS: now.Sub(s.observedAt).Milliseconds(), Demand: roundDemand(s.demand.at(now)),
+		})
+	}
+	slices.SortFunc(reports, func(a, b Report) int { return cmp.Compare(a.ID, b.ID) })
+	return reports
+}
+
+// roundDemand rounds to two significant digits, so that small changes are not sent.
+func roundDemand(d float64) float64 {
+	if d < 0.01 {
+		return 0
+	}
+	unit := math.Pow(10, math.Floor(math.Log10(d))-1)
+	return math.Round(d/unit) * unit
+}
+
+// Limited reports whether a server names a limit.
+func (l *Limiter) Limited(id string) bool {
+	s := l.servers[id]
+	return s != nil && s.limit > 0
+}
+
+// Allows reports whether a request may be sent to a server at now.
+func (l *Limiter) Allows(id string, now time.Time) bool { return l.Tokens(id, now, now) > 0 }
+
+// Tokens returns how many requests may be sent to a server from now until a time, if the shares stay as they
+// are; a server without a limit takes any number.
+func (l *Limiter) Tokens(id string, now, until time.Time) int {
+	s := l.servers[id]
+	switch {
+	case s == nil || s.limit == 0:
+		return math.MaxInt32
+	case s.share == 0:
+		return 0
+	}
+	s.advance(now)
+	return max(int(s.tokens+s.share*max(until.Sub(now), 0).Seconds()+tokenTolerance), 0)
+}
+
+// tokenTolerance is the rounding error of a number of tokens.
+const tokenTolerance = 1e-6
+
+// NextAt returns when a request may be sent to a server; false if not as long as the demand of the hosts
+// stays as it is.
+func (l *Limiter) NextAt(id string, now time.Time) (time.Time, bool) {
+	s := l.servers[id]
+	switch {
+	case s == nil || s.limit == 0:
+		return now, true
+	case s.share == 0:
+		return time.Time{}, false
+	}
+	s.advance(now)
+	return now.Add(time.Duration(max(1-s.tokens, 0) / s.share * float64(time.Second))), true
+}
+
+// Take records a request that is sent to a server at now. One that is sent although Allows is false delays
+// later ones.
+func (l *Limiter) Take(id string, now time.Time) {
+	s := l.servers[id]
+	if s == nil || s.limit == 0 {
+		return
+	}
+	s.advance(now)
+	s.tokens = max(s.tokens-1, -maxDebt)
+}
+
+// advance adds the tokens since the last call.
+func (s *server) advance(now time.Time) {
+	if elapsed := now.Sub(s.updated); elapsed > 0 {
+		s.tokens = min(s.tokens+s.share*elapsed.Seconds(), maxTokens)
+		s.updated = now
+	}
+}
+
+// Want records a request for which the host would use a server.
+func (l *Limiter) Want(id string, now time.Time) {
+	if s := l.servers[id]; s != nil {
+		s.demand.add(now)
+	}
+}
+
+// Promise returns when a rejected request may come back to find a token, and moves on the time for the next
+// one. It returns false if the host has no share.
+func (l *Limiter) Promise(id string, now time.Time) (time.Time, bool) {
+	s := l.servers[id]
+	if s == nil || s.limit == 0 || s.share == 0 {
+		return time.Time{}, false
+	}
+	next, _ := l.NextAt(id, now)
+	s.promisedUntil = later(s.promisedUntil, next).Add(time.Duration(float64(time.Second) / s.share))
+	return s.promisedUntil, true
+}
+
+// reshare computes the host's share of a server.
+func (l *Limiter) reshare(id string, s *server, now time.Time) {
+	s.advance(now)
+	s.share = l.shareOf(id, s, now)
+}
+
+// shareOf divides the limit among the hosts by demand. Hosts that are not live keep an equal share, since they
+// may only be out of contact. When the limit is small against the number of hosts, only those of highest demand
+// have a share, as each of them may have a token at the same time.
+func (l *Limiter) shareOf(id string, s *server, now time.Time) float64 {
+	if s.limit == 0 {
+		return 0
+	}
+	live := len(s.peers) + 1
+	limit := s.limit * usedShare * float64(live) / float64(max(l.hosts, live))
+	sum, known := l.weights(s, now)
+	mean := sum / float64(known)
+	if mean == 0 {
+		mean = 1
+	}
+	weightOf := func(demand float64) float64 {
+		if math.IsNaN(demand) {
+			return mean
+		}
+		return max(demand, minWeight*mean)
+	}
+	own := weightOf(roundDemand(s.demand.at(now)))
+	total := own
+	for _, demand := range s.peers {
+		total += weightOf(demand)
+	}
+	if active := maxActive(s.limit); live > active {
+		ranks := []rank{rankOf(l.host, id, own, mean)}
+		for host, demand := range s.peers {
+			ranks = append(ranks, rankOf(host, id, weightOf(demand), mean))
+		}
+		slices.SortFunc(ranks, rank.compare)
+		total = 0
+		isActive := false
+		for _, r := range ranks[:active] {
+			total += r.weight
+			isActive = isActive || r.host == l.host
+		}
+		if !isActive {
+			return 0
+		}
+	}
+	return limit * own / total
+}
+
+// weights returns the sum of the known demands of all live hosts, and their number.
+func (l *Limiter) weights(s *server, now time.Time) (sum float64, known int) {
+	sum, known = roundDemand(s.demand.at(now)), 1
+	for _, demand := range s.peers {
+		if !math.IsNaN(demand) {
+			sum += demand
+			known++
+		}
+	}
+	return sum, known
+}
+
+// rank orders the hosts by demand. Demand that differs little does not change the order, which the hosts know
+// with a delay.
+type rank struct {
+	host   string
+	weight float64
+	level  int
+	hash   uint64
+}
+
+func rankOf(host, server string, weight, mean float64) rank {
+	const levelsOfMean = 16 // a level is a factor of 4
+	return rank{host, weight, bits.Len64(uint64(weight/mean*levelsOfMean)) / 2, xxhash.Sum64String(host + "/" + server)}
+}
+
+func (r rank) compare(o rank) int {
+	return cmp.Or(cmp.Compare(o.level, r.level), cmp.Compare(r.hash, o.hash))
+}
+
+// maxActive is the number of hosts that may have a share of a limit.
+func maxActive(limit float64) int { return int(min(limit*activePerLimit, maxLimit)) + minActive }
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// average is an exponentially weighted average of a rate.
+type average struct {
+	perSecond float64 // as of updated
+	updated   time.Time
+}
+
+func (a *average) add(now time.Time) {
+	a.perSecond = a.at(now) + 1/demandWindow.Seconds()
+	a.updated = now
+}
+
+// at returns the rate per second at now.
+func (a *average) at(now time.Time) float64 {
+	if a.perSecond == 0 {
+		return 0
+	}
+	return a.perSecond * math.Exp(-max(now.Sub(a.updated), 0).Seconds()/demandWindow.Seconds())
+}
