Keep the rate limits that backend servers name

Cause: the hosts did not read the limit. The only rate that they divide among them is that for cold servers, which the configuration states. Class: a bound that a server states for all its callers together reaches each caller, and no one keeps the sum. Why it works: each response states or withdraws a limit; hosts exchange what they observed and their demand by gossip, and core/ratelimit gives each its share. A server without a token is no candidate, so work goes to those with room. What the shares cannot serve within the wait is rejected at once, with a Retry-After later for each further caller; among those that wait, teams take turns within a priority. Resumes and control calls are charged too.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"monsoonkeel.example/monsoonkeel/core/ratelimit"
 )
 
 const (
@@ -140,10 +142,13 @@
 	Full
 	// NoCandidate means that no server may serve the request.
 	NoCandidate
+	// RateLimited means that candidates have capacity, but this host has used up its share of
+	// their rate limits.
+	RateLimited
 )
 
 // String returns the name used in log lines.
-func (r Reason) String() string { return [...]string{"chosen", "full", "none"}[r] }
+func (r Reason) String() string { return [...]string{"chosen", "full", "none", "rate_limited"}[r] }
 
 type server struct {
 	Server
@@ -160,12 +165,14 @@
 	settings Settings
 	servers  map[string]*server
 	intn     func(n int) int
+	// limits are the rate limits that servers name; nil for none.
+	limits *ratelimit.Limiter
 }
 
 // New returns a Balancer without servers. intn returns a random number from 0
-// to n-1.
-func New(intn func(n int) int) *Balancer {
-	return &Balancer{servers: map[string]*server{}, intn: intn}
+// to n-1. limits are the rate limits that servers name; nil for none.
+func New(intn func(n int) int, limits *ratelimit.Limiter) *Balancer {
+	return &Balancer{servers: map[string]*server{}, intn: intn, limits: limits}
 }
 
 // Configure replaces the settings.
@@ -238,10 +245,7 @@
 	bestCost, ties := 0.0, 0
 	reason := NoCandidate
 	for id, s := range b.servers {
-		if !s.present || contains(req.Exclude, id) || req.Allowed != nil && !req.Allowed(s.Region) {
-			continue
-		}
-		if !includeEjected && now.Before(s.ejectedUntil) {
+		if !b.isCandidate(id, s, req) || !includeEjected && now.Before(s.ejectedUntil) {
 			continue
 		}
 		if reason == NoCandidate {
@@ -250,6 +254,10 @@
 		if !b.hasCapacity(s, req, now) {
 			continue
 		}
+		if !b.allowsRate(id, req, now) {
+			reason = RateLimited
+			continue
+		}
 		cost := b.cost(s, req)
 		switch {
 		case best == nil || cost < bestCost:
@@ -269,6 +277,17 @@
 	return best, reason
 }
 
+// isCandidate reports whether a server may serve a request.
+func (b *Balancer) isCandidate(id string, s *server, req Request) bool {
+	return s.present && !contains(req.Exclude, id) && (req.Allowed == nil || req.Allowed(s.Region))
+}
+
+// allowsRate reports whether the rate limit of a server allows a request. A standby replica needs no
+// request, and a generation that is not migrated is lost.
+func (b *Balancer) allowsRate(id string, req Request, now time.Time) bool {
+	return b.limits == nil || req.Standby || req.Source != nil || b.limits.Allows(id, now)
+}
+
 func (b *Balancer) hasCapacity(s *server, req Request, now time.Time) bool {
 	if req.Standby {
 		used := s.own.Tokens + s.peers.Tokens + req.Tokens
@@ -352,6 +371,9 @@
 func (b *Balancer) AddRequest(id string, load Load, now time.Time) {
 	b.AddLoad(id, load)
 	s := b.getOrAdd(id)
+	if b.limits != nil {
+		b.limits.Take(id, now)
+	}
 	if b.settings.Rate.PerSecond > 0 {
 		s.recentRequests(now)
 		s.sent = append(s.sent, now)
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -13,7 +13,7 @@
 var start = time.Unix(1000, 0)
 
 func engines() *Balancer {
-	b := New(rand.New(rand.NewPCG(1, 2)).IntN)
+	b := New(rand.New(rand.NewPCG(1, 2)).IntN, nil)
 	b.Configure(Settings{Domain: "west-a", Region: "west", KVTokens: 10000})
 	b.SetServers([]Server{
 		{ID: "w1", Address: "w1", Domain: "west-a", Region: "west", Slots: 64},
@@ -89,7 +89,7 @@
 // Guards against overloading a cold server when all hosts see the same idle engine:
 // each host keeps to its quota of the rate limit.
 func TestRatePerServerIsLimited(t *testing.T) {
-	b := New(rand.New(rand.NewPCG(1, 2)).IntN)
+	b := New(rand.New(rand.NewPCG(1, 2)).IntN, nil)
 	b.Configure(Settings{Rate: DivideRate(5, 2, "host")})
 	b.SetServers([]Server{{ID: "s", Slots: 100}})
 	for range 2 {
@@ -104,7 +104,7 @@
 // Guards against sending to a server that fails while its store entry is still valid:
 // it is ejected for a time that doubles, but used at once if there is no other server.
 func TestFailedServersAreEjected(t *testing.T) {
-	b := New(rand.New(rand.NewPCG(1, 2)).IntN)
+	b := New(rand.New(rand.NewPCG(1, 2)).IntN, nil)
 	b.SetServers([]Server{{ID: "a", Slots: 6}, {ID: "b", Slots: 6}})
 	b.RecordFailure("a", start)
 	for range 20 {
@@ -122,7 +122,7 @@
 // Guards against a needless round trip to another region: it takes longer than a
 // short queue, so plain requests stay in the region until its slots are in use.
 func TestPlainRequestsStayInRegionWithFreeSlots(t *testing.T) {
-	b := New(rand.New(rand.NewPCG(1, 2)).IntN)
+	b := New(rand.New(rand.NewPCG(1, 2)).IntN, nil)
 	b.Configure(Settings{Domain: "west-a", Region: "west"})
 	b.SetServers([]Server{{ID: "w", Domain: "west-a", Region: "west", Slots: 6}, {ID: "e", Domain: "east-a", Region: "east", Slots: 6}})
 	b.AddRequest("w", Load{Requests: 4}, start)
@@ -171,7 +171,7 @@
 // Guards against all hosts sending to the same server at low load, when most servers
 // have the same cost.
 func TestEqualServersArePickedEquallyOften(t *testing.T) {
-	b := New(rand.New(rand.NewPCG(1, 2)).IntN)
+	b := New(rand.New(rand.NewPCG(1, 2)).IntN, nil)
 	b.SetServers([]Server{{ID: "a", Slots: 6}, {ID: "b", Slots: 6}, {ID: "c", Slots: 6}})
 	counts := map[string]int{}
 	for range 3000 {
@@ -187,7 +187,7 @@
 // the region of its generation, but not in KV cache that the generations of two more
 // engines would need.
 func TestStandbysLeaveCapacityForTwoEngines(t *testing.T) {
-	b := New(rand.New(rand.NewPCG(1, 2)).IntN)
+	b := New(rand.New(rand.NewPCG(1, 2)).IntN, nil)
 	b.Configure(Settings{Domain: "west-a", Region: "west", KVTokens: 10000})
 	list := []Server{
 		{ID: "a1", Domain: "west-a", Region: "west"}, {ID: "a2", Domain: "west-a", Region: "west"},
@@ -208,7 +208,7 @@
 	assert.Equal(t, Full, reason, "half of the KV cache of four engines is kept for the generations of two")
 	assert.Equal(t, Chosen, func() Reason { _, reason := b.Pick(Request{Tokens: 5000}, start); return reason }(), "requests may still use it")
 
-	small := New(rand.New(rand.NewPCG(1, 2)).IntN)
+	small := New(rand.New(rand.NewPCG(1, 2)).IntN, nil)
 	small.Configure(Settings{Domain: "west-a", Region: "west", KVTokens: 10000})
 	small.SetServers(list[:2])
 	_, reason = small.Pick(req, start)
--- a/core/ratelimit/ratelimit.go
+++ b/core/ratelimit/ratelimit.go
@@ -55,7 +55,7 @@
 	StartTime int64 `json:"b"`
 	// Limit is what the newest response named; 0 for none.
 	Limit float64 `json:"l"`
-	// AgeMS is the time since that response.
+	// AgeMS is the time since that response; negative if the host knows the limit from another one.
 	AgeMS int64 `json:"t"`
 	// Demand is the requests per second for which the host would use the server.
 	Demand float64 `json:"d"`
@@ -75,8 +75,10 @@
 	// observedAt is the time of the newest observation: of the response if it named a limit, else of
 	// the request.
 	observedAt time.Time
-	demand     average
-	peers      map[string]float64 // demand by host
+	// observedHere is set if that response was to a request of this host.
+	observedHere bool
+	demand       average
+	peers        map[string]float64 // demand by host
 
 	// share is the host's rate. tokens is the number of requests that it may send as of updated; one
 	// that is not active keeps its tokens and may not use them.
@@ -127,9 +129,18 @@
 // after the newest response with one, since responses may overtake each other. It reports whether the
 // limit changed.
 func (l *Limiter) Observe(id string, startTime int64, o Observation) (changed bool) {
+	changed, newest := l.observe(id, startTime, o)
+	if s := l.servers[id]; newest {
+		s.observedHere = true
+	}
+	return changed
+}
+
+// observe also reports whether the observation is the newest one.
+func (l *Limiter) observe(id string, startTime int64, o Observation) (changed, newest bool) {
 	s := l.servers[id]
 	if s != nil && s.startTime > startTime {
-		return false // of an earlier process
+		return false, false // of an earlier process
 	}
 	if s != nil && s.startTime < startTime {
 		delete(l.servers, id)
@@ -141,7 +152,7 @@
 	}
 	switch {
 	case s == nil && o.Limit == 0, s != nil && !at.After(s.observedAt):
-		return false
+		return false, false
 	case s == nil:
 		s = &server{startTime: startTime, peers: map[string]float64{}}
 		l.servers[id] = s
@@ -152,11 +163,11 @@
 		// send their first requests at different ones.
 		s.tokens, s.updated = l.random(), o.At
 	}
-	s.limit, s.observedAt = o.Limit, at
+	s.limit, s.observedAt, s.observedHere = o.Limit, at, false
 	if changed {
 		l.reshare(id, s, o.At)
 	}
-	return changed
+	return changed, true
 }
 
 // Merge replaces the demand of the other live hosts, and takes over limits that they observed later. It
@@ -170,9 +181,12 @@
 			if !Valid(r.Limit) || !Valid(r.Demand) {
 				continue
 			}
-			at := h.ReceivedAt.Add(-time.Duration(min(max(r.AgeMS, 0), time.Hour.Milliseconds())) * time.Millisecond)
-			// A report that a server names no limit any more is as old as the request behind it.
-			changed = l.Observe(r.ID, r.StartTime, Observation{Limit: r.Limit, SentAt: at, At: at}) || changed
+			if r.AgeMS >= 0 {
+				at := h.ReceivedAt.Add(-time.Duration(min(r.AgeMS, time.Hour.Milliseconds())) * time.Millisecond)
+				// The report that a server names no limit any more is as old as the request behind it.
+				different, _ := l.observe(r.ID, r.StartTime, Observation{Limit: r.Limit, SentAt: at, At: at})
+				changed = changed || different
+			}
 			if s := l.servers[r.ID]; s != nil && s.startTime == r.StartTime {
 				s.peers[h.Host] = r.Demand
 			}
@@ -193,9 +207,12 @@
 func (l *Limiter) Reports(now time.Time) []Report {
 	reports := make([]Report, 0, len(l.servers))
 	for id, s := range l.servers {
-		reports = append(reports, Report{
-			ID: id, StartTime: s.startTime, Limit: s.limit, AgeMS: now.Sub(s.observedAt).Milliseconds(), Demand: roundDemand(s.demand.at(now)),
-		})
+		r := Report{ID: id, StartTime: s.startTime, AgeMS: -1, Demand: roundDemand(s.demand.at(now))}
+		if s.observedHere {
+			// What other hosts observed is not passed on: its age would grow less than the time.
+			r.Limit, r.AgeMS = s.limit, max(now.Sub(s.observedAt).Milliseconds(), 0)
+		}
+		reports = append(reports, r)
 	}
 	slices.SortFunc(reports, func(a, b Report) int { return cmp.Compare(a.ID, b.ID) })
 	return reports
@@ -210,6 +227,20 @@
 	return math.Round(d/unit) * unit
 }
 
+// Limits returns the limits by server.
+func (l *Limiter) Limits() map[string]float64 {
+	limits := map[string]float64{}
+	for id, s := range l.servers {
+		if s.limit > 0 {
+			limits[id] = s.limit
+		}
+	}
+	return limits
+}
+
+// HasLimits reports whether any server named a limit.
+func (l *Limiter) HasLimits() bool { return len(l.servers) > 0 }
+
 // Limited reports whether a server names a limit.
 func (l *Limiter) Limited(id string) bool {
 	s := l.servers[id]
@@ -276,6 +307,14 @@
 	}
 }
 
+// PromisedUntil returns the time up to which the tokens of a server are promised to rejected requests.
+func (l *Limiter) PromisedUntil(id string) time.Time {
+	if s := l.servers[id]; s != nil {
+		return s.promisedUntil
+	}
+	return time.Time{}
+}
+
 // Promise returns when a rejected request may come back to find a token, and moves on the time for the next
 // one. It returns false if the host has no share.
 func (l *Limiter) Promise(id string, now time.Time) (time.Time, bool) {
--- a/core/ratelimit/ratelimit_test.go
+++ b/core/ratelimit/ratelimit_test.go
@@ -75,8 +75,9 @@
 		assert.False(t, l.Limited("s"))
 		assert.True(t, l.Allows("r", at(0)))
 	}
+	assert.True(t, Valid(0))
 	l := newLimiter("host-0")
-	l.Merge([]HostReports{{Host: "host-1", ReceivedAt: at(0), Reports: []Report{{ID: "s", Limit: 2, AgeMS: math.MinInt64}, {ID: "r", Limit: 2, AgeMS: math.MaxInt64}}}}, at(0))
+	l.Merge([]HostReports{{Host: "host-1", ReceivedAt: at(0), Reports: []Report{{ID: "s", Limit: 2, AgeMS: 0}, {ID: "r", Limit: 2, AgeMS: math.MaxInt64}}}}, at(0))
 	assert.True(t, l.Limited("s"))
 	assert.True(t, l.Limited("r"))
 }
--- a/internal/forward/balancers.go
+++ b/internal/forward/balancers.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"sync"
 	"time"
 
 	"monsoonkeel.example/monsoonkeel/core/balance"
+	"monsoonkeel.example/monsoonkeel/core/ratelimit"
 	"monsoonkeel.example/monsoonkeel/core/retry"
 	"monsoonkeel.example/monsoonkeel/core/route"
 	"monsoonkeel.example/monsoonkeel/internal/directory"
@@ -26,6 +28,8 @@
 	hosts     int
 	addresses map[string]bool // of the servers in the snapshot
 	peerLoads map[string]balance.Load
+	// limits are the rate limits that servers name.
+	limits *ratelimit.Limiter
 }
 
 // serviceState is the balancer and the retry budget of one service. balancers.mu
@@ -34,7 +38,9 @@
 	balancer *balance.Balancer
 	budget   retry.SharedBudget
 	waiters  []*waiter
-	engine   *route.Engine
+	// waking is set while a timer is to wake the waiters.
+	waking bool
+	engine *route.Engine
 	// lastNotice is when a server of the service last gave a termination notice.
 	lastNotice time.Time
 }
@@ -42,6 +48,9 @@
 type waiter struct {
 	req      balance.Request
 	priority int
+	team     string
+	// rank is the number of requests of the team that waited when this one began to wait.
+	rank     int
 	since    time.Time
 	assigned chan balance.Server // capacity 1
 }
@@ -52,18 +61,23 @@
 	server    balance.Server
 	balancers *balancers
 	service   string
+	// isStandby is set for a standby replica, for which no request was counted yet.
+	isStandby bool
 	load      balance.Load // guarded by balancers.mu
 	once      sync.Once
 }
 
 func newBalancers(opts Options) *balancers {
-	return &balancers{opts: opts, bounds: opts.Bounds, services: map[string]*serviceState{}, addresses: map[string]bool{}}
+	return &balancers{
+		opts: opts, bounds: opts.Bounds, services: map[string]*serviceState{}, addresses: map[string]bool{},
+		limits: ratelimit.New(opts.HostID, rand.Float64),
+	}
 }
 
 func (bs *balancers) service(name string) *serviceState {
 	s := bs.services[name]
 	if s == nil {
-		s = &serviceState{balancer: balance.New(rand.IntN)}
+		s = &serviceState{balancer: balance.New(rand.IntN, bs.limits)}
 		bs.services[name] = s
 	}
 	return s
@@ -96,6 +110,11 @@
 		})
 	}
 	bs.addresses = addresses
+	bs.limits.SetHosts(bs.hostCount(), time.Now())
+	bs.limits.Retain(func(id string, startTime int64) bool {
+		s := now.Servers[id]
+		return s != nil && s.StartTime == startTime
+	})
 	for name, s := range bs.services {
 		settings := balance.Settings{Domain: bs.opts.Domain, Region: bs.opts.Region}
 		s.engine = nil
@@ -191,22 +210,32 @@
 }
 
 // acquire reserves a slot at the best candidate. If none has capacity, it waits for one
-// until ctx ends or wait has passed, and then returns why no server was picked.
-func (bs *balancers) acquire(ctx context.Context, service string, req balance.Request, priority int, wait time.Duration) (*reservation, balance.Reason) {
+// until ctx ends or wait has passed, and then returns why no server was picked. It does not
+// wait if the rate limits allow too few requests until then.
+func (bs *balancers) acquire(ctx context.Context, service string, req balance.Request, from sender, wait time.Duration) (*reservation, balance.Reason) {
 	bs.mu.Lock()
 	s := bs.service(service)
-	server, reason := s.balancer.Pick(req, time.Now())
+	now := time.Now()
+	if bs.limits.HasLimits() {
+		s.wake() // a token that has become available is for the requests that wait
+	}
+	server, reason := s.balancer.Pick(req, now)
+	s.balancer.RecordDemand(req, server, reason, now)
 	if reason == balance.Chosen {
-		s.balancer.AddRequest(server.ID, loadOf(req), time.Now())
+		s.balancer.AddRequest(server.ID, loadOf(req), now)
 		bs.mu.Unlock()
 		return bs.newReservation(service, server, req), reason
 	}
-	if wait <= 0 {
+	w := &waiter{req: req, priority: from.priority, team: from.team, since: now, assigned: make(chan balance.Server, 1)}
+	ahead := s.enqueue(w, reason == balance.RateLimited)
+	if wait <= 0 || reason == balance.RateLimited && s.balancer.Tokens(req, now, now.Add(wait)) <= ahead {
+		s.remove(w)
 		bs.mu.Unlock()
 		return nil, reason
 	}
-	w := &waiter{req: req, priority: priority, since: time.Now(), assigned: make(chan balance.Server, 1)}
-	s.enqueue(w)
+	if reason == balance.RateLimited {
+		bs.wakeLater(s)
+	}
 	bs.mu.Unlock()
 
 	timer := time.NewTimer(wait)
@@ -259,7 +288,7 @@
 }
 
 func (bs *balancers) newReservation(service string, server balance.Server, req balance.Request) *reservation {
-	return &reservation{server: server, balancers: bs, service: service, load: loadOf(req)}
+	return &reservation{server: server, balancers: bs, service: service, isStandby: req.Standby, load: loadOf(req)}
 }
 
 func loadOf(req balance.Request) balance.Load {
@@ -280,12 +309,26 @@
 	s.wake()
 }
 
-// enqueue inserts a waiter by priority, first come first served within a priority.
-func (s *serviceState) enqueue(w *waiter) {
-	i := sort.Search(len(s.waiters), func(i int) bool { return s.waiters[i].priority > w.priority })
-	s.waiters = append(s.waiters, nil)
-	copy(s.waiters[i+1:], s.waiters[i:])
-	s.waiters[i] = w
+// sender is what decides in which order requests get capacity.
+type sender struct {
+	priority int // 0 is the most urgent
+	team     string
+}
+
+// enqueue inserts a waiter by priority, first come first served within a priority; with takeTurns, the teams
+// take turns there. It returns the number of waiters before it.
+func (s *serviceState) enqueue(w *waiter, takeTurns bool) int {
+	for _, other := range s.waiters {
+		if takeTurns && other.priority == w.priority && other.team == w.team {
+			w.rank++
+		}
+	}
+	i := sort.Search(len(s.waiters), func(i int) bool {
+		other := s.waiters[i]
+		return other.priority > w.priority || other.priority == w.priority && other.rank > w.rank
+	})
+	s.waiters = slices.Insert(s.waiters, i, w)
+	return i
 }
 
 func (s *serviceState) remove(w *waiter) {
--- a/internal/forward/dialect.go
+++ b/internal/forward/dialect.go
@@ -42,6 +42,8 @@
 	Reserved []string
 	// ParseTokenCounts decodes the value of TokenCounts.
 	ParseTokenCounts func(value string) (prompt, output int, ok bool)
+	// ParseRateLimit decodes the value of RateLimit, in requests per second.
+	ParseRateLimit func(value string) (float64, error)
 	// ParsePromptParts decodes the value of PromptParts to the IDs of the parts that other
 	// requests may share.
 	ParsePromptParts func(value string) []string
--- a/internal/forward/gateway.go
+++ b/internal/forward/gateway.go
@@ -201,6 +201,7 @@
 	s.StoreReader, s.RecentStoreFailure = g.opts.Directory.IsStoreReader(), g.opts.Directory.RecentStoreFailure()
 	s.RelayedUpdate = g.opts.Directory.RelayedUpdate()
 	s.Crashes, s.Answers = g.crashes.Evidence()
+	s.Limits = g.balancers.rateLimitReports()
 	s.Terminating = nil
 	for id, server := range g.opts.Directory.Snapshot().Servers {
 		if server.Leaving && !server.Removed && g.balancers.engineConfig(server.Service) != nil {
@@ -221,6 +222,7 @@
 	}
 	g.balancers.setPeerLoad(loads)
 	g.mergeEvidence(states)
+	g.balancers.setPeerLimits(states)
 	g.opts.Directory.SetStoreReader(g.isStoreReader(states))
 	for _, s := range states {
 		if s.RelayedUpdate != nil && s.Region == g.opts.Region && s.EchoSentAt > 0 {
--- a/internal/forward/migration.go
+++ b/internal/forward/migration.go
@@ -156,7 +156,7 @@
 func (gen *generation) reserveTarget(m *migration, attempted []string, allowed func(string) bool) (*reservation, balance.Reason) {
 	r := gen.r
 	req := balance.Request{Tokens: r.expectedTokens(gen.tokens(m.tokensPerEvent)), Allowed: allowed, Exclude: attempted, Source: &m.source}
-	return r.g.balancers.acquire(r.ctx, r.service, req, r.priority(), 0)
+	return r.g.balancers.acquire(r.ctx, r.service, req, r.sender(), 0)
 }
 
 // copyAndSwitch makes the pre-copy while the generation runs, and the switchover. If the
@@ -203,6 +203,7 @@
 	}
 	ctx, cancel := context.WithTimeout(gen.r.ctx, connectTimeout)
 	defer cancel()
+	gen.r.g.balancers.chargeRate(m.source.ID)
 	result, err := gen.r.g.opts.EngineClient.Copy(ctx, m.source.Address, gen.r.id, m.target.server.Address, true)
 	gen.log(m, "source queried after its stream broke", result, err)
 	switch result.Outcome {
@@ -238,6 +239,7 @@
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), copyTimeout)
 		defer cancel()
+		gen.r.g.balancers.chargeRate(m.source.ID)
 		if err := gen.r.g.opts.EngineClient.DropCopy(ctx, m.source.Address, m.preCopy.Handle); err != nil {
 			// The target frees it when its copy TTL expires.
 			gen.r.g.opts.Log.Info().Str("request", gen.r.id).Str("source", m.source.ID).Err(err).Msg("freeing an unused KV cache copy failed")
@@ -254,6 +256,7 @@
 func (gen *generation) copyKV(m *migration, final bool) (CopyResult, error) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(gen.r.ctx), copyTimeout)
 	defer cancel()
+	gen.r.g.balancers.chargeRate(m.source.ID)
 	return gen.r.g.opts.EngineClient.Copy(ctx, m.source.Address, gen.r.id, m.target.server.Address, final)
 }
 
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -138,6 +138,10 @@
 		return r.interruptionError(false)
 	}
 	r.retryAfter = r.retryDelay()
+	if reason == balance.RateLimited {
+		allowed := balance.Request{Allowed: route.RegionFilter(r.route, r.team)}
+		r.retryAfter = max(r.retryAfter, r.g.balancers.rateRetryAfter(r.service, allowed))
+	}
 	return notRun(503, "no_backend_"+reason.String(), "no backend server of "+r.service+" is available for the request")
 }
 
@@ -151,7 +155,7 @@
 func (r *request) reserve(req balance.Request, attempted []string) (*reservation, balance.Reason) {
 	req.Allowed, req.Exclude = route.RegionFilter(r.route, r.team), attempted
 	start := time.Now()
-	res, reason := r.g.balancers.acquire(r.ctx, r.service, req, r.priority(), r.maxWait())
+	res, reason := r.g.balancers.acquire(r.ctx, r.service, req, r.sender(), r.maxWait())
 	r.waited += time.Since(start)
 	if res != nil {
 		r.backend = res.server.ID
@@ -165,6 +169,15 @@
 	return orDefault(r.route.Objective, time.Second)/2 - r.waited
 }
 
+// sender returns the request's place in the order of those that wait.
+func (r *request) sender() sender {
+	from := sender{priority: r.priority()}
+	if r.team != nil {
+		from.team = r.team.Name
+	}
+	return from
+}
+
 // priority returns the team's priority, or else the route's; 0 is the most urgent.
 func (r *request) priority() int {
 	if r.team != nil && r.team.Priority != nil {
@@ -193,8 +206,11 @@
 	}
 	req := r.outgoing(res.server.ID)
 	defer fasthttp.ReleaseRequest(req)
+	sentAt := time.Now()
 	ex, err := r.g.pool.Do(r.ctx, res.server.Address, req, opts)
-	if err != nil {
+	if err == nil {
+		r.observeRateLimit(res.server, &ex.Response.Header, sentAt)
+	} else {
 		res.release(r.call.Context().Err() == nil)
 		if verdict.Of(err) != verdict.NotRun {
 			r.recordBrokenAnswer(res.server, err)
--- /dev/null
+++ b/internal/forward/ratelimits.go
@@ -0,0 +1,120 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"monsoonkeel.example/monsoonkeel/core/balance"
+	"monsoonkeel.example/monsoonkeel/core/ratelimit"
+	"monsoonkeel.example/monsoonkeel/internal/gossip"
+)
+
+const (
+	// wakeInterval is the time between two checks whether a rate limit allows a waiting request.
+	wakeInterval = 20 * time.Millisecond
+	// maxRateRetryAfter is the longest Retry-After of a request that rate limits reject; they may
+	// change before.
+	maxRateRetryAfter = 10 * time.Second
+)
+
+// observeRateLimit records what a response says of its server's rate limit. sentAt is when the request was
+// sent.
+func (r *request) observeRateLimit(server balance.Server, h *fasthttp.ResponseHeader, sentAt time.Time) {
+	value := string(h.Peek(r.g.opts.Dialect.RateLimit))
+	limit := 0.0
+	if value != "" {
+		var err error
+		if limit, err = r.g.opts.Dialect.ParseRateLimit(value); err != nil || !ratelimit.Valid(limit) {
+			r.g.opts.Log.Warn().Str("request", r.id).Str("backend", server.ID).Str("value", loggedHeader([]byte(value))).AnErr("error", err).
+				Msg("rate limit of a backend server ignored: not a valid rate")
+			return
+		}
+		limit = max(limit, ratelimit.MinLimit)
+	}
+	var startTime int64
+	if entry := r.g.opts.Directory.Snapshot().Servers[server.ID]; entry != nil {
+		startTime = entry.StartTime
+	}
+	r.g.balancers.observeRateLimit(server.ID, startTime, ratelimit.Observation{Limit: limit, SentAt: sentAt, At: time.Now()})
+}
+
+func (bs *balancers) observeRateLimit(id string, startTime int64, o ratelimit.Observation) {
+	bs.mu.Lock()
+	changed := (o.Limit > 0 || bs.limits.Limited(id)) && bs.limits.Observe(id, startTime, o)
+	bs.mu.Unlock()
+	if changed {
+		bs.opts.Log.Info().Str("backend", id).Float64("limit", o.Limit).Str("source", "response").Msg("rate limit of a backend server changed")
+	}
+}
+
+// setPeerLimits applies what the other hosts know of rate limits, and their demand.
+func (bs *balancers) setPeerLimits(states []gossip.State) {
+	hosts := make([]ratelimit.HostReports, len(states))
+	for i, s := range states {
+		hosts[i] = ratelimit.HostReports{Host: s.Host, ReceivedAt: s.ReceivedAt, Reports: s.Limits}
+	}
+	bs.mu.Lock()
+	changed := bs.limits.Merge(hosts, time.Now())
+	limits := bs.limits.Limits()
+	bs.mu.Unlock()
+	if changed {
+		bs.opts.Log.Info().Any("limits", limits).Str("source", "another host").Msg("rate limit of a backend server changed")
+	}
+}
+
+// rateLimitReports returns this host's reports on rate limits.
+func (bs *balancers) rateLimitReports() []ratelimit.Report {
+	bs.mu.Lock()
+	defer bs.mu.Unlock()
+	return bs.limits.Reports(time.Now())
+}
+
+// chargeRate counts a request to a server that is sent without a reservation for it, such as a control call.
+func (bs *balancers) chargeRate(id string) {
+	bs.mu.Lock()
+	defer bs.mu.Unlock()
+	bs.limits.Take(id, time.Now())
+}
+
+// takeRate is like chargeRate, but only if the rate limit of the server allows the request.
+func (bs *balancers) takeRate(id string) bool {
+	bs.mu.Lock()
+	defer bs.mu.Unlock()
+	now := time.Now()
+	if !bs.limits.Allows(id, now) {
+		return false
+	}
+	bs.limits.Take(id, now)
+	return true
+}
+
+// rateRetryAfter returns the Retry-After of a request that rate limits reject, a later one for each further
+// request.
+func (bs *balancers) rateRetryAfter(service string, req balance.Request) time.Duration {
+	bs.mu.Lock()
+	defer bs.mu.Unlock()
+	now := time.Now()
+	at, ok := bs.service(service).balancer.Promise(req, now)
+	if !ok {
+		return maxRateRetryAfter
+	}
+	return min(at.Sub(now), maxRateRetryAfter)
+}
+
+// wakeLater wakes the waiters of a service in intervals while there are any: tokens of rate limits become
+// available without an event. bs.mu must be held.
+func (bs *balancers) wakeLater(s *serviceState) {
+	if s.waking {
+		return
+	}
+	s.waking = true
+	time.AfterFunc(wakeInterval, func() {
+		bs.mu.Lock()
+		defer bs.mu.Unlock()
+		s.waking = false
+		if s.wake(); len(s.waiters) > 0 {
+			bs.wakeLater(s)
+		}
+	})
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -111,6 +111,7 @@
 	req := r.outgoing(res.server.ID)
 	defer fasthttp.ReleaseRequest(req)
 	prepare(req)
+	sentAt := time.Now()
 	ex, err := r.g.pool.Do(ctx, res.server.Address, req, connection.Options{
 		NoReuse: fresh, DialTimeout: connectTimeout, MaxIdleTime: maxIdleReuse, MatchesRequest: r.matchesID,
 	})
@@ -120,6 +121,7 @@
 		}
 		return nil, err
 	}
+	r.observeRateLimit(res.server, &ex.Response.Header, sentAt)
 	if err := r.checkResponse(ex, false); err != nil {
 		ex.Finish(false)
 		return nil, err
--- a/internal/forward/switchover.go
+++ b/internal/forward/switchover.go
@@ -86,10 +86,14 @@
 		req.Header.Set(d.LastEventID, strconv.FormatInt(last, 10))
 		r.setStandbyHeader(req, sw.standby)
 	}
+	if sw.target.isStandby {
+		r.g.balancers.chargeRate(sw.target.server.ID)
+	}
 	ex, err := r.exchange(ctx, sw.target, false, prepare)
 	if verdict.From(err).Code == connection.CodeNoResponse {
 		// The preconnected connection may have been closed. A copy can be used once, so a
 		// second request cannot start a second generation.
+		r.g.balancers.chargeRate(sw.target.server.ID)
 		ex, err = r.exchange(ctx, sw.target, true, prepare)
 	}
 	if err != nil {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -19,6 +19,7 @@
 	"monsoonkeel.example/monsoonkeel/core/attribution"
 	"monsoonkeel.example/monsoonkeel/core/balance"
 	"monsoonkeel.example/monsoonkeel/core/fleet"
+	"monsoonkeel.example/monsoonkeel/core/ratelimit"
 	"monsoonkeel.example/monsoonkeel/internal/directory"
 )
 
@@ -76,6 +77,8 @@
 	// Crashes are recent crashes of engines, and Answers say which prompt parts are sound.
 	Crashes []attribution.Report `json:"c,omitempty"`
 	Answers []attribution.Answer `json:"z,omitempty"`
+	// Limits are the rate limits that backend servers name, and this host's demand for them.
+	Limits []ratelimit.Report `json:"m,omitempty"`
 	// StoreResponseAgeMS is the time since the host's last successful store call, in ms.
 	StoreResponseAgeMS int64 `json:"a"`
 	// StoreReader is set when the host is a store reader of its region.
@@ -296,6 +299,7 @@
 	a.StoreResponseAgeMS, b.StoreResponseAgeMS = 0, 0
 	a.Crashes, a.Answers = withoutAges(a.Crashes, a.Answers)
 	b.Crashes, b.Answers = withoutAges(b.Crashes, b.Answers)
+	a.Limits, b.Limits = limitsWithoutAges(a.Limits), limitsWithoutAges(b.Limits)
 	if a.RelayedUpdate != nil && b.RelayedUpdate != nil {
 		x, y := *a.RelayedUpdate, *b.RelayedUpdate
 		x.ConfirmedAgoMS, y.ConfirmedAgoMS = 0, 0
@@ -315,6 +319,14 @@
 	return crashes, answers
 }
 
+func limitsWithoutAges(limits []ratelimit.Report) []ratelimit.Report {
+	limits = slices.Clone(limits)
+	for i := range limits {
+		limits[i].AgeMS = min(limits[i].AgeMS, 0)
+	}
+	return limits
+}
+
 // send sends a state to the peers of the region, and with toAll to all other hosts.
 // Relayed updates and echoes go to the region only.
 func (e *Exchange) send(conn *net.UDPConn, s State, toAll bool) {
