Deliver a server's failure if rate limits prevent the retry

Callers saw: 502 in place of the server's own status 500, without its mark, while the other servers of the service were limited. Cause: the failure was withheld for a retry whenever the retry budget allowed one; with rate limits, that no longer means that a server may get it. Evidence: TestFailureIsDeliveredIfRetryIsRateLimited gets 502 without the check. Why it works: a failure is withheld only if the limits of the servers not attempted allow a request now.

Also tests of a burst at limited servers, invalid limits, streams, priority and teams, and a fault they found: rejected callers got the same Retry-After of 10 s; promised times now begin anew after 10 s, so callers return spread over that time (TestBurstAtLimitedServers got one value, now more than 10).

--- a/core/balance/ratelimit.go
+++ b/core/balance/ratelimit.go
@@ -35,15 +35,13 @@
 // returns false if this host has no share of any limit.
 func (b *Balancer) Promise(req Request, now time.Time) (time.Time, bool) {
 	next := ""
+	var from time.Time
 	for id, s := range b.servers {
 		if !b.isCandidate(id, s, req) || b.limits == nil || !b.limits.Limited(id) {
 			continue
 		}
-		if _, ok := b.limits.NextAt(id, now); !ok {
-			continue
-		}
-		if next == "" || b.limits.PromisedUntil(id).Before(b.limits.PromisedUntil(next)) {
-			next = id
+		if at, ok := b.limits.PromisedFrom(id, now); ok && (next == "" || at.Before(from)) {
+			next, from = id, at
 		}
 	}
 	if next == "" {
--- a/core/ratelimit/ratelimit.go
+++ b/core/ratelimit/ratelimit.go
@@ -28,6 +28,9 @@
 	// minWeight is the demand of a host that has none, as a share of the average, so that its first
 	// requests find a token.
 	minWeight = 0.1
+	// MaxPromise is the longest time after which a rejected request may come back: more requests than
+	// the tokens until then would find none, and the limit may change.
+	MaxPromise = 10 * time.Second
 	// maxTokens is the most tokens that a host saves up: a little over one, so that the time until
 	// the next request after a token is available is not lost.
 	maxTokens = 1.25
@@ -307,24 +310,29 @@
 	}
 }
 
-// PromisedUntil returns the time up to which the tokens of a server are promised to rejected requests.
-func (l *Limiter) PromisedUntil(id string) time.Time {
-	if s := l.servers[id]; s != nil {
-		return s.promisedUntil
+// PromisedFrom returns from when on a token of a server is not promised to a rejected request; false if the
+// host has no share.
+func (l *Limiter) PromisedFrom(id string, now time.Time) (time.Time, bool) {
+	next, ok := l.NextAt(id, now)
+	if s := l.servers[id]; ok && s != nil {
+		next = later(next, s.promisedUntil)
 	}
-	return time.Time{}
+	return next, ok
 }
 
-// Promise returns when a rejected request may come back to find a token, and moves on the time for the next
-// one. It returns false if the host has no share.
+// Promise returns when a rejected request may come back to find a token, later for each further one up to
+// MaxPromise; then it begins anew. It returns false if the host has no share.
 func (l *Limiter) Promise(id string, now time.Time) (time.Time, bool) {
 	s := l.servers[id]
 	if s == nil || s.limit == 0 || s.share == 0 {
 		return time.Time{}, false
 	}
-	next, _ := l.NextAt(id, now)
-	s.promisedUntil = later(s.promisedUntil, next).Add(time.Duration(float64(time.Second) / s.share))
-	return s.promisedUntil, true
+	at, _ := l.PromisedFrom(id, now)
+	s.promisedUntil = at.Add(time.Duration(float64(time.Second) / s.share))
+	if s.promisedUntil.Sub(now) > MaxPromise {
+		s.promisedUntil = time.Time{}
+	}
+	return at, true
 }
 
 // reshare computes the host's share of a server.
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -49,7 +50,7 @@
 			return r.noReservation(last, ran, reason)
 		}
 		r.attempts++
-		err := r.attemptPlain(res, ran)
+		err := r.attemptPlain(res, ran, attempted)
 		if err == nil {
 			return nil
 		}
@@ -186,9 +187,9 @@
 	return r.route.Priority
 }
 
-// attemptPlain sends the request, executed ran times before, to one server and delivers
-// the response.
-func (r *request) attemptPlain(res *reservation, ran int) error {
+// attemptPlain sends the request, executed ran times before at the attempted servers, to one server and
+// delivers the response.
+func (r *request) attemptPlain(res *reservation, ran int, attempted []string) error {
 	again := r.mayExecuteAgain(ran + 1)
 	opts := connection.Options{
 		NoReuse:        r.route.Kind == route.NonIdempotent,
@@ -219,7 +220,7 @@
 	}
 	status := ex.Response.StatusCode()
 	// A failure response is withheld only if another attempt is sure to be sent.
-	again = again && r.canRetry()
+	again = again && r.canRetry(append(slices.Clone(attempted), res.server.ID))
 	if err := r.checkResponse(ex, again); err != nil {
 		ex.Finish(false)
 		res.release(verdict.From(err).Code != codeServerError)
@@ -236,10 +237,11 @@
 	return err
 }
 
-// canRetry reports whether the retry budget allows a retry now and the deadline leaves
-// time for it.
-func (r *request) canRetry() bool {
-	return time.Until(r.deadline) > minRetryTime && r.g.balancers.hasRetryBudget(r.service)
+// canRetry reports whether the retry budget and the rate limits of the servers not attempted allow a retry
+// now, and the deadline leaves time for it.
+func (r *request) canRetry(attempted []string) bool {
+	req := balance.Request{Allowed: route.RegionFilter(r.route, r.team), Exclude: attempted}
+	return time.Until(r.deadline) > minRetryTime && r.g.balancers.hasRetryBudget(r.service) && !r.g.balancers.isRateLimited(r.service, req)
 }
 
 // matchesID reports whether the response carries this request's ID or none. It detects a
--- a/internal/forward/ratelimits.go
+++ b/internal/forward/ratelimits.go
@@ -10,13 +10,8 @@
 	"monsoonkeel.example/monsoonkeel/internal/gossip"
 )
 
-const (
-	// wakeInterval is the time between two checks whether a rate limit allows a waiting request.
-	wakeInterval = 20 * time.Millisecond
-	// maxRateRetryAfter is the longest Retry-After of a request that rate limits reject; they may
-	// change before.
-	maxRateRetryAfter = 10 * time.Second
-)
+// wakeInterval is the time between two checks whether a rate limit allows a waiting request.
+const wakeInterval = 20 * time.Millisecond
 
 // observeRateLimit records what a response says of its server's rate limit. sentAt is when the request was
 // sent.
@@ -89,6 +84,17 @@
 	return true
 }
 
+// isRateLimited reports whether rate limits alone prevent that a request is sent now.
+func (bs *balancers) isRateLimited(service string, req balance.Request) bool {
+	bs.mu.Lock()
+	defer bs.mu.Unlock()
+	if !bs.limits.HasLimits() {
+		return false
+	}
+	_, reason := bs.service(service).balancer.Pick(req, time.Now())
+	return reason == balance.RateLimited
+}
+
 // rateRetryAfter returns the Retry-After of a request that rate limits reject, a later one for each further
 // request.
 func (bs *balancers) rateRetryAfter(service string, req balance.Request) time.Duration {
@@ -97,9 +103,9 @@
 	now := time.Now()
 	at, ok := bs.service(service).balancer.Promise(req, now)
 	if !ok {
-		return maxRateRetryAfter
+		return ratelimit.MaxPromise
 	}
-	return min(at.Sub(now), maxRateRetryAfter)
+	return at.Sub(now)
 }
 
 // wakeLater wakes the waiters of a service in intervals while there are any: tokens of rate limits become
