Send large gossip states without crashes of engines

Cause: a state that exceeds a datagram is not sent; crashes of engines with long prompts could bring it there and take the load and notices with them. Evidence: TestLargeStateIsSentWithoutCrashes fails without the change.

--- a/core/ratelimit/ratelimit.go
+++ b/core/ratelimit/ratelimit.go
@@ -45,7 +45,7 @@
 
 // Observation is what a response of a server said of its limit.
 type Observation struct {
-	// Limit is in requests per second, MinLimit at least; 0 if the response named none.
+	// Limit is in requests per second, at least MinLimit counts; 0 if the response named none.
 	Limit float64
 	// SentAt is when the request was sent, At when its response arrived.
 	SentAt, At time.Time
@@ -152,6 +152,8 @@
 	at := o.At
 	if o.Limit == 0 {
 		at = o.SentAt
+	} else {
+		o.Limit = max(o.Limit, MinLimit)
 	}
 	switch {
 	case s == nil && o.Limit == 0, s != nil && !at.After(s.observedAt):
--- a/core/ratelimit/ratelimit_test.go
+++ b/core/ratelimit/ratelimit_test.go
@@ -76,6 +76,11 @@
 		assert.True(t, l.Allows("r", at(0)))
 	}
 	assert.True(t, Valid(0))
+	tiny := newLimiter("host-0")
+	tiny.Observe("s", 1, named(1e-300, 0))
+	next, ok := tiny.NextAt("s", at(0))
+	assert.True(t, ok)
+	assert.Less(t, next.Sub(at(0)), time.Minute)
 	l := newLimiter("host-0")
 	l.Merge([]HostReports{{Host: "host-1", ReceivedAt: at(0), Reports: []Report{{ID: "s", Limit: 2, AgeMS: 0}, {ID: "r", Limit: 2, AgeMS: math.MaxInt64}}}}, at(0))
 	assert.True(t, l.Limited("s"))
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -209,15 +209,14 @@
 	defer fasthttp.ReleaseRequest(req)
 	sentAt := time.Now()
 	ex, err := r.g.pool.Do(r.ctx, res.server.Address, req, opts)
-	if err == nil {
-		r.observeRateLimit(res.server, &ex.Response.Header, sentAt)
-	} else {
+	if err != nil {
 		res.release(r.call.Context().Err() == nil)
 		if verdict.Of(err) != verdict.NotRun {
 			r.recordBrokenAnswer(res.server, err)
 		}
 		return err
 	}
+	r.observeRateLimit(res.server, &ex.Response.Header, sentAt)
 	status := ex.Response.StatusCode()
 	// A failure response is withheld only if another attempt is sure to be sent.
 	again = again && r.canRetry(append(slices.Clone(attempted), res.server.ID))
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -178,8 +178,8 @@
 	d := &r.g.opts.Dialect
 	h := &r.call.Request.Header
 	if value := h.Peek(d.PromptParts); len(value) > 0 {
-		interrupt := func() { r.cancel() } // set before the request is registered as sent
-		r.prompt = r.g.crashes.NewRequest(r.id, d.ParsePromptParts(string(value)), interrupt)
+		// cancel is set before the request is registered as sent.
+		r.prompt = r.g.crashes.NewRequest(r.id, d.ParsePromptParts(string(value)), func() { r.cancel() })
 	}
 	prompt, output, ok := d.ParseTokenCounts(string(h.Peek(d.TokenCounts)))
 	if !ok {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -357,9 +357,15 @@
 	}
 }
 
-// encode returns the message, or nil if it cannot be encoded or exceeds maxMessageBytes.
+// encode returns the message, or nil if it cannot be encoded or exceeds maxMessageBytes. The crashes of
+// engines are left out if it exceeds that otherwise: the load and the notices matter more.
 func (e *Exchange) encode(s State) []byte {
 	message, err := json.Marshal(s)
+	if len(message) > maxMessageBytes && len(s.Crashes) > 0 {
+		e.opts.Log.Warn().Int("bytes", len(message)).Int("crashes", len(s.Crashes)).Msg("gossip message sent without crashes of engines: larger than a datagram")
+		s.Crashes = nil
+		message, err = json.Marshal(s)
+	}
 	if err != nil || len(message) > maxMessageBytes {
 		e.opts.Log.Error().AnErr("error", err).Int("bytes", len(message)).Msg("gossip message not sent: encoding failed or larger than a datagram")
 		return nil
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"monsoonkeel.example/monsoonkeel/core/attribution"
 	"monsoonkeel.example/monsoonkeel/core/balance"
 	"monsoonkeel.example/monsoonkeel/core/fleet"
 )
@@ -28,6 +29,25 @@
 	return m
 }
 
+// Guards against a state that is not sent at all because the crashes of engines do not fit into a datagram
+// beside the generations.
+func TestLargeStateIsSentWithoutCrashes(t *testing.T) {
+	e := New(Options{Self: fleet.Host{ID: "me"}, Log: zerolog.Nop(), Clock: clock})
+	s := State{Host: "me"}
+	for n := range 800 {
+		s.Generations = append(s.Generations, Generation{ID: fmt.Sprintf("%016x", n), Server: "i-0000000000", Tokens: 4000, MigrationPriority: 100000})
+	}
+	require.NotNil(t, e.encode(s))
+	s.Crashes = []attribution.Report{{Parts: make([]attribution.Part, 1000)}}
+	for i := range s.Crashes[0].Parts {
+		s.Crashes[0].Parts[i] = 1<<48 - 1
+	}
+	var sent State
+	require.NoError(t, json.Unmarshal(e.encode(s), &sent))
+	assert.Equal(t, 800, len(sent.Generations))
+	assert.Zero(t, len(sent.Crashes))
+}
+
 // Guards against datagrams that are delayed, duplicated or invalid: only a newer message
 // replaces a host's state. A host without a message for peerTimeout is dropped.
 func TestOnlyNewerMessagesAreApplied(t *testing.T) {
