Keep the evidence on prompt parts in the store current

Cause: after 16 crashes of a part the store kept the first ones, so a restart of all hosts shortened its hold; and evidence on a part that turned out to be sound stayed if the host that had saved it was gone. Evidence: found by reading; TestEvidenceInStore covers both. Why it works: the newest crash decides whether the evidence is saved again, and the elected host deletes it as well as the one that saved or read it.

--- a/internal/forward/evidence.go
+++ b/internal/forward/evidence.go
@@ -42,20 +42,27 @@
 	if g.opts.EvidenceStore == nil {
 		return
 	}
-	// saved holds the number of crashes of each rejection in the store.
-	saved := map[attribution.Part]int{}
-	for !g.loadEvidence(ctx, saved) {
+	kept := map[attribution.Part]*keptEvidence{}
+	for !g.loadEvidence(ctx, kept) {
 		if !wait.For(ctx, evidenceInterval) {
 			return
 		}
 	}
 	for wait.For(ctx, evidenceInterval) {
-		g.saveEvidence(ctx, saved)
+		g.saveEvidence(ctx, kept)
 	}
 }
 
+// keptEvidence is what a host knows of the store's evidence on one part.
+type keptEvidence struct {
+	// rejection is the newest one; nil if the evidence was read and explains none.
+	rejection *attribution.Rejection
+	// saved is the last crash that this host saved or read.
+	saved attribution.Process
+}
+
 // loadEvidence reads the evidence in the store and reports whether it succeeded.
-func (g *Gateway) loadEvidence(ctx context.Context, saved map[attribution.Part]int) bool {
+func (g *Gateway) loadEvidence(ctx context.Context, kept map[attribution.Part]*keptEvidence) bool {
 	ctx, cancel := context.WithTimeout(ctx, evidenceTimeout)
 	defer cancel()
 	list, err := g.opts.EvidenceStore.ListEvidence(ctx)
@@ -65,41 +72,46 @@
 	}
 	var reports []attribution.Report
 	for _, e := range list {
-		saved[e.Part] = len(e.Crashes)
+		kept[e.Part] = &keptEvidence{}
 		// Wall clocks differ and step; a negative age would keep the evidence longer.
 		age := max(time.Since(e.WrittenAt), 0)
 		for _, c := range e.Crashes {
+			kept[e.Part].saved = c.Process
 			c.AgeMS += age.Milliseconds()
 			reports = append(reports, c)
 		}
 	}
-	if len(reports) > 0 {
-		g.crashes.Merge(reports, nil, time.Now(), "evidence was read from the store")
-	}
+	g.crashes.Merge(reports, nil, time.Now(), "evidence was read from the store")
 	return true
 }
 
 // saveEvidence saves the rejections for which this host is elected and deletes those that ended.
-func (g *Gateway) saveEvidence(ctx context.Context, saved map[attribution.Part]int) {
+func (g *Gateway) saveEvidence(ctx context.Context, kept map[attribution.Part]*keptEvidence) {
 	current := map[attribution.Part]bool{}
 	for _, r := range g.crashes.Rejections() {
 		part := r.Parts[0]
 		current[part] = true
-		count := min(len(r.Crashes), maxSavedCrashes)
-		if saved[part] == count || !g.crashes.IsElected(r) {
-			continue
+		if kept[part] == nil {
+			kept[part] = &keptEvidence{}
 		}
-		if g.callEvidenceStore(ctx, "save", part, func(ctx context.Context) error {
+		k, last := kept[part], r.Crashes[len(r.Crashes)-1].Process
+		k.rejection = r
+		if k.saved != last && g.crashes.IsElected(r) && g.callEvidenceStore(ctx, "save", part, func(ctx context.Context) error {
 			return g.opts.EvidenceStore.SaveEvidence(ctx, g.evidenceOf(r))
 		}) {
-			saved[part] = count
+			k.saved = last
 		}
 	}
-	for part := range saved {
-		if !current[part] && g.callEvidenceStore(ctx, "delete", part, func(ctx context.Context) error {
+	for part, k := range kept {
+		if current[part] {
+			continue
+		}
+		// The host that saved it may be gone, so the elected one deletes it too.
+		maybeStored := k.saved != attribution.Process{} || k.rejection != nil && g.crashes.IsElected(k.rejection)
+		if !maybeStored || g.callEvidenceStore(ctx, "delete", part, func(ctx context.Context) error {
 			return g.opts.EvidenceStore.DeleteEvidence(ctx, part)
 		}) {
-			delete(saved, part)
+			delete(kept, part)
 		}
 	}
 }
