--- a/internal/forward/evidence_test.go
+++ b/internal/forward/evidence_test.go
@@ -13,6 +13,7 @@
 	"monsoonkeel.example/monsoonkeel/core/attribution"
 	"monsoonkeel.example/monsoonkeel/internal/boottime"
 	"monsoonkeel.example/monsoonkeel/internal/directory"
+	"monsoonkeel.example/monsoonkeel/internal/gossip"
 )
 
 // testEvidenceStore is an EvidenceStore in memory.
@@ -78,3 +79,34 @@
 	assert.Empty(t, store)
 	assert.Empty(t, nextKept)
 }
+
+// Guards against evidence on a sound part that stays in the store because the host that saved it is gone: the
+// host that is elected by then deletes it, though it has neither saved nor read it.
+func TestEvidenceOfLostHostIsDeleted(t *testing.T) {
+	store := testEvidenceStore{}
+	part := attribution.PartOf("part")
+	var reports []attribution.Report
+	for n := range 3 {
+		reports = append(reports, attribution.Report{
+			Process: attribution.Process{ID: fmt.Sprint("engine-", n)}, Address: fmt.Sprint("10.0.0.", n), Domain: "d",
+			AgeMS: int64(3000 - 1000*n), Engines: 40, Domains: 1, Parts: []attribution.Part{part},
+		})
+	}
+	g := newEvidenceGateway("host-0", store)
+	g.crashes.Merge(reports, nil, time.Now(), "test")
+	elected := ""
+	for n := 1; elected == ""; n++ {
+		g.peers.Store(&[]gossip.State{{Host: fmt.Sprint("host-", n)}})
+		if !g.crashes.IsElected(g.crashes.Rejections()[0]) {
+			elected = fmt.Sprint("host-", n)
+		}
+	}
+	store[part] = Evidence{Part: part} // saved by the elected host
+	kept := map[attribution.Part]*keptEvidence{}
+	g.saveEvidence(t.Context(), kept)
+	require.Empty(t, store[part].Crashes, "%s saves it", elected)
+	g.peers.Store(&[]gossip.State{})
+	g.crashes.NewRequest("id", []string{"part"}, func() {}).RecordAnswer()
+	g.saveEvidence(t.Context(), kept)
+	assert.Empty(t, store)
+}
