Log who ended the source of a stream, and what the target said

Cause: for a stream that broke, the logs had the error of the last read only. It is the same whether the engine, an idle timeout of this host, a switchover or a final copy ended the source, and the version of the configuration at the end was missing, so that the hypotheses on lost streams could not be told apart. Ruled out: joining several lines by request; the lines of a switchover are missing if none was attempted. Change: the fields ended_by, target_response and config_end in the line of each request for a stream. Conclusion: one line tells who ended the source, why, what the last target said, and the versions at start and end.

--- a/internal/forward/generations.go
+++ b/internal/forward/generations.go
@@ -36,6 +36,8 @@
 	// lastID is the newest event delivered.
 	lastID int64
 	ended  bool
+	// interruptedBy is why this host closed the current source; empty if it did not.
+	interruptedBy endedBy
 }
 
 func (gens *generations) add(r *request, res, standby *reservation) *generation {
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -55,6 +55,10 @@
 	// for a regular end; framing is how the source delimits its body.
 	sourceEnd error
 	framing   string
+	// sourceEndedBy is who ended the body of a stream's last source, and targetResponse is
+	// the outcome of the last request to another engine to resume the generation.
+	sourceEndedBy  endedBy
+	targetResponse string
 	// rateLimit is the rate limit that the last response named, as received; empty for none.
 	rateLimit string
 	// rejection is the rejection of a prompt part that ended the request.
@@ -309,7 +313,13 @@
 		e = e.Int("events", r.events).Int64("first_event_ms", r.firstEvent.Milliseconds()).
 			Int64("worst_gap_ms", r.worstGap.Milliseconds()).Int("moves", r.migrations).Int("prompt", r.promptTokens).Int("output", r.outputTokens)
 		if r.sourceEnd != nil {
-			e = e.Str("source_end", r.sourceEnd.Error()).Str("framing", r.framing)
+			e = e.Str("source_end", r.sourceEnd.Error()).Str("framing", r.framing).Str("ended_by", string(r.sourceEndedBy))
+		}
+		if r.targetResponse != "" {
+			e = e.Str("target_response", r.targetResponse)
+		}
+		if t := r.g.opts.Directory.Snapshot().Table; t != nil {
+			e = e.Int64("config_end", t.Version)
 		}
 	}
 	e.Str("request", r.id).Str("service", r.service).Str("backend", r.backend).Int("status", r.status).
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -172,6 +172,7 @@
 			continue
 		}
 		s.r.sourceEnd, s.r.framing = err, framing(&s.ex.Response.Header)
+		s.r.sourceEndedBy = s.generation.endedBy(err)
 		if s.isRegularEnd(err) {
 			return s.complete()
 		}
--- a/internal/forward/switchover.go
+++ b/internal/forward/switchover.go
@@ -51,13 +51,13 @@
 	gen.mu.Unlock()
 	sw.standby = gen.r.reserveStandby(sw.target.server)
 	gen.preconnect(sw.target.server.Address)
-	stop := time.AfterFunc(maxOverlap, func() { gen.interrupt(source) })
+	stop := time.AfterFunc(maxOverlap, func() { gen.interrupt(source, endedByOverlap) })
 	sw.ex, sw.err = gen.resume(ctx, sw)
 	interrupted := !stop.Stop()
 	gen.logSwitchover(sw, server)
 	if sw.ex != nil {
 		close(sw.done)
-		gen.interrupt(source)
+		gen.interrupt(source, endedBySwitchover)
 		return true
 	}
 	sw.standby.releaseIfHeld()
@@ -108,10 +108,11 @@
 
 // interrupt aborts the source's response if it is still the one that is relayed. An
 // engine stops a generation when its client disconnects.
-func (gen *generation) interrupt(source *connection.Exchange) {
+func (gen *generation) interrupt(source *connection.Exchange, by endedBy) {
 	gen.mu.Lock()
 	defer gen.mu.Unlock()
 	if gen.ex != nil && gen.ex == source {
+		gen.interruptedBy = by
 		gen.ex.Abort()
 	}
 }
@@ -153,6 +154,9 @@
 func (gen *generation) setExchange(ex *connection.Exchange) {
 	gen.mu.Lock()
 	gen.ex = ex
+	if ex != nil {
+		gen.interruptedBy = ""
+	}
 	gen.mu.Unlock()
 }
 
@@ -163,6 +167,12 @@
 }
 
 func (gen *generation) logSwitchover(sw *switchover, source string) {
+	gen.mu.Lock()
+	gen.r.targetResponse = "accepted"
+	if sw.err != nil {
+		gen.r.targetResponse = sw.err.Error()
+	}
+	gen.mu.Unlock()
 	gen.r.g.opts.Log.Info().Str("request", gen.r.id).Str("source", source).Str("target", sw.target.server.ID).
 		Bool("went_on", sw.ex != nil).AnErr("error", sw.err).AnErr("source_end", sw.sourceEnd).
 		Msg("generation switchover to another engine attempted")
