--- /dev/null
+++ b/core/relay/relay.go
@@ -0,0 +1,215 @@
+// Package relay decides how a stream goes on that is relayed from one backend server and may be
+// resumed at another: which of the two may be closed, and when the stream is complete or broken.
+//
+// A source is closed only after another engine has accepted to resume, or after its own response
+// ended. An engine that was asked while the source may still run the generation has to accept
+// within a bound, or else its request is abandoned, so that the generation does not run at two
+// engines. The package does no I/O, reads no clock and is not safe for concurrent use.
+package relay
+
+import "time"
+
+// State is what a stream is doing.
+type State uint8
+
+// States of a stream. The source is the engine whose response is relayed, the target an engine that
+// was asked to resume the generation.
+const (
+	// Relayed: events come from the source, and no target is asked.
+	Relayed State = iota
+	// Switching: events come from the source until the target accepts.
+	Switching
+	// Accepted: the target has accepted, and the source is closed or has ended.
+	Accepted
+	// Interrupted: the source ended before the last event, and no target is asked.
+	Interrupted
+	// Resuming: the source ended before the last event, and a target is asked.
+	Resuming
+	// Complete: the last event and the regular end of the response arrived.
+	Complete
+	// Broken: the response to the caller ends without its end.
+	Broken
+)
+
+// String returns the name used in logs.
+func (s State) String() string {
+	return [...]string{"relayed", "switching", "accepted", "interrupted", "resuming", "complete", "broken"}[s]
+}
+
+// Ended reports whether the caller's response has ended.
+func (s State) Ended() bool { return s == Complete || s == Broken }
+
+const (
+	// MaxOverlap limits how long a target may take to accept while the source may run the
+	// generation. It is half of what the platform allows, since the target's response and the end
+	// of the source take a one-way latency between regions each.
+	MaxOverlap = 200 * time.Millisecond
+	// SilenceLimit is the time without an event after which an engine is taken for dead. A
+	// sound engine may be silent for a second or two.
+	SilenceLimit = 3 * time.Second
+)
+
+// Action is what the host has to do after an event.
+type Action uint8
+
+// Actions.
+const (
+	// None: nothing changes.
+	None Action = iota
+	// CloseSource closes the source's response; the relay goes on with the target after its end.
+	CloseSource
+	// RelayTarget goes on with the target's response.
+	RelayTarget
+	// DropTarget closes the target's response or cancels its request.
+	DropTarget
+	// AwaitTarget waits for the target's response.
+	AwaitTarget
+	// FindTarget asks another target, or gives up if no copy of the generation is left.
+	FindTarget
+	// EndResponse ends the caller's response as complete, after DropTarget if a target is asked.
+	EndResponse
+)
+
+// Stream is the state of one stream. Use New.
+type Stream struct {
+	state State
+	// heardAt is when the source last sent an event; askedAt is when the target was asked, and
+	// endedAt when the source's response ended.
+	heardAt, askedAt, endedAt time.Time
+}
+
+// New returns the state of a stream whose source sent its response header at now.
+func New(now time.Time) *Stream { return &Stream{heardAt: now} }
+
+// State returns the current state.
+func (s *Stream) State() State { return s.state }
+
+// Heard records an event of the source.
+func (s *Stream) Heard(now time.Time) { s.heardAt = now }
+
+// Silence is the time since the last event of the source.
+func (s *Stream) Silence(now time.Time) time.Duration { return now.Sub(s.heardAt) }
+
+// Ask records that a target is asked to resume, and reports whether it may be: only one at a time.
+func (s *Stream) Ask(now time.Time) bool {
+	switch s.state {
+	case Relayed:
+		s.state = Switching
+	case Interrupted:
+		s.state = Resuming
+	default:
+		return false
+	}
+	s.askedAt = now
+	return true
+}
+
+// Accept records that the target has accepted: it runs the generation now.
+func (s *Stream) Accept() Action {
+	switch s.state {
+	case Switching:
+		s.state = Accepted
+		return CloseSource
+	case Resuming:
+		s.state = Accepted
+		return RelayTarget
+	}
+	return DropTarget
+}
+
+// Relay records that the target has become the source.
+func (s *Stream) Relay(now time.Time) {
+	if s.state == Accepted {
+		s.state, s.heardAt = Relayed, now
+	}
+}
+
+// Refuse records that the target does not resume: it rejected the request, closed the connection
+// or was abandoned. A source that has not ended goes on.
+func (s *Stream) Refuse() Action {
+	switch s.state {
+	case Switching:
+		s.state = Relayed
+	case Resuming:
+		s.state = Interrupted
+		return FindTarget
+	}
+	return None
+}
+
+// AbandonAt returns when the request to the target is to be abandoned without its response. ok is
+// false if no response is awaited. While the source may run the generation, MaxOverlap counts from
+// the request, or from the first event after the source was taken for dead; a dead source leaves
+// the target as long as a silent engine has.
+func (s *Stream) AbandonAt() (at time.Time, ok bool) {
+	switch s.state {
+	case Switching:
+		if s.heardAt.Before(s.askedAt) && s.askedAt.Sub(s.heardAt) >= SilenceLimit {
+			return s.askedAt.Add(SilenceLimit), true
+		}
+		if s.heardAt.After(s.askedAt) && s.heardAt.Sub(s.askedAt) >= MaxOverlap {
+			return s.heardAt, true
+		}
+		return s.askedAt.Add(MaxOverlap), true
+	case Resuming:
+		start := s.askedAt
+		if s.endedAt.After(start) {
+			start = s.endedAt
+		}
+		return start.Add(SilenceLimit), true
+	}
+	return time.Time{}, false
+}
+
+// SourceEnded records the end of the source's response. complete is the result of Body.Complete.
+func (s *Stream) SourceEnded(now time.Time, complete bool) Action {
+	if s.state.Ended() {
+		return None
+	}
+	if complete {
+		s.state = Complete
+		return EndResponse
+	}
+	s.endedAt = now
+	switch s.state {
+	case Switching:
+		s.state = Resuming
+		return AwaitTarget
+	case Accepted:
+		return RelayTarget
+	}
+	s.state = Interrupted
+	return FindTarget
+}
+
+// Break ends the caller's response without its end, whatever the state. The action is DropTarget if
+// a target is asked or has accepted.
+func (s *Stream) Break() Action {
+	previous := s.state
+	if previous.Ended() {
+		return None
+	}
+	s.state = Broken
+	if previous == Switching || previous == Accepted || previous == Resuming {
+		return DropTarget
+	}
+	return None
+}
+
+// Body is what is known of a source's response body at its end.
+type Body struct {
+	// EOF is set if the body ended as its framing says, or with the connection if nothing delimits it.
+	EOF bool
+	// Delimited is set if a length or chunks show where the body ends.
+	Delimited bool
+	// Events is the number of events delivered to the caller.
+	Events int
+	// EngineGone is set if the engine is known to have ended or does not respond.
+	EngineGone bool
+}
+
+// Complete reports whether the last event has arrived. An engine that crashes ends a body that nothing
+// delimits in the same way as a complete one; a complete one has an event at least.
+func (b Body) Complete() bool {
+	return b.EOF && (b.Delimited || b.Events > 0 && !b.EngineGone)
+}
--- /dev/null
+++ b/core/relay/relay_test.go
@@ -0,0 +1,308 @@
+package relay
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	_ "monsoonkeel.example/monsoonkeel/internal/fixedseed"
+)
+
+var start = time.Unix(0, 0)
+
+func after(d time.Duration) time.Time { return start.Add(d) }
+
+// in returns a stream in a state.
+func in(state State) *Stream {
+	s := New(start)
+	switch state {
+	case Switching, Accepted:
+		s.Ask(start)
+	case Interrupted, Resuming:
+		s.SourceEnded(start, false)
+	case Complete:
+		s.SourceEnded(start, true)
+	case Broken:
+		s.Break()
+	}
+	switch state {
+	case Accepted:
+		s.Accept()
+	case Resuming:
+		s.Ask(start)
+	}
+	return s
+}
+
+// Guards against a source that is closed without a target that has accepted, and against a stream
+// that ends although its source or its target goes on: each event in each state.
+func TestTransitions(t *testing.T) {
+	ask := func(s *Stream) Action {
+		if s.Ask(start) {
+			return AwaitTarget
+		}
+		return None
+	}
+	endsWell := func(s *Stream) Action { return s.SourceEnded(start, true) }
+	endsShort := func(s *Stream) Action { return s.SourceEnded(start, false) }
+	relayed := func(s *Stream) Action { s.Relay(start); return None }
+	for _, row := range []struct {
+		state  State
+		name   string
+		event  func(*Stream) Action
+		action Action
+		next   State
+	}{
+		{Relayed, "ask", ask, AwaitTarget, Switching},
+		{Relayed, "accept", (*Stream).Accept, DropTarget, Relayed},
+		{Relayed, "refuse", (*Stream).Refuse, None, Relayed},
+		{Relayed, "ends well", endsWell, EndResponse, Complete},
+		{Relayed, "ends short", endsShort, FindTarget, Interrupted},
+		{Relayed, "break", (*Stream).Break, None, Broken},
+		{Switching, "ask", ask, None, Switching},
+		{Switching, "accept", (*Stream).Accept, CloseSource, Accepted},
+		{Switching, "refuse", (*Stream).Refuse, None, Relayed},
+		{Switching, "ends well", endsWell, EndResponse, Complete},
+		{Switching, "ends short", endsShort, AwaitTarget, Resuming},
+		{Switching, "break", (*Stream).Break, DropTarget, Broken},
+		{Accepted, "ask", ask, None, Accepted},
+		{Accepted, "refuse", (*Stream).Refuse, None, Accepted},
+		{Accepted, "ends well", endsWell, EndResponse, Complete},
+		{Accepted, "ends short", endsShort, RelayTarget, Accepted},
+		{Accepted, "relay", relayed, None, Relayed},
+		{Accepted, "break", (*Stream).Break, DropTarget, Broken},
+		{Interrupted, "ask", ask, AwaitTarget, Resuming},
+		{Interrupted, "accept", (*Stream).Accept, DropTarget, Interrupted},
+		{Interrupted, "refuse", (*Stream).Refuse, None, Interrupted},
+		{Interrupted, "break", (*Stream).Break, None, Broken},
+		{Resuming, "ask", ask, None, Resuming},
+		{Resuming, "accept", (*Stream).Accept, RelayTarget, Accepted},
+		{Resuming, "refuse", (*Stream).Refuse, FindTarget, Interrupted},
+		{Resuming, "break", (*Stream).Break, DropTarget, Broken},
+		{Complete, "ask", ask, None, Complete},
+		{Complete, "accept", (*Stream).Accept, DropTarget, Complete},
+		{Complete, "refuse", (*Stream).Refuse, None, Complete},
+		{Complete, "ends short", endsShort, None, Complete},
+		{Complete, "break", (*Stream).Break, None, Complete},
+		{Broken, "ask", ask, None, Broken},
+		{Broken, "accept", (*Stream).Accept, DropTarget, Broken},
+		{Broken, "ends well", endsWell, None, Broken},
+		{Broken, "relay", relayed, None, Broken},
+	} {
+		s := in(row.state)
+		require.Equal(t, row.state, s.State())
+		assert.Equal(t, row.action, row.event(s), "%v, %s", row.state, row.name)
+		assert.Equal(t, row.next, s.State(), "%v, %s", row.state, row.name)
+	}
+}
+
+// Guards against a truncated stream that counts as complete.
+func TestCompleteBodies(t *testing.T) {
+	for _, row := range []struct {
+		body Body
+		want bool
+	}{
+		{Body{EOF: true, Delimited: true, Events: 3}, true},
+		{Body{EOF: true, Delimited: true}, true},
+		{Body{EOF: true, Events: 3}, true},
+		{Body{EOF: true, Events: 3, EngineGone: true}, false},
+		{Body{EOF: true, Delimited: true, Events: 3, EngineGone: true}, true},
+		{Body{EOF: true}, false},
+		{Body{Delimited: true, Events: 3}, false},
+		{Body{Events: 3}, false},
+	} {
+		assert.Equal(t, row.want, row.body.Complete(), "%+v", row.body)
+	}
+}
+
+// Guards against a generation that runs at two engines for too long, and against a target that is
+// abandoned too early although the source is dead.
+func TestAbandonAt(t *testing.T) {
+	for _, row := range []struct {
+		name               string
+		heard, asked       time.Duration
+		heardLater, endsAt time.Duration // 0 if that does not happen
+		want               time.Duration
+	}{
+		{"source runs", 900 * time.Millisecond, time.Second, 0, 0, time.Second + MaxOverlap},
+		{"source is silent", 0, time.Second, 0, 0, time.Second + MaxOverlap},
+		{"source is taken for dead", 0, SilenceLimit, 0, 0, 2 * SilenceLimit},
+		{"dead source goes on at once", 0, SilenceLimit, SilenceLimit + 50*time.Millisecond, 0, SilenceLimit + MaxOverlap},
+		{"dead source goes on later", 0, SilenceLimit, SilenceLimit + time.Second, 0, SilenceLimit + time.Second},
+		{"source has ended", 900 * time.Millisecond, time.Second, 0, 1100 * time.Millisecond, 1100*time.Millisecond + SilenceLimit},
+	} {
+		s := New(start)
+		s.Heard(after(row.heard))
+		require.True(t, s.Ask(after(row.asked)))
+		if row.heardLater > 0 {
+			s.Heard(after(row.heardLater))
+		}
+		if row.endsAt > 0 {
+			s.SourceEnded(after(row.endsAt), false)
+		}
+		at, ok := s.AbandonAt()
+		assert.True(t, ok, row.name)
+		assert.Equal(t, row.want, at.Sub(start), row.name)
+	}
+	_, ok := New(start).AbandonAt()
+	assert.False(t, ok)
+}
+
+// engine is an engine of the model, which runs a generation or not.
+type engine struct{ running, closedByHost, works bool }
+
+// model plays a host that follows Stream against engines that do anything.
+type model struct {
+	t             *rapid.T
+	s             *Stream
+	now           time.Time
+	last          int // number of events of the generation
+	source        *engine
+	target        *engine // nil if none is asked
+	targetAt      int     // event from which the target goes on
+	sent          int     // events that the source has sent
+	delivered     []int
+	reservations  int // of targets
+	overlap       time.Time
+	askedSilent   bool
+	targetRunning bool
+}
+
+// do carries out an action of the stream.
+func (m *model) do(a Action) {
+	switch a {
+	case CloseSource:
+		require.NotNil(m.t, m.target, "the source is closed without a target")
+		require.True(m.t, m.target.running, "the source is closed before the target has accepted")
+		m.source.running, m.source.closedByHost = false, true
+		m.do(m.s.SourceEnded(m.now, false))
+	case RelayTarget:
+		require.True(m.t, m.target.running)
+		m.source, m.target, m.sent = m.target, nil, m.targetAt
+		m.reservations--
+		m.s.Relay(m.now)
+	case EndResponse:
+		require.Len(m.t, m.delivered, m.last, "complete without the last event")
+		m.drop()
+	case DropTarget:
+		m.drop()
+	}
+}
+
+func (m *model) drop() {
+	if m.target != nil {
+		m.target.running = false
+		m.target = nil
+		m.reservations--
+	}
+}
+
+// Guards, for random sequences of what engines, callers and the host do, against a stream that is
+// complete without its last event, an event that is missing or repeated, a working source that is
+// closed for a target that has not accepted, a target that is awaited beyond the bound while the
+// source runs, and a reservation that is not released.
+func TestRandomSequences(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &model{t: t, s: New(start), now: start, last: rapid.IntRange(1, 6).Draw(t, "events"), source: &engine{running: true, works: true}}
+		for !m.s.State().Ended() {
+			m.step(rapid.SampledFrom([]string{
+				"event", "event", "event", "silence", "long silence", "ask", "accept", "reject", "close", "ends short", "caller leaves", "host stops",
+			}).Draw(t, "step"))
+		}
+		for i, n := range m.delivered {
+			require.Equal(t, i+1, n, "events delivered: %v", m.delivered)
+		}
+		if m.s.State() == Complete {
+			require.Len(t, m.delivered, m.last)
+		}
+		require.Zero(t, m.reservations)
+	})
+}
+
+func (m *model) step(name string) {
+	switch name {
+	case "event":
+		m.event()
+	case "silence":
+		m.pass(300 * time.Millisecond)
+	case "long silence":
+		m.pass(SilenceLimit)
+	case "ask":
+		if m.s.Ask(m.now) {
+			m.target, m.targetAt = &engine{}, len(m.delivered)
+			m.reservations++
+		}
+	case "accept":
+		if m.target != nil && !m.target.running {
+			m.target.running, m.targetAt = true, len(m.delivered)
+			m.do(m.s.Accept())
+		}
+	case "reject", "close":
+		m.refuse()
+	case "ends short":
+		if m.source.running {
+			m.source.running = false
+			m.do(m.s.SourceEnded(m.now, false))
+		}
+	case "caller leaves", "host stops":
+		// Rare, so that most sequences get to their end otherwise.
+		if rapid.IntRange(0, 9).Draw(m.t, name) == 0 {
+			m.do(m.s.Break())
+		}
+	}
+	if m.s.State() == Interrupted && rapid.IntRange(0, 4).Draw(m.t, "gives up") == 0 {
+		m.do(m.s.Break())
+	}
+}
+
+func (m *model) event() {
+	m.now = m.now.Add(10 * time.Millisecond)
+	if !m.source.running || m.s.State() == Interrupted || m.s.State() == Resuming {
+		return
+	}
+	if m.sent < m.last {
+		m.sent++
+		m.delivered = append(m.delivered, m.sent)
+		m.s.Heard(m.now)
+		return
+	}
+	m.source.running = false
+	m.do(m.s.SourceEnded(m.now, true))
+}
+
+func (m *model) refuse() {
+	if m.target == nil || m.target.running {
+		return
+	}
+	wasRunning := m.source.running
+	m.drop()
+	m.s.Refuse()
+	require.Equal(m.t, wasRunning, m.source.running, "the refusal of a target ended the source")
+	require.Equal(m.t, wasRunning, m.s.State() == Relayed)
+}
+
+// pass lets time pass; targets that do not respond are abandoned in time.
+func (m *model) pass(d time.Duration) {
+	end := m.now.Add(d)
+	if at, ok := m.s.AbandonAt(); ok {
+		limit := m.s.askedAt.Add(MaxOverlap)
+		if m.source.running && m.s.heardAt.Add(SilenceLimit).After(m.s.askedAt) {
+			require.False(m.t, at.After(limit), "the target is awaited beyond the bound")
+		}
+		if !at.After(end) {
+			m.refuse()
+		}
+	}
+	m.now = end
+}
+
+// Guards against a state without a name in the logs.
+func TestStateNames(t *testing.T) {
+	for s := Relayed; s <= Broken; s++ {
+		assert.NotEmpty(t, fmt.Sprint(s))
+	}
+}
--- a/internal/forward/endedby.go
+++ b/internal/forward/endedby.go
@@ -1,36 +1,26 @@
 package forward
 
-import (
-	"errors"
-	"os"
-)
+import "monsoonkeel.example/monsoonkeel/core/relay"
 
 // endedBy is who ended the body of a source, as it is logged.
 type endedBy string
 
-// Who ends the body of a source. All but endedByEngine are this host.
+// Who ends the body of a source.
 const (
-	endedByEngine     endedBy = "engine"
-	endedByIdle       endedBy = "idle_timeout"
-	endedByOverlap    endedBy = "overlap"
+	endedByEngine endedBy = "engine"
+	// endedBySwitchover: this host, after another engine had accepted to resume.
 	endedBySwitchover endedBy = "switchover"
-	endedByFinalCopy  endedBy = "final_copy"
-	endedByRequest    endedBy = "request"
+	// endedByRequest: this host, because the caller left or the deadline passed.
+	endedByRequest endedBy = "request"
 )
 
-// endedBy tells who ended the body of the current source; end is the error of reading it.
-func (gen *generation) endedBy(end error) endedBy {
-	gen.mu.Lock()
-	defer gen.mu.Unlock()
+// endedBy tells who ended the body of the current source. gen.mu must be held.
+func (gen *generation) endedBy() endedBy {
 	switch {
-	case gen.interruptedBy != "":
-		return gen.interruptedBy
+	case gen.relay.State() == relay.Accepted:
+		return endedBySwitchover
 	case gen.r.ctx.Err() != nil:
 		return endedByRequest
-	case errors.Is(end, os.ErrDeadlineExceeded):
-		return endedByIdle
-	case gen.migration != nil && gen.migration.finalCopy:
-		return endedByFinalCopy
 	}
 	return endedByEngine
 }
--- a/internal/forward/generations.go
+++ b/internal/forward/generations.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"monsoonkeel.example/monsoonkeel/core/migrate"
+	"monsoonkeel.example/monsoonkeel/core/relay"
 	"monsoonkeel.example/monsoonkeel/internal/connection"
 	"monsoonkeel.example/monsoonkeel/internal/directory"
 	"monsoonkeel.example/monsoonkeel/internal/gossip"
@@ -30,18 +31,24 @@
 	ex *connection.Exchange
 	// standby is the reservation of the standby replica; nil if there is none.
 	standby *reservation
+	// relay decides which engines may be asked and closed.
+	relay *relay.Stream
 	// switchover is set while the generation is resumed at an engine with a copy.
 	switchover *switchover
-	events     int
+	// sourceEnded is closed when the response of the current source has ended.
+	sourceEnded chan struct{}
+	events      int
 	// lastID is the newest event delivered.
 	lastID int64
 	ended  bool
-	// interruptedBy is why this host closed the current source; empty if it did not.
-	interruptedBy endedBy
+	// silenceTimer fires when the source is silent for too long; nil if that has no
+	// consequence. silentSwitches is the number of switchovers for that since the last event.
+	silenceTimer   *time.Timer
+	silentSwitches int
 }
 
 func (gens *generations) add(r *request, res, standby *reservation) *generation {
-	gen := &generation{r: r, reservation: res, standby: standby}
+	gen := &generation{r: r, reservation: res, standby: standby, relay: relay.New(time.Now()), sourceEnded: make(chan struct{})}
 	gens.mu.Lock()
 	gens.put(res.server.ID, gen)
 	gens.mu.Unlock()
@@ -78,6 +85,7 @@
 func (gens *generations) remove(gen *generation) {
 	gen.mu.Lock()
 	gen.ended = true
+	gen.stopAwaitingSilence()
 	res := gen.reservation
 	gen.mu.Unlock()
 	gen.setStandby(nil)
@@ -162,5 +170,8 @@
 func (gen *generation) delivered(events int, lastID int64) {
 	gen.mu.Lock()
 	gen.events, gen.lastID = events, lastID
+	gen.relay.Heard(time.Now())
+	gen.silentSwitches = 0
 	gen.mu.Unlock()
+	gen.awaitSilence()
 }
--- a/internal/forward/migration.go
+++ b/internal/forward/migration.go
@@ -9,6 +9,7 @@
 
 	"monsoonkeel.example/monsoonkeel/core/balance"
 	"monsoonkeel.example/monsoonkeel/core/migrate"
+	"monsoonkeel.example/monsoonkeel/core/relay"
 	"monsoonkeel.example/monsoonkeel/core/route"
 	"monsoonkeel.example/monsoonkeel/internal/wait"
 )
@@ -23,25 +24,27 @@
 	maxCopyAttempts = 40
 	// maxCopyFailures is how many copy requests may fail before the engine counts as ended.
 	maxCopyFailures = 2
+	// maxFinalCopyCalls is how often a final copy is requested: a kept connection to an engine that
+	// ended fails once before the engine refuses connections.
+	maxFinalCopyCalls = 2
+	// maxSwitchovers is how many requests to resume may fail in one migration. The interval between
+	// them doubles from switchoverRetryInterval.
+	maxSwitchovers          = 5
+	switchoverRetryInterval = 60 * time.Millisecond
 )
 
-// migration is the live migration of a generation to another engine: a pre-copy while it
-// runs, then a switchover, or else a final copy after it stopped.
+// migration is the live migration of a generation to another engine: a pre-copy while it runs, then
+// a switchover. The generation is not stopped for a final copy: its target could still reject it.
 type migration struct {
-	// finalCopy is set before the final copy is requested; from then on the source may
-	// close the stream.
-	finalCopy bool
-	done      chan struct{}
-	source    balance.Server
+	done   chan struct{}
+	source balance.Server
 	// tokensPerEvent is the number of tokens in an event.
 	tokensPerEvent int
-	// result is valid once done is closed.
-	result CopyResult
-	// preCopy is the result of the pre-copy, made while the generation ran.
+	// preCopy is the newest copy at target, made while the generation ran.
 	preCopy CopyResult
-	// preCopyTime and finalCopyTime are the durations of the two copies.
-	preCopyTime, finalCopyTime time.Duration
-	target                     *reservation
+	// preCopyTime is the duration of the pre-copy.
+	preCopyTime time.Duration
+	target      *reservation
 }
 
 // migrateFrom migrates the generation off a server, not before start.
@@ -61,51 +64,104 @@
 	gen.migration = m
 	gen.mu.Unlock()
 	gen.attemptMigration(m)
-	close(m.done)
 	gen.mu.Lock()
-	if !m.finalCopy && m.preCopy.Handle == "" {
+	if gen.migration == m && m.preCopy.Handle == "" {
 		gen.migration = nil // nothing was copied; a later migration may find capacity
 	}
 	gen.mu.Unlock()
+	close(m.done)
 }
 
-// attemptMigration copies the generation to another engine, with retries while no engine
-// has capacity.
+// attemptMigration copies the generation to another engine and asks it to resume, with retries at
+// others while no engine has capacity or accepts. The source goes on meanwhile.
 func (gen *generation) attemptMigration(m *migration) {
 	attempted := []string{m.source.ID}
-	failures := 0
-	for attempt := 0; attempt < maxCopyAttempts && gen.r.ctx.Err() == nil && !gen.isEnded(); attempt++ {
+	failures, switchovers := 0, 0
+	retryInterval := switchoverRetryInterval
+	for attempt := 0; attempt < maxCopyAttempts && gen.runsAt(m.source.ID); attempt++ {
 		if m.target == nil && !gen.chooseTarget(m, attempted) {
 			attempted = attempted[:1]
-			wait.For(gen.r.ctx, copyRetryInterval)
+			gen.waitWhileRunning(copyRetryInterval)
 			continue
 		}
-		result, err := gen.copyAndSwitch(m)
+		start := time.Now()
+		result, err := gen.copyKV(m, false)
+		m.preCopyTime = time.Since(start)
 		gen.log(m, "copy", result, err)
-		switch {
-		case result.Outcome == Copied:
-			m.result = result
-			return
-		case m.finalCopy && (result.Outcome == CopyFailed || result.Outcome == GenerationNotFound || result.Handle != ""):
-			// The generation has ended; it can resume from a copy, if there is one.
-			gen.recordFailedFinalCopy(m, result)
-			return
-		case result.Outcome == TargetUnavailable && m.preCopy.Handle == "":
+		switch result.Outcome {
+		case Copied:
+			m.preCopy = result
+			sw := gen.switchTo(m.source.ID, m.target, gen.r.g.opts.Dialect.FormatKVSource(m.source.Address, result.Handle))
+			if sw == nil {
+				break // the first event has not arrived, or the stream ended
+			}
+			if switchovers++; sw.ex != nil || switchovers == maxSwitchovers {
+				return
+			}
+			gen.waitWhileRunning(retryInterval)
+			retryInterval *= 2
 			attempted = append(attempted, m.target.server.ID)
-			m.releaseTarget()
-		case result.Outcome == CopyFailed:
+			gen.replaceTarget(m, attempted)
+			continue
+		case TargetUnavailable:
+			if m.preCopy.Handle == "" {
+				attempted = append(attempted, m.target.server.ID)
+				m.releaseTarget()
+			}
+		case CopyFailed:
 			failures++
 		}
 		if failures >= maxCopyFailures {
 			break
 		}
-		wait.For(gen.r.ctx, copyRetryInterval)
+		gen.waitWhileRunning(copyRetryInterval)
 	}
 	if m.preCopy.Handle == "" {
 		m.releaseTarget() // otherwise abandonMigration does
 	}
 }
 
+// replaceTarget chooses another engine than those attempted. If there is none, the migration keeps its
+// target and its copy.
+func (gen *generation) replaceTarget(m *migration, attempted []string) {
+	if !gen.runsAt(m.source.ID) {
+		return
+	}
+	allowed := route.RegionFilter(gen.r.route, gen.r.team)
+	target, reason := gen.reserveTarget(m, attempted, func(region string) bool { return region == m.source.Region && allowed(region) })
+	if reason == balance.NoCandidate {
+		target, _ = gen.reserveTarget(m, attempted, allowed)
+	}
+	if target == nil {
+		return
+	}
+	go gen.dropCopy(m.source, m.preCopy.Handle)
+	m.releaseTarget()
+	m.target, m.preCopy = target, CopyResult{}
+	go gen.preconnect(target.server.Address)
+}
+
+// runsAt reports whether the generation is relayed from a server.
+func (gen *generation) runsAt(server string) bool {
+	gen.mu.Lock()
+	defer gen.mu.Unlock()
+	return !gen.ended && gen.r.ctx.Err() == nil && gen.reservation.server.ID == server && gen.relay.State() == relay.Relayed
+}
+
+// waitWhileRunning waits for d or until the source's response has ended.
+func (gen *generation) waitWhileRunning(d time.Duration) {
+	gen.mu.Lock()
+	ended := gen.sourceEnded
+	gen.mu.Unlock()
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ended:
+	case <-gen.r.ctx.Done():
+	}
+}
+
 // chooseTarget reserves a slot at another engine. It stays in the source's region if that
 // has any other engine: a copy to another region takes many times as long and would
 // delay those of the other generations.
@@ -159,61 +215,48 @@
 	return r.g.balancers.acquire(r.ctx, r.service, req, r.sender(), 0)
 }
 
-// copyAndSwitch makes the pre-copy while the generation runs, and the switchover. If the
-// target rejects the switchover, the generation stops for the final copy.
-func (gen *generation) copyAndSwitch(m *migration) (CopyResult, error) {
-	if m.preCopy.Handle == "" {
-		start := time.Now()
-		result, err := gen.copyKV(m, false)
-		m.preCopyTime = time.Since(start)
-		if result.Outcome != Copied {
-			return result, err
-		}
-		m.preCopy = result
-		ref := gen.r.g.opts.Dialect.FormatKVSource(m.source.Address, result.Handle)
-		if gen.switchTo(m.source.ID, m, m.target, ref) {
-			return result, nil
-		}
+// canResume reports whether the generation of a broken stream may resume from the pre-copy: only
+// when its engine certainly does not run it any more. It requests a final copy, which stops a
+// generation that the engine still runs; if that succeeds, it replaces the pre-copy.
+func (gen *generation) canResume(m *migration) bool {
+	if m.preCopy.Handle == "" || m.target == nil {
+		return false
 	}
-	gen.mu.Lock()
-	m.finalCopy = true
-	gen.mu.Unlock()
-	start := time.Now()
-	result, err := gen.copyKV(m, true)
-	m.finalCopyTime = time.Since(start)
-	return result, err
-}
-
-// recordFailedFinalCopy records a final copy that failed. The generation can resume only
-// from the pre-copy, and only if its engine certainly does not run it any more.
-func (gen *generation) recordFailedFinalCopy(m *migration, result CopyResult) {
-	m.result = result
-	if m.preCopy.Handle == "" || result.Outcome == TargetUnavailable {
-		m.releaseTarget()
+	ctx, cancel := context.WithTimeout(gen.r.ctx, connectTimeout)
+	defer cancel()
+	for range maxFinalCopyCalls {
+		gen.r.g.balancers.chargeRate(m.source.ID)
+		result, err := gen.r.g.opts.EngineClient.Copy(ctx, m.source.Address, gen.r.id, m.target.server.Address, true)
+		gen.log(m, "source queried after its stream broke", result, err)
+		switch {
+		case result.Outcome == Copied:
+			m.preCopy = result
+			return true
+		case result.Outcome == GenerationNotFound || errors.Is(err, syscall.ECONNREFUSED):
+			return true
+		case err == nil || ctx.Err() != nil:
+			return false
+		}
 	}
+	return false
 }
 
-// canResume reports whether the generation of a broken stream may resume from the
-// pre-copy: only when its engine certainly does not run it any more. It requests a final
-// copy again, because an earlier request may have reached the engine although its response
-// was lost. A final copy that succeeds replaces the pre-copy.
-func (gen *generation) canResume(m *migration) bool {
-	if m.preCopy.Handle == "" || m.target == nil {
+// leavingEngineIsGone reports whether the source of a migration does not respond any more.
+func (gen *generation) leavingEngineIsGone() bool {
+	gen.mu.Lock()
+	leaving, source := gen.migration != nil, gen.reservation.server
+	gen.mu.Unlock()
+	if !leaving {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(gen.r.ctx, connectTimeout)
 	defer cancel()
-	gen.r.g.balancers.chargeRate(m.source.ID)
-	result, err := gen.r.g.opts.EngineClient.Copy(ctx, m.source.Address, gen.r.id, m.target.server.Address, true)
-	gen.log(m, "source queried after its stream broke", result, err)
-	switch result.Outcome {
-	case Copied:
-		m.preCopy = result
-		return true
-	case GenerationNotFound:
-		return true
+	gen.r.g.balancers.chargeRate(source.ID)
+	_, err := gen.r.g.opts.EngineClient.Report(ctx, source.Address)
+	if err != nil {
+		gen.r.g.opts.Log.Info().Str("request", gen.r.id).Str("source", source.ID).Err(err).Msg("the engine of a stream that ended does not respond")
 	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	return err != nil
 }
 
 func (m *migration) releaseTarget() {
@@ -223,34 +266,34 @@
 	}
 }
 
-// abandonMigration releases the resources of a migration whose generation has ended.
-func (gen *generation) abandonMigration() {
-	gen.mu.Lock()
-	m := gen.migration
-	gen.mu.Unlock()
+// abandonMigration releases the resources of a migration, which may be nil, unless the generation was
+// resumed at its target.
+func (gen *generation) abandonMigration(m *migration, resumedAt *reservation) {
 	if m == nil {
 		return
 	}
 	go func() {
 		<-m.done
-		m.releaseTarget()
-		if m.preCopy.Handle == "" {
+		if m.target != nil && m.target == resumedAt {
 			return
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), copyTimeout)
-		defer cancel()
-		gen.r.g.balancers.chargeRate(m.source.ID)
-		if err := gen.r.g.opts.EngineClient.DropCopy(ctx, m.source.Address, m.preCopy.Handle); err != nil {
-			// The target frees it when its copy TTL expires.
-			gen.r.g.opts.Log.Info().Str("request", gen.r.id).Str("source", m.source.ID).Err(err).Msg("freeing an unused KV cache copy failed")
-		}
+		m.releaseTarget()
+		gen.dropCopy(m.source, m.preCopy.Handle)
 	}()
 }
 
-func (gen *generation) isEnded() bool {
-	gen.mu.Lock()
-	defer gen.mu.Unlock()
-	return gen.ended
+// dropCopy frees a copy that is not used; handle may be empty.
+func (gen *generation) dropCopy(source balance.Server, handle string) {
+	if handle == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), copyTimeout)
+	defer cancel()
+	gen.r.g.balancers.chargeRate(source.ID)
+	if err := gen.r.g.opts.EngineClient.DropCopy(ctx, source.Address, handle); err != nil {
+		// The target frees it when its copy TTL expires.
+		gen.r.g.opts.Log.Info().Str("request", gen.r.id).Str("source", source.ID).Err(err).Msg("freeing an unused KV cache copy failed")
+	}
 }
 
 func (gen *generation) copyKV(m *migration, final bool) (CopyResult, error) {
@@ -266,6 +309,6 @@
 		target = m.target.server.ID
 	}
 	gen.r.g.opts.Log.Info().Str("request", gen.r.id).Str("source", m.source.ID).Str("target", target).
-		Bool("last", m.finalCopy).Stringer("outcome", result.Outcome).Int("made", result.Events).AnErr("error", err).
-		Int64("first_ms", m.preCopyTime.Milliseconds()).Int64("last_ms", m.finalCopyTime.Milliseconds()).Msg("generation migration: " + event)
+		Stringer("outcome", result.Outcome).Int("made", result.Events).AnErr("error", err).
+		Int64("first_ms", m.preCopyTime.Milliseconds()).Msg("generation migration: " + event)
 }
--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -3,107 +3,140 @@
 import (
 	"errors"
 	"io"
+	"time"
 
+	"monsoonkeel.example/monsoonkeel/core/relay"
+	"monsoonkeel.example/monsoonkeel/core/verdict"
 	"monsoonkeel.example/monsoonkeel/internal/connection"
 	"monsoonkeel.example/monsoonkeel/internal/request/sse"
+	"monsoonkeel.example/monsoonkeel/internal/wait"
 )
 
-// isRegularEnd reports whether the response of the current source is complete. end is the
-// error of reading its body, and only that: io.EOF in the error of another operation, such
-// as a resume request, says nothing about the body.
-func (s *stream) isRegularEnd(end error) bool {
-	if end != io.EOF {
-		return false
+const (
+	// maxResumeAttempts is how often one engine is asked to resume a generation whose source has
+	// ended, while it rejects the requests without running them.
+	maxResumeAttempts = 3
+	// resumeRetryInterval is the time between two such requests.
+	resumeRetryInterval = 150 * time.Millisecond
+)
+
+// sourceEnded records how the response of the current source ended. end is the error of reading
+// its body, and only that: io.EOF in the error of another operation, such as a resume request, says
+// nothing about the body.
+func (s *stream) sourceEnded(end error) relay.Action {
+	gen, r := s.generation, s.r
+	body := relay.Body{EOF: end == io.EOF, Events: r.events}
+	r.sourceEnd, r.framing = end, framing(&s.ex.Response.Header)
+	body.Delimited = r.framing != framingClose
+	if body.EOF && !body.Delimited {
+		body.EngineGone = gen.leavingEngineIsGone()
+	}
+	gen.mu.Lock()
+	r.sourceEndedBy = gen.endedBy()
+	action := gen.relay.SourceEnded(time.Now(), body.Complete())
+	close(gen.sourceEnded)
+	gen.mu.Unlock()
+	if action != relay.EndResponse {
+		r.recordBrokenAnswer(gen.server(), end)
+	}
+	return action
+}
+
+// continueElsewhere continues the generation at another engine after the source's response ended
+// before the last event; cause is how it ended. It returns the error that broke the stream if the
+// generation was not resumed.
+func (s *stream) continueElsewhere(action relay.Action, cause error) error {
+	s.finish(false)
+	if action == relay.RelayTarget || action == relay.AwaitTarget {
+		sw := s.generation.currentSwitchover()
+		<-sw.done
+		if sw.ex != nil {
+			s.relayFrom(sw)
+			return nil
+		}
+		s.r.g.Metrics.FailedMigrations.Add(1)
+		cause = errors.Join(cause, sw.err)
+	}
+	if err := s.resumeFromMigration(); err != errNoCopy {
+		if err == nil {
+			return nil
+		}
+		cause = errors.Join(cause, err)
 	}
-	// A source that was stopped for the final copy, or crashed, ends a body without framing
-	// in the same way as a complete one. A complete stream has at least one event.
-	return s.r.framing != framingClose || s.r.events > 0 && !s.generation.finalCopyStarted()
+	return s.resumeAtStandby(cause)
 }
 
-// resume continues the generation at another engine after the source's response ended
-// before the last event; cause is how it ended. It returns the error that broke the stream
-// if the generation was not resumed.
-func (s *stream) resume(cause error) error {
+// errNoCopy is returned if there is no copy of a kind from which a generation can resume.
+var errNoCopy = errors.New("the generation has no copy")
+
+// resumeFromMigration resumes the generation at the target of its migration, after the source's
+// response ended.
+func (s *stream) resumeFromMigration() error {
 	gen := s.generation
 	gen.mu.Lock()
 	m := gen.migration
 	gen.mu.Unlock()
-	if sw := gen.currentSwitchover(); sw != nil {
-		return s.completeSwitchover(sw, cause)
-	}
 	if m == nil {
-		return s.resumeAtStandby(cause)
+		return errNoCopy
 	}
 	select {
 	case <-m.done:
 	case <-s.r.ctx.Done():
 		return s.r.ctx.Err()
 	}
-	if sw := gen.currentSwitchover(); sw != nil {
-		return s.completeSwitchover(sw, cause)
-	}
-	switch {
-	case m.result.Outcome == Copied:
-		return s.resumeFromCopy(m)
-	case gen.canResume(m):
-		m.result = m.preCopy
-		return s.resumeFromCopy(m)
+	if !gen.canResume(m) {
+		m.releaseTarget()
+		s.r.g.Metrics.FailedMigrations.Add(1)
+		return errors.New("the migration of the generation had not copied it, or its engine may still run it")
 	}
-	m.releaseTarget()
-	s.r.g.Metrics.FailedMigrations.Add(1)
-	return errors.Join(cause, errors.New("the generation stopped and its migration failed: "+m.result.Outcome.String()))
-}
-
-// finalCopyStarted reports whether the generation may have been stopped for the final copy
-// of its migration.
-func (gen *generation) finalCopyStarted() bool {
-	gen.mu.Lock()
-	defer gen.mu.Unlock()
-	return gen.migration != nil && gen.migration.finalCopy
+	return s.resumeAt(m.target, s.r.g.opts.Dialect.FormatKVSource(m.source.Address, m.preCopy.Handle))
 }
 
-// resumeFromCopy resumes the generation at the target of a migration.
-func (s *stream) resumeFromCopy(m *migration) error {
-	s.finish(false)
-	return s.resumeAt(&switchover{
-		target: m.target, ref: s.r.g.opts.Dialect.FormatKVSource(m.source.Address, m.result.Handle),
-	})
-}
-
-// resumeAt resumes the generation at the target after the current engine's stream ended.
-func (s *stream) resumeAt(sw *switchover) error {
-	r := s.r
-	sw.sourceEnd = r.sourceEnd
-	sw.standby = r.reserveStandby(sw.target.server)
-	sw.ex, sw.err = s.generation.resume(r.ctx, sw)
-	s.generation.logSwitchover(sw, s.generation.serverID())
-	if sw.ex == nil {
-		sw.standby.releaseIfHeld()
-		sw.target.release(r.call.Context().Err() == nil)
-		r.g.Metrics.FailedMigrations.Add(1)
-		return sw.err
+// resumeAt resumes the generation at an engine with a copy after the source's response ended. An
+// engine that rejects the request is asked again, while the retry budget allows it.
+func (s *stream) resumeAt(target *reservation, ref string) error {
+	r, gen := s.r, s.generation
+	var sw *switchover
+	for attempt := 1; ; attempt++ {
+		if sw = gen.newSwitchover(relay.Interrupted, target, ref); sw == nil {
+			return errors.New("the stream has ended")
+		}
+		sw.sourceEnd = r.sourceEnd
+		gen.ask(sw, gen.serverID())
+		if sw.ex != nil {
+			s.relayFrom(sw)
+			return nil
+		}
+		if verdict.Of(sw.err) != verdict.NotRun || attempt == maxResumeAttempts || !r.g.balancers.chargeRetry(r.service) ||
+			!wait.For(r.ctx, resumeRetryInterval) {
+			break
+		}
 	}
-	s.relayFrom(sw.ex, sw.target, sw.standby)
-	return nil
+	target.release(r.call.Context().Err() == nil)
+	r.g.Metrics.FailedMigrations.Add(1)
+	return sw.err
 }
 
 // relayFrom continues the relay with the response of the target.
-func (s *stream) relayFrom(ex *connection.Exchange, target, standby *reservation) {
-	s.ex, s.frames = ex, sse.NewFrameReader(ex.Body())
+func (s *stream) relayFrom(sw *switchover) {
+	s.ex, s.frames = sw.ex, sse.NewFrameReader(sw.ex.Body())
 	s.r.sourceEnd, s.r.framing = nil, ""
-	s.generation.setExchange(ex)
 	s.r.migrations++
-	s.r.backend = target.server.ID
+	s.r.backend = sw.target.server.ID
 	s.r.g.Metrics.Migrations.Add(1)
-	s.generation.switchReservation(target, standby)
+	s.generation.switchReservation(sw.ex, sw.target, sw.standby)
 }
 
-// switchReservation makes the target's reservation the current one and releases the former.
-func (gen *generation) switchReservation(target, standby *reservation) {
+// switchReservation makes the target's exchange and reservation the current ones and releases the
+// former reservation.
+func (gen *generation) switchReservation(ex *connection.Exchange, target, standby *reservation) {
 	gens := &gen.r.g.generations
 	gen.mu.Lock()
 	former := gen.reservation
+	m := gen.migration
 	gen.reservation, gen.migration, gen.switchover = target, nil, nil
+	gen.ex, gen.sourceEnded = ex, make(chan struct{})
+	gen.relay.Relay(time.Now())
 	if gen.standby == target {
 		gen.standby = nil
 	}
@@ -114,5 +147,7 @@
 	gens.put(target.server.ID, gen)
 	gens.mu.Unlock()
 	former.release(false)
+	gen.abandonMigration(m, target)
+	gen.awaitSilence()
 	gen.r.g.migrateIfTerminating(gen, target.server.ID)
 }
--- a/internal/forward/standby.go
+++ b/internal/forward/standby.go
@@ -83,19 +83,18 @@
 	return s != nil && !s.Terminating() && !snapshot.DomainsOut[s.Domain]
 }
 
-// switchToStandby resumes the generation from its standby replica while its engine still
-// runs it. It reports whether the source was interrupted.
-func (gen *generation) switchToStandby(server string) bool {
+// switchToStandby asks the engine with the standby replica to resume the generation while its engine
+// still runs it. It returns nil if that is not possible now, and otherwise the ended request.
+func (gen *generation) switchToStandby(server string) *switchover {
 	standby := gen.usableStandby()
 	if standby == nil {
-		return false
+		return nil
 	}
-	ref := gen.r.g.opts.Dialect.FormatKVSource(standby.server.Address, gen.r.id)
-	if gen.switchTo(server, nil, standby, ref) {
-		return true
+	sw := gen.switchTo(server, standby, gen.r.g.opts.Dialect.FormatKVSource(standby.server.Address, gen.r.id))
+	if sw != nil && sw.responded {
+		gen.setStandby(nil) // the engine has no replica, or no capacity for it
 	}
-	gen.setStandby(nil)
-	return false
+	return sw
 }
 
 // resumeAtStandby resumes the generation from its standby replica after the engine broke
@@ -106,10 +105,8 @@
 	if standby == nil || s.r.ctx.Err() != nil || !s.r.prompt.AllowRetry() {
 		return cause
 	}
-	s.finish(false)
 	gen.reportEngineFailure()
-	err := s.resumeAt(&switchover{target: standby, ref: s.r.g.opts.Dialect.FormatKVSource(standby.server.Address, s.r.id)})
-	if err != nil {
+	if err := s.resumeAt(standby, s.r.g.opts.Dialect.FormatKVSource(standby.server.Address, s.r.id)); err != nil {
 		return errors.Join(cause, err)
 	}
 	return nil
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"monsoonkeel.example/monsoonkeel/core/balance"
+	"monsoonkeel.example/monsoonkeel/core/relay"
 	"monsoonkeel.example/monsoonkeel/core/verdict"
 	"monsoonkeel.example/monsoonkeel/internal/connection"
 	"monsoonkeel.example/monsoonkeel/internal/request/sse"
@@ -163,7 +164,6 @@
 func (s *stream) relay() error {
 	defer s.close()
 	for {
-		s.setStallDeadline()
 		frame, err := s.frames.Next()
 		if err == nil {
 			if err = s.deliver(frame); err != nil {
@@ -171,13 +171,11 @@
 			}
 			continue
 		}
-		s.r.sourceEnd, s.r.framing = err, framing(&s.ex.Response.Header)
-		s.r.sourceEndedBy = s.generation.endedBy(err)
-		if s.isRegularEnd(err) {
+		action := s.sourceEnded(err)
+		if action == relay.EndResponse {
 			return s.complete()
 		}
-		s.r.recordBrokenAnswer(s.generation.server(), err)
-		if err = s.resume(err); err != nil {
+		if err = s.continueElsewhere(action, err); err != nil {
 			return s.fail(err)
 		}
 	}
@@ -201,22 +199,6 @@
 	}
 }
 
-// stallFactor is the idle timeout of a generation with a standby replica, as a multiple
-// of the target token gap. The stream is late then, and resuming it serves the caller
-// better than breaking it off.
-const stallFactor = 2
-
-// setStallDeadline limits the next read, if the generation can be resumed from its
-// standby replica when the engine stalls.
-func (s *stream) setStallDeadline() {
-	gap := s.r.route.GapObjective
-	if gap <= 0 || !s.generation.hasStandby() {
-		s.ex.SetReadDeadline(time.Time{})
-		return
-	}
-	s.ex.SetReadDeadline(time.Now().Add(stallFactor * gap))
-}
-
 // deliver forwards one event. Events that the caller already has are dropped.
 func (s *stream) deliver(f sse.Frame) error {
 	if f.HasID && s.lastID != 0 {
@@ -297,6 +279,7 @@
 
 // fail aborts the caller's response, so that it does not look complete.
 func (s *stream) fail(cause error) error {
+	s.generation.breakOff()
 	s.finish(false)
 	if s.r.ctx.Err() != nil {
 		err := s.r.interruptionError(true)
@@ -317,5 +300,8 @@
 func (s *stream) close() {
 	s.generation.endSwitchover()
 	s.r.g.generations.remove(s.generation)
-	s.generation.abandonMigration()
+	s.generation.mu.Lock()
+	m := s.generation.migration
+	s.generation.mu.Unlock()
+	s.generation.abandonMigration(m, nil)
 }
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -12,13 +12,12 @@
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 
-	"monsoonkeel.example/monsoonkeel/core/route"
 	"monsoonkeel.example/monsoonkeel/internal/connection"
 )
 
 // Guards against a leaked read when the caller disconnects between two events of a paused
-// stream: setting the stall deadline must not undo the read's cancellation.
-func TestStallDeadlineKeepsRequestCancellation(t *testing.T) {
+// stream: setting a read deadline must not undo the read's cancellation.
+func TestReadDeadlineKeepsRequestCancellation(t *testing.T) {
 	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.(http.Flusher).Flush()
 		<-r.Context().Done()
@@ -32,11 +31,10 @@
 	pool := connection.NewPoolSize(1)
 	ex, err := pool.Do(ctx, strings.TrimPrefix(engine.URL, "http://"), req, connection.Options{NoReuse: true})
 	require.NoError(t, err)
-	s := &stream{r: &request{ctx: ctx, route: &route.Route{GapObjective: time.Hour}}, generation: &generation{}, ex: ex}
 
 	cancel()
 	time.Sleep(50 * time.Millisecond) // until the connection has handled the cancellation
-	s.setStallDeadline()
+	ex.SetReadDeadline(time.Now().Add(time.Hour))
 	ended := make(chan error, 1)
 	go func() {
 		_, err := ex.Body().Read(make([]byte, 1))
--- a/internal/forward/switchover.go
+++ b/internal/forward/switchover.go
@@ -8,18 +8,14 @@
 
 	"github.com/valyala/fasthttp"
 
+	"monsoonkeel.example/monsoonkeel/core/relay"
 	"monsoonkeel.example/monsoonkeel/core/verdict"
 	"monsoonkeel.example/monsoonkeel/internal/connection"
 	"monsoonkeel.example/monsoonkeel/internal/crashes"
 )
 
-// maxOverlap limits how long the source may continue after the resume request was sent to
-// the target. It is half of what the platform allows, since the target's
-// response and the source's end take a one-way latency between regions each.
-const maxOverlap = 200 * time.Millisecond
-
-// switchover resumes a generation at an engine with a copy while the source still runs
-// it: the caller gets events from the source until the target responds.
+// switchover is a request to another engine to resume a generation of which it has a copy. While
+// the source still runs the generation, the caller gets its events until the target accepts.
 type switchover struct {
 	target *reservation
 	// standby is the reservation of a standby replica of the target; nil if there is none.
@@ -28,47 +24,114 @@
 	ref string
 	// sourceEnd is how the source's body had ended before; nil while the source ran.
 	sourceEnd error
+	ctx       context.Context
 	cancel    context.CancelFunc
 	done      chan struct{}
-	// Valid once done is closed; ex is nil if the target did not resume.
-	ex  *connection.Exchange
-	err error
+	// Valid once done is closed; ex is nil if the target did not resume. responded is set if it
+	// rejected the request.
+	ex        *connection.Exchange
+	err       error
+	responded bool
 }
 
-// switchTo resumes the generation at target, which has a copy, while its engine still
-// runs it. m is the migration that made the copy, or nil. It reports whether the source
-// was interrupted.
-func (gen *generation) switchTo(server string, m *migration, target *reservation, ref string) bool {
+// switchTo asks target, which has a copy, to resume the generation while its engine still runs it.
+// It returns nil if that is not possible now, and otherwise the ended request. A source whose target
+// has not accepted goes on.
+func (gen *generation) switchTo(server string, target *reservation, ref string) *switchover {
 	gen.mu.Lock()
-	if gen.migration != m || gen.switchover != nil || gen.ended || gen.lastID == 0 || gen.reservation.server.ID != server {
-		gen.mu.Unlock()
-		return false
+	started := gen.lastID > 0 && gen.reservation.server.ID == server
+	gen.mu.Unlock()
+	if !started {
+		return nil
+	}
+	gen.preconnect(target.server.Address)
+	sw := gen.newSwitchover(relay.Relayed, target, ref)
+	if sw == nil {
+		return nil
+	}
+	gen.ask(sw, server)
+	return sw
+}
+
+// newSwitchover registers a request to resume the generation. It returns nil unless the stream is in
+// the given state.
+func (gen *generation) newSwitchover(state relay.State, target *reservation, ref string) *switchover {
+	gen.mu.Lock()
+	defer gen.mu.Unlock()
+	if gen.ended || gen.relay.State() != state || !gen.relay.Ask(time.Now()) {
+		return nil
 	}
-	ctx, cancel := context.WithCancel(gen.r.ctx)
-	sw := &switchover{target: target, ref: ref, cancel: cancel, done: make(chan struct{})}
+	sw := &switchover{target: target, ref: ref, done: make(chan struct{})}
+	sw.ctx, sw.cancel = context.WithCancel(gen.r.ctx)
 	gen.switchover = sw
-	source := gen.ex
-	gen.mu.Unlock()
+	return sw
+}
+
+// ask sends the request of a switchover and records its result.
+func (gen *generation) ask(sw *switchover, server string) {
 	sw.standby = gen.r.reserveStandby(sw.target.server)
-	gen.preconnect(sw.target.server.Address)
-	stop := time.AfterFunc(maxOverlap, func() { gen.interrupt(source, endedByOverlap) })
-	sw.ex, sw.err = gen.resume(ctx, sw)
-	interrupted := !stop.Stop()
+	stop := gen.abandonWhenLate(sw)
+	sw.ex, sw.err = gen.resume(sw.ctx, sw)
+	stop()
+	gen.mu.Lock()
+	gen.settle(sw)
+	gen.mu.Unlock()
+	if sw.ex == nil {
+		sw.standby.releaseIfHeld()
+	}
 	gen.logSwitchover(sw, server)
-	if sw.ex != nil {
-		close(sw.done)
-		gen.interrupt(source, endedBySwitchover)
-		return true
+	close(sw.done)
+}
+
+// settle records the result of a switchover. gen.mu must be held.
+func (gen *generation) settle(sw *switchover) {
+	switch {
+	case sw.ex == nil:
+	case sw.ctx.Err() != nil: // abandoned just before the response
+		sw.drop(sw.ctx.Err())
+	default:
+		switch gen.relay.Accept() {
+		case relay.DropTarget:
+			sw.drop(errors.New("the stream ended before the target accepted"))
+		case relay.CloseSource:
+			// An engine stops a generation when its client disconnects.
+			gen.ex.Abort()
+		}
+		return
 	}
-	sw.standby.releaseIfHeld()
-	if !interrupted {
-		// The source still runs the generation and has lost nothing.
-		gen.mu.Lock()
+	gen.relay.Refuse()
+	if gen.relay.State() == relay.Relayed {
 		gen.switchover = nil
-		gen.mu.Unlock()
 	}
-	close(sw.done)
-	return interrupted
+}
+
+// drop closes the target's response.
+func (sw *switchover) drop(cause error) {
+	sw.ex.Finish(false)
+	sw.ex, sw.err = nil, cause
+}
+
+// abandonWhenLate cancels the request of a switchover whose target does not respond in time. The
+// returned function ends that.
+func (gen *generation) abandonWhenLate(sw *switchover) (stop func()) {
+	var timer *time.Timer
+	check := func() {
+		gen.mu.Lock()
+		defer gen.mu.Unlock()
+		at, awaited := gen.relay.AbandonAt()
+		if !awaited || sw.ctx.Err() != nil {
+			return
+		}
+		if left := time.Until(at); left > 0 {
+			timer.Reset(min(left, relay.MaxOverlap))
+			return
+		}
+		sw.cancel()
+	}
+	gen.mu.Lock()
+	timer = time.AfterFunc(relay.MaxOverlap, check)
+	gen.mu.Unlock()
+	return func() { timer.Stop() }
 }
 
 // resume requests the target to resume after the newest event delivered.
@@ -97,30 +160,28 @@
 		ex, err = r.exchange(ctx, sw.target, true, prepare)
 	}
 	if err != nil {
+		sw.responded = verdict.From(err).Code == codeNotRun
 		return nil, err
 	}
 	if status := ex.Response.StatusCode(); status != fasthttp.StatusOK {
 		ex.Finish(false)
+		sw.responded = true
 		return nil, verdict.New(verdict.Ran, 502, "copy_refused", "the engine with the KV cache copy responded with status %d", status)
 	}
 	return ex, nil
 }
 
-// interrupt aborts the source's response if it is still the one that is relayed. An
-// engine stops a generation when its client disconnects.
-func (gen *generation) interrupt(source *connection.Exchange, by endedBy) {
+func (gen *generation) currentSwitchover() *switchover {
 	gen.mu.Lock()
 	defer gen.mu.Unlock()
-	if gen.ex != nil && gen.ex == source {
-		gen.interruptedBy = by
-		gen.ex.Abort()
-	}
+	return gen.switchover
 }
 
-func (gen *generation) currentSwitchover() *switchover {
+// breakOff records that the caller's response ends without its end.
+func (gen *generation) breakOff() {
 	gen.mu.Lock()
-	defer gen.mu.Unlock()
-	return gen.switchover
+	gen.relay.Break()
+	gen.mu.Unlock()
 }
 
 // endSwitchover cancels a switchover that is no longer needed and waits for its end.
@@ -133,30 +194,14 @@
 	<-sw.done
 	if sw.ex != nil {
 		sw.ex.Finish(false)
+		sw.standby.releaseIfHeld()
 	}
-	sw.standby.releaseIfHeld()
-}
-
-// completeSwitchover continues with the target's response after the source's response
-// ended with cause.
-func (s *stream) completeSwitchover(sw *switchover, cause error) error {
-	s.finish(false)
-	<-sw.done
-	if sw.ex == nil {
-		s.r.g.Metrics.FailedMigrations.Add(1)
-		return errors.Join(cause, sw.err)
-	}
-	s.relayFrom(sw.ex, sw.target, sw.standby)
-	return nil
 }
 
 // setExchange sets the exchange whose response is relayed; nil while there is none.
 func (gen *generation) setExchange(ex *connection.Exchange) {
 	gen.mu.Lock()
 	gen.ex = ex
-	if ex != nil {
-		gen.interruptedBy = ""
-	}
 	gen.mu.Unlock()
 }
 
--- a/internal/forward/terminating.go
+++ b/internal/forward/terminating.go
@@ -37,11 +37,14 @@
 		start = end
 	}
 	g.generations.mu.Unlock()
-	go func() {
-		if !gen.switchToStandby(server) {
-			gen.migrateFrom(server, start)
-		}
-	}()
+	go gen.leave(server, start)
+}
+
+// leave resumes the generation from its standby replica, or else migrates it, not before start.
+func (gen *generation) leave(server string, start time.Time) {
+	if sw := gen.switchToStandby(server); sw == nil || sw.ex == nil {
+		gen.migrateFrom(server, start)
+	}
 }
 
 // migrateGenerationsFrom migrates this host's generations off a terminating engine. The start times
@@ -76,11 +79,7 @@
 		return
 	}
 	for _, gen := range withStandby {
-		go func() {
-			if !gen.switchToStandby(s.ID) {
-				gen.migrateFrom(s.ID, noticeTime.Add(end))
-			}
-		}()
+		go gen.leave(s.ID, noticeTime.Add(end))
 	}
 	g.opts.Log.Info().Str("backend", s.ID).Int("runs", len(affected)).Int("covered", len(withStandby)).Int("all", len(planned)).Dur("planned", end).
 		Msg("migrating generations off a terminating backend server")
