Keep the connection of a silent generation until its engine resumes it

Callers saw: a stream of the product's own path that ends with generation_lost although its engine works. If the engine rejected that three times, closed, or stayed silent, the generation was lost; when the engine went on, nobody read it. Ruled out: a read deadline after which the read is repeated: the parser of chunks loses what it had read; a longer timeout. Change: a timer asks the engine on a second connection while the first one is still read. The first one is closed once the engine has accepted, or says that it no longer has the generation.

--- a/internal/request/generation.go
+++ b/internal/request/generation.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	// defaultStallTimeout bounds the time to the next new event of an engine's stream.
-	// After it, the host resumes the stream on a new connection.
+	// defaultStallTimeout is the time without a new event of an engine's stream after which the
+	// host asks to resume it on a new connection.
 	defaultStallTimeout = 5 * time.Second
 	// streamHeaderTimeout bounds the wait for the headers of a streamed response, which
 	// engines send when they accept a request.
@@ -210,11 +210,16 @@
 		ex.Finish(false)
 		return verdict.Wrap(err, verdict.MayHaveRun, 502, "backend_protocol", "the response does not belong to the request")
 	}
-	gen.exchange, gen.events, gen.repeated = ex, sse.NewReader(ex.Body()), 0
+	gen.setExchange(ex)
 	gen.reportFailedAttempts()
 	return nil
 }
 
+// setExchange makes an exchange the one whose events are read.
+func (gen *generation) setExchange(ex *connection.Exchange) {
+	gen.exchange, gen.events, gen.repeated = ex, sse.NewReader(ex.Body()), 0
+}
+
 // failedAttempt identifies a backend server that responded with status 500.
 type failedAttempt struct{ backend, incarnation string }
 
@@ -257,7 +262,7 @@
 )
 
 // next returns the next event of the generation. It resumes the stream after a broken
-// connection. If the engine lost the generation and nothing was delivered, it starts a
+// connection, or when the engine accepts that during a silence. If the engine lost the generation and nothing was delivered, it starts a
 // new attempt.
 func (gen *generation) next() (sse.Event, eventKind, error) {
 	resumes := 0
@@ -273,7 +278,11 @@
 				return ev, kind, nil
 			}
 		}
-		if gen.c.ctx.Err() == nil {
+		switch {
+		case gen.c.ctx.Err() != nil:
+		case err == errResumed && resumes < maxResumes:
+			err = nil
+		default:
 			err = gen.recoverStream(err, resumes)
 		}
 		if gen.c.ctx.Err() != nil {
@@ -287,16 +296,6 @@
 	}
 }
 
-func (gen *generation) readEvent(deadline time.Time) (sse.Event, error) {
-	if !gen.events.HasEvent() {
-		gen.exchange.SetReadDeadline(deadline)
-		if err := gen.c.ctx.Err(); err != nil {
-			return sse.Event{}, err
-		}
-	}
-	return gen.events.Next()
-}
-
 // checkEvent validates the generation id and offset of an event and classifies it.
 func (gen *generation) checkEvent(ev sse.Event) (eventKind, error) {
 	if bytes.Equal(ev.Data, []byte("[DONE]")) {
--- a/internal/request/recover.go
+++ b/internal/request/recover.go
@@ -1,6 +1,7 @@
 package request
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"strconv"
@@ -10,7 +11,6 @@
 
 	"monsoonkeel.example/monsoonkeel/core/verdict"
 	"monsoonkeel.example/monsoonkeel/internal/connection"
-	"monsoonkeel.example/monsoonkeel/internal/request/sse"
 )
 
 // recoverStream resumes a broken stream or, if nothing was delivered, starts a new
@@ -64,27 +64,35 @@
 }
 
 func (gen *generation) reattachOnce() error {
+	ex, err := gen.requestRest(gen.c.ctx)
+	if err == nil {
+		gen.setExchange(ex)
+	}
+	return err
+}
+
+// requestRest requests the events of the generation after those accepted, on a new connection.
+func (gen *generation) requestRest(ctx context.Context) (*connection.Exchange, error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	gen.c.setRequestHeaders(req, gen.host.Address)
 	req.SetRequestURI("/v1/generations/" + gen.id + "?offset=" + strconv.Itoa(gen.offset))
-	ex, err := gen.c.g.Pool.Do(gen.c.ctx, gen.host.Address, req, connection.Options{NoReuse: true, ResponseHeaderTimeout: streamHeaderTimeout})
+	ex, err := gen.c.g.Pool.Do(ctx, gen.host.Address, req, connection.Options{NoReuse: true, ResponseHeaderTimeout: streamHeaderTimeout})
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if status := ex.Response.StatusCode(); status != 200 {
 		ex.Finish(false)
 		if status == 404 || status == 410 {
-			return errGenerationLost
+			return nil, errGenerationLost
 		}
-		return fmt.Errorf("resume request failed with status %d", status)
+		return nil, fmt.Errorf("resume request failed with status %d", status)
 	}
 	if err := gen.checkIdentity(ex); err != nil {
 		ex.Finish(false)
-		return err
+		return nil, err
 	}
-	gen.exchange, gen.events, gen.repeated = ex, sse.NewReader(ex.Body()), 0
-	return nil
+	return ex, nil
 }
 
 func (gen *generation) sleep(d time.Duration) bool {
--- /dev/null
+++ b/internal/request/silence_test.go
@@ -0,0 +1,81 @@
+package request
+
+import (
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// silentEngine is an engine stand-in that sends the first token of a generation, is silent, and goes
+// on. respond responds to each request to resume the generation.
+type silentEngine struct {
+	silence time.Duration
+	respond func(w http.ResponseWriter, r *http.Request)
+	resumes atomic.Int32
+	// left is set if the connection of the generation was closed during the silence.
+	left atomic.Bool
+}
+
+// ServeHTTP implements http.Handler.
+func (e *silentEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(headerGenerationID)
+	switch {
+	case r.Method == http.MethodDelete:
+	case strings.HasPrefix(r.URL.Path, "/v1/generations/"):
+		e.resumes.Add(1)
+		e.respond(w, r)
+	default:
+		w.Header().Set(headerGenerationID, id)
+		write(w, event(id, 1, "null"))
+		select {
+		case <-time.After(e.silence):
+		case <-r.Context().Done():
+			e.left.Store(true)
+			return
+		}
+		write(w, event(id, 2, `"stop"`), "data: [DONE]\n\n")
+	}
+}
+
+// Guards against a stream that is lost because its host closes the connection of a generation whose
+// engine is silent for a while, before the engine has accepted to resume it on another connection.
+func TestSilentGenerationIsNotGivenUp(t *testing.T) {
+	for name, respond := range map[string]func(w http.ResponseWriter, r *http.Request){
+		"rejects":                func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) },
+		"names a limit":          func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTooManyRequests) },
+		"closes":                 func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
+		"is silent, then closes": func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() },
+		"is silent, then rejects": func(w http.ResponseWriter, r *http.Request) {
+			select {
+			case <-time.After(300 * time.Millisecond):
+			case <-r.Context().Done():
+			}
+			w.WriteHeader(http.StatusServiceUnavailable)
+		},
+		"accepts": func(w http.ResponseWriter, r *http.Request) {
+			id := strings.TrimPrefix(r.URL.Path, "/v1/generations/")
+			w.Header().Set(headerGenerationID, id)
+			write(w, event(id, 2, `"stop"`), "data: [DONE]\n\n")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			engine := &silentEngine{silence: 1200 * time.Millisecond, respond: respond}
+			r := &testGateway{t: t}
+			r.addBackend("models", engine)
+			r.start()
+			r.gateway.streamStallTimeout = 100 * time.Millisecond
+			resp := r.do("POST", "/v1/completions", streamRequestJSON(2))
+			defer resp.Body.Close()
+			s := readStream(t, resp.Body, 0)
+			require.True(t, s.done)
+			r.requireTokens(s, 1, 2)
+			require.NotZero(t, engine.resumes.Load())
+			require.Equal(t, name == "accepts", engine.left.Load(), "the connection of the silent generation was closed")
+		})
+	}
+}
--- /dev/null
+++ b/internal/request/stall.go
@@ -0,0 +1,106 @@
+package request
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"monsoonkeel.example/monsoonkeel/internal/connection"
+	"monsoonkeel.example/monsoonkeel/internal/request/sse"
+	"monsoonkeel.example/monsoonkeel/internal/wait"
+)
+
+// stallWatch resumes a generation on another connection while its engine is silent. The silent
+// connection is closed only once the engine has accepted that, or has lost the generation.
+type stallWatch struct {
+	gen   *generation
+	timer *time.Timer
+
+	mu      sync.Mutex
+	stopped bool
+	// cancel and done are set once the watch asks the engine.
+	cancel context.CancelFunc
+	done   chan struct{}
+	// replacement is the accepted connection, valid once done is closed; nil for none.
+	replacement *connection.Exchange
+}
+
+// watchStall starts a watch that resumes the generation at the deadline, unless it is stopped before.
+func (gen *generation) watchStall(deadline time.Time) *stallWatch {
+	w := &stallWatch{gen: gen}
+	w.timer = time.AfterFunc(time.Until(deadline), w.run)
+	return w
+}
+
+func (w *stallWatch) run() {
+	w.mu.Lock()
+	if w.stopped {
+		w.mu.Unlock()
+		return
+	}
+	ctx, cancel := context.WithCancel(w.gen.c.ctx)
+	w.cancel, w.done = cancel, make(chan struct{})
+	w.mu.Unlock()
+	defer close(w.done)
+	for {
+		ex, err := w.gen.requestRest(ctx)
+		if err == nil || errors.Is(err, errGenerationLost) {
+			w.replacement = ex
+			w.gen.exchange.Abort()
+			return
+		}
+		// The engine may be silent only on this connection, or go on.
+		if !wait.For(ctx, w.gen.c.g.stallTimeout()) {
+			return
+		}
+	}
+}
+
+// stop ends the watch and returns the connection on which the generation was resumed, or nil.
+func (w *stallWatch) stop() *connection.Exchange {
+	if w.timer.Stop() {
+		return nil
+	}
+	w.mu.Lock()
+	w.stopped = true
+	cancel, done := w.cancel, w.done
+	w.mu.Unlock()
+	if done == nil {
+		return nil
+	}
+	select {
+	case <-done:
+		return w.replacement
+	default:
+	}
+	cancel()
+	<-done
+	if w.replacement != nil {
+		w.replacement.Finish(false) // accepted after the cancellation, which closes it
+	}
+	return nil
+}
+
+// errResumed is returned instead of an event when the generation was resumed on another connection.
+var errResumed = errors.New("the generation was resumed on another connection")
+
+// readEvent returns the next event on the current connection. If there is none until the deadline, the
+// generation is resumed on another connection, and the result is errResumed.
+func (gen *generation) readEvent(deadline time.Time) (sse.Event, error) {
+	if gen.events.HasEvent() {
+		return gen.events.Next()
+	}
+	if err := gen.c.ctx.Err(); err != nil {
+		return sse.Event{}, err
+	}
+	watch := gen.watchStall(deadline)
+	ev, err := gen.events.Next()
+	replacement := watch.stop()
+	if replacement == nil {
+		return ev, err
+	}
+	gen.exchange.Finish(false)
+	gen.setExchange(replacement)
+	return sse.Event{}, errResumed
+}
