Reject a response that ends right after its header section

Cause: another operator reported a backend server that stopped inside the header section of its response and closed; callers got a 200 with an empty or short body. Callers saw here, in both request paths: a server that closed right after the header section of a response without a length or chunks gave a complete 200 with an empty body, for orders (stored as the order's response) and reads; and a stream whose engine ended after 10 of 30 events, and whose standby or migration target closed right after such a header section, ended as complete after these 10. The end of the connection was taken as the end of the body, although no byte of a body had arrived and the end of the server looks the same. For resumed streams the events of the former engine counted as proof that the new one had answered. Class: silence or an end taken as a statement. Ruled out: the parser of header sections. Bodies with a length or chunks cut after each byte are errors. Also ruled out: a rule in each user of a body, of which there are six, and rejecting all bodies without a length, which are allowed. Change: an empty body that only the end of its connection delimits is truncated (connection.responseBody), for both request paths at once. A server that means an empty body states its length; a status without a body is not affected. Conclusion: a header section that breaks off, or that is all of a response, never looks complete. A body without a length that breaks off with a clean close after its first byte still cannot be told from a complete one.

--- a/internal/connection/exchange.go
+++ b/internal/connection/exchange.go
@@ -30,7 +30,9 @@
 
 // Body returns the stream of the response body, or nil if the response has none. It must
 // not be read after Finish. A read fails if the server sends more than 64 KiB of framing,
-// such as chunk extensions, without a byte of the body.
+// such as chunk extensions, without a byte of the body. An empty body that only the end of the
+// connection delimits is truncated: the end of a server looks the same, and one that means an
+// empty body states its length.
 func (e *Exchange) Body() io.Reader {
 	if e.body.stream == nil {
 		return nil
@@ -50,7 +52,9 @@
 	conn   *upstreamConn
 	// endsWithConnection is set for a body without a length or chunks.
 	endsWithConnection bool
-	err                error
+	// received is set once a byte of the body was read.
+	received bool
+	err      error
 }
 
 // Read implements io.Reader.
@@ -62,8 +66,9 @@
 	n, err := b.stream.Read(p)
 	if n > 0 {
 		b.conn.unusedBytes = 0
+		b.received = true
 	}
-	if err == io.EOF && b.endsWithConnection && wasReset(b.conn.Conn) {
+	if err == io.EOF && b.endsWithConnection && (!b.received || wasReset(b.conn.Conn)) {
 		err = io.ErrUnexpectedEOF
 	}
 	b.err = err
