Count only the current engine's events as proof of a complete stream

Cause: callers saw a stream end as complete after 10 of 30 events: the engine that was to resume it (from a standby replica or after the final copy) sent a header section without a length or chunks and a comment, and closed. A body without framing counts as complete only after an event, but the events of the former engine were counted, and comments too. Evidence: TestResumeWithoutEventsBreaksStream failed on the code before ("the response ends as complete: ... id: 10 ... : waiting", both rows). Change: stream.sourceEvents counts the events that the current source sent and restarts with each source. Conclusion: an engine without an event of its own ends no stream as complete, unless it states the end of its body by a length or the last chunk.

--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -16,8 +16,8 @@
 		return false
 	}
 	// A source that was stopped for the final copy, or crashed, ends a body without framing
-	// in the same way as a complete one. A complete stream has at least one event.
-	return s.r.framing != framingClose || s.r.events > 0 && !s.generation.finalCopyStarted()
+	// in the same way as a complete one. A complete response has at least one event of its own.
+	return s.r.framing != framingClose || s.sourceEvents > 0 && !s.generation.finalCopyStarted()
 }
 
 // resume continues the generation at another engine after the source's response ended
@@ -89,7 +89,7 @@
 
 // relayFrom continues the relay with the response of the target.
 func (s *stream) relayFrom(ex *connection.Exchange, target, standby *reservation) {
-	s.ex, s.frames = ex, sse.NewFrameReader(ex.Body())
+	s.ex, s.frames, s.sourceEvents = ex, sse.NewFrameReader(ex.Body()), 0
 	s.r.sourceEnd, s.r.framing = nil, ""
 	s.generation.setExchange(ex)
 	s.r.migrations++
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -72,6 +72,8 @@
 	lastAt     time.Time
 	// delivered counts the events delivered, and repeated those dropped since then.
 	delivered, repeated int
+	// sourceEvents counts the events that the current source sent.
+	sourceEvents int
 }
 
 // startStream sends the request and reads the response header.
@@ -218,6 +220,9 @@
 
 // deliver forwards one event. Events that the caller already has are dropped.
 func (s *stream) deliver(f sse.Frame) error {
+	if f.Event {
+		s.sourceEvents++
+	}
 	if f.HasID && s.lastID != 0 {
 		if f.ID <= s.lastID {
 			return s.count(&s.repeated)
