--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -202,7 +202,7 @@
 	EOF bool
 	// Delimited is set if a length or chunks show where the body ends.
 	Delimited bool
-	// Events is the number of events delivered to the caller.
+	// Events is the number of events in the body.
 	Events int
 	// EngineGone is set if the engine is known to have ended or does not respond.
 	EngineGone bool
--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -25,7 +25,7 @@
 // nothing about the body.
 func (s *stream) sourceEnded(end error) relay.Action {
 	gen, r := s.generation, s.r
-	body := relay.Body{EOF: end == io.EOF, Events: r.events}
+	body := relay.Body{EOF: end == io.EOF, Events: s.sourceEvents}
 	r.sourceEnd, r.framing = end, framing(&s.ex.Response.Header)
 	body.Delimited = r.framing != framingClose
 	if body.EOF && !body.Delimited {
@@ -119,7 +119,7 @@
 
 // relayFrom continues the relay with the response of the target.
 func (s *stream) relayFrom(sw *switchover) {
-	s.ex, s.frames = sw.ex, sse.NewFrameReader(sw.ex.Body())
+	s.ex, s.frames, s.sourceEvents = sw.ex, sse.NewFrameReader(sw.ex.Body()), 0
 	s.r.sourceEnd, s.r.framing = nil, ""
 	s.r.migrations++
 	s.r.backend = sw.target.server.ID
