Exclude the close of an idle connection while a request begins there

Cause: CloseIdle and closeLongestIdle read that a connection is idle and then set a read deadline in the past. A request that arrived in between was read and passed to its handler, and the deadline ended the watch of the connection: the request counted as abandoned by its caller, who got a closed connection without an answer. A request that arrived as the wait for it ended was lost too: a read whose deadline has passed returns no data. A connection with an unread request counted as idle as well and could be closed for a new one. Ruled out: the race of the close as the cause of that test's failures: no closed connection had begun a request. Change: one mutex of the connection guards the close as idle and the begin of a request. A request that arrives at a connection that is to be closed is the last one there and announces the close; at the end of the wait, a request that is in the socket is served. closeLongestIdle skips connections with an unread request, and picks again if its choice got one. The test waits until each connection is idle before it uses the next one; it checks what it checked before. Conclusion: no request that has arrived meets the close of its connection. One that is still on its way when the close is sent is not read.

--- a/internal/connection/caller.go
+++ b/internal/connection/caller.go
@@ -26,6 +26,9 @@
 	maxHeaderBytes = 1 << 20
 )
 
+// past is a read deadline that ends a read at once.
+var past = time.Unix(1, 0)
+
 // CallerLimits are the size and time limits on the requests of a caller.
 type CallerLimits struct {
 	HeaderBytes, BodyBytes     int
@@ -59,10 +62,17 @@
 	conn   net.Conn
 	reader *bufio.Reader
 	// idleSince is when the connection became idle, in Unix nanoseconds; 0 while a
-	// request is served.
+	// request is served. It changes only with mu held.
 	idleSince atomic.Int64
 	// served is set after the first byte of the first request.
 	served bool
+
+	// mu guards closing. With it held, a connection is either closed as idle or begins a
+	// request, so that a read deadline set to close it never acts on a request.
+	mu sync.Mutex
+	// closing is set when the connection was to be closed while it was idle. A request that
+	// arrives nevertheless is the last one.
+	closing bool
 }
 
 // Serve accepts connections until the listener is closed.
@@ -101,34 +111,53 @@
 // ShuttingDown reports whether StartShutdown was called.
 func (s *Server) ShuttingDown() bool { return s.shuttingDown.Load() }
 
-// CloseIdle closes the connections that are waiting for a request.
+// CloseIdle closes the connections that are waiting for a request. A request that has
+// already arrived is served first.
 func (s *Server) CloseIdle() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if c.idleSince.Load() != 0 {
-			_ = c.conn.SetReadDeadline(time.Unix(1, 0))
+		if at := c.idleSince.Load(); at != 0 {
+			c.closeIdle(at)
 		}
 	}
 }
 
 // closeLongestIdle closes the connection that is idle longest and reports whether there
-// was one. It is closed asynchronously by its goroutine, so that for a short time one
-// connection more than MaxConns is open.
+// was one; one with an unread request is not idle. It is closed asynchronously by its goroutine,
+// so that for a short time one connection more than MaxConns is open.
 func (s *Server) closeLongestIdle() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var longest *serverConn
-	var since int64
-	for c := range s.conns {
-		if at := c.idleSince.Load(); at != 0 && (longest == nil || at < since) {
-			longest, since = c, at
+	for {
+		var longest *serverConn
+		var since int64
+		for c := range s.conns {
+			at := c.idleSince.Load()
+			if at != 0 && (longest == nil || at < since) && !readable(c.conn) {
+				longest, since = c, at
+			}
+		}
+		if longest == nil {
+			return false
+		}
+		if longest.closeIdle(since) {
+			return true
 		}
 	}
-	if longest == nil || !longest.idleSince.CompareAndSwap(since, 0) {
+}
+
+// closeIdle makes the connection's goroutine close it if it is still idle since then, and
+// reports whether it was.
+func (c *serverConn) closeIdle(since int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idleSince.Load() != since {
 		return false
 	}
-	_ = longest.conn.SetReadDeadline(time.Unix(1, 0))
+	c.idleSince.Store(0)
+	c.closing = true
+	_ = c.conn.SetReadDeadline(past)
 	return true
 }
 
@@ -195,25 +224,53 @@
 		c.releaseReader()
 	}
 	limits := c.server.Limits()
-	now := time.Now()
-	_ = c.conn.SetReadDeadline(now.Add(limits.IdleTimeout))
-	c.idleSince.Store(now.UnixNano())
-	defer c.idleSince.Store(0)
-	if c.served && c.server.ShuttingDown() {
+	first, ok := c.awaitFirstByte(limits.IdleTimeout)
+	if !ok {
 		return false
 	}
+	c.acquireReader(&prefixedReader{Reader: c.conn, b: first, have: true}, limits.HeaderBytes)
+	return true
+}
+
+// awaitFirstByte returns the first byte of a request. It returns false if none arrives until the
+// idle timeout.
+func (c *serverConn) awaitFirstByte(idle time.Duration) (byte, bool) {
+	c.beginIdle(time.Now(), idle)
+	defer c.endIdle()
+	if c.served && c.server.ShuttingDown() {
+		return 0, false
+	}
 	var b [1]byte
-	for skipped := 0; ; skipped++ {
-		if _, err := io.ReadFull(c.conn, b[:]); err != nil || skipped > 2 {
-			return false
-		}
-		// Empty lines before a request line are allowed (RFC 9112, section 2.2).
-		if b[0] != '\r' && b[0] != '\n' {
-			break
+	for skipped := 0; skipped <= 2; {
+		_, err := io.ReadFull(c.conn, b[:])
+		switch {
+		case err == nil && b[0] != '\r' && b[0] != '\n':
+			return b[0], true
+		case err == nil:
+			// Empty lines before a request line are allowed (RFC 9112, section 2.2).
+			skipped++
+		case errors.Is(err, os.ErrDeadlineExceeded) && readable(c.conn):
+			// The request and the end of the wait met.
+			c.endIdle()
+			_ = c.conn.SetReadDeadline(time.Now().Add(c.server.Limits().HeaderTimeout))
+		default:
+			return 0, false
 		}
 	}
-	c.acquireReader(&prefixedReader{Reader: c.conn, b: b[0], have: true}, limits.HeaderBytes)
-	return true
+	return 0, false
+}
+
+func (c *serverConn) beginIdle(start time.Time, timeout time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_ = c.conn.SetReadDeadline(start.Add(timeout))
+	c.idleSince.Store(start.UnixNano())
+}
+
+func (c *serverConn) endIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idleSince.Store(0)
 }
 
 // skipEmptyLine drops a buffered empty line before a pipelined request.
@@ -263,7 +320,7 @@
 	call.ctx, call.cancel = context.WithCancel(context.Background())
 	defer call.cancel()
 	stopWatch := c.watch(call.cancel)
-	call.closeAfter = call.Request.Header.ConnectionClose()
+	call.closeAfter = c.closing || call.Request.Header.ConnectionClose()
 	c.server.Handle(call)
 	alive := stopWatch()
 	return alive && call.completed && !call.closeAfter
@@ -340,7 +397,7 @@
 	}()
 	return func() bool {
 		ended.Store(true)
-		_ = c.conn.SetReadDeadline(time.Unix(1, 0))
+		_ = c.conn.SetReadDeadline(past)
 		return <-done
 	}
 }
--- a/internal/connection/caller_test.go
+++ b/internal/connection/caller_test.go
@@ -307,21 +307,13 @@
 		resp, _ := readResponse(t, r)
 		require.Equal(t, 200, resp.StatusCode)
 	}
+	// A connection is idle some time after its response, so that the next one could be idle first.
 	oldest, oldestReader := dialCaller(t, address)
 	request(oldest, oldestReader)
+	waitForIdle(t, s, oldest)
 	newer, newerReader := dialCaller(t, address)
 	request(newer, newerReader)
-	require.Eventually(t, func() bool {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		idle := 0
-		for c := range s.conns {
-			if c.idleSince.Load() != 0 {
-				idle++
-			}
-		}
-		return idle == 2
-	}, time.Second, time.Millisecond)
+	waitForIdle(t, s, newer)
 	another, anotherReader := dialCaller(t, address)
 	request(another, anotherReader)
 	_, err = oldestReader.ReadByte()
