Keep idle connections for the longest idle limit their callers may know

Cause: the wait for a request had the idle limit that was in force at its begin. After a configuration that raised the limit, a caller that reused a connection in time by the new limit got a closed connection without an answer; the same after one that lowered it between a request and its response, where the caller still went by the old limit. Ruled out: a wait that follows the newest limit only, since callers learn of it earlier or later than the host. Change: a connection stays open for the longest idle limit in force since its previous request began, which is read again at the end of the wait. Conclusion: a change of the limit closes no connection earlier than its caller expects, unless the caller learns of a lower limit later than the lower limit itself.

--- a/internal/connection/caller.go
+++ b/internal/connection/caller.go
@@ -61,6 +61,8 @@
 	server *Server
 	conn   net.Conn
 	reader *bufio.Reader
+	// limits apply to the current request, or to the previous one while the connection is idle.
+	limits CallerLimits
 	// idleSince is when the connection became idle, in Unix nanoseconds; 0 while a
 	// request is served. It changes only with mu held.
 	idleSince atomic.Int64
@@ -219,23 +221,28 @@
 func (c *serverConn) awaitRequest() bool {
 	if c.reader != nil {
 		if c.skipEmptyLine(); c.reader.Buffered() > 0 {
+			c.limits = c.server.Limits()
 			return true
 		}
 		c.releaseReader()
 	}
-	limits := c.server.Limits()
-	first, ok := c.awaitFirstByte(limits.IdleTimeout)
+	headerBytes := c.server.Limits().HeaderBytes
+	first, ok := c.awaitFirstByte()
 	if !ok {
 		return false
 	}
-	c.acquireReader(&prefixedReader{Reader: c.conn, b: first, have: true}, limits.HeaderBytes)
+	c.limits = c.server.Limits()
+	c.acquireReader(&prefixedReader{Reader: c.conn, b: first, have: true}, headerBytes)
 	return true
 }
 
 // awaitFirstByte returns the first byte of a request. It returns false if none arrives until the
-// idle timeout.
-func (c *serverConn) awaitFirstByte(idle time.Duration) (byte, bool) {
-	c.beginIdle(time.Now(), idle)
+// idle timeout, which is the longest one in force since the previous request began: callers may
+// learn of a new limit earlier or later than the server.
+func (c *serverConn) awaitFirstByte() (byte, bool) {
+	start := time.Now()
+	idle := max(c.limits.IdleTimeout, c.server.Limits().IdleTimeout)
+	c.beginIdle(start, idle)
 	defer c.endIdle()
 	if c.served && c.server.ShuttingDown() {
 		return 0, false
@@ -249,12 +256,18 @@
 		case err == nil:
 			// Empty lines before a request line are allowed (RFC 9112, section 2.2).
 			skipped++
-		case errors.Is(err, os.ErrDeadlineExceeded) && readable(c.conn):
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			return 0, false
+		case readable(c.conn):
 			// The request and the end of the wait met.
 			c.endIdle()
 			_ = c.conn.SetReadDeadline(time.Now().Add(c.server.Limits().HeaderTimeout))
 		default:
-			return 0, false
+			raised := c.server.Limits().IdleTimeout
+			if raised <= idle || !c.extendIdle(start.Add(raised)) {
+				return 0, false
+			}
+			idle = raised
 		}
 	}
 	return 0, false
@@ -267,6 +280,18 @@
 	c.idleSince.Store(start.UnixNano())
 }
 
+// extendIdle moves the end of the wait for a request. It returns false if the connection is to
+// be closed.
+func (c *serverConn) extendIdle(deadline time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing {
+		return false
+	}
+	_ = c.conn.SetReadDeadline(deadline)
+	return true
+}
+
 func (c *serverConn) endIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- /dev/null
+++ b/internal/connection/limits_test.go
@@ -0,0 +1,67 @@
+package connection
+
+import (
+	"io"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// changingLimits starts a server with limits that a test can change.
+func changingLimits(t *testing.T, s *Server) (address string, set func(change func(*CallerLimits))) {
+	var current atomic.Pointer[CallerLimits]
+	limits := testLimits
+	current.Store(&limits)
+	s.Limits = func() CallerLimits { return *current.Load() }
+	return startCallers(t, s), func(change func(*CallerLimits)) {
+		changed := *current.Load()
+		change(&changed)
+		current.Store(&changed)
+	}
+}
+
+// Guards against a connection that is closed as idle earlier than its caller expects when the idle
+// limit changes while the connection is idle, or while its last request runs.
+func TestIdleLimitChanges(t *testing.T) {
+	const long, short = 600 * time.Millisecond, 200 * time.Millisecond
+	for name, c := range map[string]struct {
+		before, after time.Duration
+		whileRunning  bool
+	}{
+		"lowered while idle":    {long, short, false},
+		"raised while idle":     {short, long, false},
+		"lowered while running": {long, short, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var set func(func(*CallerLimits))
+			var once sync.Once
+			change := func() { once.Do(func() { set(func(l *CallerLimits) { l.IdleTimeout = c.after }) }) }
+			s := &Server{Handle: func(call *Call) {
+				if c.whileRunning {
+					change()
+				}
+				echo(call)
+			}}
+			var address string
+			address, set = changingLimits(t, s)
+			set(func(l *CallerLimits) { l.IdleTimeout = c.before })
+			conn, r := dialCaller(t, address)
+			request := func() {
+				_, err := io.WriteString(conn, "GET /x HTTP/1.1\r\nHost: a\r\n\r\n")
+				require.NoError(t, err)
+				_, body := readResponse(t, r)
+				assert.Equal(t, "/x ", body)
+			}
+			request()
+			waitForIdle(t, s, conn)
+			change()
+			time.Sleep(long * 4 / 5)
+			request()
+		})
+	}
+}
