Read requests with the limits in force when they arrive

Cause: the read buffer of a request had the header limit from the begin of the wait for it, and a pipelined request the buffer of the one before. After a configuration that raised the limit meanwhile, a header section larger than the buffer ended the connection without an answer, since only the limit was compared. Ruled out: a response 431, since the request keeps the limit in force. Change: the limits are read once for each request, when its first byte has arrived, and a buffer that is too small for them is replaced. Conclusion: one request has one set of limits.

--- a/internal/connection/caller.go
+++ b/internal/connection/caller.go
@@ -222,17 +222,17 @@
 	if c.reader != nil {
 		if c.skipEmptyLine(); c.reader.Buffered() > 0 {
 			c.limits = c.server.Limits()
+			c.growReader()
 			return true
 		}
 		c.releaseReader()
 	}
-	headerBytes := c.server.Limits().HeaderBytes
 	first, ok := c.awaitFirstByte()
 	if !ok {
 		return false
 	}
 	c.limits = c.server.Limits()
-	c.acquireReader(&prefixedReader{Reader: c.conn, b: first, have: true}, headerBytes)
+	c.acquireReader(&prefixedReader{Reader: c.conn, b: first, have: true}, c.limits.HeaderBytes)
 	return true
 }
 
@@ -310,7 +310,7 @@
 }
 
 func (c *serverConn) acquireReader(r io.Reader, headerBytes int) {
-	size := min(max(headerBytes, minHeaderBytes), maxHeaderBytes) + 4
+	size := readerSize(headerBytes)
 	if pooled, ok := c.server.readers.Get().(*bufio.Reader); ok && pooled.Size() >= size {
 		pooled.Reset(r)
 		c.reader = pooled
@@ -319,6 +319,21 @@
 	c.reader = bufio.NewReaderSize(r, size)
 }
 
+// growReader replaces the read buffer by a larger one if the header limit was raised.
+func (c *serverConn) growReader() {
+	if c.reader.Size() >= readerSize(c.limits.HeaderBytes) {
+		return
+	}
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	rest := io.MultiReader(bytes.NewReader(bytes.Clone(buffered)), c.conn)
+	c.releaseReader()
+	c.acquireReader(rest, c.limits.HeaderBytes)
+}
+
+func readerSize(headerBytes int) int {
+	return min(max(headerBytes, minHeaderBytes), maxHeaderBytes) + 4
+}
+
 func (c *serverConn) releaseReader() {
 	if c.reader != nil {
 		c.reader.Reset(nil)
@@ -362,9 +377,8 @@
 }
 
 func (c *serverConn) readRequest(call *Call) *requestError {
-	limits := c.server.Limits()
-	_ = c.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
-	header, reqErr := c.peekHeader(limits.HeaderBytes)
+	_ = c.conn.SetReadDeadline(time.Now().Add(c.limits.HeaderTimeout))
+	header, reqErr := c.peekHeader(c.limits.HeaderBytes)
 	if reqErr != nil {
 		return reqErr
 	}
@@ -374,7 +388,7 @@
 	if err := call.Request.Header.Read(c.reader); err != nil {
 		return &requestError{400, "malformed request head"}
 	}
-	return c.readBody(call, limits.BodyBytes)
+	return c.readBody(call, c.limits.BodyBytes)
 }
 
 // peekHeader returns the request line and header section, up to and including the empty
--- a/internal/connection/limits_test.go
+++ b/internal/connection/limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -65,3 +66,37 @@
 		})
 	}
 }
+
+// Guards against a request that gets no answer because the header limit was raised while its
+// connection was idle, or while the request before it was served.
+func TestHeaderLimitRaised(t *testing.T) {
+	for _, pipelined := range []bool{false, true} {
+		var set func(func(*CallerLimits))
+		raise := func() { set(func(l *CallerLimits) { l.HeaderBytes = 16 << 10 }) }
+		s := &Server{Handle: func(c *Call) {
+			if pipelined {
+				raise()
+			}
+			echo(c)
+		}}
+		var address string
+		address, set = changingLimits(t, s)
+		large := "GET /large HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 9000) + "\r\n\r\n"
+		first := "GET /x HTTP/1.1\r\nHost: a\r\n\r\n"
+		if pipelined {
+			first += large
+		}
+		conn, r := dialCaller(t, address)
+		_, err := io.WriteString(conn, first)
+		require.NoError(t, err)
+		readResponse(t, r)
+		if !pipelined {
+			waitForIdle(t, s, conn)
+			raise()
+			_, err = io.WriteString(conn, large)
+			require.NoError(t, err)
+		}
+		_, body := readResponse(t, r)
+		assert.Equal(t, "/large ", body, "pipelined: %t", pipelined)
+	}
+}
