Announce the close of callers' connections before a shutdown closes them

Cause: SIGTERM closed all idle connections of callers at once, and a connection whose response had gone out just before was closed after it although the response had not announced it. A caller's next request on such a connection crossed the close and got no answer; it was not passed on. Ruled out: leaving idle connections open until the end of the grace, which would keep the process for the whole grace. Change: while the load balancer still sends new callers, open connections stay open, and their next response announces the close. Only those that are idle then are closed. Figures: before: "TestShutdownAnnouncesTheCloseOfConnections: Received unexpected error: unexpected EOF". After: it passes. Conclusion: a request crosses the close only if it is the first on its connection for the readiness interval and on its way at the moment of the close.

--- a/internal/connection/caller.go
+++ b/internal/connection/caller.go
@@ -66,8 +66,6 @@
 	// idleSince is when the connection became idle, in Unix nanoseconds; 0 while a
 	// request is served. It changes only with mu held.
 	idleSince atomic.Int64
-	// served is set after the first byte of the first request.
-	served bool
 
 	// mu guards closing. With it held, a connection is either closed as idle or begins a
 	// request, so that a read deadline set to close it never acts on a request.
@@ -191,7 +189,6 @@
 		s.open.Add(-1)
 	}()
 	for c.awaitRequest() {
-		c.served = true
 		s.active.Add(1)
 		reusable := c.serveRequest()
 		s.active.Done()
@@ -244,9 +241,6 @@
 	idle := max(c.limits.IdleTimeout, c.server.Limits().IdleTimeout)
 	c.beginIdle(start, idle)
 	defer c.endIdle()
-	if c.served && c.server.ShuttingDown() {
-		return 0, false
-	}
 	var b [1]byte
 	for skipped := 0; skipped <= 2; {
 		_, err := io.ReadFull(c.conn, b[:])
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -218,11 +218,12 @@
 	p.log.Info().Dur("grace", grace).Int64("connections", p.callers.Open()).Msg("stopping")
 	p.gateway.StartShutdown(grace)
 	p.callers.StartShutdown()
-	p.callers.CloseIdle()
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
-	// The load balancer sends new callers until the probe has failed twice.
+	// The load balancer sends new callers until the probe has failed twice. Callers on open
+	// connections learn of the close from their next response.
 	p.waitForProbes(ctx)
+	p.callers.CloseIdle()
 	if err := p.callers.Wait(ctx); err != nil {
 		p.log.Warn().Msg("requests were still running at the end of the shutdown grace")
 	}
