Answer every request that a shutdown finds running or that arrives during it

Cause: the process ended at the end of its shutdown grace whatever was running, so that callers got a closed connection. A request that came late in the grace was admitted if its objective fitted, not the time that it may take: an order that is slower than its objective was passed on and cut. A stream that states no output tokens counted as one without any. A request could also begin after the last wait for requests had ended, in the time in which the process exits. Ruled out: a longer margin before the end, which only moves the cut; rejecting idempotent requests by their timeout, since they can be repeated after a 504 and most end within their objective. Change: a request that may not be repeated is rejected as not run, before it is passed on, if its deadline is after the end of the grace; a stream by its objective and output tokens, without these by its deadline. The deadline of an admitted request, which its backend server gets too, is not after that end. At the end the requests that are still running are cancelled: without a response they get a 504, or a 503 if nothing was sent; a stream that has begun is aborted; a request that has not arrived completely is rejected. The responses have 200 ms of the 400 ms that are kept for the exit. Once no request is in flight, no other begins, by one atomic counter in place of a wait group that was used again while a wait ran. Conclusion: a caller whose request was read gets a response before the process exits, unless it does not read.

--- a/internal/connection/body.go
+++ b/internal/connection/body.go
@@ -33,7 +33,7 @@
 			return &requestError{}
 		}
 	}
-	_ = c.conn.SetReadDeadline(time.Now().Add(bodyTimeout))
+	c.limitRead(bodyTimeout)
 	var err error
 	if length := req.Header.ContentLength(); length > 0 {
 		err = c.readSizedBody(call, length)
@@ -48,7 +48,7 @@
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		return &requestError{413, "the request body is too large"}
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return &requestError{408, "the request body took too long"}
+		return c.incomplete("the request body took too long")
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed):
 		return &requestError{}
 	}
--- a/internal/connection/call.go
+++ b/internal/connection/call.go
@@ -28,7 +28,7 @@
 	Received   time.Time
 	conn       *serverConn
 	ctx        context.Context
-	cancel     context.CancelFunc
+	cancel     context.CancelCauseFunc
 	closeAfter bool
 	completed  bool
 	chunked    bool
@@ -36,9 +36,14 @@
 	reserved int64
 }
 
-// Context is cancelled when the caller closes the connection, and after Handle returns.
+// Context is cancelled when the caller closes the connection, by Server.CancelRequests, and
+// after Handle returns.
 func (c *Call) Context() context.Context { return c.ctx }
 
+// CancelledByServer reports whether Server.CancelRequests cancelled the context. The caller
+// still waits for a response then.
+func (c *Call) CancelledByServer() bool { return context.Cause(c.ctx) == errShutdown }
+
 // RemoteAddr returns the caller's address and port.
 func (c *Call) RemoteAddr() string { return c.conn.conn.RemoteAddr().String() }
 
--- a/internal/connection/caller.go
+++ b/internal/connection/caller.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"os"
 	"sync"
@@ -24,11 +25,16 @@
 	minHeaderBytes = 4 << 10
 	// maxHeaderBytes bounds the header buffer, whatever limit the configuration sets.
 	maxHeaderBytes = 1 << 20
+	// drainPollInterval is the time between two checks for requests in flight.
+	drainPollInterval = 5 * time.Millisecond
 )
 
 // past is a read deadline that ends a read at once.
 var past = time.Unix(1, 0)
 
+// errShutdown is the cause with which CancelRequests cancels calls.
+var errShutdown = errors.New("the server shuts down")
+
 // CallerLimits are the size and time limits on the requests of a caller.
 type CallerLimits struct {
 	HeaderBytes, BodyBytes     int
@@ -50,10 +56,12 @@
 
 	shuttingDown atomic.Bool
 	open         atomic.Int64
-	mu           sync.Mutex
-	conns        map[*serverConn]struct{}
-	active       sync.WaitGroup
-	readers      sync.Pool
+	// inFlight is the number of requests in flight, plus noMoreRequests once Wait has
+	// returned.
+	inFlight atomic.Int64
+	mu       sync.Mutex
+	conns    map[*serverConn]struct{}
+	readers  sync.Pool
 }
 
 // serverConn is the connection of a caller.
@@ -67,14 +75,21 @@
 	// request is served. It changes only with mu held.
 	idleSince atomic.Int64
 
-	// mu guards closing. With it held, a connection is either closed as idle or begins a
-	// request, so that a read deadline set to close it never acts on a request.
+	// mu guards the fields below. With it held, a connection is either closed as idle or
+	// begins a request, so that a read deadline set to close it never acts on a request.
 	mu sync.Mutex
 	// closing is set when the connection was to be closed while it was idle. A request that
 	// arrives nevertheless is the last one.
 	closing bool
+	// cancelled is set by CancelRequests.
+	cancelled bool
+	// cancelCall cancels the call that is being handled; nil while there is none.
+	cancelCall context.CancelCauseFunc
 }
 
+// noMoreRequests is added to the number of requests in flight when no more may begin.
+const noMoreRequests = math.MinInt64 / 2
+
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(l net.Listener) error {
 	s.mu.Lock()
@@ -123,6 +138,16 @@
 	}
 }
 
+// CancelRequests ends the requests in flight at the end of a shutdown: calls are cancelled,
+// so that Handle can still respond, and requests that have not arrived completely are rejected.
+func (s *Server) CancelRequests() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.cancel()
+	}
+}
+
 // closeLongestIdle closes the connection that is idle longest and reports whether there
 // was one; one with an unread request is not idle. It is closed asynchronously by its goroutine,
 // so that for a short time one connection more than MaxConns is open.
@@ -161,19 +186,53 @@
 	return true
 }
 
-// Wait waits until no request is in flight. If ctx ends first, it returns the error of ctx.
+func (c *serverConn) cancel() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cancelled = true
+	switch {
+	case c.cancelCall != nil:
+		c.cancelCall(errShutdown)
+	case c.idleSince.Load() == 0:
+		_ = c.conn.SetReadDeadline(past)
+	}
+}
+
+// limitRead limits the time for reading a part of a request.
+func (c *serverConn) limitRead(timeout time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	deadline := past
+	if !c.cancelled {
+		deadline = time.Now().Add(timeout)
+	}
+	_ = c.conn.SetReadDeadline(deadline)
+}
+
+// Wait waits until no request is in flight; then no more requests begin, and those that arrive
+// are not read. If ctx ends first, it returns the error of ctx.
 func (s *Server) Wait(ctx context.Context) error {
-	done := make(chan struct{})
-	go func() {
-		s.active.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
+	ticker := time.NewTicker(drainPollInterval)
+	defer ticker.Stop()
+	for {
+		if s.inFlight.Load() < 0 || s.inFlight.CompareAndSwap(0, noMoreRequests) {
+			return nil
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// beginRequest counts a request as in flight. It returns false if no more may begin.
+func (s *Server) beginRequest() bool {
+	if s.inFlight.Add(1) > 0 {
+		return true
 	}
+	s.inFlight.Add(-1)
+	return false
 }
 
 func (s *Server) serve(c *serverConn) {
@@ -188,10 +247,9 @@
 		s.mu.Unlock()
 		s.open.Add(-1)
 	}()
-	for c.awaitRequest() {
-		s.active.Add(1)
+	for c.awaitRequest() && s.beginRequest() {
 		reusable := c.serveRequest()
-		s.active.Done()
+		s.inFlight.Add(-1)
 		if !reusable {
 			return
 		}
@@ -351,15 +409,33 @@
 		}
 		return false
 	}
-	call.ctx, call.cancel = context.WithCancel(context.Background())
-	defer call.cancel()
-	stopWatch := c.watch(call.cancel)
-	call.closeAfter = c.closing || call.Request.Header.ConnectionClose()
+	defer c.endCall()
+	c.beginCall(call)
+	stopWatch := c.watch(func() { call.cancel(nil) })
 	c.server.Handle(call)
 	alive := stopWatch()
 	return alive && call.completed && !call.closeAfter
 }
 
+// beginCall creates the context of a call whose request was read.
+func (c *serverConn) beginCall(call *Call) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	call.ctx, call.cancel = context.WithCancelCause(context.Background())
+	call.closeAfter = c.closing || call.Request.Header.ConnectionClose()
+	c.cancelCall = call.cancel
+	if c.cancelled {
+		call.cancel(errShutdown)
+	}
+}
+
+func (c *serverConn) endCall() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cancelCall(nil)
+	c.cancelCall = nil
+}
+
 // linger discards what the caller still sends, for up to lingerTimeout: closing with
 // unread bytes would reset the connection and discard the response.
 func (c *serverConn) linger() {
@@ -371,7 +447,7 @@
 }
 
 func (c *serverConn) readRequest(call *Call) *requestError {
-	_ = c.conn.SetReadDeadline(time.Now().Add(c.limits.HeaderTimeout))
+	c.limitRead(c.limits.HeaderTimeout)
 	header, reqErr := c.peekHeader(c.limits.HeaderBytes)
 	if reqErr != nil {
 		return reqErr
@@ -385,13 +461,23 @@
 	return c.readBody(call, c.limits.BodyBytes)
 }
 
+// incomplete returns the error of a request that did not arrive in time.
+func (c *serverConn) incomplete(reason string) *requestError {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cancelled {
+		return &requestError{503, "the host is shutting down"}
+	}
+	return &requestError{408, reason}
+}
+
 // peekHeader returns the request line and header section, up to and including the empty
 // line, without consuming them.
 func (c *serverConn) peekHeader(limit int) ([]byte, *requestError) {
 	for want := 1; ; {
 		if _, err := c.reader.Peek(want); err != nil {
 			if errors.Is(err, os.ErrDeadlineExceeded) {
-				return nil, &requestError{408, "the request head took too long"}
+				return nil, c.incomplete("the request head took too long")
 			}
 			return nil, &requestError{}
 		}
--- a/internal/connection/shutdown_test.go
+++ b/internal/connection/shutdown_test.go
@@ -1,13 +1,33 @@
 package connection
 
 import (
+	"context"
 	"io"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
 
+// Guards against a request that begins after the server has stopped waiting for requests, and is
+// cut off by the exit of the process.
+func TestNoRequestBeginsAfterTheLastOne(t *testing.T) {
+	var handled atomic.Int32
+	s := &Server{Handle: func(c *Call) { handled.Add(1); echo(c) }}
+	address := startCallers(t, s)
+	conn, r := dialCaller(t, address)
+	waitForIdle(t, s, conn)
+	s.StartShutdown()
+	require.NoError(t, s.Wait(context.Background()))
+	_, err := io.WriteString(conn, "GET /x HTTP/1.1\r\nHost: a\r\n\r\n")
+	require.NoError(t, err)
+	_, err = r.ReadByte()
+	assert.Error(t, err)
+	assert.Zero(t, handled.Load())
+}
+
 // Guards against a connection that is closed although its last response did not announce it, since
 // the shutdown began after that response: the caller's next request would cross the close.
 func TestShutdownAnnouncesTheCloseOfConnections(t *testing.T) {
@@ -27,3 +47,39 @@
 	_, err := r.ReadByte()
 	assert.Equal(t, io.EOF, err)
 }
+
+// Guards against requests that get no answer at the end of the shutdown grace: one in flight is
+// cancelled so that its handler answers, one whose body is incomplete is rejected.
+func TestRequestsAreAnsweredAtTheEndOfTheGrace(t *testing.T) {
+	begun := make(chan struct{}, 1)
+	s := &Server{Handle: func(c *Call) {
+		begun <- struct{}{}
+		<-c.Context().Done()
+		assert.True(t, c.CancelledByServer())
+		c.Respond(504, plainText, []byte("shutdown"))
+	}}
+	address := startCallers(t, s)
+	running, runningReader := dialCaller(t, address)
+	_, err := io.WriteString(running, "GET /x HTTP/1.1\r\nHost: a\r\n\r\n")
+	require.NoError(t, err)
+	<-begun
+	incomplete, incompleteReader := dialCaller(t, address)
+	_, err = io.WriteString(incomplete, "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\nx")
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return s.inFlight.Load() == 2 }, time.Second, time.Millisecond)
+	s.StartShutdown()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	require.Error(t, s.Wait(ctx))
+	s.CancelRequests()
+	resp, _ := readResponse(t, runningReader)
+	assert.Equal(t, 504, resp.StatusCode)
+	assert.True(t, resp.Close)
+	resp, _ = readResponse(t, incompleteReader)
+	assert.Equal(t, 503, resp.StatusCode)
+	assert.NotEmpty(t, resp.Header.Get("Retry-After"))
+	require.NoError(t, incomplete.Close())
+	ctx, cancel = context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	assert.NoError(t, s.Wait(ctx))
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -44,6 +44,9 @@
 	reservedFileShare = 0.4
 	// exitMargin is the part of the shutdown grace reserved for the exit of the process.
 	exitMargin = 400 * time.Millisecond
+	// responseMargin is the part of exitMargin for the responses to requests that are still
+	// running at the end of the shutdown.
+	responseMargin = 200 * time.Millisecond
 	// probeTimeout limits reading and writing of a readiness probe or metrics request.
 	probeTimeout = 2 * time.Second
 	// revokeTimeoutShare of the bound on removed keys and configTimeoutShare of the bound on a new
@@ -212,7 +215,8 @@
 // exitTimeout limits the wait for background work at exit.
 const exitTimeout = 100 * time.Millisecond
 
-// shutDown drains running requests within the shutdown grace.
+// shutDown drains running requests within the shutdown grace. Requests that are running at its
+// end are cancelled and answered.
 func (p *Process) shutDown() {
 	grace := p.settings.ShutdownGrace - exitMargin
 	p.log.Info().Dur("grace", grace).Int64("connections", p.callers.Open()).Msg("stopping")
@@ -224,8 +228,15 @@
 	// connections learn of the close from their next response.
 	p.waitForProbes(ctx)
 	p.callers.CloseIdle()
-	if err := p.callers.Wait(ctx); err != nil {
-		p.log.Warn().Msg("requests were still running at the end of the shutdown grace")
+	if p.callers.Wait(ctx) == nil {
+		return
+	}
+	p.log.Warn().Msg("requests were still running at the end of the shutdown grace")
+	p.callers.CancelRequests()
+	ctx, cancel = context.WithTimeout(context.Background(), responseMargin)
+	defer cancel()
+	if p.callers.Wait(ctx) != nil {
+		p.log.Error().Msg("requests got no response before the end of the shutdown grace")
 	}
 }
 
--- a/internal/forward/gateway.go
+++ b/internal/forward/gateway.go
@@ -163,7 +163,7 @@
 	g.pool.Retain(func(address string) bool { return g.balancers.hasAddress(address) })
 }
 
-// StartShutdown makes the gateway reject requests that cannot end within grace.
+// StartShutdown makes the gateway reject requests that could outlast grace.
 func (g *Gateway) StartShutdown(grace time.Duration) {
 	g.shutdownDeadline.Store(time.Now().Add(grace).UnixNano())
 }
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -27,12 +27,14 @@
 	route    *route.Route
 	service  string
 	team     *route.Team
-	// deadline is the earlier of the caller's deadline and the route's timeout.
-	deadline     time.Time
-	ctx          context.Context
-	cancel       context.CancelFunc
-	promptTokens int
-	outputTokens int // expected
+	// deadline is the earliest of the caller's deadline, the route's timeout and the end of the
+	// host's shutdown; shutdownFirst is set if it is the last one.
+	deadline      time.Time
+	shutdownFirst bool
+	ctx           context.Context
+	cancel        context.CancelFunc
+	promptTokens  int
+	outputTokens  int // expected
 	// maxOutput is the largest number of output tokens that the caller allows.
 	maxOutput int
 
@@ -120,18 +122,38 @@
 }
 
 // endsBeforeShutdown rejects a request that the host's shutdown could cut off. The
-// caller's next connection reaches another host. The longest possible duration counts,
-// not the expected output: a stream that is cut off is lost, while a rejected request
-// can be served elsewhere.
+// caller's next connection reaches another host. The deadline of an admitted request is not
+// after the end of the shutdown, so that its caller gets a response until then.
 func (r *request) endsBeforeShutdown() error {
 	by := r.g.shutdownDeadline.Load()
 	if by == 0 {
 		return nil
 	}
-	longest := r.route.Objective + time.Duration(r.maxOutput)*slowTokenGap
-	if time.Until(time.Unix(0, by)) >= longest {
+	end := time.Unix(0, by)
+	if left := time.Until(end); left > 0 && left >= r.longest() {
+		if end.Before(r.deadline) {
+			r.deadline, r.shutdownFirst = end, true
+		}
 		return nil
 	}
+	return r.rejectedByShutdown()
+}
+
+// longest returns how long the request may take. An idempotent one can be repeated, so that
+// its objective counts. For others it is the longest possible time, not the expected one: they
+// are lost when they are cut off, while a rejected request can be served elsewhere.
+func (r *request) longest() time.Duration {
+	left := time.Until(r.deadline)
+	switch {
+	case r.route.Kind == route.Idempotent:
+		return min(left, orDefault(r.route.Objective, time.Second))
+	case r.route.Kind == route.Stream && r.maxOutput > 0:
+		return min(left, r.route.Objective+time.Duration(r.maxOutput)*slowTokenGap)
+	}
+	return left
+}
+
+func (r *request) rejectedByShutdown() error {
 	r.retryAfter = otherHostRetryAfter
 	return notRun(503, "host_stops", "the host is shutting down and the request could outlast it")
 }
@@ -257,10 +279,17 @@
 	return false
 }
 
-// interruptionError returns the error of a request whose caller disconnected or whose
-// deadline passed.
+// interruptionError returns the error of a request whose caller disconnected, whose deadline
+// passed, or which was running at the end of the host's shutdown.
 func (r *request) interruptionError(sent bool) error {
-	if r.call.Context().Err() != nil {
+	callerLeft := r.call.Context().Err() != nil && !r.call.CancelledByServer()
+	if !callerLeft && (r.shutdownFirst || r.call.CancelledByServer()) {
+		if !sent {
+			return r.rejectedByShutdown()
+		}
+		return &verdict.Error{Verdict: verdict.MayHaveRun, Status: 504, Code: "host_stops", Detail: "no complete response before the host shut down"}
+	}
+	if callerLeft {
 		r.responded = true // nobody reads a response
 		return &verdict.Error{Verdict: verdict.MayHaveRun, Status: 499, Code: "caller_left", Detail: "the caller closed the connection"}
 	}
