Test that a changed configuration does not end a body being read

Cause: no test changed the limits while a request was read. Change: a test with lower limits of every kind while a body is read, with a length and in chunks. Conclusion: a request keeps the limits that were in force at its begin.

--- a/internal/connection/limits_test.go
+++ b/internal/connection/limits_test.go
@@ -100,3 +100,32 @@
 		assert.Equal(t, "/large ", body, "pipelined: %t", pipelined)
 	}
 }
+
+// Guards against a long body that is cut off or rejected by limits that change while it is read.
+func TestLimitsChangeWhileBodyIsRead(t *testing.T) {
+	s := &Server{Handle: func(c *Call) { c.Respond(200, plainText, c.Request.Body()) }}
+	address, set := changingLimits(t, s)
+	for name, header := range map[string]string{"length": "Content-Length: 900", "chunked": "Transfer-Encoding: chunked"} {
+		set(func(l *CallerLimits) { *l = testLimits })
+		half := strings.Repeat("x", 450)
+		first, second := half, half
+		if name == "chunked" {
+			first, second = "1c2\r\n"+half+"\r\n", "1c2\r\n"+half+"\r\n0\r\n\r\n"
+		}
+		conn, r := dialCaller(t, address)
+		_, err := io.WriteString(conn, "POST /x HTTP/1.1\r\nHost: a\r\n"+header+"\r\n\r\n"+first)
+		require.NoError(t, err)
+		require.Eventually(t, func() bool { return s.inFlight.Load() == 1 }, time.Second, time.Millisecond)
+		time.Sleep(20 * time.Millisecond)
+		set(func(l *CallerLimits) {
+			*l = CallerLimits{HeaderBytes: 100, BodyBytes: 100, HeaderTimeout: time.Millisecond, IdleTimeout: time.Millisecond}
+		})
+		time.Sleep(100 * time.Millisecond)
+		_, err = io.WriteString(conn, second)
+		require.NoError(t, err)
+		resp, body := readResponse(t, r)
+		assert.Equal(t, 200, resp.StatusCode, name)
+		assert.Len(t, body, 900, name)
+		require.Eventually(t, func() bool { return s.inFlight.Load() == 0 }, time.Second, time.Millisecond)
+	}
+}
