Answer requests that run at the end of the drain timeout

Ruled out: a last event for streams that have begun. Their callers resume them at another host, which an error event would forbid. Change: in the last second of the drain timeout, or in its second half if that is shorter, requests without a response are cancelled and answered with host_stops: 504 with may_have_run, or 503 with not_run and Retry-After if nothing was sent. New requests are rejected from then on. Conclusion: a drain timeout cuts only streams, and responses of plain services that have begun.

--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -38,6 +38,9 @@
 	readTimeout = 30 * time.Second
 	// flushTimeout limits the time for the remaining writes at shutdown.
 	flushTimeout = 10 * time.Second
+	// responseTimeout is the part of the drain timeout for the responses to requests that are
+	// cancelled at its end.
+	responseTimeout = time.Second
 )
 
 // Daemon holds the components of a monsoonkeeld process.
@@ -252,6 +255,8 @@
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, d.settings.DrainTimeout)
 		defer cancel()
+		response := min(responseTimeout, d.settings.DrainTimeout/2)
+		defer time.AfterFunc(d.settings.DrainTimeout-response, d.gateway.CancelRequests).Stop()
 	}
 	if err := d.callerServer.ShutdownWithContext(ctx); err != nil {
 		d.log.Error().Err(err).Msg("graceful shutdown incomplete, running requests were interrupted")
--- a/internal/request/call.go
+++ b/internal/request/call.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -25,10 +27,14 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	unwatch func()
-	start   time.Time
-	team    config.Team
-	class   config.Class
-	service *version.Service
+	// cancelCause cancels the call's context with a cause.
+	cancelCause context.CancelCauseFunc
+	// responseBegun is set when the header of the response may have been sent.
+	responseBegun atomic.Bool
+	start         time.Time
+	team          config.Team
+	class         config.Class
+	service       *version.Service
 	// maybeSent is set when a byte of the request may have reached a backend server.
 	maybeSent bool
 	streaming bool
@@ -40,8 +46,13 @@
 }
 
 func (g *Gateway) newCall(http *fasthttp.RequestCtx) *call {
-	ctx, cancel := context.WithCancel(context.Background())
-	c := &call{g: g, http: http, ctx: ctx, cancel: cancel, start: g.Now(), releaseTeam: func() {}}
+	ctx, cancelCause := context.WithCancelCause(context.Background())
+	cancel := func() { cancelCause(nil) }
+	c := &call{g: g, http: http, ctx: ctx, cancel: cancel, cancelCause: cancelCause, start: g.Now(), releaseTeam: func() {}}
+	g.calls.Store(c, nil)
+	if g.stopping.Load() {
+		c.cancelForShutdown()
+	}
 	c.unwatch = g.Watcher.Add(http.Conn(), cancel)
 	c.outcome.RequestID = string(http.Request.Header.Peek(headerRequestID))
 	if c.outcome.RequestID == "" || len(c.outcome.RequestID) > maxRequestIDBytes {
@@ -56,7 +67,8 @@
 	c.unwatch()
 	c.prompt.End()
 	c.releaseTeam()
-	c.outcome.Cancelled = c.ctx.Err() == context.Canceled
+	c.g.calls.Delete(c)
+	c.outcome.Cancelled = c.ctx.Err() == context.Canceled && context.Cause(c.ctx) != errShutdown
 	c.cancel()
 	c.outcome.Total = c.g.Now().Sub(c.start)
 	if c.outcome.Status == 0 {
@@ -163,12 +175,41 @@
 	if rejection := c.prompt.InterruptedBy(); rejection != nil {
 		return c.rejectedPrompt(rejection)
 	}
+	if context.Cause(c.ctx) == errShutdown {
+		return c.shutdownError()
+	}
 	if c.ctx.Err() == context.DeadlineExceeded {
 		return c.newError(504, "deadline_exceeded", "the request's deadline passed")
 	}
 	return c.newError(499, "caller_disconnected", "the caller closed the connection")
 }
 
+// errShutdown is the cause with which the end of a graceful shutdown cancels calls.
+var errShutdown = errors.New("the host is shutting down")
+
+func (c *call) cancelForShutdown() {
+	if !c.responseBegun.Load() {
+		c.cancelCause(errShutdown)
+	}
+}
+
+// contextErrorIfDone returns contextError if the call's context is done.
+func (c *call) contextErrorIfDone() error {
+	if c.ctx.Err() == nil {
+		return nil
+	}
+	return c.contextError()
+}
+
+func (c *call) shutdownError() error {
+	if c.maybeSent {
+		return c.newError(504, "host_stops", "the host shut down before the response was complete")
+	}
+	e := c.newError(503, "host_stops", "the host is shutting down")
+	e.RetryAfterSeconds = 1
+	return e
+}
+
 // newError returns an error with the verdict NotRun if no attempt of this call can
 // have reached a backend server, else with MayHaveRun.
 func (c *call) newError(status int, code, format string, args ...any) *verdict.Error {
--- a/internal/request/gateway.go
+++ b/internal/request/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -115,6 +116,9 @@
 
 	teams   teamLimits
 	buffers bufferBudget
+	// calls holds each running *call. stopping is set by CancelRequests.
+	calls    sync.Map
+	stopping atomic.Bool
 	// background tracks cancellations and order writes that outlive their request.
 	background sync.WaitGroup
 }
@@ -140,7 +144,10 @@
 		// Makes the caller reconnect to another host before this one shuts down.
 		ctx.Response.Header.SetConnectionClose()
 	}
-	err := g.route(c)
+	err := c.contextErrorIfDone()
+	if err == nil {
+		err = g.route(c)
+	}
 	if err != nil {
 		c.writeProblem(err)
 	}
@@ -149,6 +156,16 @@
 	}
 }
 
+// CancelRequests ends the requests whose response has not begun, because the host stops, and
+// rejects new ones. A stream that has begun is left: its caller can resume it at another host.
+func (g *Gateway) CancelRequests() {
+	g.stopping.Store(true)
+	g.calls.Range(func(key, _ any) bool {
+		key.(*call).cancelForShutdown()
+		return true
+	})
+}
+
 // WaitBackground waits until the cancellations and order writes that outlive their
 // requests are done, or until ctx ends.
 func (g *Gateway) WaitBackground(ctx context.Context) {
--- a/internal/request/plain.go
+++ b/internal/request/plain.go
@@ -201,6 +201,7 @@
 	c.outcome.FirstToken = c.g.Now().Sub(c.start)
 	c.outcome.Status = ex.Response.StatusCode()
 	c.streaming = true
+	c.responseBegun.Store(true)
 	c.http.Response.SetBodyStream(&responseBody{c: c, ex: ex, reservation: reservation}, length)
 	return nil
 }
--- a/internal/request/relay.go
+++ b/internal/request/relay.go
@@ -45,6 +45,7 @@
 	gen.delivered = true
 	c := gen.c
 	c.streaming = true
+	c.responseBegun.Store(true)
 	c.outcome.Status = 200
 	h := &c.http.Response.Header
 	h.SetContentType("text/event-stream")
--- a/scenarios/deployment_test.go
+++ b/scenarios/deployment_test.go
@@ -119,7 +119,7 @@
 type options struct {
 	daemons, engines, plains                         int
 	coldLimit, warmLimit, engineColdLimit, warmAfter int
-	tokenInterval, drainDelay                        time.Duration
+	tokenInterval, drainDelay, drainTimeout          time.Duration
 	withLinks                                        bool
 }
 
@@ -135,6 +135,7 @@
 	fs.IntVar(&o.warmAfter, "warm-after", 0, "completed generations after which an engine is warm; 0 is always warm")
 	fs.DurationVar(&o.tokenInterval, "token-interval", 20*time.Millisecond, "time between tokens")
 	fs.DurationVar(&o.drainDelay, "drain-delay", time.Second, "drain delay of the daemons")
+	fs.DurationVar(&o.drainTimeout, "drain-timeout", 0, "drain timeout of the daemons")
 	fs.BoolVar(&o.withLinks, "links", false, "connect daemons to the object API and peers through links that can be cut")
 	if err := fs.Parse(args); err != nil {
 		return "", err
@@ -239,7 +240,7 @@
 		p.env = []string{"MONSOONKEEL_OPERATOR_TOKEN=" + operatorToken, "MONSOONKEEL_GENERATION_KEY=" + generationKey}
 		p.args = []string{"--host-id", p.name, "--region", location.region, "--domain", location.domain, "--listen", p.address,
 			"--admin-listen", p.admin, "--peer-listen", p.peer, "--object-api", objects, "--host-list", hosts,
-			"--drain-delay", o.drainDelay.String()}
+			"--drain-delay", o.drainDelay.String(), "--drain-timeout", o.drainTimeout.String()}
 		d.entries = append(d.entries, p)
 		d.ts.Setenv(envName(p.name), p.url())
 		d.ts.Setenv("ADMIN_"+strconv.Itoa(i), "http://"+p.admin)
