--- a/internal/connection/caller.go
+++ b/internal/connection/caller.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"os"
 	"sync"
@@ -24,8 +25,16 @@
 	minHeaderBytes = 4 << 10
 	// maxHeaderBytes bounds the header buffer, whatever limit the configuration sets.
 	maxHeaderBytes = 1 << 20
+	// drainPollInterval is the time between two checks for requests in flight.
+	drainPollInterval = 5 * time.Millisecond
 )
 
+// past is a read deadline that ends a read at once.
+var past = time.Unix(1, 0)
+
+// errShutdown is the cause with which CancelRequests cancels calls.
+var errShutdown = errors.New("the server shuts down")
+
 // CallerLimits are the size and time limits on the requests of a caller.
 type CallerLimits struct {
 	HeaderBytes, BodyBytes     int
@@ -47,10 +56,12 @@
 
 	shuttingDown atomic.Bool
 	open         atomic.Int64
-	mu           sync.Mutex
-	conns        map[*serverConn]struct{}
-	active       sync.WaitGroup
-	readers      sync.Pool
+	// inFlight is the number of requests in flight, plus noMoreRequests once Wait has
+	// returned.
+	inFlight atomic.Int64
+	mu       sync.Mutex
+	conns    map[*serverConn]struct{}
+	readers  sync.Pool
 }
 
 // serverConn is the connection of a caller.
@@ -58,13 +69,27 @@
 	server *Server
 	conn   net.Conn
 	reader *bufio.Reader
+	// limits apply to the current request, or to the previous one while the connection is idle.
+	limits CallerLimits
 	// idleSince is when the connection became idle, in Unix nanoseconds; 0 while a
-	// request is served.
+	// request is served. It changes only with mu held.
 	idleSince atomic.Int64
-	// served is set after the first byte of the first request.
-	served bool
+
+	// mu guards the fields below. With it held, a connection is either closed as idle or
+	// begins a request, so that a read deadline set to close it never acts on a request.
+	mu sync.Mutex
+	// closing is set when the connection was to be closed while it was idle. A request that
+	// arrives nevertheless is the last one.
+	closing bool
+	// cancelled is set by CancelRequests.
+	cancelled bool
+	// cancelCall cancels the call that is being handled; nil while there is none.
+	cancelCall context.CancelCauseFunc
 }
 
+// noMoreRequests is added to the number of requests in flight when no more may begin.
+const noMoreRequests = math.MinInt64 / 2
+
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(l net.Listener) error {
 	s.mu.Lock()
@@ -101,52 +126,115 @@
 // ShuttingDown reports whether StartShutdown was called.
 func (s *Server) ShuttingDown() bool { return s.shuttingDown.Load() }
 
-// CloseIdle closes the connections that are waiting for a request.
+// CloseIdle closes the connections that are waiting for a request. A request that has
+// already arrived is served first.
 func (s *Server) CloseIdle() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if c.idleSince.Load() != 0 {
-			_ = c.conn.SetReadDeadline(time.Unix(1, 0))
+		if at := c.idleSince.Load(); at != 0 {
+			c.closeIdle(at)
 		}
 	}
 }
 
+// CancelRequests ends the requests in flight at the end of a shutdown: calls are cancelled,
+// so that Handle can still respond, and requests that have not arrived completely are rejected.
+func (s *Server) CancelRequests() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.cancel()
+	}
+}
+
 // closeLongestIdle closes the connection that is idle longest and reports whether there
-// was one. It is closed asynchronously by its goroutine, so that for a short time one
-// connection more than MaxConns is open.
+// was one; one with an unread request is not idle. It is closed asynchronously by its goroutine,
+// so that for a short time one connection more than MaxConns is open.
 func (s *Server) closeLongestIdle() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var longest *serverConn
-	var since int64
-	for c := range s.conns {
-		if at := c.idleSince.Load(); at != 0 && (longest == nil || at < since) {
-			longest, since = c, at
+	for {
+		var longest *serverConn
+		var since int64
+		for c := range s.conns {
+			at := c.idleSince.Load()
+			if at != 0 && (longest == nil || at < since) && !readable(c.conn) {
+				longest, since = c, at
+			}
+		}
+		if longest == nil {
+			return false
+		}
+		if longest.closeIdle(since) {
+			return true
 		}
 	}
-	if longest == nil || !longest.idleSince.CompareAndSwap(since, 0) {
+}
+
+// closeIdle makes the connection's goroutine close it if it is still idle since then, and
+// reports whether it was.
+func (c *serverConn) closeIdle(since int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idleSince.Load() != since {
 		return false
 	}
-	_ = longest.conn.SetReadDeadline(time.Unix(1, 0))
+	c.idleSince.Store(0)
+	c.closing = true
+	_ = c.conn.SetReadDeadline(past)
 	return true
 }
 
-// Wait waits until no request is in flight. If ctx ends first, it returns the error of ctx.
+func (c *serverConn) cancel() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cancelled = true
+	switch {
+	case c.cancelCall != nil:
+		c.cancelCall(errShutdown)
+	case c.idleSince.Load() == 0:
+		_ = c.conn.SetReadDeadline(past)
+	}
+}
+
+// limitRead limits the time for reading a part of a request.
+func (c *serverConn) limitRead(timeout time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	deadline := past
+	if !c.cancelled {
+		deadline = time.Now().Add(timeout)
+	}
+	_ = c.conn.SetReadDeadline(deadline)
+}
+
+// Wait waits until no request is in flight; then no more requests begin, and those that arrive
+// are not read. If ctx ends first, it returns the error of ctx.
 func (s *Server) Wait(ctx context.Context) error {
-	done := make(chan struct{})
-	go func() {
-		s.active.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
+	ticker := time.NewTicker(drainPollInterval)
+	defer ticker.Stop()
+	for {
+		if s.inFlight.Load() < 0 || s.inFlight.CompareAndSwap(0, noMoreRequests) {
+			return nil
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
 	}
 }
 
+// beginRequest counts a request as in flight. It returns false if no more may begin.
+func (s *Server) beginRequest() bool {
+	if s.inFlight.Add(1) > 0 {
+		return true
+	}
+	s.inFlight.Add(-1)
+	return false
+}
+
 func (s *Server) serve(c *serverConn) {
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
@@ -159,11 +247,9 @@
 		s.mu.Unlock()
 		s.open.Add(-1)
 	}()
-	for c.awaitRequest() {
-		c.served = true
-		s.active.Add(1)
+	for c.awaitRequest() && s.beginRequest() {
 		reusable := c.serveRequest()
-		s.active.Done()
+		s.inFlight.Add(-1)
 		if !reusable {
 			return
 		}
@@ -190,32 +276,80 @@
 func (c *serverConn) awaitRequest() bool {
 	if c.reader != nil {
 		if c.skipEmptyLine(); c.reader.Buffered() > 0 {
+			c.limits = c.server.Limits()
+			c.growReader()
 			return true
 		}
 		c.releaseReader()
 	}
-	limits := c.server.Limits()
-	now := time.Now()
-	_ = c.conn.SetReadDeadline(now.Add(limits.IdleTimeout))
-	c.idleSince.Store(now.UnixNano())
-	defer c.idleSince.Store(0)
-	if c.served && c.server.ShuttingDown() {
+	first, ok := c.awaitFirstByte()
+	if !ok {
 		return false
 	}
+	c.limits = c.server.Limits()
+	c.acquireReader(&prefixedReader{Reader: c.conn, b: first, have: true}, c.limits.HeaderBytes)
+	return true
+}
+
+// awaitFirstByte returns the first byte of a request. It returns false if none arrives until the
+// idle timeout, which is the longest one in force since the previous request began: callers may
+// learn of a new limit earlier or later than the server.
+func (c *serverConn) awaitFirstByte() (byte, bool) {
+	start := time.Now()
+	idle := max(c.limits.IdleTimeout, c.server.Limits().IdleTimeout)
+	c.beginIdle(start, idle)
+	defer c.endIdle()
 	var b [1]byte
-	for skipped := 0; ; skipped++ {
-		if _, err := io.ReadFull(c.conn, b[:]); err != nil || skipped > 2 {
-			return false
-		}
-		// Empty lines before a request line are allowed (RFC 9112, section 2.2).
-		if b[0] != '\r' && b[0] != '\n' {
-			break
+	for skipped := 0; skipped <= 2; {
+		_, err := io.ReadFull(c.conn, b[:])
+		switch {
+		case err == nil && b[0] != '\r' && b[0] != '\n':
+			return b[0], true
+		case err == nil:
+			// Empty lines before a request line are allowed (RFC 9112, section 2.2).
+			skipped++
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			return 0, false
+		case readable(c.conn):
+			// The request and the end of the wait met.
+			c.endIdle()
+			_ = c.conn.SetReadDeadline(time.Now().Add(c.server.Limits().HeaderTimeout))
+		default:
+			raised := c.server.Limits().IdleTimeout
+			if raised <= idle || !c.extendIdle(start.Add(raised)) {
+				return 0, false
+			}
+			idle = raised
 		}
 	}
-	c.acquireReader(&prefixedReader{Reader: c.conn, b: b[0], have: true}, limits.HeaderBytes)
+	return 0, false
+}
+
+func (c *serverConn) beginIdle(start time.Time, timeout time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_ = c.conn.SetReadDeadline(start.Add(timeout))
+	c.idleSince.Store(start.UnixNano())
+}
+
+// extendIdle moves the end of the wait for a request. It returns false if the connection is to
+// be closed.
+func (c *serverConn) extendIdle(deadline time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing {
+		return false
+	}
+	_ = c.conn.SetReadDeadline(deadline)
 	return true
 }
 
+func (c *serverConn) endIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idleSince.Store(0)
+}
+
 // skipEmptyLine drops a buffered empty line before a pipelined request.
 func (c *serverConn) skipEmptyLine() {
 	for range 2 {
@@ -228,7 +362,7 @@
 }
 
 func (c *serverConn) acquireReader(r io.Reader, headerBytes int) {
-	size := min(max(headerBytes, minHeaderBytes), maxHeaderBytes) + 4
+	size := readerSize(headerBytes)
 	if pooled, ok := c.server.readers.Get().(*bufio.Reader); ok && pooled.Size() >= size {
 		pooled.Reset(r)
 		c.reader = pooled
@@ -237,6 +371,21 @@
 	c.reader = bufio.NewReaderSize(r, size)
 }
 
+// growReader replaces the read buffer by a larger one if the header limit was raised.
+func (c *serverConn) growReader() {
+	if c.reader.Size() >= readerSize(c.limits.HeaderBytes) {
+		return
+	}
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	rest := io.MultiReader(bytes.NewReader(bytes.Clone(buffered)), c.conn)
+	c.releaseReader()
+	c.acquireReader(rest, c.limits.HeaderBytes)
+}
+
+func readerSize(headerBytes int) int {
+	return min(max(headerBytes, minHeaderBytes), maxHeaderBytes) + 4
+}
+
 func (c *serverConn) releaseReader() {
 	if c.reader != nil {
 		c.reader.Reset(nil)
@@ -260,15 +409,33 @@
 		}
 		return false
 	}
-	call.ctx, call.cancel = context.WithCancel(context.Background())
-	defer call.cancel()
-	stopWatch := c.watch(call.cancel)
-	call.closeAfter = call.Request.Header.ConnectionClose()
+	defer c.endCall()
+	c.beginCall(call)
+	stopWatch := c.watch(func() { call.cancel(nil) })
 	c.server.Handle(call)
 	alive := stopWatch()
 	return alive && call.completed && !call.closeAfter
 }
 
+// beginCall creates the context of a call whose request was read.
+func (c *serverConn) beginCall(call *Call) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	call.ctx, call.cancel = context.WithCancelCause(context.Background())
+	call.closeAfter = c.closing || call.Request.Header.ConnectionClose()
+	c.cancelCall = call.cancel
+	if c.cancelled {
+		call.cancel(errShutdown)
+	}
+}
+
+func (c *serverConn) endCall() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cancelCall(nil)
+	c.cancelCall = nil
+}
+
 // linger discards what the caller still sends, for up to lingerTimeout: closing with
 // unread bytes would reset the connection and discard the response.
 func (c *serverConn) linger() {
@@ -280,9 +447,8 @@
 }
 
 func (c *serverConn) readRequest(call *Call) *requestError {
-	limits := c.server.Limits()
-	_ = c.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
-	header, reqErr := c.peekHeader(limits.HeaderBytes)
+	c.limitRead(c.limits.HeaderTimeout)
+	header, reqErr := c.peekHeader(c.limits.HeaderBytes)
 	if reqErr != nil {
 		return reqErr
 	}
@@ -292,7 +458,17 @@
 	if err := call.Request.Header.Read(c.reader); err != nil {
 		return &requestError{400, "malformed request head"}
 	}
-	return c.readBody(call, limits.BodyBytes)
+	return c.readBody(call, c.limits.BodyBytes)
+}
+
+// incomplete returns the error of a request that did not arrive in time.
+func (c *serverConn) incomplete(reason string) *requestError {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cancelled {
+		return &requestError{503, "the host is shutting down"}
+	}
+	return &requestError{408, reason}
 }
 
 // peekHeader returns the request line and header section, up to and including the empty
@@ -301,7 +477,7 @@
 	for want := 1; ; {
 		if _, err := c.reader.Peek(want); err != nil {
 			if errors.Is(err, os.ErrDeadlineExceeded) {
-				return nil, &requestError{408, "the request head took too long"}
+				return nil, c.incomplete("the request head took too long")
 			}
 			return nil, &requestError{}
 		}
@@ -340,7 +516,7 @@
 	}()
 	return func() bool {
 		ended.Store(true)
-		_ = c.conn.SetReadDeadline(time.Unix(1, 0))
+		_ = c.conn.SetReadDeadline(past)
 		return <-done
 	}
 }
