Take an answer that says that its server leaves as a termination notice

Cause: a backend server that leaves says so in all its answers. The host read only the store's notice, so while the store still said ready, or was away, callers were sent to a server that was about to end, and their streams broke with it. Ruled out: a condition of its own in the balancer. The directory already has the state "terminating" for a process, which first attempts, retries, queued requests, standbys and migrations ask; a second state would have to be added to each of them. Change: core/serverstate.Answer is what an answer says of its server (leaving, rate limit, load). The adapter reads it once (Dialect.ReadAnswer, which replaces the fields for the rate limit). An answer of status 421 may come from another server at the address and says nothing. balance.Server carries the start time, so that an answer belongs to the process to which the request was sent; MarkTerminating ignores it for any other. The answers to control calls are read too. A line names the source of a notice; server_notices counts them. Conclusion: from the first answer that says so, by any host, no request is sent to a server that leaves, and its generations migrate as after a notice in the store.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -54,7 +54,9 @@
 // Server is a backend server that may receive requests.
 type Server struct {
 	ID, Address, Domain, Region string
-	Slots                       int
+	// StartTime, in Unix milliseconds, and ID identify the process.
+	StartTime int64
+	Slots     int
 }
 
 // Settings describe the service and the location of the host.
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -126,20 +126,22 @@
 }
 
 // MarkTerminating records the termination notice of a backend server's process, as
-// reported by the process itself or by another host. It does nothing if the process
-// with that start time is not the current one or is already terminating.
-func (d *Directory) MarkTerminating(id string, startTime int64) {
+// reported by the process itself or by another host; source names it in the log. It does
+// nothing and returns false if the process with that start time is not the current one or
+// is already terminating.
+func (d *Directory) MarkTerminating(id string, startTime int64, source string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	old := d.state.Servers[id]
 	if old == nil || old.StartTime != startTime || old.Terminating() {
-		return
+		return false
 	}
 	s := *old
 	s.Leaving = true
 	d.setServer(id, &s)
-	d.opts.Log.Info().Str("backend", id).Msg("backend server is terminating (reported by the server or a peer, not by the store)")
+	d.opts.Log.Info().Str("backend", id).Str("source", source).Msg("backend server is terminating (reported by the server or a peer, not by the store)")
 	d.publish()
+	return true
 }
 
 // Run keeps the snapshot up to date, and the entry of this host registered, until ctx ends.
--- a/internal/forward/balancers.go
+++ b/internal/forward/balancers.go
@@ -26,7 +26,7 @@
 	bounds    Bounds
 	services  map[string]*serviceState
 	hosts     int
-	addresses map[string]bool // of the servers in the snapshot
+	addresses map[string]balance.Server // the servers in the snapshot, by address
 	peerLoads map[string]balance.Load
 	// limits are the rate limits that servers name.
 	limits *ratelimit.Limiter
@@ -69,7 +69,7 @@
 
 func newBalancers(opts Options) *balancers {
 	return &balancers{
-		opts: opts, bounds: opts.Bounds, services: map[string]*serviceState{}, addresses: map[string]bool{},
+		opts: opts, bounds: opts.Bounds, services: map[string]*serviceState{}, addresses: map[string]balance.Server{},
 		limits: ratelimit.New(opts.HostID, rand.Float64),
 	}
 }
@@ -98,16 +98,17 @@
 	defer bs.mu.Unlock()
 	bs.hosts = len(now.Hosts)
 	eligible := map[string][]balance.Server{}
-	addresses := make(map[string]bool, len(now.Servers))
+	addresses := make(map[string]balance.Server, len(now.Servers))
 	for id, s := range now.Servers {
-		addresses[s.Address] = true
+		server := balance.Server{ID: id, Address: s.Address, Domain: s.Domain, Region: s.Region, StartTime: s.StartTime, Slots: s.Slots}
+		if _, used := addresses[s.Address]; !used || !s.Removed {
+			addresses[s.Address] = server
+		}
 		bs.service(s.Service)
 		if s.Terminating() || now.DomainsOut[s.Domain] {
 			continue
 		}
-		eligible[s.Service] = append(eligible[s.Service], balance.Server{
-			ID: id, Address: s.Address, Domain: s.Domain, Region: s.Region, Slots: s.Slots,
-		})
+		eligible[s.Service] = append(eligible[s.Service], server)
 	}
 	bs.addresses = addresses
 	bs.limits.SetHosts(bs.hostCount(), time.Now())
@@ -180,9 +181,16 @@
 }
 
 func (bs *balancers) hasAddress(address string) bool {
+	_, known := bs.serverAt(address)
+	return known
+}
+
+// serverAt returns the server in the snapshot that has an address.
+func (bs *balancers) serverAt(address string) (server balance.Server, known bool) {
 	bs.mu.Lock()
 	defer bs.mu.Unlock()
-	return bs.addresses[address]
+	server, known = bs.addresses[address]
+	return server, known
 }
 
 // recordFirstAttempt adds a request to the volume from which the retry budget is
--- a/internal/forward/dialect.go
+++ b/internal/forward/dialect.go
@@ -3,6 +3,10 @@
 import (
 	"context"
 	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"monsoonkeel.example/monsoonkeel/core/serverstate"
 )
 
 // Dialect holds the names of the HTTP header fields that callers and backend servers
@@ -22,9 +26,6 @@
 	ServerMark string
 	// NotExecuted marks a response to a request that the backend server has not run.
 	NotExecuted string
-	// RateLimit, in a response, is how many requests a second the backend server takes from all
-	// hosts together. A response without it names no limit.
-	RateLimit string
 	// TokenCounts holds the number of prompt tokens and the limit of output tokens.
 	TokenCounts string
 	// LengthHint is the caller's estimate of the output tokens.
@@ -42,8 +43,9 @@
 	Reserved []string
 	// ParseTokenCounts decodes the value of TokenCounts.
 	ParseTokenCounts func(value string) (prompt, output int, ok bool)
-	// ParseRateLimit decodes the value of RateLimit, in requests per second.
-	ParseRateLimit func(value string) (float64, error)
+	// ReadAnswer reads what the header of an answer says of its server; now is when it arrived. It
+	// returns false for an answer that may be from another server than the intended one.
+	ReadAnswer func(h *fasthttp.ResponseHeader, now time.Time) (serverstate.Answer, bool)
 	// ParsePromptParts decodes the value of PromptParts to the IDs of the parts that other
 	// requests may share.
 	ParsePromptParts func(value string) []string
@@ -104,7 +106,8 @@
 	Events int
 }
 
-// EngineClient is the control API of model engines, beside the generations themselves.
+// EngineClient is the control API of model engines, beside the generations themselves. It passes the
+// header of each answer to ObserveAnswer.
 type EngineClient interface {
 	Report(ctx context.Context, address string) (Report, error)
 	// Copy copies the KV cache of a generation to the engine at target. With final, the
@@ -113,3 +116,17 @@
 	// DropCopy frees a copy at the source and at the target.
 	DropCopy(ctx context.Context, address, handle string) error
 }
+
+type answerObserverKey struct{}
+
+// withAnswerObserver returns a context for control calls that has observe called for each answer.
+func withAnswerObserver(ctx context.Context, observe func(*fasthttp.ResponseHeader)) context.Context {
+	return context.WithValue(ctx, answerObserverKey{}, observe)
+}
+
+// ObserveAnswer passes on the header of an answer to a control call. ctx is the context of the call.
+func ObserveAnswer(ctx context.Context, h *fasthttp.ResponseHeader) {
+	if observe, ok := ctx.Value(answerObserverKey{}).(func(*fasthttp.ResponseHeader)); ok {
+		observe(h)
+	}
+}
--- a/internal/forward/gateway.go
+++ b/internal/forward/gateway.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"sort"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -81,6 +80,7 @@
 // SetPeers are called.
 func New(opts Options) *Gateway {
 	g := &Gateway{opts: opts, pool: connection.NewPoolSize(maxIdlePerServer)}
+	g.opts.EngineClient = &controlCalls{EngineClient: opts.EngineClient, g: g}
 	g.bounds.Store(&opts.Bounds)
 	g.balancers = newBalancers(opts)
 	g.crashes = crashes.New(crashes.Options{HostID: opts.HostID, Peers: g.peerIDs, Clock: opts.Clock, Log: opts.Log})
@@ -202,13 +202,7 @@
 	s.RelayedUpdate = g.opts.Directory.RelayedUpdate()
 	s.Crashes, s.Answers = g.crashes.Evidence()
 	s.Limits = g.balancers.rateLimitReports()
-	s.Terminating = nil
-	for id, server := range g.opts.Directory.Snapshot().Servers {
-		if server.Leaving && !server.Removed && g.balancers.engineConfig(server.Service) != nil {
-			s.Terminating = append(s.Terminating, gossip.Process{ID: id, StartTime: server.StartTime})
-		}
-	}
-	sort.Slice(s.Terminating, func(i, j int) bool { return s.Terminating[i].ID < s.Terminating[j].ID })
+	s.Terminating = g.terminatingProcesses()
 }
 
 // SetPeers applies the gossip states of the other hosts.
@@ -229,7 +223,7 @@
 			g.opts.Directory.ApplyRelayed(s.RelayedUpdate, s.EchoSentAt)
 		}
 		for _, p := range s.Terminating {
-			g.opts.Directory.MarkTerminating(p.ID, p.StartTime)
+			g.markTerminating(p.ID, p.StartTime, sourcePeer)
 		}
 	}
 }
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -14,10 +14,12 @@
 // Metrics holds the gateway's counters and latency histograms.
 type Metrics struct {
 	Requests, Retries, Migrations, FailedMigrations, CompletedStreams, BrokenStreams atomic.Int64
-	crashes                                                                          *crashes.Guard
-	Latency, FirstEvent                                                              Histogram
-	mu                                                                               sync.Mutex
-	failures                                                                         map[string]int64
+	// Notices counts termination notices that were not from the store.
+	Notices             atomic.Int64
+	crashes             *crashes.Guard
+	Latency, FirstEvent Histogram
+	mu                  sync.Mutex
+	failures            map[string]int64
 }
 
 func (m *Metrics) countFailure(code string) {
@@ -40,6 +42,7 @@
 		"moves_failed":      m.FailedMigrations.Load(),
 		"broken_streams":    m.BrokenStreams.Load(),
 		"completed_streams": m.CompletedStreams.Load(),
+		"server_notices":    m.Notices.Load(),
 		"engine_crashes":    m.crashes.Crashes.Load(),
 		"rejected_parts":    len(m.crashes.Rejections()),
 		"part_trials":       m.crashes.Trials.Load(),
--- a/internal/forward/noticepoll.go
+++ b/internal/forward/noticepoll.go
@@ -69,7 +69,7 @@
 				return
 			}
 			if report.Terminating {
-				g.opts.Directory.MarkTerminating(id, s.StartTime)
+				g.markTerminating(id, s.StartTime, sourceReport)
 			}
 		}()
 	}
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -216,7 +216,7 @@
 		}
 		return err
 	}
-	r.observeRateLimit(res.server, &ex.Response.Header, sentAt)
+	r.observeAnswer(res.server, &ex.Response.Header, sentAt)
 	status := ex.Response.StatusCode()
 	// A failure response is withheld only if another attempt is sure to be sent.
 	again = again && r.canRetry(append(slices.Clone(attempted), res.server.ID))
@@ -254,7 +254,6 @@
 func (r *request) checkResponse(ex *connection.Exchange, again bool) error {
 	h := &ex.Response.Header
 	d := &r.g.opts.Dialect
-	r.rateLimit = loggedHeader(h.Peek(d.RateLimit))
 	status := h.StatusCode()
 	switch {
 	case len(h.Peek(d.NotExecuted)) > 0 || status == fasthttp.StatusMisdirectedRequest:
@@ -270,11 +269,6 @@
 	return nil
 }
 
-// maxLoggedHeader limits a header field's value in a log line, in bytes.
-const maxLoggedHeader = 40
-
-func loggedHeader(value []byte) string { return string(value[:min(len(value), maxLoggedHeader)]) }
-
 func unusableResponse(cause error) error {
 	return verdict.Wrap(cause, verdict.MayHaveRun, 502, codeUnusable, "the backend server's response is incomplete or invalid")
 }
--- a/internal/forward/ratelimits.go
+++ b/internal/forward/ratelimits.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"monsoonkeel.example/monsoonkeel/core/balance"
 	"monsoonkeel.example/monsoonkeel/core/ratelimit"
 	"monsoonkeel.example/monsoonkeel/internal/gossip"
@@ -13,27 +11,6 @@
 // wakeInterval is the time between two checks whether a rate limit allows a waiting request.
 const wakeInterval = 20 * time.Millisecond
 
-// observeRateLimit records what a response says of its server's rate limit. sentAt is when the request was
-// sent.
-func (r *request) observeRateLimit(server balance.Server, h *fasthttp.ResponseHeader, sentAt time.Time) {
-	value := string(h.Peek(r.g.opts.Dialect.RateLimit))
-	limit := 0.0
-	if value != "" {
-		var err error
-		if limit, err = r.g.opts.Dialect.ParseRateLimit(value); err != nil || !ratelimit.Valid(limit) {
-			r.g.opts.Log.Warn().Str("request", r.id).Str("backend", server.ID).Str("value", loggedHeader([]byte(value))).AnErr("error", err).
-				Msg("rate limit of a backend server ignored: not a valid rate")
-			return
-		}
-		limit = max(limit, ratelimit.MinLimit)
-	}
-	var startTime int64
-	if entry := r.g.opts.Directory.Snapshot().Servers[server.ID]; entry != nil {
-		startTime = entry.StartTime
-	}
-	r.g.balancers.observeRateLimit(server.ID, startTime, ratelimit.Observation{Limit: limit, SentAt: sentAt, At: time.Now()})
-}
-
 func (bs *balancers) observeRateLimit(id string, startTime int64, o ratelimit.Observation) {
 	bs.mu.Lock()
 	changed := (o.Limit > 0 || bs.limits.Limited(id)) && bs.limits.Observe(id, startTime, o)
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -55,7 +55,7 @@
 	// for a regular end; framing is how the source delimits its body.
 	sourceEnd error
 	framing   string
-	// rateLimit is the rate limit that the last response named, as received; empty for none.
+	// rateLimit is the rate limit that the last response named; empty for none.
 	rateLimit string
 	// rejection is the rejection of a prompt part that ended the request.
 	rejection *attribution.Rejection
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -121,7 +121,7 @@
 		}
 		return nil, err
 	}
-	r.observeRateLimit(res.server, &ex.Response.Header, sentAt)
+	r.observeAnswer(res.server, &ex.Response.Header, sentAt)
 	if err := r.checkResponse(ex, false); err != nil {
 		ex.Finish(false)
 		return nil, err
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -72,7 +72,7 @@
 	Sequence    int64                   `json:"q"`
 	Loads       map[string]balance.Load `json:"l,omitempty"`
 	Generations []Generation            `json:"u,omitempty"`
-	// Terminating are the engine processes for which the host has a termination notice.
+	// Terminating are processes of backend servers for which the host has a termination notice.
 	Terminating []Process `json:"g,omitempty"`
 	// Crashes are recent crashes of engines, and Answers say which prompt parts are sound.
 	Crashes []attribution.Report `json:"c,omitempty"`
