Send nothing to a server for the time that it names in a rejection

Cause: a backend server that rejects a request with 503 may say in Retry-After for how long it wants nothing from the host. The host did not read it. The ejection after a failure, 4 s at most, hid short times; with longer ones, or while all servers refused, callers went on being sent to servers that reject them, and were told to return before the end, all at the same time. Ruled out: ejection until the end. It is lifted by the success of a request that was under way, ignored when no other server is left, and is not asked by resumes, standbys and control calls. Taking the newest answer's end: answers to requests under way overtake each other, and the server takes back neither time, so the latest end counts. Change: core/serverstate.Refusals keeps the end for each process. The balancer has the reason "refused"; the send itself, resumes, standbys and control calls ask too. Waiting requests whose servers all refuse for longer than they may wait are rejected at once, with a Retry-After at a random time after the first return. Afterwards the host waits for a random delay and sends one request. Copies wait for the end. A refusal does not count as a failure.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"monsoonkeel.example/monsoonkeel/core/ratelimit"
+	"monsoonkeel.example/monsoonkeel/core/serverstate"
 )
 
 const (
@@ -147,10 +148,19 @@
 	// RateLimited means that candidates have capacity, but this host has used up its share of
 	// their rate limits.
 	RateLimited
+	// Refused means that all candidates have told this host to send nothing for a time.
+	Refused
 )
 
 // String returns the name used in log lines.
-func (r Reason) String() string { return [...]string{"chosen", "full", "none", "rate_limited"}[r] }
+func (r Reason) String() string {
+	return [...]string{"chosen", "full", "none", "rate_limited", "refused"}[r]
+}
+
+// Process returns the process that the server is.
+func (s Server) Process() serverstate.Process {
+	return serverstate.Process{ID: s.ID, StartTime: s.StartTime}
+}
 
 type server struct {
 	Server
@@ -169,12 +179,15 @@
 	intn     func(n int) int
 	// limits are the rate limits that servers name; nil for none.
 	limits *ratelimit.Limiter
+	// refusals are the servers that refuse requests for a time; nil for none.
+	refusals *serverstate.Refusals
 }
 
 // New returns a Balancer without servers. intn returns a random number from 0
-// to n-1. limits are the rate limits that servers name; nil for none.
-func New(intn func(n int) int, limits *ratelimit.Limiter) *Balancer {
-	return &Balancer{servers: map[string]*server{}, intn: intn, limits: limits}
+// to n-1. limits are the rate limits that servers name, and refusals the servers that
+// refuse requests for a time; nil for none.
+func New(intn func(n int) int, limits *ratelimit.Limiter, refusals *serverstate.Refusals) *Balancer {
+	return &Balancer{servers: map[string]*server{}, intn: intn, limits: limits, refusals: refusals}
 }
 
 // Configure replaces the settings.
@@ -233,7 +246,7 @@
 // the load with AddRequest or AddLoad.
 func (b *Balancer) Pick(req Request, now time.Time) (Server, Reason) {
 	best, reason := b.pick(req, now, false)
-	if reason == NoCandidate {
+	if reason == NoCandidate || reason == Refused {
 		best, reason = b.pick(req, now, true)
 	}
 	if best == nil {
@@ -250,7 +263,13 @@
 		if !b.isCandidate(id, s, req) || !includeEjected && now.Before(s.ejectedUntil) {
 			continue
 		}
-		if reason == NoCandidate {
+		if b.refusals != nil && !b.refusals.Allows(s.Process(), now) {
+			if reason == NoCandidate {
+				reason = Refused
+			}
+			continue
+		}
+		if reason == NoCandidate || reason == Refused {
 			reason = Full
 		}
 		if !b.hasCapacity(s, req, now) {
@@ -376,6 +395,9 @@
 	if b.limits != nil {
 		b.limits.Take(id, now)
 	}
+	if b.refusals != nil {
+		b.refusals.Take(s.Process(), now)
+	}
 	if b.settings.Rate.PerSecond > 0 {
 		s.recentRequests(now)
 		s.sent = append(s.sent, now)
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -8,12 +8,14 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"monsoonkeel.example/monsoonkeel/core/serverstate"
 )
 
 var start = time.Unix(1000, 0)
 
 func engines() *Balancer {
-	b := New(rand.New(rand.NewPCG(1, 2)).IntN, nil)
+	b := New(rand.New(rand.NewPCG(1, 2)).IntN, nil, nil)
 	b.Configure(Settings{Domain: "west-a", Region: "west", KVTokens: 10000})
 	b.SetServers([]Server{
 		{ID: "w1", Address: "w1", Domain: "west-a", Region: "west", Slots: 64},
@@ -89,7 +91,7 @@
 // Guards against overloading a cold server when all hosts see the same idle engine:
 // each host keeps to its quota of the rate limit.
 func TestRatePerServerIsLimited(t *testing.T) {
-	b := New(rand.New(rand.NewPCG(1, 2)).IntN, nil)
+	b := New(rand.New(rand.NewPCG(1, 2)).IntN, nil, nil)
 	b.Configure(Settings{Rate: DivideRate(5, 2, "host")})
 	b.SetServers([]Server{{ID: "s", Slots: 100}})
 	for range 2 {
@@ -104,7 +106,7 @@
 // Guards against sending to a server that fails while its store entry is still valid:
 // it is ejected for a time that doubles, but used at once if there is no other server.
 func TestFailedServersAreEjected(t *testing.T) {
-	b := New(rand.New(rand.NewPCG(1, 2)).IntN, nil)
+	b := New(rand.New(rand.NewPCG(1, 2)).IntN, nil, nil)
 	b.SetServers([]Server{{ID: "a", Slots: 6}, {ID: "b", Slots: 6}})
 	b.RecordFailure("a", start)
 	for range 20 {
@@ -122,7 +124,7 @@
 // Guards against a needless round trip to another region: it takes longer than a
 // short queue, so plain requests stay in the region until its slots are in use.
 func TestPlainRequestsStayInRegionWithFreeSlots(t *testing.T) {
-	b := New(rand.New(rand.NewPCG(1, 2)).IntN, nil)
+	b := New(rand.New(rand.NewPCG(1, 2)).IntN, nil, nil)
 	b.Configure(Settings{Domain: "west-a", Region: "west"})
 	b.SetServers([]Server{{ID: "w", Domain: "west-a", Region: "west", Slots: 6}, {ID: "e", Domain: "east-a", Region: "east", Slots: 6}})
 	b.AddRequest("w", Load{Requests: 4}, start)
@@ -171,7 +173,7 @@
 // Guards against all hosts sending to the same server at low load, when most servers
 // have the same cost.
 func TestEqualServersArePickedEquallyOften(t *testing.T) {
-	b := New(rand.New(rand.NewPCG(1, 2)).IntN, nil)
+	b := New(rand.New(rand.NewPCG(1, 2)).IntN, nil, nil)
 	b.SetServers([]Server{{ID: "a", Slots: 6}, {ID: "b", Slots: 6}, {ID: "c", Slots: 6}})
 	counts := map[string]int{}
 	for range 3000 {
@@ -187,7 +189,7 @@
 // the region of its generation, but not in KV cache that the generations of two more
 // engines would need.
 func TestStandbysLeaveCapacityForTwoEngines(t *testing.T) {
-	b := New(rand.New(rand.NewPCG(1, 2)).IntN, nil)
+	b := New(rand.New(rand.NewPCG(1, 2)).IntN, nil, nil)
 	b.Configure(Settings{Domain: "west-a", Region: "west", KVTokens: 10000})
 	list := []Server{
 		{ID: "a1", Domain: "west-a", Region: "west"}, {ID: "a2", Domain: "west-a", Region: "west"},
@@ -208,9 +210,44 @@
 	assert.Equal(t, Full, reason, "half of the KV cache of four engines is kept for the generations of two")
 	assert.Equal(t, Chosen, func() Reason { _, reason := b.Pick(Request{Tokens: 5000}, start); return reason }(), "requests may still use it")
 
-	small := New(rand.New(rand.NewPCG(1, 2)).IntN, nil)
+	small := New(rand.New(rand.NewPCG(1, 2)).IntN, nil, nil)
 	small.Configure(Settings{Domain: "west-a", Region: "west", KVTokens: 10000})
 	small.SetServers(list[:2])
 	_, reason = small.Pick(req, start)
 	assert.Equal(t, Full, reason, "two engines have no capacity for standby replicas")
 }
+
+// Guards against a request to a server that refuses requests, also while all others are ejected, and against
+// one that is held back although a server accepts it.
+func TestRefusingServersAreNotPicked(t *testing.T) {
+	refusals := serverstate.NewRefusals(func() float64 { return 0 })
+	b := New(rand.New(rand.NewPCG(1, 2)).IntN, nil, refusals)
+	list := []Server{{ID: "a", StartTime: 1}, {ID: "b", StartTime: 1}}
+	b.SetServers(list)
+	refusals.Observe(list[0].Process(), 2*time.Second, start)
+	for range 20 {
+		s, reason := b.Pick(Request{}, start)
+		assert.Equal(t, "b", s.ID)
+		assert.Equal(t, Chosen, reason)
+	}
+	b.RecordFailure("b", start)
+	s, _ := b.Pick(Request{}, start)
+	assert.Equal(t, "b", s.ID, "ejected, but not refusing")
+	refusals.Observe(list[1].Process(), time.Second, start)
+	_, reason := b.Pick(Request{}, start)
+	assert.Equal(t, Refused, reason)
+	_, reason = b.Pick(Request{Exclude: []string{"a", "b"}}, start)
+	assert.Equal(t, NoCandidate, reason)
+	at, ok := b.ReturnsAt(Request{})
+	assert.True(t, ok)
+	assert.Equal(t, start.Add(time.Second), at)
+	promised, _ := b.PromiseReturn(Request{})
+	assert.False(t, promised.Before(at))
+	b.AddRequest("b", Load{Requests: 1}, at)
+	_, reason = b.Pick(Request{}, at)
+	assert.Equal(t, Refused, reason, "the first request is under way")
+	list[0].StartTime = 2
+	b.SetServers(list)
+	s, _ = b.Pick(Request{}, start)
+	assert.Equal(t, "a", s.ID, "another process at the address")
+}
--- a/core/serverstate/answer.go
+++ b/core/serverstate/answer.go
@@ -2,6 +2,8 @@
 // and has no clock: callers pass the time and hold the lock.
 package serverstate
 
+import "time"
+
 // Process identifies one process of a backend server. Another process at the same address, or with the same
 // ID, shares no state with it.
 type Process struct {
@@ -14,6 +16,8 @@
 type Answer struct {
 	// Leaving is set if the server has received a termination notice.
 	Leaving bool
+	// RefusesFor is how long the server wants nothing from this host; 0 if it does not refuse.
+	RefusesFor time.Duration
 	// Limit is the rate limit that the server names, in requests per second; 0 if it names none.
 	Limit float64
 	// LimitUnreadable is set if it names one that cannot be used, so that the former one stays.
--- a/internal/forward/answers.go
+++ b/internal/forward/answers.go
@@ -26,7 +26,10 @@
 // sent.
 func (r *request) observeAnswer(server balance.Server, h *fasthttp.ResponseHeader, sentAt time.Time) {
 	r.rateLimit = ""
-	answer, ok := r.g.observeAnswer(server, h, sentAt)
+	d := &r.g.opts.Dialect
+	// Status 503 of anything else is no rejection by the server.
+	own := len(h.Peek(d.NotExecuted)) > 0 || len(h.Peek(d.ServerMark)) > 0
+	answer, ok := r.g.observeAnswer(server, h, own, sentAt)
 	switch {
 	case !ok:
 	case answer.Limit > 0:
@@ -38,8 +41,9 @@
 }
 
 // observeAnswer records what an answer says of its server, a process that the server's ID and start time
-// identify. It returns false if the answer says nothing of that process.
-func (g *Gateway) observeAnswer(server balance.Server, h *fasthttp.ResponseHeader, sentAt time.Time) (serverstate.Answer, bool) {
+// identify. own is set if the server has certainly generated the answer. It returns false if the answer says
+// nothing of that process.
+func (g *Gateway) observeAnswer(server balance.Server, h *fasthttp.ResponseHeader, own bool, sentAt time.Time) (serverstate.Answer, bool) {
 	now := time.Now()
 	answer, ok := g.opts.Dialect.ReadAnswer(h, now)
 	if !ok {
@@ -52,6 +56,9 @@
 	if answer.Limit > 0 {
 		g.balancers.observeRateLimit(server.ID, server.StartTime, ratelimit.Observation{Limit: answer.Limit, SentAt: sentAt, At: now})
 	}
+	if own {
+		g.observeRefusal(server, answer, sentAt, now)
+	}
 	if answer.Leaving {
 		g.markTerminating(server.ID, server.StartTime, sourceAnswer)
 	}
@@ -87,33 +94,49 @@
 	return list
 }
 
-// controlCalls observes the answers to control calls.
+// controlCalls observes the answers to control calls, and holds the calls back that a server refuses.
 type controlCalls struct {
 	EngineClient
 	g *Gateway
 }
 
-// observed returns the context for a control call to an address.
-func (c *controlCalls) observed(ctx context.Context, address string) context.Context {
+// prepare returns the context for a control call to an address. It waits while the server there refuses
+// requests, until ctx ends.
+func (c *controlCalls) prepare(ctx context.Context, address string) (context.Context, error) {
 	server, known := c.g.balancers.serverAt(address)
 	if !known {
-		return ctx
+		return ctx, nil
+	}
+	if !c.g.waitForReturn(ctx, server) {
+		return ctx, errRefused
 	}
 	sentAt := time.Now()
-	return withAnswerObserver(ctx, func(h *fasthttp.ResponseHeader) { c.g.observeAnswer(server, h, sentAt) })
+	return withAnswerObserver(ctx, func(h *fasthttp.ResponseHeader) { c.g.observeAnswer(server, h, true, sentAt) }), nil
 }
 
 // Report implements EngineClient.
 func (c *controlCalls) Report(ctx context.Context, address string) (Report, error) {
-	return c.EngineClient.Report(c.observed(ctx, address), address)
+	ctx, err := c.prepare(ctx, address)
+	if err != nil {
+		return Report{}, err
+	}
+	return c.EngineClient.Report(ctx, address)
 }
 
 // Copy implements EngineClient.
 func (c *controlCalls) Copy(ctx context.Context, address, generationID, target string, final bool) (CopyResult, error) {
-	return c.EngineClient.Copy(c.observed(ctx, address), address, generationID, target, final)
+	ctx, err := c.prepare(ctx, address)
+	if err != nil {
+		return CopyResult{}, err
+	}
+	return c.EngineClient.Copy(ctx, address, generationID, target, final)
 }
 
 // DropCopy implements EngineClient.
 func (c *controlCalls) DropCopy(ctx context.Context, address, handle string) error {
-	return c.EngineClient.DropCopy(c.observed(ctx, address), address, handle)
+	ctx, err := c.prepare(ctx, address)
+	if err != nil {
+		return err
+	}
+	return c.EngineClient.DropCopy(ctx, address, handle)
 }
--- a/internal/forward/balancers.go
+++ b/internal/forward/balancers.go
@@ -6,12 +6,14 @@
 	"slices"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"monsoonkeel.example/monsoonkeel/core/balance"
 	"monsoonkeel.example/monsoonkeel/core/ratelimit"
 	"monsoonkeel.example/monsoonkeel/core/retry"
 	"monsoonkeel.example/monsoonkeel/core/route"
+	"monsoonkeel.example/monsoonkeel/core/serverstate"
 	"monsoonkeel.example/monsoonkeel/internal/directory"
 )
 
@@ -30,6 +32,10 @@
 	peerLoads map[string]balance.Load
 	// limits are the rate limits that servers name.
 	limits *ratelimit.Limiter
+	// refusals are the servers that refuse requests of this host for a time.
+	refusals *serverstate.Refusals
+	// hasRefusals is set while refusals has any, so that requests do not need the lock otherwise.
+	hasRefusals atomic.Bool
 }
 
 // serviceState is the balancer and the retry budget of one service. balancers.mu
@@ -50,9 +56,13 @@
 	priority int
 	team     string
 	// rank is the number of requests of the team that waited when this one began to wait.
-	rank     int
-	since    time.Time
+	rank  int
+	since time.Time
+	// until is when the request gives up waiting.
+	until    time.Time
 	assigned chan balance.Server // capacity 1
+	// refused is closed when all servers refuse until after until.
+	refused chan struct{}
 }
 
 // reservation is the right to send one request to a backend server, or to keep a standby
@@ -70,14 +80,14 @@
 func newBalancers(opts Options) *balancers {
 	return &balancers{
 		opts: opts, bounds: opts.Bounds, services: map[string]*serviceState{}, addresses: map[string]balance.Server{},
-		limits: ratelimit.New(opts.HostID, rand.Float64),
+		limits: ratelimit.New(opts.HostID, rand.Float64), refusals: serverstate.NewRefusals(rand.Float64),
 	}
 }
 
 func (bs *balancers) service(name string) *serviceState {
 	s := bs.services[name]
 	if s == nil {
-		s = &serviceState{balancer: balance.New(rand.IntN, bs.limits)}
+		s = &serviceState{balancer: balance.New(rand.IntN, bs.limits, bs.refusals)}
 		bs.services[name] = s
 	}
 	return s
@@ -116,6 +126,11 @@
 		s := now.Servers[id]
 		return s != nil && s.StartTime == startTime
 	})
+	bs.refusals.Retain(func(p serverstate.Process) bool {
+		s := now.Servers[p.ID]
+		return s != nil && s.StartTime == p.StartTime
+	})
+	bs.hasRefusals.Store(bs.refusals.HasAny())
 	for name, s := range bs.services {
 		settings := balance.Settings{Domain: bs.opts.Domain, Region: bs.opts.Region}
 		s.engine = nil
@@ -219,7 +234,7 @@
 
 // acquire reserves a slot at the best candidate. If none has capacity, it waits for one
 // until ctx ends or wait has passed, and then returns why no server was picked. It does not
-// wait if the rate limits allow too few requests until then.
+// wait if the rate limits allow too few requests until then, or all servers refuse longer.
 func (bs *balancers) acquire(ctx context.Context, service string, req balance.Request, from sender, wait time.Duration) (*reservation, balance.Reason) {
 	bs.mu.Lock()
 	s := bs.service(service)
@@ -234,14 +249,15 @@
 		bs.mu.Unlock()
 		return bs.newReservation(service, server, req), reason
 	}
-	w := &waiter{req: req, priority: from.priority, team: from.team, since: now, assigned: make(chan balance.Server, 1)}
+	w := &waiter{req: req, priority: from.priority, team: from.team, since: now, until: now.Add(wait), assigned: make(chan balance.Server, 1), refused: make(chan struct{})}
 	ahead := s.enqueue(w, reason == balance.RateLimited)
-	if wait <= 0 || reason == balance.RateLimited && s.balancer.Tokens(req, now, now.Add(wait)) <= ahead {
+	hopeless := reason == balance.RateLimited && s.balancer.Tokens(req, now, w.until) <= ahead || reason == balance.Refused && s.refusesUntilAfter(w)
+	if wait <= 0 || hopeless {
 		s.remove(w)
 		bs.mu.Unlock()
 		return nil, reason
 	}
-	if reason == balance.RateLimited {
+	if reason == balance.RateLimited || reason == balance.Refused {
 		bs.wakeLater(s)
 	}
 	bs.mu.Unlock()
@@ -251,6 +267,8 @@
 	select {
 	case server := <-w.assigned:
 		return bs.newReservation(service, server, req), balance.Chosen
+	case <-w.refused:
+		return nil, balance.Refused
 	case <-ctx.Done():
 	case <-timer.C:
 	}
@@ -348,11 +366,22 @@
 	}
 }
 
-// wake reserves slots for the waiters that now fit.
+// refusesUntilAfter reports whether the first server that returns does so after the waiter has given up. Pick
+// has returned balance.Refused for the waiter.
+func (s *serviceState) refusesUntilAfter(w *waiter) bool {
+	at, _ := s.balancer.ReturnsAt(w.req)
+	return at.After(w.until)
+}
+
+// wake reserves slots for the waiters that now fit, and ends the wait of those that all servers refuse.
 func (s *serviceState) wake() {
 	kept := s.waiters[:0]
 	for _, w := range s.waiters {
 		server, reason := s.balancer.Pick(w.req, time.Now())
+		if reason == balance.Refused && s.refusesUntilAfter(w) {
+			close(w.refused)
+			continue
+		}
 		if reason != balance.Chosen {
 			kept = append(kept, w)
 			continue
@@ -380,9 +409,12 @@
 // server could not be reached or broke the response off; it counts towards ejection.
 func (res *reservation) release(failed bool) {
 	res.end(func(b *balance.Balancer) {
-		if failed {
+		switch {
+		case res.balancers.refusals.Refuses(res.server.Process(), time.Now()):
+			// The refusal excludes the server for the time that it wants.
+		case failed:
 			b.RecordFailure(res.server.ID, time.Now())
-		} else {
+		default:
 			b.RecordSuccess(res.server.ID)
 		}
 	})
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -14,6 +14,8 @@
 // Metrics holds the gateway's counters and latency histograms.
 type Metrics struct {
 	Requests, Retries, Migrations, FailedMigrations, CompletedStreams, BrokenStreams atomic.Int64
+	// Refusals counts refusals of servers that named a time.
+	Refusals atomic.Int64
 	// Notices counts termination notices that were not from the store.
 	Notices             atomic.Int64
 	crashes             *crashes.Guard
@@ -42,6 +44,7 @@
 		"moves_failed":      m.FailedMigrations.Load(),
 		"broken_streams":    m.BrokenStreams.Load(),
 		"completed_streams": m.CompletedStreams.Load(),
+		"server_refusals":   m.Refusals.Load(),
 		"server_notices":    m.Notices.Load(),
 		"engine_crashes":    m.crashes.Crashes.Load(),
 		"rejected_parts":    len(m.crashes.Rejections()),
--- a/internal/forward/noticepoll.go
+++ b/internal/forward/noticepoll.go
@@ -57,7 +57,7 @@
 func (g *Gateway) pollEngines(ctx context.Context) {
 	for id, s := range g.opts.Directory.Snapshot().Servers {
 		engine := g.balancers.engineConfig(s.Service)
-		if s.Terminating() || engine == nil || !engine.CanMigrate || len(g.generations.at(id)) == 0 || g.polledByPeer(id) || !g.balancers.takeRate(id) {
+		if s.Terminating() || engine == nil || !engine.CanMigrate || len(g.generations.at(id)) == 0 || g.polledByPeer(id) || !g.balancers.takeRate(id, s.StartTime) {
 			continue
 		}
 		go func() {
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -124,7 +124,7 @@
 		e := verdict.From(err)
 		return &verdict.Error{Verdict: verdict.MayHaveRun, Status: 502, Code: e.Code, Detail: e.Detail, Cause: e.Cause}
 	}
-	r.retryAfter = r.retryDelay()
+	r.retryAfter = max(r.retryDelay(), r.refusedRetryAfter())
 	e := verdict.From(err)
 	return &verdict.Error{Verdict: verdict.NotRun, Status: 503, Code: e.Code, Detail: e.Detail, Cause: e.Cause}
 }
@@ -139,13 +139,21 @@
 		return r.interruptionError(false)
 	}
 	r.retryAfter = r.retryDelay()
-	if reason == balance.RateLimited {
+	switch reason {
+	case balance.RateLimited:
 		allowed := balance.Request{Allowed: route.RegionFilter(r.route, r.team)}
 		r.retryAfter = max(r.retryAfter, r.g.balancers.rateRetryAfter(r.service, allowed))
+	case balance.Refused:
+		r.retryAfter = max(r.retryAfter, r.refusedRetryAfter())
 	}
 	return notRun(503, "no_backend_"+reason.String(), "no backend server of "+r.service+" is available for the request")
 }
 
+// refusedRetryAfter is the Retry-After of a request that all servers refuse; 0 if one does not.
+func (r *request) refusedRetryAfter() time.Duration {
+	return r.g.balancers.refusedRetryAfter(r.service, balance.Request{Allowed: route.RegionFilter(r.route, r.team)})
+}
+
 // retryDelay is the Retry-After of a rejected request: another host may have capacity
 // at once, and some of the remaining time must be left for the execution.
 func (r *request) retryDelay() time.Duration {
@@ -202,6 +210,10 @@
 		res.cancel()
 		return err
 	}
+	if err := r.checkRefusal(res.server); err != nil {
+		res.cancel()
+		return err
+	}
 	if again {
 		opts.ResponseHeaderTimeout = time.Duration(float64(time.Until(r.deadline)) * headerTimeoutShare)
 	}
@@ -236,11 +248,11 @@
 	return err
 }
 
-// canRetry reports whether the retry budget and the rate limits of the servers not attempted allow a retry
-// now, and the deadline leaves time for it.
+// canRetry reports whether the retry budget and the servers not attempted, by their rate limits and refusals,
+// allow a retry now, and the deadline leaves time for it.
 func (r *request) canRetry(attempted []string) bool {
 	req := balance.Request{Allowed: route.RegionFilter(r.route, r.team), Exclude: attempted}
-	return time.Until(r.deadline) > minRetryTime && r.g.balancers.hasRetryBudget(r.service) && !r.g.balancers.isRateLimited(r.service, req)
+	return time.Until(r.deadline) > minRetryTime && r.g.balancers.hasRetryBudget(r.service) && !r.g.balancers.isHeldBack(r.service, req)
 }
 
 // matchesID reports whether the response carries this request's ID or none. It detects a
--- a/internal/forward/ratelimits.go
+++ b/internal/forward/ratelimits.go
@@ -5,6 +5,7 @@
 
 	"monsoonkeel.example/monsoonkeel/core/balance"
 	"monsoonkeel.example/monsoonkeel/core/ratelimit"
+	"monsoonkeel.example/monsoonkeel/core/serverstate"
 	"monsoonkeel.example/monsoonkeel/internal/gossip"
 )
 
@@ -49,27 +50,28 @@
 	bs.limits.Take(id, time.Now())
 }
 
-// takeRate is like chargeRate, but only if the rate limit of the server allows the request.
-func (bs *balancers) takeRate(id string) bool {
+// takeRate is like chargeRate, but only if the rate limit of the server allows the request and the server
+// does not refuse it.
+func (bs *balancers) takeRate(id string, startTime int64) bool {
 	bs.mu.Lock()
 	defer bs.mu.Unlock()
 	now := time.Now()
-	if !bs.limits.Allows(id, now) {
+	if !bs.limits.Allows(id, now) || !bs.refusals.Allows(serverstate.Process{ID: id, StartTime: startTime}, now) {
 		return false
 	}
 	bs.limits.Take(id, now)
 	return true
 }
 
-// isRateLimited reports whether rate limits alone prevent that a request is sent now.
-func (bs *balancers) isRateLimited(service string, req balance.Request) bool {
+// isHeldBack reports whether only rate limits or refusals prevent that a request is sent now.
+func (bs *balancers) isHeldBack(service string, req balance.Request) bool {
 	bs.mu.Lock()
 	defer bs.mu.Unlock()
-	if !bs.limits.HasLimits() {
+	if !bs.limits.HasLimits() && !bs.refusals.HasAny() {
 		return false
 	}
 	_, reason := bs.service(service).balancer.Pick(req, time.Now())
-	return reason == balance.RateLimited
+	return reason == balance.RateLimited || reason == balance.Refused
 }
 
 // rateRetryAfter returns the Retry-After of a request that rate limits reject, a later one for each further
--- a/internal/forward/ratelimits_test.go
+++ b/internal/forward/ratelimits_test.go
@@ -114,10 +114,10 @@
 func TestCallsWithoutReservationAreCharged(t *testing.T) {
 	bs := newLimitedBalancers(map[string]float64{"a": 0.5})
 	drain(bs, "a")
-	assert.False(t, bs.takeRate("a"))
+	assert.False(t, bs.takeRate("a", 1))
 	before := bs.rateRetryAfter("desk", balance.Request{})
 	bs.chargeRate("a")
 	bs.chargeRate("a")
 	assert.Greater(t, bs.rateRetryAfter("desk", balance.Request{}), before+3*time.Second)
-	assert.True(t, bs.takeRate("unlimited"))
+	assert.True(t, bs.takeRate("unlimited", 1))
 }
--- /dev/null
+++ b/internal/forward/refusals.go
@@ -0,0 +1,86 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"monsoonkeel.example/monsoonkeel/core/balance"
+	"monsoonkeel.example/monsoonkeel/core/serverstate"
+	"monsoonkeel.example/monsoonkeel/internal/wait"
+)
+
+// errRefused is returned for a control call that is not sent because the server refuses requests.
+var errRefused = errors.New("the backend server refuses requests of this host for a time")
+
+// observeRefusal records whether an answer refuses further requests for a time, and for how long.
+func (g *Gateway) observeRefusal(server balance.Server, answer serverstate.Answer, sentAt, now time.Time) {
+	bs := g.balancers
+	if answer.RefusesFor == 0 && !bs.hasRefusals.Load() {
+		return
+	}
+	bs.mu.Lock()
+	began, ended := false, false
+	if answer.RefusesFor > 0 {
+		if began = bs.refusals.Observe(server.Process(), answer.RefusesFor, now); began {
+			for _, s := range bs.services {
+				s.wake() // the requests that wait may have no server left
+			}
+		}
+	} else {
+		ended = bs.refusals.ObserveAccepted(server.Process(), sentAt)
+	}
+	bs.hasRefusals.Store(bs.refusals.HasAny())
+	bs.mu.Unlock()
+	switch {
+	case began:
+		g.Metrics.Refusals.Add(1)
+		g.opts.Log.Info().Str("backend", server.ID).Dur("refuses_for", answer.RefusesFor).Int("running", answer.Load.Running).
+			Int("waiting", answer.Load.Waiting).Int("slots", answer.Load.Slots).Msg("backend server refuses requests for a time")
+	case ended:
+		g.opts.Log.Info().Str("backend", server.ID).Msg("backend server takes requests again after a refusal")
+	}
+}
+
+// refuses reports whether nothing must be sent to a server now.
+func (bs *balancers) refuses(server balance.Server) bool {
+	if !bs.hasRefusals.Load() {
+		return false
+	}
+	bs.mu.Lock()
+	defer bs.mu.Unlock()
+	return bs.refusals.Refuses(server.Process(), time.Now())
+}
+
+// refusedRetryAfter returns the Retry-After of a request that all servers refuse, a random time after the first
+// of them returns; 0 if none refuses.
+func (bs *balancers) refusedRetryAfter(service string, req balance.Request) time.Duration {
+	if !bs.hasRefusals.Load() {
+		return 0
+	}
+	bs.mu.Lock()
+	defer bs.mu.Unlock()
+	at, ok := bs.service(service).balancer.PromiseReturn(req)
+	if !ok {
+		return 0
+	}
+	return max(time.Until(at), 0)
+}
+
+// checkRefusal returns an error if a server has begun to refuse requests after it was reserved.
+func (r *request) checkRefusal(server balance.Server) error {
+	if !r.g.balancers.refuses(server) {
+		return nil
+	}
+	return notRun(503, codeNotRun, "the backend server refuses requests for a time")
+}
+
+// waitForReturn waits until a server takes requests again. It returns false if ctx ends before.
+func (g *Gateway) waitForReturn(ctx context.Context, server balance.Server) bool {
+	for g.balancers.refuses(server) {
+		if !wait.For(ctx, wakeInterval) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/forward/standby.go
+++ b/internal/forward/standby.go
@@ -58,7 +58,7 @@
 	gen.mu.Lock()
 	standby, started := gen.standby, gen.lastID > 0
 	gen.mu.Unlock()
-	if !started || standby == nil || !gen.r.g.acceptsWork(standby.server.ID) {
+	if !started || standby == nil || !gen.r.g.acceptsWork(standby.server.ID) || gen.r.g.balancers.refuses(standby.server) {
 		return nil
 	}
 	return standby
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -108,6 +108,9 @@
 
 // exchange sends the request to the reserved engine, with fresh on a new connection.
 func (r *request) exchange(ctx context.Context, res *reservation, fresh bool, prepare func(*fasthttp.Request)) (*connection.Exchange, error) {
+	if err := r.checkRefusal(res.server); err != nil {
+		return nil, err
+	}
 	req := r.outgoing(res.server.ID)
 	defer fasthttp.ReleaseRequest(req)
 	prepare(req)
--- a/internal/movebench/movebench.go
+++ b/internal/movebench/movebench.go
@@ -226,7 +226,7 @@
 // pick returns the index of the engine chosen by a balancer that sees the load of all
 // generations, or -1 when no engine has capacity.
 func (s *simulation) pick(request balance.Request) int {
-	b := balance.New(s.random.IntN, nil)
+	b := balance.New(s.random.IntN, nil, nil)
 	b.Configure(balance.Settings{Domain: "a", Region: "west", KVTokens: tieBreakScale * s.kvCapacity()})
 	request.Tokens, request.Prefill = tieBreakScale*request.Tokens, tieBreakScale*request.Prefill
 	var servers []balance.Server
