Keep to Retry-After of backend servers in the product's own path

Cause: monsoonkeeld did not read Retry-After of a 503 from a backend server either: callers were sent there again, each with a retry at another server, and while all of them refused, nobody was told when to return. Ruled out: a header for leaving. The product's own protocol has none: the host list and the load reports say it. Change: core/dispatch heeds serverstate.Refusals, by ID and incarnation; the reservation tells it what an answer said, and is asked once more before the send. Requests that all backend servers refuse for too long are rejected at once, waiting ones too. Load polls and the cancellation of running generations go on. No metric counts refusals in this path yet; the log has them.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -7,6 +7,7 @@
 	"monsoonkeel.example/monsoonkeel/core/admit"
 	"monsoonkeel.example/monsoonkeel/core/length"
 	"monsoonkeel.example/monsoonkeel/core/schedule"
+	"monsoonkeel.example/monsoonkeel/core/serverstate"
 )
 
 const (
@@ -115,6 +116,8 @@
 	hosts    int
 	seed     uint64
 	out      []Outcome
+	// refusals are the backend servers that refuse requests of this host for a time.
+	refusals *serverstate.Refusals
 }
 
 type server struct {
@@ -138,10 +141,12 @@
 
 // New returns a Dispatcher without backend servers.
 func New(opt Options) *Dispatcher {
-	return &Dispatcher{
+	d := &Dispatcher{
 		opt: opt, lengths: length.NewModel(), queue: admit.NewQueue(), byID: map[string]*server{},
 		waiting: map[uint64]*Request{}, running: map[uint64]*inFlightRequest{}, prefixes: newPrefixIndex(), hosts: 1, seed: opt.Seed,
 	}
+	d.refusals = serverstate.NewRefusals(d.random)
+	return d
 }
 
 // SetServers replaces the backend servers that may receive new requests, sorted
@@ -170,6 +175,14 @@
 		}
 	}
 	d.byID = byID
+	d.refusals.Retain(func(p serverstate.Process) bool {
+		for _, s := range d.servers {
+			if s.process() == p {
+				return true
+			}
+		}
+		return false
+	})
 	d.candidates = append(d.candidates[:0], make([]schedule.Candidate, len(servers))...)
 	d.assignShares(position)
 }
@@ -209,6 +222,9 @@
 // Offer decides about a new request. After admit.Wait, a later Drain returns
 // the decision.
 func (d *Dispatcher) Offer(r Request, now time.Time) Outcome {
+	if after, refused := d.refusedFor(&r, now); refused {
+		return Outcome{ID: r.ID, Action: admit.Reject, RetryAfter: after}
+	}
 	if len(r.Attempted) > 0 && !d.hasUnattempted(r.Attempted) {
 		return Outcome{ID: r.ID, Action: admit.Reject, RetryAfter: time.Second}
 	}
@@ -267,6 +283,7 @@
 // next call.
 func (d *Dispatcher) Drain(now time.Time) []Outcome {
 	d.out = d.out[:0]
+	d.rejectRefused(now)
 	for _, r := range d.queue.Rejected(now) {
 		delete(d.waiting, r.Item.ID)
 		d.out = append(d.out, Outcome{ID: r.Item.ID, Action: admit.Reject, RetryAfter: r.Decision.RetryAfter})
@@ -393,6 +410,9 @@
 
 func (d *Dispatcher) assign(r *Request, s *server, dist *length.Dist, estimate float64, now time.Time) Outcome {
 	s.tracker.Sent(r.ID, r.PromptTokens, dist, now)
+	if d.refusals.HasAny() {
+		d.refusals.Take(s.process(), now)
+	}
 	d.gapMS = tighterTarget(d.gapMS, r.TokenGapMS)
 	d.running[r.ID] = &inFlightRequest{request: *r, server: s, sent: now, estimate: estimate, uncached: d.uncached(r)}
 	d.prefixes.record(r.Prefix, s.ID)
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -290,3 +290,33 @@
 	require.Len(t, d.Drain(start), 4)
 	require.Zero(t, d.Waiting())
 }
+
+// Guards against a request to a backend server that refuses requests, one that waits although all of them refuse
+// for too long, and a refusal that the next process with the same ID inherits.
+func TestRefusingServersGetNoRequests(t *testing.T) {
+	d := New(Options{Region: "r"})
+	servers := []Server{{ID: "a", Incarnation: "1", Region: "r", Limit: 1, Warm: true, Capacity: 1}, {ID: "b", Incarnation: "1", Region: "r", Limit: 1, Warm: true, Capacity: 1}}
+	d.SetServers(servers, 0, 1)
+	now := time.Unix(1000, 0)
+	offer := func(id uint64, at time.Time) Outcome {
+		return d.Offer(Request{ID: id, Class: "c", Team: "t", Arrival: at, Target: time.Second}, at)
+	}
+	until, changed := d.Refuse("a", "1", 10*time.Second, now)
+	require.True(t, changed)
+	require.Equal(t, "b", offer(1, now).Server)
+	require.Equal(t, admit.Wait, offer(2, now).Action, "the other server is full")
+	d.Refuse("b", "1", 20*time.Second, now)
+	out := d.Drain(now)
+	require.Len(t, out, 1)
+	require.Equal(t, admit.Reject, out[0].Action)
+	rejected := offer(3, now)
+	require.Equal(t, admit.Reject, rejected.Action)
+	require.GreaterOrEqual(t, rejected.RetryAfter, until.Sub(now))
+	require.Zero(t, rejected.RetryAfter%time.Second, "callers get whole seconds")
+	require.True(t, d.Refuses("a", "1", until.Add(-time.Millisecond)))
+	require.Equal(t, "a", offer(4, until).Server)
+	require.True(t, d.Accepted("a", "1", until))
+	servers[1].Incarnation = "2"
+	d.SetServers(servers, 0, 1)
+	require.False(t, d.HasRefusals())
+}
--- a/core/dispatch/pick.go
+++ b/core/dispatch/pick.go
@@ -19,6 +19,9 @@
 	suitsColdServer := d.warm == 0 || d.estimate(r, dist) <= d.meanWork
 	for i, s := range d.servers {
 		d.fillCandidate(i, s, r, suitsColdServer, headroom, gapMS)
+		if d.isHeldBack(s, now) {
+			d.candidates[i].Limit = 0
+		}
 	}
 	var b [8]byte
 	binary.LittleEndian.PutUint64(b[:], d.seed)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -86,6 +86,9 @@
 	waiters      map[uint64]chan dispatch.Outcome
 	backends     map[string]*version.Backend
 	reservations map[uint64]*Reservation
+	// hasRefusals is set while backend servers refuse requests, so that answers do not need the lock
+	// otherwise.
+	hasRefusals atomic.Bool
 }
 
 // Reservation is the right to run one request at a backend server. It counts
@@ -222,6 +225,7 @@
 		}
 	}
 	d.dispatcher.SetServers(servers, topology.Position, topology.Hosts)
+	d.hasRefusals.Store(d.dispatcher.HasRefusals())
 	for _, b := range svc.Backends {
 		d.dispatcher.ApplyReport(b.Host.ID, report(b), now)
 	}
--- a/internal/request/cancel.go
+++ b/internal/request/cancel.go
@@ -19,7 +19,11 @@
 	if gen.exchange != nil {
 		gen.exchange.Finish(false)
 	}
-	gen.cancelInBackground(0, false, gen.reservation)
+	if gen.refused {
+		gen.reservation.Release(false) // there is no generation to cancel, and the engine wants no request
+	} else {
+		gen.cancelInBackground(0, false, gen.reservation)
+	}
 	gen.reservation = nil
 }
 
--- a/internal/request/dispatch.go
+++ b/internal/request/dispatch.go
@@ -46,6 +46,9 @@
 		e.RetryAfterSeconds = 1
 		return e
 	}
+	if reservation.Refuses() {
+		return verdict.New(verdict.NotRun, 503, "backend_refusing", "the backend server began to refuse requests before the request was sent")
+	}
 	snap := c.g.Snapshot()
 	host, listed := snap.BackendHost(reservation.Host.ID)
 	if !listed || host.State != platform.HostLive || snap.Document.OutOfService(host.ID, host.Domain) {
--- a/internal/request/generation.go
+++ b/internal/request/generation.go
@@ -92,7 +92,9 @@
 	resumed      bool
 	resumeOffset int
 	// attempts is the number of generations started for this call.
-	attempts          int
+	attempts int
+	// refused is set if the engine of the last attempt refuses requests for a time.
+	refused           bool
 	attemptedBackends []string
 	failedAttempts    []failedAttempt
 }
@@ -150,6 +152,7 @@
 	}
 	gen.reservation, gen.host, gen.incarnation = reservation, reservation.Host, reservation.Incarnation()
 	gen.attempts++
+	gen.refused = false
 	gen.offset, gen.trailing, gen.finished = 0, 0, false
 	gen.id = gen.c.g.NewID()
 	gen.token = gen.c.g.GenerationTokens.Encode(gen.c.team.Name, gentoken.Generation{
@@ -175,11 +178,13 @@
 	if !gen.streamed {
 		options.ResponseHeaderTimeout = unstreamedHeaderTimeout
 	}
+	sentAt := gen.c.g.Now()
 	ex, err := gen.c.g.Pool.Do(gen.c.ctx, gen.host.Address, req, options)
 	if err != nil {
 		return gen.handleSendError(err)
 	}
 	gen.c.maybeSent = true
+	gen.refused = gen.c.observeAnswer(gen.reservation, &ex.Response.Header, sentAt)
 	return gen.acceptResponse(ex)
 }
 
--- a/internal/request/order.go
+++ b/internal/request/order.go
@@ -163,12 +163,14 @@
 		}
 		return c.checkMaySend(reservation)
 	}
+	sentAt := c.g.Now()
 	ex, err := c.g.Pool.Do(ctx, reservation.Host.Address, req, options)
 	if err != nil {
 		c.reportSendFailure(reservation, err)
 		return nil, reservation, err
 	}
 	c.maybeSent = true
+	c.observeAnswer(reservation, &ex.Response.Header, sentAt)
 	return ex, reservation, nil
 }
 
--- a/internal/request/plain.go
+++ b/internal/request/plain.go
@@ -152,6 +152,7 @@
 // response.
 func (c *call) exchange(req *fasthttp.Request, reservation *placement.Reservation, idempotent bool) error {
 	c.setRequestHeaders(req, reservation.Host.Address)
+	sentAt := c.g.Now()
 	ex, err := c.g.Pool.Do(c.ctx, reservation.Host.Address, req, c.sendOptions(reservation, !idempotent))
 	if err != nil {
 		c.reportSendFailure(reservation, err)
@@ -162,6 +163,7 @@
 		ex.Finish(false)
 		return err
 	}
+	c.observeAnswer(reservation, &ex.Response.Header, sentAt)
 	if status := ex.Response.StatusCode(); idempotent && status >= 502 && status <= 504 {
 		ex.Finish(false)
 		return c.newError(status, "backend_refused", "the backend server responded with status %d", status)
