--- a/internal/forward/noticepoll.go
+++ b/internal/forward/noticepoll.go
@@ -57,7 +57,7 @@
 func (g *Gateway) pollEngines(ctx context.Context) {
 	for id, s := range g.opts.Directory.Snapshot().Servers {
 		engine := g.balancers.engineConfig(s.Service)
-		if s.Terminating() || engine == nil || !engine.CanMigrate || len(g.generations.at(id)) == 0 || g.polledByPeer(id) || !g.balancers.takeRate(id) {
+		if s.Terminating() || engine == nil || !engine.CanMigrate || len(g.generations.at(id)) == 0 || g.polledByPeer(id) || !g.balancers.takeRate(id, s.StartTime) {
 			continue
 		}
 		go func() {
@@ -69,7 +69,7 @@
 				return
 			}
 			if report.Terminating {
-				g.opts.Directory.MarkTerminating(id, s.StartTime)
+				g.markTerminating(id, s.StartTime, sourceReport)
 			}
 		}()
 	}
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -124,7 +124,7 @@
 		e := verdict.From(err)
 		return &verdict.Error{Verdict: verdict.MayHaveRun, Status: 502, Code: e.Code, Detail: e.Detail, Cause: e.Cause}
 	}
-	r.retryAfter = r.retryDelay()
+	r.retryAfter = max(r.retryDelay(), r.refusedRetryAfter())
 	e := verdict.From(err)
 	return &verdict.Error{Verdict: verdict.NotRun, Status: 503, Code: e.Code, Detail: e.Detail, Cause: e.Cause}
 }
@@ -139,13 +139,21 @@
 		return r.interruptionError(false)
 	}
 	r.retryAfter = r.retryDelay()
-	if reason == balance.RateLimited {
+	switch reason {
+	case balance.RateLimited:
 		allowed := balance.Request{Allowed: route.RegionFilter(r.route, r.team)}
 		r.retryAfter = max(r.retryAfter, r.g.balancers.rateRetryAfter(r.service, allowed))
+	case balance.Refused:
+		r.retryAfter = max(r.retryAfter, r.refusedRetryAfter())
 	}
 	return notRun(503, "no_backend_"+reason.String(), "no backend server of "+r.service+" is available for the request")
 }
 
+// refusedRetryAfter is the Retry-After of a request that all servers refuse; 0 if one does not.
+func (r *request) refusedRetryAfter() time.Duration {
+	return r.g.balancers.refusedRetryAfter(r.service, balance.Request{Allowed: route.RegionFilter(r.route, r.team)})
+}
+
 // retryDelay is the Retry-After of a rejected request: another host may have capacity
 // at once, and some of the remaining time must be left for the execution.
 func (r *request) retryDelay() time.Duration {
@@ -202,6 +210,10 @@
 		res.cancel()
 		return err
 	}
+	if err := r.checkRefusal(res.server); err != nil {
+		res.cancel()
+		return err
+	}
 	if again {
 		opts.ResponseHeaderTimeout = time.Duration(float64(time.Until(r.deadline)) * headerTimeoutShare)
 	}
@@ -216,7 +228,7 @@
 		}
 		return err
 	}
-	r.observeRateLimit(res.server, &ex.Response.Header, sentAt)
+	r.observeAnswer(res.server, &ex.Response.Header, sentAt)
 	status := ex.Response.StatusCode()
 	// A failure response is withheld only if another attempt is sure to be sent.
 	again = again && r.canRetry(append(slices.Clone(attempted), res.server.ID))
@@ -236,11 +248,11 @@
 	return err
 }
 
-// canRetry reports whether the retry budget and the rate limits of the servers not attempted allow a retry
-// now, and the deadline leaves time for it.
+// canRetry reports whether the retry budget and the servers not attempted, by their rate limits and refusals,
+// allow a retry now, and the deadline leaves time for it.
 func (r *request) canRetry(attempted []string) bool {
 	req := balance.Request{Allowed: route.RegionFilter(r.route, r.team), Exclude: attempted}
-	return time.Until(r.deadline) > minRetryTime && r.g.balancers.hasRetryBudget(r.service) && !r.g.balancers.isRateLimited(r.service, req)
+	return time.Until(r.deadline) > minRetryTime && r.g.balancers.hasRetryBudget(r.service) && !r.g.balancers.isHeldBack(r.service, req)
 }
 
 // matchesID reports whether the response carries this request's ID or none. It detects a
@@ -254,7 +266,6 @@
 func (r *request) checkResponse(ex *connection.Exchange, again bool) error {
 	h := &ex.Response.Header
 	d := &r.g.opts.Dialect
-	r.rateLimit = loggedHeader(h.Peek(d.RateLimit))
 	status := h.StatusCode()
 	switch {
 	case len(h.Peek(d.NotExecuted)) > 0 || status == fasthttp.StatusMisdirectedRequest:
@@ -270,11 +281,6 @@
 	return nil
 }
 
-// maxLoggedHeader limits a header field's value in a log line, in bytes.
-const maxLoggedHeader = 40
-
-func loggedHeader(value []byte) string { return string(value[:min(len(value), maxLoggedHeader)]) }
-
 func unusableResponse(cause error) error {
 	return verdict.Wrap(cause, verdict.MayHaveRun, 502, codeUnusable, "the backend server's response is incomplete or invalid")
 }
--- a/internal/forward/ratelimits.go
+++ b/internal/forward/ratelimits.go
@@ -3,37 +3,15 @@
 import (
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"monsoonkeel.example/monsoonkeel/core/balance"
 	"monsoonkeel.example/monsoonkeel/core/ratelimit"
+	"monsoonkeel.example/monsoonkeel/core/serverstate"
 	"monsoonkeel.example/monsoonkeel/internal/gossip"
 )
 
 // wakeInterval is the time between two checks whether a rate limit allows a waiting request.
 const wakeInterval = 20 * time.Millisecond
 
-// observeRateLimit records what a response says of its server's rate limit. sentAt is when the request was
-// sent.
-func (r *request) observeRateLimit(server balance.Server, h *fasthttp.ResponseHeader, sentAt time.Time) {
-	value := string(h.Peek(r.g.opts.Dialect.RateLimit))
-	limit := 0.0
-	if value != "" {
-		var err error
-		if limit, err = r.g.opts.Dialect.ParseRateLimit(value); err != nil || !ratelimit.Valid(limit) {
-			r.g.opts.Log.Warn().Str("request", r.id).Str("backend", server.ID).Str("value", loggedHeader([]byte(value))).AnErr("error", err).
-				Msg("rate limit of a backend server ignored: not a valid rate")
-			return
-		}
-		limit = max(limit, ratelimit.MinLimit)
-	}
-	var startTime int64
-	if entry := r.g.opts.Directory.Snapshot().Servers[server.ID]; entry != nil {
-		startTime = entry.StartTime
-	}
-	r.g.balancers.observeRateLimit(server.ID, startTime, ratelimit.Observation{Limit: limit, SentAt: sentAt, At: time.Now()})
-}
-
 func (bs *balancers) observeRateLimit(id string, startTime int64, o ratelimit.Observation) {
 	bs.mu.Lock()
 	changed := (o.Limit > 0 || bs.limits.Limited(id)) && bs.limits.Observe(id, startTime, o)
@@ -72,27 +50,28 @@
 	bs.limits.Take(id, time.Now())
 }
 
-// takeRate is like chargeRate, but only if the rate limit of the server allows the request.
-func (bs *balancers) takeRate(id string) bool {
+// takeRate is like chargeRate, but only if the rate limit of the server allows the request and the server
+// does not refuse it.
+func (bs *balancers) takeRate(id string, startTime int64) bool {
 	bs.mu.Lock()
 	defer bs.mu.Unlock()
 	now := time.Now()
-	if !bs.limits.Allows(id, now) {
+	if !bs.limits.Allows(id, now) || !bs.refusals.Allows(serverstate.Process{ID: id, StartTime: startTime}, now) {
 		return false
 	}
 	bs.limits.Take(id, now)
 	return true
 }
 
-// isRateLimited reports whether rate limits alone prevent that a request is sent now.
-func (bs *balancers) isRateLimited(service string, req balance.Request) bool {
+// isHeldBack reports whether only rate limits or refusals prevent that a request is sent now.
+func (bs *balancers) isHeldBack(service string, req balance.Request) bool {
 	bs.mu.Lock()
 	defer bs.mu.Unlock()
-	if !bs.limits.HasLimits() {
+	if !bs.limits.HasLimits() && !bs.refusals.HasAny() {
 		return false
 	}
 	_, reason := bs.service(service).balancer.Pick(req, time.Now())
-	return reason == balance.RateLimited
+	return reason == balance.RateLimited || reason == balance.Refused
 }
 
 // rateRetryAfter returns the Retry-After of a request that rate limits reject, a later one for each further
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -61,7 +61,7 @@
 	// the outcome of the last request to another engine to resume the generation.
 	sourceEndedBy  endedBy
 	targetResponse string
-	// rateLimit is the rate limit that the last response named, as received; empty for none.
+	// rateLimit is the rate limit that the last response named; empty for none.
 	rateLimit string
 	// rejection is the rejection of a prompt part that ended the request.
 	rejection *attribution.Rejection
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -111,6 +111,9 @@
 
 // exchange sends the request to the reserved engine, with fresh on a new connection.
 func (r *request) exchange(ctx context.Context, res *reservation, fresh bool, prepare func(*fasthttp.Request)) (*connection.Exchange, error) {
+	if err := r.checkRefusal(res.server); err != nil {
+		return nil, err
+	}
 	req := r.outgoing(res.server.ID)
 	defer fasthttp.ReleaseRequest(req)
 	prepare(req)
@@ -124,7 +127,7 @@
 		}
 		return nil, err
 	}
-	r.observeRateLimit(res.server, &ex.Response.Header, sentAt)
+	r.observeAnswer(res.server, &ex.Response.Header, sentAt)
 	if err := r.checkResponse(ex, false); err != nil {
 		ex.Finish(false)
 		return nil, err
