Require the request's ID in responses on reused connections

Callers saw: an idempotent request ran more often than its route allows, or was reported as not run, since a faulty server sent an earlier rejection once more on a kept connection. Cause: a response without a request ID was taken as that to the current request on any connection. A rejection that states "not run" was believed, so the next server got the request while the first one ran it. Bytes that arrived between the check of an idle connection and the first byte of the request were taken as the response too, and so was a load report that a server sent twice on a connection whose process had just been identified. Rejecting every response without an ID: a rejection on a new connection can belong to no other request, and TestNotExecutedRequestsAreRetried requires it to be believed. Skipping a response without an ID: a server that leaves the ID out of a rejection would keep the request until its deadline. A repeated rejection with the ID of the same request cannot be told from a true one; a connection is closed after each rejection that is not delivered. Change: the pool compares IDs (Options.IDHeader instead of a function of each caller). Without an ID, a response belongs to the request only if no earlier response came on the connection; otherwise the exchange fails as "may have run". A connection is kept only if its server returned the ID. Whatever can be read right before the first byte is sent is no response: a reused connection is replaced, and a new one counts as a failed connection setup ("not run"). Conclusion: a rejection is believed only with the request's ID or on a connection on which nothing else was answered.

--- a/internal/connection/endless_test.go
+++ b/internal/connection/endless_test.go
@@ -90,6 +90,7 @@
 	req.Header.SetMethod(method)
 	req.SetRequestURI("/x")
 	req.Header.SetHost("a")
+	req.Header.Set("Id", "mine")
 	ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
 	t.Cleanup(cancel)
 	return p.Do(ctx, s.address(), req, opts)
@@ -161,9 +162,6 @@
 
 func (repeatedRead) Read(b []byte) (int, error) { return len(b), nil }
 
-// matchesID reports whether a response has the ID "mine".
-func matchesID(h *fasthttp.ResponseHeader) bool { return string(h.Peek("Id")) == "mine" }
-
 // Guards against a request that waits for its deadline while the server sends the body of a
 // response to another request without end.
 func TestEndlessResponseToAnotherRequestIsNotSkipped(t *testing.T) {
@@ -175,7 +173,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newRawServer(t, c.response, c.unit)
-			_, err := s.do(t, NewPool(), "GET", Options{MatchesRequest: matchesID})
+			_, err := s.do(t, NewPool(), "GET", Options{IDHeader: "Id", SkipOtherIDs: true})
 			require.Equal(t, verdict.MayHaveRun, verdict.Of(err))
 			require.NotErrorIs(t, err, os.ErrDeadlineExceeded)
 			s.waitClosed(t)
@@ -194,7 +192,7 @@
 		"HTTP/1.1 200 OK\r\nId: old\r\nTransfer-Encoding: chunked\r\n\r\n": "HEAD",
 	} {
 		s := newRawServer(t, response+mine, "")
-		ex, err := s.do(t, NewPool(), method, Options{MatchesRequest: matchesID})
+		ex, err := s.do(t, NewPool(), method, Options{IDHeader: "Id", SkipOtherIDs: true})
 		require.NoError(t, err, response)
 		require.Equal(t, "mine", string(ex.Response.Header.Peek("Id")))
 		ex.Finish(true)
--- a/internal/connection/exchange.go
+++ b/internal/connection/exchange.go
@@ -1,6 +1,7 @@
 package connection
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -25,6 +26,8 @@
 	// response is read; otherwise it is nil.
 	sendResult chan error
 	aborted    atomic.Bool
+	// hasOtherID is set if the response has no ID or another one than the request.
+	hasOtherID bool
 	body       responseBody
 }
 
@@ -98,7 +101,7 @@
 	conn := e.conn
 	e.conn = nil
 	notCancelled := e.stop()
-	reuse := complete && notCancelled && !e.aborted.Load() && !e.Response.ConnectionClose() && e.requestSent()
+	reuse := complete && notCancelled && !e.aborted.Load() && !e.hasOtherID && !e.Response.ConnectionClose() && e.requestSent()
 	if !reuse {
 		// Closed first, so that closing the body stream doesn't wait for the rest of
 		// an unfinished response.
@@ -108,6 +111,7 @@
 	fasthttp.ReleaseResponse(e.Response)
 	if reuse {
 		_ = conn.SetDeadline(time.Time{})
+		conn.needsID = true
 		e.pool.put(conn)
 	}
 }
@@ -142,7 +146,11 @@
 		if status := e.Response.StatusCode(); status < fasthttp.StatusOK {
 			return fmt.Errorf("the backend server sent status %d instead of a final response", status)
 		}
-		if opts.MatchesRequest == nil || opts.MatchesRequest(&e.Response.Header) {
+		skip, err := e.checkID(req, opts)
+		if err != nil {
+			return err
+		}
+		if !skip {
 			break
 		}
 		if unmatched >= maxUnmatchedResponses {
@@ -156,6 +164,24 @@
 	return ctx.Err()
 }
 
+// errNoID is returned for a response without an ID that may belong to an earlier request.
+var errNoID = errors.New("the response has no ID and may belong to an earlier request on the connection")
+
+// checkID compares the ID of the response with that of the request. skip is set for a response
+// to another request; it is an error if that is unknown.
+func (e *Exchange) checkID(req *fasthttp.Request, opts Options) (skip bool, err error) {
+	if opts.IDHeader == "" {
+		return false, nil
+	}
+	id := e.Response.Header.Peek(opts.IDHeader)
+	if len(id) == 0 && e.conn.needsID {
+		return false, errNoID
+	}
+	e.conn.needsID = e.conn.needsID || len(id) > 0
+	e.hasOtherID = !bytes.Equal(id, req.Header.Peek(opts.IDHeader))
+	return e.hasOtherID && len(id) > 0 && opts.SkipOtherIDs, nil
+}
+
 // skipBody reads the body of a response to another request. A body of maxSkippedBytes or
 // more is an error.
 func (e *Exchange) skipBody() error {
--- a/internal/connection/upstream.go
+++ b/internal/connection/upstream.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"crypto/rand"
 	"errors"
 	"fmt"
 	"net"
@@ -91,6 +92,9 @@
 	// incarnation is that of the process at the other end; empty if it was not
 	// requested. It can't change while the connection is open.
 	incarnation string
+	// needsID is set once a response on the connection had an ID, or belonged to an earlier
+	// request. A response without an ID may then be an earlier one that is sent again.
+	needsID bool
 }
 
 // Write counts the bytes passed to the kernel: after the first one, the backend server
@@ -147,9 +151,13 @@
 	// MaxIdleTime is the longest idle time of a reused connection; 0 means the
 	// default of 20 s.
 	MaxIdleTime time.Duration
-	// MatchesRequest, if set, reports whether a response belongs to the request. Others
-	// are late responses to earlier requests on the connection and are skipped.
-	MatchesRequest func(*fasthttp.ResponseHeader) bool
+	// IDHeader, if set, is the header field with the request's ID, which the server repeats
+	// in its response. A response without it belongs to the request only if no earlier
+	// response on the connection had one; the connection is then not reused.
+	IDHeader string
+	// SkipOtherIDs skips responses with another ID, which are late responses to earlier
+	// requests. Otherwise they are returned.
+	SkipOtherIDs bool
 	// BodyNotReused is set when the request's body isn't modified after Do returns, so
 	// that a long body is sent without a copy.
 	BodyNotReused bool
@@ -184,15 +192,9 @@
 // BeforeSend failed, an error carries a verdict: NotRun if no byte of the request was
 // sent, else MayHaveRun. The end of ctx also ends the exchange.
 func (p *Pool) Do(ctx context.Context, address string, req *fasthttp.Request, opts Options) (*Exchange, error) {
-	conn, reused, err := p.get(ctx, address, opts)
+	conn, reused, err := p.prepare(ctx, address, opts)
 	if err != nil {
-		return nil, verdict.Wrap(err, verdict.NotRun, 502, CodeConnectFailed, "cannot connect to the backend server")
-	}
-	if opts.BeforeSend != nil {
-		if err := opts.BeforeSend(); err != nil {
-			p.put(conn)
-			return nil, &BeforeSendError{Cause: err}
-		}
+		return nil, err
 	}
 	conn.written.Store(0)
 	e := &Exchange{conn: conn, pool: p, ctx: ctx, Reused: reused, Response: fasthttp.AcquireResponse()}
@@ -208,6 +210,35 @@
 	return e, nil
 }
 
+// errUnexpectedResponse is returned for a new connection on which the backend server sent
+// bytes, or which it closed, before a request was sent.
+var errUnexpectedResponse = errors.New("the backend server responded before the request was sent, or closed the connection")
+
+// prepare returns a connection on which the first byte of the request may be sent. What can
+// be read before that is no response to the request.
+func (p *Pool) prepare(ctx context.Context, address string, opts Options) (*upstreamConn, bool, error) {
+	for {
+		conn, reused, err := p.get(ctx, address, opts)
+		if err == nil && opts.BeforeSend != nil {
+			if err := opts.BeforeSend(); err != nil {
+				p.put(conn)
+				return nil, false, &BeforeSendError{Cause: err}
+			}
+		}
+		if err == nil && conn.hasUnread() {
+			_ = conn.Close()
+			if reused {
+				continue
+			}
+			err = errUnexpectedResponse
+		}
+		if err != nil {
+			return nil, false, verdict.Wrap(err, verdict.NotRun, 502, CodeConnectFailed, "cannot connect to the backend server")
+		}
+		return conn, reused, nil
+	}
+}
+
 // Preconnect opens a connection for a later request, unless the pool has an idle one.
 func (p *Pool) Preconnect(ctx context.Context, address string, timeout time.Duration) error {
 	idle := p.idle(address)
@@ -244,7 +275,7 @@
 	if opts.Incarnation == "" {
 		return conn, false, nil
 	}
-	if err := conn.identify(ctx); err != nil {
+	if err := conn.identify(ctx, opts.IDHeader); err != nil {
 		_ = c.Close()
 		return nil, false, err
 	}
@@ -256,8 +287,9 @@
 }
 
 // identify requests the load report, whose header fields contain the incarnation of the
-// process, as those of every response do.
-func (c *upstreamConn) identify(ctx context.Context) error {
+// process, as those of every response do. The call has an ID of its own in idHeader, so that
+// its response sent again is not taken as that to the request.
+func (c *upstreamConn) identify(ctx context.Context, idHeader string) error {
 	_ = c.SetDeadline(time.Now().Add(dialTimeout))
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
@@ -267,6 +299,9 @@
 	c.expectBody(maxReportBytes)
 	req.SetRequestURI("/v1/load")
 	req.Header.SetHost(c.address)
+	if idHeader != "" {
+		req.Header.Set(idHeader, rand.Text())
+	}
 	w := bufio.NewWriter(c)
 	if err := req.Write(w); err != nil {
 		return err
@@ -281,6 +316,7 @@
 		return errors.New("the backend server closed the new connection")
 	}
 	c.incarnation = string(resp.Header.Peek("X-Incarnation"))
+	c.needsID = idHeader != "" && len(resp.Header.Peek(idHeader)) > 0
 	if resp.StatusCode() != fasthttp.StatusOK || c.incarnation == "" {
 		return fmt.Errorf("load report of the backend server has status %d or no incarnation", resp.StatusCode())
 	}
@@ -313,9 +349,12 @@
 // stale reports whether an idle connection must not be reused: it was idle for longer than
 // maxIdle, the server closed it, or it has unread bytes, which belong to an earlier response.
 func (c *upstreamConn) stale(maxIdle time.Duration) bool {
-	return c.reader.Buffered() > 0 || time.Since(c.idledAt) > maxIdle || readable(c.Conn)
+	return time.Since(c.idledAt) > maxIdle || c.hasUnread()
 }
 
+// hasUnread reports whether the server sent bytes that were not read, or closed the connection.
+func (c *upstreamConn) hasUnread() bool { return c.reader.Buffered() > 0 || readable(c.Conn) }
+
 func (p *Pool) popIdle(address string) *upstreamConn {
 	idle := p.idle(address)
 	idle.mu.Lock()
--- a/internal/connection/upstream_test.go
+++ b/internal/connection/upstream_test.go
@@ -112,11 +112,10 @@
 	defer fasthttp.ReleaseRequest(req)
 	req.SetRequestURI("/x")
 	req.Header.SetHost("a")
+	req.Header.Set("Id", "mine")
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
-	ex, err := NewPool().Do(ctx, l.Addr().String(), req, Options{MatchesRequest: func(h *fasthttp.ResponseHeader) bool {
-		return string(h.Peek("Id")) == "mine"
-	}})
+	ex, err := NewPool().Do(ctx, l.Addr().String(), req, Options{IDHeader: "Id", SkipOtherIDs: true})
 	require.NoError(t, err)
 	body, err := io.ReadAll(ex.Body())
 	require.NoError(t, err)
@@ -214,9 +213,8 @@
 	defer fasthttp.ReleaseRequest(req)
 	req.SetRequestURI("/x")
 	req.Header.SetHost("a")
-	ex, err := NewPool().Do(t.Context(), l.Addr().String(), req, Options{MatchesRequest: func(h *fasthttp.ResponseHeader) bool {
-		return string(h.Peek("Id")) == "mine"
-	}})
+	req.Header.Set("Id", "mine")
+	ex, err := NewPool().Do(t.Context(), l.Addr().String(), req, Options{IDHeader: "Id", SkipOtherIDs: true})
 	require.NoError(t, err)
 	body, err := io.ReadAll(ex.Body())
 	assert.NoError(t, err)
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -191,13 +191,8 @@
 // delivers the response.
 func (r *request) attemptPlain(res *reservation, ran int, attempted []string) error {
 	again := r.mayExecuteAgain(ran + 1)
-	opts := connection.Options{
-		NoReuse:        r.route.Kind == route.NonIdempotent,
-		DialTimeout:    connectTimeout,
-		MaxIdleTime:    maxIdleReuse,
-		MatchesRequest: r.matchesID,
-		BodyNotReused:  true,
-	}
+	opts := r.sendOptions(r.route.Kind == route.NonIdempotent)
+	opts.BodyNotReused = true
 	if err := r.checkParts(); err != nil {
 		res.cancel()
 		return err
@@ -243,11 +238,12 @@
 	return time.Until(r.deadline) > minRetryTime && r.g.balancers.hasRetryBudget(r.service) && !r.g.balancers.isRateLimited(r.service, req)
 }
 
-// matchesID reports whether the response carries this request's ID or none. It detects a
-// late response to an earlier request on a reused connection.
-func (r *request) matchesID(h *fasthttp.ResponseHeader) bool {
-	id := string(h.Peek(r.g.opts.Dialect.RequestID))
-	return id == "" || id == r.id
+// sendOptions returns the options that the requests of both kinds of response share.
+func (r *request) sendOptions(noReuse bool) connection.Options {
+	return connection.Options{
+		NoReuse: noReuse, DialTimeout: connectTimeout, MaxIdleTime: maxIdleReuse,
+		IDHeader: r.g.opts.Dialect.RequestID, SkipOtherIDs: true,
+	}
 }
 
 // checkResponse decides from the response header whether the response can be delivered.
