Require the generation's ID in responses on kept connections

Callers saw: the rejection of another request (404, 421, 422, 429) as the answer to their own, which the backend server was running meanwhile. Cause: the product's own path compares the generation or request ID of a response only if there is one, and of a rejection not at all. An earlier response that a server sent once more on a kept connection was relayed. Ruled out: orders and other non-idempotent requests, which get a new connection; in the test none was sent on a connection with an earlier request. Skipping a response with another ID as the other request path does: an engine that gives crossed answers sends no further one, and an unstreamed response may take an hour, so it stays an error. Change: requests of this path use the pool's check of IDs, with the generation's ID for generations and resumes and the request's ID for plain services. An engine's rejection is relayed only if its ID is not that of another generation. Conclusion: on both request paths, a response on a kept connection counts only with the ID of its request.

--- a/internal/request/dispatch.go
+++ b/internal/request/dispatch.go
@@ -33,7 +33,10 @@
 // sendOptions returns options that send a request only to the incarnation for which it
 // was scheduled, and only while checkMaySend allows it.
 func (c *call) sendOptions(reservation *placement.Reservation, noReuse bool) connection.Options {
-	return connection.Options{NoReuse: noReuse, Incarnation: reservation.Load.Incarnation, BeforeSend: func() error { return c.checkMaySend(reservation) }}
+	return connection.Options{
+		NoReuse: noReuse, Incarnation: reservation.Load.Incarnation, IDHeader: headerRequestID,
+		BeforeSend: func() error { return c.checkMaySend(reservation) },
+	}
 }
 
 // checkMaySend returns an error if the lease expired, the backend server was removed, or
--- a/internal/request/generation.go
+++ b/internal/request/generation.go
@@ -171,6 +171,7 @@
 	req.Header.Set(headerPriority, strconv.Itoa(gen.c.class.Priority))
 	req.SetBodyRaw(gen.body)
 	options := gen.c.sendOptions(gen.reservation, false)
+	options.IDHeader = headerGenerationID
 	options.ResponseHeaderTimeout = streamHeaderTimeout
 	if !gen.streamed {
 		options.ResponseHeaderTimeout = unstreamedHeaderTimeout
@@ -195,6 +196,10 @@
 // acceptResponse checks the status and headers of the engine's response and stores the
 // exchange.
 func (gen *generation) acceptResponse(ex *connection.Exchange) error {
+	if err := gen.checkID(ex); err != nil {
+		ex.Finish(false)
+		return verdict.Wrap(err, verdict.MayHaveRun, 502, "backend_protocol", "the response does not belong to the request")
+	}
 	status := ex.Response.StatusCode()
 	if status >= 400 && status < 500 && status != 408 && status != 409 && status != 429 {
 		return gen.readRejection(ex)
@@ -206,7 +211,7 @@
 		}
 		return gen.c.newError(502, "backend_refused", "the backend server responded with status %d", status)
 	}
-	if err := gen.checkIdentity(ex); err != nil {
+	if err := gen.checkIncarnation(ex); err != nil {
 		ex.Finish(false)
 		return verdict.Wrap(err, verdict.MayHaveRun, 502, "backend_protocol", "the response does not belong to the request")
 	}
@@ -228,14 +233,18 @@
 	gen.failedAttempts = nil
 }
 
-// checkIdentity rejects a response from another generation, and from another
-// incarnation than the one encoded in the event ids.
-func (gen *generation) checkIdentity(ex *connection.Exchange) error {
-	h := &ex.Response.Header
-	if id := h.Peek(headerGenerationID); len(id) > 0 && string(id) != gen.id {
+// checkID rejects a response from another generation.
+func (gen *generation) checkID(ex *connection.Exchange) error {
+	if id := ex.Response.Header.Peek(headerGenerationID); len(id) > 0 && string(id) != gen.id {
 		return errProtocol
 	}
-	if seen := string(h.Peek(headerIncarnation)); seen != "" && seen != gen.incarnation {
+	return nil
+}
+
+// checkIncarnation rejects a response from another incarnation than the one encoded in the
+// event ids.
+func (gen *generation) checkIncarnation(ex *connection.Exchange) error {
+	if seen := string(ex.Response.Header.Peek(headerIncarnation)); seen != "" && seen != gen.incarnation {
 		gen.c.g.ColdStarts.IncarnationMismatch(gen.host.ID, gen.incarnation, seen)
 		return errGenerationLost
 	}
--- a/internal/request/recover.go
+++ b/internal/request/recover.go
@@ -68,10 +68,17 @@
 	defer fasthttp.ReleaseRequest(req)
 	gen.c.setRequestHeaders(req, gen.host.Address)
 	req.SetRequestURI("/v1/generations/" + gen.id + "?offset=" + strconv.Itoa(gen.offset))
-	ex, err := gen.c.g.Pool.Do(gen.c.ctx, gen.host.Address, req, connection.Options{NoReuse: true, ResponseHeaderTimeout: streamHeaderTimeout})
+	req.Header.Set(headerGenerationID, gen.id)
+	ex, err := gen.c.g.Pool.Do(gen.c.ctx, gen.host.Address, req, connection.Options{
+		NoReuse: true, IDHeader: headerGenerationID, ResponseHeaderTimeout: streamHeaderTimeout,
+	})
 	if err != nil {
 		return err
 	}
+	if err := gen.checkID(ex); err != nil {
+		ex.Finish(false)
+		return err
+	}
 	if status := ex.Response.StatusCode(); status != 200 {
 		ex.Finish(false)
 		if status == 404 || status == 410 {
@@ -79,7 +86,7 @@
 		}
 		return fmt.Errorf("resume request failed with status %d", status)
 	}
-	if err := gen.checkIdentity(ex); err != nil {
+	if err := gen.checkIncarnation(ex); err != nil {
 		ex.Finish(false)
 		return err
 	}
