Close idle connections once their requests no longer reuse them

Cause: requests may limit the idle time of a reused connection (3 s for forwarded requests), but the check of the idle connections closed them after 20 s only. Until then they counted towards the limit of connections that a backend server accepts. Ruled out: a limit for the whole pool, since the requests of a pool differ. Change: the check uses the limit of the last request on the connection.

--- a/internal/connection/replay_test.go
+++ b/internal/connection/replay_test.go
@@ -214,3 +214,16 @@
 		}
 	}
 }
+
+// Guards against idle connections that occupy a server's connection limit although they are too old
+// for the requests to it.
+func TestIdleConnectionsAreClosedAfterMaxIdleTime(t *testing.T) {
+	s := newScriptedServer(t, func(_ int, _, id string) string { return response(200, id) })
+	p := NewPool()
+	defer p.Close()
+	p.checkInterval = 10 * time.Millisecond
+	_, err := s.get(t, p, "a", Options{MaxIdleTime: 50 * time.Millisecond})
+	require.NoError(t, err)
+	conn := s.nextConn(t)
+	require.Eventually(t, func() bool { return peerClosed(conn) }, maxIdleAge/2, 10*time.Millisecond)
+}
--- a/internal/connection/upstream.go
+++ b/internal/connection/upstream.go
@@ -87,8 +87,10 @@
 	// unusedBytes is the number of bytes read since the last byte of a body was returned,
 	// and unusedLimit the number from which reads fail. Only the reader accesses them.
 	unusedBytes, unusedLimit int
-	// idledAt is when the connection was last returned to the pool.
+	// idledAt is when the connection was last returned to the pool, and maxIdle how long it
+	// may then be idle; 0 means maxIdleAge.
 	idledAt time.Time
+	maxIdle time.Duration
 	// incarnation is that of the process at the other end; empty if it was not
 	// requested. It can't change while the connection is open.
 	incarnation string
@@ -197,6 +199,7 @@
 		return nil, err
 	}
 	conn.written.Store(0)
+	conn.maxIdle = opts.MaxIdleTime
 	e := &Exchange{conn: conn, pool: p, ctx: ctx, Reused: reused, Response: fasthttp.AcquireResponse()}
 	e.stop = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	if err := e.roundTrip(ctx, req, opts); err != nil {
@@ -412,7 +415,7 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.conns = slices.DeleteFunc(i.conns, func(c *upstreamConn) bool {
-		if !c.stale(maxIdleAge) {
+		if !c.stale(orDefault(c.maxIdle, maxIdleAge)) {
 			return false
 		}
 		_ = c.Close()
