Send each control command on a connection of its own

Callers could see an engine without the model that a command had loaded, or a command issuer that gives up its lease: the issuer took an earlier response of an engine as that to its next command. Cause: the client of control commands kept connections and compared no IDs, so a response that an engine sent once more (200, 409) was taken as the response to the next command, or as the list of applied commands. Ruled out: the same change for the object store, the host list and the weight store, which are no backend servers, and for load reports, which name their incarnation and are replaced by the next poll. Change: commands and the reads of applied commands use the connection of their own that long polls have. Conclusion: a command's result is the response to that command.

--- a/internal/platform/httpapi/client.go
+++ b/internal/platform/httpapi/client.go
@@ -83,10 +83,11 @@
 	header       []string
 	body         []byte
 	timeout      time.Duration
-	// longPoll is set for a call that the server may hold open. It gets its own
-	// connection, which is closed when the context ends, so that an abandoned
-	// call does not occupy a connection for minutes.
-	longPoll bool
+	// ownConnection selects a new connection that is closed when the context ends. It
+	// is set for a call that the server may hold open, so that an abandoned call does
+	// not occupy a connection for minutes, and for one whose response must not be an
+	// earlier response that the server sends again.
+	ownConnection bool
 }
 
 type response struct {
@@ -161,7 +162,7 @@
 		req.SetBody(call.body)
 	}
 	send := c.http.DoDeadline
-	if call.longPoll {
+	if call.ownConnection {
 		req.SetConnectionClose()
 		var release func()
 		send, release = c.dedicatedConnection(ctx, req)
--- a/internal/platform/httpapi/control.go
+++ b/internal/platform/httpapi/control.go
@@ -25,7 +25,9 @@
 		return err
 	}
 	header := []string{fasthttp.HeaderContentType, "application/json"}
-	resp, err := e.c.do(ctx, call{method: fasthttp.MethodPost, path: "http://" + address + "/v1/orders", header: header, body: body})
+	resp, err := e.c.do(ctx, call{
+		method: fasthttp.MethodPost, path: "http://" + address + "/v1/orders", header: header, body: body, ownConnection: true,
+	})
 	switch {
 	case err != nil:
 	case resp.status >= 200 && resp.status < 300:
@@ -48,7 +50,11 @@
 	var list struct {
 		Applied []platform.ControlCommand `json:"applied"`
 	}
-	if err := e.c.getJSON(ctx, "http://"+address+"/v1/orders", &list); err != nil {
+	resp, err := e.c.do(ctx, call{method: fasthttp.MethodGet, path: "http://" + address + "/v1/orders", ownConnection: true})
+	if err == nil {
+		err = decodeResponse(resp, &list)
+	}
+	if err != nil {
 		return nil, fmt.Errorf("read applied control commands of %s: %w", address, err)
 	}
 	return list.Applied, nil
--- a/internal/platform/httpapi/httpapi_test.go
+++ b/internal/platform/httpapi/httpapi_test.go
@@ -1,8 +1,11 @@
 package httpapi_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -246,3 +249,50 @@
 	_, err = list.Hosts(t.Context())
 	require.ErrorIs(t, err, platform.ErrUnchanged, "a failed read must keep the ETag")
 }
+
+// Guards against an earlier response that is taken as that to the next command: an engine sends it once
+// more on a kept connection, after it has read the command.
+func TestRepeatedResponsesToCommandsAreNotUsed(t *testing.T) {
+	for name, earlier := range map[string]string{
+		"fenced":   "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n",
+		"accepted": "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				defer func() { _ = conn.Close() }()
+				reader := bufio.NewReader(conn)
+				for next, first := r, true; err == nil; first = false {
+					if !first {
+						_, _ = io.WriteString(conn, earlier)
+					}
+					status, body := 200, `{"applied":[{"kind":"load","name":"m","fencing_number":7}]}`
+					if next.Method == http.MethodPost && name == "accepted" {
+						status, body = 422, "invalid"
+					}
+					_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d Status\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
+					if next, err = http.ReadRequest(reader); err == nil {
+						_, err = io.Copy(io.Discard, next.Body)
+					}
+				}
+			}))
+			defer server.Close()
+			address := server.Listener.Addr().String()
+			engine := httpapi.NewEngineControl()
+			for range 3 {
+				err := engine.Control(t.Context(), address, platform.ControlCommand{})
+				if name == "accepted" {
+					require.ErrorIs(t, err, platform.ErrInvalidCommand)
+				} else {
+					require.NoError(t, err)
+				}
+				applied, err := engine.Applied(t.Context(), address)
+				require.NoError(t, err)
+				require.Len(t, applied, 1)
+			}
+		})
+	}
+}
--- a/internal/platform/httpapi/objects.go
+++ b/internal/platform/httpapi/objects.go
@@ -45,7 +45,7 @@
 	if err != nil {
 		return platform.Object{}, err
 	}
-	resp, err := s.c.do(ctx, call{method: fasthttp.MethodGet, path: "/objects/" + path + query, timeout: timeout, longPoll: timeout > 0})
+	resp, err := s.c.do(ctx, call{method: fasthttp.MethodGet, path: "/objects/" + path + query, timeout: timeout, ownConnection: timeout > 0})
 	if err != nil {
 		return platform.Object{}, fmt.Errorf("get %s: %w", key, err)
 	}
