--- a/internal/request/recover.go
+++ b/internal/request/recover.go
@@ -77,10 +77,17 @@
 	defer fasthttp.ReleaseRequest(req)
 	gen.c.setRequestHeaders(req, gen.host.Address)
 	req.SetRequestURI("/v1/generations/" + gen.id + "?offset=" + strconv.Itoa(gen.offset))
-	ex, err := gen.c.g.Pool.Do(ctx, gen.host.Address, req, connection.Options{NoReuse: true, ResponseHeaderTimeout: streamHeaderTimeout})
+	req.Header.Set(headerGenerationID, gen.id)
+	ex, err := gen.c.g.Pool.Do(ctx, gen.host.Address, req, connection.Options{
+		NoReuse: true, IDHeader: headerGenerationID, ResponseHeaderTimeout: streamHeaderTimeout,
+	})
 	if err != nil {
 		return nil, err
 	}
+	if err := gen.checkID(ex); err != nil {
+		ex.Finish(false)
+		return nil, err
+	}
 	if status := ex.Response.StatusCode(); status != 200 {
 		ex.Finish(false)
 		if status == 404 || status == 410 {
@@ -88,7 +95,7 @@
 		}
 		return nil, fmt.Errorf("resume request failed with status %d", status)
 	}
-	if err := gen.checkIdentity(ex); err != nil {
+	if err := gen.checkIncarnation(ex); err != nil {
 		ex.Finish(false)
 		return nil, err
 	}
