Migrate generations of a service that the configuration dropped

Cause: a stream that ran when a configuration moved its route to another service and dropped the former one was cut when its engine left afterwards: it was not migrated. The engine settings of a service came from the newest configuration only, so that a dropped service had none and its engines counted as unable to migrate, although they still ran the generations of earlier requests. Change: a service keeps its newest configuration when a later version no longer has it. New requests still find no route to it.

--- a/internal/forward/balancers.go
+++ b/internal/forward/balancers.go
@@ -40,7 +40,9 @@
 	waiters  []*waiter
 	// waking is set while a timer is to wake the waiters.
 	waking bool
-	engine *route.Engine
+	// config is the newest configuration of the service, kept when a later one no longer has it: its
+	// requests still run and may have to be migrated. It is nil if there was none.
+	config *route.Service
 	// lastNotice is when a server of the service last gave a termination notice.
 	lastNotice time.Time
 }
@@ -117,11 +119,11 @@
 	})
 	for name, s := range bs.services {
 		settings := balance.Settings{Domain: bs.opts.Domain, Region: bs.opts.Region}
-		s.engine = nil
-		if now.Table != nil {
-			if config := now.Table.Services[name]; config != nil {
-				bs.configure(&settings, s, config)
-			}
+		if now.Table != nil && now.Table.Services[name] != nil {
+			s.config = now.Table.Services[name]
+		}
+		if s.config != nil {
+			bs.configure(&settings, s.config)
 		}
 		s.balancer.Configure(settings)
 		s.balancer.SetServers(eligible[name])
@@ -130,9 +132,8 @@
 	}
 }
 
-func (bs *balancers) configure(settings *balance.Settings, s *serviceState, config *route.Service) {
+func (bs *balancers) configure(settings *balance.Settings, config *route.Service) {
 	if config.Engine != nil {
-		s.engine = config.Engine
 		settings.KVTokens = config.Engine.KVTokens
 	}
 	if config.ColdPerSecond > 0 {
@@ -145,7 +146,10 @@
 func (bs *balancers) engineConfig(service string) *route.Engine {
 	bs.mu.Lock()
 	defer bs.mu.Unlock()
-	return bs.service(service).engine
+	if config := bs.service(service).config; config != nil {
+		return config.Engine
+	}
+	return nil
 }
 
 func (bs *balancers) hostCount() int {
