Decide about requests to a dispatcher that was just removed

Cause: on the product's own path, a request could wait without end when a configuration removed its service: it got neither a response nor a rejection until its caller left. Between the lookup of the service's dispatcher and the offer to it, the table could delete the dispatcher as idle; the request then waited in the queue of a dispatcher that gets no further updates. Adding the service again created another dispatcher and did not help. Ruled out: deleting dispatchers later: any delay can pass between the two calls. Holding a lock of the table during the offer: all requests of a host would share it. Change: the check for idleness, the deletion and a mark happen under the lock of the dispatcher. A request that finds the mark goes to the dispatcher that the table has now, which rejects it as not run or, if the service is back, runs it. Conclusion: every queued request belongs to a dispatcher that decides about it.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -41,7 +41,7 @@
 	}
 	opt := dispatch.Options{Region: t.region, Engine: kind == config.ServiceKindEngine, Seed: t.seed}
 	created, _ := t.services.LoadOrStore(name, &Dispatcher{
-		table: t, dispatcher: dispatch.New(opt), waiters: map[uint64]chan dispatch.Outcome{},
+		table: t, name: name, kind: kind, dispatcher: dispatch.New(opt), waiters: map[uint64]chan dispatch.Outcome{},
 		backends: map[string]*version.Backend{}, reservations: map[uint64]*Reservation{},
 	})
 	return created.(*Dispatcher)
@@ -57,7 +57,10 @@
 		}
 		d := known.(*Dispatcher)
 		d.Update(&version.Service{}, topology, now)
-		if d.idle() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if d.dispatcher.Waiting() == 0 && len(d.reservations) == 0 {
+			d.removed = true
 			t.services.Delete(name)
 		}
 		return true
@@ -80,8 +83,13 @@
 // Dispatcher queues the requests of one service and assigns them to backend servers.
 type Dispatcher struct {
 	table *Table
+	name  string
+	kind  config.ServiceKind
 
-	mu           sync.Mutex
+	mu sync.Mutex
+	// removed is set once the table no longer has the dispatcher, so that nothing decides about
+	// requests in its queue.
+	removed      bool
 	dispatcher   *dispatch.Dispatcher
 	waiters      map[uint64]chan dispatch.Outcome
 	backends     map[string]*version.Backend
@@ -103,6 +111,10 @@
 func (d *Dispatcher) Acquire(ctx context.Context, r dispatch.Request) (*Reservation, error) {
 	r.ID = d.table.nextID.Add(1)
 	d.mu.Lock()
+	if d.removed {
+		d.mu.Unlock()
+		return d.table.Dispatcher(d.name, d.kind).Acquire(ctx, r)
+	}
 	out := d.dispatcher.Offer(r, time.Now())
 	switch out.Action {
 	case admit.Dispatch:
@@ -242,12 +254,6 @@
 	}
 }
 
-func (d *Dispatcher) idle() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.dispatcher.Waiting() == 0 && len(d.reservations) == 0
-}
-
 // Waiting returns the number of queued requests by service name.
 func (t *Table) Waiting() map[string]int {
 	out := map[string]int{}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -81,3 +81,43 @@
 		require.Zero(t, svc.Backends[0].Counters.InFlight())
 	}
 }
+
+// Guards against a request that gets no response beside a configuration change (issue 26): a service is
+// removed, and perhaps added again, between the lookup of its dispatcher and the request's offer.
+func TestRequestToRemovedDispatcherIsDecided(t *testing.T) {
+	for name, addedAgain := range map[string]bool{"removed": false, "removed and added again": true} {
+		t.Run(name, func(t *testing.T) {
+			table := NewTable("r", 1)
+			topology := Topology{Hosts: 1}
+			d := table.Dispatcher("s", config.ServiceKindPlain)
+			d.Update(service(1), topology, time.Now())
+			table.Retain(func(string) bool { return false }, topology, time.Now())
+			require.Empty(t, table.Waiting())
+			result := make(chan error, 1)
+			go func() {
+				_, err := d.Acquire(t.Context(), request())
+				result <- err
+			}()
+			var err error
+			require.Eventually(t, func() bool {
+				if addedAgain {
+					table.Dispatcher("s", config.ServiceKindPlain).Update(service(1), topology, time.Now())
+				} else {
+					table.Retain(func(string) bool { return false }, topology, time.Now())
+				}
+				select {
+				case err = <-result:
+					return true
+				default:
+					return false
+				}
+			}, 2*time.Second, 10*time.Millisecond, "the request waits forever")
+			if addedAgain {
+				require.NoError(t, err)
+				return
+			}
+			var rejected *RejectedError
+			require.ErrorAs(t, err, &rejected)
+		})
+	}
+}
