--- a/internal/forward/balancers.go
+++ b/internal/forward/balancers.go
@@ -85,12 +85,13 @@
 	return s
 }
 
-// setBounds replaces the bounds and applies them to the snapshot.
-func (bs *balancers) setBounds(b Bounds, now *directory.Snapshot) {
+// setBounds replaces the bounds and applies them to the current snapshot.
+func (bs *balancers) setBounds(b Bounds, current func() *directory.Snapshot) {
 	bs.mu.Lock()
+	defer bs.mu.Unlock()
 	bs.bounds = b
-	bs.mu.Unlock()
-	bs.applySnapshot(now)
+	// Read under the lock: a newer snapshot is applied after this one.
+	bs.applyLocked(current())
 }
 
 // applySnapshot applies the servers and the settings of a snapshot. Terminating
@@ -98,6 +99,10 @@
 func (bs *balancers) applySnapshot(now *directory.Snapshot) {
 	bs.mu.Lock()
 	defer bs.mu.Unlock()
+	bs.applyLocked(now)
+}
+
+func (bs *balancers) applyLocked(now *directory.Snapshot) {
 	bs.hosts = len(now.Hosts)
 	eligible := map[string][]balance.Server{}
 	addresses := make(map[string]bool, len(now.Servers))
--- a/internal/forward/gateway.go
+++ b/internal/forward/gateway.go
@@ -152,7 +152,7 @@
 // SetBounds replaces the bounds and reconfigures the balancers.
 func (g *Gateway) SetBounds(b Bounds) {
 	g.bounds.Store(&b)
-	g.balancers.setBounds(b, g.opts.Directory.Snapshot())
+	g.balancers.setBounds(b, g.opts.Directory.Snapshot)
 }
 
 // ApplySnapshot applies a new snapshot of the directory and starts migrating
