Check a request against one configuration on the product's path

Cause: a request could be rejected with 400 "unknown class" although the configuration before a change and the one after it both allow it. Ruled out: repeating the lookup after a failure, which still mixes two configurations. The check right before sending still uses the newest one, so that servers taken out of service get nothing.

--- a/internal/request/call.go
+++ b/internal/request/call.go
@@ -20,15 +20,18 @@
 
 // call is the state of one request of a caller.
 type call struct {
-	g       *Gateway
-	http    *fasthttp.RequestCtx
-	ctx     context.Context
-	cancel  context.CancelFunc
-	unwatch func()
-	start   time.Time
-	team    config.Team
-	class   config.Class
-	service *version.Service
+	g *Gateway
+	// snapshot is the routing snapshot that decides about the call: parts of two could reject what
+	// each of them allows.
+	snapshot *version.Snapshot
+	http     *fasthttp.RequestCtx
+	ctx      context.Context
+	cancel   context.CancelFunc
+	unwatch  func()
+	start    time.Time
+	team     config.Team
+	class    config.Class
+	service  *version.Service
 	// maybeSent is set when a byte of the request may have reached a backend server.
 	maybeSent bool
 	streaming bool
@@ -41,7 +44,7 @@
 
 func (g *Gateway) newCall(http *fasthttp.RequestCtx) *call {
 	ctx, cancel := context.WithCancel(context.Background())
-	c := &call{g: g, http: http, ctx: ctx, cancel: cancel, start: g.Now(), releaseTeam: func() {}}
+	c := &call{g: g, snapshot: g.Snapshot(), http: http, ctx: ctx, cancel: cancel, start: g.Now(), releaseTeam: func() {}}
 	c.unwatch = g.Watcher.Add(http.Conn(), cancel)
 	c.outcome.RequestID = string(http.Request.Header.Peek(headerRequestID))
 	if c.outcome.RequestID == "" || len(c.outcome.RequestID) > maxRequestIDBytes {
@@ -87,7 +90,7 @@
 func (c *call) authenticate() error {
 	key, ok := bytes.CutPrefix(c.http.Request.Header.Peek("Authorization"), []byte("Bearer "))
 	if ok {
-		c.team, ok = c.g.Snapshot().TeamByKey(key)
+		c.team, ok = c.snapshot.TeamByKey(key)
 	}
 	if !ok {
 		return verdict.New(verdict.NotRun, 401, "unknown_team", "the bearer key is missing or unknown")
@@ -109,7 +112,7 @@
 	if name == "" {
 		return verdict.New(verdict.NotRun, 400, "no_class", "no class specified: set %s", headerClass)
 	}
-	class, ok := c.g.Snapshot().Document.Classes[name]
+	class, ok := c.snapshot.Document.Classes[name]
 	if !ok {
 		return verdict.New(verdict.NotRun, 400, "unknown_class", "unknown class %q", name)
 	}
--- a/internal/request/model.go
+++ b/internal/request/model.go
@@ -82,7 +82,7 @@
 }
 
 func (c *call) prepareModel(path, service string, req modelRequest) error {
-	svc, ok := c.g.Snapshot().ServiceForModel(req.Model)
+	svc, ok := c.snapshot.ServiceForModel(req.Model)
 	if !ok || (service != "" && svc.Name != service) {
 		return verdict.New(verdict.NotRun, 404, "unknown_model", "unknown model %q", req.Model)
 	}
@@ -113,7 +113,7 @@
 	if err := c.authenticate(); err != nil {
 		return err
 	}
-	names := c.g.Snapshot().Models()
+	names := c.snapshot.Models()
 	sort.Strings(names)
 	list := modelList{Object: "list", Data: []modelItem{}}
 	for _, n := range names {
--- a/internal/request/plain.go
+++ b/internal/request/plain.go
@@ -35,7 +35,7 @@
 	if err := c.authenticate(); err != nil {
 		return err
 	}
-	svc, ok := c.g.Snapshot().Service(name)
+	svc, ok := c.snapshot.Service(name)
 	if ok && svc.Kind == config.ServiceKindEngine && (path == "v1/completions" || path == "v1/chat/completions") {
 		return c.serveCompletion("/"+path, name)
 	}
--- a/internal/request/resume.go
+++ b/internal/request/resume.go
@@ -61,7 +61,7 @@
 // locate looks up the backend server, service and class of the generation.
 func (gen *generation) locate(id gentoken.Generation) error {
 	c := gen.c
-	snap := c.g.Snapshot()
+	snap := c.snapshot
 	c.service, _ = snap.Service(id.Service)
 	if c.service == nil {
 		c.service = &version.Service{}
--- a/internal/request/testgateway_test.go
+++ b/internal/request/testgateway_test.go
@@ -13,6 +13,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -45,6 +46,10 @@
 	limit int
 	// counters holds the requests in flight at each backend server, by its id.
 	counters map[string]*version.Counters
+	// snapshot replaces the routing snapshot of the gateway if it is not nil.
+	snapshot func() *version.Snapshot
+	// apply puts a configuration in force; start sets it.
+	apply func(*config.Document)
 
 	mu       sync.Mutex
 	outcomes []Outcome
@@ -118,37 +123,53 @@
 	})
 }
 
-// start starts a new gateway for the registered backend servers; later calls of do are sent
-// to it.
-func (r *testGateway) start() string {
+// build returns the snapshot of a configuration with the registered backend servers.
+func (r *testGateway) build(doc *config.Document) *version.Snapshot {
 	limit := r.limit
 	if limit == 0 {
 		limit = 8
 	}
-	counters := map[string]*version.Counters{}
-	r.counters = counters
-	for _, h := range r.hosts {
-		counters[h.ID] = &version.Counters{}
-	}
-	snap := version.Build(version.Inputs{
-		Document: testDocument(),
+	return version.Build(version.Inputs{
+		Document: doc,
 		Hosts:    r.hosts,
-		Counters: func(h platform.Host) *version.Counters { return counters[h.ID] },
-		Limit: func(platform.Host) (int, time.Time, bool) {
-			return limit, time.Time{}, true
-		},
+		Counters: func(h platform.Host) *version.Counters { return r.counters[h.ID] },
+		Limit:    func(platform.Host) (int, time.Time, bool) { return limit, time.Time{}, true },
 		Excluded: func(platform.Host) bool { return false },
 	})
+}
+
+// start starts a new gateway for the registered backend servers; later calls of do are sent
+// to it.
+func (r *testGateway) start() string {
+	r.counters = map[string]*version.Counters{}
+	for _, h := range r.hosts {
+		r.counters[h.ID] = &version.Counters{}
+	}
 	dispatchers := placement.NewTable("r", 1)
+	var current atomic.Pointer[version.Snapshot]
+	current.Store(r.build(testDocument()))
+	var updates sync.Mutex
 	update := func() {
+		updates.Lock()
+		defer updates.Unlock()
+		snap, topology, now := current.Load(), placement.Topology{Hosts: 1}, time.Now()
 		snap.Services(func(svc *version.Service) {
-			dispatchers.Dispatcher(svc.Name, svc.Kind).Update(svc, placement.Topology{Hosts: 1}, time.Now())
+			dispatchers.Dispatcher(svc.Name, svc.Kind).Update(svc, topology, now)
 		})
+		dispatchers.Retain(func(name string) bool { _, ok := snap.Service(name); return ok }, topology, now)
 	}
 	update()
+	r.apply = func(doc *config.Document) {
+		current.Store(r.build(doc))
+		update()
+	}
+	snapshot := r.snapshot
+	if snapshot == nil {
+		snapshot = current.Load
+	}
 	g := &Gateway{
 		Dispatchers:      dispatchers,
-		Snapshot:         func() *version.Snapshot { return snap },
+		Snapshot:         snapshot,
 		CheckFreshness:   func(time.Time) error { return nil },
 		Pool:             connection.NewPool(),
 		Watcher:          connection.NewWatcher(),
