Reject header sections beyond the largest buffer

Cause: with header_bytes above 1 MiB in the configuration, a caller whose header section was larger than that got a reset instead of a response. The read buffer is capped, the limit was not: the full buffer was taken for a failed connection. Ruled out: a larger buffer, which a single caller could make the host allocate. Change: the limit is capped like the buffer, so that such a request is rejected with 431. Conclusion: no header section ends a connection without a response for its size.

--- a/internal/connection/caller.go
+++ b/internal/connection/caller.go
@@ -22,7 +22,7 @@
 	lingerTimeout = 500 * time.Millisecond
 	// minHeaderBytes is the smallest buffer for a request's header section.
 	minHeaderBytes = 4 << 10
-	// maxHeaderBytes bounds the header buffer, whatever limit the configuration sets.
+	// maxHeaderBytes bounds header sections and their buffer, whatever limit the configuration sets.
 	maxHeaderBytes = 1 << 20
 )
 
@@ -298,6 +298,7 @@
 // peekHeader returns the request line and header section, up to and including the empty
 // line, without consuming them.
 func (c *serverConn) peekHeader(limit int) ([]byte, *requestError) {
+	limit = min(limit, maxHeaderBytes) // the buffer holds no more
 	for want := 1; ; {
 		if _, err := c.reader.Peek(want); err != nil {
 			if errors.Is(err, os.ErrDeadlineExceeded) {
