--- a/internal/forward/balancers.go
+++ b/internal/forward/balancers.go
@@ -46,7 +46,9 @@
 	waiters  []*waiter
 	// waking is set while a timer is to wake the waiters.
 	waking bool
-	engine *route.Engine
+	// config is the newest configuration of the service, kept when a later one no longer has it: its
+	// requests still run and may have to be migrated. It is nil if there was none.
+	config *route.Service
 	// lastNotice is when a server of the service last gave a termination notice.
 	lastNotice time.Time
 }
@@ -93,12 +95,13 @@
 	return s
 }
 
-// setBounds replaces the bounds and applies them to the snapshot.
-func (bs *balancers) setBounds(b Bounds, now *directory.Snapshot) {
+// setBounds replaces the bounds and applies them to the current snapshot.
+func (bs *balancers) setBounds(b Bounds, current func() *directory.Snapshot) {
 	bs.mu.Lock()
+	defer bs.mu.Unlock()
 	bs.bounds = b
-	bs.mu.Unlock()
-	bs.applySnapshot(now)
+	// Read under the lock: a newer snapshot is applied after this one.
+	bs.applyLocked(current())
 }
 
 // applySnapshot applies the servers and the settings of a snapshot. Terminating
@@ -106,6 +109,10 @@
 func (bs *balancers) applySnapshot(now *directory.Snapshot) {
 	bs.mu.Lock()
 	defer bs.mu.Unlock()
+	bs.applyLocked(now)
+}
+
+func (bs *balancers) applyLocked(now *directory.Snapshot) {
 	bs.hosts = len(now.Hosts)
 	eligible := map[string][]balance.Server{}
 	addresses := make(map[string]balance.Server, len(now.Servers))
@@ -133,11 +140,11 @@
 	bs.hasRefusals.Store(bs.refusals.HasAny())
 	for name, s := range bs.services {
 		settings := balance.Settings{Domain: bs.opts.Domain, Region: bs.opts.Region}
-		s.engine = nil
-		if now.Table != nil {
-			if config := now.Table.Services[name]; config != nil {
-				bs.configure(&settings, s, config)
-			}
+		if now.Table != nil && now.Table.Services[name] != nil {
+			s.config = now.Table.Services[name]
+		}
+		if s.config != nil {
+			bs.configure(&settings, s.config)
 		}
 		s.balancer.Configure(settings)
 		s.balancer.SetServers(eligible[name])
@@ -146,9 +153,8 @@
 	}
 }
 
-func (bs *balancers) configure(settings *balance.Settings, s *serviceState, config *route.Service) {
+func (bs *balancers) configure(settings *balance.Settings, config *route.Service) {
 	if config.Engine != nil {
-		s.engine = config.Engine
 		settings.KVTokens = config.Engine.KVTokens
 	}
 	if config.ColdPerSecond > 0 {
@@ -161,7 +167,10 @@
 func (bs *balancers) engineConfig(service string) *route.Engine {
 	bs.mu.Lock()
 	defer bs.mu.Unlock()
-	return bs.service(service).engine
+	if config := bs.service(service).config; config != nil {
+		return config.Engine
+	}
+	return nil
 }
 
 func (bs *balancers) hostCount() int {
--- a/internal/request/call.go
+++ b/internal/request/call.go
@@ -22,11 +22,14 @@
 
 // call is the state of one request of a caller.
 type call struct {
-	g       *Gateway
-	http    *fasthttp.RequestCtx
-	ctx     context.Context
-	cancel  context.CancelFunc
-	unwatch func()
+	g *Gateway
+	// snapshot is the routing snapshot that decides about the call: parts of two could reject what
+	// each of them allows.
+	snapshot *version.Snapshot
+	http     *fasthttp.RequestCtx
+	ctx      context.Context
+	cancel   context.CancelFunc
+	unwatch  func()
 	// cancelCause cancels the call's context with a cause.
 	cancelCause context.CancelCauseFunc
 	// responseBegun is set when the header of the response may have been sent.
@@ -48,7 +51,7 @@
 func (g *Gateway) newCall(http *fasthttp.RequestCtx) *call {
 	ctx, cancelCause := context.WithCancelCause(context.Background())
 	cancel := func() { cancelCause(nil) }
-	c := &call{g: g, http: http, ctx: ctx, cancel: cancel, cancelCause: cancelCause, start: g.Now(), releaseTeam: func() {}}
+	c := &call{g: g, snapshot: g.Snapshot(), http: http, ctx: ctx, cancel: cancel, cancelCause: cancelCause, start: g.Now(), releaseTeam: func() {}}
 	g.calls.Store(c, nil)
 	if g.stopping.Load() {
 		c.cancelForShutdown()
@@ -99,7 +102,7 @@
 func (c *call) authenticate() error {
 	key, ok := bytes.CutPrefix(c.http.Request.Header.Peek("Authorization"), []byte("Bearer "))
 	if ok {
-		c.team, ok = c.g.Snapshot().TeamByKey(key)
+		c.team, ok = c.snapshot.TeamByKey(key)
 	}
 	if !ok {
 		return verdict.New(verdict.NotRun, 401, "unknown_team", "the bearer key is missing or unknown")
@@ -121,7 +124,7 @@
 	if name == "" {
 		return verdict.New(verdict.NotRun, 400, "no_class", "no class specified: set %s", headerClass)
 	}
-	class, ok := c.g.Snapshot().Document.Classes[name]
+	class, ok := c.snapshot.Document.Classes[name]
 	if !ok {
 		return verdict.New(verdict.NotRun, 400, "unknown_class", "unknown class %q", name)
 	}
