Name the source of a termination notice in a test of settings

Cause: the merge of two changes: a notice now has a source. Ruled out: nothing further. Change: the test names one. Conclusion: the test builds.

--- a/internal/forward/bounds_test.go
+++ b/internal/forward/bounds_test.go
@@ -83,7 +83,7 @@
 		// more than 1 ms, sync.Mutex hands it over in the order of arrival.
 		g.balancers.mu.Lock()
 		var wg sync.WaitGroup
-		for _, change := range []func(){func() { g.SetBounds(Bounds{}) }, func() { d.MarkTerminating(id, 1) }} {
+		for _, change := range []func(){func() { g.SetBounds(Bounds{}) }, func() { d.MarkTerminating(id, 1, "load report") }} {
 			wg.Add(1)
 			go func() {
 				defer wg.Done()
