Settle the findings of a review of the states of a stream

Callers saw, or would have seen: a complete stream of a leaving engine broken off because a control call took longer than 400 ms; a stream left at a leaving engine because its migration met a request to the engine with the replica; a stream lost because that engine had rejected it once; a generation at two engines for 0.8 s after a silence of 3.6 s. Cause: a timeout taken for the end of an engine; a state that counted as the end of a migration; a replica forgotten at the first rejection; a bound on a late target that was longer while the source was taken for dead, though it was still open. Ruled out: a longer bound of control calls: a refused connection alone shows that an engine has ended. Change: as above; a source silent for 3 s is closed 200 ms after its target was asked; repeated requests are charged to the retry budget; an abandoned request is logged as such; a slow caller is no silence of the source.

--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -1,8 +1,8 @@
 // Package relay decides how a stream goes on that is relayed from one backend server and may be
 // resumed at another: which of the two may be closed, and when the stream is complete or broken.
 //
-// A source is closed only after another engine has accepted to resume, or after its own response
-// ended. An engine that was asked while the source may still run the generation has to accept
+// A source is closed only after another engine has accepted to resume, or after a silence in which it
+// is taken for dead. An engine that was asked while the source may still run the generation has to accept
 // within a bound, or else its request is abandoned, so that the generation does not run at two
 // engines. The package does no I/O, reads no clock and is not safe for concurrent use.
 package relay
@@ -56,7 +56,7 @@
 const (
 	// None: nothing changes.
 	None Action = iota
-	// CloseSource closes the source's response; the relay goes on with the target after its end.
+	// CloseSource closes the source's response.
 	CloseSource
 	// RelayTarget goes on with the target's response.
 	RelayTarget
@@ -137,19 +137,10 @@
 	return None
 }
 
-// AbandonAt returns when the request to the target is to be abandoned without its response. ok is
-// false if no response is awaited. While the source may run the generation, MaxOverlap counts from
-// the request, or from the first event after the source was taken for dead; a dead source leaves
-// the target as long as a silent engine has.
-func (s *Stream) AbandonAt() (at time.Time, ok bool) {
+// LateAt returns when the target is late; see Late. ok is false if no response is awaited.
+func (s *Stream) LateAt() (at time.Time, ok bool) {
 	switch s.state {
 	case Switching:
-		if s.heardAt.Before(s.askedAt) && s.askedAt.Sub(s.heardAt) >= SilenceLimit {
-			return s.askedAt.Add(SilenceLimit), true
-		}
-		if s.heardAt.After(s.askedAt) && s.heardAt.Sub(s.askedAt) >= MaxOverlap {
-			return s.heardAt, true
-		}
 		return s.askedAt.Add(MaxOverlap), true
 	case Resuming:
 		start := s.askedAt
@@ -161,6 +152,16 @@
 	return time.Time{}, false
 }
 
+// Late tells what happens to a target that has not responded at LateAt. While the source may run the
+// generation, the request to the target is abandoned, so that it does not run at both. A source that
+// has been silent for SilenceLimit is closed instead, and its target then has as long as a silent engine.
+func (s *Stream) Late(now time.Time) Action {
+	if s.state == Switching && s.Silence(now) >= SilenceLimit {
+		return CloseSource
+	}
+	return DropTarget
+}
+
 // SourceEnded records the end of the source's response. complete is the result of Body.Complete.
 func (s *Stream) SourceEnded(now time.Time, complete bool) Action {
 	if s.state.Ended() {
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -119,36 +119,33 @@
 	}
 }
 
-// Guards against a generation that runs at two engines for too long, and against a target that is
-// abandoned too early although the source is dead.
-func TestAbandonAt(t *testing.T) {
+// Guards against a generation that runs at two engines for too long, against a source that is closed
+// although it is silent for a second or two only, and against one that is awaited although it is dead.
+func TestLateTargets(t *testing.T) {
 	for _, row := range []struct {
-		name               string
-		heard, asked       time.Duration
-		heardLater, endsAt time.Duration // 0 if that does not happen
-		want               time.Duration
+		name         string
+		heard, asked time.Duration
+		ends         time.Duration // 0 if that does not happen
+		at           time.Duration
+		action       Action
 	}{
-		{"source runs", 900 * time.Millisecond, time.Second, 0, 0, time.Second + MaxOverlap},
-		{"source is silent", 0, time.Second, 0, 0, time.Second + MaxOverlap},
-		{"source is taken for dead", 0, SilenceLimit, 0, 0, 2 * SilenceLimit},
-		{"dead source goes on at once", 0, SilenceLimit, SilenceLimit + 50*time.Millisecond, 0, SilenceLimit + MaxOverlap},
-		{"dead source goes on later", 0, SilenceLimit, SilenceLimit + time.Second, 0, SilenceLimit + time.Second},
-		{"source has ended", 900 * time.Millisecond, time.Second, 0, 1100 * time.Millisecond, 1100*time.Millisecond + SilenceLimit},
+		{"source runs", 900 * time.Millisecond, time.Second, 0, time.Second + MaxOverlap, DropTarget},
+		{"source is silent", 0, 2 * time.Second, 0, 2*time.Second + MaxOverlap, DropTarget},
+		{"source is taken for dead", 0, SilenceLimit, 0, SilenceLimit + MaxOverlap, CloseSource},
+		{"source has ended", 900 * time.Millisecond, time.Second, 1100 * time.Millisecond, 1100*time.Millisecond + SilenceLimit, DropTarget},
 	} {
 		s := New(start)
 		s.Heard(after(row.heard))
 		require.True(t, s.Ask(after(row.asked)))
-		if row.heardLater > 0 {
-			s.Heard(after(row.heardLater))
+		if row.ends > 0 {
+			s.SourceEnded(after(row.ends), false)
 		}
-		if row.endsAt > 0 {
-			s.SourceEnded(after(row.endsAt), false)
-		}
-		at, ok := s.AbandonAt()
+		at, ok := s.LateAt()
 		assert.True(t, ok, row.name)
-		assert.Equal(t, row.want, at.Sub(start), row.name)
+		assert.Equal(t, row.at, at.Sub(start), row.name)
+		assert.Equal(t, row.action, s.Late(at), row.name)
 	}
-	_, ok := New(start).AbandonAt()
+	_, ok := New(start).LateAt()
 	assert.False(t, ok)
 }
 
@@ -157,19 +154,16 @@
 
 // model plays a host that follows Stream against engines that do anything.
 type model struct {
-	t             *rapid.T
-	s             *Stream
-	now           time.Time
-	last          int // number of events of the generation
-	source        *engine
-	target        *engine // nil if none is asked
-	targetAt      int     // event from which the target goes on
-	sent          int     // events that the source has sent
-	delivered     []int
-	reservations  int // of targets
-	overlap       time.Time
-	askedSilent   bool
-	targetRunning bool
+	t            *rapid.T
+	s            *Stream
+	now          time.Time
+	last         int // number of events of the generation
+	source       *engine
+	target       *engine // nil if none is asked
+	targetAt     int     // event from which the target goes on
+	sent         int     // events that the source has sent
+	delivered    []int
+	reservations int // of targets
 }
 
 // do carries out an action of the stream.
@@ -276,7 +270,7 @@
 
 func (m *model) refuse() {
 	if m.target == nil || m.target.running {
-		return
+		return // its response has arrived
 	}
 	wasRunning := m.source.running
 	m.drop()
@@ -285,17 +279,24 @@
 	require.Equal(m.t, wasRunning, m.s.State() == Relayed)
 }
 
-// pass lets time pass; targets that do not respond are abandoned in time.
+// pass lets time pass; a target that does not respond in time has its consequence.
 func (m *model) pass(d time.Duration) {
 	end := m.now.Add(d)
-	if at, ok := m.s.AbandonAt(); ok {
-		limit := m.s.askedAt.Add(MaxOverlap)
-		if m.source.running && m.s.heardAt.Add(SilenceLimit).After(m.s.askedAt) {
-			require.False(m.t, at.After(limit), "the target is awaited beyond the bound")
-		}
-		if !at.After(end) {
-			m.refuse()
-		}
+	at, ok := m.s.LateAt()
+	if !ok || at.After(end) {
+		m.now = end
+		return
+	}
+	if m.source.running {
+		require.Equal(m.t, MaxOverlap, at.Sub(m.s.askedAt), "the target is awaited beyond the bound")
+	}
+	m.now = at
+	if m.s.Late(at) == CloseSource {
+		require.GreaterOrEqual(m.t, m.s.Silence(at), SilenceLimit, "a source is closed that may be sound")
+		m.source.running = false
+		m.do(m.s.SourceEnded(at, false))
+	} else {
+		m.refuse()
 	}
 	m.now = end
 }
--- a/internal/crashes/crashes_test.go
+++ b/internal/crashes/crashes_test.go
@@ -46,8 +46,8 @@
 	r.RecordBrokenAnswer(attribution.Crash{
 		Process: attribution.Process{ID: fmt.Sprint("engine-", n)}, Address: g.refusedAddress(), Domain: "d", Engines: 9, Domains: 1,
 	}, io.ErrUnexpectedEOF)
-	if r.checked != nil {
-		<-r.checked
+	if checked := r.checked.Load(); checked != nil {
+		<-*checked
 	}
 }
 
@@ -66,14 +66,14 @@
 		crashOfRunning.Address = alive.Addr().String()
 		crashOfRunning.Process.ID = fmt.Sprint("running-", n)
 		running.RecordBrokenAnswer(crashOfRunning, io.ErrUnexpectedEOF)
-		<-running.checked
+		<-*running.checked.Load()
 		late := g.NewRequest("late", []string{"part"}, func() {})
 		late.RecordBrokenAnswer(crash, fmt.Errorf("read: %w", os.ErrDeadlineExceeded))
-		assert.Nil(t, late.checked)
+		assert.Nil(t, late.checked.Load())
 		begun := g.NewRequest("begun", []string{"other"}, func() {})
 		begun.RecordAnswer()
 		begun.RecordBrokenAnswer(crash, errors.New("reset"))
-		assert.Nil(t, begun.checked)
+		assert.Nil(t, begun.checked.Load())
 	}
 	assert.Empty(t, g.Rejections())
 	for n := range 3 {
--- a/internal/crashes/request.go
+++ b/internal/crashes/request.go
@@ -23,7 +23,7 @@
 
 	// checked is closed when the last broken answer of the request has been checked; nil if there
 	// was none.
-	checked chan struct{}
+	checked atomic.Pointer[chan struct{}]
 
 	begun, trial  atomic.Bool
 	interruptedBy atomic.Pointer[attribution.Rejection]
@@ -141,14 +141,14 @@
 
 // RecordBrokenAnswer records a crash if the engine has ended since it got the request and the answer
 // had not begun. cause is how the response ended. The time and the parts of the crash are set here. It
-// does not wait for the check of the engine. It must not be called concurrently.
+// does not wait for the check of the engine.
 func (r *Request) RecordBrokenAnswer(crash attribution.Crash, cause error) {
 	if !r.HasPendingAnswer() || isTimeout(cause) {
 		return
 	}
 	crash.At, crash.Parts = r.guard.opts.Clock(), r.parts
 	checked := make(chan struct{})
-	r.checked = checked
+	r.checked.Store(&checked)
 	go func() {
 		defer close(checked)
 		r.guard.confirm(r, crash)
@@ -158,10 +158,14 @@
 // AllowRetry reports whether the request may be sent to another engine after a broken answer. It waits
 // for the check of the engine.
 func (r *Request) AllowRetry() bool {
-	if r == nil || r.checked == nil {
+	if r == nil {
+		return true
+	}
+	checked := r.checked.Load()
+	if checked == nil {
 		return true
 	}
-	<-r.checked
+	<-*checked
 	r.guard.mu.Lock()
 	defer r.guard.mu.Unlock()
 	return r.guard.tracker.AllowRetry(r.parts)
--- a/internal/forward/generations.go
+++ b/internal/forward/generations.go
@@ -45,6 +45,10 @@
 	// consequence. silentSwitches is the number of switchovers for that since the last event.
 	silenceTimer   *time.Timer
 	silentSwitches int
+	// takenForDead is set when the current source was closed because of its silence.
+	takenForDead bool
+	// silentAsks is the number of requests to resume because the source was silent.
+	silentAsks int
 }
 
 func (gens *generations) add(r *request, res, standby *reservation) *generation {
@@ -170,8 +174,6 @@
 func (gen *generation) delivered(events int, lastID int64) {
 	gen.mu.Lock()
 	gen.events, gen.lastID = events, lastID
-	gen.relay.Heard(time.Now())
 	gen.silentSwitches = 0
 	gen.mu.Unlock()
-	gen.awaitSilence()
 }
--- a/internal/forward/migration.go
+++ b/internal/forward/migration.go
@@ -11,6 +11,7 @@
 	"monsoonkeel.example/monsoonkeel/core/migrate"
 	"monsoonkeel.example/monsoonkeel/core/relay"
 	"monsoonkeel.example/monsoonkeel/core/route"
+	"monsoonkeel.example/monsoonkeel/internal/connection"
 	"monsoonkeel.example/monsoonkeel/internal/wait"
 )
 
@@ -79,6 +80,9 @@
 	failures, switchovers := 0, 0
 	retryInterval := switchoverRetryInterval
 	for attempt := 0; attempt < maxCopyAttempts && gen.runsAt(m.source.ID); attempt++ {
+		if m.target != nil && !gen.r.g.acceptsWork(m.target.server.ID) {
+			gen.releaseCopy(m)
+		}
 		if m.target == nil && !gen.chooseTarget(m, attempted) {
 			attempted = attempted[:1]
 			gen.waitWhileRunning(copyRetryInterval)
@@ -90,7 +94,13 @@
 		gen.log(m, "copy", result, err)
 		switch result.Outcome {
 		case Copied:
+			if handle := m.preCopy.Handle; handle != result.Handle {
+				go gen.dropCopy(m.source, handle)
+			}
 			m.preCopy = result
+			if switchovers > 0 && !gen.r.g.balancers.chargeRetry(gen.r.service) {
+				break
+			}
 			sw := gen.switchTo(m.source.ID, m.target, gen.r.g.opts.Dialect.FormatKVSource(m.source.Address, result.Handle))
 			if sw == nil {
 				break // the first event has not arrived, or the stream ended
@@ -104,9 +114,11 @@
 			gen.replaceTarget(m, attempted)
 			continue
 		case TargetUnavailable:
+			attempted = append(attempted, m.target.server.ID)
 			if m.preCopy.Handle == "" {
-				attempted = append(attempted, m.target.server.ID)
 				m.releaseTarget()
+			} else {
+				gen.replaceTarget(m, attempted)
 			}
 		case CopyFailed:
 			failures++
@@ -135,17 +147,24 @@
 	if target == nil {
 		return
 	}
+	gen.releaseCopy(m)
+	m.target = target
+	go gen.preconnect(target.server.Address)
+}
+
+// releaseCopy releases the target of a migration and frees the copy there.
+func (gen *generation) releaseCopy(m *migration) {
 	go gen.dropCopy(m.source, m.preCopy.Handle)
 	m.releaseTarget()
-	m.target, m.preCopy = target, CopyResult{}
-	go gen.preconnect(target.server.Address)
+	m.preCopy = CopyResult{}
 }
 
-// runsAt reports whether the generation is relayed from a server.
+// runsAt reports whether the generation is relayed from a server, whether or not another is asked.
 func (gen *generation) runsAt(server string) bool {
 	gen.mu.Lock()
 	defer gen.mu.Unlock()
-	return !gen.ended && gen.r.ctx.Err() == nil && gen.reservation.server.ID == server && gen.relay.State() == relay.Relayed
+	state := gen.relay.State()
+	return !gen.ended && gen.r.ctx.Err() == nil && gen.reservation.server.ID == server && (state == relay.Relayed || state == relay.Switching)
 }
 
 // waitWhileRunning waits for d or until the source's response has ended.
@@ -241,7 +260,8 @@
 	return false
 }
 
-// leavingEngineIsGone reports whether the source of a migration does not respond any more.
+// leavingEngineIsGone reports whether the source of a migration refuses connections. An engine that does
+// not respond in time may be sound.
 func (gen *generation) leavingEngineIsGone() bool {
 	gen.mu.Lock()
 	leaving, source := gen.migration != nil, gen.reservation.server
@@ -249,14 +269,13 @@
 	if !leaving {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(gen.r.ctx, connectTimeout)
-	defer cancel()
-	gen.r.g.balancers.chargeRate(source.ID)
-	_, err := gen.r.g.opts.EngineClient.Report(ctx, source.Address)
-	if err != nil {
-		gen.r.g.opts.Log.Info().Str("request", gen.r.id).Str("source", source.ID).Err(err).Msg("the engine of a stream that ended does not respond")
+	conn, err := connection.Dial(gen.r.ctx, source.Address, connectTimeout)
+	if err == nil {
+		_ = conn.Close()
+		return false
 	}
-	return err != nil
+	gen.r.g.opts.Log.Info().Str("request", gen.r.id).Str("source", source.ID).Err(err).Msg("connecting to the engine of a stream that ended failed")
+	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
 func (m *migration) releaseTarget() {
--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -84,7 +84,7 @@
 	case <-s.r.ctx.Done():
 		return s.r.ctx.Err()
 	}
-	if !gen.canResume(m) {
+	if m.target == nil || !s.r.g.acceptsWork(m.target.server.ID) || !gen.canResume(m) {
 		m.releaseTarget()
 		s.r.g.Metrics.FailedMigrations.Add(1)
 		return errors.New("the migration of the generation had not copied it, or its engine may still run it")
@@ -112,7 +112,7 @@
 			break
 		}
 	}
-	target.release(r.call.Context().Err() == nil)
+	target.release(!sw.responded && r.call.Context().Err() == nil)
 	r.g.Metrics.FailedMigrations.Add(1)
 	return sw.err
 }
@@ -135,7 +135,7 @@
 	former := gen.reservation
 	m := gen.migration
 	gen.reservation, gen.migration, gen.switchover = target, nil, nil
-	gen.ex, gen.sourceEnded = ex, make(chan struct{})
+	gen.ex, gen.sourceEnded, gen.takenForDead = ex, make(chan struct{}), false
 	gen.relay.Relay(time.Now())
 	if gen.standby == target {
 		gen.standby = nil
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -30,21 +30,34 @@
 	}
 }
 
+// heard records that the source sent something. Until awaitSilence, a caller that reads slowly is not
+// taken for a silence of the source.
+func (gen *generation) heard() {
+	gen.mu.Lock()
+	defer gen.mu.Unlock()
+	gen.relay.Heard(time.Now())
+	gen.stopAwaitingSilence()
+}
+
 // sourceIsSilent asks the engine with the standby replica to resume the generation. If it does not
 // respond, it is asked again once the source is taken for dead.
 func (gen *generation) sourceIsSilent() {
-	source := gen.serverID()
-	sw := gen.switchToStandby(source)
 	gen.mu.Lock()
-	defer gen.mu.Unlock()
-	if gen.ended {
-		return
+	heard, repeated := gen.relay.Silence(time.Now()), gen.silentAsks > 0
+	gen.silentAsks++
+	gen.silentSwitches++ // undone by the next event
+	gen.mu.Unlock()
+	var sw *switchover
+	if !repeated || gen.r.g.balancers.chargeRetry(gen.r.service) {
+		sw = gen.switchToStandby(gen.serverID())
 	}
-	if sw != nil && sw.ex != nil {
-		gen.silentSwitches++
-		return // relayFrom waits for the next silence
+	gen.mu.Lock()
+	defer gen.mu.Unlock()
+	silence := gen.relay.Silence(time.Now())
+	if gen.ended || sw != nil && sw.ex != nil || silence < heard {
+		return // relayFrom or the next event waits for the next silence
 	}
-	left := relay.SilenceLimit - gen.relay.Silence(time.Now())
+	left := relay.SilenceLimit - silence
 	if left <= 0 {
 		left = relay.SilenceLimit
 	}
--- a/internal/forward/standby.go
+++ b/internal/forward/standby.go
@@ -90,11 +90,7 @@
 	if standby == nil {
 		return nil
 	}
-	sw := gen.switchTo(server, standby, gen.r.g.opts.Dialect.FormatKVSource(standby.server.Address, gen.r.id))
-	if sw != nil && sw.responded {
-		gen.setStandby(nil) // the engine has no replica, or no capacity for it
-	}
-	return sw
+	return gen.switchTo(server, standby, gen.r.g.opts.Dialect.FormatKVSource(standby.server.Address, gen.r.id))
 }
 
 // resumeAtStandby resumes the generation from its standby replica after the engine broke
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -169,9 +169,11 @@
 	for {
 		frame, err := s.frames.Next()
 		if err == nil {
+			s.generation.heard()
 			if err = s.deliver(frame); err != nil {
 				return s.fail(err)
 			}
+			s.generation.awaitSilence()
 			continue
 		}
 		action := s.sourceEnded(err)
--- a/internal/forward/switchover.go
+++ b/internal/forward/switchover.go
@@ -75,8 +75,13 @@
 	stop()
 	gen.mu.Lock()
 	gen.settle(sw)
+	gen.r.targetResponse = "accepted"
+	if sw.err != nil {
+		gen.r.targetResponse = sw.err.Error()
+	}
 	gen.mu.Unlock()
 	if sw.ex == nil {
+		sw.cancel()
 		sw.standby.releaseIfHeld()
 	}
 	gen.logSwitchover(sw, server)
@@ -118,15 +123,21 @@
 	check := func() {
 		gen.mu.Lock()
 		defer gen.mu.Unlock()
-		at, awaited := gen.relay.AbandonAt()
-		if !awaited || sw.ctx.Err() != nil {
+		at, awaited := gen.relay.LateAt()
+		if !awaited || sw.ctx.Err() != nil || gen.switchover != sw {
 			return
 		}
 		if left := time.Until(at); left > 0 {
 			timer.Reset(min(left, relay.MaxOverlap))
 			return
 		}
-		sw.cancel()
+		if gen.relay.Late(time.Now()) == relay.DropTarget {
+			sw.cancel()
+			return
+		}
+		gen.takenForDead = true
+		gen.ex.Abort()
+		timer.Reset(relay.MaxOverlap)
 	}
 	gen.mu.Lock()
 	timer = time.AfterFunc(relay.MaxOverlap, check)
@@ -153,6 +164,9 @@
 		r.g.balancers.chargeRate(sw.target.server.ID)
 	}
 	ex, err := r.exchange(ctx, sw.target, false, prepare)
+	if ctx.Err() != nil {
+		return nil, verdict.New(verdict.MayHaveRun, 504, "target_late", "the engine with the KV cache copy did not respond in time")
+	}
 	if verdict.From(err).Code == connection.CodeNoResponse {
 		// The preconnected connection may have been closed. A copy can be used once, so a
 		// second request cannot start a second generation.
@@ -212,12 +226,6 @@
 }
 
 func (gen *generation) logSwitchover(sw *switchover, source string) {
-	gen.mu.Lock()
-	gen.r.targetResponse = "accepted"
-	if sw.err != nil {
-		gen.r.targetResponse = sw.err.Error()
-	}
-	gen.mu.Unlock()
 	gen.r.g.opts.Log.Info().Str("request", gen.r.id).Str("source", source).Str("target", sw.target.server.ID).
 		Bool("went_on", sw.ex != nil).AnErr("error", sw.err).AnErr("source_end", sw.sourceEnd).
 		Msg("generation switchover to another engine attempted")
