Charge the retry budget only for requests to standby replicas that are sent

Callers would have seen: rejections of others' retries under load, since each silence of a stream without a replica took one from the retry budget. Cause: the budget was charged before it was known whether there is a replica to ask. Also, the end of a source that this host closed was recorded like the end of an engine. Ruled out: charging after the request, which then is sent beyond the budget. Change: askStandby checks for a replica first; only the end of an engine is evidence on prompt parts. Figures: the tests of silent sources pass; none of them counts the budget.

--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -33,10 +33,11 @@
 	}
 	gen.mu.Lock()
 	r.sourceEndedBy = gen.endedBy()
+	byEngine := r.sourceEndedBy == endedByEngine
 	action := gen.relay.SourceEnded(time.Now(), body.Complete())
 	close(gen.sourceEnded)
 	gen.mu.Unlock()
-	if action != relay.EndResponse {
+	if byEngine && action != relay.EndResponse {
 		r.recordBrokenAnswer(gen.server(), end)
 	}
 	return action
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -43,18 +43,13 @@
 // respond, it is asked again once the source is taken for dead.
 func (gen *generation) sourceIsSilent() {
 	gen.mu.Lock()
-	heard, repeated := gen.relay.Silence(time.Now()), gen.silentAsks > 0
-	gen.silentAsks++
-	gen.silentSwitches++ // undone by the next event
+	before := gen.relay.Silence(time.Now())
 	gen.mu.Unlock()
-	var sw *switchover
-	if !repeated || gen.r.g.balancers.chargeRetry(gen.r.service) {
-		sw = gen.switchToStandby(gen.serverID())
-	}
+	sw := gen.askStandby()
 	gen.mu.Lock()
 	defer gen.mu.Unlock()
 	silence := gen.relay.Silence(time.Now())
-	if gen.ended || sw != nil && sw.ex != nil || silence < heard {
+	if gen.ended || sw != nil && sw.ex != nil || silence < before {
 		return // relayFrom or the next event waits for the next silence
 	}
 	left := relay.SilenceLimit - silence
@@ -64,6 +59,23 @@
 	gen.silenceTimer.Reset(left)
 }
 
+// askStandby asks the engine with the standby replica to resume the generation of a silent source. All
+// but the first request for a generation are charged to the retry budget. It returns nil if none is sent.
+func (gen *generation) askStandby() *switchover {
+	if !gen.hasStandby() {
+		return nil
+	}
+	gen.mu.Lock()
+	repeated := gen.silentAsks > 0
+	gen.silentAsks++
+	gen.silentSwitches++ // reset by the next event
+	gen.mu.Unlock()
+	if repeated && !gen.r.g.balancers.chargeRetry(gen.r.service) {
+		return nil
+	}
+	return gen.switchToStandby(gen.serverID())
+}
+
 // stopAwaitingSilence ends the wait for a silence. gen.mu must be held.
 func (gen *generation) stopAwaitingSilence() {
 	if gen.silenceTimer != nil {
