Log why no backend server could take a rejected request

Cause of this change: the log line has only the time in the queue, so that limits, prefills, the KV cache, refusals and a queue that is blocked by its first request could not be told apart. Change: the choice of a backend server has one function that names why a candidate is passed over; a rejection carries the counts, and the line of the request shows them as shortage. Conclusion: the next such rejection names its reason; the cause is not shown by this commit.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -75,6 +75,8 @@
 	Server string
 	// RetryAfter is the delay to report to the caller, for admit.Reject.
 	RetryAfter time.Duration
+	// Shortage says why no backend server could take the request, for admit.Reject.
+	Shortage Shortage
 }
 
 // Options configure a Dispatcher.
@@ -223,10 +225,10 @@
 // the decision.
 func (d *Dispatcher) Offer(r Request, now time.Time) Outcome {
 	if after, refused := d.refusedFor(&r, now); refused {
-		return Outcome{ID: r.ID, Action: admit.Reject, RetryAfter: after}
+		return d.reject(&r, after, now)
 	}
 	if len(r.Attempted) > 0 && !d.hasUnattempted(r.Attempted) {
-		return Outcome{ID: r.ID, Action: admit.Reject, RetryAfter: time.Second}
+		return d.reject(&r, time.Second, now)
 	}
 	dist := d.lengths.Dist(r.Class, r.Team)
 	estimate := d.estimate(&r, &dist)
@@ -244,7 +246,11 @@
 	if s = d.pick(&r, &dist, false, now); s != nil {
 		return d.assign(&r, s, &dist, estimate, now)
 	}
-	return Outcome{ID: r.ID, Action: admit.Reject, RetryAfter: decision.RetryAfter}
+	return d.reject(&r, decision.RetryAfter, now)
+}
+
+func (d *Dispatcher) reject(r *Request, after time.Duration, now time.Time) Outcome {
+	return Outcome{ID: r.ID, Action: admit.Reject, RetryAfter: after, Shortage: d.shortage(r, now)}
 }
 
 // observeWork adds the estimated work of a request to meanWork.
@@ -285,8 +291,8 @@
 	d.out = d.out[:0]
 	d.rejectRefused(now)
 	for _, r := range d.queue.Rejected(now) {
+		d.out = append(d.out, d.reject(d.waiting[r.Item.ID], r.Decision.RetryAfter, now))
 		delete(d.waiting, r.Item.ID)
-		d.out = append(d.out, Outcome{ID: r.Item.ID, Action: admit.Reject, RetryAfter: r.Decision.RetryAfter})
 	}
 	for {
 		next, ok := d.queue.Peek(now)
--- a/core/dispatch/pick.go
+++ b/core/dispatch/pick.go
@@ -12,6 +12,19 @@
 )
 
 func (d *Dispatcher) pick(r *Request, dist *length.Dist, localOnly bool, now time.Time) *server {
+	req := d.fillCandidates(r, dist, localOnly, now)
+	var b [8]byte
+	binary.LittleEndian.PutUint64(b[:], d.seed)
+	d.seed = xxhash.Sum64(b[:])
+	at := schedule.Pick(d.candidates, req, d.seed)
+	if at < 0 {
+		return nil
+	}
+	return d.servers[at]
+}
+
+// fillCandidates describes the backend servers and the request for the choice of one.
+func (d *Dispatcher) fillCandidates(r *Request, dist *length.Dist, localOnly bool, now time.Time) schedule.Request {
 	headroom, gapMS := d.headroom.Value(now), tighterTarget(d.gapMS, r.TokenGapMS)
 	// The warm-up of a cold engine proceeds with each completed request, so
 	// short requests are preferred there. When all engines are cold, requests
@@ -23,19 +36,12 @@
 			d.candidates[i].Limit = 0
 		}
 	}
-	var b [8]byte
-	binary.LittleEndian.PutUint64(b[:], d.seed)
-	d.seed = xxhash.Sum64(b[:])
 	d.cachedPrefixes = d.appendCachedPrefixes(d.cachedPrefixes[:0], r)
 	req := schedule.Request{Region: d.opt.Region, LocalOnly: localOnly && d.hasLocalServer(), PromptTokens: r.PromptTokens, CachedPrefixes: d.cachedPrefixes}
 	if d.opt.Engine {
 		req.Survival = schedule.SurvivalOf(dist, 0)
 	}
-	at := schedule.Pick(d.candidates, req, d.seed)
-	if at < 0 {
-		return nil
-	}
-	return d.servers[at]
+	return req
 }
 
 // hasUnattempted reports whether there is a backend server at which a retry has
--- a/core/dispatch/refusal.go
+++ b/core/dispatch/refusal.go
@@ -7,7 +7,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"monsoonkeel.example/monsoonkeel/core/admit"
 	"monsoonkeel.example/monsoonkeel/core/serverstate"
 )
 
@@ -99,7 +98,7 @@
 	for id, r := range d.waiting {
 		if after, refused := d.refusedFor(r, now); refused {
 			d.Cancel(id)
-			d.out = append(d.out, Outcome{ID: id, Action: admit.Reject, RetryAfter: after})
+			d.out = append(d.out, d.reject(r, after, now))
 		}
 	}
 }
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -121,7 +121,7 @@
 	at := int(seed % uint64(n))
 	for range n {
 		c := &candidates[at]
-		if passesFilter(c, &req) {
+		if filter(c, &req) == NotExcluded {
 			if s, better := score(c, &req, &add, bestScore); better {
 				best, bestScore = at, s
 			}
@@ -133,20 +133,24 @@
 	return best
 }
 
-func passesFilter(c *Candidate, req *Request) bool {
+// filter returns why a candidate may not receive a request, except for its KV cache.
+func filter(c *Candidate, req *Request) Exclusion {
 	switch {
-	case c.OwnInFlight >= c.Limit,
-		c.MaxPrefill > 0 && c.Prefilling >= c.MaxPrefill,
-		req.LocalOnly && c.Region != req.Region && c.Share == 0,
-		c.MaxBatch > 0 && !c.batchFits():
-		return false
+	case c.OwnInFlight >= c.Limit:
+		return AtLimit
+	case c.MaxPrefill > 0 && c.Prefilling >= c.MaxPrefill:
+		return AtPrefillLimit
+	case req.LocalOnly && c.Region != req.Region && c.Share == 0:
+		return InOtherRegion
+	case c.MaxBatch > 0 && !c.batchFits():
+		return AtBatchLimit
 	}
 	for _, t := range req.Attempted {
 		if t == c.Index {
-			return false
+			return Attempted
 		}
 	}
-	return true
+	return NotExcluded
 }
 
 // otherHosts returns the number of other hosts that may send requests on the
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -15,7 +15,11 @@
 
 // RejectedError is returned for a request whose time-to-first-token target can no
 // longer be met. Nothing was sent to a backend server.
-type RejectedError struct{ RetryAfter time.Duration }
+type RejectedError struct {
+	RetryAfter time.Duration
+	// Shortage says why no backend server could take the request.
+	Shortage dispatch.Shortage
+}
 
 // Error implements error.
 func (*RejectedError) Error() string { return "no backend server can start the request in time" }
@@ -126,7 +130,7 @@
 		return reservation, nil
 	case admit.Reject:
 		d.mu.Unlock()
-		return nil, &RejectedError{RetryAfter: out.RetryAfter}
+		return nil, &RejectedError{RetryAfter: out.RetryAfter, Shortage: out.Shortage}
 	}
 	// Buffered, so that delivering a decision never blocks on a cancelled request.
 	ch := make(chan dispatch.Outcome, 1)
@@ -138,7 +142,7 @@
 		return nil, d.cancelWaiter(r.ID, ctx.Err())
 	}
 	if out.Action == admit.Reject {
-		return nil, &RejectedError{RetryAfter: out.RetryAfter}
+		return nil, &RejectedError{RetryAfter: out.RetryAfter, Shortage: out.Shortage}
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/process/daemon/recorder.go
+++ b/internal/process/daemon/recorder.go
@@ -73,7 +73,7 @@
 		Str("request_id", o.RequestID).Str("team", o.Team).Str("class", o.Class).
 		Str("service", o.Service).Str("backend", o.Backend).
 		Int("status", o.Status).Str("code", code).Str("verdict", o.Verdict).
-		Dur("queued", o.QueueTime).Dur("first_token", o.FirstToken).Dur("worst_gap", o.MaxTokenGap).
+		Dur("queued", o.QueueTime).Str("shortage", o.Shortage).Dur("first_token", o.FirstToken).Dur("worst_gap", o.MaxTokenGap).
 		Int("tokens", o.Tokens).Int("late_gaps", o.GapsOverTarget).Int("tries", o.Attempts).
 		Bool("cancelled", o.Cancelled).Dur("total", o.Total).
 		Msg("request")
--- a/internal/request/gateway.go
+++ b/internal/request/gateway.go
@@ -70,6 +70,8 @@
 	Verdict string
 	// QueueTime is the time spent waiting for reservations, over all attempts.
 	QueueTime time.Duration
+	// Shortage says why no backend server could take the request, if it was rejected for that.
+	Shortage string
 	// FirstToken is the time to first token, or to the first byte of a response without
 	// tokens; zero if there was none.
 	FirstToken time.Duration
