Keep predicted survival probabilities within 1

Callers saw: requests of one class get 503 no_capacity at one host after waiting for their whole target, although engines are idle; it lasts until another generation of the class completes there. Cause: the distribution of output lengths divided the rounded sum of its buckets by a separately rounded total of the weights. The quotient could be 1.0000001; the variance of the predicted KV cache demand was then negative and its square root not a number. Comparisons with it are false, so that no engine scored below the limit. With mixed lengths, single observations between the 8th and the 15th show the same; fused multiply and add has no part (the same with fmahash=n). Ruled out: to limit the variance to 0 where it is used only; the mean would still count a generation more than once. Why it works: the tail is divided by its own sum, so that it starts at 1 and never rises. Conclusion: no prediction excludes an idle engine. That this was the cause of the rejections in TestScenarios/engine_killed is not shown: their lines name no reason.

--- a/core/length/length.go
+++ b/core/length/length.go
@@ -188,10 +188,14 @@
 		add(&builtin, builtinWeight)
 	}
 	var d Dist
-	sum := float32(0)
 	for i := bucketCount - 1; i >= 0; i-- {
-		sum += mix[i]
-		d.tail[i] = sum / total
+		d.tail[i] = d.tail[i+1] + mix[i]
+	}
+	// Divided by their own sum, since the rounded total of the weights may be lower: a probability above 1
+	// has a negative variance.
+	sum := d.tail[0]
+	for i := range d.tail {
+		d.tail[i] /= sum
 	}
 	return d
 }
@@ -232,7 +236,7 @@
 	if base < minTail {
 		return 1 / (1 + float64(ahead)/float64(max(soFar, 1)))
 	}
-	return d.ProbabilityAbove(soFar+ahead) / base
+	return min(d.ProbabilityAbove(soFar+ahead)/base, 1)
 }
 
 // Remaining returns the q-quantile of the number of further tokens of a generation that has
