Await the last bytes of a silent generation that its engine no longer has

Cause: in the product's own path a caller's stream ended with generation_lost although its engine went on. When a generation's connection is silent, the host asks the engine to resume it on another connection. An engine that has ended the generation, or is past its retention time, responds 404 or 410, and the host closed the silent connection at once; its last bytes were lost. Ruled out: never closing on such a response; a generation that is really lost would be awaited until the caller's deadline. Waiting also when nothing was delivered; another engine can still serve that request, so it is given up at once as before. Change: if a part was delivered, the engine is asked again after another stall timeout, and the connection is closed only if it has lost the generation then too.

--- a/internal/request/stall.go
+++ b/internal/request/stall.go
@@ -12,7 +12,9 @@
 )
 
 // stallWatch resumes a generation on another connection while its engine is silent. The silent
-// connection is closed only once the engine has accepted that, or has lost the generation.
+// connection is closed only once the engine has accepted that, or has lost the generation. An engine
+// also responds that it has no generation if that has ended, and its last bytes may still arrive:
+// if a part was delivered, so that no other generation can continue the response, it is asked twice.
 type stallWatch struct {
 	gen   *generation
 	timer *time.Timer
@@ -43,13 +45,16 @@
 	w.cancel, w.done = cancel, make(chan struct{})
 	w.mu.Unlock()
 	defer close(w.done)
+	mayBeLost := !w.gen.delivered && !w.gen.resumed
 	for {
 		ex, err := w.gen.requestRest(ctx)
-		if err == nil || errors.Is(err, errGenerationLost) {
+		lost := errors.Is(err, errGenerationLost)
+		if err == nil || lost && mayBeLost {
 			w.replacement = ex
 			w.gen.exchange.Abort()
 			return
 		}
+		mayBeLost = mayBeLost || lost
 		// The engine may be silent only on this connection, or go on.
 		if !wait.For(ctx, w.gen.c.g.stallTimeout()) {
 			return
