Do not take a caller that reads slowly for a silence of a leaving source

Cause: a stream whose caller read nothing for more than 3 s was broken off although its engine worked, when the engine left meanwhile. The time of the last event counted as the beginning of a silence also while the host delivered that event. After 3 s the source counted as dead, so that it was closed as soon as the target of the migration had not responded within 200 ms; the target then rejected. The silence timer was stopped meanwhile, the switchover of a migration was not. Evidence: TestSlowCallerOfLeavingSourceIsNoSilence failed before: unexpected EOF after 4 of 15 MB, ended_by silence, the source closed by the host. The new row of TestLateTargets fails without the change, too. Change: relay.Stream counts a silence only from the moment at which the host waits for the next event. Changed tests: the model of TestRandomSequences and TestLateTargets call Await after Heard, as the host does; the model has callers that read slowly, and measures the silence itself instead of asking the code under test. Conclusion: the stream is complete, the source is not closed, and the reservations are released.

--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -73,9 +73,11 @@
 // Stream is the state of one stream. Use New.
 type Stream struct {
 	state State
-	// heardAt is when the source last sent an event; askedAt is when the target was asked, and
+	// heardAt is when the wait for an event of the source began; askedAt is when the target was asked, and
 	// endedAt when the source's response ended.
 	heardAt, askedAt, endedAt time.Time
+	// blocked is set while the host does not read from the source.
+	blocked bool
 }
 
 // New returns the state of a stream whose source sent its response header at now.
@@ -84,11 +86,20 @@
 // State returns the current state.
 func (s *Stream) State() State { return s.state }
 
-// Heard records an event of the source.
-func (s *Stream) Heard(now time.Time) { s.heardAt = now }
+// Heard records an event of the source. The host reads the next one from Await on: it delivers the event
+// first, and a caller that reads slowly says nothing about the source.
+func (s *Stream) Heard(now time.Time) { s.heardAt, s.blocked = now, true }
 
-// Silence is the time since the last event of the source.
-func (s *Stream) Silence(now time.Time) time.Duration { return now.Sub(s.heardAt) }
+// Await records that the host waits for the next event of the source.
+func (s *Stream) Await(now time.Time) { s.heardAt, s.blocked = now, false }
+
+// Silence is the time for which the host has waited for an event of the source.
+func (s *Stream) Silence(now time.Time) time.Duration {
+	if s.blocked {
+		return 0
+	}
+	return now.Sub(s.heardAt)
+}
 
 // Ask records that a target is asked to resume, and reports whether it may be: only one at a time.
 func (s *Stream) Ask(now time.Time) bool {
@@ -120,7 +131,7 @@
 // Relay records that the target has become the source.
 func (s *Stream) Relay(now time.Time) {
 	if s.state == Accepted {
-		s.state, s.heardAt = Relayed, now
+		s.state, s.heardAt, s.blocked = Relayed, now, false
 	}
 }
 
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -124,7 +124,7 @@
 func TestLateTargets(t *testing.T) {
 	for _, row := range []struct {
 		name         string
-		heard, asked time.Duration
+		heard, asked time.Duration // a negative heard: the event is being delivered
 		ends         time.Duration // 0 if that does not happen
 		at           time.Duration
 		action       Action
@@ -132,10 +132,14 @@
 		{"source runs", 900 * time.Millisecond, time.Second, 0, time.Second + MaxOverlap, DropTarget},
 		{"source is silent", 0, 2 * time.Second, 0, 2*time.Second + MaxOverlap, DropTarget},
 		{"source is taken for dead", 0, SilenceLimit, 0, SilenceLimit + MaxOverlap, CloseSource},
+		{"caller reads slowly", -1, SilenceLimit, 0, SilenceLimit + MaxOverlap, DropTarget},
 		{"source has ended", 900 * time.Millisecond, time.Second, 1100 * time.Millisecond, 1100*time.Millisecond + SilenceLimit, DropTarget},
 	} {
 		s := New(start)
 		s.Heard(after(row.heard))
+		if row.heard >= 0 {
+			s.Await(after(row.heard))
+		}
 		require.True(t, s.Ask(after(row.asked)))
 		if row.ends > 0 {
 			s.SourceEnded(after(row.ends), false)
@@ -154,16 +158,18 @@
 
 // model plays a host that follows Stream against engines that do anything.
 type model struct {
-	t            *rapid.T
-	s            *Stream
-	now          time.Time
-	last         int // number of events of the generation
-	source       *engine
-	target       *engine // nil if none is asked
-	targetAt     int     // event from which the target goes on
-	sent         int     // events that the source has sent
-	delivered    []int
-	reservations int // of targets
+	t             *rapid.T
+	s             *Stream
+	now           time.Time
+	last          int // number of events of the generation
+	source        *engine
+	target        *engine // nil if none is asked
+	targetAt      int     // event from which the target goes on
+	sent          int     // events that the source has sent
+	delivered     []int
+	reservations  int       // of targets
+	slow, blocked bool      // the caller reads nothing; the host delivers an event to it
+	awaitedAt     time.Time // when the host began to wait for an event
 }
 
 // do carries out an action of the stream.
@@ -179,6 +185,7 @@
 		m.source, m.target, m.sent = m.target, nil, m.targetAt
 		m.reservations--
 		m.s.Relay(m.now)
+		m.await()
 	case EndResponse:
 		require.Len(m.t, m.delivered, m.last, "complete without the last event")
 		m.drop()
@@ -201,10 +208,10 @@
 // source runs, and a reservation that is not released.
 func TestRandomSequences(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := &model{t: t, s: New(start), now: start, last: rapid.IntRange(1, 6).Draw(t, "events"), source: &engine{running: true, works: true}}
+		m := &model{t: t, s: New(start), now: start, awaitedAt: start, last: rapid.IntRange(1, 6).Draw(t, "events"), source: &engine{running: true, works: true}}
 		for !m.s.State().Ended() {
 			m.step(rapid.SampledFrom([]string{
-				"event", "event", "event", "silence", "long silence", "ask", "accept", "reject", "close", "ends short", "caller leaves", "host stops",
+				"event", "event", "event", "silence", "long silence", "ask", "accept", "reject", "close", "ends short", "caller leaves", "host stops", "caller is slow", "caller reads",
 			}).Draw(t, "step"))
 		}
 		for i, n := range m.delivered {
@@ -242,6 +249,13 @@
 			m.source.running = false
 			m.do(m.s.SourceEnded(m.now, false))
 		}
+	case "caller is slow":
+		m.slow = true
+	case "caller reads":
+		m.slow = false
+		if m.blocked {
+			m.await()
+		}
 	case "caller leaves", "host stops":
 		// Rare, so that most sequences get to their end otherwise.
 		if rapid.IntRange(0, 9).Draw(m.t, name) == 0 {
@@ -255,19 +269,27 @@
 
 func (m *model) event() {
 	m.now = m.now.Add(10 * time.Millisecond)
-	if !m.source.running || m.s.State() == Interrupted || m.s.State() == Resuming {
+	if !m.source.running || m.blocked || m.s.State() == Interrupted || m.s.State() == Resuming {
 		return
 	}
 	if m.sent < m.last {
 		m.sent++
 		m.delivered = append(m.delivered, m.sent)
 		m.s.Heard(m.now)
+		if m.blocked = m.slow; !m.blocked {
+			m.await()
+		}
 		return
 	}
 	m.source.running = false
 	m.do(m.s.SourceEnded(m.now, true))
 }
 
+func (m *model) await() {
+	m.blocked, m.awaitedAt = false, m.now
+	m.s.Await(m.now)
+}
+
 func (m *model) refuse() {
 	if m.target == nil || m.target.running {
 		return // its response has arrived
@@ -292,7 +314,8 @@
 	}
 	m.now = at
 	if m.s.Late(at) == CloseSource {
-		require.GreaterOrEqual(m.t, m.s.Silence(at), SilenceLimit, "a source is closed that may be sound")
+		require.False(m.t, m.blocked, "a source is closed that was not read")
+		require.GreaterOrEqual(m.t, at.Sub(m.awaitedAt), SilenceLimit, "a source is closed that may be sound")
 		m.source.running = false
 		m.do(m.s.SourceEnded(at, false))
 	} else {
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -14,11 +14,12 @@
 // awaitSilence starts or restarts the wait for a silence of the source.
 func (gen *generation) awaitSilence() {
 	gap := gen.r.route.GapObjective
+	gen.mu.Lock()
+	defer gen.mu.Unlock()
+	gen.relay.Await(time.Now())
 	if gap <= 0 {
 		return
 	}
-	gen.mu.Lock()
-	defer gen.mu.Unlock()
 	// Engines that accept and are then silent too are not left sooner and sooner.
 	after := min(stallFactor*gap<<min(gen.silentSwitches, 8), relay.SilenceLimit)
 	switch {
