Resume from the pre-copy when the target has no room for the final copy

Cause: a stream was broken off although both engines could go on. When a leaving source breaks the connection, the host requests a final copy, which stops the generation. With status 503 and a handle the generation is stopped, only the target had no room for what is new; the host took this for an engine that may still run the generation and broke off a generation that it had stopped itself. Evidence: TestGenerationResumesFromPreCopyWithoutRoomForFinalCopy failed before: unexpected EOF after 20 of 60 events, outcome no_room. Ruled out: the same for 503 without a handle, which may be a rejection of the call by an engine that still runs the generation. Change: the generation resumes from the pre-copy at its target then; a handle of another copy is freed. Conclusion: the stream is complete, requested as one final copy, and no copy and no load is left. A copy that the source alone keeps, for a target that is gone, is still not used.

--- a/internal/forward/migration.go
+++ b/internal/forward/migration.go
@@ -236,7 +236,8 @@
 
 // canResume reports whether the generation of a broken stream may resume from the pre-copy: only
 // when its engine certainly does not run it any more. It requests a final copy, which stops a
-// generation that the engine still runs; if that succeeds, it replaces the pre-copy.
+// generation that the engine still runs; if that succeeds, it replaces the pre-copy. The generation is
+// stopped also if the target has no room for the final copy.
 func (gen *generation) canResume(m *migration) bool {
 	if m.preCopy.Handle == "" || m.target == nil {
 		return false
@@ -251,6 +252,12 @@
 		case result.Outcome == Copied:
 			m.preCopy = result
 			return true
+		case result.Outcome == TargetUnavailable && result.Handle != "":
+			// The generation was stopped, and its target has the pre-copy.
+			if result.Handle != m.preCopy.Handle {
+				go gen.dropCopy(m.source, result.Handle)
+			}
+			return true
 		case result.Outcome == GenerationNotFound || errors.Is(err, syscall.ECONNREFUSED):
 			return true
 		case err == nil || ctx.Err() != nil:
