Await the final copy of a silent or refusing source whose stream broke

Cause: a stream was broken off although its engine had the generation and its target the room. When a leaving source breaks the connection, the host requests a final copy; it waited 400 ms for the response, less than a sound engine may be silent, and took a rejection of the call for a time (503 with Retry-After) as final. Ruled out: resuming from the pre-copy without the response; the engine may still run the generation. Change: the final copy is awaited for as long as a silent source, within the request's deadline, and requested once more after a refusal. An engine that is dead is still found by its refused or unanswered connection.

--- a/internal/forward/migration.go
+++ b/internal/forward/migration.go
@@ -242,7 +242,9 @@
 	if m.preCopy.Handle == "" || m.target == nil {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(gen.r.ctx, connectTimeout)
+	// A sound engine may be silent, or refuse requests, for a second or two; one that is dead does not
+	// accept the connection.
+	ctx, cancel := context.WithTimeout(gen.r.ctx, relay.SilenceLimit)
 	defer cancel()
 	for range maxFinalCopyCalls {
 		gen.r.g.balancers.chargeRate(m.source.ID)
@@ -260,7 +262,7 @@
 			return true
 		case result.Outcome == GenerationNotFound || errors.Is(err, syscall.ECONNREFUSED):
 			return true
-		case err == nil || ctx.Err() != nil:
+		case err == nil && !gen.r.g.balancers.refuses(m.source) || ctx.Err() != nil:
 			return false
 		}
 	}
