--- a/internal/forward/migration.go
+++ b/internal/forward/migration.go
@@ -236,12 +236,15 @@
 
 // canResume reports whether the generation of a broken stream may resume from the pre-copy: only
 // when its engine certainly does not run it any more. It requests a final copy, which stops a
-// generation that the engine still runs; if that succeeds, it replaces the pre-copy.
+// generation that the engine still runs; if that succeeds, it replaces the pre-copy. The generation is
+// stopped also if the target has no room for the final copy.
 func (gen *generation) canResume(m *migration) bool {
 	if m.preCopy.Handle == "" || m.target == nil {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(gen.r.ctx, connectTimeout)
+	// A sound engine may be silent, or refuse requests, for a second or two; one that is dead does not
+	// accept the connection.
+	ctx, cancel := context.WithTimeout(gen.r.ctx, relay.SilenceLimit)
 	defer cancel()
 	for range maxFinalCopyCalls {
 		gen.r.g.balancers.chargeRate(m.source.ID)
@@ -251,9 +254,15 @@
 		case result.Outcome == Copied:
 			m.preCopy = result
 			return true
+		case result.Outcome == TargetUnavailable && result.Handle != "":
+			// The generation was stopped, and its target has the pre-copy.
+			if result.Handle != m.preCopy.Handle {
+				go gen.dropCopy(m.source, result.Handle)
+			}
+			return true
 		case result.Outcome == GenerationNotFound || errors.Is(err, syscall.ECONNREFUSED):
 			return true
-		case err == nil || ctx.Err() != nil:
+		case err == nil && !gen.r.g.balancers.refuses(m.source) || ctx.Err() != nil:
 			return false
 		}
 	}
