Tell callers to wait for a refusal only if all servers refuse

Callers saw: while one server of a service refused for 300 s and another rejected a request because it was full, the caller was told to return after 300.4 to 300.7 s. Cause: a request that was attempted and rejected takes the Retry-After of refusals if any candidate refuses; Balancer.PromiseReturn skipped candidates that don't. Ruled out: leaving out the time for requests that were attempted; when the other servers refuse too, their callers would return too soon.

--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -230,6 +230,10 @@
 		assert.Equal(t, "b", s.ID)
 		assert.Equal(t, Chosen, reason)
 	}
+	_, ok := b.PromiseReturn(Request{})
+	assert.False(t, ok, "one does not refuse")
+	_, ok = b.PromiseReturn(Request{Exclude: []string{"b"}})
+	assert.True(t, ok, "the only candidate")
 	b.RecordFailure("b", start)
 	s, _ := b.Pick(Request{}, start)
 	assert.Equal(t, "b", s.ID, "ejected, but not refusing")
--- a/internal/forward/refusals.go
+++ b/internal/forward/refusals.go
@@ -53,7 +53,7 @@
 }
 
 // refusedRetryAfter returns the Retry-After of a request that all servers refuse, a random time after the first
-// of them returns; 0 if none refuses.
+// of them returns; 0 if one does not refuse.
 func (bs *balancers) refusedRetryAfter(service string, req balance.Request) time.Duration {
 	if !bs.hasRefusals.Load() {
 		return 0
