Resume a stream when the engine with its copy stops refusing

Callers saw: a stream broke off after 12 of 200 events when its engine crashed while the engine with its standby replica refused requests for 1.5 s. Cause: a replica at an engine that refuses counted as none, and a resume from a migration's copy was given up after three attempts within 0.3 s. Evidence: go test -race -run TestStreamWaitsForRefusingStandby ./platform before: "unexpected EOF", 12 events of 200. Ruled out: sending the request within the refusal; the engine has said that it wants none. Change: once the source has ended, the resume waits for the end of the refusal, the random delay included, and takes its turn as the first request afterwards. It fails at once if that is after the deadline, or if the engine takes no new work by then. After: the test passes; no request arrives within the refusal. The other tests of resumed streams and of internal/forward pass.

--- a/internal/forward/refusals.go
+++ b/internal/forward/refusals.go
@@ -10,7 +10,7 @@
 	"monsoonkeel.example/monsoonkeel/internal/wait"
 )
 
-// errRefused is returned for a control call that is not sent because the server refuses requests.
+// errRefused is returned for a request that is not sent because the server refuses requests.
 var errRefused = errors.New("the backend server refuses requests of this host for a time")
 
 // observeRefusal records whether an answer refuses further requests for a time, and for how long.
@@ -75,6 +75,39 @@
 	return notRun(503, codeNotRun, "the backend server refuses requests for a time")
 }
 
+// takeTurn reports whether a request may be sent to a server that has refused, and records it. Otherwise it
+// returns when that is to be tried again.
+func (bs *balancers) takeTurn(server balance.Server) (at time.Time, ok bool) {
+	if !bs.hasRefusals.Load() {
+		return at, true
+	}
+	bs.mu.Lock()
+	defer bs.mu.Unlock()
+	now := time.Now()
+	if at = bs.refusals.ReturnsAt(server.Process()); now.Before(at) {
+		return at, false
+	}
+	bs.refusals.Take(server.Process(), now)
+	return at, true
+}
+
+// awaitTurn waits until the request may be sent to a server that has refused. It fails at once if that is not
+// before the deadline.
+func (r *request) awaitTurn(server balance.Server) error {
+	for {
+		at, ok := r.g.balancers.takeTurn(server)
+		if ok {
+			return nil
+		}
+		if at.After(r.deadline) {
+			return errRefused
+		}
+		if !wait.For(r.ctx, min(time.Until(at), wakeInterval)) {
+			return r.ctx.Err()
+		}
+	}
+}
+
 // waitForReturn waits until a server takes requests again. It returns false if ctx ends before.
 func (g *Gateway) waitForReturn(ctx context.Context, server balance.Server) bool {
 	for g.balancers.refuses(server) {
--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -94,11 +94,21 @@
 }
 
 // resumeAt resumes the generation at an engine with a copy after the source's response ended. An
-// engine that rejects the request is asked again, while the retry budget allows it.
+// engine that rejects the request is asked again, while the retry budget allows it, and one that refuses
+// requests when the refusal is over.
 func (s *stream) resumeAt(target *reservation, ref string) error {
 	r, gen := s.r, s.generation
 	var sw *switchover
 	for attempt := 1; ; attempt++ {
+		err := r.awaitTurn(target.server)
+		if err == nil && !r.g.acceptsWork(target.server.ID) {
+			err = errors.New("the engine with the KV cache copy takes no new requests")
+		}
+		if err != nil {
+			target.release(false)
+			r.g.Metrics.FailedMigrations.Add(1)
+			return err
+		}
 		if sw = gen.newSwitchover(relay.Interrupted, target, ref); sw == nil {
 			return errors.New("the stream has ended")
 		}
--- a/internal/forward/standby.go
+++ b/internal/forward/standby.go
@@ -53,12 +53,22 @@
 	}
 }
 
-// usableStandby returns the standby replica from which the generation can resume, or nil.
-func (gen *generation) usableStandby() *reservation {
+// heldStandby returns the standby replica of a generation that has started, or nil. Its engine may refuse
+// requests for a time.
+func (gen *generation) heldStandby() *reservation {
 	gen.mu.Lock()
 	standby, started := gen.standby, gen.lastID > 0
 	gen.mu.Unlock()
-	if !started || standby == nil || !gen.r.g.acceptsWork(standby.server.ID) || gen.r.g.balancers.refuses(standby.server) {
+	if !started || standby == nil || !gen.r.g.acceptsWork(standby.server.ID) {
+		return nil
+	}
+	return standby
+}
+
+// usableStandby returns the standby replica from which the generation can resume now, or nil.
+func (gen *generation) usableStandby() *reservation {
+	standby := gen.heldStandby()
+	if standby == nil || gen.r.g.balancers.refuses(standby.server) {
 		return nil
 	}
 	return standby
@@ -97,7 +107,7 @@
 // the stream off.
 func (s *stream) resumeAtStandby(cause error) error {
 	gen := s.generation
-	standby := gen.usableStandby()
+	standby := gen.heldStandby()
 	if standby == nil || s.r.ctx.Err() != nil || !s.r.prompt.AllowRetry() {
 		return cause
 	}
