Migrate to another region while all engines of the region refuse requests

Callers would lose a stream whose engine leaves while the other engines of its region refuse requests for some seconds, although another region has a free engine; in a region alone, the choice of a target was given up after 2.4 s. Cause: the other region was considered only if the region had no engine at all, not if all of them refuse. Evidence: go test -race -run TestMigrationLeavesRegionWhoseEnginesRefuse ./internal/forward before: "Expected value not to be nil" (no target). Ruled out: going to another region at once. A copy there takes many times as long, and a refusal of less than half a second is over sooner. Change: a refusal of at least maxTargetWait counts like a region without engines; a shorter one is awaited. While all refuse, the next choice is made when the first returns, at most maxTargetWait later. After: 3 of 3 runs of internal/forward with -race pass, and the tests of migrations of ./platform.

--- a/internal/forward/migration.go
+++ b/internal/forward/migration.go
@@ -21,6 +21,10 @@
 	// copyRetryInterval is the delay before a rejected copy is retried: the generation has
 	// not started yet, or the link is busy.
 	copyRetryInterval = 60 * time.Millisecond
+	// maxTargetWait is how long a migration waits for an engine of the region that refuses requests
+	// before it goes to another region, where the copy takes many times as long. It is also the longest
+	// time between two choices of a target.
+	maxTargetWait = 500 * time.Millisecond
 	// maxCopyAttempts limits the copy attempts of one migration.
 	maxCopyAttempts = 40
 	// maxCopyFailures is how many copy requests may fail before the engine counts as ended.
@@ -85,7 +89,7 @@
 		}
 		if m.target == nil && !gen.chooseTarget(m, attempted) {
 			attempted = attempted[:1]
-			gen.waitWhileRunning(copyRetryInterval)
+			gen.waitWhileRunning(gen.targetWait(m))
 			continue
 		}
 		start := time.Now()
@@ -182,8 +186,8 @@
 }
 
 // chooseTarget reserves a slot at another engine. It stays in the source's region if that
-// has any other engine: a copy to another region takes many times as long and would
-// delay those of the other generations.
+// has any other engine that does not refuse for long: a copy to another region takes many times as
+// long and would delay those of the other generations.
 func (gen *generation) chooseTarget(m *migration, attempted []string) bool {
 	allowed := route.RegionFilter(gen.r.route, gen.r.team)
 	sameRegion := func(region string) bool { return region == m.source.Region && allowed(region) }
@@ -191,7 +195,7 @@
 	if target == nil {
 		target, reason = gen.reserveTarget(m, attempted[:1], sameRegion)
 	}
-	if reason == balance.NoCandidate {
+	if reason == balance.NoCandidate || reason == balance.Refused && gen.targetWait(m) == maxTargetWait {
 		target, reason = gen.reserveTarget(m, attempted, allowed)
 	}
 	if target == nil {
@@ -203,6 +207,16 @@
 	return true
 }
 
+// targetWait returns the time until the next choice of a target: until the first engine of the region takes
+// requests again, if all of them refuse.
+func (gen *generation) targetWait(m *migration) time.Duration {
+	allowed := route.RegionFilter(gen.r.route, gen.r.team)
+	refused := gen.r.g.balancers.refusedFor(gen.r.service, balance.Request{
+		Allowed: func(region string) bool { return region == m.source.Region && allowed(region) }, Exclude: []string{m.source.ID},
+	})
+	return min(max(refused, copyRetryInterval), maxTargetWait)
+}
+
 // targetsOfOtherSources returns the engines of the region that are assigned to other
 // terminating engines of the region as their targets.
 func (gen *generation) targetsOfOtherSources(m *migration) []string {
--- a/internal/forward/refusals.go
+++ b/internal/forward/refusals.go
@@ -67,6 +67,20 @@
 	return max(time.Until(at), 0)
 }
 
+// refusedFor returns how long all servers refuse a request; 0 if one does not.
+func (bs *balancers) refusedFor(service string, req balance.Request) time.Duration {
+	if !bs.hasRefusals.Load() {
+		return 0
+	}
+	bs.mu.Lock()
+	defer bs.mu.Unlock()
+	at, ok := bs.service(service).balancer.ReturnsAt(req)
+	if !ok {
+		return 0
+	}
+	return max(time.Until(at), 0)
+}
+
 // checkRefusal returns an error if a server has begun to refuse requests after it was reserved.
 func (r *request) checkRefusal(server balance.Server) error {
 	if !r.g.balancers.refuses(server) {
--- a/internal/forward/refusals_test.go
+++ b/internal/forward/refusals_test.go
@@ -11,8 +11,10 @@
 
 	"monsoonkeel.example/monsoonkeel/core/balance"
 	"monsoonkeel.example/monsoonkeel/core/fleet"
+	"monsoonkeel.example/monsoonkeel/core/relay"
 	"monsoonkeel.example/monsoonkeel/core/route"
 	"monsoonkeel.example/monsoonkeel/core/serverstate"
+	"monsoonkeel.example/monsoonkeel/internal/connection"
 	"monsoonkeel.example/monsoonkeel/internal/directory"
 )
 
@@ -86,3 +88,37 @@
 	assert.NoError(t, r.checkRefusal(next))
 	assert.True(t, g.balancers.takeRate("b", 2))
 }
+
+// Guards against a generation that is lost with its engine because all other engines of the region refuse
+// requests, although another region has one.
+func TestMigrationLeavesRegionWhoseEnginesRefuse(t *testing.T) {
+	for _, c := range []struct {
+		refusal time.Duration
+		target  string
+	}{{5 * time.Second, "far"}, {250 * time.Millisecond, ""}} {
+		g, servers := newRefusalGateway("source", "near")
+		g.opts.Directory = directory.New(directory.Options{})
+		far := &directory.Server{Backend: fleet.Backend{ID: "far", StartTime: 1, Address: "far", Service: "model", Domain: "east-a", Region: "east", Slots: 6}}
+		entries := map[string]*directory.Server{"far": far}
+		for id := range servers {
+			entries[id] = &directory.Server{Backend: fleet.Backend{ID: id, StartTime: 1, Address: id, Service: "model", Domain: "west-a", Region: "west", Slots: 6}}
+		}
+		g.balancers.applySnapshot(&directory.Snapshot{Servers: entries, Table: &route.Table{Services: map[string]*route.Service{
+			"model": {Name: "model", Engine: &route.Engine{KVTokens: 100}},
+		}}})
+		g.pool = connection.NewPoolSize(1)
+		g.refuse(servers["near"], c.refusal)
+		ctx, cancel := context.WithCancel(t.Context())
+		r := &request{g: g, ctx: ctx, service: "model", route: &route.Route{}}
+		m := &migration{source: servers["source"], tokensPerEvent: 1}
+		gen := &generation{r: r, reservation: &reservation{server: m.source}, relay: relay.New(time.Now()), sourceEnded: make(chan struct{})}
+		gen.chooseTarget(m, []string{"source"})
+		if c.target == "" {
+			assert.Nil(t, m.target, "the engine of the region returns soon")
+			assert.Greater(t, gen.targetWait(m), copyRetryInterval)
+		} else if assert.NotNil(t, m.target) {
+			assert.Equal(t, c.target, m.target.server.ID)
+		}
+		cancel()
+	}
+}
