Count what the host believes of refusals, in both request paths

Cause: the end of a refusal had a log line and no metric, and the product's own path counted neither its begin nor its end. The own path had no counter to ask. Change: server_refusals_ended; backend_refusals and backend_refusals_ended on the admin port.

--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -14,8 +14,9 @@
 // Metrics holds the gateway's counters and latency histograms.
 type Metrics struct {
 	Requests, Retries, Migrations, FailedMigrations, CompletedStreams, BrokenStreams atomic.Int64
-	// Refusals counts refusals of servers that named a time.
-	Refusals atomic.Int64
+	// Refusals counts refusals of servers that named a time, and RefusalsEnded those after which the
+	// server accepted a request.
+	Refusals, RefusalsEnded atomic.Int64
 	// Notices counts termination notices that were not from the store.
 	Notices             atomic.Int64
 	crashes             *crashes.Guard
@@ -38,20 +39,21 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	out, err := json.Marshal(map[string]any{
-		"requests":          m.Requests.Load(),
-		"repeats":           m.Retries.Load(),
-		"moves":             m.Migrations.Load(),
-		"moves_failed":      m.FailedMigrations.Load(),
-		"broken_streams":    m.BrokenStreams.Load(),
-		"completed_streams": m.CompletedStreams.Load(),
-		"server_refusals":   m.Refusals.Load(),
-		"server_notices":    m.Notices.Load(),
-		"engine_crashes":    m.crashes.Crashes.Load(),
-		"rejected_parts":    len(m.crashes.Rejections()),
-		"part_trials":       m.crashes.Trials.Load(),
-		"failures":          m.failures,
-		"latency_ms":        m.Latency.quantiles(),
-		"first_event_ms":    m.FirstEvent.quantiles(),
+		"requests":              m.Requests.Load(),
+		"repeats":               m.Retries.Load(),
+		"moves":                 m.Migrations.Load(),
+		"moves_failed":          m.FailedMigrations.Load(),
+		"broken_streams":        m.BrokenStreams.Load(),
+		"completed_streams":     m.CompletedStreams.Load(),
+		"server_refusals":       m.Refusals.Load(),
+		"server_refusals_ended": m.RefusalsEnded.Load(),
+		"server_notices":        m.Notices.Load(),
+		"engine_crashes":        m.crashes.Crashes.Load(),
+		"rejected_parts":        len(m.crashes.Rejections()),
+		"part_trials":           m.crashes.Trials.Load(),
+		"failures":              m.failures,
+		"latency_ms":            m.Latency.quantiles(),
+		"first_event_ms":        m.FirstEvent.quantiles(),
 	})
 	if err != nil {
 		return "{}" // the map holds only numbers and strings, which always encode
--- a/internal/forward/refusals.go
+++ b/internal/forward/refusals.go
@@ -38,6 +38,7 @@
 		g.opts.Log.Info().Str("backend", server.ID).Dur("refuses_for", answer.RefusesFor).Int("running", answer.Load.Running).
 			Int("waiting", answer.Load.Waiting).Int("slots", answer.Load.Slots).Msg("backend server refuses requests for a time")
 	case ended:
+		g.Metrics.RefusalsEnded.Add(1)
 		g.opts.Log.Info().Str("backend", server.ID).Msg("backend server takes requests again after a refusal")
 	}
 }
--- a/internal/process/daemon/recorder.go
+++ b/internal/process/daemon/recorder.go
@@ -19,6 +19,9 @@
 	metricTokens   = expvar.NewInt("tokens_relayed")
 	metricLateGaps = expvar.NewInt("token_gaps_over_target")
 	metricRetries  = expvar.NewInt("retries")
+
+	metricRefusals      = expvar.NewInt("backend_refusals")
+	metricRefusalsEnded = expvar.NewInt("backend_refusals_ended")
 )
 
 // recorder logs and counts the outcomes of requests and raises alarms for missed
@@ -79,6 +82,12 @@
 		Msg("request")
 }
 
+// RefusalBegan implements request.Recorder.
+func (*recorder) RefusalBegan() { metricRefusals.Add(1) }
+
+// RefusalEnded implements request.Recorder.
+func (*recorder) RefusalEnded() { metricRefusalsEnded.Add(1) }
+
 // observe evaluates the request against the target of its class. Cancelled requests
 // and those rejected for an error of the caller do not count.
 func (r *recorder) observe(o request.Outcome) {
--- a/internal/request/gateway.go
+++ b/internal/request/gateway.go
@@ -58,6 +58,10 @@
 // Recorder receives the outcome of each request when it has ended.
 type Recorder interface {
 	Record(Outcome)
+	// RefusalBegan is called when a backend server refuses requests for a time, and RefusalEnded when it
+	// accepts one afterwards.
+	RefusalBegan()
+	RefusalEnded()
 }
 
 // Outcome summarizes a request that has ended, for logs and metrics.
--- a/internal/request/refusal.go
+++ b/internal/request/refusal.go
@@ -24,9 +24,11 @@
 	switch {
 	case refusal > 0:
 		if reservation.Refused(refusal) {
+			c.g.Recorder.RefusalBegan()
 			c.g.Log.Info().Str("backend", reservation.Host.ID).Dur("refuses_for", refusal).Msg("backend server refuses requests for a time")
 		}
 	case reservation.Accepted(sentAt):
+		c.g.Recorder.RefusalEnded()
 		c.g.Log.Info().Str("backend", reservation.Host.ID).Msg("backend server takes requests again after a refusal")
 	}
 	return refusal > 0
--- a/internal/request/refusal_test.go
+++ b/internal/request/refusal_test.go
@@ -68,3 +68,24 @@
 	}
 	assert.EqualValues(t, 1, refused.Load())
 }
+
+// Guards against a change of what the host believes of a backend server that no metric counts.
+func TestChangesOfRefusalsAreCounted(t *testing.T) {
+	r := &testGateway{t: t}
+	var received atomic.Int32
+	r.addBackend("desk", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if received.Add(1) == 1 {
+			w.Header().Set("Retry-After", "0.3")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}))
+	r.start()
+	for range 3 {
+		resp := r.do("POST", "/services/desk/book", "x", headerClass, "write", headerTimeout, "3000")
+		resp.Body.Close()
+		time.Sleep(500 * time.Millisecond)
+	}
+	assert.EqualValues(t, 1, r.refusals.Load())
+	assert.EqualValues(t, 1, r.refusalsEnded.Load())
+	assert.EqualValues(t, 3, received.Load())
+}
--- a/internal/request/testgateway_test.go
+++ b/internal/request/testgateway_test.go
@@ -55,8 +55,16 @@
 	outcomes []Outcome
 	refused  []string
 	failed   []string
+
+	refusals, refusalsEnded atomic.Int32
 }
 
+// RefusalBegan implements Recorder.
+func (r *testGateway) RefusalBegan() { r.refusals.Add(1) }
+
+// RefusalEnded implements Recorder.
+func (r *testGateway) RefusalEnded() { r.refusalsEnded.Add(1) }
+
 // Record implements Recorder.
 func (r *testGateway) Record(o Outcome) {
 	r.mu.Lock()
