Count the requests to servers that refuse in the model

Cause: the model compared the capacity used with and without the header, but did not demand that heeding it uses more, nor count all requests that servers refuse.

--- a/core/serverstate/refusal_test.go
+++ b/core/serverstate/refusal_test.go
@@ -115,18 +115,21 @@
 // Guards against capacity that stays unused, and against requests to a refusing server, while a third of the
 // servers refuse for 2 s by turns: hosts that heed the refusals against hosts that ignore them.
 func TestThirdOfServersRefusesByTurns(t *testing.T) {
-	heeded, sent := refuseByTurns(true)
-	ignored, sentIgnored := refuseByTurns(false)
-	t.Logf("capacity used: heeded %.3f, ignored %.3f; most requests of a host in a refusal: %d and %d", heeded, ignored, sent, sentIgnored)
+	heeded, sent, refused := refuseByTurns(true)
+	ignored, sentIgnored, refusedIgnored := refuseByTurns(false)
+	t.Logf("capacity used: heeded %.3f, ignored %.3f; requests to servers that refuse: %d and %d; most of a host in a refusal: %d and %d",
+		heeded, ignored, refused, refusedIgnored, sent, sentIgnored)
 	assert.Greater(t, heeded, 0.9)
+	assert.Greater(t, heeded, ignored)
+	assert.Less(t, refused, refusedIgnored)
 	assert.LessOrEqual(t, sent, 2)
 	assert.Greater(t, sentIgnored, 2)
 }
 
-// refuseByTurns returns the share of the capacity of the servers that accept which is used, and the most
+// refuseByTurns returns the share of the capacity of the servers that accept which is used, the most
 // requests of a host that reach a server between half a second after it has refused one of that host and
-// the end of the time that it named.
-func refuseByTurns(heed bool) (used float64, sent int) {
+// the end of the time that it named, and the number of requests that servers refuse.
+func refuseByTurns(heed bool) (used float64, sent, refused int) {
 	const (
 		hosts, servers = 6, 9
 		tick           = 10 * time.Millisecond
@@ -164,6 +167,7 @@
 						sent = max(sent, count[key])
 					}
 					if refuses(s) {
+						refused++
 						if w := windows[h][s]; len(w) == 0 || !now.Before(w[len(w)-1]) {
 							windows[h][s] = []time.Time{now, end}
 						}
@@ -179,5 +183,5 @@
 		}
 		capacity += servers * 2 / 3 * perTick
 	}
-	return float64(served) / float64(capacity), sent
+	return float64(served) / float64(capacity), sent, refused
 }
