Send each call to the object store on a connection of its own

Cause: callers could have an order run twice: the client of the object API kept connections, and a response that the store sent once more (200 with an ETag) counted as that to the next write, so that a claim which another host held (412) counted as written. Reads and lists could get the value of another key, and an engine command the weights of another model. Ruled out: the same for load reports and the host list: 17 more connection setups a second for each daemon would use most of its 5 KB/s. Their clients send one kind of request to each address, so that only an earlier response to the same poll can be taken: it is older, and states do not go back. Change: calls of the object store and the weight store use the connection of their own that watches and commands have. The cost is not measured: a connection setup for each write and list, 0 to 2 for an order. Conclusion: a result of the object store belongs to its call.

--- a/internal/platform/httpapi/hosts.go
+++ b/internal/platform/httpapi/hosts.go
@@ -88,7 +88,7 @@
 // Weights implements platform.WeightStore.
 func (s *WeightStore) Weights(ctx context.Context, model, version string) ([]byte, error) {
 	path := "/weights/" + url.PathEscape(model) + "/" + url.PathEscape(version)
-	resp, err := s.c.do(ctx, call{method: fasthttp.MethodGet, path: path})
+	resp, err := s.c.do(ctx, call{method: fasthttp.MethodGet, path: path, ownConnection: true})
 	if err == nil && resp.status != fasthttp.StatusOK {
 		err = statusError(resp)
 	}
--- a/internal/platform/httpapi/objects.go
+++ b/internal/platform/httpapi/objects.go
@@ -45,7 +45,7 @@
 	if err != nil {
 		return platform.Object{}, err
 	}
-	resp, err := s.c.do(ctx, call{method: fasthttp.MethodGet, path: "/objects/" + path + query, timeout: timeout, ownConnection: timeout > 0})
+	resp, err := s.c.do(ctx, call{method: fasthttp.MethodGet, path: "/objects/" + path + query, timeout: timeout, ownConnection: true})
 	if err != nil {
 		return platform.Object{}, fmt.Errorf("get %s: %w", key, err)
 	}
@@ -98,7 +98,7 @@
 	if expected != 0 || method == fasthttp.MethodDelete {
 		condition = []string{fasthttp.HeaderIfMatch, fmt.Sprintf("%q", strconv.FormatUint(uint64(expected), 10))}
 	}
-	resp, err := s.c.do(ctx, call{method: method, path: "/objects/" + path, header: condition, body: body})
+	resp, err := s.c.do(ctx, call{method: method, path: "/objects/" + path, header: condition, body: body, ownConnection: true})
 	if err == nil {
 		err = writeResultError(resp)
 	} else if !errors.Is(err, platform.ErrUnavailable) {
@@ -127,7 +127,7 @@
 
 // List implements platform.ObjectStore.
 func (s *ObjectStore) List(ctx context.Context, prefix string) ([]platform.Object, error) {
-	resp, err := s.c.do(ctx, call{method: fasthttp.MethodGet, path: "/objects?prefix=" + url.QueryEscape(prefix)})
+	resp, err := s.c.do(ctx, call{method: fasthttp.MethodGet, path: "/objects?prefix=" + url.QueryEscape(prefix), ownConnection: true})
 	if err == nil && resp.status != fasthttp.StatusOK {
 		err = statusError(resp)
 	}
