Count requests that their callers end neither for nor against the server

Cause: callers were kept from a sound server (ejected for 0.3 s, up to 4 s after several) since others had allowed it 40 ms, or had left within a response body; and they were sent to a failing one, since a caller that left, or a stream at its deadline, counted as a success, which ends an ejection. The release of a reservation knew success and failure only, and each place decided by itself whose end it was. Ruled out: taking no deadline as a failure: a server that is silent for as long as a first attempt gets of the route's objective still fails. The product's own path has no ejection; it reports failed connections only while the call and its deadline last. Conclusion: only what a server did counts towards its ejection or its end.

--- a/internal/forward/balancers.go
+++ b/internal/forward/balancers.go
@@ -75,7 +75,9 @@
 	service   string
 	// isStandby is set for a standby replica, for which no request was counted yet.
 	isStandby bool
-	load      balance.Load // guarded by balancers.mu
+	// since is when the reservation was made.
+	since time.Time
+	load  balance.Load // guarded by balancers.mu
 	once      sync.Once
 }
 
@@ -323,7 +325,7 @@
 }
 
 func (bs *balancers) newReservation(service string, server balance.Server, req balance.Request) *reservation {
-	return &reservation{server: server, balancers: bs, service: service, isStandby: req.Standby, load: loadOf(req)}
+	return &reservation{server: server, balancers: bs, service: service, isStandby: req.Standby, since: time.Now(), load: loadOf(req)}
 }
 
 func loadOf(req balance.Request) balance.Load {
@@ -429,7 +431,8 @@
 	})
 }
 
-// cancel releases a reservation for which nothing was sent.
+// cancel releases a reservation for which nothing was sent, or whose request ended without a result that tells
+// anything about the server.
 func (res *reservation) cancel() { res.end(func(*balance.Balancer) {}) }
 
 // end removes the reservation's load once and records the result of its use.
--- /dev/null
+++ b/internal/forward/outcome.go
@@ -0,0 +1,39 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"monsoonkeel.example/monsoonkeel/core/verdict"
+	"monsoonkeel.example/monsoonkeel/internal/connection"
+)
+
+// releaseFailed releases the reservation of an attempt that failed with err. The failure counts towards the
+// server's ejection unless the request was ended before the server could have responded.
+func (r *request) releaseFailed(res *reservation, err error) {
+	if r.endedEarly(res, err) {
+		res.cancel()
+		return
+	}
+	res.release(true)
+}
+
+// endedEarly reports whether an attempt failed since the caller or this host ended the request, or since its
+// time was over before the server had the share of the route's objective that a first attempt gets.
+func (r *request) endedEarly(res *reservation, err error) bool {
+	switch {
+	case r.ctx.Err() == nil && !isResponseTimeout(err):
+		return false
+	case r.ctx.Err() == context.Canceled || r.call.Context().Err() != nil:
+		return true
+	}
+	objective := orDefault(r.route.Objective, time.Second)
+	return time.Since(res.since) < time.Duration(float64(objective)*headerTimeoutShare)
+}
+
+// isResponseTimeout reports whether a response did not arrive within the time of an attempt.
+func isResponseTimeout(err error) bool {
+	var timeout interface{ Timeout() bool } // fasthttp's error of a timeout is no net.Error
+	return errors.As(err, &timeout) && timeout.Timeout() && verdict.From(err).Code == connection.CodeNoResponse
+}
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -217,7 +217,7 @@
 	sentAt := time.Now()
 	ex, err := r.g.pool.Do(r.ctx, res.server.Address, req, opts)
 	if err != nil {
-		res.release(r.call.Context().Err() == nil)
+		r.releaseFailed(res, err)
 		if verdict.Of(err) != verdict.NotRun {
 			r.recordBrokenAnswer(res.server, err)
 		}
@@ -232,15 +232,14 @@
 		res.release(verdict.From(err).Code != codeServerError)
 		return err
 	}
-	err = r.deliver(ex)
-	res.release(err != nil)
-	switch {
-	case err != nil:
+	if err := r.deliver(ex, res); err != nil {
 		r.recordBrokenAnswer(res.server, err)
-	case status < 300:
+		return err
+	}
+	if status < 300 {
 		r.prompt.RecordAnswer()
 	}
-	return err
+	return nil
 }
 
 // canRetry reports whether the retry budget and the servers not attempted, by their rate limits and refusals,
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -67,12 +67,14 @@
 	return err
 }
 
-// deliver forwards a response to the caller, buffered if it is not too long.
-func (r *request) deliver(ex *connection.Exchange) error {
+// deliver forwards a response to the caller, buffered if it is not too long, and releases the reservation at its
+// server.
+func (r *request) deliver(ex *connection.Exchange, res *reservation) error {
 	body, complete, release, err := r.g.responseBuffers.readStart(ex.Body())
 	if err != nil {
 		release()
 		ex.Finish(false)
+		r.releaseFailed(res, err)
 		return unusableResponse(err)
 	}
 	r.status = ex.Response.StatusCode()
@@ -81,14 +83,15 @@
 		r.call.Respond(r.status, responseHeader(&ex.Response.Header), body)
 		release()
 		ex.Finish(true)
+		res.release(false)
 		return nil
 	}
-	return r.deliverUnbuffered(ex, body, release)
+	return r.deliverUnbuffered(ex, res, body, release)
 }
 
 // deliverUnbuffered forwards a response of which the start has been read. release
 // returns the buffer capacity of the start.
-func (r *request) deliverUnbuffered(ex *connection.Exchange, start []byte, release func()) error {
+func (r *request) deliverUnbuffered(ex *connection.Exchange, res *reservation, start []byte, release func()) error {
 	err := r.call.Begin(r.status, responseHeader(&ex.Response.Header))
 	if err == nil {
 		_, err = r.call.Write(start)
@@ -102,9 +105,11 @@
 	}
 	ex.Finish(err == nil)
 	if err == nil {
+		res.release(false)
 		return nil
 	}
-	// The error is determined first, since the abort also cancels the call's context.
+	// Both are determined first, since the abort also cancels the call's context.
+	r.releaseFailed(res, err)
 	failure := error(unusableResponse(err))
 	if r.ctx.Err() != nil {
 		failure = r.interruptionError(true)
--- a/internal/forward/standby.go
+++ b/internal/forward/standby.go
@@ -76,6 +76,14 @@
 	res.release(true)
 }
 
+// cancelReservation releases the reservation at the current engine without a result.
+func (gen *generation) cancelReservation() {
+	gen.mu.Lock()
+	res := gen.reservation
+	gen.mu.Unlock()
+	res.cancel()
+}
+
 // acceptsWork reports whether a server may get new requests.
 func (g *Gateway) acceptsWork(id string) bool {
 	snapshot := g.opts.Directory.Snapshot()
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -104,7 +104,7 @@
 	}
 	ex, err := r.exchange(r.ctx, res, true, func(req *fasthttp.Request) { r.setStandbyHeader(req, standby) })
 	if err != nil {
-		res.release(r.call.Context().Err() == nil)
+		r.releaseFailed(res, err)
 	}
 	return ex, err
 }
@@ -136,8 +136,7 @@
 // deliverFailure delivers an engine's response other than a stream. The error it
 // returns is errDelivered, unless the delivery failed.
 func (r *request) deliverFailure(ex *connection.Exchange, res *reservation) error {
-	err := r.deliver(ex)
-	res.release(err != nil)
+	err := r.deliver(ex, res)
 	if err == nil {
 		err = errDelivered
 	}
@@ -291,6 +290,7 @@
 	s.finish(false)
 	if s.r.ctx.Err() != nil {
 		err := s.r.interruptionError(true)
+		s.generation.cancelReservation()
 		if s.headerSent {
 			s.r.call.Abort()
 		}
