Take a failed write to a caller for no failure of its server

Cause: callers were kept from sound engines and servers since another caller did not read its response: a write that timed out after 60 s, or to a connection whose end shows only in a write, ejected the server for 0.3 s, up to 4 s after several, and was logged as a stream that the engine broke off. Errors of reading a body and of writing it were not told apart. Ruled out: the product's own path, which reports no end of a stream or a body. Change: errors of writes to the caller are marked. They release the reservation without a result, give no evidence on prompt parts, do not count as broken streams, and are logged as caller_left. Conclusion: only what a server sends, or fails to send, counts against it.

--- a/internal/forward/balancers.go
+++ b/internal/forward/balancers.go
@@ -78,7 +78,7 @@
 	// since is when the reservation was made.
 	since time.Time
 	load  balance.Load // guarded by balancers.mu
-	once      sync.Once
+	once  sync.Once
 }
 
 func newBalancers(opts Options) *balancers {
--- a/internal/forward/crashes.go
+++ b/internal/forward/crashes.go
@@ -34,7 +34,7 @@
 // recordBrokenAnswer records that a server ended a response; cause is how. An end that was announced,
 // or that this host or the caller brought about, is no crash.
 func (r *request) recordBrokenAnswer(server balance.Server, cause error) {
-	if !r.prompt.HasPendingAnswer() || r.ctx.Err() != nil {
+	if !r.prompt.HasPendingAnswer() || r.ctx.Err() != nil || isCallerError(cause) {
 		return
 	}
 	snapshot := r.g.opts.Directory.Snapshot()
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -19,10 +19,12 @@
 	res.release(true)
 }
 
-// endedEarly reports whether an attempt failed since the caller or this host ended the request, or since its
-// time was over before the server had the share of the route's objective that a first attempt gets.
+// endedEarly reports whether an attempt failed since the caller or this host ended the request, a write to
+// the caller failed, or its time was over before the server had the share of the route's objective that a first attempt gets.
 func (r *request) endedEarly(res *reservation, err error) bool {
 	switch {
+	case isCallerError(err):
+		return true
 	case r.ctx.Err() == nil && !isResponseTimeout(err):
 		return false
 	case r.ctx.Err() == context.Canceled || r.call.Context().Err() != nil:
@@ -37,3 +39,35 @@
 	var timeout interface{ Timeout() bool } // fasthttp's error of a timeout is no net.Error
 	return errors.As(err, &timeout) && timeout.Timeout() && verdict.From(err).Code == connection.CodeNoResponse
 }
+
+// callerError is a failure to write to the caller, which tells nothing about the backend server.
+type callerError struct{ cause error }
+
+// Error implements error.
+func (e *callerError) Error() string { return "writing to the caller: " + e.cause.Error() }
+
+// Unwrap returns the error of the write.
+func (e *callerError) Unwrap() error { return e.cause }
+
+// toCaller marks the error of a write to the caller; nil stays nil.
+func toCaller(err error) error {
+	if err == nil {
+		return nil
+	}
+	return &callerError{err}
+}
+
+// isCallerError reports whether err is the failure of a write to the caller.
+func isCallerError(err error) bool {
+	var e *callerError
+	return errors.As(err, &e)
+}
+
+// callerBody writes parts of a response body to the caller.
+type callerBody struct{ call *connection.Call }
+
+// Write implements io.Writer. Its errors are caller errors.
+func (w callerBody) Write(p []byte) (int, error) {
+	n, err := w.call.Write(p)
+	return n, toCaller(err)
+}
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -295,7 +295,7 @@
 	}
 	if callerLeft {
 		r.responded = true // nobody reads a response
-		return &verdict.Error{Verdict: verdict.MayHaveRun, Status: 499, Code: "caller_left", Detail: "the caller closed the connection"}
+		return callerLeftError(nil)
 	}
 	if r.rejection = r.prompt.InterruptedBy(); r.rejection != nil {
 		return r.rejectionError(sent)
@@ -306,6 +306,12 @@
 	return &verdict.Error{Verdict: verdict.MayHaveRun, Status: 504, Code: "timeout", Detail: "no complete response before the deadline"}
 }
 
+// callerLeftError returns the error of a request whose caller closed the connection, or does not read the response;
+// cause is that of a failed write, or nil.
+func callerLeftError(cause error) *verdict.Error {
+	return &verdict.Error{Verdict: verdict.MayHaveRun, Status: 499, Code: "caller_left", Detail: "the caller closed the connection", Cause: cause}
+}
+
 // log writes the log line of the request and counts its latency and failure code.
 func (r *request) log(err error) {
 	var e *zerolog.Event
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -92,16 +92,17 @@
 // deliverUnbuffered forwards a response of which the start has been read. release
 // returns the buffer capacity of the start.
 func (r *request) deliverUnbuffered(ex *connection.Exchange, res *reservation, start []byte, release func()) error {
-	err := r.call.Begin(r.status, responseHeader(&ex.Response.Header))
+	body := callerBody{r.call}
+	err := toCaller(r.call.Begin(r.status, responseHeader(&ex.Response.Header)))
 	if err == nil {
-		_, err = r.call.Write(start)
+		_, err = body.Write(start)
 	}
 	release()
 	if err == nil {
-		err = r.g.responseBuffers.copyRest(r.call, ex.Body())
+		err = r.g.responseBuffers.copyRest(body, ex.Body())
 	}
 	if err == nil {
-		err = r.call.End()
+		err = toCaller(r.call.End())
 	}
 	ex.Finish(err == nil)
 	if err == nil {
@@ -111,8 +112,11 @@
 	// Both are determined first, since the abort also cancels the call's context.
 	r.releaseFailed(res, err)
 	failure := error(unusableResponse(err))
-	if r.ctx.Err() != nil {
+	switch {
+	case r.ctx.Err() != nil:
 		failure = r.interruptionError(true)
+	case isCallerError(err):
+		failure = callerLeftError(err)
 	}
 	r.call.Abort()
 	return failure
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -227,11 +227,11 @@
 		s.r.status = fasthttp.StatusOK
 		s.r.responded = true
 		if err := s.r.call.Begin(s.r.status, s.header); err != nil {
-			return err
+			return toCaller(err)
 		}
 	}
 	if _, err := s.r.call.Write(f.Raw); err != nil {
-		return err
+		return toCaller(err)
 	}
 	if f.HasID {
 		s.lastID = f.ID
@@ -296,6 +296,11 @@
 		}
 		return err
 	}
+	if isCallerError(cause) {
+		s.generation.cancelReservation()
+		s.r.call.Abort()
+		return callerLeftError(cause)
+	}
 	s.generation.reportEngineFailure()
 	if !s.headerSent {
 		return unusableResponse(cause)
