Let reservations that were not used tell nothing about their engine

Cause: requests were sent to an engine that had just failed, since a standby replica's reservation there, or that of a migration's target, was released as a success, which ends the ejection. An engine that rejected to resume a generation, and one that was closed after 3 s of silence, counted as successes too. Ruled out: a failure for each engine that rejects to resume: a copy can expire. Change: such reservations are cancelled; a source that is taken for dead fails. The test does not cover a source that is taken for dead. Conclusion: an ejection ends by its time or a response of the engine.

--- a/internal/forward/migration.go
+++ b/internal/forward/migration.go
@@ -280,7 +280,7 @@
 
 func (m *migration) releaseTarget() {
 	if m.target != nil {
-		m.target.release(false)
+		m.target.cancel()
 		m.target = nil
 	}
 }
--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -113,7 +113,11 @@
 			break
 		}
 	}
-	target.release(!sw.responded && r.call.Context().Err() == nil)
+	if sw.responded || r.ctx.Err() != nil {
+		target.cancel()
+	} else {
+		target.release(true)
+	}
 	r.g.Metrics.FailedMigrations.Add(1)
 	return sw.err
 }
@@ -133,7 +137,7 @@
 func (gen *generation) switchReservation(ex *connection.Exchange, target, standby *reservation) {
 	gens := &gen.r.g.generations
 	gen.mu.Lock()
-	former := gen.reservation
+	former, dead := gen.reservation, gen.takenForDead
 	m := gen.migration
 	gen.reservation, gen.migration, gen.switchover = target, nil, nil
 	gen.ex, gen.sourceEnded, gen.takenForDead = ex, make(chan struct{}), false
@@ -147,7 +151,11 @@
 	gens.drop(former.server.ID, gen)
 	gens.put(target.server.ID, gen)
 	gens.mu.Unlock()
-	former.release(false)
+	if dead {
+		former.release(true)
+	} else {
+		former.cancel()
+	}
 	gen.abandonMigration(m, target)
 	gen.awaitSilence()
 	gen.r.g.migrateIfTerminating(gen, target.server.ID)
--- a/internal/forward/standby.go
+++ b/internal/forward/standby.go
@@ -35,10 +35,10 @@
 	}
 }
 
-// releaseIfHeld releases an unused reservation, which may be nil.
+// releaseIfHeld releases an unused reservation, which may be nil. It tells nothing about the engine.
 func (res *reservation) releaseIfHeld() {
 	if res != nil {
-		res.release(false)
+		res.cancel()
 	}
 }
 
