--- a/internal/forward/standby.go
+++ b/internal/forward/standby.go
@@ -35,10 +35,10 @@
 	}
 }
 
-// releaseIfHeld releases an unused reservation, which may be nil.
+// releaseIfHeld releases an unused reservation, which may be nil. It tells nothing about the engine.
 func (res *reservation) releaseIfHeld() {
 	if res != nil {
-		res.release(false)
+		res.cancel()
 	}
 }
 
@@ -86,6 +86,14 @@
 	res.release(true)
 }
 
+// cancelReservation releases the reservation at the current engine without a result.
+func (gen *generation) cancelReservation() {
+	gen.mu.Lock()
+	res := gen.reservation
+	gen.mu.Unlock()
+	res.cancel()
+}
+
 // acceptsWork reports whether a server may get new requests.
 func (g *Gateway) acceptsWork(id string) bool {
 	snapshot := g.opts.Directory.Snapshot()
