Keep the ports of servers that tests start

Cause: a deployment of TestScenarios/domain_out_and_back and a row of TestConfigChange ended with "bind: address already in use". freePort and freeAddress listened, closed the listener, and let a server listen there later. In between, another test process could take the port, and a process that was being started held a copy of the listener until its exec. Ruled out: passing open listeners to the processes. The programs would need an option only for tests, and a restarted process needs the port again. A loopback address for each test process (scenarios had one) does not help: the copy of the own listener is the cause there. Change: the package reservedport binds a port that the system chooses, without listening, and then allows the reuse of its address, so that the server can listen there and nothing else gets the port.

--- a/scenarios/deployment_test.go
+++ b/scenarios/deployment_test.go
@@ -23,6 +23,7 @@
 
 	"monsoonkeel.example/monsoonkeel/core/config"
 	"monsoonkeel.example/monsoonkeel/internal/platform"
+	"monsoonkeel.example/monsoonkeel/internal/reservedport"
 )
 
 const (
@@ -63,6 +64,8 @@
 	// ready holds the entry hosts that passed their latest readiness check.
 	ready     atomic.Pointer[[]*process]
 	stopReady context.CancelFunc
+	// releasePorts ends the reservations of the processes' addresses.
+	releasePorts []func() error
 }
 
 func newDeployment(env *testscript.Env) *deployment {
@@ -93,6 +96,9 @@
 	if d.links != nil {
 		d.links.close()
 	}
+	for _, release := range d.releasePorts {
+		_ = release()
+	}
 	t, ok := d.env.T().(interface {
 		Failed() bool
 		Errorf(string, ...any)
@@ -155,6 +161,16 @@
 	return "", d.waitServing()
 }
 
+// reservePort returns an address that the deployment keeps for one of its processes.
+func (d *deployment) reservePort() (string, error) {
+	address, release, err := reservedport.TCP()
+	if err != nil {
+		return "", err
+	}
+	d.releasePorts = append(d.releasePorts, release)
+	return address, nil
+}
+
 // add registers a process with the deployment and starts it.
 func (d *deployment) add(p *process) error {
 	p.logPath = filepath.Join(d.work, p.name+".log")
@@ -164,7 +180,7 @@
 
 func (d *deployment) startPlatform() error {
 	for _, r := range []role{roleObjects, roleHosts} {
-		address, err := freePort()
+		address, err := d.reservePort()
 		if err != nil {
 			return err
 		}
@@ -198,7 +214,7 @@
 }
 
 func (d *deployment) addBackend(i int, r role, service string, extra ...string) error {
-	address, err := freePort()
+	address, err := d.reservePort()
 	if err != nil {
 		return err
 	}
@@ -226,7 +242,7 @@
 		p := &process{name: fmt.Sprintf("entry-%d", i), role: roleEntry, command: "monsoonkeeld", region: location.region, domain: location.domain}
 		for _, address := range []*string{&p.address, &p.admin, &p.peer} {
 			var err error
-			if *address, err = freePort(); err != nil {
+			if *address, err = d.reservePort(); err != nil {
 				return err
 			}
 		}
--- a/scenarios/links_test.go
+++ b/scenarios/links_test.go
@@ -52,11 +52,7 @@
 	if err != nil {
 		return "", "", err
 	}
-	address, err := freePort()
-	if err != nil {
-		return "", "", err
-	}
-	listener, err := net.Listen("tcp", address)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", "", err
 	}
@@ -65,7 +61,7 @@
 	l.servers = append(l.servers, server)
 	l.mu.Unlock()
 	go func() { _ = server.Serve(listener) }()
-	return "http://" + object.listener.Addr().String(), "http://" + address, nil
+	return "http://" + object.listener.Addr().String(), "http://" + listener.Addr().String(), nil
 }
 
 func (l *links) serveHosts(w http.ResponseWriter, p *process) {
@@ -101,11 +97,7 @@
 	if k := l.byEndpoints[name]; k != nil {
 		return k, nil
 	}
-	address, err := freePort()
-	if err != nil {
-		return nil, err
-	}
-	listener, err := net.Listen("tcp", address)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
--- a/scenarios/process_test.go
+++ b/scenarios/process_test.go
@@ -4,13 +4,11 @@
 	"bytes"
 	"context"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -59,32 +57,6 @@
 	exitStatus string
 }
 
-// loopback is a loopback address derived from the process id, so that no other
-// process binds the ports of this test process.
-var loopback = func() string {
-	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d", 64+(pid>>14)&0x3f, (pid>>7)&0x7f, 1+pid&0x7f)
-}()
-
-// nextPort counts the ports handed out. They are below the ephemeral port range.
-var nextPort atomic.Uint32
-
-const (
-	firstPort = 20000
-	lastPort  = 32000
-)
-
-// freePort returns an address with a free port that was not handed out before.
-func freePort() (string, error) {
-	for range lastPort - firstPort {
-		address := net.JoinHostPort(loopback, strconv.Itoa(firstPort+int(nextPort.Add(1))%(lastPort-firstPort)))
-		if l, err := net.Listen("tcp", address); err == nil {
-			return address, l.Close()
-		}
-	}
-	return "", fmt.Errorf("no free port")
-}
-
 // start starts the process; its log is appended to the same file.
 func (p *process) start() error {
 	if p.running() {
