Limit the processor time of a connection setup in its test

Cause: rows of TestEndlessLoadReportEndsTheConnectionSetup ended with "i/o timeout" on a busy machine. The setup takes about 30 ms of processor time or less, and the process waited for the processor. Ruled out: a step of the setup that takes the second. A trace with GOMAXPROCS=1 on one processor beside 4 busy processes, at a load of 48, has for the row that failed (chunk_extension, 1 of 6 runs): 5.82 s by the clock, 32 ms of processor time, and 11.5 s, summed over the threads, in the queue of the scheduler. Change: the limit on the request for the load report is a field of the pool, 1 s as before, which the test checks. The test itself uses a minute, so that it still fails if the setup lasts until its limit, and requires that the setup takes less than the former second of processor time.

--- a/internal/connection/endless_test.go
+++ b/internal/connection/endless_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -291,10 +292,23 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newRawServer(t, c.response, c.unit)
-			_, err := s.do(t, NewPool(), "GET", Options{Incarnation: "new"})
+			p := NewPool()
+			require.Equal(t, dialTimeout, p.identifyTimeout)
+			p.identifyTimeout = exchangeTimeout
+			start := processorTime(t)
+			_, err := s.do(t, p, "GET", Options{Incarnation: "new"})
+			// On a busy processor, the process may wait longer than dialTimeout to run.
+			require.Less(t, processorTime(t)-start, dialTimeout)
 			require.Equal(t, verdict.NotRun, verdict.Of(err))
 			require.NotContains(t, err.Error(), "i/o timeout")
 			s.waitClosed(t)
 		})
 	}
 }
+
+// processorTime returns the processor time that the process has used.
+func processorTime(t *testing.T) time.Duration {
+	var usage syscall.Rusage
+	require.NoError(t, syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
--- a/internal/connection/upstream.go
+++ b/internal/connection/upstream.go
@@ -53,6 +53,8 @@
 	// set while a check is due.
 	checkInterval time.Duration
 	checking      atomic.Bool
+	// identifyTimeout limits the request for the load report of a new connection.
+	identifyTimeout time.Duration
 }
 
 // idleConns holds the idle connections to one address. The last one is reused first.
@@ -67,7 +69,9 @@
 
 // NewPoolSize returns an empty pool that keeps up to maxIdle idle connections
 // per address.
-func NewPoolSize(maxIdle int) *Pool { return &Pool{maxIdle: maxIdle, checkInterval: idleCheckInterval} }
+func NewPoolSize(maxIdle int) *Pool {
+	return &Pool{maxIdle: maxIdle, checkInterval: idleCheckInterval, identifyTimeout: dialTimeout}
+}
 
 func (p *Pool) idle(address string) *idleConns {
 	if existing, ok := p.addresses.Load(address); ok {
@@ -278,7 +282,7 @@
 	if opts.Incarnation == "" {
 		return conn, false, nil
 	}
-	if err := conn.identify(ctx, opts.IDHeader); err != nil {
+	if err := conn.identify(ctx, opts.IDHeader, p.identifyTimeout); err != nil {
 		_ = c.Close()
 		return nil, false, err
 	}
@@ -292,8 +296,8 @@
 // identify requests the load report, whose header fields contain the incarnation of the
 // process, as those of every response do. The call has an ID of its own in idHeader, so that
 // its response sent again is not taken as that to the request.
-func (c *upstreamConn) identify(ctx context.Context, idHeader string) error {
-	_ = c.SetDeadline(time.Now().Add(dialTimeout))
+func (c *upstreamConn) identify(ctx context.Context, idHeader string, timeout time.Duration) error {
+	_ = c.SetDeadline(time.Now().Add(timeout))
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
