Do not count callers that leave during a write as failures of their server

Cause: a caller that closes its connection while the host writes to it counted as an engine that broke off its stream, or as a server with a broken answer. A write fails before the watch of the connection has noticed the close, so that the context of the call was not cancelled yet. One such caller excludes a sound server for a time, which rejects the requests of others; the log names the wrong cause (stream_broken). Change: a failed write to the caller cancels the context of the call, in one place for all responses; a response that ends because of that counts neither towards the ejection of the server nor as evidence of a crash.

--- a/internal/connection/call.go
+++ b/internal/connection/call.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"strconv"
 	"time"
@@ -36,8 +35,8 @@
 	reserved int64
 }
 
-// Context is cancelled when the caller closes the connection, by Server.CancelRequests, and
-// after Handle returns.
+// Context is cancelled when the caller closes the connection, when a write to it fails, by
+// Server.CancelRequests, and after Handle returns.
 func (c *Call) Context() context.Context { return c.ctx }
 
 // CancelledByServer reports whether Server.CancelRequests cancelled the context. The caller
@@ -80,20 +79,29 @@
 // stay in memory while a slow caller reads.
 func (c *Call) writeAll(prefix, body, suffix []byte) error {
 	if len(body) <= maxCopiedBytes {
-		_, err := c.conn.conn.Write(append(append(prefix, body...), suffix...))
-		return err
+		return c.write(append(append(prefix, body...), suffix...))
 	}
 	for _, piece := range [][]byte{prefix, body, suffix} {
 		if len(piece) == 0 {
 			continue
 		}
-		if _, err := c.conn.conn.Write(piece); err != nil {
+		if err := c.write(piece); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// write writes to the caller. A failure cancels the context, before the connection's watch may have
+// noticed that the caller has left.
+func (c *Call) write(p []byte) error {
+	_, err := c.conn.conn.Write(p)
+	if err != nil && c.cancel != nil { // nil if the request was not read completely
+		c.cancel(nil)
+	}
+	return err
+}
+
 // hasBody reports whether responses with a status have a body (RFC 9110, section 6.4.1).
 func hasBody(status int) bool {
 	return status >= 200 && status != fasthttp.StatusNoContent && status != fasthttp.StatusNotModified
@@ -110,8 +118,7 @@
 		c.closeAfter = true
 		w = append(w, "\r\n"...)
 	}
-	_, err := c.conn.conn.Write(w)
-	return err
+	return c.write(w)
 }
 
 // Write sends a part of the body of a streamed response.
@@ -120,7 +127,10 @@
 		return 0, nil
 	}
 	if !c.chunked {
-		return c.conn.conn.Write(p)
+		if err := c.write(p); err != nil {
+			return 0, err
+		}
+		return len(p), nil
 	}
 	size := make([]byte, 0, min(len(p), maxCopiedBytes)+chunkFrameBytes)
 	size = strconv.AppendInt(size, int64(len(p)), 16)
@@ -135,7 +145,7 @@
 func (c *Call) End() error {
 	var err error
 	if c.chunked {
-		_, err = io.WriteString(c.conn.conn, "0\r\n\r\n")
+		err = c.write([]byte("0\r\n\r\n"))
 	}
 	c.completed = err == nil
 	return err
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -36,6 +36,7 @@
 	codeNotRun      = "backend_refused"
 	codeUnusable    = "answer_broken"
 	codeServerError = "backend_error"
+	codeCallerLeft  = "caller_left"
 )
 
 // servePlain forwards a request with a single response.
@@ -233,11 +234,12 @@
 		return err
 	}
 	err = r.deliver(ex)
-	res.release(err != nil)
+	failed := err != nil && !callerLeft(err)
+	res.release(failed)
 	switch {
-	case err != nil:
+	case failed:
 		r.recordBrokenAnswer(res.server, err)
-	case status < 300:
+	case err == nil && status < 300:
 		r.prompt.RecordAnswer()
 	}
 	return err
@@ -277,6 +279,9 @@
 	return nil
 }
 
+// callerLeft reports whether a request ended because its caller left.
+func callerLeft(err error) bool { return verdict.From(err).Code == codeCallerLeft }
+
 func unusableResponse(cause error) error {
 	return verdict.Wrap(cause, verdict.MayHaveRun, 502, codeUnusable, "the backend server's response is incomplete or invalid")
 }
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -286,16 +286,16 @@
 // interruptionError returns the error of a request whose caller disconnected, whose deadline
 // passed, or which was running at the end of the host's shutdown.
 func (r *request) interruptionError(sent bool) error {
-	callerLeft := r.call.Context().Err() != nil && !r.call.CancelledByServer()
-	if !callerLeft && (r.shutdownFirst || r.call.CancelledByServer()) {
+	left := r.call.Context().Err() != nil && !r.call.CancelledByServer()
+	if !left && (r.shutdownFirst || r.call.CancelledByServer()) {
 		if !sent {
 			return r.rejectedByShutdown()
 		}
 		return &verdict.Error{Verdict: verdict.MayHaveRun, Status: 504, Code: "host_stops", Detail: "no complete response before the host shut down"}
 	}
-	if callerLeft {
+	if left {
 		r.responded = true // nobody reads a response
-		return &verdict.Error{Verdict: verdict.MayHaveRun, Status: 499, Code: "caller_left", Detail: "the caller closed the connection"}
+		return &verdict.Error{Verdict: verdict.MayHaveRun, Status: 499, Code: codeCallerLeft, Detail: "the caller closed the connection"}
 	}
 	if r.rejection = r.prompt.InterruptedBy(); r.rejection != nil {
 		return r.rejectionError(sent)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -137,7 +137,7 @@
 // returns is errDelivered, unless the delivery failed.
 func (r *request) deliverFailure(ex *connection.Exchange, res *reservation) error {
 	err := r.deliver(ex)
-	res.release(err != nil)
+	res.release(err != nil && !callerLeft(err))
 	if err == nil {
 		err = errDelivered
 	}
