Resume from the copy of an ended engine that had refused requests

Callers would lose a stream that has a copy at another engine when its own engine refuses requests and then ends: whether it still runs the generation was asked with a control call, which is held back by the refusal. Evidence: go test -race -run TestGenerationOfEndedEngineThatRefusedResumes ./internal/forward before: "Should be true" (the engine refuses connections). Ruled out: sending the control call within the refusal; resuming without evidence, since the generation could run at two engines. Change: if the control call is held back, the host tries to connect instead; an engine that refuses the connection has ended. No request is sent. After: the test passes, 2 of 2 runs of the tests of refusals and migrations.

--- a/internal/forward/migration.go
+++ b/internal/forward/migration.go
@@ -267,6 +267,8 @@
 			return true
 		case result.Outcome == GenerationNotFound || errors.Is(err, syscall.ECONNREFUSED):
 			return true
+		case errors.Is(err, errRefused):
+			return gen.leavingEngineIsGone()
 		case err == nil || ctx.Err() != nil:
 			return false
 		}
--- a/internal/forward/refusals_test.go
+++ b/internal/forward/refusals_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"testing"
 	"time"
 
@@ -122,3 +123,19 @@
 		cancel()
 	}
 }
+
+// Guards against a stream that breaks although its engine has certainly ended, because that refused requests
+// before and is not asked.
+func TestGenerationOfEndedEngineThatRefusedResumes(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := l.Addr().String()
+	g, servers := newRefusalGateway(address)
+	g.opts.EngineClient = &controlCalls{g: g}
+	g.refuse(servers[address], time.Minute)
+	m := &migration{source: servers[address], preCopy: CopyResult{Handle: "h"}, target: &reservation{}}
+	gen := &generation{r: &request{g: g, ctx: t.Context()}, reservation: &reservation{server: m.source}, migration: m}
+	assert.False(t, gen.canResume(m), "the engine may run the generation")
+	require.NoError(t, l.Close())
+	assert.True(t, gen.canResume(m), "the engine refuses connections")
+}
