--- a/internal/forward/migration.go
+++ b/internal/forward/migration.go
@@ -276,6 +276,8 @@
 			return true
 		case result.Outcome == GenerationNotFound || errors.Is(err, syscall.ECONNREFUSED):
 			return true
+		case errors.Is(err, errRefused) && gen.leavingEngineIsGone():
+			return true
 		case err == nil && !gen.r.g.balancers.refuses(m.source) || ctx.Err() != nil:
 			return false
 		}
