Send callers that use HTTP/1.0 no chunks

Cause: callers of the product's own path that use HTTP/1.0 got damaged bodies: the sizes of chunks stood between the bytes of streams, of responses buffered as a whole, and of responses over 256 KiB or without a length ("117\r\nid: ..."). The other request path sends none. Ruled out: rejecting such requests: the length of a response is known only after the request ran. Change: for these callers the body ends with the connection, and with a reset if it is not complete. A response buffered as a whole is still without a length. Over TLS no run was made. Conclusion: callers of both paths get the body that belongs to their version.

--- a/internal/connection/listen.go
+++ b/internal/connection/listen.go
@@ -35,3 +35,19 @@
 	}
 	return c.Conn.Write(b)
 }
+
+// Reset makes the next close of a connection reset it, so that a response that only the end of the connection
+// delimits does not look complete.
+func Reset(c net.Conn) {
+	for {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // fails for a closed connection only
+			return
+		}
+		wrapped, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			return
+		}
+		c = wrapped.NetConn()
+	}
+}
--- a/internal/request/buffers.go
+++ b/internal/request/buffers.go
@@ -120,5 +120,5 @@
 	}
 	b := &bufferedBody{buffer: buffer}
 	b.Reset(body)
-	c.http.Response.SetBodyStream(b, len(body))
+	c.setBodyStream(b, len(body))
 }
--- a/internal/request/plain.go
+++ b/internal/request/plain.go
@@ -204,7 +204,7 @@
 	c.outcome.Status = ex.Response.StatusCode()
 	c.streaming = true
 	c.responseBegun.Store(true)
-	c.http.Response.SetBodyStream(&responseBody{c: c, ex: ex, reservation: reservation}, length)
+	c.setBodyStream(&responseBody{c: c, ex: ex, reservation: reservation}, length)
 	return nil
 }
 
--- a/internal/request/relay.go
+++ b/internal/request/relay.go
@@ -52,7 +52,7 @@
 	h.Set("Cache-Control", "no-store")
 	h.Set(headerGenerationID, gen.token)
 	c.http.Response.ImmediateHeaderFlush = true
-	c.http.Response.SetBodyStream(body, -1)
+	c.setBodyStream(body, -1)
 	return nil
 }
 
