Send nothing to a server that left after it was chosen

Cause: an engine that had given notice was asked to resume a generation: the host chose it as the target of a migration, made the copy, which may take 5 s, and did not look again whether it accepts work. Connection setups (0.4 s) and repeated requests to resume had the same gap. Ruled out: a check after the copy only. Connections opened in advance send no request. Change: both kinds of request check right before the first byte that their server accepts work, as the product's own path does. The next attempt is free of charge. Conclusion: a server gets no request once its host knows that it leaves.

--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -19,11 +19,11 @@
 	res.release(true)
 }
 
-// endedEarly reports whether an attempt failed since the caller or this host ended the request, a write to
+// endedEarly reports whether an attempt failed since the caller or this host ended the request or withheld it, a write to
 // the caller failed, or its time was over before the server had the share of the route's objective that a first attempt gets.
 func (r *request) endedEarly(res *reservation, err error) bool {
 	switch {
-	case isCallerError(err):
+	case isCallerError(err), verdict.From(err).Code == codeLeft:
 		return true
 	case r.ctx.Err() == nil && !isResponseTimeout(err):
 		return false
@@ -34,6 +34,15 @@
 	return time.Since(res.since) < time.Duration(float64(objective)*headerTimeoutShare)
 }
 
+// checkAcceptsWork returns an error if the server of a reservation gets no new requests any more. It is called right
+// before the first byte is sent: a connection setup, or the copy of a generation to the server, took its time.
+func (r *request) checkAcceptsWork(res *reservation) error {
+	if r.g.acceptsWork(res.server.ID) {
+		return nil
+	}
+	return notRun(503, codeLeft, "the backend server was taken out of service before the request was sent")
+}
+
 // isResponseTimeout reports whether a response did not arrive within the time of an attempt.
 func isResponseTimeout(err error) bool {
 	var timeout interface{ Timeout() bool } // fasthttp's error of a timeout is no net.Error
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -36,6 +36,7 @@
 	codeNotRun      = "backend_refused"
 	codeUnusable    = "answer_broken"
 	codeServerError = "backend_error"
+	codeLeft        = "backend_left"
 )
 
 // servePlain forwards a request with a single response.
@@ -108,7 +109,7 @@
 	if attempts >= maxRejections+r.route.Attempts {
 		return false
 	}
-	if verdict.From(err).Code == connection.CodeConnectFailed {
+	if code := verdict.From(err).Code; code == connection.CodeConnectFailed || code == codeLeft {
 		return true
 	}
 	if !r.prompt.AllowRetry() || !r.g.balancers.chargeRetry(r.service) {
@@ -199,7 +200,7 @@
 // delivers the response.
 func (r *request) attemptPlain(res *reservation, ran int, attempted []string) error {
 	again := r.mayExecuteAgain(ran + 1)
-	opts := r.sendOptions(r.route.Kind == route.NonIdempotent)
+	opts := r.sendOptions(res, r.route.Kind == route.NonIdempotent)
 	opts.BodyNotReused = true
 	if err := r.checkParts(); err != nil {
 		res.cancel()
@@ -250,9 +251,10 @@
 }
 
 // sendOptions returns the options that the requests of both kinds of response share.
-func (r *request) sendOptions(noReuse bool) connection.Options {
+func (r *request) sendOptions(res *reservation, noReuse bool) connection.Options {
 	return connection.Options{
-		NoReuse: noReuse, DialTimeout: connectTimeout, MaxIdleTime: maxIdleReuse,
+		BeforeSend: func() error { return r.checkAcceptsWork(res) },
+		NoReuse:    noReuse, DialTimeout: connectTimeout, MaxIdleTime: maxIdleReuse,
 		IDHeader: r.g.opts.Dialect.RequestID, SkipOtherIDs: true,
 	}
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -118,7 +118,7 @@
 	defer fasthttp.ReleaseRequest(req)
 	prepare(req)
 	sentAt := time.Now()
-	ex, err := r.g.pool.Do(ctx, res.server.Address, req, r.sendOptions(fresh))
+	ex, err := r.g.pool.Do(ctx, res.server.Address, req, r.sendOptions(res, fresh))
 	if err != nil {
 		if verdict.Of(err) != verdict.NotRun {
 			r.recordBrokenAnswer(res.server, err)
