Test that plain services keep silent servers on the product's own path

Cause: the path of forwarded requests gave up silent servers of requests that may be repeated; the product's own path was not looked at for that. Ruled out: the same cause. internal/request/plain.go sends without a limit on the wait for the header, so that a silent server is awaited until the deadline, 30 s without one, and another attempt follows only its failure. recover.go resumes at the same engine and keeps its connection meanwhile (TestSilentGenerationIsNotGivenUp). Conclusion: no change there. A dead server costs a request its deadline on that path; it has no hedged requests.

--- a/internal/request/silence_test.go
+++ b/internal/request/silence_test.go
@@ -1,6 +1,8 @@
 package request
 
 import (
+	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -79,3 +81,46 @@
 		})
 	}
 }
+
+// Guards against a request to a plain service that fails, or is sent to another server, because its host
+// gives up a server that is silent for a while before its header, inside it or inside the body.
+func TestSilentPlainServerIsNotGivenUp(t *testing.T) {
+	const silence, body = 1200 * time.Millisecond, "response"
+	header := fmt.Sprintf("%sContent-Length: %d\r\n\r\n", okHeader, len(body))
+	for name, silentAfter := range map[string]int{
+		"before the header": 0, "inside the header": len(header) / 2, "inside the body": len(header) + 1,
+	} {
+		for _, class := range []string{"lookup", "write"} {
+			t.Run(name+"/"+class, func(t *testing.T) {
+				t.Parallel()
+				var requests atomic.Int32
+				r := &testGateway{t: t}
+				for range 3 {
+					r.addBackend("desk", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+						if requests.Add(1) > 1 {
+							w.WriteHeader(http.StatusServiceUnavailable)
+							return
+						}
+						conn, _, err := http.NewResponseController(w).Hijack()
+						if err != nil {
+							return
+						}
+						defer conn.Close()
+						text := header + body
+						_, _ = io.WriteString(conn, text[:silentAfter])
+						time.Sleep(silence)
+						_, _ = io.WriteString(conn, text[silentAfter:])
+					}))
+				}
+				r.start()
+				resp := r.do("POST", "/services/desk/x", "", headerClass, class)
+				defer resp.Body.Close()
+				got, err := io.ReadAll(resp.Body)
+				require.NoError(t, err)
+				require.Equal(t, 200, resp.StatusCode, "%s", got)
+				require.Equal(t, body, string(got))
+				require.EqualValues(t, 1, requests.Load())
+			})
+		}
+	}
+}
