Await silent servers of requests that may be repeated

Callers saw 502 or 504 for requests that may be repeated although their server was sound and silent for a second. Cause: the wait for the header was limited to 0.4 of the remaining time by a read deadline, after which the connection could not be used any more. Only then was another server looked for, which rejected, closed or was silent too, and the retry budget asked. The end of the first attempt did not depend on the second one. Ruled out: - waiting for the first server until the deadline: a dead server would cost the request; it was replaced until now; - asking a second server and giving up the first at the second's header: a header is no response, the second may fail in its body, and most servers send both at once. Change: after the same time a second server is asked and the first one stays (internal/forward/attempts.go); the first whole response is delivered, the other attempt is cancelled. core/hedge decides, with a table of states: an attempt without an outcome counts as an execution, so that no more servers run the request than its route allows, and one that may run once is never sent while an attempt is open. The second request is charged to the shared retry budget right before it is sent; without budget or another server the first is awaited. A rejection of one attempt leaves the other one open, and the request is reported as not run only if no attempt may have run. What a response says of its server is observed in each attempt. A silence counts as a failure of the server at once, and a response takes that back; an attempt that the host cancels counts as neither, also if its caller left. A server that is silent inside its body is treated alike. No second copy goes to a server where an attempt runs.

--- a/internal/forward/answers.go
+++ b/internal/forward/answers.go
@@ -25,19 +25,25 @@
 // observeAnswer records what the answer to this request says of its server. sentAt is when the request was
 // sent.
 func (r *request) observeAnswer(server balance.Server, h *fasthttp.ResponseHeader, sentAt time.Time) {
-	r.rateLimit = ""
-	d := &r.g.opts.Dialect
+	r.rateLimit = r.g.observeRequestAnswer(server, h, sentAt)
+}
+
+// observeRequestAnswer records what the answer to a request says of its server. It returns the rate limit
+// that the answer names, for logs; empty for none.
+func (g *Gateway) observeRequestAnswer(server balance.Server, h *fasthttp.ResponseHeader, sentAt time.Time) string {
+	d := &g.opts.Dialect
 	// Status 503 of anything else is no rejection by the server.
 	own := len(h.Peek(d.NotExecuted)) > 0 || len(h.Peek(d.ServerMark)) > 0
-	answer, ok := r.g.observeAnswer(server, h, own, sentAt)
+	answer, ok := g.observeAnswer(server, h, own, sentAt)
 	switch {
 	case !ok:
 	case answer.Limit > 0:
-		r.rateLimit = strconv.FormatFloat(answer.Limit, 'g', -1, 64)
+		return strconv.FormatFloat(answer.Limit, 'g', -1, 64)
 	case !answer.LimitUnreadable:
 		// Only the answer to a request shows that the server names no limit any more.
-		r.g.balancers.observeRateLimit(server.ID, server.StartTime, ratelimit.Observation{SentAt: sentAt, At: time.Now()})
+		g.balancers.observeRateLimit(server.ID, server.StartTime, ratelimit.Observation{SentAt: sentAt, At: time.Now()})
 	}
+	return ""
 }
 
 // observeAnswer records what an answer says of its server, a process that the server's ID and start time
--- a/internal/forward/balancers.go
+++ b/internal/forward/balancers.go
@@ -76,7 +76,9 @@
 	// isStandby is set for a standby replica, for which no request was counted yet.
 	isStandby bool
 	load      balance.Load // guarded by balancers.mu
-	once      sync.Once
+	// silent is set once a silence of the server was counted as its failure; guarded by balancers.mu.
+	silent bool
+	once   sync.Once
 }
 
 func newBalancers(opts Options) *balancers {
@@ -421,6 +423,7 @@
 		switch {
 		case res.balancers.refusals.Refuses(res.server.Process(), time.Now()):
 			// The refusal excludes the server for the time that it wants.
+		case failed && res.silent:
 		case failed:
 			b.RecordFailure(res.server.ID, time.Now())
 		default:
@@ -429,7 +432,7 @@
 	})
 }
 
-// cancel releases a reservation for which nothing was sent.
+// cancel releases a reservation without a result: nothing was sent, or the host ended the request.
 func (res *reservation) cancel() { res.end(func(*balance.Balancer) {}) }
 
 // end removes the reservation's load once and records the result of its use.
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"slices"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -26,9 +25,6 @@
 	// minRetryTime is the least time before the deadline at which a retry is sent: two
 	// round trips between regions.
 	minRetryTime = 120 * time.Millisecond
-	// headerTimeoutShare is the share of the remaining time that an attempt waits for the
-	// response header while the request may still be retried.
-	headerTimeoutShare = 0.4
 )
 
 // Codes of failed attempts.
@@ -41,65 +37,17 @@
 // servePlain forwards a request with a single response.
 func (r *request) servePlain() error {
 	r.g.balancers.recordFirstAttempt(r.service)
-	var attempted []string
-	var last error
-	ran := 0
-	for {
-		res, reason := r.reserveForAttempt(attempted)
-		if res == nil {
-			return r.noReservation(last, ran, reason)
-		}
-		r.attempts++
-		err := r.attemptPlain(res, ran, attempted)
-		if err == nil {
-			return nil
-		}
-		if r.responded {
-			return err // the caller has a part of the response
-		}
-		if r.ctx.Err() != nil {
-			return r.interruptionError(verdict.Of(err) != verdict.NotRun || ran > 0)
-		}
-		if r.rejection != nil {
-			return r.rejectAttempt(err, ran)
-		}
-		last = err
-		attempted = append(attempted, res.server.ID)
-		if verdict.Of(err) != verdict.NotRun {
-			ran++
-			if !r.mayExecuteAgain(ran) {
-				return err
-			}
-		}
-		if !r.mayRetry(err, len(attempted)) {
-			return r.giveUp(err, ran)
-		}
-	}
+	p := newAttempts(r)
+	defer p.end()
+	return p.serve()
 }
 
-// rejectAttempt returns the error of a request that was rejected for a prompt part after ran
-// executions.
-func (r *request) rejectAttempt(err error, ran int) error {
-	if ran == 0 {
-		return err
+// maxRuns is how often the request may be executed.
+func (r *request) maxRuns() int {
+	if r.route.Kind == route.Idempotent {
+		return max(1, r.route.Attempts)
 	}
-	return r.rejectionError(true)
-}
-
-// mayExecuteAgain reports whether the request may be executed once more after ran
-// executions.
-func (r *request) mayExecuteAgain(ran int) bool {
-	return r.route.Kind == route.Idempotent && ran < r.route.Attempts
-}
-
-// reserveForAttempt reserves a slot at a server that was not attempted yet. If there is none, an
-// idempotent request may go to any server again.
-func (r *request) reserveForAttempt(attempted []string) (*reservation, balance.Reason) {
-	res, reason := r.reserve(balance.Request{}, attempted)
-	if res == nil && reason == balance.NoCandidate && len(attempted) > 0 && r.route.Kind == route.Idempotent {
-		return r.reserve(balance.Request{}, nil)
-	}
-	return res, reason
+	return 1
 }
 
 // mayRetry charges the retry budget for another attempt. An attempt that could not
@@ -195,54 +143,6 @@
 	return r.route.Priority
 }
 
-// attemptPlain sends the request, executed ran times before at the attempted servers, to one server and
-// delivers the response.
-func (r *request) attemptPlain(res *reservation, ran int, attempted []string) error {
-	again := r.mayExecuteAgain(ran + 1)
-	opts := r.sendOptions(r.route.Kind == route.NonIdempotent)
-	opts.BodyNotReused = true
-	if err := r.checkParts(); err != nil {
-		res.cancel()
-		return err
-	}
-	if err := r.checkRefusal(res.server); err != nil {
-		res.cancel()
-		return err
-	}
-	if again {
-		opts.ResponseHeaderTimeout = time.Duration(float64(time.Until(r.deadline)) * headerTimeoutShare)
-	}
-	req := r.outgoing(res.server.ID)
-	defer fasthttp.ReleaseRequest(req)
-	sentAt := time.Now()
-	ex, err := r.g.pool.Do(r.ctx, res.server.Address, req, opts)
-	if err != nil {
-		res.release(r.call.Context().Err() == nil)
-		if verdict.Of(err) != verdict.NotRun {
-			r.recordBrokenAnswer(res.server, err)
-		}
-		return err
-	}
-	r.observeAnswer(res.server, &ex.Response.Header, sentAt)
-	status := ex.Response.StatusCode()
-	// A failure response is withheld only if another attempt is sure to be sent.
-	again = again && r.canRetry(append(slices.Clone(attempted), res.server.ID))
-	if err := r.checkResponse(ex, again); err != nil {
-		ex.Finish(false)
-		res.release(verdict.From(err).Code != codeServerError)
-		return err
-	}
-	err = r.deliver(ex)
-	res.release(err != nil)
-	switch {
-	case err != nil:
-		r.recordBrokenAnswer(res.server, err)
-	case status < 300:
-		r.prompt.RecordAnswer()
-	}
-	return err
-}
-
 // canRetry reports whether the retry budget and the servers not attempted, by their rate limits and refusals,
 // allow a retry now, and the deadline leaves time for it.
 func (r *request) canRetry(attempted []string) bool {
@@ -259,7 +159,7 @@
 }
 
 // checkResponse decides from the response header whether the response can be delivered.
-func (r *request) checkResponse(ex *connection.Exchange, again bool) error {
+func (r *request) checkResponse(ex *connection.Exchange) error {
 	h := &ex.Response.Header
 	d := &r.g.opts.Dialect
 	status := h.StatusCode()
@@ -271,8 +171,6 @@
 	case meansNotRun(status):
 		// Callers take these as "not run", which this response does not state.
 		return unusableResponse(errors.New("the backend server rejected the request without confirming that it did not run it"))
-	case status >= 500 && again:
-		return verdict.New(verdict.MayHaveRun, 502, codeServerError, "the backend server responded with status %d", status)
 	}
 	return nil
 }
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -5,6 +5,7 @@
 	"errors"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -38,6 +39,9 @@
 	// maxOutput is the largest number of output tokens that the caller allows.
 	maxOutput int
 
+	// outgoingMu guards the caller's request while attempts copy it.
+	outgoingMu sync.Mutex
+
 	// prompt holds the prompt parts that other requests may share.
 	prompt *crashes.Request
 
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -75,15 +75,38 @@
 		ex.Finish(false)
 		return unusableResponse(err)
 	}
-	r.status = ex.Response.StatusCode()
+	return r.deliverStart(&readResponse{ex: ex, start: body, complete: complete, release: release})
+}
+
+// readResponse is a response of which the start, or all if complete is set, has been read. release returns
+// the buffer capacity.
+type readResponse struct {
+	ex       *connection.Exchange
+	start    []byte
+	complete bool
+	release  func()
+}
+
+// drop ends a response that is not delivered.
+func (resp *readResponse) drop() {
+	resp.release()
+	resp.ex.Finish(resp.complete)
+}
+
+// deliverStart forwards a response to the caller, and the rest of it if it is not complete.
+func (r *request) deliverStart(resp *readResponse) error {
+	r.status = resp.ex.Response.StatusCode()
 	r.responded = true
-	if complete {
-		r.call.Respond(r.status, responseHeader(&ex.Response.Header), body)
-		release()
-		ex.Finish(true)
+	if resp.complete {
+		r.call.Respond(r.status, responseHeader(&resp.ex.Response.Header), resp.start)
+		resp.release()
+		resp.ex.Finish(true)
 		return nil
 	}
-	return r.deliverUnbuffered(ex, body, release)
+	// The start must not stay in memory once its capacity was returned.
+	start := resp.start
+	resp.start = nil
+	return r.deliverUnbuffered(resp.ex, start, resp.release)
 }
 
 // deliverUnbuffered forwards a response of which the start has been read. release
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -126,7 +126,7 @@
 		return nil, err
 	}
 	r.observeAnswer(res.server, &ex.Response.Header, sentAt)
-	if err := r.checkResponse(ex, false); err != nil {
+	if err := r.checkResponse(ex); err != nil {
 		ex.Finish(false)
 		return nil, err
 	}
