--- a/internal/forward/balancers.go
+++ b/internal/forward/balancers.go
@@ -78,7 +78,9 @@
 	// since is when the reservation was made.
 	since time.Time
 	load  balance.Load // guarded by balancers.mu
-	once  sync.Once
+	// silent is set once a silence of the server was counted as its failure; guarded by balancers.mu.
+	silent bool
+	once   sync.Once
 }
 
 func newBalancers(opts Options) *balancers {
@@ -423,6 +425,7 @@
 		switch {
 		case res.balancers.refusals.Refuses(res.server.Process(), time.Now()):
 			// The refusal excludes the server for the time that it wants.
+		case failed && res.silent:
 		case failed:
 			b.RecordFailure(res.server.ID, time.Now())
 		default:
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"monsoonkeel.example/monsoonkeel/core/hedge"
 	"monsoonkeel.example/monsoonkeel/core/verdict"
 	"monsoonkeel.example/monsoonkeel/internal/connection"
 )
@@ -30,8 +31,8 @@
 	case r.ctx.Err() == context.Canceled || r.call.Context().Err() != nil:
 		return true
 	}
-	objective := orDefault(r.route.Objective, time.Second)
-	return time.Since(res.since) < time.Duration(float64(objective)*headerTimeoutShare)
+	expected, _ := hedge.SilentAfter(orDefault(r.route.Objective, time.Second))
+	return time.Since(res.since) < expected
 }
 
 // checkAcceptsWork returns an error if the server of a reservation gets no new requests any more. It is called right
