Log the shortage of the first queued request with rejections

Change: the reason is also recorded for the first queued request whenever it is considered and cannot be sent. Conclusion: the log tells a full server from a blocked queue. Decisions are unchanged.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -26,68 +26,6 @@
 	defaultStepMS = 20
 )
 
-// Server is a backend server that may receive new requests.
-type Server struct {
-	ID, Incarnation, Region, Domain string
-	// Limit is the maximum number of requests this host may have in flight
-	// there.
-	Limit int
-	// Warm is set once the cold start of the backend server has ended. Only
-	// warm backend servers are divided into shares.
-	Warm bool
-	// Capacity is the number of requests that it runs concurrently.
-	Capacity int
-}
-
-// Request is a request to be dispatched.
-type Request struct {
-	// ID is unique among the requests of the dispatcher.
-	ID          uint64
-	Class, Team string
-	Priority    int
-	Arrival     time.Time
-	// Target is the target for the time to first token; 0 means none.
-	Target time.Duration
-	// TokenGapMS is the target for the inter-token latency, in milliseconds; 0
-	// means none.
-	TokenGapMS int
-	// Deadline is the caller's deadline; zero means none.
-	Deadline time.Time
-	// PromptTokens is the length of the prompt in tokens; 0 for plain services.
-	PromptTokens int
-	// Prefix identifies the first PrefixTokens tokens of the prompt, which a
-	// backend server may have in its prefix cache; 0 means none.
-	Prefix       uint64
-	PrefixTokens int
-	// Buffered is set when tokens are not observed while they are produced, as
-	// in a response that is not streamed.
-	Buffered bool
-	// Attempted lists the backend servers at which an attempt of the request
-	// failed.
-	Attempted []string
-}
-
-// Outcome is the decision about a request.
-type Outcome struct {
-	ID     uint64
-	Action admit.Action
-	// Server is the id of the chosen backend server, for admit.Dispatch.
-	Server string
-	// RetryAfter is the delay to report to the caller, for admit.Reject.
-	RetryAfter time.Duration
-	// Shortage says why no backend server could take the request, for admit.Reject.
-	Shortage Shortage
-}
-
-// Options configure a Dispatcher.
-type Options struct {
-	// Region is the region of this host.
-	Region string
-	// Engine is set when the service's backend servers are model engines.
-	Engine bool
-	Seed   uint64
-}
-
 // Dispatcher admits the requests of one service and assigns them to backend
 // servers.
 type Dispatcher struct {
@@ -120,6 +58,8 @@
 	out      []Outcome
 	// refusals are the backend servers that refuse requests of this host for a time.
 	refusals *serverstate.Refusals
+	// first is the shortage of the first queued request when it was last considered; zero if none waits.
+	first Shortage
 }
 
 type server struct {
@@ -250,7 +190,7 @@
 }
 
 func (d *Dispatcher) reject(r *Request, after time.Duration, now time.Time) Outcome {
-	return Outcome{ID: r.ID, Action: admit.Reject, RetryAfter: after, Shortage: d.shortage(r, now)}
+	return Outcome{ID: r.ID, Action: admit.Reject, RetryAfter: after, Shortages: Shortages{Rejected: d.shortage(r, false, now), First: d.first}}
 }
 
 // observeWork adds the estimated work of a request to meanWork.
@@ -297,19 +237,22 @@
 	for {
 		next, ok := d.queue.Peek(now)
 		if !ok {
+			d.first = Shortage{}
 			return d.out
 		}
 		r := d.waiting[next.ID]
 		dist := d.lengths.Dist(r.Class, r.Team)
-		s := d.pick(r, &dist, now.Sub(r.Arrival) < localWait, now)
+		localOnly := now.Sub(r.Arrival) < localWait
+		s := d.pick(r, &dist, localOnly, now)
 		if s == nil && len(r.Attempted) > 0 {
 			// A retry must not block the requests behind it when all other
 			// backend servers are full. A server at which it failed before may
 			// serve it.
 			r.Attempted = nil
-			s = d.pick(r, &dist, now.Sub(r.Arrival) < localWait, now)
+			s = d.pick(r, &dist, localOnly, now)
 		}
 		if s == nil {
+			d.first = d.shortage(r, localOnly, now)
 			return d.out
 		}
 		d.queue.Next(now)
--- a/core/dispatch/lengths_test.go
+++ b/core/dispatch/lengths_test.go
@@ -20,7 +20,7 @@
 		r := request(id)
 		r.Arrival = now
 		out := d.Offer(r, now)
-		require.Equal(t, admit.Dispatch, out.Action, "request %d: %s", id, out.Shortage)
+		require.Equal(t, admit.Dispatch, out.Action, "request %d: %s", id, out.Shortages)
 		d.Progress(id, 60)
 		now = now.Add(time.Second)
 		d.Ended(id, true, now)
--- a/core/dispatch/shortage.go
+++ b/core/dispatch/shortage.go
@@ -18,6 +18,20 @@
 	Refusing int
 }
 
+// Shortages are the shortage of a rejected request when it is rejected, and that of the first queued request when
+// that was last considered: the others wait behind it.
+type Shortages struct {
+	Rejected, First Shortage
+}
+
+// String returns both shortages.
+func (s Shortages) String() string {
+	if s.First == (Shortage{}) {
+		return s.Rejected.String()
+	}
+	return s.Rejected.String() + "; first in queue: " + s.First.String()
+}
+
 // String returns the counts that are not 0, as "waiting=2 at_limit=3 refusing=1".
 func (s Shortage) String() string {
 	var b strings.Builder
@@ -41,11 +55,11 @@
 	return b.String()
 }
 
-// shortage returns why no backend server can take a request now.
-func (d *Dispatcher) shortage(r *Request, now time.Time) Shortage {
+// shortage returns why no backend server can take a request now, in this host's region if localOnly is set.
+func (d *Dispatcher) shortage(r *Request, localOnly bool, now time.Time) Shortage {
 	out := Shortage{Waiting: d.queue.Len()}
 	dist := d.lengths.Dist(r.Class, r.Team)
-	req := d.fillCandidates(r, &dist, false, now)
+	req := d.fillCandidates(r, &dist, localOnly, now)
 	for i, s := range d.servers {
 		if d.isHeldBack(s, now) {
 			out.Refusing++
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -17,8 +17,8 @@
 // longer be met. Nothing was sent to a backend server.
 type RejectedError struct {
 	RetryAfter time.Duration
-	// Shortage says why no backend server could take the request.
-	Shortage dispatch.Shortage
+	// Shortages say why no backend server could take the request.
+	Shortages dispatch.Shortages
 }
 
 // Error implements error.
@@ -130,7 +130,7 @@
 		return reservation, nil
 	case admit.Reject:
 		d.mu.Unlock()
-		return nil, &RejectedError{RetryAfter: out.RetryAfter, Shortage: out.Shortage}
+		return nil, &RejectedError{RetryAfter: out.RetryAfter, Shortages: out.Shortages}
 	}
 	// Buffered, so that delivering a decision never blocks on a cancelled request.
 	ch := make(chan dispatch.Outcome, 1)
@@ -142,7 +142,7 @@
 		return nil, d.cancelWaiter(r.ID, ctx.Err())
 	}
 	if out.Action == admit.Reject {
-		return nil, &RejectedError{RetryAfter: out.RetryAfter, Shortage: out.Shortage}
+		return nil, &RejectedError{RetryAfter: out.RetryAfter, Shortages: out.Shortages}
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/request/dispatch.go
+++ b/internal/request/dispatch.go
@@ -97,7 +97,7 @@
 	case errors.As(err, &rejected):
 		e := c.newError(503, codeNoCapacity, "no backend server of %s can start the request in time", c.service.Name)
 		e.RetryAfterSeconds = int(rejected.RetryAfter / time.Second)
-		c.outcome.Shortage = rejected.Shortage.String()
+		c.outcome.Shortage = rejected.Shortages.String()
 		return nil, e
 	case err != nil:
 		return nil, c.contextError()
