--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -169,10 +169,13 @@
 	}
 }
 
-// recordSilence counts the silence of the servers asked towards their ejection.
+// recordSilence counts the silence of the servers asked towards their ejection, except for one that the
+// caller's short deadline makes a silence.
 func (p *attempts) recordSilence() {
 	for a := range p.live {
-		a.res.recordSilence()
+		if time.Since(a.res.since) >= p.r.expectedResponse() {
+			a.res.recordSilence()
+		}
 	}
 }
 
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -23,16 +23,23 @@
 // endedEarly reports whether an attempt failed since the caller or this host ended the request or withheld it, a write to
 // the caller failed, or its time was over before the server had the share of the route's objective that a first attempt gets.
 func (r *request) endedEarly(res *reservation, err error) bool {
+	// The deadline of a read or a connection setup may pass right before that of the context.
+	over := r.ctx.Err() != nil || !time.Now().Before(r.deadline)
 	switch {
 	case isCallerError(err), verdict.From(err).Code == codeLeft:
 		return true
-	case r.ctx.Err() == nil && !isResponseTimeout(err):
+	case !over && !isResponseTimeout(err):
 		return false
 	case r.ctx.Err() == context.Canceled || r.call.Context().Err() != nil:
 		return true
 	}
+	return time.Since(res.since) < r.expectedResponse()
+}
+
+// expectedResponse is the share of the route's objective after which a server without a response counts as silent.
+func (r *request) expectedResponse() time.Duration {
 	expected, _ := hedge.SilentAfter(orDefault(r.route.Objective, time.Second))
-	return time.Since(res.since) < expected
+	return expected
 }
 
 // checkAcceptsWork returns an error if the server of a reservation gets no new requests any more. It is called right
