Send no queued request in a slot that the end of a drain frees

Callers saw: at the end of a planned stop, a request that waited for a slot got 504 (may have run) instead of 503 (not run), and the backend server got a request whose response nobody read. Cause: Gateway.CancelRequests cancels the calls one after the other. A cancelled call frees its slot, and the dispatcher gives it to a queued call that has not been cancelled yet, which sends its request then. Class: two steps, "no more work" and "end the running work", done as one loop over the calls. Why it works: the check right before a request is sent, common to plain requests, orders and generations, cancels a call that the loop has not reached.

--- a/internal/request/dispatch.go
+++ b/internal/request/dispatch.go
@@ -41,8 +41,15 @@
 
 // checkMaySend returns an error if the lease expired, the backend server was removed, or
 // the configuration became stale since the slot was reserved, as can happen in a process
-// that was paused.
+// that was paused. It cancels a call that CancelRequests has not reached yet: the slot may be
+// that of a call which was cancelled a moment ago.
 func (c *call) checkMaySend(reservation *placement.Reservation) error {
+	if c.g.stopping.Load() {
+		c.cancelForShutdown()
+	}
+	if err := c.contextErrorIfDone(); err != nil {
+		return err
+	}
 	now := c.g.Now()
 	if reservation.CurrentLimit(now) == 0 {
 		e := verdict.New(verdict.NotRun, 503, "lease_lapsed", "the lease for the backend server expired before the request was sent")
--- a/internal/request/shutdown_test.go
+++ b/internal/request/shutdown_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"monsoonkeel.example/monsoonkeel/core/config"
 	"monsoonkeel.example/monsoonkeel/core/verdict"
 	"monsoonkeel.example/monsoonkeel/internal/standin"
 )
@@ -71,3 +75,65 @@
 	require.True(t, s.done)
 	r.requireTokens(s, 1, 300)
 }
+
+// Guards against requests that wait for a slot being sent when the end of a drain frees one: the
+// slot of a request that was cancelled went to one that was to be cancelled a moment later.
+func TestSlotsFreedAtTheEndOfTheDrainAreNotUsed(t *testing.T) {
+	for _, tc := range []struct{ name, path, body, class string }{
+		{"plain", "/services/desk/slow", "x", "patient"},
+		{"order", "/services/desk/slow", "x", "patient order"},
+		{"stream", "/v1/completions", streamRequestJSON(3), "patient"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := &testGateway{t: t, limit: 1}
+			var received atomic.Int32
+			open := make(chan struct{})
+			release := sync.OnceFunc(func() { close(open) })
+			for _, service := range []string{"desk", "models"} {
+				r.addBackend(service, http.HandlerFunc(func(_ http.ResponseWriter, req *http.Request) {
+					if req.Method == http.MethodPost {
+						received.Add(1)
+						<-open
+					}
+				}))
+			}
+			r.start()
+			t.Cleanup(release) // runs before the server's own cleanup, which waits for the handler
+			r.gateway.Orders = grantingOrders{responses: make(chan OrderResponse, 1)}
+			doc := testDocument()
+			doc.Classes["patient order"] = config.Class{Name: "patient order", FirstTokenMS: 60_000, Order: true}
+			r.apply(doc)
+
+			problems := make(chan Problem, 2)
+			for i := range 2 {
+				go func() {
+					resp := r.do("POST", tc.path, tc.body, headerClass, tc.class, headerIdempotencyKey, fmt.Sprint(i))
+					defer func() { _ = resp.Body.Close() }()
+					var p Problem
+					_ = json.NewDecoder(resp.Body).Decode(&p) // the response of the server is no problem
+					problems <- p
+				}()
+			}
+			require.Eventually(t, func() bool {
+				waiting := r.gateway.Dispatchers.Waiting()
+				return received.Load() == 1 && waiting["desk"]+waiting["models"] == 1
+			}, 5*time.Second, time.Millisecond)
+			// CancelRequests has begun and has not reached the waiting request.
+			r.gateway.stopping.Store(true)
+			release()
+			rejected := 0
+			for range 2 {
+				select {
+				case p := <-problems:
+					if p.Status == 503 && p.Verdict == verdict.NotRun {
+						rejected++
+					}
+				case <-time.After(10 * time.Second):
+					t.Fatal("no response")
+				}
+			}
+			assert.Equal(t, 1, rejected)
+			assert.EqualValues(t, 1, received.Load())
+		})
+	}
+}
