Send nothing that may outlast a shutdown which began while it waited

Callers saw: a stream that waited for capacity when its host began to stop was sent afterwards and cut off in the middle at the end of the grace (200 and a closed connection) instead of 503 (not run). An order that a server rejected as not run was sent once more, to a server that could not answer in time. Cause: the end of the shutdown was checked when a request arrived, and not when it was sent. Class: a decision whose premise changes during a wait, as with servers that leave after they were chosen. Evidence: found by a review of the code. Why it works: the check runs once more with a reservation in hand, before the first byte is sent, and before a retry waits; resumes of streams that have begun are not subject to it.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -90,6 +90,9 @@
 	if !a.free && (!r.prompt.AllowRetry() || !bs.hasRetryBudget(r.service)) {
 		return e
 	}
+	if e.err = r.checkShutdown(); e.err != nil {
+		return e
+	}
 	req := balance.Request{Allowed: route.RegionFilter(r.route, r.team), Exclude: a.exclude}
 	if a.beside && !bs.hasCandidate(r.service, req) {
 		// A server that takes requests again later is asked at the next silence.
@@ -137,7 +140,8 @@
 		e.retry = true
 		return false
 	}
-	return true
+	e.err = a.r.checkShutdown() // which may have begun during the wait
+	return e.err == nil
 }
 
 // exchange sends the request and reads the response. It releases the reservation unless there is one that
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -73,8 +73,11 @@
 		e := verdict.From(err)
 		return &verdict.Error{Verdict: verdict.MayHaveRun, Status: 502, Code: e.Code, Detail: e.Detail, Cause: e.Cause}
 	}
-	r.retryAfter = max(r.retryDelay(), r.refusedRetryAfter())
 	e := verdict.From(err)
+	if e.Code == codeHostStops {
+		return r.rejectedByShutdown()
+	}
+	r.retryAfter = max(r.retryDelay(), r.refusedRetryAfter())
 	return &verdict.Error{Verdict: verdict.NotRun, Status: 503, Code: e.Code, Detail: e.Detail, Cause: e.Cause}
 }
 
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -133,18 +133,29 @@
 // caller's next connection reaches another host. The deadline of an admitted request is not
 // after the end of the shutdown, so that its caller gets a response until then.
 func (r *request) endsBeforeShutdown() error {
+	if err := r.checkShutdown(); err != nil {
+		r.retryAfter = otherHostRetryAfter
+		return err
+	}
+	if by := r.g.shutdownDeadline.Load(); by != 0 {
+		if end := time.Unix(0, by); end.Before(r.deadline) {
+			r.deadline, r.shutdownFirst = end, true
+		}
+	}
+	return nil
+}
+
+// checkShutdown returns an error if the request could be cut off at the end of the host's shutdown if it
+// were sent now.
+func (r *request) checkShutdown() error {
 	by := r.g.shutdownDeadline.Load()
 	if by == 0 {
 		return nil
 	}
-	end := time.Unix(0, by)
-	if left := time.Until(end); left > 0 && left >= r.longest() {
-		if end.Before(r.deadline) {
-			r.deadline, r.shutdownFirst = end, true
-		}
+	if left := time.Until(time.Unix(0, by)); left > 0 && left >= r.longest() {
 		return nil
 	}
-	return r.rejectedByShutdown()
+	return notRun(503, codeHostStops, "the host is shutting down and the request could outlast it")
 }
 
 // longest returns how long the request may take. An idempotent one can be repeated, so that
@@ -161,9 +172,13 @@
 	return left
 }
 
+// codeHostStops is the code of a request that the host's shutdown rejects or ends.
+const codeHostStops = "host_stops"
+
+// rejectedByShutdown rejects a request of which nothing was sent before the end of the shutdown.
 func (r *request) rejectedByShutdown() error {
 	r.retryAfter = otherHostRetryAfter
-	return notRun(503, "host_stops", "the host is shutting down and the request could outlast it")
+	return notRun(503, codeHostStops, "the host is shutting down and the request could outlast it")
 }
 
 func (r *request) authenticate(t *route.Table) error {
@@ -295,7 +310,7 @@
 		if !sent {
 			return r.rejectedByShutdown()
 		}
-		return &verdict.Error{Verdict: verdict.MayHaveRun, Status: 504, Code: "host_stops", Detail: "no complete response before the host shut down"}
+		return &verdict.Error{Verdict: verdict.MayHaveRun, Status: 504, Code: codeHostStops, Detail: "no complete response before the host shut down"}
 	}
 	if callerLeft {
 		r.responded = true // nobody reads a response
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -34,6 +34,10 @@
 		if res == nil {
 			return r.noReservation(last, 0, reason)
 		}
+		if err := r.checkShutdown(); err != nil { // which may have begun during the wait
+			res.cancel()
+			return r.giveUp(err, 0)
+		}
 		r.attempts++
 		s, err := r.startStream(res, r.reserveStandby(res.server))
 		if err == nil {
