Send no cancelled request on an idle connection

Servers saw: a request that its host had already cancelled, for a second attempt, a resume or a reservation that met the end of its call. It ran without anybody to read its response. Cause: the end of the context sets a deadline on the connection from another goroutine; the write on a kept connection was faster, and nothing checked the context before it. Why it works: the last check before the first byte covers the context too. The request is reported as not run.

--- a/internal/connection/upstream.go
+++ b/internal/connection/upstream.go
@@ -163,18 +163,21 @@
 	return "another process listens at the address of the backend server: incarnation " + e.Actual
 }
 
-// BeforeSendError is returned when Options.BeforeSend returned an error.
+// BeforeSendError is returned when Options.BeforeSend returned an error, or when the context ended
+// before the request was sent.
 type BeforeSendError struct{ Cause error }
 
 // Error implements error.
 func (e *BeforeSendError) Error() string { return e.Cause.Error() }
 
-// Unwrap returns the error of Options.BeforeSend.
+// Unwrap returns the error of Options.BeforeSend, or one with CodeCancelled.
 func (e *BeforeSendError) Unwrap() error { return e.Cause }
 
 const (
 	// CodeConnectFailed is the verdict code of a failed connection setup.
 	CodeConnectFailed = "connect_failed"
+	// CodeCancelled is the verdict code of a request whose context ended before it was sent.
+	CodeCancelled = "cancelled"
 	// CodeNoResponse is the verdict code of a connection that failed before the response.
 	CodeNoResponse = "backend_failed"
 )
@@ -217,6 +220,12 @@
 				return nil, false, &BeforeSendError{Cause: err}
 			}
 		}
+		if err == nil && ctx.Err() != nil {
+			// The write could be faster than the deadline that the end of ctx sets.
+			p.put(conn)
+			cause := verdict.Wrap(ctx.Err(), verdict.NotRun, 504, CodeCancelled, "the request was cancelled before it was sent")
+			return nil, false, &BeforeSendError{Cause: cause}
+		}
 		if err == nil && conn.hasUnread() {
 			_ = conn.Close()
 			if reused {
