Answer orders that are at their server at the end of a drain

Callers saw: an order that its server was still working on at the end of a planned stop got no response; the process closed the connection, and the claim was not recorded as one that may have run. Cause: an order is not cancelled when its caller leaves, so its context was not that of the call, and CancelRequests did not reach it. TestOrderAtServerIsAnsweredAtTheEndOfTheDrain: both rows failed before (no response within 5 s) and pass now. Why it works: only the cause "shutdown" is passed on to the order's context; the response is 504 (may have run), and the claim is abandoned while the process still writes its records. A caller that had left before is not answered, and its order runs until the end of the process, as before.

--- a/internal/request/call.go
+++ b/internal/request/call.go
@@ -71,7 +71,7 @@
 	c.prompt.End()
 	c.releaseTeam()
 	c.g.calls.Delete(c)
-	c.outcome.Cancelled = c.ctx.Err() == context.Canceled && context.Cause(c.ctx) != errShutdown
+	c.outcome.Cancelled = c.ctx.Err() == context.Canceled && !c.cancelledByShutdown()
 	c.cancel()
 	c.outcome.Total = c.g.Now().Sub(c.start)
 	if c.outcome.Status == 0 {
@@ -178,7 +178,7 @@
 	if rejection := c.prompt.InterruptedBy(); rejection != nil {
 		return c.rejectedPrompt(rejection)
 	}
-	if context.Cause(c.ctx) == errShutdown {
+	if c.cancelledByShutdown() {
 		return c.shutdownError()
 	}
 	if c.ctx.Err() == context.DeadlineExceeded {
@@ -196,6 +196,8 @@
 	}
 }
 
+func (c *call) cancelledByShutdown() bool { return context.Cause(c.ctx) == errShutdown }
+
 // contextErrorIfDone returns contextError if the call's context is done.
 func (c *call) contextErrorIfDone() error {
 	if c.ctx.Err() == nil {
--- a/internal/request/endless_test.go
+++ b/internal/request/endless_test.go
@@ -128,19 +128,19 @@
 	}
 }
 
-// endlessOrders grants every claim and counts the abandoned ones.
-type endlessOrders struct {
+// countingOrders grants every claim and counts the abandoned ones.
+type countingOrders struct {
 	grantingOrders
 	abandoned *atomic.Int32
 }
 
 // Claim implements Orders.
-func (o endlessOrders) Claim(context.Context, OrderRequest) (ClaimResult, error) {
+func (o countingOrders) Claim(context.Context, OrderRequest) (ClaimResult, error) {
 	return ClaimResult{Grant: o}, nil
 }
 
 // Abandon implements OrderGrant.
-func (o endlessOrders) Abandon() { o.abandoned.Add(1) }
+func (o countingOrders) Abandon() { o.abandoned.Add(1) }
 
 // callKind is a kind of request of a caller.
 type callKind string
@@ -258,7 +258,7 @@
 	r.addBackend(service, e)
 	r.start()
 	abandoned := &atomic.Int32{}
-	r.gateway.Orders = endlessOrders{abandoned: abandoned}
+	r.gateway.Orders = countingOrders{abandoned: abandoned}
 	return r, abandoned
 }
 
@@ -491,7 +491,7 @@
 			}})
 			r.addBackend("desk", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { write(w, long) }))
 			r.start()
-			r.gateway.Orders = endlessOrders{grantingOrders{responses: make(chan OrderResponse, 1)}, &atomic.Int32{}}
+			r.gateway.Orders = countingOrders{grantingOrders{responses: make(chan OrderResponse, 1)}, &atomic.Int32{}}
 			buffers := &r.gateway.buffers
 			buffers.reserved.Store(maxBufferedTotal)
 			result := r.call(kind, endlessCallerTimeoutMS)
--- a/internal/request/order.go
+++ b/internal/request/order.go
@@ -113,10 +113,25 @@
 }
 
 // runOrder sends a granted order. Once the order may have reached a backend server, it
-// is not retried after an error, nor cancelled when the caller disconnects.
+// is not retried after an error, nor cancelled when the caller disconnects. At the end of a shutdown it
+// is cancelled, so that its caller gets a response and the claim is abandoned before the process ends.
 func (c *call) runOrder(req *fasthttp.Request, grant OrderGrant, deadline time.Time) error {
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
+	stop := context.AfterFunc(c.ctx, func() {
+		if c.cancelledByShutdown() {
+			cancel()
+		}
+	})
+	defer stop()
+	err := c.runOrderAttempts(ctx, req, grant)
+	if err != nil && c.cancelledByShutdown() {
+		return c.shutdownError()
+	}
+	return err
+}
+
+func (c *call) runOrderAttempts(ctx context.Context, req *fasthttp.Request, grant OrderGrant) error {
 	c.g.RetryBudget.RecordFirstAttempt(c.g.Now())
 	var attempted []string
 	for attempt := 1; ; attempt++ {
--- a/internal/request/shutdown_test.go
+++ b/internal/request/shutdown_test.go
@@ -137,3 +137,53 @@
 		})
 	}
 }
+
+// Guards against an order at its server that gets no response at the end of a drain, while other
+// requests do: it was not cancelled, so that the process closed the caller's connection and did not
+// record that the order may have run.
+func TestOrderAtServerIsAnsweredAtTheEndOfTheDrain(t *testing.T) {
+	for _, part := range []string{"header", "body"} {
+		t.Run(part, func(t *testing.T) {
+			r := &testGateway{t: t}
+			received := make(chan struct{}, 1)
+			open := make(chan struct{})
+			r.addBackend("desk", http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+				if req.Method != http.MethodPost {
+					return
+				}
+				if part == "body" {
+					w.Header().Set("Content-Length", "4")
+					_, _ = w.Write([]byte("do"))
+					w.(http.Flusher).Flush()
+				}
+				received <- struct{}{}
+				<-open
+			}))
+			r.start()
+			t.Cleanup(func() { close(open) }) // runs before the server's own cleanup, which waits for the handler
+			abandoned := &atomic.Int32{}
+			r.gateway.Orders = countingOrders{grantingOrders{responses: make(chan OrderResponse, 1)}, abandoned}
+			doc := testDocument()
+			doc.Classes["patient order"] = config.Class{Name: "patient order", FirstTokenMS: 60_000, Order: true}
+			r.apply(doc)
+			problems := make(chan Problem, 1)
+			go func() {
+				resp := r.do("POST", "/services/desk/slow", "x", headerClass, "patient order", headerIdempotencyKey, "a")
+				defer func() { _ = resp.Body.Close() }()
+				var p Problem
+				assert.NoError(t, json.NewDecoder(resp.Body).Decode(&p))
+				problems <- p
+			}()
+			<-received
+			r.gateway.CancelRequests()
+			select {
+			case p := <-problems:
+				assert.Equal(t, 504, p.Status)
+				assert.Equal(t, verdict.MayHaveRun, p.Verdict)
+				assert.EqualValues(t, 1, abandoned.Load())
+			case <-time.After(5 * time.Second):
+				t.Fatal("no response")
+			}
+		})
+	}
+}
--- a/internal/request/truncated_test.go
+++ b/internal/request/truncated_test.go
@@ -61,7 +61,7 @@
 				r.start()
 				r.gateway.HostCount = func() int { return 1 } // whose share is the team's limit of 4 requests
 				abandoned := &atomic.Int32{}
-				r.gateway.Orders = endlessOrders{abandoned: abandoned}
+				r.gateway.Orders = countingOrders{abandoned: abandoned}
 				var calls atomic.Int32
 				var wg sync.WaitGroup
 				for range callers {
