Take only a refused connection for the restart of a backend server

Callers saw: less capacity. A server whose load report on a new connection took longer than a second was taken for cold at all hosts, with the small limit of a cold server. Cause: every failed connection setup was reported as a refused connection, which the hosts exchange as evidence of a restart. Class of the incident: a silence taken for the end of a server. Evidence: found by a review. Why it works: only ECONNREFUSED shows that the process ended. Other failures keep the server out of this host's choices until it answers a load poll, as before, and are not told to other hosts.

--- a/internal/process/daemon/adapters.go
+++ b/internal/process/daemon/adapters.go
@@ -111,6 +111,10 @@
 	c.d.peers.ReportCold(membership.ColdSighting{Backend: backend, Incarnation: incarnation, At: time.Now()})
 }
 
+// ConnectFailed implements request.ColdStartReporter. A silence is no evidence of a restart, so the other
+// hosts are not told.
+func (c coldReporter) ConnectFailed(backend string) { c.d.routing.exclude(backend) }
+
 // RequestFailed implements request.ColdStartReporter. An engine that has become cold
 // unnoticed fails requests when it gets the load of a warm one.
 func (c coldReporter) RequestFailed(backend, incarnation string) {
--- a/internal/request/dispatch.go
+++ b/internal/request/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"syscall"
 	"time"
 
 	"monsoonkeel.example/monsoonkeel/core/dispatch"
@@ -78,8 +79,11 @@
 		c.g.ColdStarts.IncarnationMismatch(reservation.Host.ID, reservation.Load.Incarnation, other.Actual)
 	case verdict.Of(err) != verdict.NotRun:
 		c.maybeSent = true
-	case c.ctx.Err() == nil && !c.deadlinePassed():
+	case c.ctx.Err() != nil || c.deadlinePassed():
+	case errors.Is(err, syscall.ECONNREFUSED):
 		c.g.ColdStarts.ConnectionRefused(reservation.Host.ID, reservation.Host.Incarnation)
+	default:
+		c.g.ColdStarts.ConnectFailed(reservation.Host.ID)
 	}
 }
 
--- a/internal/request/gateway.go
+++ b/internal/request/gateway.go
@@ -47,6 +47,9 @@
 type ColdStartReporter interface {
 	// ConnectionRefused is called when a backend server refused a connection.
 	ConnectionRefused(backend, incarnation string)
+	// ConnectFailed is called when a connection to a backend server could not be set up for another
+	// reason; the server may only be slow.
+	ConnectFailed(backend string)
 	// RequestFailed is called when a backend server responded with status 500 to a
 	// request that another one accepted.
 	RequestFailed(backend, incarnation string)
--- a/internal/request/testgateway_test.go
+++ b/internal/request/testgateway_test.go
@@ -46,6 +46,8 @@
 	limit int
 	// counters holds the requests in flight at each backend server, by its id.
 	counters map[string]*version.Counters
+	// reports holds the load report of each backend server, by its id.
+	reports map[string]version.Report
 	// snapshot replaces the routing snapshot of the gateway if it is not nil.
 	snapshot func() *version.Snapshot
 	// apply puts a configuration in force; start sets it.
@@ -55,6 +57,8 @@
 	outcomes []Outcome
 	refused  []string
 	failed   []string
+	// unreachable are the servers reported by ConnectFailed.
+	unreachable []string
 
 	refusals, refusalsEnded atomic.Int32
 }
@@ -79,6 +83,13 @@
 	r.refused = append(r.refused, backend)
 }
 
+// ConnectFailed implements ColdStartReporter.
+func (r *testGateway) ConnectFailed(backend string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.unreachable = append(r.unreachable, backend)
+}
+
 // RequestFailed implements ColdStartReporter.
 func (r *testGateway) RequestFailed(backend, _ string) {
 	r.mu.Lock()
@@ -140,6 +151,7 @@
 	return version.Build(version.Inputs{
 		Document: doc,
 		Hosts:    r.hosts,
+		Reports:  r.reports,
 		Counters: func(h platform.Host) *version.Counters { return r.counters[h.ID] },
 		Limit:    func(platform.Host) (int, time.Time, bool) { return limit, time.Time{}, true },
 		Excluded: func(platform.Host) bool { return false },
