Keep the copy of a migration until another engine has one

Cause: a stream of a leaving engine got stream_broken although an engine had a copy of its KV cache. The target of a migration rejected the resume once; the host then chose another engine and freed the copy at the first at once. The copy to the other engine was rejected for lack of room, or failed, the source's connection broke, and no copy was left. Ruled out: to keep both copies until one of the engines accepts: it takes KV cache of two engines for longer, while engines are short of it, and the newer copy covers the loss. To keep a copy at an engine that leaves or whose domain is out: it may not be used. Change: the engine chosen as a replacement (migration.next) gets a copy while the target and its copy stay; only when that is made, the former copy is freed and its reservation released. If it is rejected, the next one is tried, and once all were, the former target is asked again. Both reservations end with the migration. Conclusion: a rejection of one engine costs a migration nothing unless another engine has the copy.

--- a/internal/forward/migration.go
+++ b/internal/forward/migration.go
@@ -50,6 +50,16 @@
 	// preCopyTime is the duration of the pre-copy.
 	preCopyTime time.Duration
 	target      *reservation
+	// next is the engine that replaces target once it has a copy; nil if there is none.
+	next *reservation
+}
+
+// copyTarget is the engine that gets the next copy.
+func (m *migration) copyTarget() *reservation {
+	if m.next != nil {
+		return m.next
+	}
+	return m.target
 }
 
 // migrateFrom migrates the generation off a server, not before start.
@@ -84,9 +94,7 @@
 	failures, switchovers := 0, 0
 	retryInterval := switchoverRetryInterval
 	for attempt := 0; attempt < maxCopyAttempts && gen.runsAt(m.source.ID); attempt++ {
-		if m.target != nil && !gen.r.g.acceptsWork(m.target.server.ID) {
-			gen.releaseCopy(m)
-		}
+		gen.releaseUnusable(m)
 		if m.target == nil && !gen.chooseTarget(m, attempted) {
 			attempted = attempted[:1]
 			gen.waitWhileRunning(gen.targetWait(m))
@@ -98,10 +106,7 @@
 		gen.log(m, "copy", result, err)
 		switch result.Outcome {
 		case Copied:
-			if handle := m.preCopy.Handle; handle != result.Handle {
-				go gen.dropCopy(m.source, handle)
-			}
-			m.preCopy = result
+			gen.useCopy(m, result)
 			if switchovers > 0 && !gen.r.g.balancers.chargeRetry(gen.r.service) {
 				break
 			}
@@ -114,15 +119,15 @@
 			}
 			gen.waitWhileRunning(retryInterval)
 			retryInterval *= 2
-			attempted = append(attempted, m.target.server.ID)
-			gen.replaceTarget(m, attempted)
+			attempted = gen.replaceTarget(m, append(attempted, m.target.server.ID))
 			continue
 		case TargetUnavailable:
-			attempted = append(attempted, m.target.server.ID)
+			attempted = append(attempted, m.copyTarget().server.ID)
 			if m.preCopy.Handle == "" {
 				m.releaseTarget()
 			} else {
-				gen.replaceTarget(m, attempted)
+				m.releaseNext()
+				attempted = gen.replaceTarget(m, attempted)
 			}
 		case CopyFailed:
 			failures++
@@ -132,16 +137,18 @@
 		}
 		gen.waitWhileRunning(copyRetryInterval)
 	}
+	m.releaseNext()
 	if m.preCopy.Handle == "" {
 		m.releaseTarget() // otherwise abandonMigration does
 	}
 }
 
-// replaceTarget chooses another engine than those attempted. If there is none, the migration keeps its
-// target and its copy.
-func (gen *generation) replaceTarget(m *migration, attempted []string) {
+// replaceTarget chooses another engine than those attempted, which gets the next copy. The migration keeps
+// its target and the copy there until that succeeds. It returns the engines attempted: if all were, only
+// the source, so that they are chosen again.
+func (gen *generation) replaceTarget(m *migration, attempted []string) []string {
 	if !gen.runsAt(m.source.ID) {
-		return
+		return attempted
 	}
 	allowed := route.RegionFilter(gen.r.route, gen.r.team)
 	target, reason := gen.reserveTarget(m, attempted, func(region string) bool { return region == m.source.Region && allowed(region) })
@@ -149,18 +156,37 @@
 		target, _ = gen.reserveTarget(m, attempted, allowed)
 	}
 	if target == nil {
-		return
+		return attempted[:1]
 	}
-	gen.releaseCopy(m)
-	m.target = target
+	m.next = target
 	go gen.preconnect(target.server.Address)
+	return attempted
 }
 
-// releaseCopy releases the target of a migration and frees the copy there.
-func (gen *generation) releaseCopy(m *migration) {
-	go gen.dropCopy(m.source, m.preCopy.Handle)
-	m.releaseTarget()
-	m.preCopy = CopyResult{}
+// useCopy makes a new copy that of the migration, and frees the former one.
+func (gen *generation) useCopy(m *migration, result CopyResult) {
+	if handle := m.preCopy.Handle; handle != result.Handle {
+		go gen.dropCopy(m.source, handle)
+	}
+	if m.next != nil {
+		m.releaseTarget()
+		m.target, m.next = m.next, nil
+	}
+	m.preCopy = result
+}
+
+// releaseUnusable releases the engines of a migration that must not get requests any more, and frees the
+// copy there.
+func (gen *generation) releaseUnusable(m *migration) {
+	if m.next != nil && !gen.r.g.acceptsWork(m.next.server.ID) {
+		m.releaseNext()
+	}
+	if m.target != nil && !gen.r.g.acceptsWork(m.target.server.ID) {
+		go gen.dropCopy(m.source, m.preCopy.Handle)
+		m.releaseTarget()
+		m.preCopy = CopyResult{}
+		m.target, m.next = m.next, nil
+	}
 }
 
 // runsAt reports whether the generation is relayed from a server, whether or not another is asked.
@@ -303,6 +329,13 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
+func (m *migration) releaseNext() {
+	if m.next != nil {
+		m.next.cancel()
+		m.next = nil
+	}
+}
+
 func (m *migration) releaseTarget() {
 	if m.target != nil {
 		m.target.cancel()
@@ -344,13 +377,13 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(gen.r.ctx), copyTimeout)
 	defer cancel()
 	gen.r.g.balancers.chargeRate(m.source.ID)
-	return gen.r.g.opts.EngineClient.Copy(ctx, m.source.Address, gen.r.id, m.target.server.Address, final)
+	return gen.r.g.opts.EngineClient.Copy(ctx, m.source.Address, gen.r.id, m.copyTarget().server.Address, final)
 }
 
 func (gen *generation) log(m *migration, event string, result CopyResult, err error) {
 	target := ""
-	if m.target != nil {
-		target = m.target.server.ID
+	if to := m.copyTarget(); to != nil {
+		target = to.server.ID
 	}
 	gen.r.g.opts.Log.Info().Str("request", gen.r.id).Str("source", m.source.ID).Str("target", target).
 		Stringer("outcome", result.Outcome).Int("made", result.Events).AnErr("error", err).
