Ask a source again that rejects the final copy of a broken stream

Cause: a stream of a leaving engine got stream_broken although the target of its migration had a copy. The engine's connection broke; it answered the request for the final copy once with 409, 503 without a handle or another failure, or closed the connection twice within a millisecond. Only two requests were made, without a pause, and a rejection that was no refusal with Retry-After ended the stream at once; the copy was freed. Ruled out: to resume from the pre-copy after a rejection: the source may still run the generation. To go to a standby replica at the first rejection: its engine may reject too, and the target is given up before. Change: canResume asks again after 60 ms, then in intervals that double up to 500 ms, for relay.SilenceLimit (3 s), as long as a silent source was awaited before. It still ends at once when the generation was stopped, does not exist at the source or the source refuses connections. Refusals hold the calls back as before, and each counts towards the rate limit. Conclusion: a source that rejects the final copy for less than 3 s costs a pause, not the stream. If it rejects for longer, the stream breaks or resumes at its standby replica, up to 3 s later than before.

--- a/internal/forward/migration.go
+++ b/internal/forward/migration.go
@@ -29,9 +29,10 @@
 	maxCopyAttempts = 40
 	// maxCopyFailures is how many copy requests may fail before the engine counts as ended.
 	maxCopyFailures = 2
-	// maxFinalCopyCalls is how often a final copy is requested: a kept connection to an engine that
-	// ended fails once before the engine refuses connections.
-	maxFinalCopyCalls = 2
+	// finalCopyRetryInterval is the time between the first two requests for a final copy. It doubles
+	// with each further one, up to maxFinalCopyRetryInterval.
+	finalCopyRetryInterval    = 60 * time.Millisecond
+	maxFinalCopyRetryInterval = 500 * time.Millisecond
 	// maxSwitchovers is how many requests to resume may fail in one migration. The interval between
 	// them doubles from switchoverRetryInterval.
 	maxSwitchovers          = 5
@@ -277,7 +278,8 @@
 // canResume reports whether the generation of a broken stream may resume from the pre-copy: only
 // when its engine certainly does not run it any more. It requests a final copy, which stops a
 // generation that the engine still runs; if that succeeds, it replaces the pre-copy. The generation is
-// stopped also if the target has no room for the final copy.
+// stopped also if the target has no room for the final copy. While the engine rejects the request or
+// closes the connection, it is asked again.
 func (gen *generation) canResume(m *migration) bool {
 	if m.preCopy.Handle == "" || m.target == nil {
 		return false
@@ -286,7 +288,8 @@
 	// accept the connection.
 	ctx, cancel := context.WithTimeout(gen.r.ctx, relay.SilenceLimit)
 	defer cancel()
-	for range maxFinalCopyCalls {
+	interval := finalCopyRetryInterval
+	for {
 		gen.r.g.balancers.chargeRate(m.source.ID)
 		result, err := gen.r.g.opts.EngineClient.Copy(ctx, m.source.Address, gen.r.id, m.target.server.Address, true)
 		gen.log(m, "source queried after its stream broke", result, err)
@@ -304,11 +307,13 @@
 			return true
 		case errors.Is(err, errRefused) && gen.leavingEngineIsGone():
 			return true
-		case err == nil && !gen.r.g.balancers.refuses(m.source) || ctx.Err() != nil:
+		}
+		// Neither a rejection nor a closed connection shows whether the generation was stopped.
+		if !wait.For(ctx, interval) {
 			return false
 		}
+		interval = min(2*interval, maxFinalCopyRetryInterval)
 	}
-	return false
 }
 
 // leavingEngineIsGone reports whether the source of a migration refuses connections. An engine that does
