Merge copies that are kept until another engine has one

Conclusion: a rejection of one engine, of the resume or of the final copy, no longer costs the copy at another.

--- a/internal/forward/migration.go
+++ b/internal/forward/migration.go
@@ -29,9 +29,10 @@
 	maxCopyAttempts = 40
 	// maxCopyFailures is how many copy requests may fail before the engine counts as ended.
 	maxCopyFailures = 2
-	// maxFinalCopyCalls is how often a final copy is requested: a kept connection to an engine that
-	// ended fails once before the engine refuses connections.
-	maxFinalCopyCalls = 2
+	// finalCopyRetryInterval is the time between the first two requests for a final copy. It doubles
+	// with each further one, up to maxFinalCopyRetryInterval.
+	finalCopyRetryInterval    = 60 * time.Millisecond
+	maxFinalCopyRetryInterval = 500 * time.Millisecond
 	// maxSwitchovers is how many requests to resume may fail in one migration. The interval between
 	// them doubles from switchoverRetryInterval.
 	maxSwitchovers          = 5
@@ -50,6 +51,16 @@
 	// preCopyTime is the duration of the pre-copy.
 	preCopyTime time.Duration
 	target      *reservation
+	// next is the engine that replaces target once it has a copy; nil if there is none.
+	next *reservation
+}
+
+// copyTarget is the engine that gets the next copy.
+func (m *migration) copyTarget() *reservation {
+	if m.next != nil {
+		return m.next
+	}
+	return m.target
 }
 
 // migrateFrom migrates the generation off a server, not before start.
@@ -84,9 +95,7 @@
 	failures, switchovers := 0, 0
 	retryInterval := switchoverRetryInterval
 	for attempt := 0; attempt < maxCopyAttempts && gen.runsAt(m.source.ID); attempt++ {
-		if m.target != nil && !gen.r.g.acceptsWork(m.target.server.ID) {
-			gen.releaseCopy(m)
-		}
+		gen.releaseUnusable(m)
 		if m.target == nil && !gen.chooseTarget(m, attempted) {
 			attempted = attempted[:1]
 			gen.waitWhileRunning(gen.targetWait(m))
@@ -98,10 +107,7 @@
 		gen.log(m, "copy", result, err)
 		switch result.Outcome {
 		case Copied:
-			if handle := m.preCopy.Handle; handle != result.Handle {
-				go gen.dropCopy(m.source, handle)
-			}
-			m.preCopy = result
+			gen.useCopy(m, result)
 			if switchovers > 0 && !gen.r.g.balancers.chargeRetry(gen.r.service) {
 				break
 			}
@@ -114,15 +120,15 @@
 			}
 			gen.waitWhileRunning(retryInterval)
 			retryInterval *= 2
-			attempted = append(attempted, m.target.server.ID)
-			gen.replaceTarget(m, attempted)
+			attempted = gen.replaceTarget(m, append(attempted, m.target.server.ID))
 			continue
 		case TargetUnavailable:
-			attempted = append(attempted, m.target.server.ID)
+			attempted = append(attempted, m.copyTarget().server.ID)
 			if m.preCopy.Handle == "" {
 				m.releaseTarget()
 			} else {
-				gen.replaceTarget(m, attempted)
+				m.releaseNext()
+				attempted = gen.replaceTarget(m, attempted)
 			}
 		case CopyFailed:
 			failures++
@@ -132,16 +138,18 @@
 		}
 		gen.waitWhileRunning(copyRetryInterval)
 	}
+	m.releaseNext()
 	if m.preCopy.Handle == "" {
 		m.releaseTarget() // otherwise abandonMigration does
 	}
 }
 
-// replaceTarget chooses another engine than those attempted. If there is none, the migration keeps its
-// target and its copy.
-func (gen *generation) replaceTarget(m *migration, attempted []string) {
+// replaceTarget chooses another engine than those attempted, which gets the next copy. The migration keeps
+// its target and the copy there until that succeeds. It returns the engines attempted: if all were, only
+// the source, so that they are chosen again.
+func (gen *generation) replaceTarget(m *migration, attempted []string) []string {
 	if !gen.runsAt(m.source.ID) {
-		return
+		return attempted
 	}
 	allowed := route.RegionFilter(gen.r.route, gen.r.team)
 	target, reason := gen.reserveTarget(m, attempted, func(region string) bool { return region == m.source.Region && allowed(region) })
@@ -149,18 +157,37 @@
 		target, _ = gen.reserveTarget(m, attempted, allowed)
 	}
 	if target == nil {
-		return
+		return attempted[:1]
 	}
-	gen.releaseCopy(m)
-	m.target = target
+	m.next = target
 	go gen.preconnect(target.server.Address)
+	return attempted
+}
+
+// useCopy makes a new copy that of the migration, and frees the former one.
+func (gen *generation) useCopy(m *migration, result CopyResult) {
+	if handle := m.preCopy.Handle; handle != result.Handle {
+		go gen.dropCopy(m.source, handle)
+	}
+	if m.next != nil {
+		m.releaseTarget()
+		m.target, m.next = m.next, nil
+	}
+	m.preCopy = result
 }
 
-// releaseCopy releases the target of a migration and frees the copy there.
-func (gen *generation) releaseCopy(m *migration) {
-	go gen.dropCopy(m.source, m.preCopy.Handle)
-	m.releaseTarget()
-	m.preCopy = CopyResult{}
+// releaseUnusable releases the engines of a migration that must not get requests any more, and frees the
+// copy there.
+func (gen *generation) releaseUnusable(m *migration) {
+	if m.next != nil && !gen.r.g.acceptsWork(m.next.server.ID) {
+		m.releaseNext()
+	}
+	if m.target != nil && !gen.r.g.acceptsWork(m.target.server.ID) {
+		go gen.dropCopy(m.source, m.preCopy.Handle)
+		m.releaseTarget()
+		m.preCopy = CopyResult{}
+		m.target, m.next = m.next, nil
+	}
 }
 
 // runsAt reports whether the generation is relayed from a server, whether or not another is asked.
@@ -251,7 +278,8 @@
 // canResume reports whether the generation of a broken stream may resume from the pre-copy: only
 // when its engine certainly does not run it any more. It requests a final copy, which stops a
 // generation that the engine still runs; if that succeeds, it replaces the pre-copy. The generation is
-// stopped also if the target has no room for the final copy.
+// stopped also if the target has no room for the final copy. While the engine rejects the request or
+// closes the connection, it is asked again.
 func (gen *generation) canResume(m *migration) bool {
 	if m.preCopy.Handle == "" || m.target == nil {
 		return false
@@ -260,7 +288,8 @@
 	// accept the connection.
 	ctx, cancel := context.WithTimeout(gen.r.ctx, relay.SilenceLimit)
 	defer cancel()
-	for range maxFinalCopyCalls {
+	interval := finalCopyRetryInterval
+	for {
 		gen.r.g.balancers.chargeRate(m.source.ID)
 		result, err := gen.r.g.opts.EngineClient.Copy(ctx, m.source.Address, gen.r.id, m.target.server.Address, true)
 		gen.log(m, "source queried after its stream broke", result, err)
@@ -278,11 +307,13 @@
 			return true
 		case errors.Is(err, errRefused) && gen.leavingEngineIsGone():
 			return true
-		case err == nil && !gen.r.g.balancers.refuses(m.source) || ctx.Err() != nil:
+		}
+		// Neither a rejection nor a closed connection shows whether the generation was stopped.
+		if !wait.For(ctx, interval) {
 			return false
 		}
+		interval = min(2*interval, maxFinalCopyRetryInterval)
 	}
-	return false
 }
 
 // leavingEngineIsGone reports whether the source of a migration refuses connections. An engine that does
@@ -303,6 +334,13 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
+func (m *migration) releaseNext() {
+	if m.next != nil {
+		m.next.cancel()
+		m.next = nil
+	}
+}
+
 func (m *migration) releaseTarget() {
 	if m.target != nil {
 		m.target.cancel()
@@ -344,13 +382,13 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(gen.r.ctx), copyTimeout)
 	defer cancel()
 	gen.r.g.balancers.chargeRate(m.source.ID)
-	return gen.r.g.opts.EngineClient.Copy(ctx, m.source.Address, gen.r.id, m.target.server.Address, final)
+	return gen.r.g.opts.EngineClient.Copy(ctx, m.source.Address, gen.r.id, m.copyTarget().server.Address, final)
 }
 
 func (gen *generation) log(m *migration, event string, result CopyResult, err error) {
 	target := ""
-	if m.target != nil {
-		target = m.target.server.ID
+	if to := m.copyTarget(); to != nil {
+		target = to.server.ID
 	}
 	gen.r.g.opts.Log.Info().Str("request", gen.r.id).Str("source", m.source.ID).Str("target", target).
 		Stringer("outcome", result.Outcome).Int("made", result.Events).AnErr("error", err).
