Log the times of a switchover

Ruled out: one line for each step, which costs a small host more processor time; absolute times, since the line itself has one. Change: the line has the milliseconds from the choice of the target until the request was sent, its response header was taken, the source was closed, or the request was abandoned.

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -102,15 +102,16 @@
 		res.cancel()
 		return nil, err
 	}
-	ex, err := r.exchange(r.ctx, res, true, func(req *fasthttp.Request) { r.setStandbyHeader(req, standby) })
+	ex, err := r.exchange(r.ctx, res, true, func(req *fasthttp.Request) { r.setStandbyHeader(req, standby) }, nil)
 	if err != nil {
 		r.releaseFailed(res, err)
 	}
 	return ex, err
 }
 
-// exchange sends the request to the reserved engine, with fresh on a new connection.
-func (r *request) exchange(ctx context.Context, res *reservation, fresh bool, prepare func(*fasthttp.Request)) (*connection.Exchange, error) {
+// exchange sends the request to the reserved engine, with fresh on a new connection. onSend, if set, is called
+// right before the first byte is sent.
+func (r *request) exchange(ctx context.Context, res *reservation, fresh bool, prepare func(*fasthttp.Request), onSend func()) (*connection.Exchange, error) {
 	if err := r.checkRefusal(res.server); err != nil {
 		return nil, err
 	}
@@ -118,7 +119,18 @@
 	defer fasthttp.ReleaseRequest(req)
 	prepare(req)
 	sentAt := time.Now()
-	ex, err := r.g.pool.Do(ctx, res.server.Address, req, r.sendOptions(res, fresh))
+	opts := r.sendOptions(res, fresh)
+	if onSend != nil {
+		check := opts.BeforeSend
+		opts.BeforeSend = func() error {
+			if err := check(); err != nil {
+				return err
+			}
+			onSend()
+			return nil
+		}
+	}
+	ex, err := r.g.pool.Do(ctx, res.server.Address, req, opts)
 	if err != nil {
 		if verdict.Of(err) != verdict.NotRun {
 			r.recordBrokenAnswer(res.server, err)
--- a/internal/forward/switchover.go
+++ b/internal/forward/switchover.go
@@ -27,6 +27,7 @@
 	ctx       context.Context
 	cancel    context.CancelFunc
 	done      chan struct{}
+	times     switchoverTimes
 	// Valid once done is closed; ex is nil if the target did not resume. responded is set if it
 	// rejected the request.
 	ex        *connection.Exchange
@@ -61,7 +62,7 @@
 	if gen.ended || gen.relay.State() != state || !gen.relay.Ask(time.Now()) {
 		return nil
 	}
-	sw := &switchover{target: target, ref: ref, done: make(chan struct{})}
+	sw := &switchover{target: target, ref: ref, done: make(chan struct{}), times: switchoverTimes{begun: time.Now()}}
 	sw.ctx, sw.cancel = context.WithCancel(gen.r.ctx)
 	gen.switchover = sw
 	return sw
@@ -74,6 +75,7 @@
 	sw.ex, sw.err = gen.resume(sw.ctx, sw)
 	stop()
 	gen.mu.Lock()
+	sw.times.responded = time.Now()
 	gen.settle(sw)
 	gen.r.targetResponse = "accepted"
 	if sw.err != nil {
@@ -101,6 +103,7 @@
 		case relay.CloseSource:
 			// An engine stops a generation when its client disconnects.
 			gen.ex.Abort()
+			sw.times.sourceClosed = time.Now()
 		}
 		return
 	}
@@ -133,10 +136,12 @@
 		}
 		if gen.relay.Late(time.Now()) == relay.DropTarget {
 			sw.cancel()
+			sw.times.abandoned = time.Now()
 			return
 		}
 		gen.takenForDead = true
 		gen.ex.Abort()
+		sw.times.sourceClosed = time.Now()
 		timer.Reset(relay.MaxOverlap)
 	}
 	gen.mu.Lock()
@@ -163,7 +168,8 @@
 	if sw.target.isStandby {
 		r.g.balancers.chargeRate(sw.target.server.ID)
 	}
-	ex, err := r.exchange(ctx, sw.target, false, prepare)
+	recordSend := func() { gen.recordSend(sw) }
+	ex, err := r.exchange(ctx, sw.target, false, prepare, recordSend)
 	if ctx.Err() != nil {
 		return nil, verdict.New(verdict.MayHaveRun, 504, "target_late", "the engine with the KV cache copy did not respond in time")
 	}
@@ -171,7 +177,7 @@
 		// The preconnected connection may have been closed. A copy can be used once, so a
 		// second request cannot start a second generation.
 		r.g.balancers.chargeRate(sw.target.server.ID)
-		ex, err = r.exchange(ctx, sw.target, true, prepare)
+		ex, err = r.exchange(ctx, sw.target, true, prepare, recordSend)
 	}
 	if err != nil {
 		sw.responded = verdict.From(err).Code == codeNotRun
@@ -226,7 +232,10 @@
 }
 
 func (gen *generation) logSwitchover(sw *switchover, source string) {
+	gen.mu.Lock()
+	times := sw.times
+	gen.mu.Unlock()
 	gen.r.g.opts.Log.Info().Str("request", gen.r.id).Str("source", source).Str("target", sw.target.server.ID).
-		Bool("went_on", sw.ex != nil).AnErr("error", sw.err).AnErr("source_end", sw.sourceEnd).
+		Bool("went_on", sw.ex != nil).AnErr("error", sw.err).AnErr("source_end", sw.sourceEnd).EmbedObject(times).
 		Msg("generation switchover to another engine attempted")
 }
