Close the source before the target's answer is recorded

Cause: a generation that another engine went on with could run at both for seconds. If the request became late meanwhile (200 ms), the response was neither used nor closed: the target ran on, its connection open, while the source went on. Ruled out: closing the response in the place that forgot it. The source would still be closed later by the time of the recording, and the target's run would be thrown away. Change: the response is accepted or closed, and the source closed, in the goroutine that read the header, before anything else is done with it. Acceptance and abandonment are decided under one lock, so that no response is forgotten. Conclusion: on a host that gets processor time the source is closed within one switch to the goroutine that waits for the header.

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -102,34 +102,42 @@
 		res.cancel()
 		return nil, err
 	}
-	ex, err := r.exchange(r.ctx, res, true, func(req *fasthttp.Request) { r.setStandbyHeader(req, standby) }, nil)
+	ex, err := r.exchange(r.ctx, res, true, func(req *fasthttp.Request) { r.setStandbyHeader(req, standby) }, exchangeHooks{})
 	if err != nil {
 		r.releaseFailed(res, err)
 	}
 	return ex, err
 }
 
-// exchange sends the request to the reserved engine, with fresh on a new connection. onSend, if set, is called
-// right before the first byte is sent.
-func (r *request) exchange(ctx context.Context, res *reservation, fresh bool, prepare func(*fasthttp.Request), onSend func()) (*connection.Exchange, error) {
+// exchangeHooks are called in the course of an exchange; each may be nil.
+type exchangeHooks struct {
+	// sending is called right before the first byte is sent.
+	sending func()
+	// responded is called right after the header of a response was read that can be delivered, before
+	// anything else is done with it.
+	responded func(*connection.Exchange)
+}
+
+// exchange sends the request to the reserved engine, with fresh on a new connection.
+func (r *request) exchange(ctx context.Context, res *reservation, fresh bool, prepare func(*fasthttp.Request), hooks exchangeHooks) (*connection.Exchange, error) {
 	if err := r.checkRefusal(res.server); err != nil {
 		return nil, err
 	}
 	req := r.outgoing(res.server.ID)
 	defer fasthttp.ReleaseRequest(req)
 	prepare(req)
-	sentAt := time.Now()
 	opts := r.sendOptions(res, fresh)
-	if onSend != nil {
+	if hooks.sending != nil {
 		check := opts.BeforeSend
 		opts.BeforeSend = func() error {
 			if err := check(); err != nil {
 				return err
 			}
-			onSend()
+			hooks.sending()
 			return nil
 		}
 	}
+	sentAt := time.Now()
 	ex, err := r.g.pool.Do(ctx, res.server.Address, req, opts)
 	if err != nil {
 		if verdict.Of(err) != verdict.NotRun {
@@ -137,8 +145,12 @@
 		}
 		return nil, err
 	}
+	err = r.checkResponse(ex)
+	if err == nil && hooks.responded != nil {
+		hooks.responded(ex)
+	}
 	r.observeAnswer(res.server, &ex.Response.Header, sentAt)
-	if err := r.checkResponse(ex); err != nil {
+	if err != nil {
 		ex.Finish(false)
 		return nil, err
 	}
--- a/internal/forward/switchover.go
+++ b/internal/forward/switchover.go
@@ -72,14 +72,13 @@
 func (gen *generation) ask(sw *switchover, server string) {
 	sw.standby = gen.r.reserveStandby(sw.target.server)
 	stop := gen.abandonWhenLate(sw)
-	sw.ex, sw.err = gen.resume(sw.ctx, sw)
+	sw.err = gen.resume(sw)
 	stop()
 	gen.mu.Lock()
-	sw.times.responded = time.Now()
-	gen.settle(sw)
 	gen.r.targetResponse = "accepted"
 	if sw.err != nil {
 		gen.r.targetResponse = sw.err.Error()
+		gen.refuse(sw)
 	}
 	gen.mu.Unlock()
 	if sw.ex == nil {
@@ -90,35 +89,40 @@
 	close(sw.done)
 }
 
-// settle records the result of a switchover. gen.mu must be held.
-func (gen *generation) settle(sw *switchover) {
-	switch {
-	case sw.ex == nil:
-	case sw.ctx.Err() != nil: // abandoned just before the response
-		sw.drop(sw.ctx.Err())
-	default:
-		switch gen.relay.Accept() {
-		case relay.DropTarget:
-			sw.drop(errors.New("the stream ended before the target accepted"))
-		case relay.CloseSource:
-			// An engine stops a generation when its client disconnects.
-			gen.ex.Abort()
-			sw.times.sourceClosed = time.Now()
-		}
+// accept takes the target's response as soon as its header was read, and closes the source: until then the
+// generation runs at both, and what the answer says of its engine is recorded under locks that others hold.
+// A response that came too late is closed at once.
+func (gen *generation) accept(sw *switchover, ex *connection.Exchange) {
+	gen.mu.Lock()
+	defer gen.mu.Unlock()
+	sw.times.responded = time.Now()
+	if sw.ctx.Err() != nil {
+		ex.Abort()
 		return
 	}
+	switch gen.relay.Accept() {
+	case relay.DropTarget:
+		ex.Abort()
+		return
+	case relay.CloseSource:
+		// An engine stops a generation when its client disconnects.
+		gen.ex.Abort()
+		sw.times.sourceClosed = time.Now()
+	}
+	sw.ex = ex
+}
+
+// refuse records that the target does not resume. gen.mu must be held.
+func (gen *generation) refuse(sw *switchover) {
+	if sw.times.responded.IsZero() {
+		sw.times.responded = time.Now()
+	}
 	gen.relay.Refuse()
 	if gen.relay.State() == relay.Relayed {
 		gen.switchover = nil
 	}
 }
 
-// drop closes the target's response.
-func (sw *switchover) drop(cause error) {
-	sw.ex.Finish(false)
-	sw.ex, sw.err = nil, cause
-}
-
 // abandonWhenLate cancels the request of a switchover whose target does not respond in time. The
 // returned function ends that.
 func (gen *generation) abandonWhenLate(sw *switchover) (stop func()) {
@@ -150,11 +154,11 @@
 	return func() { timer.Stop() }
 }
 
-// resume requests the target to resume after the newest event delivered.
-func (gen *generation) resume(ctx context.Context, sw *switchover) (*connection.Exchange, error) {
-	r := gen.r
+// resume requests the target to resume after the newest event delivered. It sets sw.ex if the target did.
+func (gen *generation) resume(sw *switchover) error {
+	r, ctx := gen.r, sw.ctx
 	if r.prompt.Rejection() != nil {
-		return nil, notRun(503, crashes.Code, "engines crashed on a part of the prompt")
+		return notRun(503, crashes.Code, "engines crashed on a part of the prompt")
 	}
 	d := &r.g.opts.Dialect
 	prepare := func(req *fasthttp.Request) {
@@ -168,27 +172,41 @@
 	if sw.target.isStandby {
 		r.g.balancers.chargeRate(sw.target.server.ID)
 	}
-	recordSend := func() { gen.recordSend(sw) }
-	ex, err := r.exchange(ctx, sw.target, false, prepare, recordSend)
-	if ctx.Err() != nil {
-		return nil, verdict.New(verdict.MayHaveRun, 504, "target_late", "the engine with the KV cache copy did not respond in time")
+	hooks := exchangeHooks{
+		sending: func() { gen.recordSend(sw) },
+		responded: func(ex *connection.Exchange) {
+			if ex.Response.StatusCode() == fasthttp.StatusOK {
+				gen.accept(sw, ex)
+			}
+		},
 	}
-	if verdict.From(err).Code == connection.CodeNoResponse {
+	ex, err := r.exchange(ctx, sw.target, false, prepare, hooks)
+	if verdict.From(err).Code == connection.CodeNoResponse && ctx.Err() == nil {
 		// The preconnected connection may have been closed. A copy can be used once, so a
 		// second request cannot start a second generation.
 		r.g.balancers.chargeRate(sw.target.server.ID)
-		ex, err = r.exchange(ctx, sw.target, true, prepare, recordSend)
+		ex, err = r.exchange(ctx, sw.target, true, prepare, hooks)
 	}
-	if err != nil {
-		sw.responded = verdict.From(err).Code == codeNotRun
-		return nil, err
+	if sw.ex != nil {
+		return nil
 	}
-	if status := ex.Response.StatusCode(); status != fasthttp.StatusOK {
+	status := 0
+	if err == nil {
+		status = ex.Response.StatusCode()
 		ex.Finish(false)
-		sw.responded = true
-		return nil, verdict.New(verdict.Ran, 502, "copy_refused", "the engine with the KV cache copy responded with status %d", status)
 	}
-	return ex, nil
+	switch {
+	case ctx.Err() != nil:
+		return verdict.New(verdict.MayHaveRun, 504, "target_late", "the engine with the KV cache copy did not respond in time")
+	case err != nil:
+		sw.responded = verdict.From(err).Code == codeNotRun
+		return err
+	}
+	sw.responded = true
+	if status != fasthttp.StatusOK {
+		return verdict.New(verdict.Ran, 502, "copy_refused", "the engine with the KV cache copy responded with status %d", status)
+	}
+	return errors.New("the stream ended before the target accepted")
 }
 
 func (gen *generation) currentSwitchover() *switchover {
