Bound the messages of a store reader

Cause: requests, and the ends of connections, left a store reader hundreds of milliseconds late, and its connection setups timed out. Its messages to the other hosts filled its link (10 Mbit/s on the small hosts of the grown sites): each had all changes of 2 s and the echoes for all hosts of the region, went to each of them, and each change sent another one to all hosts at once. An order that reader front-west-a-14 sent at once (waited_ms 0) reached its server 750 ms after its arrival. Change: a change is relayed for a send interval and a refresh interval (0.6 s in a region of 28 hosts), a peer gets only its own echo, and of a series of changes only the first is sent to all at once; the others go to the region every 150 ms and to the other regions at their interval. A host that misses a change reads the store, as before.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -32,7 +32,9 @@
 	WatchTimeouts map[Kind]time.Duration
 	// OnChange is called after each new snapshot, with the previous and the new one.
 	OnChange func(old, now *Snapshot)
-	Self     fleet.Host
+	// RelayTime returns how long a store reader relays a change; nil means changeRetention.
+	RelayTime func() time.Duration
+	Self      fleet.Host
 }
 
 const (
--- a/internal/directory/relay.go
+++ b/internal/directory/relay.go
@@ -27,7 +27,7 @@
 	// storeFailureMemory is how long after a failed call a host leaves the role of store
 	// reader to other hosts.
 	storeFailureMemory = 5 * time.Second
-	// changeRetention is how long relayed updates repeat a change, since gossip
+	// changeRetention is how long relayed updates repeat a change without Options.RelayTime, since gossip
 	// messages can be lost.
 	changeRetention = 2 * time.Second
 	// followerPollInterval is how often a follower checks whether the relayed updates
@@ -110,9 +110,13 @@
 
 // relayedKind drops the expired batches from the log of a kind and returns the others.
 func (d *Directory) relayedKind(kind Kind, now time.Duration) RelayedKind {
+	retention := changeRetention
+	if d.opts.RelayTime != nil {
+		retention = d.opts.RelayTime()
+	}
 	kept := d.changeLog[kind][:0]
 	for _, batch := range d.changeLog[kind] {
-		if now-batch.readAt > changeRetention {
+		if now-batch.readAt > retention {
 			d.logStart[kind] = batch.revision
 			continue
 		}
--- a/internal/directory/relay_test.go
+++ b/internal/directory/relay_test.go
@@ -144,3 +144,17 @@
 	follower.expire()
 	assert.True(t, follower.Snapshot().Servers["a"].Terminating())
 }
+
+// Guards against a store reader whose messages fill its link: a change was repeated for 2 s, in twelve messages to each
+// host of a region.
+func TestChangesAreRelayedForRelayTime(t *testing.T) {
+	reader, _, c := newRegion(t)
+	reader.opts.RelayTime = func() time.Duration { return 800 * time.Millisecond }
+	reader.apply(Backends, Batch{Changes: []Change{terminating("a")}, Revision: 12}, false, c.Now())
+	c.advance(800 * time.Millisecond)
+	assert.Len(t, reader.RelayedUpdate().Backends.Changes, 1)
+	c.advance(1)
+	update := reader.RelayedUpdate().Backends
+	assert.Empty(t, update.Changes)
+	assert.Equal(t, int64(12), update.After, "a follower that missed the change detects it")
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -108,7 +108,8 @@
 				p.gossip.SendNow()
 			}
 		},
-		Self: self,
+		RelayTime: func() time.Duration { return p.gossip.RelayTime() },
+		Self:      self,
 	})
 	p.gateway = forward.New(forward.Options{
 		Directory:           p.directory,
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -21,6 +21,7 @@
 	"monsoonkeel.example/monsoonkeel/core/fleet"
 	"monsoonkeel.example/monsoonkeel/core/ratelimit"
 	"monsoonkeel.example/monsoonkeel/internal/directory"
+	"monsoonkeel.example/monsoonkeel/internal/wait"
 )
 
 const (
@@ -41,6 +42,8 @@
 	fullRateHosts = 24
 	// maxMessageBytes is the size limit of a message, below that of a UDP datagram.
 	maxMessageBytes = 60 << 10
+	// maxEchoBytes is the part of maxMessageBytes for the echo of the receiver's message.
+	maxEchoBytes = 512
 )
 
 // Generation is a running generation that a host relays.
@@ -87,8 +90,8 @@
 	RecentStoreFailure bool `json:"f,omitempty"`
 	// RelayedUpdate is what a store reader passes on from the store; nil otherwise.
 	RelayedUpdate *directory.RelayedUpdate `json:"y,omitempty"`
-	// Echo names the newest message that the host had received from each peer of its
-	// region when it sent this one.
+	// Echo names the newest message that the host had received from the receiver when it sent this one,
+	// or from each peer of its region.
 	Echo map[string]MessageID `json:"e,omitempty"`
 	// ReceivedAt is set by the receiver and not sent.
 	ReceivedAt time.Time `json:"-"`
@@ -135,8 +138,15 @@
 	return &Exchange{opts: opts, peers: map[string]State{}, immediate: make(chan struct{}, 1)}
 }
 
-// SendNow sends the state to all hosts at once, without waiting for the interval. It
-// sends nothing if the state is unchanged and was sent within refreshInterval.
+// RelayTime returns for how long a change has to be part of this host's state to be in two messages at least, since
+// some may be lost. Each of them goes to all hosts of the region.
+func (e *Exchange) RelayTime() time.Duration {
+	return refreshInterval + sendIntervalFor(e.regionPeerCount())
+}
+
+// SendNow sends the state to all hosts at once, without waiting for the interval. In a series, the messages after the
+// first are sent every sendInterval at most, and those to the other regions at their interval. It sends nothing if the
+// state is unchanged and was sent within refreshInterval.
 func (e *Exchange) SendNow() {
 	select {
 	case e.immediate <- struct{}{}:
@@ -243,7 +253,7 @@
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	last := State{Host: e.opts.Self.ID, Region: e.opts.Region, Incarnation: e.opts.Self.Incarnation}
-	var lastSent, lastSentToAll time.Time
+	var lastSent, lastSentToAll, lastImmediate time.Time
 	for {
 		immediate := false
 		select {
@@ -252,6 +262,11 @@
 		case <-ticker.C:
 		case <-e.immediate:
 			immediate = true
+			// One message for several changes: each goes to all hosts of the region, and together they
+			// would fill the link of this host.
+			if !wait.For(ctx, time.Until(lastImmediate.Add(sendInterval))) {
+				return
+			}
 		}
 		if wanted := sendIntervalFor(e.regionPeerCount()); wanted != interval {
 			interval = wanted
@@ -268,7 +283,12 @@
 		if next.RelayedUpdate == nil {
 			next.Echo = nil
 		}
-		toAll := immediate || time.Since(lastSentToAll) >= sendIntervalFor(len(e.opts.Hosts()))
+		intervalToAll := sendIntervalFor(len(e.opts.Hosts()))
+		toAll := lastSent.Sub(lastSentToAll) >= intervalToAll || immediate && lastSent.Sub(lastImmediate) >= intervalToAll
+		if immediate {
+			lastImmediate = lastSent
+			ticker.Reset(interval)
+		}
 		if toAll {
 			lastSentToAll = lastSent
 		}
@@ -328,10 +348,12 @@
 }
 
 // send sends a state to the peers of the region, and with toAll to all other hosts.
-// Relayed updates and echoes go to the region only.
+// Relayed updates go to the region only, and to each peer only its own echo.
 func (e *Exchange) send(conn *net.UDPConn, s State, toAll bool) {
+	echo := s.Echo
+	s.Echo = nil
 	regional := e.encode(s)
-	s.RelayedUpdate, s.Echo = nil, nil
+	s.RelayedUpdate = nil
 	var global []byte
 	if toAll {
 		global = e.encode(s)
@@ -342,7 +364,7 @@
 		}
 		message := global
 		if e.inRegion(id) {
-			message = regional
+			message = withEcho(regional, id, echo)
 		}
 		if message == nil {
 			continue
@@ -357,16 +379,31 @@
 	}
 }
 
-// encode returns the message, or nil if it cannot be encoded or exceeds maxMessageBytes. The crashes of
+// withEcho returns a message with the echo of its receiver, if there is one.
+func withEcho(message []byte, receiver string, echo map[string]MessageID) []byte {
+	id, ok := echo[receiver]
+	if message == nil || !ok {
+		return message
+	}
+	field, err := json.Marshal(map[string]map[string]MessageID{"e": {receiver: id}})
+	if err != nil || len(field) > maxEchoBytes {
+		return message // the receiver takes the update for too old, and calls the store itself
+	}
+	end := len(message) - 1
+	return append(append(message[:end:end], ','), field[1:]...)
+}
+
+// encode returns the message, or nil if it cannot be encoded or exceeds its size limit. The crashes of
 // engines are left out if it exceeds that otherwise: the load and the notices matter more.
 func (e *Exchange) encode(s State) []byte {
 	message, err := json.Marshal(s)
-	if len(message) > maxMessageBytes && len(s.Crashes) > 0 {
+	const limit = maxMessageBytes - maxEchoBytes
+	if len(message) > limit && len(s.Crashes) > 0 {
 		e.opts.Log.Warn().Int("bytes", len(message)).Int("crashes", len(s.Crashes)).Msg("gossip message sent without crashes of engines: larger than a datagram")
 		s.Crashes = nil
 		message, err = json.Marshal(s)
 	}
-	if err != nil || len(message) > maxMessageBytes {
+	if err != nil || len(message) > limit {
 		e.opts.Log.Error().AnErr("error", err).Int("bytes", len(message)).Msg("gossip message not sent: encoding failed or larger than a datagram")
 		return nil
 	}
