Charge the retry budget for a request to an engine when it is sent

Callers saw: 503 for a stream that one engine rejected without running it, while other engines were free: no retry was left. Cause: a retry was charged before it was known that something is sent. The charge was lost when no other engine was left, or when the engine with the copy refused requests until after the deadline, left or had ended, and when a source was silent while a migration asked its target. Ruled out: returning a charge that was not used. Until then it prevents retries of other requests. Change: retrySeries charges all but the first of a series of requests, each right before its first byte. A request that finds the budget used up then is withheld, which counts as no failure of its server; neither does one to an engine that has left meanwhile. Why it works: nothing can fail between the charge and the first byte, except that a kept connection turns out to be closed; the request then goes to another one and is not charged again. Conclusion: streams charge for what is sent. A request with a single response still charges after its reservation, and a charge whose connection failed is used by its next attempt only.

--- a/internal/forward/generations.go
+++ b/internal/forward/generations.go
@@ -47,12 +47,12 @@
 	silentSwitches int
 	// takenForDead is set when the current source was closed because of its silence.
 	takenForDead bool
-	// silentAsks is the number of requests to resume because the source was silent.
-	silentAsks int
+	// silence has the requests to resume because the source was silent.
+	silence *retrySeries
 }
 
 func (gens *generations) add(r *request, res, standby *reservation) *generation {
-	gen := &generation{r: r, reservation: res, standby: standby, relay: relay.New(time.Now()), sourceEnded: make(chan struct{})}
+	gen := &generation{r: r, reservation: res, standby: standby, relay: relay.New(time.Now()), sourceEnded: make(chan struct{}), silence: r.g.newRetrySeries(r.service)}
 	gens.mu.Lock()
 	gens.put(res.server.ID, gen)
 	gens.mu.Unlock()
--- a/internal/forward/migration.go
+++ b/internal/forward/migration.go
@@ -83,6 +83,7 @@
 	attempted := []string{m.source.ID}
 	failures, switchovers := 0, 0
 	retryInterval := switchoverRetryInterval
+	series := gen.r.g.newRetrySeries(gen.r.service)
 	for attempt := 0; attempt < maxCopyAttempts && gen.runsAt(m.source.ID); attempt++ {
 		if m.target != nil && !gen.r.g.acceptsWork(m.target.server.ID) {
 			gen.releaseCopy(m)
@@ -102,10 +103,10 @@
 				go gen.dropCopy(m.source, handle)
 			}
 			m.preCopy = result
-			if switchovers > 0 && !gen.r.g.balancers.chargeRetry(gen.r.service) {
+			if !series.available() {
 				break
 			}
-			sw := gen.switchTo(m.source.ID, m.target, gen.r.g.opts.Dialect.FormatKVSource(m.source.Address, result.Handle))
+			sw := gen.switchTo(m.source.ID, m.target, gen.r.g.opts.Dialect.FormatKVSource(m.source.Address, result.Handle), series)
 			if sw == nil {
 				break // the first event has not arrived, or the stream ended
 			}
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -26,7 +26,7 @@
 	// The deadline of a read or a connection setup may pass right before that of the context.
 	over := r.ctx.Err() != nil || !time.Now().Before(r.deadline)
 	switch {
-	case isCallerError(err), verdict.From(err).Code == codeLeft:
+	case isCallerError(err), isWithheld(err):
 		return true
 	case !over && !isResponseTimeout(err):
 		return false
@@ -51,6 +51,12 @@
 	return notRun(503, codeLeft, "the backend server was taken out of service before the request was sent")
 }
 
+// isWithheld reports whether an attempt failed since this host withheld its request right before sending it.
+func isWithheld(err error) bool {
+	code := verdict.From(err).Code
+	return code == codeLeft || code == codeNoRetryBudget
+}
+
 // isResponseTimeout reports whether a response did not arrive within the time of an attempt.
 func isResponseTimeout(err error) bool {
 	var timeout interface{ Timeout() bool } // fasthttp's error of a timeout is no net.Error
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -33,6 +33,8 @@
 	codeUnusable    = "answer_broken"
 	codeServerError = "backend_error"
 	codeLeft        = "backend_left"
+	// codeNoRetryBudget is that of a retry that is not sent since the retry budget was used up meanwhile.
+	codeNoRetryBudget = "no_retry_budget"
 )
 
 // servePlain forwards a request with a single response.
@@ -51,20 +53,13 @@
 	return 1
 }
 
-// mayRetry charges the retry budget for another attempt. An attempt that could not
-// connect is free of charge, since the server saw no request.
-func (r *request) mayRetry(err error, attempts int) bool {
-	if attempts >= maxRejections+r.route.Attempts {
+// mayRetry reports whether another attempt may be made after attempts that failed, the last one with err.
+func (r *request) mayRetry(err error, attempts int, series *retrySeries) bool {
+	if attempts >= maxRejections+r.route.Attempts || !series.available() {
 		return false
 	}
-	if code := verdict.From(err).Code; code == connection.CodeConnectFailed || code == codeLeft {
-		return true
-	}
-	if !r.prompt.AllowRetry() || !r.g.balancers.chargeRetry(r.service) {
-		return false
-	}
-	r.g.Metrics.Retries.Add(1)
-	return true
+	code := verdict.From(err).Code
+	return code == connection.CodeConnectFailed || code == codeLeft || r.prompt.AllowRetry()
 }
 
 // giveUp turns the failure of the last attempt into the caller's error.
--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -98,6 +98,7 @@
 // requests when the refusal is over.
 func (s *stream) resumeAt(target *reservation, ref string) error {
 	r, gen := s.r, s.generation
+	series := r.g.newRetrySeries(r.service)
 	var sw *switchover
 	for attempt := 1; ; attempt++ {
 		err := r.awaitTurn(target.server)
@@ -109,7 +110,7 @@
 			r.g.Metrics.FailedMigrations.Add(1)
 			return err
 		}
-		if sw = gen.newSwitchover(relay.Interrupted, target, ref); sw == nil {
+		if sw = gen.newSwitchover(relay.Interrupted, target, ref, series); sw == nil {
 			return errors.New("the stream has ended")
 		}
 		sw.sourceEnd = r.sourceEnd
@@ -118,12 +119,12 @@
 			s.relayFrom(sw)
 			return nil
 		}
-		if verdict.Of(sw.err) != verdict.NotRun || attempt == maxResumeAttempts || !r.g.balancers.chargeRetry(r.service) ||
+		if verdict.Of(sw.err) != verdict.NotRun || attempt == maxResumeAttempts || !series.available() ||
 			!wait.For(r.ctx, resumeRetryInterval) {
 			break
 		}
 	}
-	if sw.responded || r.ctx.Err() != nil {
+	if sw.responded || r.ctx.Err() != nil || isWithheld(sw.err) {
 		target.cancel()
 	} else {
 		target.release(true)
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -67,14 +67,12 @@
 		return nil
 	}
 	gen.mu.Lock()
-	repeated := gen.silentAsks > 0
-	gen.silentAsks++
 	gen.silentSwitches++ // reset by the next event
 	gen.mu.Unlock()
-	if repeated && !gen.r.g.balancers.chargeRetry(gen.r.service) {
+	if !gen.silence.available() {
 		return nil
 	}
-	return gen.switchToStandby(gen.serverID())
+	return gen.switchToStandby(gen.serverID(), gen.silence)
 }
 
 // stopAwaitingSilence ends the wait for a silence. gen.mu must be held.
--- a/internal/forward/standby.go
+++ b/internal/forward/standby.go
@@ -103,12 +103,12 @@
 
 // switchToStandby asks the engine with the standby replica to resume the generation while its engine
 // still runs it. It returns nil if that is not possible now, and otherwise the ended request.
-func (gen *generation) switchToStandby(server string) *switchover {
+func (gen *generation) switchToStandby(server string, series *retrySeries) *switchover {
 	standby := gen.usableStandby()
 	if standby == nil {
 		return nil
 	}
-	return gen.switchTo(server, standby, gen.r.g.opts.Dialect.FormatKVSource(standby.server.Address, gen.r.id))
+	return gen.switchTo(server, standby, gen.r.g.opts.Dialect.FormatKVSource(standby.server.Address, gen.r.id), series)
 }
 
 // resumeAtStandby resumes the generation from its standby replica after the engine broke
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -29,13 +29,14 @@
 	r.g.balancers.recordFirstAttempt(r.service)
 	var attempted []string
 	var last error
+	series := r.g.newRetrySeries(r.service)
 	for {
 		res, reason := r.reserve(balance.Request{Tokens: r.expectedTokens(r.promptTokens), Prefill: r.promptTokens}, attempted)
 		if res == nil {
 			return r.noReservation(last, 0, reason)
 		}
 		r.attempts++
-		s, err := r.startStream(res, r.reserveStandby(res.server))
+		s, err := r.startStream(res, r.reserveStandby(res.server), series)
 		if err == nil {
 			return s.relay()
 		}
@@ -45,12 +46,15 @@
 		if r.rejection != nil {
 			return err
 		}
+		if verdict.From(err).Code == codeNoRetryBudget {
+			return r.giveUp(last, 0)
+		}
 		last = err
 		if verdict.Of(err) != verdict.NotRun {
 			return r.giveUp(err, 1)
 		}
 		attempted = append(attempted, res.server.ID)
-		if !r.mayRetry(err, len(attempted)) {
+		if !r.mayRetry(err, len(attempted), series) {
 			return r.giveUp(err, 0)
 		}
 	}
@@ -78,8 +82,8 @@
 }
 
 // startStream sends the request and reads the response header.
-func (r *request) startStream(res, standby *reservation) (*stream, error) {
-	ex, err := r.send(res, standby)
+func (r *request) startStream(res, standby *reservation, series *retrySeries) (*stream, error) {
+	ex, err := r.send(res, standby, series)
 	if err != nil {
 		standby.releaseIfHeld()
 		return nil, err
@@ -97,20 +101,21 @@
 
 // send sends the request to the reserved engine. The reservation is released on
 // failure.
-func (r *request) send(res, standby *reservation) (*connection.Exchange, error) {
+func (r *request) send(res, standby *reservation, series *retrySeries) (*connection.Exchange, error) {
 	if err := r.checkParts(); err != nil {
 		res.cancel()
 		return nil, err
 	}
-	ex, err := r.exchange(r.ctx, res, true, func(req *fasthttp.Request) { r.setStandbyHeader(req, standby) })
+	ex, err := r.exchange(r.ctx, res, true, series.charge(), func(req *fasthttp.Request) { r.setStandbyHeader(req, standby) })
 	if err != nil {
 		r.releaseFailed(res, err)
 	}
 	return ex, err
 }
 
-// exchange sends the request to the reserved engine, with fresh on a new connection.
-func (r *request) exchange(ctx context.Context, res *reservation, fresh bool, prepare func(*fasthttp.Request)) (*connection.Exchange, error) {
+// exchange sends the request to the reserved engine, with fresh on a new connection. charge is called right before the
+// first byte is sent, if the engine may get it, and prevents that by an error.
+func (r *request) exchange(ctx context.Context, res *reservation, fresh bool, charge func() error, prepare func(*fasthttp.Request)) (*connection.Exchange, error) {
 	if err := r.checkRefusal(res.server); err != nil {
 		return nil, err
 	}
@@ -118,7 +123,15 @@
 	defer fasthttp.ReleaseRequest(req)
 	prepare(req)
 	sentAt := time.Now()
-	ex, err := r.g.pool.Do(ctx, res.server.Address, req, r.sendOptions(res, fresh))
+	opts := r.sendOptions(res, fresh)
+	check := opts.BeforeSend
+	opts.BeforeSend = func() error {
+		if err := check(); err != nil {
+			return err
+		}
+		return charge()
+	}
+	ex, err := r.g.pool.Do(ctx, res.server.Address, req, opts)
 	if err != nil {
 		if verdict.Of(err) != verdict.NotRun {
 			r.recordBrokenAnswer(res.server, err)
--- a/internal/forward/switchover.go
+++ b/internal/forward/switchover.go
@@ -22,6 +22,8 @@
 	standby *reservation
 	// ref is the copy from which the generation resumes, in the format of KVSource.
 	ref string
+	// series has the requests of the switchover.
+	series *retrySeries
 	// sourceEnd is how the source's body had ended before; nil while the source ran.
 	sourceEnd error
 	ctx       context.Context
@@ -37,7 +39,7 @@
 // switchTo asks target, which has a copy, to resume the generation while its engine still runs it.
 // It returns nil if that is not possible now, and otherwise the ended request. A source whose target
 // has not accepted goes on.
-func (gen *generation) switchTo(server string, target *reservation, ref string) *switchover {
+func (gen *generation) switchTo(server string, target *reservation, ref string, series *retrySeries) *switchover {
 	gen.mu.Lock()
 	started := gen.lastID > 0 && gen.reservation.server.ID == server
 	gen.mu.Unlock()
@@ -45,7 +47,7 @@
 		return nil
 	}
 	gen.preconnect(target.server.Address)
-	sw := gen.newSwitchover(relay.Relayed, target, ref)
+	sw := gen.newSwitchover(relay.Relayed, target, ref, series)
 	if sw == nil {
 		return nil
 	}
@@ -55,13 +57,13 @@
 
 // newSwitchover registers a request to resume the generation. It returns nil unless the stream is in
 // the given state.
-func (gen *generation) newSwitchover(state relay.State, target *reservation, ref string) *switchover {
+func (gen *generation) newSwitchover(state relay.State, target *reservation, ref string, series *retrySeries) *switchover {
 	gen.mu.Lock()
 	defer gen.mu.Unlock()
 	if gen.ended || gen.relay.State() != state || !gen.relay.Ask(time.Now()) {
 		return nil
 	}
-	sw := &switchover{target: target, ref: ref, done: make(chan struct{})}
+	sw := &switchover{target: target, ref: ref, series: series, done: make(chan struct{})}
 	sw.ctx, sw.cancel = context.WithCancel(gen.r.ctx)
 	gen.switchover = sw
 	return sw
@@ -163,7 +165,7 @@
 	if sw.target.isStandby {
 		r.g.balancers.chargeRate(sw.target.server.ID)
 	}
-	ex, err := r.exchange(ctx, sw.target, false, prepare)
+	ex, err := r.exchange(ctx, sw.target, false, sw.series.charge(), prepare)
 	if ctx.Err() != nil {
 		return nil, verdict.New(verdict.MayHaveRun, 504, "target_late", "the engine with the KV cache copy did not respond in time")
 	}
@@ -171,7 +173,7 @@
 		// The preconnected connection may have been closed. A copy can be used once, so a
 		// second request cannot start a second generation.
 		r.g.balancers.chargeRate(sw.target.server.ID)
-		ex, err = r.exchange(ctx, sw.target, true, prepare)
+		ex, err = r.exchange(ctx, sw.target, true, func() error { return nil }, prepare)
 	}
 	if err != nil {
 		sw.responded = verdict.From(err).Code == codeNotRun
--- a/internal/forward/terminating.go
+++ b/internal/forward/terminating.go
@@ -42,7 +42,7 @@
 
 // leave resumes the generation from its standby replica, or else migrates it, not before start.
 func (gen *generation) leave(server string, start time.Time) {
-	if sw := gen.switchToStandby(server); sw == nil || sw.ex == nil {
+	if sw := gen.switchToStandby(server, gen.r.g.newRetrySeries(gen.r.service)); sw == nil || sw.ex == nil {
 		gen.migrateFrom(server, start)
 	}
 }
