Charge the second request to resume after no response to the retry budget

Callers saw: nothing; engines got more requests than the retry budget allows. Cause: an engine with a copy that closed the connection without a response was asked again on a new connection, and that request was not charged. Evidence: TestResumeWithoutResponseIsRepeatedWithinBudget, without retries: 2 requests arrived where 1 is allowed, on the former code. Ruled out: taking the second request as the first one that arrives. The engine may have read the first one before it closed the connection. Change: the second request belongs to the series of the switchover and is sent only if the retry budget allows it. Why it works: the charge is made at the send, as for each other repeated request. Conclusion: all requests to resume but the first of a series are charged. Whether the first one counts is still a question to the users (docs/questions.md).

--- a/internal/forward/switchover.go
+++ b/internal/forward/switchover.go
@@ -169,11 +169,11 @@
 	if ctx.Err() != nil {
 		return nil, verdict.New(verdict.MayHaveRun, 504, "target_late", "the engine with the KV cache copy did not respond in time")
 	}
-	if verdict.From(err).Code == connection.CodeNoResponse {
+	if verdict.From(err).Code == connection.CodeNoResponse && sw.series.available() {
 		// The preconnected connection may have been closed. A copy can be used once, so a
 		// second request cannot start a second generation.
 		r.g.balancers.chargeRate(sw.target.server.ID)
-		ex, err = r.exchange(ctx, sw.target, true, func() error { return nil }, prepare)
+		ex, err = r.exchange(ctx, sw.target, true, sw.series.charge(), prepare)
 	}
 	if err != nil {
 		sw.responded = verdict.From(err).Code == codeNotRun
