--- a/internal/forward/migration.go
+++ b/internal/forward/migration.go
@@ -94,6 +94,7 @@
 	attempted := []string{m.source.ID}
 	failures, switchovers := 0, 0
 	retryInterval := switchoverRetryInterval
+	series := gen.r.g.newRetrySeries(gen.r.service)
 	for attempt := 0; attempt < maxCopyAttempts && gen.runsAt(m.source.ID); attempt++ {
 		gen.releaseUnusable(m)
 		if m.target == nil && !gen.chooseTarget(m, attempted) {
@@ -108,10 +109,10 @@
 		switch result.Outcome {
 		case Copied:
 			gen.useCopy(m, result)
-			if switchovers > 0 && !gen.r.g.balancers.chargeRetry(gen.r.service) {
+			if !series.available() {
 				break
 			}
-			sw := gen.switchTo(m.source.ID, m.target, gen.r.g.opts.Dialect.FormatKVSource(m.source.Address, result.Handle))
+			sw := gen.switchTo(m.source.ID, m.target, gen.r.g.opts.Dialect.FormatKVSource(m.source.Address, result.Handle), series)
 			if sw == nil {
 				break // the first event has not arrived, or the stream ended
 			}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -29,6 +29,7 @@
 	r.g.balancers.recordFirstAttempt(r.service)
 	var attempted []string
 	var last error
+	series := r.g.newRetrySeries(r.service)
 	for {
 		res, reason := r.reserve(balance.Request{Tokens: r.expectedTokens(r.promptTokens), Prefill: r.promptTokens}, attempted)
 		if res == nil {
@@ -39,7 +40,7 @@
 			return r.giveUp(err, 0)
 		}
 		r.attempts++
-		s, err := r.startStream(res, r.reserveStandby(res.server))
+		s, err := r.startStream(res, r.reserveStandby(res.server), series)
 		if err == nil {
 			return s.relay()
 		}
@@ -49,12 +50,15 @@
 		if r.rejection != nil {
 			return err
 		}
+		if verdict.From(err).Code == codeNoRetryBudget {
+			return r.giveUp(last, 0)
+		}
 		last = err
 		if verdict.Of(err) != verdict.NotRun {
 			return r.giveUp(err, 1)
 		}
 		attempted = append(attempted, res.server.ID)
-		if !r.mayRetry(err, len(attempted)) {
+		if !r.mayRetry(err, len(attempted), series) {
 			return r.giveUp(err, 0)
 		}
 	}
@@ -82,8 +86,8 @@
 }
 
 // startStream sends the request and reads the response header.
-func (r *request) startStream(res, standby *reservation) (*stream, error) {
-	ex, err := r.send(res, standby)
+func (r *request) startStream(res, standby *reservation, series *retrySeries) (*stream, error) {
+	ex, err := r.send(res, standby, series)
 	if err != nil {
 		standby.releaseIfHeld()
 		return nil, err
@@ -101,24 +105,25 @@
 
 // send sends the request to the reserved engine. The reservation is released on
 // failure.
-func (r *request) send(res, standby *reservation) (*connection.Exchange, error) {
+func (r *request) send(res, standby *reservation, series *retrySeries) (*connection.Exchange, error) {
 	if err := r.checkParts(); err != nil {
 		res.cancel()
 		return nil, err
 	}
-	ex, err := r.exchange(r.ctx, res, true, func(req *fasthttp.Request) { r.setStandbyHeader(req, standby) }, exchangeHooks{})
+	ex, err := r.exchange(r.ctx, res, true, func(req *fasthttp.Request) { r.setStandbyHeader(req, standby) }, exchangeHooks{sending: series.charge()})
 	if err != nil {
 		r.releaseFailed(res, err)
 	}
 	return ex, err
 }
 
-// exchangeHooks are called in the course of an exchange; each may be nil.
+// exchangeHooks are called in the course of an exchange.
 type exchangeHooks struct {
-	// sending is called right before the first byte is sent.
-	sending func()
+	// sending is called right before the first byte is sent, if the engine may get it, and prevents that by an
+	// error.
+	sending func() error
 	// responded is called right after the header of a response was read that can be delivered, before
-	// anything else is done with it.
+	// anything else is done with it; it may be nil.
 	responded func(*connection.Exchange)
 }
 
@@ -131,15 +136,12 @@
 	defer fasthttp.ReleaseRequest(req)
 	prepare(req)
 	opts := r.sendOptions(res, fresh)
-	if hooks.sending != nil {
-		check := opts.BeforeSend
-		opts.BeforeSend = func() error {
-			if err := check(); err != nil {
-				return err
-			}
-			hooks.sending()
-			return nil
+	check := opts.BeforeSend
+	opts.BeforeSend = func() error {
+		if err := check(); err != nil {
+			return err
 		}
+		return hooks.sending()
 	}
 	sentAt := time.Now()
 	ex, err := r.g.pool.Do(ctx, res.server.Address, req, opts)
--- a/internal/forward/switchovertimes.go
+++ b/internal/forward/switchovertimes.go
@@ -34,9 +34,16 @@
 	}
 }
 
-// recordSend records that the request of a switchover is sent now.
-func (gen *generation) recordSend(sw *switchover) {
-	gen.mu.Lock()
-	sw.times.sent = time.Now()
-	gen.mu.Unlock()
+// sending returns the function that charges one request of a switchover, and records that it is sent now.
+func (gen *generation) sending(sw *switchover) func() error {
+	charge := sw.series.charge()
+	return func() error {
+		err := charge()
+		if err == nil {
+			gen.mu.Lock()
+			sw.times.sent = time.Now()
+			gen.mu.Unlock()
+		}
+		return err
+	}
 }
