--- /dev/null
+++ b/internal/forward/reservation.go
@@ -0,0 +1,110 @@
+package forward
+
+import (
+	"sync"
+	"time"
+
+	"monsoonkeel.example/monsoonkeel/core/balance"
+)
+
+// reservation is the right to send one request to a backend server, or to keep a standby
+// replica there. It counts as load of the server until it is released.
+type reservation struct {
+	server    balance.Server
+	balancers *balancers
+	service   string
+	// isStandby is set for a standby replica, for which no request was counted yet.
+	isStandby bool
+	// since is when the reservation was made.
+	since time.Time
+	load  balance.Load // guarded by balancers.mu
+	// silent is set once a silence of the server was counted as its failure; guarded by balancers.mu.
+	silent bool
+	once   sync.Once
+}
+
+// acquireStandby reserves KV cache for a standby replica. It returns nil if no engine
+// has enough free, or during the notice window.
+func (bs *balancers) acquireStandby(service string, req balance.Request) *reservation {
+	bs.mu.Lock()
+	defer bs.mu.Unlock()
+	s := bs.service(service)
+	if time.Since(s.lastNotice) < noticeWindow {
+		return nil
+	}
+	server, reason := s.balancer.Pick(req, time.Now())
+	if reason != balance.Chosen {
+		return nil
+	}
+	s.balancer.AddLoad(server.ID, loadOf(req))
+	return bs.newReservation(service, server, req)
+}
+
+func (bs *balancers) newReservation(service string, server balance.Server, req balance.Request) *reservation {
+	return &reservation{server: server, balancers: bs, service: service, isStandby: req.Standby, since: time.Now(), load: loadOf(req)}
+}
+
+func loadOf(req balance.Request) balance.Load {
+	return balance.Load{Requests: 1, Tokens: req.Tokens, Prefill: req.Prefill}
+}
+
+// prefillDone removes the request's prefill from the server's load.
+func (res *reservation) prefillDone() {
+	bs := res.balancers
+	bs.mu.Lock()
+	defer bs.mu.Unlock()
+	if res.load.Prefill == 0 {
+		return
+	}
+	s := bs.service(res.service)
+	s.balancer.RemoveLoad(res.server.ID, balance.Load{Prefill: res.load.Prefill})
+	res.load.Prefill = 0
+	s.wake()
+}
+
+// setExpectedTokens replaces the KV cache size that the request is expected to reach.
+func (res *reservation) setExpectedTokens(tokens int) {
+	bs := res.balancers
+	bs.mu.Lock()
+	defer bs.mu.Unlock()
+	if res.load.Requests == 0 || res.load.Tokens == tokens {
+		return
+	}
+	s := bs.service(res.service)
+	s.balancer.RemoveLoad(res.server.ID, balance.Load{Tokens: res.load.Tokens - tokens})
+	res.load.Tokens = tokens
+}
+
+// release removes the reservation's load; further calls do nothing. failed is set when the
+// server could not be reached or broke the response off; it counts towards ejection.
+func (res *reservation) release(failed bool) {
+	res.end(func(b *balance.Balancer) {
+		switch {
+		case res.balancers.refusals.Refuses(res.server.Process(), time.Now()):
+			// The refusal excludes the server for the time that it wants.
+		case failed && res.silent:
+		case failed:
+			b.RecordFailure(res.server.ID, time.Now())
+		default:
+			b.RecordSuccess(res.server.ID)
+		}
+	})
+}
+
+// cancel releases a reservation for which nothing was sent, or whose request ended without a result that tells
+// anything about the server.
+func (res *reservation) cancel() { res.end(func(*balance.Balancer) {}) }
+
+// end removes the reservation's load once and records the result of its use.
+func (res *reservation) end(record func(*balance.Balancer)) {
+	res.once.Do(func() {
+		bs := res.balancers
+		bs.mu.Lock()
+		defer bs.mu.Unlock()
+		s := bs.service(res.service)
+		s.balancer.RemoveLoad(res.server.ID, res.load)
+		res.load = balance.Load{}
+		record(s.balancer)
+		s.wake()
+	})
+}
