Reserve the body budget before the memory

Callers saw: a host near its memory limit when many large bodies arrive at once. Cause: readSizedBody allocated the next buffer, twice the size of the last one, and then waited up to 1 s for its share of the budget. Callers that waited held up to three times what they had reserved. Ruled out: a smaller budget: the sum of the live buffers was above it, at any size. Change: the budget is reserved first. Conclusion: waiting for the budget takes no memory.

--- a/internal/connection/body.go
+++ b/internal/connection/body.go
@@ -63,10 +63,11 @@
 func (c *serverConn) readSizedBody(call *Call, length int) error {
 	var body []byte
 	for len(body) < length {
-		grown := make([]byte, min(length, max(2*len(body), initialBodyBytes)))
-		if !call.reserveBody(int64(len(grown))) {
+		size := min(length, max(2*len(body), initialBodyBytes))
+		if !call.reserveBody(int64(size)) {
 			return errBodyBudget
 		}
+		grown := make([]byte, size)
 		if _, err := io.ReadFull(c.reader, grown[copy(grown, body):]); err != nil {
 			return err
 		}
--- a/internal/connection/caller_test.go
+++ b/internal/connection/caller_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -236,6 +237,31 @@
 	}, time.Second, time.Millisecond)
 }
 
+// Guards against bodies that take memory while they wait for the budget: waiting callers would have up to three
+// times the budget together.
+func TestNoMemoryIsTakenBeforeTheBodyBudget(t *testing.T) {
+	const budget, length = 2 << 20, 4 << 20
+	limits := testLimits
+	limits.BodyBytes = length
+	address := startCallers(t, &Server{
+		BodyBudget: semaphore.NewWeighted(budget),
+		Limits:     func() CallerLimits { return limits },
+		Handle:     func(c *Call) { c.Respond(200, plainText, nil) },
+	})
+	caller, r := dialCaller(t, address)
+	post := fmt.Appendf(nil, "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", length)
+	post = append(post, make([]byte, budget)...)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	_, err := caller.Write(post)
+	require.NoError(t, err)
+	resp, _ := readResponse(t, r)
+	runtime.ReadMemStats(&after)
+	assert.Equal(t, 503, resp.StatusCode)
+	// The buffers up to the size of the budget have twice that size together.
+	assert.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(2*budget+budget/2))
+}
+
 // Guards against a response without a body that announces one: the caller would read the
 // next response on the connection as its body.
 func TestResponsesWithoutABody(t *testing.T) {
