Let the stand-in state when a silent generation was left

Cause: the test was wrong. It read whether the engine had seen its connection closed right after the response, while the handler of the silent generation, on another connection, sets that when its server notices the close. The rows that do not accept also required the host to ask for a resume within 1.2 s of real time. Ruled out: reading the flag again for a while: a host that leaves the silent generation late would pass. Change: an engine that accepts ends the resumed stream only once the silent generation was left, whose silence has no other end within a minute; so the host must leave it while the resumed stream runs. In the other rows the silence lasts 1.2 s and until a resume was asked for. With a host that never leaves the silent generation, accepts still fails, by the timeout of the test run.

--- a/internal/request/silence_test.go
+++ b/internal/request/silence_test.go
@@ -18,8 +18,11 @@
 	silence time.Duration
 	respond func(w http.ResponseWriter, r *http.Request)
 	resumes atomic.Int32
-	// left is set if the connection of the generation was closed during the silence.
-	left atomic.Bool
+	// resumed, if set, receives a value at each request to resume the generation, and the silence lasts
+	// until the first one at least.
+	resumed chan struct{}
+	// left, if set, is closed when the connection of the generation is closed during the silence.
+	left chan struct{}
 }
 
 // ServeHTTP implements http.Handler.
@@ -29,23 +32,44 @@
 	case r.Method == http.MethodDelete:
 	case strings.HasPrefix(r.URL.Path, "/v1/generations/"):
 		e.resumes.Add(1)
+		select {
+		case e.resumed <- struct{}{}:
+		default:
+		}
 		e.respond(w, r)
 	default:
 		w.Header().Set(headerGenerationID, id)
 		write(w, event(id, 1, "null"))
-		select {
-		case <-time.After(e.silence):
-		case <-r.Context().Done():
-			e.left.Store(true)
+		if !e.beSilent(r) {
 			return
 		}
 		write(w, event(id, 2, `"stop"`), "data: [DONE]\n\n")
 	}
 }
 
+// beSilent reports whether the connection was open during the whole silence.
+func (e *silentEngine) beSilent(r *http.Request) bool {
+	ended := time.After(e.silence)
+	for resumed := e.resumed; ended != nil || resumed != nil; {
+		select {
+		case <-ended:
+			ended = nil
+		case <-resumed:
+			resumed = nil
+		case <-r.Context().Done():
+			if e.left != nil {
+				close(e.left)
+			}
+			return false
+		}
+	}
+	return true
+}
+
 // Guards against a stream that is lost because its host closes the connection of a generation whose
 // engine is silent for a while, before the engine has accepted to resume it on another connection.
 func TestSilentGenerationIsNotGivenUp(t *testing.T) {
+	left := make(chan struct{})
 	for name, respond := range map[string]func(w http.ResponseWriter, r *http.Request){
 		"rejects":                func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) },
 		"names a limit":          func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTooManyRequests) },
@@ -61,12 +85,23 @@
 		"accepts": func(w http.ResponseWriter, r *http.Request) {
 			id := strings.TrimPrefix(r.URL.Path, "/v1/generations/")
 			w.Header().Set(headerGenerationID, id)
-			write(w, event(id, 2, `"stop"`), "data: [DONE]\n\n")
+			write(w, event(id, 2, `"stop"`))
+			// The stream ends once the host has left the silent generation.
+			select {
+			case <-left:
+				write(w, "data: [DONE]\n\n")
+			case <-r.Context().Done():
+			}
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			engine := &silentEngine{silence: 1200 * time.Millisecond, respond: respond}
+			engine := &silentEngine{
+				silence: 1200 * time.Millisecond, respond: respond, resumed: make(chan struct{}, 1), left: make(chan struct{}),
+			}
+			if name == "accepts" {
+				engine.silence, engine.left = time.Minute, left
+			}
 			r := &testGateway{t: t}
 			r.addBackend("models", engine)
 			r.start()
@@ -77,7 +112,12 @@
 			require.True(t, s.done)
 			r.requireTokens(s, 1, 2)
 			require.NotZero(t, engine.resumes.Load())
-			require.Equal(t, name == "accepts", engine.left.Load(), "the connection of the silent generation was closed")
+			select {
+			case <-engine.left:
+				require.Equal(t, "accepts", name, "the connection of the silent generation was closed")
+			default:
+				require.NotEqual(t, "accepts", name, "the connection of the silent generation was not closed")
+			}
 		})
 	}
 }
