Let requests use other regions while a more urgent one waits for its own

Cause: only the first queued request was considered. For 300 ms it uses its own region alone, and while it waited there nothing behind it was sent anywhere, not even requests that had waited longer and may use every region. A class of higher priority that keeps arriving puts such a request first again and again. Ruled out: to pass over every first request that no server can take: small requests would keep a large one from the KV cache, and requests without a token gap target would keep a batch too large for one that has such a target. To lift the 300 ms for the first request when others wait behind it: its link is billed, and its own region may serve it in time. Change: while the first request waits for its own region, others that have waited for 300 ms or more may use the backend servers which it does not use yet, in the order of the queue. What it waits for stays reserved for it. Conclusion: a request that waits for its own region delays no request that does not.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -16,6 +16,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -206,8 +207,17 @@
 // Peek returns the item to dispatch next without removing it, and whether there
 // is one.
 func (q *Queue) Peek(now time.Time) (Item, bool) {
+	return q.peek(now, func(*Item) bool { return true })
+}
+
+// PeekArrivedBy is Peek among the items that arrived no later than a time.
+func (q *Queue) PeekArrivedBy(latest, now time.Time) (Item, bool) {
+	return q.peek(now, func(i *Item) bool { return !i.Arrival.After(latest) })
+}
+
+func (q *Queue) peek(now time.Time, eligible func(*Item) bool) (Item, bool) {
 	q.expire(now)
-	t, i := q.selectNext()
+	t, i := q.selectNext(eligible)
 	if t == nil {
 		return Item{}, false
 	}
@@ -217,17 +227,34 @@
 // Next removes the item to dispatch next, charges its team and returns it, and
 // whether there was one.
 func (q *Queue) Next(now time.Time) (Item, bool) {
-	q.expire(now)
-	t, i := q.selectNext()
+	item, ok := q.Peek(now)
+	return item, ok && q.Take(item.ID, now)
+}
+
+// Take removes a queued item that is dispatched and charges its team. It reports
+// whether the item was queued.
+func (q *Queue) Take(id uint64, now time.Time) bool {
+	t, i := q.find(id)
 	if t == nil {
-		return Item{}, false
+		return false
 	}
-	item := t.waiting[i].item
+	tokens := t.waiting[i].item.Tokens
 	q.remove(t, i)
-	q.charge(t, item.Tokens)
+	q.charge(t, tokens)
 	t.lastActive = now
 	q.rate.observe(now, q.Len() > 0)
-	return item, true
+	return true
+}
+
+// find returns the team and index of a queued item; the team is nil if the item
+// is not queued.
+func (q *Queue) find(id uint64) (*team, int) {
+	t := q.teamOf[id]
+	if t == nil {
+		return nil, -1
+	}
+	i := slices.IndexFunc(t.waiting, func(e entry) bool { return e.item.ID == id })
+	return t, i
 }
 
 // Rejected returns the items removed from the queue since the last call because
@@ -243,17 +270,12 @@
 // Cancel removes a queued item whose caller disconnected. It reports whether
 // the item was queued.
 func (q *Queue) Cancel(id uint64) bool {
-	t := q.teamOf[id]
+	t, i := q.find(id)
 	if t == nil {
 		return false
 	}
-	for i := range t.waiting {
-		if t.waiting[i].item.ID == id {
-			q.remove(t, i)
-			return true
-		}
-	}
-	return false
+	q.remove(t, i)
+	return true
 }
 
 // AdjustCharge corrects the work charged to a team when a request ends:
@@ -307,9 +329,9 @@
 	q.virtualTime = max(q.virtualTime, least)
 }
 
-// selectNext returns the team and index of the item to dispatch next; the team
-// is nil when the queue is empty.
-func (q *Queue) selectNext() (*team, int) {
+// selectNext returns the team and index of the item to dispatch next among the
+// eligible ones; the team is nil when there is none.
+func (q *Queue) selectNext(eligible func(*Item) bool) (*team, int) {
 	least := math.Inf(1)
 	for _, t := range q.backlogged {
 		least = min(least, t.virtualTime)
@@ -321,6 +343,9 @@
 			continue
 		}
 		for i := range t.waiting {
+			if !eligible(&t.waiting[i].item) {
+				continue
+			}
 			if bestTeam == nil || before(&t.waiting[i], &bestTeam.waiting[bestAt]) {
 				bestTeam, bestAt = t, i
 			}
--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -219,3 +219,24 @@
 		q.Next(now)
 	}
 }
+
+// Guards against an order among earlier arrivals other than that of the whole queue, and against a taken item that
+// stays queued or is charged to no team.
+func TestTakeOfEarlierArrival(t *testing.T) {
+	q := NewQueue()
+	for id, arrival := range []time.Duration{0, 0, 100 * time.Millisecond} {
+		i := item(uint64(id), fmt.Sprint(id), start.Add(arrival), time.Duration(4-id)*time.Second)
+		require.Equal(t, Wait, q.Offer(i, false, start).Action)
+	}
+	first, _ := q.Peek(start)
+	require.Equal(t, uint64(2), first.ID)
+	_, ok := q.PeekArrivedBy(start.Add(-time.Nanosecond), start)
+	require.False(t, ok)
+	early, ok := q.PeekArrivedBy(start, start)
+	require.True(t, ok)
+	require.Equal(t, uint64(1), early.ID)
+	require.True(t, q.Take(1, start))
+	require.False(t, q.Take(1, start))
+	require.Equal(t, 500.0, q.teams["1"].virtualTime)
+	require.Equal(t, 2, q.Len())
+}
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -173,7 +173,7 @@
 	dist := d.lengths.Dist(r.Class, r.Team)
 	estimate := d.estimate(&r, &dist)
 	d.observeWork(estimate)
-	s := d.pick(&r, &dist, true, now)
+	s := d.pick(&r, &dist, ownRegion, now)
 	decision := d.queue.Offer(item(&r, estimate), s != nil, now)
 	switch decision.Action {
 	case admit.Dispatch:
@@ -183,14 +183,14 @@
 		return Outcome{ID: r.ID, Action: admit.Wait}
 	}
 	// Another region may still meet the target.
-	if s = d.pick(&r, &dist, false, now); s != nil {
+	if s = d.pick(&r, &dist, allRegions, now); s != nil {
 		return d.assign(&r, s, &dist, estimate, now)
 	}
 	return d.reject(&r, decision.RetryAfter, now)
 }
 
 func (d *Dispatcher) reject(r *Request, after time.Duration, now time.Time) Outcome {
-	return Outcome{ID: r.ID, Action: admit.Reject, RetryAfter: after, Shortages: Shortages{Rejected: d.shortage(r, false, now), First: d.first}}
+	return Outcome{ID: r.ID, Action: admit.Reject, RetryAfter: after, Shortages: Shortages{Rejected: d.shortage(r, allRegions, now), First: d.first}}
 }
 
 // observeWork adds the estimated work of a request to meanWork.
@@ -241,26 +241,52 @@
 			return d.out
 		}
 		r := d.waiting[next.ID]
-		dist := d.lengths.Dist(r.Class, r.Team)
-		localOnly := now.Sub(r.Arrival) < localWait
-		s := d.pick(r, &dist, localOnly, now)
-		if s == nil && len(r.Attempted) > 0 {
-			// A retry must not block the requests behind it when all other
-			// backend servers are full. A server at which it failed before may
-			// serve it.
-			r.Attempted = nil
-			s = d.pick(r, &dist, localOnly, now)
+		regions := scopeOf(now.Sub(r.Arrival))
+		if d.dispatchWaiting(r, next.Tokens, regions, now) {
+			continue
 		}
-		if s == nil {
-			d.first = d.shortage(r, localOnly, now)
-			return d.out
+		d.first = d.shortage(r, regions, now)
+		if regions == ownRegion {
+			d.drainToOtherRegions(now)
+		}
+		return d.out
+	}
+}
+
+// drainToOtherRegions dispatches waiting requests to the backend servers that the first
+// one does not use yet because it waits for its own region. Without it, urgent
+// requests that keep arriving would delay requests that have waited longer, while
+// these backend servers are free.
+func (d *Dispatcher) drainToOtherRegions(now time.Time) {
+	for {
+		next, ok := d.queue.PeekArrivedBy(now.Add(-localWait), now)
+		if !ok || !d.dispatchWaiting(d.waiting[next.ID], next.Tokens, otherRegions, now) {
+			return
 		}
-		d.queue.Next(now)
-		delete(d.waiting, r.ID)
-		d.out = append(d.out, d.assign(r, s, &dist, next.Tokens, now))
 	}
 }
 
+// dispatchWaiting assigns a waiting request to a backend server and reports whether
+// one can take it now.
+func (d *Dispatcher) dispatchWaiting(r *Request, estimate float64, regions scope, now time.Time) bool {
+	dist := d.lengths.Dist(r.Class, r.Team)
+	s := d.pick(r, &dist, regions, now)
+	if s == nil && len(r.Attempted) > 0 {
+		// A retry must not block the requests behind it when all other
+		// backend servers are full. A server at which it failed before may
+		// serve it.
+		r.Attempted = nil
+		s = d.pick(r, &dist, regions, now)
+	}
+	if s == nil {
+		return false
+	}
+	d.queue.Take(r.ID, now)
+	delete(d.waiting, r.ID)
+	d.out = append(d.out, d.assign(r, s, &dist, estimate, now))
+	return true
+}
+
 // Cancel removes a waiting request and reports whether it was waiting.
 func (d *Dispatcher) Cancel(id uint64) bool {
 	delete(d.waiting, id)
--- a/core/dispatch/pick.go
+++ b/core/dispatch/pick.go
@@ -11,8 +11,30 @@
 	"monsoonkeel.example/monsoonkeel/core/schedule"
 )
 
-func (d *Dispatcher) pick(r *Request, dist *length.Dist, localOnly bool, now time.Time) *server {
-	req := d.fillCandidates(r, dist, localOnly, now)
+// scope limits the choice of a backend server by region.
+type scope uint8
+
+const (
+	// allRegions does not limit the choice.
+	allRegions scope = iota
+	// ownRegion limits it to this host's region, if that has a backend server that
+	// accepts requests, and to the backend servers in which this host has a share.
+	ownRegion
+	// otherRegions limits it to the backend servers that ownRegion excludes.
+	otherRegions
+)
+
+// scopeOf returns the scope of a request that has waited for a time.
+func scopeOf(waited time.Duration) scope {
+	if waited < localWait {
+		return ownRegion
+	}
+	return allRegions
+}
+
+// pick returns the backend server for a request, or nil if none can take it now.
+func (d *Dispatcher) pick(r *Request, dist *length.Dist, regions scope, now time.Time) *server {
+	req := d.fillCandidates(r, dist, regions, now)
 	var b [8]byte
 	binary.LittleEndian.PutUint64(b[:], d.seed)
 	d.seed = xxhash.Sum64(b[:])
@@ -24,7 +46,7 @@
 }
 
 // fillCandidates describes the backend servers and the request for the choice of one.
-func (d *Dispatcher) fillCandidates(r *Request, dist *length.Dist, localOnly bool, now time.Time) schedule.Request {
+func (d *Dispatcher) fillCandidates(r *Request, dist *length.Dist, regions scope, now time.Time) schedule.Request {
 	headroom, gapMS := d.headroom.Value(now), tighterTarget(d.gapMS, r.TokenGapMS)
 	// The warm-up of a cold engine proceeds with each completed request, so
 	// short requests are preferred there. When all engines are cold, requests
@@ -32,12 +54,12 @@
 	suitsColdServer := d.warm == 0 || d.estimate(r, dist) <= d.meanWork
 	for i, s := range d.servers {
 		d.fillCandidate(i, s, r, suitsColdServer, headroom, gapMS)
-		if d.isHeldBack(s, now) {
+		if d.isHeldBack(s, now) || regions == otherRegions && (s.Region == d.opt.Region || s.share > 0) {
 			d.candidates[i].Limit = 0
 		}
 	}
 	d.cachedPrefixes = d.appendCachedPrefixes(d.cachedPrefixes[:0], r)
-	req := schedule.Request{Region: d.opt.Region, LocalOnly: localOnly && d.hasLocalServer(), PromptTokens: r.PromptTokens, CachedPrefixes: d.cachedPrefixes}
+	req := schedule.Request{Region: d.opt.Region, LocalOnly: regions == ownRegion && d.hasLocalServer(), PromptTokens: r.PromptTokens, CachedPrefixes: d.cachedPrefixes}
 	if d.opt.Engine {
 		req.Survival = schedule.SurvivalOf(dist, 0)
 	}
--- a/core/dispatch/shortage.go
+++ b/core/dispatch/shortage.go
@@ -55,11 +55,11 @@
 	return b.String()
 }
 
-// shortage returns why no backend server can take a request now, in this host's region if localOnly is set.
-func (d *Dispatcher) shortage(r *Request, localOnly bool, now time.Time) Shortage {
+// shortage returns why no backend server in the scope can take a request now.
+func (d *Dispatcher) shortage(r *Request, regions scope, now time.Time) Shortage {
 	out := Shortage{Waiting: d.queue.Len()}
 	dist := d.lengths.Dist(r.Class, r.Team)
-	req := d.fillCandidates(r, &dist, localOnly, now)
+	req := d.fillCandidates(r, &dist, regions, now)
 	for i, s := range d.servers {
 		if d.isHeldBack(s, now) {
 			out.Refusing++
