Decide about waiting requests when time decides about them

Cause: an engine gets no request of a host while one is in prefill there. The first token of an unstreamed request is not seen; it is assumed 150 ms after the request was sent, but that was noticed only with the next refresh, every 200 ms, or later on a busy host. The end of the 300 ms for the own region and of a target waited for the next refresh, too. Ruled out: more frequent refreshes, which cost processor time without waiting requests. To not count unstreamed requests as prefilling: their prefill delays the tokens of others like any. Change: Offer and Drain end the assumed prefills that are over; NextDecision names the time at which only time decides about a waiting request, and the table of dispatchers decides then. A request that is late when it is offered may use all regions at once. Conclusion: capacity that becomes free with time is used at that time.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -267,6 +267,19 @@
 	return out
 }
 
+// NextDue returns the earliest time after which a queued item is rejected; zero if
+// there is none.
+func (q *Queue) NextDue() (earliest time.Time) {
+	for _, t := range q.backlogged {
+		for i := range t.waiting {
+			if e := &t.waiting[i]; e.hasDue && (earliest.IsZero() || e.due.Before(earliest)) {
+				earliest = e.due
+			}
+		}
+	}
+	return earliest
+}
+
 // Cancel removes a queued item whose caller disconnected. It reports whether
 // the item was queued.
 func (q *Queue) Cancel(id uint64) bool {
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -45,6 +45,9 @@
 	running        map[uint64]*inFlightRequest
 	prefixes       prefixIndex
 	cachedPrefixes []schedule.CachedPrefix
+	// assumedPrefills are the buffered requests that count as prefilling, in the order
+	// of ends; some may have ended.
+	assumedPrefills []assumedPrefill
 	// gapMS is the lowest token gap target of the running requests, in
 	// milliseconds; 0 means none.
 	gapMS int
@@ -81,6 +84,12 @@
 	uncached int
 }
 
+// assumedPrefill is the prefill of a request whose tokens are not observed.
+type assumedPrefill struct {
+	id   uint64
+	ends time.Time
+}
+
 // New returns a Dispatcher without backend servers.
 func New(opt Options) *Dispatcher {
 	d := &Dispatcher{
@@ -170,10 +179,11 @@
 	if len(r.Attempted) > 0 && !d.hasUnattempted(r.Attempted) {
 		return d.reject(&r, time.Second, now)
 	}
+	d.endAssumedPrefills(now)
 	dist := d.lengths.Dist(r.Class, r.Team)
 	estimate := d.estimate(&r, &dist)
 	d.observeWork(estimate)
-	s := d.pick(&r, &dist, ownRegion, now)
+	s := d.pick(&r, &dist, scopeOf(now.Sub(r.Arrival)), now)
 	decision := d.queue.Offer(item(&r, estimate), s != nil, now)
 	switch decision.Action {
 	case admit.Dispatch:
@@ -229,6 +239,7 @@
 // next call.
 func (d *Dispatcher) Drain(now time.Time) []Outcome {
 	d.out = d.out[:0]
+	d.endAssumedPrefills(now)
 	d.rejectRefused(now)
 	for _, r := range d.queue.Rejected(now) {
 		d.out = append(d.out, d.reject(d.waiting[r.Item.ID], r.Decision.RetryAfter, now))
@@ -287,6 +298,27 @@
 	return true
 }
 
+// NextDecision returns the time from which Drain may decide about a waiting request
+// only because time has passed; zero if nothing waits for a time. It is called after
+// Offer or Drain with the same now.
+func (d *Dispatcher) NextDecision(now time.Time) (next time.Time) {
+	consider := func(at time.Time) {
+		if at.After(now) && (next.IsZero() || at.Before(next)) {
+			next = at
+		}
+	}
+	if len(d.waiting) > 0 && len(d.assumedPrefills) > 0 {
+		consider(d.assumedPrefills[0].ends)
+	}
+	for _, r := range d.waiting {
+		consider(r.Arrival.Add(localWait))
+	}
+	if due := d.queue.NextDue(); !due.IsZero() {
+		consider(due.Add(time.Nanosecond))
+	}
+	return next
+}
+
 // Cancel removes a waiting request and reports whether it was waiting.
 func (d *Dispatcher) Cancel(id uint64) bool {
 	delete(d.waiting, id)
@@ -365,9 +397,20 @@
 	}
 }
 
+// endAssumedPrefills lets the requests whose tokens are not observed count as
+// prefilling no longer once their first token is expected.
+func (d *Dispatcher) endAssumedPrefills(now time.Time) {
+	n := 0
+	for ; n < len(d.assumedPrefills) && !now.Before(d.assumedPrefills[n].ends); n++ {
+		if r := d.running[d.assumedPrefills[n].id]; r != nil && r.produced == 0 {
+			d.Progress(d.assumedPrefills[n].id, 1)
+		}
+	}
+	d.assumedPrefills = slices.Delete(d.assumedPrefills, 0, n)
+}
+
 // advanceBuffered estimates the tokens produced by requests whose tokens are
-// not observed, from their running time, so that they do not count as
-// prefilling until they end.
+// not observed, from their running time.
 func (d *Dispatcher) advanceBuffered(now time.Time) {
 	for id, r := range d.running {
 		if !r.request.Buffered {
@@ -390,6 +433,9 @@
 	}
 	d.gapMS = tighterTarget(d.gapMS, r.TokenGapMS)
 	d.running[r.ID] = &inFlightRequest{request: *r, server: s, sent: now, estimate: estimate, uncached: d.uncached(r)}
+	if r.Buffered {
+		d.assumedPrefills = append(d.assumedPrefills, assumedPrefill{r.ID, now.Add(serviceEstimate)})
+	}
 	d.prefixes.record(r.Prefix, s.ID)
 	return Outcome{ID: r.ID, Action: admit.Dispatch, Server: s.ID}
 }
--- a/core/dispatch/region_test.go
+++ b/core/dispatch/region_test.go
@@ -38,8 +38,19 @@
 }
 
 // Guards against rejections while an engine is idle (issue 26): urgent unstreamed requests kept the engine of the
-// host's region in prefill, and each blocked the queue while it waited for that engine.
+// host's region in prefill, and each blocked the queue while it waited for that engine; their prefills, which are not
+// observed, ended only with the next refresh.
 func TestIdleEngineOfOtherRegionServesWaitingRequests(t *testing.T) {
+	for name, row := range map[string]struct{ urgentPerSecond, streamsPerSecond float64 }{
+		"streams behind urgent requests": {5, 3},
+		"many urgent requests":           {9, 2},
+	} {
+		t.Run(name, func(t *testing.T) { serveTwoRegions(t, row.urgentPerSecond, row.streamsPerSecond) })
+	}
+}
+
+// serveTwoRegions offers requests for a minute to two engines in different regions and fails if one is rejected.
+func serveTwoRegions(t *testing.T, urgentPerSecond, streamsPerSecond float64) {
 	const (
 		step     = 10 * time.Millisecond
 		refresh  = 200 * time.Millisecond
@@ -76,9 +87,9 @@
 			apply(out)
 		}
 		for _, stream := range []bool{false, true} {
-			perSecond := 5.0
+			perSecond := urgentPerSecond
 			if stream {
-				perSecond = 3
+				perSecond = streamsPerSecond
 			}
 			if rng.Float64() >= perSecond*step.Seconds() {
 				continue
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -98,6 +98,8 @@
 	waiters      map[uint64]chan dispatch.Outcome
 	backends     map[string]*version.Backend
 	reservations map[uint64]*Reservation
+	// nextDecision runs decide; nil until a request had to wait.
+	nextDecision *time.Timer
 	// hasRefusals is set while backend servers refuse requests, so that answers do not need the lock
 	// otherwise.
 	hasRefusals atomic.Bool
@@ -122,7 +124,8 @@
 		d.mu.Unlock()
 		return d.table.Dispatcher(d.name, d.kind).Acquire(ctx, r)
 	}
-	out := d.dispatcher.Offer(r, time.Now())
+	now := time.Now()
+	out := d.dispatcher.Offer(r, now)
 	switch out.Action {
 	case admit.Dispatch:
 		reservation := d.reserve(out)
@@ -135,6 +138,7 @@
 	// Buffered, so that delivering a decision never blocks on a cancelled request.
 	ch := make(chan dispatch.Outcome, 1)
 	d.waiters[r.ID] = ch
+	d.scheduleDecision(now)
 	d.mu.Unlock()
 	select {
 	case out = <-ch:
@@ -185,6 +189,24 @@
 			ch <- out
 		}
 	}
+	d.scheduleDecision(now)
+}
+
+// scheduleDecision has the queued requests decided about when passing time alone may
+// change the decision, so that they wait neither for the next snapshot nor for the
+// end of another request. The caller holds the lock.
+func (d *Dispatcher) scheduleDecision(now time.Time) {
+	at := d.dispatcher.NextDecision(now)
+	switch {
+	case at.IsZero():
+		if d.nextDecision != nil {
+			d.nextDecision.Stop()
+		}
+	case d.nextDecision == nil:
+		d.nextDecision = time.AfterFunc(at.Sub(now), d.decide)
+	default:
+		d.nextDecision.Reset(at.Sub(now))
+	}
 }
 
 // RecordTokens records the number of tokens produced so far. Only the first token
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -121,3 +121,54 @@
 		})
 	}
 }
+
+// Guards against a queued request whose decision waits for the next snapshot or for the end of another request although
+// only time has to pass: until a prefill that is not observed has ended, until other regions may be used, and until its
+// target can no longer be met.
+func TestDecisionsThatDependOnTimeNeedNoUpdate(t *testing.T) {
+	far := func(svc *version.Service) {
+		other := *svc.Backends[0]
+		other.Host.ID, other.Host.Region, other.Counters = "s2", "s", &version.Counters{}
+		svc.Backends = append(svc.Backends, &other)
+	}
+	for name, row := range map[string]struct {
+		kind     config.ServiceKind
+		limit    int
+		change   func(*version.Service)
+		target   time.Duration
+		rejected bool
+	}{
+		"prefill ends":        {kind: config.ServiceKindEngine, limit: 2, target: time.Minute},
+		"other regions":       {kind: config.ServiceKindPlain, limit: 1, change: far, target: time.Minute},
+		"target not met":      {kind: config.ServiceKindPlain, limit: 1, target: 200 * time.Millisecond, rejected: true},
+		"deadline of a class": {kind: config.ServiceKindEngine, limit: 1, target: 400 * time.Millisecond, rejected: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := NewTable("r", 1).Dispatcher("s", row.kind)
+			svc := service(row.limit)
+			if row.change != nil {
+				row.change(svc)
+			}
+			// Of two hosts, this one has a share of the first backend server.
+			d.Update(svc, Topology{Hosts: 2}, time.Now())
+			r := request()
+			r.Buffered, r.Target = true, time.Minute
+			first, err := d.Acquire(t.Context(), r)
+			require.NoError(t, err)
+			require.Equal(t, "s1", first.Host.ID)
+			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+			defer cancel()
+			r = request()
+			r.Target = row.target
+			second, err := d.Acquire(ctx, r)
+			if row.rejected {
+				var rejected *RejectedError
+				require.ErrorAs(t, err, &rejected)
+				return
+			}
+			require.NoError(t, err)
+			require.NotNil(t, second)
+		})
+	}
+}
