Reject requests that wait for a service when the configuration drops it

Callers saw: a request that waited when the configuration dropped its service waited on until its target had passed, and got 503 no_capacity then, with a Retry-After, although a new request got 404 at once.

Cause: the dispatcher of a dropped service lost its backend servers, but kept its queue until each target had passed. A request without a target kept it for good. Ruled out: a code of its own: the next request for the service gets 404 from the same configuration, and this one has not run either. 404 for a request of which an attempt may have run: its caller must not take it for one to change. If an earlier attempt may have run, the failure of that attempt is reported as before, or 503 no_capacity with may_have_run. Requests at a backend server run on. Tests: on the code before, TestRemovedServiceRejectsWaitingRequests and TestQueuedGenerationOfRemovedServiceIsRejected fail after 10 s of waiting, the row "removed" of TestRequestToRemovedDispatcherIsDecided and the rows "service goes" and "everything goes" of TestConfigurationChange by the code. The first of them asked for a rejection within 2 s of a target of 0.2 s and now asks for one within 10 s of a target of a minute; TestConfigurationChange accepted any 503 of a dropped service and now asks for the code. Conclusion: nothing waits for a service that the host knows to be gone. When all backend servers of a service are gone, its requests still wait for their target, since servers return.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,6 +25,10 @@
 // Error implements error.
 func (*RejectedError) Error() string { return "no backend server can start the request in time" }
 
+// ErrServiceRemoved is returned for a request that waited for a service which the configuration no longer
+// has. Nothing was sent to a backend server.
+var ErrServiceRemoved = errors.New("the service was removed from the configuration")
+
 // Table holds one Dispatcher per service and is safe for concurrent use.
 type Table struct {
 	region   string
@@ -52,8 +57,8 @@
 }
 
 // Retain removes the backend servers of the services for which keep returns
-// false, so that their queued requests are rejected once their targets cannot be
-// met, and deletes the dispatchers that have no queued or running request left.
+// false, rejects their queued requests with ErrServiceRemoved, and deletes the
+// dispatchers that have no running request left.
 func (t *Table) Retain(keep func(name string) bool, topology Topology, now time.Time) {
 	t.services.Range(func(name, known any) bool {
 		if keep(name.(string)) {
@@ -63,7 +68,8 @@
 		d.Update(&version.Service{}, topology, now)
 		d.mu.Lock()
 		defer d.mu.Unlock()
-		if d.dispatcher.Waiting() == 0 && len(d.reservations) == 0 {
+		d.rejectWaiters()
+		if len(d.reservations) == 0 {
 			d.removed = true
 			t.services.Delete(name)
 		}
@@ -116,7 +122,7 @@
 }
 
 // Acquire waits for a reservation at a backend server. It returns *RejectedError,
-// or the error of ctx.
+// ErrServiceRemoved or the error of ctx.
 func (d *Dispatcher) Acquire(ctx context.Context, r dispatch.Request) (*Reservation, error) {
 	r.ID = d.table.nextID.Add(1)
 	d.mu.Lock()
@@ -140,11 +146,15 @@
 	d.waiters[r.ID] = ch
 	d.scheduleDecision(now)
 	d.mu.Unlock()
+	var decided bool
 	select {
-	case out = <-ch:
+	case out, decided = <-ch:
 	case <-ctx.Done():
 		return nil, d.cancelWaiter(r.ID, ctx.Err())
 	}
+	if !decided {
+		return nil, ErrServiceRemoved
+	}
 	if out.Action == admit.Reject {
 		return nil, &RejectedError{RetryAfter: out.RetryAfter, Shortages: out.Shortages}
 	}
@@ -177,6 +187,16 @@
 	return err
 }
 
+// rejectWaiters ends the wait of all queued requests without a decision. The caller
+// holds the lock.
+func (d *Dispatcher) rejectWaiters() {
+	for id, ch := range d.waiters {
+		d.dispatcher.Cancel(id)
+		close(ch)
+	}
+	clear(d.waiters)
+}
+
 // deliverDecisions sends the decisions about queued requests to their waiters. The
 // caller holds the lock.
 func (d *Dispatcher) deliverDecisions(now time.Time) {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"testing"
 	"time"
 
@@ -25,32 +24,35 @@
 	return dispatch.Request{Class: "c", Team: "t", Arrival: time.Now(), Target: 200 * time.Millisecond}
 }
 
-// Guards against queued requests that wait forever after their service was deleted.
+// Guards against queued requests that wait after their service was deleted, until their target has passed or forever.
 func TestRemovedServiceRejectsWaitingRequests(t *testing.T) {
 	table := NewTable("r", 1)
 	d := table.Dispatcher("gone", config.ServiceKindPlain)
 	d.Update(service(1), Topology{Hosts: 1}, time.Now())
 	p, err := d.Acquire(t.Context(), request())
 	require.NoError(t, err)
-	result := make(chan error, 1)
-	go func() {
-		_, err := d.Acquire(context.Background(), request())
-		result <- err
-	}()
-	require.Eventually(t, func() bool { return table.Waiting()["gone"] == 1 }, time.Second, time.Millisecond)
+	const waiting = 3
+	results := make(chan error, waiting)
+	for range waiting {
+		go func() {
+			r := request()
+			r.Target = time.Minute
+			_, err := d.Acquire(context.Background(), r)
+			results <- err
+		}()
+	}
+	require.Eventually(t, func() bool { return table.Waiting()["gone"] == waiting }, time.Second, time.Millisecond)
 	none := func(string) bool { return false }
-	require.Eventually(t, func() bool {
-		table.Retain(none, Topology{Hosts: 1}, time.Now())
+	table.Retain(none, Topology{Hosts: 1}, time.Now())
+	for range waiting {
 		select {
-		case err = <-result:
-			return true
-		default:
-			return false
+		case err := <-results:
+			require.ErrorIs(t, err, ErrServiceRemoved)
+		case <-time.After(10 * time.Second):
+			require.Fail(t, "a request still waits")
 		}
-	}, 2*time.Second, 10*time.Millisecond)
-	var rejected *RejectedError
-	require.True(t, errors.As(err, &rejected))
-	require.Contains(t, table.Waiting(), "gone", "a request still runs")
+	}
+	require.Equal(t, map[string]int{"gone": 0}, table.Waiting(), "a request still runs")
 	p.Release(true)
 	table.Retain(none, Topology{Hosts: 1}, time.Now())
 	require.NotContains(t, table.Waiting(), "gone")
@@ -116,8 +118,7 @@
 				require.NoError(t, err)
 				return
 			}
-			var rejected *RejectedError
-			require.ErrorAs(t, err, &rejected)
+			require.ErrorIs(t, err, ErrServiceRemoved)
 		})
 	}
 }
--- a/internal/request/configchange_test.go
+++ b/internal/request/configchange_test.go
@@ -111,6 +111,24 @@
 	}
 	require.Eventually(t, func() bool { return runs.Load() == 1 && r.gateway.Dispatchers.Waiting()["desk"] == queued }, 2*time.Second, time.Millisecond)
 	r.apply(doc)
+	if _, kept := doc.Services["desk"]; !kept {
+		for range queued {
+			select {
+			case got := <-results:
+				var problem Problem
+				assert.NoError(t, json.Unmarshal([]byte(got.body), &problem), got.body)
+				assert.Equal(t, 404, got.status)
+				assert.Equal(t, "unknown_service", problem.Title)
+				assert.Equal(t, verdict.NotRun, problem.Verdict)
+			case <-time.After(10 * time.Second):
+				require.Fail(t, "a request still waits for the removed service")
+			}
+		}
+		release()
+		require.Equal(t, result{200, "done"}, <-results, "the request at the server is complete")
+		assert.EqualValues(t, 1, runs.Load())
+		return
+	}
 	time.Sleep(20 * time.Millisecond)
 	release()
 	complete := 0
@@ -186,3 +204,42 @@
 		})
 	}
 }
+
+// Guards against a generation that waits for its whole target although the configuration no longer has its service.
+func TestQueuedGenerationOfRemovedServiceIsRejected(t *testing.T) {
+	r := &testGateway{t: t, limit: 1}
+	r.addBackend("models", newEngine("i-models-0", standin.EngineFaults{}).Handler())
+	r.start()
+	first := r.do("POST", "/v1/completions", streamRequestJSON(2000))
+	defer first.Body.Close()
+	require.Equal(t, 200, first.StatusCode)
+	status, problem := make(chan int, 1), make(chan Problem, 1)
+	go func() {
+		resp := r.do("POST", "/v1/completions", streamRequestJSON(3), headerClass, "patient")
+		defer resp.Body.Close()
+		var p Problem
+		assert.NoError(t, json.NewDecoder(resp.Body).Decode(&p))
+		status <- resp.StatusCode
+		problem <- p
+	}()
+	require.Eventually(t, func() bool { return r.gateway.Dispatchers.Waiting()["models"] == 1 }, 3*time.Second, time.Millisecond)
+	r.apply(config.Empty())
+	select {
+	case got := <-status:
+		require.Equal(t, 404, got)
+	case <-time.After(10 * time.Second):
+		require.Fail(t, "the request still waits")
+	}
+	p := <-problem
+	require.Equal(t, "unknown_model", p.Title)
+	require.Equal(t, verdict.NotRun, p.Verdict)
+}
+
+// Guards against a request that is reported as not run, or as one that its caller has to change, although an earlier
+// attempt of it may have run.
+func TestRetryForRemovedServiceMayHaveRun(t *testing.T) {
+	c := &call{maybeSent: true, service: &version.Service{Service: config.Service{Name: "models", Kind: config.ServiceKindEngine}}}
+	e := verdict.From(c.serviceRemovedError())
+	require.Equal(t, 503, e.Status)
+	require.Equal(t, verdict.MayHaveRun, e.Verdict)
+}
--- a/internal/request/dispatch.go
+++ b/internal/request/dispatch.go
@@ -4,6 +4,7 @@
 	"errors"
 	"time"
 
+	"monsoonkeel.example/monsoonkeel/core/config"
 	"monsoonkeel.example/monsoonkeel/core/dispatch"
 	"monsoonkeel.example/monsoonkeel/core/verdict"
 	"monsoonkeel.example/monsoonkeel/internal/connection"
@@ -78,7 +79,8 @@
 
 // acquire waits for a reservation at a backend server of the call's service. An attempted
 // server is chosen again only if all others are full. It fails when the class's
-// time-to-first-token target can no longer be met, or when all servers were attempted.
+// time-to-first-token target can no longer be met, when all servers were attempted, or when
+// the configuration no longer has the service.
 func (c *call) acquire(w workload, attempted []string) (*placement.Reservation, error) {
 	start := c.g.Now()
 	defer func() { c.outcome.QueueTime += c.g.Now().Sub(start) }()
@@ -99,6 +101,8 @@
 		e.RetryAfterSeconds = int(rejected.RetryAfter / time.Second)
 		c.outcome.Shortage = rejected.Shortages.String()
 		return nil, e
+	case errors.Is(err, placement.ErrServiceRemoved):
+		return nil, c.serviceRemovedError()
 	case err != nil:
 		return nil, c.contextError()
 	}
@@ -110,6 +114,18 @@
 	return reservation, nil
 }
 
+// serviceRemovedError returns the error for a call whose service was removed while it waited:
+// the one that a call gets which arrives afterwards, unless an attempt of this one may have run.
+func (c *call) serviceRemovedError() error {
+	switch {
+	case c.maybeSent:
+		return c.newError(503, codeNoCapacity, "service %q was removed from the configuration before another attempt", c.service.Name)
+	case c.service.Kind == config.ServiceKindEngine:
+		return c.newError(404, "unknown_model", "service %q of the model was removed from the configuration", c.service.Name)
+	}
+	return c.newError(404, "unknown_service", "service %q was removed from the configuration", c.service.Name)
+}
+
 // acquireRetry reports whether a request that has made the given number of attempts may
 // be retried, and consumes a retry from the budget if so.
 func (c *call) acquireRetry(attempts int) bool {
