Log servers without a limit and the time since the queue was considered

Callers saw: 503 no_capacity after the whole target in TestScenarios/engine_killed. Its cause is not shown by the lines of those runs.

Cause of this change: at_limit also stood for backend servers at which the host may have no request, since their load report or lease had expired, and for those at which the request had failed; the line did not tell a blocked queue from one that was not considered for a long time; a failed scenario printed 12 lines of each process, which other rejections could fill. Change: no_limit and attempted are told apart from at_limit, the line has the time since the queue was last considered, and a failed scenario prints 60 lines of each process. Tests: TestRejectionTellsFullServersFromOthers fails on the code before ("at_limit=3"); a row of TestExclusionOf; the text in TestRejectionNamesShortageOfFirstQueuedRequest has the time now. Conclusion: decisions are unchanged; the next such rejection tells expired reports, full servers, a blocked queue and a stalled host apart.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -45,6 +45,9 @@
 	running        map[uint64]*inFlightRequest
 	prefixes       prefixIndex
 	cachedPrefixes []schedule.CachedPrefix
+	// attempted are the indexes of the backend servers at which the request being
+	// placed failed.
+	attempted []int
 	// assumedPrefills are the buffered requests that count as prefilling, in the order
 	// of ends; some may have ended.
 	assumedPrefills []assumedPrefill
@@ -63,6 +66,8 @@
 	refusals *serverstate.Refusals
 	// first is the shortage of the first queued request when it was last considered; zero if none waits.
 	first Shortage
+	// drainedAt is the time of the last Drain.
+	drainedAt time.Time
 }
 
 type server struct {
@@ -200,7 +205,11 @@
 }
 
 func (d *Dispatcher) reject(r *Request, after time.Duration, now time.Time) Outcome {
-	return Outcome{ID: r.ID, Action: admit.Reject, RetryAfter: after, Shortages: Shortages{Rejected: d.shortage(r, allRegions, now), First: d.first}}
+	shortages := Shortages{Rejected: d.shortage(r, allRegions, now), First: d.first}
+	if !d.drainedAt.IsZero() {
+		shortages.SinceDrain = now.Sub(d.drainedAt)
+	}
+	return Outcome{ID: r.ID, Action: admit.Reject, RetryAfter: after, Shortages: shortages}
 }
 
 // observeWork adds the estimated work of a request to meanWork.
@@ -238,6 +247,7 @@
 // or can no longer meet their target or deadline. The result is valid until the
 // next call.
 func (d *Dispatcher) Drain(now time.Time) []Outcome {
+	defer func() { d.drainedAt = now }()
 	d.out = d.out[:0]
 	d.endAssumedPrefills(now)
 	d.rejectRefused(now)
--- a/core/dispatch/pick.go
+++ b/core/dispatch/pick.go
@@ -58,8 +58,16 @@
 			d.candidates[i].Limit = 0
 		}
 	}
+	d.attempted = d.attempted[:0]
+	if len(r.Attempted) > 0 {
+		for i, s := range d.servers {
+			if slices.Contains(r.Attempted, s.ID) {
+				d.attempted = append(d.attempted, i)
+			}
+		}
+	}
 	d.cachedPrefixes = d.appendCachedPrefixes(d.cachedPrefixes[:0], r)
-	req := schedule.Request{Region: d.opt.Region, LocalOnly: regions == ownRegion && d.hasLocalServer(), PromptTokens: r.PromptTokens, CachedPrefixes: d.cachedPrefixes}
+	req := schedule.Request{Region: d.opt.Region, Attempted: d.attempted, LocalOnly: regions == ownRegion && d.hasLocalServer(), PromptTokens: r.PromptTokens, CachedPrefixes: d.cachedPrefixes}
 	if d.opt.Engine {
 		req.Survival = schedule.SurvivalOf(dist, 0)
 	}
@@ -107,9 +115,6 @@
 		k.Share = 1
 	}
 	s.tracker.FillCandidate(k)
-	if len(r.Attempted) > 0 && slices.Contains(r.Attempted, s.ID) {
-		k.Limit = 0
-	}
 	if !d.opt.Engine {
 		k.KVTokens = 0
 		return
--- a/core/dispatch/shortage.go
+++ b/core/dispatch/shortage.go
@@ -22,14 +22,16 @@
 // that was last considered: the others wait behind it.
 type Shortages struct {
 	Rejected, First Shortage
+	// SinceDrain is the time from the previous decision about the queue to the rejection.
+	SinceDrain time.Duration
 }
 
-// String returns both shortages.
+// String returns both shortages and the time of the previous decision.
 func (s Shortages) String() string {
 	if s.First == (Shortage{}) {
 		return s.Rejected.String()
 	}
-	return s.Rejected.String() + "; first in queue: " + s.First.String()
+	return fmt.Sprintf("%s; first in queue %d ms before: %s", s.Rejected, s.SinceDrain.Milliseconds(), s.First)
 }
 
 // String returns the counts that are not 0, as "waiting=2 at_limit=3 refusing=1".
--- a/core/dispatch/shortage_test.go
+++ b/core/dispatch/shortage_test.go
@@ -20,5 +20,21 @@
 	require.Empty(t, d.Drain(start.Add(time.Second)))
 	out := d.Drain(start.Add(3 * time.Second))
 	require.Len(t, out, 1)
-	require.Equal(t, "waiting=1 at_limit=1; first in queue: waiting=2 at_limit=1", out[0].Shortages.String())
+	require.Equal(t, "waiting=1 at_limit=1; first in queue 2000 ms before: waiting=2 at_limit=1", out[0].Shortages.String())
+}
+
+// Guards against a log that shows backend servers without a limit, or at which the request failed before, as full.
+func TestRejectionTellsFullServersFromOthers(t *testing.T) {
+	d := newTest(false,
+		Server{ID: "s1", Region: "a", Limit: 1, Warm: true, Capacity: 1},
+		Server{ID: "s2", Region: "a", Limit: 1, Warm: true, Capacity: 1},
+		Server{ID: "s3", Region: "a", Warm: true, Capacity: 1})
+	for id := uint64(1); id <= 2; id++ {
+		require.Equal(t, admit.Dispatch, d.Offer(request(id), start).Action)
+	}
+	retry := request(3)
+	retry.Attempted = []string{"s1", "s2", "s3"}
+	require.Equal(t, "at_limit=2 no_limit=1", d.Offer(retry, start).Shortages.String())
+	d.Ended(1, true, start)
+	require.Equal(t, "at_limit=1 attempted=1 no_limit=1", d.Offer(retry, start).Shortages.String())
 }
--- a/core/schedule/exclusion.go
+++ b/core/schedule/exclusion.go
@@ -18,13 +18,16 @@
 	Attempted
 	// WithoutKVCache means that the predicted KV cache demand does not fit.
 	WithoutKVCache
+	// WithoutLimit means that this host may have no request there: it has no recent load report of it, or no valid
+	// lease while it is cold.
+	WithoutLimit
 	// Exclusions is the number of values.
 	Exclusions
 )
 
 // String returns the reason as it appears in logs.
 func (e Exclusion) String() string {
-	return [...]string{"free", "at_limit", "prefilling", "other_region", "batch_limit", "attempted", "kv_cache"}[e]
+	return [...]string{"free", "at_limit", "prefilling", "other_region", "batch_limit", "attempted", "kv_cache", "no_limit"}[e]
 }
 
 // ExclusionOf returns why Pick passes over a candidate.
--- a/core/schedule/exclusion_test.go
+++ b/core/schedule/exclusion_test.go
@@ -20,6 +20,7 @@
 	}{
 		"free":         {c: free},
 		"at_limit":     {c: change(func(c *Candidate) { c.OwnInFlight = 2 })},
+		"no_limit":     {c: change(func(c *Candidate) { c.Limit = 0 })},
 		"prefilling":   {c: change(func(c *Candidate) { c.Prefilling, c.MaxPrefill = 1, 1 })},
 		"other_region": {c: free, req: Request{Region: "b", LocalOnly: true}},
 		"batch_limit":  {c: change(func(c *Candidate) { c.ReportedInFlight, c.MaxBatch = 3, 3 })},
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -136,6 +136,8 @@
 // filter returns why a candidate may not receive a request, except for its KV cache.
 func filter(c *Candidate, req *Request) Exclusion {
 	switch {
+	case c.Limit <= 0:
+		return WithoutLimit
 	case c.OwnInFlight >= c.Limit:
 		return AtLimit
 	case c.MaxPrefill > 0 && c.Prefilling >= c.MaxPrefill:
--- a/scenarios/deployment_test.go
+++ b/scenarios/deployment_test.go
@@ -35,6 +35,9 @@
 	// readyTimeout limits the start of a deployment. The slots of a new view are
 	// usable after 3.5 s, and processes with the race detector start slowly.
 	readyTimeout = 40 * time.Second
+	// failureLogLines is the number of log lines of a process that a failed test prints; all
+	// rejections of a period without capacity fit in.
+	failureLogLines = 60
 )
 
 // locations are the failure domains of the entry hosts and backend servers, assigned
@@ -114,7 +117,7 @@
 	}
 	if t.Failed() {
 		for name, p := range d.processes {
-			t.Logf("last log lines of %s:\n%s", name, p.logTail(12))
+			t.Logf("last log lines of %s:\n%s", name, p.logTail(failureLogLines))
 		}
 	}
 }
