Do not wait for a region whose backend servers all refuse requests

Callers saw: requests wait 300 ms before another region serves them, although every backend server of the host's region has asked for no requests for a longer time. Cause: a region counted as one that accepts requests as long as the host had a limit there; refusals were left out. Change: a backend server that refuses requests for a time does not count. Tests: TestRefusingRegionIsNotAwaited fails on the code before (the request is queued). Conclusion: the wait is for a region that can serve.

--- a/core/dispatch/pick.go
+++ b/core/dispatch/pick.go
@@ -67,7 +67,7 @@
 		}
 	}
 	d.cachedPrefixes = d.appendCachedPrefixes(d.cachedPrefixes[:0], r)
-	req := schedule.Request{Region: d.opt.Region, Attempted: d.attempted, LocalOnly: regions == ownRegion && d.hasLocalServer(), PromptTokens: r.PromptTokens, CachedPrefixes: d.cachedPrefixes}
+	req := schedule.Request{Region: d.opt.Region, Attempted: d.attempted, LocalOnly: regions == ownRegion && d.hasLocalServer(now), PromptTokens: r.PromptTokens, CachedPrefixes: d.cachedPrefixes}
 	if d.opt.Engine {
 		req.Survival = schedule.SurvivalOf(dist, 0)
 	}
@@ -87,9 +87,9 @@
 
 // hasLocalServer reports whether this host's region has a backend server that
 // accepts requests; without one, waiting for local capacity is useless.
-func (d *Dispatcher) hasLocalServer() bool {
+func (d *Dispatcher) hasLocalServer(now time.Time) bool {
 	for _, s := range d.servers {
-		if s.Region == d.opt.Region && s.Limit > 0 {
+		if s.Region == d.opt.Region && s.Limit > 0 && !d.isHeldBack(s, now) {
 			return true
 		}
 	}
--- a/core/dispatch/region_test.go
+++ b/core/dispatch/region_test.go
@@ -37,6 +37,13 @@
 	require.Equal(t, 1, d.Waiting())
 }
 
+// Guards against a wait for the own region while all its backend servers refuse requests.
+func TestRefusingRegionIsNotAwaited(t *testing.T) {
+	d := twoRegions(false, 1)
+	d.Refuse("near", "", time.Minute, start)
+	require.Equal(t, "far", d.Offer(request(1), start).Server)
+}
+
 // Guards against rejections while an engine is idle (issue 26): urgent unstreamed requests kept the engine of the
 // host's region in prefill, and each blocked the queue while it waited for that engine; their prefills, which are not
 // observed, ended only with the next refresh.
