Serve a late request if a backend server is free

Cause: a decision about the queue first rejected the requests whose target had passed since the decision before, and only then looked for servers. A server that became free with that decision, or while the host stood still, did not help them. Ruled out: to dispatch late requests first: under overload they would make others late. To keep them queued: a caller is told at once that no server takes its request. Change: a request whose target has passed is dispatched if a server is free after all others were considered, else rejected as before. One that can no longer meet its caller's deadline is always rejected. Figures: TestLateRequestIsRejectedOnlyWithoutFreeServer: the rows "free" and "deadline later" fail on the code before, all pass now. Conclusion: the line of a rejection can name a free server only if a deadline had passed.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -231,6 +231,9 @@
 	return item, ok && q.Take(item.ID, now)
 }
 
+// Charge charges the team of an item that is dispatched although Rejected returned it.
+func (q *Queue) Charge(item *Item, now time.Time) { q.charge(q.team(item.Team, now), item.Tokens) }
+
 // Take removes a queued item that is dispatched and charges its team. It reports
 // whether the item was queued.
 func (q *Queue) Take(id uint64, now time.Time) bool {
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -247,19 +247,45 @@
 // or can no longer meet their target or deadline. The result is valid until the
 // next call.
 func (d *Dispatcher) Drain(now time.Time) []Outcome {
-	defer func() { d.drainedAt = now }()
 	d.out = d.out[:0]
 	d.endAssumedPrefills(now)
 	d.rejectRefused(now)
-	for _, r := range d.queue.Rejected(now) {
-		d.out = append(d.out, d.reject(d.waiting[r.Item.ID], r.Decision.RetryAfter, now))
-		delete(d.waiting, r.Item.ID)
+	late, first := d.queue.Rejected(now), d.first
+	d.dispatchQueued(now)
+	for i := range late {
+		d.decideLate(&late[i], first, now)
 	}
+	d.drainedAt = now
+	return d.out
+}
+
+// decideLate decides about a request whose target or deadline has passed while it
+// waited. It is dispatched if a backend server is free after all others were
+// considered: its caller is better served late than not at all.
+func (d *Dispatcher) decideLate(late *admit.Rejection, first Shortage, now time.Time) {
+	r := d.waiting[late.Item.ID]
+	delete(d.waiting, r.ID)
+	dist := d.lengths.Dist(r.Class, r.Team)
+	if r.Deadline.IsZero() || now.Add(late.Item.ServiceTime).Before(r.Deadline) {
+		if s := d.pick(r, &dist, allRegions, now); s != nil {
+			d.queue.Charge(&late.Item, now)
+			d.out = append(d.out, d.assign(r, s, &dist, late.Item.Tokens, now))
+			return
+		}
+	}
+	out := d.reject(r, late.Decision.RetryAfter, now)
+	out.Shortages.First = first
+	d.out = append(d.out, out)
+}
+
+// dispatchQueued dispatches waiting requests in the order of the queue until no
+// backend server can take the first one.
+func (d *Dispatcher) dispatchQueued(now time.Time) {
 	for {
 		next, ok := d.queue.Peek(now)
 		if !ok {
 			d.first = Shortage{}
-			return d.out
+			return
 		}
 		r := d.waiting[next.ID]
 		regions := scopeOf(now.Sub(r.Arrival))
@@ -270,7 +296,7 @@
 		if regions == ownRegion {
 			d.drainToOtherRegions(now)
 		}
-		return d.out
+		return
 	}
 }
 
