--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -45,6 +45,12 @@
 	running        map[uint64]*inFlightRequest
 	prefixes       prefixIndex
 	cachedPrefixes []schedule.CachedPrefix
+	// attempted are the indexes of the backend servers at which the request being
+	// placed failed.
+	attempted []int
+	// assumedPrefills are the buffered requests that count as prefilling, in the order
+	// of ends; some may have ended.
+	assumedPrefills []assumedPrefill
 	// gapMS is the lowest token gap target of the running requests, in
 	// milliseconds; 0 means none.
 	gapMS int
@@ -60,6 +66,8 @@
 	refusals *serverstate.Refusals
 	// first is the shortage of the first queued request when it was last considered; zero if none waits.
 	first Shortage
+	// drainedAt is the time of the last Drain.
+	drainedAt time.Time
 }
 
 type server struct {
@@ -81,6 +89,12 @@
 	uncached int
 }
 
+// assumedPrefill is the prefill of a request whose tokens are not observed.
+type assumedPrefill struct {
+	id   uint64
+	ends time.Time
+}
+
 // New returns a Dispatcher without backend servers.
 func New(opt Options) *Dispatcher {
 	d := &Dispatcher{
@@ -170,10 +184,11 @@
 	if len(r.Attempted) > 0 && !d.hasUnattempted(r.Attempted) {
 		return d.reject(&r, time.Second, now)
 	}
+	d.endAssumedPrefills(now)
 	dist := d.lengths.Dist(r.Class, r.Team)
 	estimate := d.estimate(&r, &dist)
 	d.observeWork(estimate)
-	s := d.pick(&r, &dist, true, now)
+	s := d.pick(&r, &dist, scopeOf(now.Sub(r.Arrival)), now)
 	decision := d.queue.Offer(item(&r, estimate), s != nil, now)
 	switch decision.Action {
 	case admit.Dispatch:
@@ -183,14 +198,18 @@
 		return Outcome{ID: r.ID, Action: admit.Wait}
 	}
 	// Another region may still meet the target.
-	if s = d.pick(&r, &dist, false, now); s != nil {
+	if s = d.pick(&r, &dist, allRegions, now); s != nil {
 		return d.assign(&r, s, &dist, estimate, now)
 	}
 	return d.reject(&r, decision.RetryAfter, now)
 }
 
 func (d *Dispatcher) reject(r *Request, after time.Duration, now time.Time) Outcome {
-	return Outcome{ID: r.ID, Action: admit.Reject, RetryAfter: after, Shortages: Shortages{Rejected: d.shortage(r, false, now), First: d.first}}
+	shortages := Shortages{Rejected: d.shortage(r, allRegions, now), First: d.first}
+	if !d.drainedAt.IsZero() {
+		shortages.SinceDrain = now.Sub(d.drainedAt)
+	}
+	return Outcome{ID: r.ID, Action: admit.Reject, RetryAfter: after, Shortages: shortages}
 }
 
 // observeWork adds the estimated work of a request to meanWork.
@@ -229,36 +248,111 @@
 // next call.
 func (d *Dispatcher) Drain(now time.Time) []Outcome {
 	d.out = d.out[:0]
+	d.endAssumedPrefills(now)
 	d.rejectRefused(now)
-	for _, r := range d.queue.Rejected(now) {
-		d.out = append(d.out, d.reject(d.waiting[r.Item.ID], r.Decision.RetryAfter, now))
-		delete(d.waiting, r.Item.ID)
+	late, first := d.queue.Rejected(now), d.first
+	d.dispatchQueued(now)
+	for i := range late {
+		d.decideLate(&late[i], first, now)
 	}
+	d.drainedAt = now
+	return d.out
+}
+
+// decideLate decides about a request whose target or deadline has passed while it
+// waited. It is dispatched if a backend server is free after all others were
+// considered: its caller is better served late than not at all.
+func (d *Dispatcher) decideLate(late *admit.Rejection, first Shortage, now time.Time) {
+	r := d.waiting[late.Item.ID]
+	delete(d.waiting, r.ID)
+	dist := d.lengths.Dist(r.Class, r.Team)
+	if r.Deadline.IsZero() || now.Add(late.Item.ServiceTime).Before(r.Deadline) {
+		if s := d.pick(r, &dist, allRegions, now); s != nil {
+			d.queue.Charge(&late.Item, now)
+			d.out = append(d.out, d.assign(r, s, &dist, late.Item.Tokens, now))
+			return
+		}
+	}
+	out := d.reject(r, late.Decision.RetryAfter, now)
+	out.Shortages.First = first
+	d.out = append(d.out, out)
+}
+
+// dispatchQueued dispatches waiting requests in the order of the queue until no
+// backend server can take the first one.
+func (d *Dispatcher) dispatchQueued(now time.Time) {
 	for {
 		next, ok := d.queue.Peek(now)
 		if !ok {
 			d.first = Shortage{}
-			return d.out
+			return
 		}
 		r := d.waiting[next.ID]
-		dist := d.lengths.Dist(r.Class, r.Team)
-		localOnly := now.Sub(r.Arrival) < localWait
-		s := d.pick(r, &dist, localOnly, now)
-		if s == nil && len(r.Attempted) > 0 {
-			// A retry must not block the requests behind it when all other
-			// backend servers are full. A server at which it failed before may
-			// serve it.
-			r.Attempted = nil
-			s = d.pick(r, &dist, localOnly, now)
+		regions := scopeOf(now.Sub(r.Arrival))
+		if d.dispatchWaiting(r, next.Tokens, regions, now) {
+			continue
+		}
+		d.first = d.shortage(r, regions, now)
+		if regions == ownRegion {
+			d.drainToOtherRegions(now)
+		}
+		return
+	}
+}
+
+// drainToOtherRegions dispatches waiting requests to the backend servers that the first
+// one does not use yet because it waits for its own region. Without it, urgent
+// requests that keep arriving would delay requests that have waited longer, while
+// these backend servers are free.
+func (d *Dispatcher) drainToOtherRegions(now time.Time) {
+	for {
+		next, ok := d.queue.PeekArrivedBy(now.Add(-localWait), now)
+		if !ok || !d.dispatchWaiting(d.waiting[next.ID], next.Tokens, otherRegions, now) {
+			return
 		}
-		if s == nil {
-			d.first = d.shortage(r, localOnly, now)
-			return d.out
+	}
+}
+
+// dispatchWaiting assigns a waiting request to a backend server and reports whether
+// one can take it now.
+func (d *Dispatcher) dispatchWaiting(r *Request, estimate float64, regions scope, now time.Time) bool {
+	dist := d.lengths.Dist(r.Class, r.Team)
+	s := d.pick(r, &dist, regions, now)
+	if s == nil && len(r.Attempted) > 0 {
+		// A retry must not block the requests behind it when all other
+		// backend servers are full. A server at which it failed before may
+		// serve it.
+		r.Attempted = nil
+		s = d.pick(r, &dist, regions, now)
+	}
+	if s == nil {
+		return false
+	}
+	d.queue.Take(r.ID, now)
+	delete(d.waiting, r.ID)
+	d.out = append(d.out, d.assign(r, s, &dist, estimate, now))
+	return true
+}
+
+// NextDecision returns the time from which Drain may decide about a waiting request
+// only because time has passed; zero if nothing waits for a time. It is called after
+// Offer or Drain with the same now.
+func (d *Dispatcher) NextDecision(now time.Time) (next time.Time) {
+	consider := func(at time.Time) {
+		if at.After(now) && (next.IsZero() || at.Before(next)) {
+			next = at
 		}
-		d.queue.Next(now)
-		delete(d.waiting, r.ID)
-		d.out = append(d.out, d.assign(r, s, &dist, next.Tokens, now))
 	}
+	if len(d.waiting) > 0 && len(d.assumedPrefills) > 0 {
+		consider(d.assumedPrefills[0].ends)
+	}
+	for _, r := range d.waiting {
+		consider(r.Arrival.Add(localWait))
+	}
+	if due := d.queue.NextDue(); !due.IsZero() {
+		consider(due.Add(time.Nanosecond))
+	}
+	return next
 }
 
 // Cancel removes a waiting request and reports whether it was waiting.
@@ -339,9 +433,20 @@
 	}
 }
 
+// endAssumedPrefills lets the requests whose tokens are not observed count as
+// prefilling no longer once their first token is expected.
+func (d *Dispatcher) endAssumedPrefills(now time.Time) {
+	n := 0
+	for ; n < len(d.assumedPrefills) && !now.Before(d.assumedPrefills[n].ends); n++ {
+		if r := d.running[d.assumedPrefills[n].id]; r != nil && r.produced == 0 {
+			d.Progress(d.assumedPrefills[n].id, 1)
+		}
+	}
+	d.assumedPrefills = slices.Delete(d.assumedPrefills, 0, n)
+}
+
 // advanceBuffered estimates the tokens produced by requests whose tokens are
-// not observed, from their running time, so that they do not count as
-// prefilling until they end.
+// not observed, from their running time.
 func (d *Dispatcher) advanceBuffered(now time.Time) {
 	for id, r := range d.running {
 		if !r.request.Buffered {
@@ -364,6 +469,9 @@
 	}
 	d.gapMS = tighterTarget(d.gapMS, r.TokenGapMS)
 	d.running[r.ID] = &inFlightRequest{request: *r, server: s, sent: now, estimate: estimate, uncached: d.uncached(r)}
+	if r.Buffered {
+		d.assumedPrefills = append(d.assumedPrefills, assumedPrefill{r.ID, now.Add(serviceEstimate)})
+	}
 	d.prefixes.record(r.Prefix, s.ID)
 	return Outcome{ID: r.ID, Action: admit.Dispatch, Server: s.ID}
 }
