Resume generations of engines that refuse or fail to respond

Callers saw: a stream whose connection to the engine broke ended with generation_lost 0.6 s later if the engine answered 503, with or without Retry-After, or failed to respond, although the generation ran. GET /v1/generations/TOKEN at another host, as after a drain, got 410 generation_lost without Retry-After; the same call after the refusal got the rest. Cause: reattach tried three times in 0.6 s and then took any failure for a lost generation. A rejection, or a silence, was taken as the end of a generation that runs. Ruled out: waiting as long as the refusal lasts, up to 10 minutes, since the caller hears nothing meanwhile; a refused connection as proof that the engine is gone, since a listener that is replaced or overloaded looks the same. Change: only 404, 410 or another incarnation, whatever its status, mean lost. A refusal is waited for up to 30 s or the caller's deadline, other failures for 10 s (two stall timeouts); then the stream ends with generation_unavailable and the generation is kept for resume_grace_ms. A resume at another host gets 503 with a Retry-After at the end of the refusal, at once if that is too late. If nothing was delivered, another engine is tried after 0.7 s within the retry budget; the generation is abandoned only once the budget allows that. A host that was attached to a resumed generation whose stream fails cancels it after the grace, since the first host has given that up. Answers to resumes are read where the others are. TestTruncatedHeaderSection has a stall timeout of 1 s, as each of its resumes now fails for two stall timeouts. A stream of a crashed engine that does not return ends after 10 s instead of 0.6 s. Conclusion: neither a refusal nor a failed connection ends a generation that runs while its caller can wait for it.

--- a/core/dispatch/refusal.go
+++ b/core/dispatch/refusal.go
@@ -42,6 +42,11 @@
 	return d.refusals.HasAny() && d.refusals.Refuses(Server{ID: id, Incarnation: incarnation}.process(), now)
 }
 
+// ReturnsAt returns when a backend server can get a request again; the zero time if it does not refuse.
+func (d *Dispatcher) ReturnsAt(id, incarnation string) time.Time {
+	return d.refusals.ReturnsAt(Server{ID: id, Incarnation: incarnation}.process())
+}
+
 // HasRefusals reports whether any backend server has refused requests and not accepted one since.
 func (d *Dispatcher) HasRefusals() bool { return d.refusals.HasAny() }
 
--- a/internal/placement/refusal.go
+++ b/internal/placement/refusal.go
@@ -2,14 +2,34 @@
 
 import "time"
 
-// Refused records that the backend server answered that it wants no request of this host for a time. It
-// reports whether that was not known.
-func (r *Reservation) Refused(refusal time.Duration) bool {
-	d, now := r.owner, time.Now()
+// Process is a process of a backend server, which may refuse requests of this host for a time. It needs no
+// reservation: a host also resumes and cancels generations that others have started.
+type Process struct {
+	// ID is that of the backend server.
+	ID          string
+	incarnation string
+	dispatcher  *Dispatcher
+}
+
+// Process returns a process of a backend server of the service.
+func (d *Dispatcher) Process(id, incarnation string) Process {
+	return Process{ID: id, incarnation: incarnation, dispatcher: d}
+}
+
+// Process returns the process that the reservation is for.
+func (r *Reservation) Process() Process { return r.owner.Process(r.Host.ID, r.Incarnation()) }
+
+// Refuses reports whether nothing must be sent to the backend server.
+func (r *Reservation) Refuses() bool { return r.Process().Refuses() }
+
+// Refused records that the process answered that it wants no request of this host for a time. It reports
+// whether that was not known.
+func (p Process) Refused(refusal time.Duration) bool {
+	d, now := p.dispatcher, time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.hasRefusals.Store(true)
-	until, changed := d.dispatcher.Refuse(r.Host.ID, r.Incarnation(), refusal, now)
+	until, changed := d.dispatcher.Refuse(p.ID, p.incarnation, refusal, now)
 	if changed {
 		d.deliverDecisions(now) // for requests that no backend server is left for
 		time.AfterFunc(until.Sub(now), d.decide)
@@ -19,14 +39,14 @@
 
 // Accepted records an answer that refuses nothing, to a request sent at a time. It reports whether a refusal
 // has ended.
-func (r *Reservation) Accepted(sentAt time.Time) bool {
-	d := r.owner
+func (p Process) Accepted(sentAt time.Time) bool {
+	d := p.dispatcher
 	if !d.hasRefusals.Load() {
 		return false
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	ended := d.dispatcher.Accepted(r.Host.ID, r.Incarnation(), sentAt)
+	ended := d.dispatcher.Accepted(p.ID, p.incarnation, sentAt)
 	d.hasRefusals.Store(d.dispatcher.HasRefusals())
 	if ended {
 		d.deliverDecisions(time.Now())
@@ -34,15 +54,26 @@
 	return ended
 }
 
-// Refuses reports whether nothing must be sent to the backend server.
-func (r *Reservation) Refuses() bool {
-	d := r.owner
+// Refuses reports whether nothing must be sent to the process.
+func (p Process) Refuses() bool {
+	d := p.dispatcher
 	if !d.hasRefusals.Load() {
 		return false
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.dispatcher.Refuses(r.Host.ID, r.Incarnation(), time.Now())
+	return d.dispatcher.Refuses(p.ID, p.incarnation, time.Now())
+}
+
+// ReturnsAt returns when the process can get a request again; the zero time if it does not refuse.
+func (p Process) ReturnsAt() time.Time {
+	d := p.dispatcher
+	if !d.hasRefusals.Load() {
+		return time.Time{}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.dispatcher.ReturnsAt(p.ID, p.incarnation)
 }
 
 // decide decides about the queued requests.
--- a/internal/request/generation.go
+++ b/internal/request/generation.go
@@ -37,10 +37,18 @@
 	// maxTrailingEvents is the maximum number of events without an id of a generation; an
 	// engine sends one, with usage data.
 	maxTrailingEvents = 16
-	// maxResumes is the maximum number of attempts to resume without a new token.
+	// maxResumes is the maximum number of times that a generation is resumed without a new token.
 	maxResumes = 3
-	// resumeBackoff is the base of the exponential backoff between attempts to resume.
-	resumeBackoff = 100 * time.Millisecond
+	// resumeBackoff is the base of the exponential backoff between attempts to resume, which is
+	// maxResumeBackoff at most.
+	resumeBackoff    = 100 * time.Millisecond
+	maxResumeBackoff = time.Second
+	// restartDelay is the time after which a generation of which nothing was delivered is started anew
+	// elsewhere instead of resumed; three attempts to resume take 600 ms.
+	restartDelay = 700 * time.Millisecond
+	// maxRefusalWait bounds the time for which a caller waits for an engine that refuses requests; streams
+	// that wait longer are ended with a time to return.
+	maxRefusalWait = 30 * time.Second
 	// cancelTimeout bounds one cancel call to an engine.
 	cancelTimeout = 2 * time.Second
 	// maxCancelAttempts and cancelBackoff, which doubles with each attempt, give an
--- a/internal/request/relay.go
+++ b/internal/request/relay.go
@@ -65,7 +65,7 @@
 	switch {
 	case gen.reservation != nil:
 		gen.cancelInBackground(0, true, gen.reservation)
-	case gen.resumed && gen.c.ctx.Err() != nil:
+	case gen.resumed && (gen.c.ctx.Err() != nil || gen.events != nil):
 		// The host that started the generation dropped its pending cancellation
 		// because this reader was attached, so this host must cancel.
 		gen.cancelInBackground(gen.resumeGrace(), true, nil)
@@ -202,15 +202,16 @@
 	b.lastTokenAt = now
 }
 
-// fail ends the stream with the problem document as its last event.
+// fail ends the stream with the problem document as its last event. The caller can still resume a
+// generation that is unavailable.
 func (b *streamBody) fail(err error) {
 	b.pending = append(b.pending, b.gen.c.problemEvent(err)...)
 	b.ended, b.finished = true, true
-	if b.gen.c.ctx.Err() == nil {
-		b.gen.discard()
+	if b.gen.c.ctx.Err() != nil || isUnavailable(err) {
+		b.detach()
 		return
 	}
-	b.detach()
+	b.gen.discard()
 }
 
 // finish finishes a completed generation, once. It runs after the end marker was passed to
--- a/internal/request/resume.go
+++ b/internal/request/resume.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 
+	"monsoonkeel.example/monsoonkeel/core/config"
 	"monsoonkeel.example/monsoonkeel/core/verdict"
 	"monsoonkeel.example/monsoonkeel/internal/request/gentoken"
 	"monsoonkeel.example/monsoonkeel/internal/version"
@@ -49,11 +50,11 @@
 	if err := gen.locate(id); err != nil {
 		return err
 	}
-	if err := gen.reattach(0); err != nil {
+	if err := gen.reattach(errGenerationLost, 0); err != nil {
 		if c.ctx.Err() != nil {
 			return c.contextError()
 		}
-		return gen.lostError(err)
+		return err
 	}
 	return gen.stream()
 }
@@ -64,7 +65,7 @@
 	snap := c.snapshot
 	c.service, _ = snap.Service(id.Service)
 	if c.service == nil {
-		c.service = &version.Service{}
+		c.service = &version.Service{Service: config.Service{Name: id.Service}}
 	}
 	c.class = snap.Document.Classes[id.Class]
 	c.outcome.Service, c.outcome.Class, c.outcome.Backend = id.Service, id.Class, id.Backend
--- a/internal/request/stall.go
+++ b/internal/request/stall.go
@@ -47,7 +47,7 @@
 	defer close(w.done)
 	mayBeLost := !w.gen.delivered && !w.gen.resumed
 	for {
-		ex, err := w.gen.requestRest(ctx)
+		ex, err := w.gen.requestRest(ctx, streamHeaderTimeout)
 		lost := errors.Is(err, errGenerationLost)
 		if err == nil || lost && mayBeLost {
 			w.replacement = ex
--- a/internal/request/truncated_test.go
+++ b/internal/request/truncated_test.go
@@ -59,6 +59,7 @@
 					r.addBackend("desk", s)
 				}
 				r.start()
+				r.gateway.streamStallTimeout = time.Second    // resumes fail for twice this time
 				r.gateway.HostCount = func() int { return 1 } // whose share is the team's limit of 4 requests
 				abandoned := &atomic.Int32{}
 				r.gateway.Orders = endlessOrders{abandoned: abandoned}
