Send engines that refuse requests neither resumes nor cancellations

Callers saw: streams of a silent engine kept asking it to resume them within the time for which it wanted no request: 24 requests of 3 streams in 2.5 s, 18 of them later than half a second after the first refusal. A generation whose cancellation was refused kept running. Cause: requests to resume and cancel did not check for refusals, and an answer to a cancellation, whatever its status but 409, counted as success. Ruled out: pausing the load polls too. Reports expire after 3 s; without one the limit of the server is 0 at this host, it counts as unavailable, and a mark that it leaves is missed (by reading). Cancelling right at the end of a refusal: no host could resume the generation until then. Change: both requests ask the dispatcher first, as others do, and once more before the first byte is sent; the first of them after a refusal is the single request that holds the others back. Their answers are observed in the same place. A silent stream asks again at the end of the refusal. A cancellation is sent at its end, or after resume_grace_ms, 2 s at least, if the caller may still resume; it is given up with a log line after 15 min, and 408, 429 and 5xx are retried like 409. The reservation is held until then, as the generation runs. Conclusion: within a refusal, an engine gets no request from this host's request path; load polls remain.

--- a/core/dispatch/refusal.go
+++ b/core/dispatch/refusal.go
@@ -47,6 +47,11 @@
 	return d.refusals.ReturnsAt(Server{ID: id, Incarnation: incarnation}.process())
 }
 
+// Take records a request that needs no slot and is sent to a backend server: to resume or cancel a generation.
+func (d *Dispatcher) Take(id, incarnation string, now time.Time) {
+	d.refusals.Take(Server{ID: id, Incarnation: incarnation}.process(), now)
+}
+
 // HasRefusals reports whether any backend server has refused requests and not accepted one since.
 func (d *Dispatcher) HasRefusals() bool { return d.refusals.HasAny() }
 
--- a/internal/placement/refusal.go
+++ b/internal/placement/refusal.go
@@ -65,6 +65,23 @@
 	return d.dispatcher.Refuses(p.ID, p.incarnation, time.Now())
 }
 
+// Take reports whether a request that needs no reservation may be sent to the process: one that resumes or
+// cancels a generation. Otherwise it returns when that may be so.
+func (p Process) Take() (returnsAt time.Time, ok bool) {
+	d := p.dispatcher
+	if !d.hasRefusals.Load() {
+		return time.Time{}, true
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	if returnsAt = d.dispatcher.ReturnsAt(p.ID, p.incarnation); now.Before(returnsAt) {
+		return returnsAt, false
+	}
+	d.dispatcher.Take(p.ID, p.incarnation, now)
+	return time.Time{}, true
+}
+
 // ReturnsAt returns when the process can get a request again; the zero time if it does not refuse.
 func (p Process) ReturnsAt() time.Time {
 	d := p.dispatcher
--- a/internal/request/cancel.go
+++ b/internal/request/cancel.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"time"
 
@@ -43,56 +44,104 @@
 // releases the reservation. With ifDetached, the engine keeps the generation if a
 // reader is attached to it.
 func (gen *generation) cancelInBackground(delay time.Duration, ifDetached bool, reservation *placement.Reservation) {
-	g, host, id := gen.c.g, gen.host, gen.id
+	g := gen.c.g
+	c := cancellation{host: gen.host, process: gen.processOf(gen.incarnation), id: gen.id, ifDetached: ifDetached}
 	g.background.Add(1)
 	go func() {
 		defer g.background.Done()
-		if delay > 0 {
-			time.Sleep(delay)
-		}
-		g.cancelWithRetry(host, id, ifDetached)
+		g.cancelAfter(delay, c)
 		if reservation != nil {
 			reservation.Release(false)
 		}
 	}()
 }
 
+// cancellation is the request to cancel a generation.
+type cancellation struct {
+	host       platform.Host
+	process    placement.Process
+	id         string
+	ifDetached bool
+}
+
+// cancelAfter cancels a generation after a delay and, if the engine refuses requests, after the end of that. A
+// delay starts anew then, since the caller could not resume the generation in the meantime.
+func (g *Gateway) cancelAfter(delay time.Duration, c cancellation) {
+	for giveUpAt := time.Now().Add(maxCancelWait); ; {
+		if delay > 0 {
+			time.Sleep(delay)
+		}
+		returnsAt, refused := g.cancelWithRetry(c)
+		switch {
+		case !refused:
+			return
+		case returnsAt.After(giveUpAt):
+			g.Log.Warn().Str("backend", c.host.ID).Time("refuses_until", returnsAt).
+				Msg("generation not cancelled: its engine refuses requests for too long")
+			return
+		case delay > 0:
+			delay = max(delay, minGraceAfterRefusal)
+		}
+		time.Sleep(time.Until(returnsAt))
+	}
+}
+
 // cancelWithRetry cancels a generation. It retries after an error, and while the engine
 // rejects the cancellation because a reader is attached: the engine may not have detected
 // yet that this host closed its connection. A reader that remains attached belongs to
-// another host.
-func (g *Gateway) cancelWithRetry(host platform.Host, id string, ifDetached bool) {
+// another host. If the engine refuses requests, it returns when that ends.
+func (g *Gateway) cancelWithRetry(c cancellation) (returnsAt time.Time, refused bool) {
 	for i := range maxCancelAttempts {
 		if i > 0 {
 			time.Sleep(cancelBackoff << i)
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
-		status, err := g.sendCancel(ctx, host, id, ifDetached)
+		status, err := g.sendCancel(ctx, c)
 		cancel()
-		if err != nil {
-			g.Log.Debug().Err(err).Str("backend", host.ID).Msg("failed to cancel the generation at the engine")
-		}
-		if err == nil && status != fasthttp.StatusConflict {
-			return
+		var refusal *refusedError
+		switch {
+		case errors.As(err, &refusal):
+			return refusal.returnsAt, true
+		case err == nil && !mayAcceptCancelLater(status):
+			return time.Time{}, false
 		}
+		g.Log.Debug().Err(err).Int("status", status).Str("backend", c.host.ID).Msg("failed to cancel the generation at the engine")
 	}
+	return time.Time{}, false
 }
 
-func (g *Gateway) sendCancel(ctx context.Context, host platform.Host, id string, ifDetached bool) (status int, err error) {
+// mayAcceptCancelLater reports whether an engine that responded to a cancellation with a status may cancel the
+// generation later.
+func mayAcceptCancelLater(status int) bool {
+	switch status {
+	case fasthttp.StatusConflict, fasthttp.StatusRequestTimeout, fasthttp.StatusTooManyRequests:
+		return true
+	}
+	return status >= 500
+}
+
+func (g *Gateway) sendCancel(ctx context.Context, c cancellation) (status int, err error) {
+	beforeSend, err := takeUnreserved(c.process)
+	if err != nil {
+		return 0, err
+	}
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	uri := "/v1/generations/" + id
-	if ifDetached {
+	uri := "/v1/generations/" + c.id
+	if c.ifDetached {
 		uri += "?if_detached=1"
 	}
 	req.SetRequestURI(uri)
-	req.Header.SetHost(host.Address)
+	req.Header.SetHost(c.host.Address)
 	req.Header.SetMethod("DELETE")
-	ex, err := g.Pool.Do(ctx, host.Address, req, connection.Options{NoReuse: true})
+	sentAt := time.Now()
+	ex, err := g.Pool.Do(ctx, c.host.Address, req, connection.Options{NoReuse: true, BeforeSend: beforeSend})
 	if err != nil {
 		return 0, err
 	}
-	status = ex.Response.StatusCode()
-	ex.Finish(false)
-	return status, nil
+	defer ex.Finish(false)
+	if g.observeAnswer(c.process, &ex.Response.Header, sentAt) {
+		return 0, &refusedError{returnsAt: c.process.ReturnsAt()}
+	}
+	return ex.Response.StatusCode(), nil
 }
--- a/internal/request/recover.go
+++ b/internal/request/recover.go
@@ -163,9 +163,14 @@
 	return gen.c.ctx.Err()
 }
 
-// requestRest requests the events of the generation after those accepted, on a new connection. It waits for
-// the response header for a time, which is streamHeaderTimeout at most.
+// requestRest requests the events of the generation after those accepted, on a new connection, unless the
+// engine refuses requests: *refusedError. It waits for the response header for a time, which is
+// streamHeaderTimeout at most.
 func (gen *generation) requestRest(ctx context.Context, headerTimeout time.Duration) (*connection.Exchange, error) {
+	beforeSend, err := takeUnreserved(gen.processOf(gen.incarnation))
+	if err != nil {
+		return nil, err
+	}
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	gen.c.setRequestHeaders(req, gen.host.Address)
@@ -173,7 +178,7 @@
 	req.Header.Set(headerGenerationID, gen.id)
 	sentAt := time.Now()
 	ex, err := gen.c.g.Pool.Do(ctx, gen.host.Address, req, connection.Options{
-		NoReuse: true, IDHeader: headerGenerationID,
+		NoReuse: true, IDHeader: headerGenerationID, BeforeSend: beforeSend,
 		ResponseHeaderTimeout: min(max(headerTimeout, resumeBackoff), streamHeaderTimeout),
 	})
 	if err != nil {
--- a/internal/request/refusal.go
+++ b/internal/request/refusal.go
@@ -19,6 +19,20 @@
 	return "the engine refuses requests until " + e.returnsAt.Format(time.RFC3339Nano)
 }
 
+// takeUnreserved returns *refusedError if the process refuses requests, and otherwise a check that returns it
+// if the process refuses them by the time that a request is sent.
+func takeUnreserved(process placement.Process) (beforeSend func() error, err error) {
+	if returnsAt, ok := process.Take(); !ok {
+		return nil, &refusedError{returnsAt: returnsAt}
+	}
+	return func() error {
+		if process.Refuses() {
+			return &refusedError{returnsAt: process.ReturnsAt()}
+		}
+		return nil
+	}, nil
+}
+
 // processOf returns a process of the engine that has the generation.
 func (gen *generation) processOf(incarnation string) placement.Process {
 	service := gen.c.service
--- a/internal/request/stall.go
+++ b/internal/request/stall.go
@@ -56,7 +56,11 @@
 		}
 		mayBeLost = mayBeLost || lost
 		// The engine may be silent only on this connection, or go on.
-		if !wait.For(ctx, w.gen.c.g.stallTimeout()) {
+		pause := w.gen.c.g.stallTimeout()
+		if refused := (*refusedError)(nil); errors.As(err, &refused) {
+			pause = max(pause, time.Until(refused.returnsAt))
+		}
+		if !wait.For(ctx, pause) {
 			return
 		}
 	}
