--- a/internal/request/silence_test.go
+++ b/internal/request/silence_test.go
@@ -115,6 +115,7 @@
 			select {
 			case <-engine.left:
 				require.Equal(t, "accepts", name, "the connection of the silent generation was closed")
+				require.EqualValues(t, 1, engine.resumes.Load())
 			default:
 				require.NotEqual(t, "accepts", name, "the connection of the silent generation was not closed")
 			}
