Await the last bytes of a held-back answer whose engine has ended it

Callers saw: with delivery whole, 502 generation_lost for a generation whose last bytes came 0.2 s later; with a retry budget, a second generation of the same request. Cause: during a silence the connection was closed at the first 404 or 410 if nothing had been delivered, before the retry budget was asked whether another generation may replace it. An engine responds so too once the generation has ended. Ruled out: closing at once if the retry budget allows a replacement, since the generation would run twice. Change: the engine is asked twice, a stall timeout apart, whether a part was delivered or not, as streams already did. An engine that has lost a generation of which nothing was delivered, but keeps its connection open, is left after two stall timeouts (10 s) instead of one. Conclusion: the bytes of a generation that has ended are awaited in both kinds of delivery.

--- a/internal/request/silence_test.go
+++ b/internal/request/silence_test.go
@@ -88,31 +88,48 @@
 	}
 }
 
-// Guards against a stream that is lost because its engine, asked to resume it during a silence, responds
-// that it has no such generation: it may have ended there, and its last bytes still arrive. A stream
-// whose last bytes never arrive is ended all the same.
+// Guards against a stream that is lost, or runs twice, because its engine, asked to resume it during a
+// silence, responds that it has no such generation: it may have ended there, and its last bytes still
+// arrive, whether a part was delivered or not. A stream whose last bytes never arrive is ended all the same.
 func TestSilentGenerationThatEndedIsAwaited(t *testing.T) {
 	const stall = 400 * time.Millisecond
 	for _, status := range []int{http.StatusNotFound, http.StatusGone} {
 		for name, silence := range map[string]time.Duration{"goes on": stall * 3 / 2, "is lost": time.Minute} {
-			t.Run(fmt.Sprint(status, " ", name), func(t *testing.T) {
-				t.Parallel()
-				engine := &silentEngine{silence: silence, respond: func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) }}
-				r := &testGateway{t: t}
-				r.addBackend("models", engine)
-				r.start()
-				r.gateway.streamStallTimeout = stall
-				start := time.Now()
-				resp := r.do("POST", "/v1/completions", streamRequestJSON(2))
-				defer resp.Body.Close()
-				s := readStream(t, resp.Body, 0)
-				require.Less(t, time.Since(start), 10*stall)
-				require.Equal(t, name == "goes on", s.done)
-				if s.done {
-					r.requireTokens(s, 1, 2)
+			for _, class := range []string{"caption", "whole"} {
+				for _, retries := range []int32{0, 1} {
+					t.Run(fmt.Sprint(status, " ", name, "/", class, "/retries ", retries), func(t *testing.T) {
+						t.Parallel()
+						var starts atomic.Int32
+						engine := &silentEngine{silence: silence, respond: func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) }}
+						r := &testGateway{t: t}
+						for range 2 {
+							r.addBackend("models", http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+								if q.Method == http.MethodPost && starts.Add(1) > 1 {
+									w.WriteHeader(http.StatusUnprocessableEntity)
+									return
+								}
+								engine.ServeHTTP(w, q)
+							}))
+						}
+						r.start()
+						budget := &limitedRetries{}
+						budget.left.Store(retries)
+						r.gateway.RetryBudget = budget
+						r.gateway.streamStallTimeout = stall
+						start := time.Now()
+						resp := r.do("POST", "/v1/completions", streamRequestJSON(2), headerClass, class)
+						defer resp.Body.Close()
+						s := readStream(t, resp.Body, 0)
+						require.Less(t, time.Since(start), 10*stall)
+						require.Equal(t, name == "goes on", s.done)
+						if s.done {
+							r.requireTokens(s, 1, 2)
+							require.EqualValues(t, 1, starts.Load())
+						}
+						require.NotZero(t, engine.resumes.Load())
+					})
 				}
-				require.NotZero(t, engine.resumes.Load())
-			})
+			}
 		}
 	}
 }
--- a/internal/request/stall.go
+++ b/internal/request/stall.go
@@ -13,8 +13,8 @@
 
 // stallWatch resumes a generation on another connection while its engine is silent. The silent
 // connection is closed only once the engine has accepted that, or has lost the generation. An engine
-// also responds that it has no generation if that has ended, and its last bytes may still arrive:
-// if a part was delivered, so that no other generation can continue the response, it is asked twice.
+// also responds that it has no generation if that has ended, and its last bytes may still arrive, so that
+// it is asked twice.
 type stallWatch struct {
 	gen   *generation
 	timer *time.Timer
@@ -47,7 +47,7 @@
 	w.cancel, w.done = cancel, make(chan struct{})
 	w.mu.Unlock()
 	defer close(w.done)
-	mayBeLost := !w.gen.delivered && !w.gen.resumed
+	mayBeLost := false
 	for {
 		ex, err := w.gen.requestRest(ctx, streamHeaderTimeout)
 		lost := errors.Is(err, errGenerationLost)
