End streams of engines that refuse connections after 3 s

Cause: a refused connection was waited for as long as a silence. A silent engine may go on; a process whose port is closed has most likely ended, and only a replaced listener opens it again. Conclusion: a crash costs its callers 3 s, after which they can start anew.

--- a/internal/request/generation.go
+++ b/internal/request/generation.go
@@ -43,6 +43,9 @@
 	// maxResumeBackoff at most.
 	resumeBackoff    = 100 * time.Millisecond
 	maxResumeBackoff = time.Second
+	// closedPortTimeout is how long an engine is asked to resume a generation that refuses connections: its
+	// process has ended, or replaces its listener.
+	closedPortTimeout = 3 * time.Second
 	// restartDelay is the time after which a generation of which nothing was delivered is started anew
 	// elsewhere instead of resumed; three attempts to resume take 600 ms.
 	restartDelay = 700 * time.Millisecond
--- a/internal/request/recover.go
+++ b/internal/request/recover.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -94,13 +95,15 @@
 	// timeout is how long such attempts go on, and failingUntil when they end.
 	timeout      time.Duration
 	failingUntil time.Time
+	// closedUntil is when attempts end whose connections are refused.
+	closedUntil time.Time
 	// refusingUntil is the latest end of a refusal that is waited for.
 	refusingUntil time.Time
 }
 
 func (gen *generation) newResumeLimits(resumes int, now time.Time) resumeLimits {
 	l := resumeLimits{tries: resumes, timeout: gen.c.g.resumeTimeout()}
-	l.failingUntil, l.refusingUntil = now.Add(l.timeout), now.Add(maxRefusalWait)
+	l.failingUntil, l.closedUntil, l.refusingUntil = now.Add(l.timeout), now.Add(closedPortTimeout), now.Add(maxRefusalWait)
 	if deadline, ok := gen.c.ctx.Deadline(); ok && deadline.Before(l.refusingUntil) {
 		l.refusingUntil = deadline
 	}
@@ -124,7 +127,11 @@
 		return refused.returnsAt.Sub(now), !refused.returnsAt.After(l.refusingUntil)
 	}
 	l.tries++
-	return l.backoff(), now.Before(l.failingUntil)
+	until := l.failingUntil
+	if errors.Is(err, syscall.ECONNREFUSED) && l.closedUntil.Before(until) {
+		until = l.closedUntil
+	}
+	return l.backoff(), now.Before(until)
 }
 
 // reattach requests the rest of the generation, whose connection broke because of cause, and sets
--- a/internal/request/recover_test.go
+++ b/internal/request/recover_test.go
@@ -146,6 +146,19 @@
 	r.requireTokens(s, 1, 2)
 }
 
+// Guards against a caller that waits for as long as a silent engine may be silent for one whose process has ended.
+func TestStreamOfEndedEngineEndsSoon(t *testing.T) {
+	r := &testGateway{t: t}
+	addCrashingEngine(r, 5)
+	r.start()
+	start := time.Now()
+	resp := r.do("POST", "/v1/completions", streamRequestJSON(500))
+	defer resp.Body.Close()
+	s := readStream(t, resp.Body, 0)
+	assert.Less(t, time.Since(start), closedPortTimeout+maxResumeBackoff+2*time.Second)
+	require.NotNil(t, s.problem)
+}
+
 // Guards against a caller that waits without end, or is told that its generation is lost, while the engine
 // fails to respond; and against a generation that then keeps running.
 func TestUnavailableEngineEndsStreamInTime(t *testing.T) {
