--- a/internal/request/generation.go
+++ b/internal/request/generation.go
@@ -293,8 +293,8 @@
 )
 
 // next returns the next event of the generation. It resumes the stream after a broken
-// connection, or when the engine accepts that during a silence. If the engine lost the generation and nothing was delivered, it starts a
-// new attempt.
+// connection, or when the engine accepts that during a silence. If the engine lost the
+// generation and nothing was delivered, it starts a new attempt.
 func (gen *generation) next() (sse.Event, eventKind, error) {
 	resumes := 0
 	deadline := time.Now().Add(gen.c.g.stallTimeout())
