--- a/internal/request/generation.go
+++ b/internal/request/generation.go
@@ -43,7 +43,7 @@
 	// maxResumeBackoff at most.
 	resumeBackoff    = 100 * time.Millisecond
 	maxResumeBackoff = time.Second
-	// closedPortTimeout is how long an engine is asked to resume a generation that refuses connections: its
+	// closedPortTimeout is how long an engine that refuses connections is asked to resume a generation: its
 	// process has ended, or replaces its listener.
 	closedPortTimeout = 3 * time.Second
 	// restartDelay is the time after which a generation of which nothing was delivered is started anew
