--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"sync"
 	"testing"
 	"time"
@@ -255,3 +256,23 @@
 	assert.Contains(t, hosts, "fresh")
 	assert.NotContains(t, hosts, "quiet")
 }
+
+// Guards against the entry of a host from the far future, such as one of another writer: all other hosts would count
+// as expired, and their entries be deleted.
+func TestHeartbeatFromTheFutureDoesNotExpireOthers(t *testing.T) {
+	now := time.Unix(1_777_945_397, 0)
+	host := func(id string, heartbeat int64) Change {
+		return Change{Name: id, Host: &fleet.Host{ID: id, PeerAddress: "10.1.0.1:7200", HeartbeatTime: heartbeat}}
+	}
+	batch := func() Batch {
+		return Batch{Changes: []Change{
+			host("a", now.Unix()), host("b", now.Unix()-30), host("odd", math.MaxInt64), host("past", math.MinInt64), host("stale", now.Unix()-3600),
+		}}
+	}
+	var live []string
+	for _, c := range liveHosts(batch(), now).Changes {
+		live = append(live, c.Name)
+	}
+	assert.Equal(t, []string{"a", "b"}, live)
+	assert.Equal(t, []string{"past", "stale"}, findStaleHosts(batch(), now))
+}
--- a/internal/directory/hosts.go
+++ b/internal/directory/hosts.go
@@ -38,8 +38,8 @@
 			lastRegistered, due = now, false
 		}
 		if batch, err := d.list(ctx, Hosts, n >= initialHostLists); err == nil {
-			d.staleHosts = findStaleHosts(batch)
-			d.apply(Hosts, liveHosts(batch), true, now)
+			d.staleHosts = findStaleHosts(batch, time.Now())
+			d.apply(Hosts, liveHosts(batch, time.Now()), true, now)
 		}
 		d.deleteStaleHost(ctx)
 		interval := hostListInterval
@@ -64,16 +64,11 @@
 
 // liveHosts drops the hosts whose heartbeat is more than hostExpiry older than the
 // newest one. Wall clocks differ and step by seconds, which hostExpiry exceeds.
-func liveHosts(b Batch) Batch {
-	newest := int64(0)
-	for _, c := range b.Changes {
-		if c.Host != nil {
-			newest = max(newest, c.Host.HeartbeatTime)
-		}
-	}
+func liveHosts(b Batch, now time.Time) Batch {
+	newest := newestHeartbeat(b, now)
 	kept := b.Changes[:0]
 	for _, c := range b.Changes {
-		if c.Host != nil && newest-c.Host.HeartbeatTime <= int64(hostExpiry/time.Second) {
+		if c.Host != nil && plausible(c.Host.HeartbeatTime, now) && c.Host.HeartbeatTime >= newest-int64(hostExpiry/time.Second) {
 			kept = append(kept, c)
 		}
 	}
@@ -81,21 +76,34 @@
 	return b
 }
 
-// staleHostRetention is how long after its last heartbeat a host's entry may be
-// deleted from the store.
-const staleHostRetention = 10 * time.Minute
+// maxClockDifference is how far the wall clocks of two hosts may differ.
+const maxClockDifference = time.Hour
 
-// findStaleHosts returns the hosts whose entries may be deleted.
-func findStaleHosts(b Batch) []string {
-	newest := int64(0)
+// newestHeartbeat returns the newest time of a heartbeat, in Unix seconds.
+func newestHeartbeat(b Batch, now time.Time) (newest int64) {
 	for _, c := range b.Changes {
-		if c.Host != nil {
+		if c.Host != nil && plausible(c.Host.HeartbeatTime, now) {
 			newest = max(newest, c.Host.HeartbeatTime)
 		}
 	}
+	return newest
+}
+
+// plausible reports whether a heartbeat is not from the future. One that is would make all others too old.
+func plausible(heartbeat int64, now time.Time) bool {
+	return heartbeat <= now.Add(maxClockDifference).Unix()
+}
+
+// staleHostRetention is how long after its last heartbeat a host's entry may be
+// deleted from the store.
+const staleHostRetention = 10 * time.Minute
+
+// findStaleHosts returns the hosts whose entries may be deleted.
+func findStaleHosts(b Batch, now time.Time) []string {
+	newest := newestHeartbeat(b, now)
 	var stale []string
 	for _, c := range b.Changes {
-		if c.Host != nil && newest-c.Host.HeartbeatTime > int64(staleHostRetention/time.Second) {
+		if c.Host != nil && c.Host.HeartbeatTime < newest-int64(staleHostRetention/time.Second) {
 			stale = append(stale, c.Name)
 		}
 	}
--- a/internal/platform/httpapi/hosts.go
+++ b/internal/platform/httpapi/hosts.go
@@ -5,19 +5,25 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"net/url"
+	"strconv"
+	"strings"
 	"sync"
 
 	"github.com/valyala/fasthttp"
 
 	"monsoonkeel.example/monsoonkeel/internal/platform"
+	"monsoonkeel.example/monsoonkeel/internal/rawjson"
 )
 
 // HostList implements platform.HostList over HTTP. It stores the ETag of the
 // last list for conditional requests, since a list of 13,500 hosts has 3 MB and
 // is polled every second.
 type HostList struct {
-	c *client
+	// OnInvalid, if set, is called for each entry that is left out because it cannot be decoded or used.
+	OnInvalid func(error)
+	c         *client
 
 	mu   sync.Mutex
 	etag string
@@ -56,21 +62,77 @@
 	if err == nil && resp.status == fasthttp.StatusNotModified && l.etag != "" {
 		return nil, platform.ErrUnchanged
 	}
-	var list struct {
-		Revision uint64          `json:"revision"`
-		Hosts    []platform.Host `json:"hosts"`
+	if err == nil && resp.status != fasthttp.StatusOK {
+		err = statusError(resp)
 	}
+	var hosts []platform.Host
 	if err == nil {
-		err = decodeResponse(resp, &list)
-	}
-	if err == nil && list.Hosts == nil {
-		err = errMissingFields
+		hosts, err = l.decode(resp.body)
 	}
 	if err != nil {
 		return nil, fmt.Errorf("read host list: %w", err)
 	}
 	l.etag = resp.etag
-	return list.Hosts, nil
+	return hosts, nil
+}
+
+// decode decodes a host list. An entry that another writer has spoiled costs only itself.
+func (l *HostList) decode(body []byte) ([]platform.Host, error) {
+	fields, err := rawjson.Object(body)
+	if err != nil {
+		return nil, fmt.Errorf("decode response: %w", err)
+	}
+	entries, err := rawjson.Array(fields["hosts"])
+	if err != nil {
+		return nil, fmt.Errorf("%w: hosts: %w", errMissingFields, err)
+	}
+	hosts := make([]platform.Host, 0, len(entries))
+	for _, raw := range entries {
+		host, err := decodeHost(raw)
+		if err == nil {
+			hosts = append(hosts, host)
+		} else if l.OnInvalid != nil {
+			l.OnInvalid(err)
+		}
+	}
+	return hosts, nil
+}
+
+// maxIDBytes limits the ID of a host, which is repeated in messages and log lines.
+const maxIDBytes = 256
+
+func decodeHost(raw []byte) (platform.Host, error) {
+	var host platform.Host
+	if err := json.Unmarshal(raw, &host); err != nil {
+		return host, fmt.Errorf("entry of the host list: %w", err)
+	}
+	switch {
+	case host.ID == "" || len(host.ID) > maxIDBytes:
+		return host, fmt.Errorf("entry of the host list: ID of %d bytes", len(host.ID))
+	case host.State != platform.HostLive && host.State != platform.HostLeaving:
+		return host, fmt.Errorf("entry of the host list: %s: state %.40q", host.ID, host.State)
+	}
+	for _, address := range []string{host.Address, host.PeerAddress} {
+		if err := checkAddress(address); err != nil {
+			return host, fmt.Errorf("entry of the host list: %s: %w", host.ID, err)
+		}
+	}
+	return host, nil
+}
+
+// checkAddress checks an address, host:port, which may be missing.
+func checkAddress(address string) error {
+	if address == "" {
+		return nil
+	}
+	name, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return err
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 || name == "" || strings.ContainsAny(name, "%\r\n /") {
+		return fmt.Errorf("address %.60q cannot be used", address)
+	}
+	return nil
 }
 
 // Load implements platform.LoadReporter.
--- a/internal/platform/httpapi/replay_test.go
+++ b/internal/platform/httpapi/replay_test.go
@@ -123,7 +123,7 @@
 		base := serveRepeating(t, early, func(req *http.Request) string {
 			if req.URL.Path == "/hosts" {
 				hostsSent++
-				return rawResponse(200, "", fmt.Sprintf(`{"revision":%d,"hosts":[{"id":"%d"}]}`, hostsSent, hostsSent))
+				return rawResponse(200, "", fmt.Sprintf(`{"revision":%d,"hosts":[{"id":"%d","state":"live"}]}`, hostsSent, hostsSent))
 			}
 			loadsSent++
 			return rawResponse(200, "", fmt.Sprintf(`{"incarnation":"i","running":%d}`, loadsSent))
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -85,6 +85,8 @@
 	d := &Daemon{settings: s, log: log, startedAt: time.Now()}
 	d.store = httpapi.NewObjectStore(s.ObjectAPI)
 	d.loadReporter = httpapi.NewLoadReporter()
+	hosts := httpapi.NewHostList(s.HostList)
+	hosts.OnInvalid = func(err error) { log.Warn().Err(err).Msg("entry of the host list left out") }
 	d.config = configlog.New(configlog.Options{Store: d.store, IsWatcher: d.watchesConfig, Logger: log})
 	d.membership = membership.New(membership.Config{
 		Self: platform.Host{
@@ -93,7 +95,7 @@
 		},
 		Cells:     s.Cells,
 		Store:     d.store,
-		Hosts:     httpapi.NewHostList(s.HostList),
+		Hosts:     hosts,
 		ConfigAge: d.config.ConfirmedAge,
 		Now:       time.Now,
 		Log:       log,
