--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -6,11 +6,8 @@
 package balance
 
 import (
-	"math"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"monsoonkeel.example/monsoonkeel/core/ratelimit"
 	"monsoonkeel.example/monsoonkeel/core/serverstate"
 )
@@ -58,6 +55,8 @@
 	// StartTime, in Unix milliseconds, and ID identify the process.
 	StartTime int64
 	Slots     int
+	// PerSecond is the number of requests per second that this host may send to the server, with Settings.Limited.
+	PerSecond int
 }
 
 // Settings describe the service and the location of the host.
@@ -65,42 +64,13 @@
 	Domain, Region string
 	// KVTokens is the size of an engine's KV cache in tokens, 0 for plain services.
 	KVTokens int
-	// Rate limits the requests that this host sends to one server, because any
-	// server may have turned cold unnoticed. The zero value means no limit.
-	Rate Rate
-}
-
-// Rate is one host's quota of a rate limit that all hosts share.
-type Rate struct {
-	// PerSecond is the number of requests per second to one server; 0 means no limit.
-	PerSecond int
-	// ServerShare, if not 0, is the fraction of the servers that the host may use,
-	// since its quota is less than one request per second and server. Host is the
-	// host's ID, which selects these servers.
-	Host        string
-	ServerShare float64
-}
-
-// hashSkewMargin reduces each host's share of the servers, because the hash assigns
-// some servers to more hosts than others.
-const hashSkewMargin = 0.7
-
-// DivideRate returns the quota of one host when a limit per server, in requests per
-// second, is divided among a number of hosts.
-func DivideRate(total float64, hosts int, host string) Rate {
-	each := total / float64(max(1, hosts))
-	if each >= 1 {
-		return Rate{PerSecond: int(each)}
-	}
-	return Rate{PerSecond: 1, Host: host, ServerShare: each * hashSkewMargin}
-}
-
-// allows reports whether the server is among those that the host may use.
-func (r Rate) allows(server string) bool {
-	if r.ServerShare == 0 {
-		return true
-	}
-	return float64(xxhash.Sum64String(r.Host+"/"+server))/math.MaxUint64 < r.ServerShare
+	// Limited is set if Server.PerSecond limits the requests to each server, because any server may have turned cold
+	// unnoticed.
+	Limited bool
+	// Choices, if not 0, is the number of servers of a region that Pick compares, chosen at random. Where many hosts
+	// place requests between two reports of their load, the server that is best by the last report would get
+	// them all.
+	Choices int
 }
 
 // Request describes what a request needs from a server.
@@ -163,6 +133,8 @@
 	settings Settings
 	servers  map[string]*server
 	intn     func(n int) int
+	// nearby and distant are used by pick.
+	nearby, distant []*server
 	// limits are the rate limits that servers name; nil for none.
 	limits *ratelimit.Limiter
 	// refusals are the servers that refuse requests for a time; nil for none.
@@ -224,8 +196,7 @@
 }
 
 func (b *Balancer) pick(req Request, now time.Time, includeEjected bool) (*server, Reason) {
-	var best *server
-	bestCost, ties := 0.0, 0
+	near, far := b.nearby[:0], b.distant[:0]
 	reason := NoCandidate
 	for id, s := range b.servers {
 		if !b.isCandidate(id, s, req) || !includeEjected && now.Before(s.ejectedUntil) {
@@ -247,25 +218,66 @@
 			reason = RateLimited
 			continue
 		}
-		cost := b.cost(s, req)
-		switch {
-		case best == nil || cost < bestCost:
-			best, bestCost, ties = s, cost, 1
-		case cost == bestCost:
-			// A random choice spreads the hosts over servers of equal cost. The
-			// iteration order of a map does not: it favours the entry that was
-			// stored first.
-			if ties++; b.intn(ties) == 0 {
-				best = s
-			}
+		if s.Region == b.originOf(req) {
+			near = append(near, s)
+		} else {
+			far = append(far, s)
 		}
 	}
+	b.nearby, b.distant = near, far
+	if !req.Standby && b.settings.Choices > 0 {
+		near, far = b.sample(near), b.sample(far)
+	}
+	best := b.cheapest(near, far, req)
 	if best != nil {
 		reason = Chosen
 	}
 	return best, reason
 }
 
+// originOf returns the region from which the distance of a server counts.
+func (b *Balancer) originOf(req Request) string {
+	if req.Source != nil {
+		return req.Source.Region
+	}
+	return b.settings.Region
+}
+
+// sample moves Settings.Choices random servers to the front of a list and returns them.
+func (b *Balancer) sample(list []*server) []*server {
+	n := min(len(list), b.settings.Choices)
+	if n == len(list) {
+		return list
+	}
+	for i := range n {
+		j := i + b.intn(len(list)-i)
+		list[i], list[j] = list[j], list[i]
+	}
+	return list[:n]
+}
+
+// cheapest returns the server of lowest cost, or nil if both lists are empty.
+func (b *Balancer) cheapest(near, far []*server, req Request) (best *server) {
+	bestCost, ties := 0.0, 0
+	for _, list := range [][]*server{near, far} {
+		for _, s := range list {
+			cost := b.cost(s, req)
+			switch {
+			case best == nil || cost < bestCost:
+				best, bestCost, ties = s, cost, 1
+			case cost == bestCost:
+				// A random choice spreads the hosts over servers of equal cost. The
+				// iteration order of a map does not: it favours the entry that was
+				// stored first.
+				if ties++; b.intn(ties) == 0 {
+					best = s
+				}
+			}
+		}
+	}
+	return best
+}
+
 // isCandidate reports whether a server may serve a request.
 func (b *Balancer) isCandidate(id string, s *server, req Request) bool {
 	return s.present && !contains(req.Exclude, id) && (req.Allowed == nil || req.Allowed(s.Region))
@@ -282,7 +294,7 @@
 		used := s.own.Tokens + s.peers.Tokens + req.Tokens
 		return used <= b.standbyCapacity(s.Region)
 	}
-	if n := b.settings.Rate.PerSecond; n > 0 && (s.recentRequests(now) >= n || !b.settings.Rate.allows(s.ID)) {
+	if b.settings.Limited && s.recentRequests(now) >= s.PerSecond {
 		return false
 	}
 	if b.settings.KVTokens == 0 || req.Source != nil {
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -92,8 +91,8 @@
 // each host keeps to its quota of the rate limit.
 func TestRatePerServerIsLimited(t *testing.T) {
 	b := New(rand.New(rand.NewPCG(1, 2)).IntN, nil, nil)
-	b.Configure(Settings{Rate: DivideRate(5, 2, "host")})
-	b.SetServers([]Server{{ID: "s", Slots: 100}})
+	b.Configure(Settings{Limited: true})
+	b.SetServers([]Server{{ID: "s", Slots: 100, PerSecond: 2}, {ID: "without a quota", Slots: 100}})
 	for range 2 {
 		b.AddRequest(pick(t, b, Request{}, start), Load{Requests: 1}, start)
 	}
@@ -147,29 +146,6 @@
 	b.RecordFailure("w1", start)
 }
 
-// Guards against exceeding the rate limit of a cold server when there are more hosts
-// than its limit in requests per second: together the hosts keep to the limit, and
-// every host has servers to use.
-func TestRateIsDividedAmongManyHosts(t *testing.T) {
-	const total, hosts, servers = 50.0, 200, 71
-	using := map[string]int{}
-	for h := range hosts {
-		rate := DivideRate(total, hosts, fmt.Sprint("host-", h))
-		usable := 0
-		for s := range servers {
-			if id := fmt.Sprint("server-", s); rate.allows(id) {
-				using[id] += rate.PerSecond
-				usable++
-			}
-		}
-		assert.NotZero(t, usable)
-	}
-	for id, n := range using {
-		assert.LessOrEqual(t, float64(n), total, id)
-	}
-	assert.Equal(t, Rate{PerSecond: 5}, DivideRate(total, 9, "x"))
-}
-
 // Guards against all hosts sending to the same server at low load, when most servers
 // have the same cost.
 func TestEqualServersArePickedEquallyOften(t *testing.T) {
--- a/core/balance/load.go
+++ b/core/balance/load.go
@@ -51,7 +51,7 @@
 	if b.refusals != nil {
 		b.refusals.Take(s.Process(), now)
 	}
-	if b.settings.Rate.PerSecond > 0 {
+	if b.settings.Limited {
 		s.recentRequests(now)
 		s.sent = append(s.sent, now)
 	}
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -97,6 +97,25 @@
 	}
 }
 
+// Guards against exceeding the rate limit of a cold server when there are more hosts
+// than its limit in requests per second: together the hosts keep to the limit, and
+// every host has servers to use.
+func TestRateIsDividedAmongManyHosts(t *testing.T) {
+	const total, hosts, servers = 50.0, 200, 71
+	all := divisions(hostsIn(3, hosts))
+	usable := map[string]int{}
+	for s := range servers {
+		sum := 0
+		for host, n := range quotas(all, fmt.Sprint("server-", s), fmt.Sprint("region-", s%3), total) {
+			sum += n
+			usable[host]++
+		}
+		assert.LessOrEqual(t, float64(sum), total)
+	}
+	assert.Len(t, usable, hosts)
+	assert.Equal(t, 5, NewHosts("host-0", "region-0", hostsIn(3, 9), 1).Quota("server", "region-1", total))
+}
+
 // Guards against the loss of all servers at once when a host joins or leaves: few quotas move.
 func TestFewQuotasMoveWhenAHostJoins(t *testing.T) {
 	before, after := divisions(hostsIn(3, 295)), divisions(hostsIn(3, 296))
--- a/core/ratelimit/ratelimit.go
+++ b/core/ratelimit/ratelimit.go
@@ -95,6 +95,8 @@
 	hosts   int // in the deployment, this one included
 	servers map[string]*server
 	random  func() float64
+	// unreported is the number of live hosts without demand that are not among the peers of the servers.
+	unreported int
 }
 
 // New returns a Limiter for a host. random returns a random number from 0 to 1.
@@ -172,9 +174,10 @@
 	return changed, true
 }
 
-// Merge replaces the demand of the other live hosts, and takes over limits that they observed later. It
-// reports whether a limit changed.
-func (l *Limiter) Merge(hosts []HostReports, now time.Time) (changed bool) {
+// Merge replaces the demand of the other live hosts, and takes over limits that they observed later. unreported is the
+// number of other live hosts without demand that hosts leaves out. It reports whether a limit changed.
+func (l *Limiter) Merge(hosts []HostReports, unreported int, now time.Time) (changed bool) {
+	l.unreported = unreported
 	for _, s := range l.servers {
 		s.peers = make(map[string]float64, len(hosts))
 	}
--- a/core/ratelimit/ratelimit_test.go
+++ b/core/ratelimit/ratelimit_test.go
@@ -71,7 +71,7 @@
 	for _, v := range []float64{math.NaN(), math.Inf(1), -1, 1e300} {
 		assert.False(t, Valid(v))
 		l := newLimiter("host-0")
-		l.Merge([]HostReports{{Host: "host-1", ReceivedAt: at(0), Reports: []Report{{ID: "s", Limit: v, Demand: 1}, {ID: "r", Limit: 2, Demand: v}}}}, at(0))
+		l.Merge([]HostReports{{Host: "host-1", ReceivedAt: at(0), Reports: []Report{{ID: "s", Limit: v, Demand: 1}, {ID: "r", Limit: 2, Demand: v}}}}, 0, at(0))
 		assert.False(t, l.Limited("s"))
 		assert.True(t, l.Allows("r", at(0)))
 	}
@@ -82,7 +82,7 @@
 	assert.True(t, ok)
 	assert.Less(t, next.Sub(at(0)), time.Minute)
 	l := newLimiter("host-0")
-	l.Merge([]HostReports{{Host: "host-1", ReceivedAt: at(0), Reports: []Report{{ID: "s", Limit: 2, AgeMS: 0}, {ID: "r", Limit: 2, AgeMS: math.MaxInt64}}}}, at(0))
+	l.Merge([]HostReports{{Host: "host-1", ReceivedAt: at(0), Reports: []Report{{ID: "s", Limit: 2, AgeMS: 0}, {ID: "r", Limit: 2, AgeMS: math.MaxInt64}}}}, 0, at(0))
 	assert.True(t, l.Limited("s"))
 	assert.True(t, l.Limited("r"))
 }
@@ -212,7 +212,7 @@
 			live = append(live, r)
 		}
 		slices.SortFunc(live, func(a, b HostReports) int { return a.ReceivedAt.Compare(b.ReceivedAt) })
-		h.limiter.Merge(live, at(m.now))
+		h.limiter.Merge(live, 0, at(m.now))
 	}
 }
 
--- a/core/ratelimit/share.go
+++ b/core/ratelimit/share.go
@@ -23,7 +23,7 @@
 	if s.limit == 0 {
 		return 0
 	}
-	live := len(s.peers) + 1
+	live := len(s.peers) + 1 + l.unreported
 	limit := s.limit * usedShare * float64(live) / float64(max(l.hosts, live))
 	sum, known := l.weights(s, now)
 	mean := sum / float64(known)
@@ -37,7 +37,7 @@
 		return max(demand, minWeight*mean)
 	}
 	own := weightOf(roundDemand(s.demand.at(now)))
-	total := own
+	total := own + float64(l.unreported)*weightOf(0)
 	for _, demand := range s.peers {
 		total += weightOf(demand)
 	}
@@ -49,7 +49,7 @@
 		slices.SortFunc(ranks, rank.compare)
 		total = 0
 		isActive := false
-		for _, r := range ranks[:active] {
+		for _, r := range ranks[:min(active, len(ranks))] {
 			total += r.weight
 			isActive = isActive || r.host == l.host
 		}
@@ -69,7 +69,7 @@
 			known++
 		}
 	}
-	return sum, known
+	return sum, known + l.unreported
 }
 
 // rank orders the hosts by demand. Demand that differs little does not change the order, which the hosts know
--- a/core/topology/topology.go
+++ b/core/topology/topology.go
@@ -89,6 +89,9 @@
 // IsMesh reports whether each host sends its state to all others.
 func (t *Topology) IsMesh() bool { return t.mesh }
 
+// Hosts returns the hosts that the topology was made of, by ID.
+func (t *Topology) Hosts() map[string]fleet.Host { return t.hosts }
+
 // Host returns the entry of a host.
 func (t *Topology) Host(id string) (fleet.Host, bool) {
 	h, ok := t.hosts[id]
--- a/internal/directory/apply.go
+++ b/internal/directory/apply.go
@@ -11,20 +11,12 @@
 func (d *Directory) apply(kind Kind, batch Batch, full bool, callSent time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	changed := !d.loaded[kind]
-	d.loaded[kind] = true
-	if full {
-		batch.Changes = append(batch.Changes, d.deletionsOfUnlisted(kind, batch)...)
-	}
-	for _, c := range batch.Changes {
-		if d.applyChange(kind, c) {
-			changed = true
-		}
+	if kind == Hosts && batch.Revision < d.cursor[kind] {
+		return // a stale list
 	}
-	if changed {
+	if d.applyBatch(kind, batch, full) {
 		d.publish()
 	}
-	d.advanceCursor(kind, batch, full)
 	if kind == Configuration && d.state.Table != nil && int64(callSent) > d.confirmedAt.Load() {
 		// Stored after the snapshot is published: a request that reads the new time
 		// also finds the table that it confirms.
@@ -32,18 +24,33 @@
 	}
 }
 
-// advanceCursor moves the cursor of a kind past a batch and logs the batch for relayed
-// updates. After a list, earlier changes are unknown and cannot be relayed.
-func (d *Directory) advanceCursor(kind Kind, batch Batch, full bool) {
-	d.cursor[kind] = max(d.cursor[kind], batch.Revision)
-	d.behind[kind] = false
+// applyBatch applies a batch, moves the cursor of its kind and logs its changes for other hosts. It reports whether the
+// state changed.
+func (d *Directory) applyBatch(kind Kind, batch Batch, full bool) bool {
+	known := d.loaded[kind]
+	changed := !known
+	d.loaded[kind] = true
+	if full {
+		batch.Changes = append(batch.Changes, d.deletionsOfUnlisted(kind, batch)...)
+	}
+	var logged []Change
+	for _, c := range batch.Changes {
+		applied := d.applyChange(kind, c)
+		changed = changed || applied
+		if applied || !full || c.Deleted {
+			logged = append(logged, c)
+		}
+	}
+	d.setBehind(kind, false)
 	switch {
-	case kind != Backends && kind != DomainsOut:
-	case full:
+	case !known:
+		// Earlier changes are unknown and cannot be relayed.
 		d.changeLog[kind], d.logStart[kind] = nil, batch.Revision
-	case len(batch.Changes) > 0:
-		d.changeLog[kind] = append(d.changeLog[kind], loggedBatch{revision: batch.Revision, changes: batch.Changes, readAt: d.opts.Clock()})
+	case len(logged) > 0 && kind != Configuration:
+		d.changeLog[kind] = append(d.changeLog[kind], loggedBatch{revision: batch.Revision, changes: logged, readAt: d.opts.Clock()})
 	}
+	d.cursor[kind] = max(d.cursor[kind], batch.Revision)
+	return changed
 }
 
 // deletionsOfUnlisted returns a deletion for each known object that a list lacks.
@@ -95,6 +102,9 @@
 	if c.Table == nil || current != nil && c.Table.Version < current.Version {
 		return false
 	}
+	if current == nil || c.Table.Version > current.Version {
+		d.rawConfiguration = c.Raw
+	}
 	d.state.Table = c.Table
 	d.opts.Log.Info().Int64("version", c.Table.Version).Msg("configuration applied")
 	return true
@@ -150,7 +160,7 @@
 	s := &Server{Backend: *c.Backend, ColdUntil: now + c.Backend.ColdLeft}
 	if old != nil && old.SameProcess(s.Backend) {
 		// A process never withdraws its termination notice.
-		s.Leaving = s.Leaving || old.Leaving
+		s.Leaving, s.NoticeHere = s.Leaving || old.Leaving, old.NoticeHere
 		if old.Terminating() == s.Terminating() && old.Slots == s.Slots && s.ColdLeft == 0 && !old.Removed {
 			return false
 		}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -65,7 +65,7 @@
 	// or at the store reader.
 	recoveredAt time.Duration
 
-	mu           sync.Mutex // guards recoveredAt and all non-atomic fields below except staleHosts
+	mu           sync.Mutex // guards recoveredAt and all non-atomic fields below
 	state        Snapshot
 	loaded       map[Kind]bool
 	missingSince map[string]time.Duration // servers whose entries are missing after an outage
@@ -78,15 +78,21 @@
 	logStart  map[Kind]int64
 	changeLog map[Kind][]loggedBatch
 	behind    map[Kind]bool
+	// behindSince is when behind was set.
+	behindSince map[Kind]time.Duration
+	// rawConfiguration is the configuration as the store holds it; nil if unknown.
+	rawConfiguration []byte
 	// following is set when relayed updates replaced the host's own calls at the last check.
 	following map[Kind]bool
 	// relayedConfirmedAt is the newest relayed confirmation of the configuration.
 	// relayEchoSentAt is when this host sent the message that the newest relayed update echoes.
 	relayedConfirmedAt, relayEchoSentAt time.Duration
-	storeReader                         atomic.Bool
+	// storeReader is set if this host reads the store for others, relaying if it passes on what it knows, and
+	// readersNamed if an aggregator names the store readers.
+	storeReader, relaying, readersNamed atomic.Bool
 	lastFailureAt                       atomic.Int64 // Clock time of the last failed call; 0: none
-	// staleHosts are the hosts whose entries can be deleted; only registerLoop uses it.
-	staleHosts []string
+	// registerAttempted is closed after the first attempt to write the entry of this host.
+	registerAttempted chan struct{}
 }
 
 // New returns a Directory; Run must be called for it to work.
@@ -101,9 +107,11 @@
 		logStart:     map[Kind]int64{},
 		changeLog:    map[Kind][]loggedBatch{},
 		behind:       map[Kind]bool{},
+		behindSince:  map[Kind]time.Duration{},
 		following:    map[Kind]bool{},
+
+		registerAttempted: make(chan struct{}),
 	}
-	d.storeReader.Store(true) // until gossip finds other hosts
 	d.state = Snapshot{Servers: map[string]*Server{}, DomainsOut: map[string]bool{}, Hosts: map[string]fleet.Host{}}
 	d.snapshot.Store(&Snapshot{})
 	return d
@@ -128,10 +136,10 @@
 }
 
 // MarkTerminating records the termination notice of a backend server's process, as
-// reported by the process itself or by another host; source names it in the log. It does
+// reported by the process itself (here) or by another host; source names it in the log. It does
 // nothing and returns false if the process with that start time is not the current one or
 // is already terminating.
-func (d *Directory) MarkTerminating(id string, startTime int64, source string) bool {
+func (d *Directory) MarkTerminating(id string, startTime int64, here bool, source string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	old := d.state.Servers[id]
@@ -139,7 +147,7 @@
 		return false
 	}
 	s := *old
-	s.Leaving = true
+	s.Leaving, s.NoticeHere = true, here
 	d.setServer(id, &s)
 	d.opts.Log.Info().Str("backend", id).Str("source", source).Msg("backend server is terminating (reported by the server or a peer, not by the store)")
 	d.publish()
@@ -156,22 +164,20 @@
 			d.listAndWatch(ctx, kind)
 		}()
 	}
-	wg.Add(2)
-	go func() {
-		defer wg.Done()
-		d.expireLoop(ctx)
-	}()
-	go func() {
-		defer wg.Done()
-		d.registerLoop(ctx)
-	}()
+	for _, loop := range []func(context.Context){d.expireLoop, d.registerLoop, d.listHostsLoop} {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			loop(ctx)
+		}()
+	}
 	wg.Wait()
 }
 
 // listAndWatch lists a kind and then watches it, unless a store reader relays its
 // changes. It lists again only when changes were missed.
 func (d *Directory) listAndWatch(ctx context.Context, kind Kind) {
-	for listed := false; ctx.Err() == nil; {
+	for listed := d.waitForFirst(ctx, kind); ctx.Err() == nil; {
 		timeout := time.Duration(0)
 		if listed {
 			timeout = d.waitWhileRelayed(ctx, kind)
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -201,6 +202,11 @@
 	return b, err
 }
 
+func (f *fakeStore) DecodeConfiguration(raw []byte) (*route.Table, error) {
+	version, err := strconv.ParseInt(string(raw), 10, 64)
+	return route.New(route.Document{Version: version}), err
+}
+
 func (f *fakeStore) Register(context.Context, fleet.Host) error { return nil }
 
 func (f *fakeStore) Unregister(_ context.Context, id string) error {
@@ -223,6 +229,7 @@
 	}
 	d, _ := newDirectory(store)
 	d.opts.AbsenceGrace = 0 // missing entries are removed at once
+	d.SetStoreReader(true)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	done := make(chan struct{})
@@ -238,7 +245,7 @@
 // recent heartbeat leaves the snapshot, and a stale entry is deleted.
 func TestHostsThatStoppedRegistering(t *testing.T) {
 	store := &fakeStore{}
-	for id, age := range map[string]int64{"fresh": 5, "quiet": 90, "ancient": 10000} {
+	for id, age := range map[string]int64{"fresh": 5, "quiet": 200, "ancient": 10000} {
 		h := fleet.Host{ID: id, HeartbeatTime: 1_000_000 - age}
 		store.hosts.Changes = append(store.hosts.Changes, Change{Name: id, Host: &h})
 	}
@@ -246,6 +253,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go d.registerLoop(ctx)
+	go d.listHostsLoop(ctx)
 	require.Eventually(t, func() bool {
 		store.mu.Lock()
 		defer store.mu.Unlock()
--- a/internal/directory/hosts.go
+++ b/internal/directory/hosts.go
@@ -9,39 +9,47 @@
 
 const (
 	// heartbeatInterval is the time between two writes of this host's entry.
-	heartbeatInterval = 20 * time.Second
-	// hostListInterval is the time between two lists of all hosts, after the
-	// initial ones.
+	heartbeatInterval = 60 * time.Second
+	// hostListInterval is the time between two lists of all hosts, after the initial ones.
 	hostListInterval = 5 * time.Second
 	// initialHostLists is the number of lists read soon after the start: when a
 	// deployment starts, all hosts register at about that time.
 	initialHostLists = 4
-	// initialHostListInterval is the time between these lists.
+	// initialHostListInterval is the time between these lists, and between two attempts to register.
 	initialHostListInterval = 700 * time.Millisecond
 	// hostExpiry is how long after its last heartbeat a host stays in the snapshot.
-	hostExpiry = 60 * time.Second
+	hostExpiry = 3 * heartbeatInterval
 	// registerTimeout limits one call that writes or deletes a host's entry.
 	registerTimeout = 2 * time.Second
 )
 
-// registerLoop renews the entry of this host, lists the entries of all hosts and deletes
-// stale ones.
+// registerLoop renews the entry of this host. The lists of all hosts begin after the first attempt, so that they contain
+// it.
 func (d *Directory) registerLoop(ctx context.Context) {
-	var lastRegistered time.Duration
-	var due bool
-	for n := 0; ctx.Err() == nil; n++ {
-		now := d.opts.Clock()
-		if lastRegistered == 0 || now-lastRegistered > heartbeatInterval {
-			due = true
+	first := true
+	for ctx.Err() == nil {
+		interval := initialHostListInterval
+		if d.register(ctx) {
+			interval = heartbeatInterval
 		}
-		if due && d.register(ctx) {
-			lastRegistered, due = now, false
+		if first {
+			first = false
+			close(d.registerAttempted)
 		}
-		if batch, err := d.list(ctx, Hosts, n >= initialHostLists); err == nil {
-			d.staleHosts = findStaleHosts(batch, time.Now())
-			d.apply(Hosts, liveHosts(batch, time.Now()), true, now)
+		wait.For(ctx, interval*3/4+rand.N(interval/2))
+	}
+}
+
+// listHostsLoop lists the entries of all hosts and deletes stale ones, unless another host relays them.
+func (d *Directory) listHostsLoop(ctx context.Context) {
+	select {
+	case <-d.registerAttempted:
+	case <-ctx.Done():
+	}
+	for n := 0; ctx.Err() == nil; n++ {
+		if !d.hostsAreRelayed() {
+			d.listHosts(ctx, n > 0)
 		}
-		d.deleteStaleHost(ctx)
 		interval := hostListInterval
 		if n < initialHostLists {
 			interval = initialHostListInterval
@@ -50,6 +58,31 @@
 	}
 }
 
+// hostsAreRelayed reports whether another host relays the entries of all hosts.
+func (d *Directory) hostsAreRelayed() bool {
+	d.mu.Lock()
+	loaded := d.loaded[Hosts]
+	d.mu.Unlock()
+	relayed, behind := d.relayStatus(Hosts)
+	return loaded && relayed && !behind
+}
+
+func (d *Directory) listHosts(ctx context.Context, stale bool) {
+	sent := d.opts.Clock()
+	batch, err := d.list(ctx, Hosts, stale)
+	if err != nil {
+		d.opts.Log.Info().Err(err).Msg("listing the entry hosts failed, keeping the last list")
+		return
+	}
+	now := time.Now()
+	stalest := findStaleHosts(batch, now)
+	d.apply(Hosts, liveHosts(batch, now), true, sent)
+	if others := d.Snapshot().Hosts; len(others) == 0 || len(others) == 1 && others[d.opts.Self.ID].ID != "" {
+		d.SetStoreReader(true)
+	}
+	d.deleteStaleHost(ctx, stalest)
+}
+
 func (d *Directory) register(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
@@ -69,6 +102,8 @@
 	kept := b.Changes[:0]
 	for _, c := range b.Changes {
 		if c.Host != nil && plausible(c.Host.HeartbeatTime, now) && c.Host.HeartbeatTime >= newest-int64(hostExpiry/time.Second) {
+			// Renewals are no changes of the host.
+			c.Host.HeartbeatTime = 0
 			kept = append(kept, c)
 		}
 	}
@@ -110,13 +145,13 @@
 	return stale
 }
 
-// deleteStaleHost deletes the entry of one stale host. The deletion is idempotent, so
+// deleteStaleHost deletes the entry of one of the stale hosts, if there are any. The deletion is idempotent, so
 // several hosts may do it at the same time.
-func (d *Directory) deleteStaleHost(ctx context.Context) {
-	if len(d.staleHosts) == 0 {
+func (d *Directory) deleteStaleHost(ctx context.Context, stale []string) {
+	if len(stale) == 0 {
 		return
 	}
-	id := d.staleHosts[rand.IntN(len(d.staleHosts))]
+	id := stale[rand.IntN(len(stale))]
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
 	if err := d.opts.Store.Unregister(ctx, id); err != nil {
--- a/internal/directory/relay.go
+++ b/internal/directory/relay.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
-	"monsoonkeel.example/monsoonkeel/core/fleet"
+	"monsoonkeel.example/monsoonkeel/core/route"
 	"monsoonkeel.example/monsoonkeel/internal/wait"
 )
 
@@ -27,6 +28,16 @@
 	// storeFailureMemory is how long after a failed call a host leaves the role of store
 	// reader to other hosts.
 	storeFailureMemory = 5 * time.Second
+	// startGrace is how long a host that starts waits for the state of other hosts before it reads the store.
+	startGrace = 1500 * time.Millisecond
+	// firstPollInterval is how often it checks whether it has received them.
+	firstPollInterval = 20 * time.Millisecond
+	// catchUpTime is how long a host waits for changes that it lacks before it calls the store: other hosts learn of
+	// the versions that it has from its messages.
+	catchUpTime = 700 * time.Millisecond
+	// logRetention and maxLoggedBatches limit the log of changes, from which hosts get those that they lack.
+	logRetention     = 5 * time.Second
+	maxLoggedBatches = 256
 	// changeRetention is how long relayed updates repeat a change without Options.RelayTime, since gossip
 	// messages can be lost.
 	changeRetention = 2 * time.Second
@@ -35,40 +46,68 @@
 	followerPollInterval = 150 * time.Millisecond
 )
 
-// RelayedChange is a change of a backend server or of a failure domain in a RelayedUpdate.
-type RelayedChange struct {
-	Name    string         `json:"n"`
-	Deleted bool           `json:"d,omitempty"`
-	Backend *fleet.Backend `json:"b,omitempty"`
-}
-
-// RelayedKind holds all changes of a kind later than revision After, up to Revision.
+// RelayedKind holds the changes of a kind later than revision After, up to Revision. With Full set, they are all objects
+// of the kind.
 type RelayedKind struct {
-	After    int64           `json:"s"`
-	Revision int64           `json:"a"`
-	Changes  []RelayedChange `json:"c,omitempty"`
+	After, Revision int64
+	Full            bool
+	Changes         []Change
 }
 
-// RelayedUpdate is what a store reader sends to the other hosts of its region. It is
-// part of the gossip message.
+// RelayedUpdate is what a host passes on from the store to other hosts. It is part of the gossip message.
 type RelayedUpdate struct {
 	// Version is that of the configuration, which was confirmed to be the newest
-	// ConfirmedAgoMS before the message was encoded.
-	Version        int64       `json:"v"`
-	ConfirmedAgoMS int64       `json:"c"`
-	Backends       RelayedKind `json:"b"`
-	DomainsOut     RelayedKind `json:"d"`
+	// ConfirmedAgo before the message was encoded.
+	Version      int64
+	ConfirmedAgo time.Duration
+	Backends     RelayedKind
+	DomainsOut   RelayedKind
+	Hosts        RelayedKind
 	// RecentOutage is set when entries may have expired during a store outage.
-	RecentOutage bool `json:"r,omitempty"`
+	RecentOutage bool
+	// Configuration is the configuration as the store holds it, for a host that lacks it.
+	Configuration []byte
 }
 
-// loggedBatch is a batch that a store reader relays for changeRetention.
+// Versions are the versions up to which a host has the configuration and the changes of the other kinds; 0 for
+// none.
+type Versions struct {
+	Configuration, Backends, DomainsOut, Hosts int64
+}
+
+// loggedBatch is a batch that is relayed to other hosts for a time.
 type loggedBatch struct {
 	revision int64
 	changes  []Change
 	readAt   time.Duration
 }
 
+// relayedKinds are the kinds whose changes are relayed one by one.
+var relayedKinds = []Kind{Backends, DomainsOut, Hosts}
+
+// of returns the part of an update for one of relayedKinds.
+func (r *RelayedUpdate) of(kind Kind) *RelayedKind {
+	switch kind {
+	case Backends:
+		return &r.Backends
+	case DomainsOut:
+		return &r.DomainsOut
+	default:
+		return &r.Hosts
+	}
+}
+
+func (v Versions) of(kind Kind) int64 {
+	switch kind {
+	case Backends:
+		return v.Backends
+	case DomainsOut:
+		return v.DomainsOut
+	default:
+		return v.Hosts
+	}
+}
+
 // SetStoreReader sets whether this host is a store reader of its region.
 func (d *Directory) SetStoreReader(reader bool) {
 	if d.storeReader.Swap(reader) != reader {
@@ -86,11 +125,36 @@
 // IsStoreReader reports whether this host is a store reader of its region.
 func (d *Directory) IsStoreReader() bool { return d.storeReader.Load() }
 
-// RelayedUpdate returns the update to send to the followers, or nil if this host is no
-// store reader or has not read the store yet.
+// SetRelaying sets whether this host passes on what it knows of the store although it is no store reader.
+func (d *Directory) SetRelaying(relaying bool) { d.relaying.Store(relaying) }
+
+// SetReadersNamed sets whether an aggregator names the store readers. This host then calls the store only if it
+// hears no aggregator, however old the confirmation of the configuration is: the named readers make the calls.
+func (d *Directory) SetReadersNamed(named bool) { d.readersNamed.Store(named) }
+
+// Relays reports whether this host passes on what it knows of the store.
+func (d *Directory) Relays() bool { return d.storeReader.Load() || d.relaying.Load() }
+
+// Versions returns the versions up to which this host has each kind.
+func (d *Directory) Versions() Versions {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var v Versions
+	if d.state.Table != nil {
+		v.Configuration = d.state.Table.Version
+	}
+	for kind, version := range map[Kind]*int64{Backends: &v.Backends, DomainsOut: &v.DomainsOut, Hosts: &v.Hosts} {
+		if d.loaded[kind] {
+			*version = d.cursor[kind]
+		}
+	}
+	return v
+}
+
+// RelayedUpdate returns the update for all followers, or nil if this host relays none or has not read the store yet.
 func (d *Directory) RelayedUpdate() *RelayedUpdate {
 	age, known := d.ConfigurationAge()
-	if !d.storeReader.Load() || !known {
+	if !d.Relays() || !known {
 		return nil
 	}
 	d.mu.Lock()
@@ -99,95 +163,184 @@
 		return nil
 	}
 	now := d.opts.Clock()
-	return &RelayedUpdate{
-		Version:        d.state.Table.Version,
-		ConfirmedAgoMS: age.Milliseconds() + 1, // rounded up
-		Backends:       d.relayedKind(Backends, now),
-		DomainsOut:     d.relayedKind(DomainsOut, now),
-		RecentOutage:   d.recoveredAt > 0 && now-d.recoveredAt < d.opts.AbsenceGrace,
+	r := &RelayedUpdate{
+		Version:      d.state.Table.Version,
+		ConfirmedAgo: age + time.Millisecond, // messages have whole milliseconds
+		RecentOutage: d.recoveredAt > 0 && now-d.recoveredAt < d.opts.AbsenceGrace,
 	}
-}
-
-// relayedKind drops the expired batches from the log of a kind and returns the others.
-func (d *Directory) relayedKind(kind Kind, now time.Duration) RelayedKind {
 	retention := changeRetention
 	if d.opts.RelayTime != nil {
 		retention = d.opts.RelayTime()
 	}
-	kept := d.changeLog[kind][:0]
+	for _, kind := range relayedKinds {
+		d.expireLog(kind, now)
+		after := d.logStart[kind]
+		for _, batch := range d.changeLog[kind] {
+			if now-batch.readAt > retention {
+				after = batch.revision
+			}
+		}
+		if d.loaded[kind] {
+			*r.of(kind) = d.changesAfter(kind, after, now)
+		}
+	}
+	return r
+}
+
+// Missing returns what a host with these versions lacks and RelayedUpdate may no longer contain, or nil.
+func (d *Directory) Missing(v Versions) *RelayedUpdate {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r, missing := &RelayedUpdate{}, false
+	if d.state.Table != nil && v.Configuration < d.state.Table.Version && d.rawConfiguration != nil {
+		r.Version, r.Configuration, missing = d.state.Table.Version, d.rawConfiguration, true
+	}
+	now := d.opts.Clock()
+	for _, kind := range relayedKinds {
+		if known := v.of(kind); d.loaded[kind] && known < d.cursor[kind] {
+			*r.of(kind) = d.changesAfter(kind, known, now)
+			missing = true
+		}
+	}
+	if !missing {
+		return nil
+	}
+	return r
+}
+
+// expireLog drops the batches of a kind that are too old to be relayed.
+func (d *Directory) expireLog(kind Kind, now time.Duration) {
+	log := d.changeLog[kind]
+	for len(log) > 0 && (now-log[0].readAt > logRetention || len(log) > maxLoggedBatches) {
+		d.logStart[kind] = log[0].revision
+		log = log[1:]
+	}
+	d.changeLog[kind] = log
+}
+
+// changesAfter returns the changes of a kind after a revision, or all objects if the log does not have them.
+func (d *Directory) changesAfter(kind Kind, after int64, now time.Duration) RelayedKind {
+	if after < d.logStart[kind] || after == 0 {
+		return RelayedKind{Full: true, Revision: d.cursor[kind], Changes: d.objects(kind, now)}
+	}
+	out := RelayedKind{After: after, Revision: d.cursor[kind]}
 	for _, batch := range d.changeLog[kind] {
-		if now-batch.readAt > retention {
-			d.logStart[kind] = batch.revision
+		if batch.revision <= after {
 			continue
 		}
-		kept = append(kept, batch)
-	}
-	d.changeLog[kind] = kept
-	out := RelayedKind{After: d.logStart[kind], Revision: d.cursor[kind]}
-	for _, batch := range kept {
 		for _, c := range batch.changes {
-			relayed := RelayedChange{Name: c.Name, Deleted: c.Deleted}
 			if c.Backend != nil {
 				b := *c.Backend
 				b.ColdLeft = max(0, b.ColdLeft-(now-batch.readAt))
-				relayed.Backend = &b
+				c.Backend = &b
 			}
-			out.Changes = append(out.Changes, relayed)
+			out.Changes = append(out.Changes, c)
 		}
 	}
 	return out
 }
 
-// ApplyRelayed applies an update of a store reader. echoSentAt is when this host sent
-// the message that the update echoes: the reader had received that message before it
-// encoded the update, so the update was current at echoSentAt or later.
+// objects returns all objects of a kind.
+func (d *Directory) objects(kind Kind, now time.Duration) (changes []Change) {
+	switch kind {
+	case Backends:
+		for id, s := range d.state.Servers {
+			if _, missing := d.missingSince[id]; missing || s.Removed {
+				continue
+			}
+			b := s.Backend
+			b.ColdLeft = max(0, s.ColdUntil-now)
+			changes = append(changes, Change{Name: id, Backend: &b})
+		}
+	case DomainsOut:
+		for name := range d.state.DomainsOut {
+			changes = append(changes, Change{Name: name})
+		}
+	case Hosts:
+		for id, h := range d.state.Hosts {
+			changes = append(changes, Change{Name: id, Host: &h})
+		}
+	}
+	return changes
+}
+
+// ApplyRelayed applies an update of another host. echoSentAt is when this host sent
+// the message that the update echoes: the sender had received that message before it
+// encoded the update, so the update was current at echoSentAt or later. It is 0 if the update echoes none; the
+// update then says nothing of the time.
 func (d *Directory) ApplyRelayed(r *RelayedUpdate, echoSentAt time.Duration) {
+	table := d.decodeRelayed(r)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.opts.Clock()
 	if r.RecentOutage && (d.recoveredAt == 0 || now-d.recoveredAt >= d.opts.AbsenceGrace) {
 		d.recoveredAt = now
 	}
-	d.applyRelayedKind(Backends, r.Backends)
-	d.applyRelayedKind(DomainsOut, r.DomainsOut)
+	changed := false
+	if table != nil {
+		changed = d.applyConfiguration(Change{Table: table, Raw: r.Configuration})
+		d.loaded[Configuration] = true
+	}
+	for _, kind := range relayedKinds {
+		changed = d.applyRelayedKind(kind, *r.of(kind)) || changed
+	}
+	if changed {
+		d.publish()
+	}
 	d.relayEchoSentAt = max(d.relayEchoSentAt, echoSentAt)
 	if d.state.Table == nil {
 		return
 	}
-	if r.Version > d.state.Table.Version {
-		d.behind[Configuration] = true
+	d.setBehind(Configuration, r.Version > d.state.Table.Version || d.behind[Configuration] && r.Version < d.state.Table.Version)
+	if r.Version != d.state.Table.Version || echoSentAt == 0 {
 		return
 	}
-	confirmed := echoSentAt - time.Duration(r.ConfirmedAgoMS)*time.Millisecond
+	confirmed := echoSentAt - r.ConfirmedAgo
 	if int64(confirmed) > d.confirmedAt.Load() {
 		d.confirmedAt.Store(int64(confirmed))
 	}
 	d.relayedConfirmedAt = max(d.relayedConfirmedAt, confirmed)
 }
 
-// applyRelayedKind applies the changes of a kind if none is missing before them, and
-// otherwise sets behind.
-func (d *Directory) applyRelayedKind(kind Kind, r RelayedKind) {
-	if !d.loaded[kind] || r.Revision <= d.cursor[kind] {
-		return
+// decodeRelayed returns the configuration of an update if it is newer than that of this host; otherwise nil.
+func (d *Directory) decodeRelayed(r *RelayedUpdate) *route.Table {
+	current := d.Snapshot().Table
+	if r.Configuration == nil || current != nil && current.Version >= r.Version {
+		return nil
 	}
-	if r.After > d.cursor[kind] {
-		d.behind[kind] = true
-		return
+	table, err := d.opts.Store.DecodeConfiguration(r.Configuration)
+	if err == nil && table.Version != r.Version {
+		err = fmt.Errorf("version %d, expected %d", table.Version, r.Version)
 	}
-	changed := false
-	for _, c := range r.Changes {
-		if d.applyChange(kind, Change{Name: c.Name, Deleted: c.Deleted, Backend: c.Backend}) {
-			changed = true
-		}
+	if err != nil {
+		d.opts.Log.Error().Err(err).Int64("version", r.Version).Msg("relayed configuration cannot be decoded")
+		return nil
 	}
-	d.cursor[kind] = r.Revision
-	// Relayed changes are not relayed again. If this host becomes a store reader, its
-	// updates cover only what it read from the store after this revision.
-	d.logStart[kind], d.changeLog[kind] = r.Revision, nil
-	if changed {
-		d.publish()
+	return table
+}
+
+// applyRelayedKind applies the changes of a kind if none is missing before them, and
+// otherwise sets behind. It reports whether the state changed.
+func (d *Directory) applyRelayedKind(kind Kind, r RelayedKind) (changed bool) {
+	switch {
+	case r.Revision == 0 || d.loaded[kind] && r.Revision <= d.cursor[kind]:
+		return false
+	case r.Full:
+	case !d.loaded[kind]:
+		return false
+	case r.After > d.cursor[kind]:
+		d.setBehind(kind, true)
+		return false
 	}
+	return d.applyBatch(kind, Batch{Changes: r.Changes, Revision: r.Revision}, r.Full)
+}
+
+// setBehind sets whether changes of a kind are missing.
+func (d *Directory) setBehind(kind Kind, behind bool) {
+	if behind && !d.behind[kind] {
+		d.behindSince[kind] = d.opts.Clock()
+	}
+	d.behind[kind] = behind
 }
 
 // relayStatus reports whether relayed updates can replace this host's own calls, and
@@ -199,13 +352,14 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.opts.Clock()
-	relayed = d.relayedConfirmedAt > 0 && now-d.relayedConfirmedAt < relayedAgeMargin+d.opts.WatchTimeouts[Configuration] && now-d.relayEchoSentAt < relayTimeout
+	confirmed := d.relayedConfirmedAt > 0 && now-d.relayedConfirmedAt < relayedAgeMargin+d.opts.WatchTimeouts[Configuration]
+	relayed = now-d.relayEchoSentAt < relayTimeout && (confirmed || d.readersNamed.Load())
 	if relayed != d.following[kind] {
 		d.following[kind] = relayed
 		d.opts.Log.Info().Stringer("kind", kind).Bool("relayed", relayed).Dur("heard_ago", now-d.relayEchoSentAt).
 			Dur("confirmed_ago", now-d.relayedConfirmedAt).Msg("switched between relayed updates and own store calls")
 	}
-	return relayed, d.behind[kind]
+	return relayed, d.behind[kind] && now-d.behindSince[kind] >= catchUpTime
 }
 
 // waitWhileRelayed waits while relayed updates suffice. It returns the timeout of the
@@ -224,3 +378,20 @@
 	}
 	return 0
 }
+
+// waitForFirst waits until another host has relayed all objects of a kind, or this host is to read them itself. It
+// reports whether they were relayed.
+func (d *Directory) waitForFirst(ctx context.Context, kind Kind) bool {
+	deadline := d.opts.Clock() + startGrace
+	for {
+		d.mu.Lock()
+		loaded := d.loaded[kind]
+		d.mu.Unlock()
+		if loaded {
+			return true
+		}
+		if d.storeReader.Load() || d.opts.Clock() >= deadline || !wait.For(ctx, firstPollInterval) {
+			return false
+		}
+	}
+}
--- a/internal/directory/relay_test.go
+++ b/internal/directory/relay_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"monsoonkeel.example/monsoonkeel/core/fleet"
 )
 
 // newRegion returns a store reader and a follower with the same state at revision 10.
@@ -22,7 +24,7 @@
 		d.apply(Backends, Batch{Changes: []Change{ready("a"), ready("b")}, Revision: 10}, true, c.Now())
 		d.apply(DomainsOut, Batch{Revision: 10}, true, c.Now())
 	}
-	follower.SetStoreReader(false)
+	reader.SetStoreReader(true)
 	return reader, follower, c
 }
 
@@ -47,7 +49,7 @@
 }
 
 // Guards against a follower that stays without a change: if it missed the relayed updates
-// for longer than these repeat the change, it must call the store.
+// for longer than these repeat the change, it must call the store, unless another host sends what it lacks.
 func TestMissedChangesRequireAStoreCall(t *testing.T) {
 	reader, follower, c := newRegion(t)
 	reader.apply(Backends, Batch{Changes: []Change{terminating("a")}, Revision: 12}, false, c.Now())
@@ -55,14 +57,69 @@
 	follower.ApplyRelayed(reader.RelayedUpdate(), c.Now())
 	assert.False(t, follower.Snapshot().Servers["a"].Leaving)
 	_, behind := follower.relayStatus(Backends)
+	assert.False(t, behind, "other hosts may send it")
+	c.advance(catchUpTime)
+	_, behind = follower.relayStatus(Backends)
 	assert.True(t, behind)
 	follower.apply(Backends, Batch{Changes: []Change{terminating("a")}, Revision: 12}, false, c.Now())
 	_, behind = follower.relayStatus(Backends)
 	assert.False(t, behind)
 }
 
-// Guards against lost changes when a follower becomes a store reader: its updates cover
-// only the changes that it read from the store itself.
+// Guards against hosts that all call the store for changes that another host has: it sends each of them what it lacks,
+// the changes while it knows them and all objects otherwise.
+func TestHostsGetWhatTheyLack(t *testing.T) {
+	for _, later := range []time.Duration{changeRetention + 1, logRetention + 1} {
+		reader, follower, c := newRegion(t)
+		reader.apply(Backends, Batch{Changes: []Change{terminating("a"), {Name: "b", Deleted: true}}, Revision: 12}, false, c.Now())
+		c.advance(later)
+		follower.ApplyRelayed(reader.RelayedUpdate(), c.Now())
+		missing := reader.Missing(follower.Versions())
+		require.NotNil(t, missing)
+		assert.Equal(t, later > logRetention, missing.Backends.Full)
+		follower.ApplyRelayed(missing, c.Now())
+		assert.True(t, follower.Snapshot().Servers["a"].Leaving)
+		assert.True(t, follower.Snapshot().Servers["b"].Removed)
+		assert.Nil(t, reader.Missing(follower.Versions()))
+		c.advance(catchUpTime)
+		_, behind := follower.relayStatus(Backends)
+		assert.False(t, behind)
+	}
+}
+
+// Guards against hosts that all read the store when they start: they get everything from a host that has it.
+func TestHostsStartFromTheStateOfAnother(t *testing.T) {
+	reader, _, c := newRegion(t)
+	store := &fakeStore{}
+	starting, _ := newDirectory(store)
+	starting.opts.Clock = c.Now
+	reader.apply(Configuration, Batch{Changes: []Change{{Name: "main", Table: configuration(2).Table, Raw: []byte("2")}}, Revision: 11}, false, c.Now())
+	reader.apply(DomainsOut, Batch{Changes: []Change{{Name: "west-a"}}, Revision: 12}, false, c.Now())
+	reader.apply(Hosts, Batch{Changes: []Change{{Name: "h", Host: &fleet.Host{ID: "h"}}}, Revision: 13}, true, c.Now())
+	assert.Equal(t, Versions{}, starting.Versions())
+	starting.ApplyRelayed(reader.Missing(Versions{}), c.Now())
+	starting.ApplyRelayed(reader.RelayedUpdate(), c.Now())
+	s := starting.Snapshot()
+	assert.True(t, s.Complete)
+	assert.Equal(t, int64(2), s.Table.Version)
+	assert.Equal(t, reader.Snapshot().Servers, s.Servers)
+	assert.Equal(t, reader.Snapshot().DomainsOut, s.DomainsOut)
+	assert.Equal(t, reader.Snapshot().Hosts, s.Hosts)
+	age, known := starting.ConfigurationAge()
+	assert.True(t, known)
+	assert.Less(t, age, 2*time.Millisecond)
+	for _, kind := range relayedKinds {
+		assert.True(t, starting.waitForFirst(t.Context(), kind))
+	}
+	assert.Zero(t, store.lists)
+	// It passes on what it was sent.
+	another, _ := newDirectory(store)
+	another.ApplyRelayed(starting.Missing(Versions{}), c.Now())
+	assert.Equal(t, s.Servers, another.Snapshot().Servers)
+	assert.Equal(t, int64(2), another.Snapshot().Table.Version)
+}
+
+// Guards against lost changes when a follower becomes a store reader: it passes on the changes that were relayed to it.
 func TestFollowersThatBecomeStoreReaders(t *testing.T) {
 	reader, follower, c := newRegion(t)
 	_, third, _ := newRegion(t)
@@ -71,8 +128,26 @@
 	follower.ApplyRelayed(reader.RelayedUpdate(), c.Now())
 	follower.SetStoreReader(true)
 	third.ApplyRelayed(follower.RelayedUpdate(), c.Now())
-	_, behind := third.relayStatus(Backends)
-	assert.True(t, behind, "the third host lacks the change that was relayed to the second")
+	assert.True(t, third.Snapshot().Servers["a"].Leaving)
+	assert.Equal(t, int64(12), third.Versions().Backends)
+}
+
+// Guards against all hosts calling the store in an outage: while an aggregator names the store readers, the others make
+// no calls, however old the confirmation is; they do when they hear no aggregator.
+func TestNamedReadersMakeTheCalls(t *testing.T) {
+	reader, follower, c := newRegion(t)
+	follower.SetReadersNamed(true)
+	for range 20 {
+		c.advance(relayTimeout / 2)
+		follower.ApplyRelayed(reader.RelayedUpdate(), c.Now())
+		relayed, _ := follower.relayStatus(Backends)
+		assert.True(t, relayed)
+	}
+	age, _ := follower.ConfigurationAge()
+	assert.Equal(t, 10*relayTimeout, age.Truncate(time.Second), "the confirmation is as old as it is")
+	c.advance(relayTimeout)
+	relayed, _ := follower.relayStatus(Backends)
+	assert.False(t, relayed)
 }
 
 // Guards against a configuration that looks fresher than it is because a datagram was
--- a/internal/directory/store.go
+++ b/internal/directory/store.go
@@ -42,6 +42,8 @@
 	Table   *route.Table
 	Backend *fleet.Backend
 	Host    *fleet.Host
+	// Raw is the configuration as the store holds it, for other hosts; nil for other kinds.
+	Raw []byte
 }
 
 // Batch holds the objects of a list, or the changes of a watch, as of Revision.
@@ -58,6 +60,8 @@
 	// Watch waits up to timeout for changes after a revision. It returns ErrCompacted
 	// if the store no longer has them all.
 	Watch(ctx context.Context, kind Kind, after int64, timeout time.Duration) (Batch, error)
+	// DecodeConfiguration decodes Change.Raw.
+	DecodeConfiguration(raw []byte) (*route.Table, error)
 	// Register writes the entry of a host.
 	Register(ctx context.Context, host fleet.Host) error
 	// Unregister deletes the entry of a host.
@@ -71,6 +75,8 @@
 	ColdUntil time.Duration
 	// Removed is set when the store has no entry; the process may still finish its requests.
 	Removed bool `json:"Gone"`
+	// NoticeHere is set if this host learned of the termination from the server itself.
+	NoticeHere bool
 }
 
 // Terminating reports whether the server gets no new work, because it announced its
--- a/internal/entry/dump.go
+++ b/internal/entry/dump.go
@@ -20,6 +20,8 @@
 		"connections":             p.callers.Open(),
 		"snapshot":                p.directory.Snapshot(),
 		"local":                   local,
+		"store_response_age_ms":   local.StoreResponseAge.Milliseconds(),
+		"gossip":                  p.gossip.Status(),
 	}
 	w.Header().Set("Content-Type", "application/json")
 	encoder := json.NewEncoder(w)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -92,6 +92,8 @@
 		ID:          s.HostID,
 		PeerAddress: net.JoinHostPort(s.PeerIP, strconv.Itoa(s.PeerPort)),
 		Domain:      s.Domain,
+		Region:      s.Region,
+		Capacity:    s.Capacity,
 		Incarnation: time.Now().UnixMilli(),
 	}
 	p.directory = directory.New(directory.Options{
@@ -102,7 +104,7 @@
 		WatchTimeouts: watchTimeouts(s),
 		OnChange: func(old, now *directory.Snapshot) {
 			p.gateway.ApplySnapshot(old, now)
-			if p.directory.IsStoreReader() {
+			if p.directory.Relays() {
 				// Send new notices at once: hosts that receive a termination notice at
 				// different times start their migrations by plans that do not fit together.
 				p.gossip.SendNow()
@@ -126,13 +128,15 @@
 		ResponseBufferBytes: int64(float64(s.MemoryBytes) * responseShare),
 	})
 	p.gossip = gossip.New(gossip.Options{
-		Self:      self,
-		Region:    s.Region,
-		Hosts:     func() map[string]fleet.Host { return p.directory.Snapshot().Hosts },
-		FillLocal: p.gateway.LocalState,
-		OnChange:  p.gateway.SetPeers,
-		Clock:     boottime.Now,
-		Log:       log,
+		Self:          self,
+		Region:        s.Region,
+		Hosts:         func() map[string]fleet.Host { return p.directory.Snapshot().Hosts },
+		FillLocal:     p.gateway.LocalState,
+		OnChange:      p.gateway.SetView,
+		Missing:       p.directory.Missing,
+		IsTerminating: p.gateway.IsTerminating,
+		Clock:         boottime.Now,
+		Log:           log,
 	})
 	p.callers = &connection.Server{
 		Limits:     p.gateway.Limits,
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -20,6 +20,9 @@
 	Store       string
 	MemoryBytes int64
 	MaxFiles    int
+	// Capacity is the processor time of the host, in thousandths of a core; 0 if unknown. The hosts with most of it
+	// collect the states of the others.
+	Capacity int
 	// ShutdownGrace is the time from SIGTERM to SIGKILL.
 	ShutdownGrace time.Duration
 	// UnreadyAfter is how long the readiness probe must fail until the host gets no new
--- a/internal/forward/answers.go
+++ b/internal/forward/answers.go
@@ -73,7 +73,7 @@
 
 // markTerminating records a termination notice that is not from the store.
 func (g *Gateway) markTerminating(id string, startTime int64, source string) {
-	if g.opts.Directory.MarkTerminating(id, startTime, source) {
+	if g.opts.Directory.MarkTerminating(id, startTime, source != sourcePeer, source) {
 		g.Metrics.Notices.Add(1)
 	}
 }
@@ -82,11 +82,12 @@
 // store or from answers.
 const maxAnnouncedPlain = 64
 
-// terminatingProcesses returns the processes with a termination notice that this host tells the others.
+// terminatingProcesses returns the processes with a termination notice that this host tells the others: all of them in a
+// mesh. In a group, aggregators pass on those that the store or another host has reported.
 func (g *Gateway) terminatingProcesses() (list []gossip.Process) {
-	plain := 0
+	plain, inMesh := 0, g.view.Load().InMesh
 	for id, s := range g.opts.Directory.Snapshot().Servers {
-		if !s.Leaving || s.Removed {
+		if !s.Leaving || s.Removed || !inMesh && !s.NoticeHere {
 			continue
 		}
 		if g.balancers.engineConfig(s.Service) == nil {
--- a/internal/forward/balancers.go
+++ b/internal/forward/balancers.go
@@ -2,16 +2,20 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"monsoonkeel.example/monsoonkeel/core/balance"
+	"monsoonkeel.example/monsoonkeel/core/fleet"
+	"monsoonkeel.example/monsoonkeel/core/quota"
 	"monsoonkeel.example/monsoonkeel/core/ratelimit"
 	"monsoonkeel.example/monsoonkeel/core/retry"
 	"monsoonkeel.example/monsoonkeel/core/route"
 	"monsoonkeel.example/monsoonkeel/core/serverstate"
+	"monsoonkeel.example/monsoonkeel/core/topology"
 	"monsoonkeel.example/monsoonkeel/internal/directory"
 )
 
@@ -22,10 +26,13 @@
 type balancers struct {
 	opts Options
 
-	mu        sync.Mutex
-	bounds    Bounds
-	services  map[string]*serviceState
-	hosts     int
+	mu       sync.Mutex
+	bounds   Bounds
+	services map[string]*serviceState
+	hosts    map[string]fleet.Host
+	// division divides limits among hosts, and quotas has the results by service and server.
+	division  *quota.Hosts
+	quotas    map[string]*serviceQuotas
 	addresses map[string]balance.Server // the servers in the snapshot, by address
 	peerLoads map[string]balance.Load
 	// limits are the rate limits that servers name.
@@ -53,7 +60,7 @@
 
 func newBalancers(opts Options) *balancers {
 	return &balancers{
-		opts: opts, bounds: opts.Bounds, services: map[string]*serviceState{}, addresses: map[string]balance.Server{},
+		opts: opts, bounds: opts.Bounds, services: map[string]*serviceState{}, addresses: map[string]balance.Server{}, quotas: map[string]*serviceQuotas{},
 		limits: ratelimit.New(opts.HostID, rand.Float64), refusals: serverstate.NewRefusals(rand.Float64),
 	}
 }
@@ -85,7 +92,7 @@
 }
 
 func (bs *balancers) applyLocked(now *directory.Snapshot) {
-	bs.hosts = len(now.Hosts)
+	bs.setHosts(now.Hosts)
 	eligible := map[string][]balance.Server{}
 	addresses := make(map[string]balance.Server, len(now.Servers))
 	for id, s := range now.Servers {
@@ -117,6 +124,7 @@
 		}
 		if s.config != nil {
 			bs.configure(&settings, s.config)
+			bs.setQuotas(name, s.config, eligible[name])
 		}
 		s.balancer.Configure(settings)
 		s.balancer.SetServers(eligible[name])
@@ -129,12 +137,55 @@
 	if config.Engine != nil {
 		settings.KVTokens = config.Engine.KVTokens
 	}
-	if config.ColdPerSecond > 0 {
-		total := config.ColdPerSecond*bs.bounds.ColdFactor + bs.bounds.ColdExtra
-		settings.Rate = balance.DivideRate(total, bs.hostCount(), bs.opts.HostID)
+	settings.Limited = config.ColdPerSecond > 0
+	if len(bs.hosts) > topology.MaxMesh {
+		settings.Choices = choicesOfMany
 	}
 }
 
+// choicesOfMany is the number of servers that a host compares in a deployment whose hosts learn of each other's load from
+// digests.
+const choicesOfMany = 2
+
+// serviceQuotas are the quotas of this host for the servers of a service.
+type serviceQuotas struct {
+	division *quota.Hosts
+	limit    float64
+	byServer map[string]int
+}
+
+// setHosts replaces the hosts among which limits are divided.
+func (bs *balancers) setHosts(hosts map[string]fleet.Host) {
+	if bs.division != nil && maps.Equal(bs.hosts, hosts) {
+		return
+	}
+	bs.hosts = hosts
+	bs.division = quota.NewHosts(bs.opts.HostID, bs.opts.Region, hosts, assumedHosts)
+}
+
+// setQuotas sets the quotas of the servers of a service.
+func (bs *balancers) setQuotas(service string, config *route.Service, servers []balance.Server) {
+	if config.ColdPerSecond <= 0 {
+		return
+	}
+	limit := config.ColdPerSecond*bs.bounds.ColdFactor + bs.bounds.ColdExtra
+	known := bs.quotas[service]
+	if known == nil || known.division != bs.division || known.limit != limit {
+		known = &serviceQuotas{division: bs.division, limit: limit}
+		bs.quotas[service] = known
+	}
+	byServer := make(map[string]int, len(servers))
+	for i := range servers {
+		id := servers[i].ID
+		n, ok := known.byServer[id]
+		if !ok {
+			n = bs.division.Quota(id, servers[i].Region, limit)
+		}
+		servers[i].PerSecond, byServer[id] = n, n
+	}
+	known.byServer = byServer
+}
+
 // engineConfig returns the engine settings of a service, or nil for plain services.
 func (bs *balancers) engineConfig(service string) *route.Engine {
 	bs.mu.Lock()
@@ -146,10 +197,10 @@
 }
 
 func (bs *balancers) hostCount() int {
-	if bs.hosts == 0 {
+	if len(bs.hosts) == 0 {
 		return assumedHosts
 	}
-	return bs.hosts
+	return len(bs.hosts)
 }
 
 // setPeerLoad applies the load of the other hosts, by server.
--- a/internal/forward/bounds_test.go
+++ b/internal/forward/bounds_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"sync"
@@ -50,6 +51,10 @@
 	return directory.Batch{}, ctx.Err()
 }
 
+func (s *plainStore) DecodeConfiguration([]byte) (*route.Table, error) {
+	return nil, errors.New("no configuration")
+}
+
 func (s *plainStore) Register(context.Context, fleet.Host) error { return nil }
 
 func (s *plainStore) Unregister(context.Context, string) error { return nil }
@@ -83,7 +88,7 @@
 		// more than 1 ms, sync.Mutex hands it over in the order of arrival.
 		g.balancers.mu.Lock()
 		var wg sync.WaitGroup
-		for _, change := range []func(){func() { g.SetBounds(Bounds{}) }, func() { d.MarkTerminating(id, 1, "load report") }} {
+		for _, change := range []func(){func() { g.SetBounds(Bounds{}) }, func() { d.MarkTerminating(id, 1, true, "load report") }} {
 			wg.Add(1)
 			go func() {
 				defer wg.Done()
--- a/internal/forward/crashes.go
+++ b/internal/forward/crashes.go
@@ -5,7 +5,6 @@
 	"monsoonkeel.example/monsoonkeel/core/balance"
 	"monsoonkeel.example/monsoonkeel/core/verdict"
 	"monsoonkeel.example/monsoonkeel/internal/crashes"
-	"monsoonkeel.example/monsoonkeel/internal/gossip"
 )
 
 // begunEvents is the number of events after which the answer of a stream counts as begun. An engine
@@ -54,14 +53,3 @@
 		Engines: engines, Domains: len(domains),
 	}, cause)
 }
-
-// mergeEvidence adds the evidence of the other hosts from messages that were not merged before.
-func (g *Gateway) mergeEvidence(states []gossip.State) {
-	for _, s := range states {
-		id := gossip.MessageID{Incarnation: s.Incarnation, Sequence: s.Sequence}
-		if previous, ok := g.mergedEvidence.Swap(s.Host, id); ok && previous == id {
-			continue
-		}
-		g.crashes.Merge(s.Crashes, s.Answers, s.ReceivedAt, "another host reported")
-	}
-}
--- a/internal/forward/evidence_test.go
+++ b/internal/forward/evidence_test.go
@@ -96,7 +96,7 @@
 	g.crashes.Merge(reports, nil, time.Now(), "test")
 	elected := ""
 	for n := 1; elected == ""; n++ {
-		g.peers.Store(&[]gossip.State{{Host: fmt.Sprint("host-", n)}})
+		g.view.Store(&gossip.View{InMesh: true, Peers: []gossip.Peer{{Host: fmt.Sprint("host-", n)}}})
 		if !g.crashes.IsElected(g.crashes.Rejections()[0]) {
 			elected = fmt.Sprint("host-", n)
 		}
@@ -105,7 +105,7 @@
 	kept := map[attribution.Part]*keptEvidence{}
 	g.saveEvidence(t.Context(), kept)
 	require.Empty(t, store[part].Crashes, "%s saves it", elected)
-	g.peers.Store(&[]gossip.State{})
+	g.view.Store(&gossip.View{InMesh: true})
 	g.crashes.NewRequest("id", []string{"part"}, func() {}).RecordAnswer()
 	g.saveEvidence(t.Context(), kept)
 	assert.Empty(t, store)
--- a/internal/forward/gateway.go
+++ b/internal/forward/gateway.go
@@ -1,17 +1,17 @@
 package forward
 
 import (
+	"slices"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
-	"monsoonkeel.example/monsoonkeel/core/balance"
 	"monsoonkeel.example/monsoonkeel/core/retry"
 	"monsoonkeel.example/monsoonkeel/core/route"
+	"monsoonkeel.example/monsoonkeel/core/topology"
 	"monsoonkeel.example/monsoonkeel/core/verdict"
 	"monsoonkeel.example/monsoonkeel/internal/connection"
 	"monsoonkeel.example/monsoonkeel/internal/crashes"
@@ -60,16 +60,13 @@
 	responseBuffers *responseBuffers
 	generations     generations
 	crashes         *crashes.Guard
-	// mergedEvidence holds the gossip.MessageID of the newest message of each host whose evidence
-	// on prompt parts was merged.
-	mergedEvidence sync.Map
-	Metrics        Metrics
+	Metrics         Metrics
 	// shutdownDeadline is the time, in Unix nanoseconds, by which running requests
 	// must have ended because the host is shutting down; 0 otherwise.
 	shutdownDeadline atomic.Int64
 	bounds           atomic.Pointer[Bounds]
-	// peers are the latest gossip states of the other hosts.
-	peers atomic.Pointer[[]gossip.State]
+	// view is what this host knows of the others.
+	view atomic.Pointer[gossip.View]
 }
 
 // maxIdlePerServer limits the idle connections to a backend server, which accepts
@@ -86,7 +83,7 @@
 	g.crashes = crashes.New(crashes.Options{HostID: opts.HostID, Peers: g.peerIDs, Clock: opts.Clock, Log: opts.Log})
 	g.Metrics.crashes = g.crashes
 	g.responseBuffers = newResponseBuffers(opts.ResponseBufferBytes)
-	g.peers.Store(&[]gossip.State{})
+	g.view.Store(&gossip.View{InMesh: true, StoreResponseAge: -1})
 	g.generations.plannedUntil = map[string]time.Time{}
 	g.generations.byServer = map[string]map[*generation]struct{}{}
 	return g
@@ -197,59 +194,82 @@
 // LocalState fills in this host's gossip state.
 func (g *Gateway) LocalState(s *gossip.State) {
 	s.Loads, s.Generations = g.balancers.ownLoad(), g.generations.list(g.balancers)
-	s.StoreResponseAgeMS = g.opts.Directory.StoreResponseAge().Milliseconds()
+	s.StoreResponseAge = g.opts.Directory.StoreResponseAge()
 	s.StoreReader, s.RecentStoreFailure = g.opts.Directory.IsStoreReader(), g.opts.Directory.RecentStoreFailure()
-	s.RelayedUpdate = g.opts.Directory.RelayedUpdate()
+	s.RelayedUpdate, s.Versions = g.opts.Directory.RelayedUpdate(), g.opts.Directory.Versions()
 	s.Crashes, s.Answers = g.crashes.Evidence()
 	s.Limits = g.balancers.rateLimitReports()
 	s.Terminating = g.terminatingProcesses()
 }
 
-// SetPeers applies the gossip states of the other hosts.
-func (g *Gateway) SetPeers(states []gossip.State) {
-	g.peers.Store(&states)
-	loads := map[string]balance.Load{}
-	for _, s := range states {
-		for id, l := range s.Loads {
-			loads[id] = loads[id].Plus(l)
-		}
+// SetView applies what is known of the other hosts.
+func (g *Gateway) SetView(v gossip.View) {
+	g.view.Store(&v)
+	g.balancers.setPeerLoad(v.Loads)
+	for _, e := range v.Evidence {
+		g.crashes.Merge(e.Crashes, e.Answers, time.Now().Add(e.At-g.opts.Clock()), "another host reported")
 	}
-	g.balancers.setPeerLoad(loads)
-	g.mergeEvidence(states)
-	g.balancers.setPeerLimits(states)
-	g.opts.Directory.SetStoreReader(g.isStoreReader(states))
-	for _, s := range states {
-		if s.RelayedUpdate != nil && s.Region == g.opts.Region && s.EchoSentAt > 0 {
-			g.opts.Directory.ApplyRelayed(s.RelayedUpdate, s.EchoSentAt)
-		}
-		for _, p := range s.Terminating {
-			g.markTerminating(p.ID, p.StartTime, sourcePeer)
-		}
+	g.balancers.setPeerLimits(v.Limits, v.UnreportedHosts)
+	d := g.opts.Directory
+	d.SetRelaying(!v.InMesh && v.Role != topology.Member)
+	d.SetReadersNamed(v.ReadersNamed)
+	switch {
+	case v.InMesh:
+		d.SetStoreReader(g.isStoreReader(v.Peers))
+	case v.Role == topology.Primary:
+		d.SetStoreReader(!d.RecentStoreFailure() || g.noReaderAmong(v.Peers))
+	default:
+		d.SetStoreReader(v.StoreReader)
+	}
+	for _, u := range v.Updates {
+		d.ApplyRelayed(u.RelayedUpdate, u.EchoSentAt)
+	}
+	for _, p := range v.Terminating {
+		g.markTerminating(p.ID, p.StartTime, sourcePeer)
 	}
 }
 
-// peerIDs returns the IDs of the other live hosts.
+// IsTerminating reports whether a server terminates and may still run generations.
+func (g *Gateway) IsTerminating(server string) bool {
+	s := g.opts.Directory.Snapshot().Servers[server]
+	return s != nil && s.Leaving
+}
+
+// peerIDs returns the IDs of the other hosts: of the live ones in a mesh, else of all.
 func (g *Gateway) peerIDs() []string {
-	peers := *g.peers.Load()
-	ids := make([]string, 0, len(peers))
-	for _, s := range peers {
-		ids = append(ids, s.Host)
+	v := g.view.Load()
+	var ids []string
+	if v.InMesh {
+		for _, p := range v.Peers {
+			ids = append(ids, p.Host)
+		}
+		return ids
+	}
+	for id := range g.opts.Directory.Snapshot().Hosts {
+		if id != g.opts.HostID {
+			ids = append(ids, id)
+		}
 	}
 	return ids
 }
 
-// isStoreReader reports whether this host is the store reader of its region. The store
+// noReaderAmong reports whether the store calls of all other hosts of the group have failed recently too.
+func (g *Gateway) noReaderAmong(peers []gossip.Peer) bool {
+	return !slices.ContainsFunc(peers, func(p gossip.Peer) bool { return !p.RecentStoreFailure })
+}
+
+// isStoreReader reports whether this host is the store reader of its region in a mesh. The store
 // reader is the live host of the region with the lowest hash, where hosts without a
 // recent store failure come before hosts with one.
-func (g *Gateway) isStoreReader(states []gossip.State) bool {
+func (g *Gateway) isStoreReader(peers []gossip.Peer) bool {
 	own := xxhash.Sum64String(g.opts.HostID)
 	recentFailure := g.opts.Directory.RecentStoreFailure()
-	for _, s := range states {
-		if s.Region != g.opts.Region {
+	for _, p := range peers {
+		if p.Region != g.opts.Region {
 			continue
 		}
-		precedes := xxhash.Sum64String(s.Host) < own
-		if s.RecentStoreFailure != recentFailure {
+		precedes := xxhash.Sum64String(p.Host) < own
+		if p.RecentStoreFailure != recentFailure {
 			precedes = recentFailure
 		}
 		if precedes {
--- a/internal/forward/noticepoll.go
+++ b/internal/forward/noticepoll.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"monsoonkeel.example/monsoonkeel/core/outage"
+	"monsoonkeel.example/monsoonkeel/core/topology"
+	"monsoonkeel.example/monsoonkeel/internal/gossip"
 )
 
 const (
@@ -36,28 +39,24 @@
 // storeUnavailable reports whether the store has answered no host for longer than the
 // outage detection timeout, which allows for watches that end at different times.
 func (g *Gateway) storeUnavailable() bool {
-	peers := *g.peers.Load()
-	age := g.opts.Directory.StoreResponseAge()
-	readers := 0
+	v := g.view.Load()
+	age, readers := g.opts.Directory.StoreResponseAge(), v.StoreReaders
 	if g.opts.Directory.IsStoreReader() {
 		readers++
 	}
-	now := time.Now()
-	for _, p := range peers {
-		if p.StoreReader {
-			readers++
-		}
-		age = min(age, time.Duration(p.StoreResponseAgeMS)*time.Millisecond+now.Sub(p.ReceivedAt))
+	if v.StoreResponseAge >= 0 {
+		age = min(age, v.StoreResponseAge+g.opts.Clock()-v.At)
 	}
 	return age > outage.DetectionTimeout(g.opts.WatchTimeouts, readers)
 }
 
 // pollEngines polls the engines where this host has generations. If several hosts have
-// generations at one engine, only the first of them by ID polls it.
+// generations at one engine, only the first of them by ID polls it. In a group, its primary
+// aggregator polls those of its region for all hosts.
 func (g *Gateway) pollEngines(ctx context.Context) {
 	for id, s := range g.opts.Directory.Snapshot().Servers {
 		engine := g.balancers.engineConfig(s.Service)
-		if s.Terminating() || engine == nil || !engine.CanMigrate || len(g.generations.at(id)) == 0 || g.polledByPeer(id) || !g.balancers.takeRate(id, s.StartTime) {
+		if s.Terminating() || engine == nil || !engine.CanMigrate || !g.pollsEngine(id, s.Region) || !g.balancers.takeRate(id, s.StartTime) {
 			continue
 		}
 		go func() {
@@ -75,16 +74,27 @@
 	}
 }
 
+// pollsEngine reports whether this host polls an engine in a region.
+func (g *Gateway) pollsEngine(server, region string) bool {
+	v := g.view.Load()
+	hasOwn := len(g.generations.at(server)) > 0
+	switch {
+	case v.InMesh:
+		return hasOwn && !g.polledByPeer(v, server)
+	case v.Role == topology.Primary:
+		return region == g.opts.Region && (hasOwn || v.Loads[server].Requests > 0)
+	case v.ReadersNamed:
+		return false // the primary aggregator does
+	default:
+		return hasOwn
+	}
+}
+
 // polledByPeer reports whether a host with a lower ID has generations at the engine.
-func (g *Gateway) polledByPeer(server string) bool {
-	for _, peer := range *g.peers.Load() {
-		if peer.Host >= g.opts.HostID {
-			continue
-		}
-		for _, r := range peer.Generations {
-			if r.Server == server {
-				return true
-			}
+func (g *Gateway) polledByPeer(v *gossip.View, server string) bool {
+	for _, peer := range v.Peers {
+		if peer.Host < g.opts.HostID && slices.ContainsFunc(peer.Generations, func(r gossip.Generation) bool { return r.Server == server }) {
+			return true
 		}
 	}
 	return false
--- a/internal/forward/notices_test.go
+++ b/internal/forward/notices_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"testing"
@@ -12,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"monsoonkeel.example/monsoonkeel/core/fleet"
+	"monsoonkeel.example/monsoonkeel/core/route"
 	"monsoonkeel.example/monsoonkeel/internal/directory"
 	"monsoonkeel.example/monsoonkeel/internal/gossip"
 	"monsoonkeel.example/monsoonkeel/internal/wait"
@@ -55,6 +57,11 @@
 	return directory.Batch{Revision: after}, nil
 }
 
+// DecodeConfiguration implements directory.Store.
+func (*listedServers) DecodeConfiguration([]byte) (*route.Table, error) {
+	return nil, errors.New("no configuration")
+}
+
 // Register implements directory.Store.
 func (*listedServers) Register(context.Context, fleet.Host) error { return nil }
 
@@ -76,6 +83,7 @@
 		WatchTimeouts: map[directory.Kind]time.Duration{directory.Backends: time.Second, directory.Configuration: time.Second, directory.DomainsOut: time.Second},
 	})
 	g := &Gateway{opts: opts, balancers: newBalancers(opts)}
+	g.view.Store(&gossip.View{InMesh: true})
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	go opts.Directory.Run(ctx)
--- a/internal/forward/ratelimits.go
+++ b/internal/forward/ratelimits.go
@@ -6,7 +6,6 @@
 	"monsoonkeel.example/monsoonkeel/core/balance"
 	"monsoonkeel.example/monsoonkeel/core/ratelimit"
 	"monsoonkeel.example/monsoonkeel/core/serverstate"
-	"monsoonkeel.example/monsoonkeel/internal/gossip"
 )
 
 // wakeInterval is the time between two checks whether a rate limit allows a waiting request.
@@ -21,14 +20,11 @@
 	}
 }
 
-// setPeerLimits applies what the other hosts know of rate limits, and their demand.
-func (bs *balancers) setPeerLimits(states []gossip.State) {
-	hosts := make([]ratelimit.HostReports, len(states))
-	for i, s := range states {
-		hosts[i] = ratelimit.HostReports{Host: s.Host, ReceivedAt: s.ReceivedAt, Reports: s.Limits}
-	}
+// setPeerLimits applies what the other hosts know of rate limits, and their demand. unreported is the number of other
+// live hosts without demand.
+func (bs *balancers) setPeerLimits(hosts []ratelimit.HostReports, unreported int) {
 	bs.mu.Lock()
-	changed := bs.limits.Merge(hosts, time.Now())
+	changed := bs.limits.Merge(hosts, unreported, time.Now())
 	limits := bs.limits.Limits()
 	bs.mu.Unlock()
 	if changed {
--- a/internal/forward/terminating.go
+++ b/internal/forward/terminating.go
@@ -57,14 +57,16 @@
 		return
 	}
 	byID := make(map[string]*generation, len(affected))
-	planned := g.peerGenerations(s)
+	for _, gen := range affected {
+		byID[gen.r.id] = gen
+	}
+	planned := g.peerGenerations(s, byID)
 	var withStandby []*generation
 	for _, gen := range affected {
 		if gen.hasStandby() {
 			withStandby = append(withStandby, gen)
 			continue
 		}
-		byID[gen.r.id] = gen
 		planned = append(planned, migrate.Generation{
 			ID: gen.r.id, Tokens: gen.tokens(engine.EventTokens), Priority: gen.migrationPriority(), CrossRegion: s.Region != g.opts.Region, RelayedHere: true,
 		})
@@ -94,13 +96,11 @@
 
 // peerGenerations returns the generations of the other hosts at an engine, without those
 // that have a standby replica.
-func (g *Gateway) peerGenerations(s *directory.Server) []migrate.Generation {
+func (g *Gateway) peerGenerations(s *directory.Server, own map[string]*generation) []migrate.Generation {
 	var out []migrate.Generation
-	for _, peer := range *g.peers.Load() {
-		for _, r := range peer.Generations {
-			if r.Server == s.ID && !r.HasStandby {
-				out = append(out, migrate.Generation{ID: r.ID, Tokens: r.Tokens, Priority: r.MigrationPriority, CrossRegion: peer.Region != s.Region})
-			}
+	for _, r := range g.view.Load().Generations {
+		if r.Server == s.ID && !r.HasStandby && own[r.ID] == nil {
+			out = append(out, migrate.Generation{ID: r.ID, Tokens: r.Tokens, Priority: r.MigrationPriority, CrossRegion: r.Region != s.Region})
 		}
 	}
 	return out
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net"
+	"net/netip"
 	"sync"
 	"testing"
 	"time"
@@ -16,44 +16,148 @@
 	"monsoonkeel.example/monsoonkeel/core/attribution"
 	"monsoonkeel.example/monsoonkeel/core/balance"
 	"monsoonkeel.example/monsoonkeel/core/fleet"
+	"monsoonkeel.example/monsoonkeel/core/ratelimit"
+	"monsoonkeel.example/monsoonkeel/core/topology"
+	"monsoonkeel.example/monsoonkeel/internal/directory"
 )
 
-func clock() time.Duration { return time.Duration(time.Now().UnixNano()) }
+// manualClock is a clock that the test advances.
+type manualClock struct {
+	mu  sync.Mutex
+	now time.Duration
+}
+
+func (c *manualClock) Now() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+func (c *manualClock) advance(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now += d
+}
+
+var from = netip.MustParseAddrPort("127.0.0.1:9")
 
 func message(t *testing.T, host string, incarnation, sequence int64, requests int) []byte {
 	t.Helper()
-	m, err := json.Marshal(State{
+	m, err := encode(&State{
 		Host: host, Incarnation: incarnation, Sequence: sequence, Loads: map[string]balance.Load{"s": {Requests: requests}},
 	})
 	require.NoError(t, err)
 	return m
 }
 
+// newExchange returns an Exchange among hosts whose views are appended to the list.
+func newExchange(self fleet.Host, hosts map[string]fleet.Host, views *[]View) (*Exchange, *manualClock) {
+	clock := &manualClock{now: time.Hour}
+	return New(Options{
+		Self: self, Region: self.Region, Log: zerolog.Nop(), Clock: clock.Now, Hosts: func() map[string]fleet.Host { return hosts },
+		FillLocal: func(*State) {}, OnChange: func(v View) { *views = append(*views, v) }, IsTerminating: func(string) bool { return false },
+	}), clock
+}
+
 // Guards against a state that is not sent at all because the crashes of engines do not fit into a datagram
 // beside the generations.
 func TestLargeStateIsSentWithoutCrashes(t *testing.T) {
-	e := New(Options{Self: fleet.Host{ID: "me"}, Log: zerolog.Nop(), Clock: clock})
 	s := State{Host: "me"}
 	for n := range 800 {
 		s.Generations = append(s.Generations, Generation{ID: fmt.Sprintf("%016x", n), Server: "i-0000000000", Tokens: 4000, MigrationPriority: 100000})
 	}
-	require.NotNil(t, e.encode(s))
-	s.Crashes = []attribution.Report{{Parts: make([]attribution.Part, 1000)}}
+	encoded, err := encodeBounded(&s, zerolog.Nop())
+	require.NoError(t, err)
+	require.NotEmpty(t, encoded)
+	s.Crashes = []attribution.Report{{Parts: make([]attribution.Part, 10000)}}
 	for i := range s.Crashes[0].Parts {
 		s.Crashes[0].Parts[i] = 1<<48 - 1
 	}
-	var sent State
-	require.NoError(t, json.Unmarshal(e.encode(s), &sent))
+	encoded, err = encodeBounded(&s, zerolog.Nop())
+	require.NoError(t, err)
+	sent, err := decode(encoded)
+	require.NoError(t, err)
 	assert.Equal(t, 800, len(sent.Generations))
 	assert.Zero(t, len(sent.Crashes))
 }
 
+// Guards against a field of a message that is lost or changed on the way.
+func TestMessagesKeepAllFields(t *testing.T) {
+	load := map[string]balance.Load{"s": {Requests: 2, Tokens: 7000, Prefill: 3000}}
+	crash := attribution.Report{Process: attribution.Process{ID: "s", StartTime: 5}, Address: "a", Domain: "d", AgeMS: 6, Engines: 7, Domains: 2, Parts: []attribution.Part{8, 9}}
+	limit := ratelimit.Report{ID: "s", StartTime: 5, Limit: 2.5, AgeMS: -1, Demand: 0.5}
+	s := State{
+		Host: "h", Region: "west", Incarnation: 3, Sequence: 4, Loads: load,
+		Generations: []Generation{{ID: "g", Server: "s", Tokens: 5, MigrationPriority: 6, HasStandby: true, Region: "west"}},
+		Terminating: []Process{{ID: "s", StartTime: 5}}, Crashes: []attribution.Report{crash}, Answers: []attribution.Answer{{Part: 3, AgeMS: 4}},
+		Limits: []ratelimit.Report{limit}, StoreResponseAge: 30 * time.Millisecond, StoreReader: true, RecentStoreFailure: true,
+		Versions: directory.Versions{Configuration: 1, Backends: 2, DomainsOut: 3, Hosts: 4}, Role: topology.Primary, Readers: []string{"h"},
+		RelayedUpdate: &directory.RelayedUpdate{
+			Version: 7, ConfirmedAgo: 5 * time.Millisecond, RecentOutage: true,
+			Backends: directory.RelayedKind{After: 1, Revision: 2, Changes: []directory.Change{
+				{Name: "b", Backend: &fleet.Backend{ID: "b", StartTime: 1, Service: "m", Address: "10.0.0.1:1", Domain: "d", Region: "r", Slots: 3, Leaving: true, ColdLeft: time.Second}},
+				{Name: "c", Deleted: true},
+			}},
+			DomainsOut: directory.RelayedKind{Revision: 3, Full: true, Changes: []directory.Change{{Name: "d"}}},
+			Hosts: directory.RelayedKind{After: 3, Revision: 4, Changes: []directory.Change{
+				{Name: "x", Host: &fleet.Host{ID: "x", PeerAddress: "10.0.0.2:1", Domain: "d", Region: "r", Incarnation: 4, Capacity: 800}},
+			}},
+		},
+		Digests: []Digest{{
+			Group: topology.GroupID{Region: "east", Index: 2}, Age: 7 * time.Millisecond, Hosts: 9, Loads: load,
+			Generations: []Generation{{ID: "k", Server: "s", Region: "north"}}, Terminating: []Process{{ID: "t", StartTime: 1}},
+			Crashes: []attribution.Report{crash}, Answers: []attribution.Answer{{Part: 3, AgeMS: 4}},
+			Limits: []HostLimit{{Host: "x", Report: limit}}, StoreResponseAge: 8 * time.Millisecond, StoreReaders: 2,
+		}},
+	}
+	base, err := encode(&s)
+	require.NoError(t, err)
+	var compressed compressedConfiguration
+	missing := &directory.RelayedUpdate{
+		Version: 7, ConfirmedAgo: s.RelayedUpdate.ConfirmedAgo, RecentOutage: true,
+		Backends: directory.RelayedKind{Revision: 2, Full: true, Changes: []directory.Change{{Name: "b2", Backend: &fleet.Backend{ID: "b2"}}}},
+	}
+	suffix, err := encodeSuffix(MessageID{Incarnation: 1, Sequence: 2}, []Generation{{ID: "n", Server: "s", Region: "north"}}, missing, compressed.compress(7, []byte(`{"version":7}`)))
+	require.NoError(t, err)
+	got, err := decode(append(base, suffix...))
+	require.NoError(t, err)
+	assert.Equal(t, MessageID{Incarnation: 1, Sequence: 2}, got.Echo)
+	assert.Equal(t, `{"version":7}`, string(got.RelayedUpdate.Configuration))
+	assert.True(t, got.RelayedUpdate.Backends.Full)
+	assert.Len(t, got.RelayedUpdate.Backends.Changes, 3)
+	assert.Equal(t, []Generation{{ID: "n", Server: "s", Region: "north"}}, got.TerminatingGenerations)
+	got.Echo, got.RelayedUpdate.Configuration, got.TerminatingGenerations = MessageID{}, nil, nil
+	got.RelayedUpdate.Backends.Full, got.RelayedUpdate.Backends.Changes = false, got.RelayedUpdate.Backends.Changes[:2]
+	assert.Equal(t, &s, got)
+}
+
+// Guards against a compressed configuration that fills the memory of the host, and against one that does not fit into a
+// message.
+func TestConfigurationsAreBounded(t *testing.T) {
+	var compressed compressedConfiguration
+	bomb := compressed.compress(1, make([]byte, maxDecompressedBytes+1))
+	require.NotNil(t, bomb)
+	suffix, err := encodeSuffix(MessageID{}, nil, &directory.RelayedUpdate{Version: 1}, bomb)
+	require.NoError(t, err)
+	_, err = decode(append(message(t, "a", 1, 1, 1), suffix...))
+	assert.ErrorIs(t, err, errInvalidMessage)
+	random := make([]byte, 3*maxConfigurationBytes)
+	for i := range random {
+		random[i] = byte(i * i >> 3 * 2654435761 >> 5)
+	}
+	seed := uint64(1)
+	for i := range random {
+		seed = seed*6364136223846793005 + 1442695040888963407
+		random[i] = byte(seed >> 56)
+	}
+	assert.Nil(t, compressed.compress(2, random))
+}
+
 // Guards against datagrams that are delayed, duplicated or invalid: only a newer message
 // replaces a host's state. A host without a message for peerTimeout is dropped.
 func TestOnlyNewerMessagesAreApplied(t *testing.T) {
-	var states []State
-	e := New(Options{Self: fleet.Host{ID: "me"}, OnChange: func(s []State) { states = s }, Log: zerolog.Nop(), Clock: clock})
-	now := time.Unix(1000, 0)
+	var views []View
+	e, clock := newExchange(fleet.Host{ID: "me"}, nil, &views)
 	for _, step := range []struct {
 		message []byte
 		want    int
@@ -65,15 +169,18 @@
 		{message(t, "a", 1, 99, 9), 7},
 		{message(t, "me", 1, 1, 9), 7},
 		{[]byte("garbled"), 7},
-		{[]byte(`{"h":""}`), 7},
+		{message(t, "", 3, 1, 9), 7},
 	} {
-		e.receive(step.message, now)
-		require.Len(t, states, 1)
-		assert.Equal(t, step.want, states[0].Loads["s"].Requests)
+		e.receive(step.message, from)
+		view := views[len(views)-1]
+		require.Len(t, view.Peers, 1)
+		assert.Equal(t, step.want, view.Loads["s"].Requests)
 	}
-	e.receive(message(t, "b", 1, 1, 1), now.Add(peerTimeout+1))
-	require.Len(t, states, 1)
-	assert.Equal(t, "b", states[0].Host)
+	clock.advance(peerTimeout + 1)
+	e.receive(message(t, "b", 1, 1, 1), from)
+	view := views[len(views)-1]
+	require.Len(t, view.Peers, 1)
+	assert.Equal(t, "b", view.Peers[0].Host)
 }
 
 // Two hosts receive each other's generations.
@@ -97,10 +204,10 @@
 				s.Loads = map[string]balance.Load{"s": {Requests: 1}}
 				s.Generations = []Generation{{ID: "generation-" + id, Server: "s", Tokens: 5}}
 			},
-			OnChange: func(states []State) {
+			OnChange: func(v View) {
 				mu.Lock()
 				defer mu.Unlock()
-				received[id] = states[0].Generations[0].ID
+				received[id] = v.Generations[0].ID
 			},
 		})
 		go func() { assert.NoError(t, e.Run(ctx)) }()
@@ -112,12 +219,32 @@
 	}, 3*time.Second, 5*time.Millisecond)
 }
 
+func clock() time.Duration { return time.Duration(time.Now().UnixNano()) }
+
 func FuzzReceive(f *testing.F) {
-	f.Add([]byte(`{"h":"a","b":1,"q":2,"l":{"s":{"r":1}},"u":[{"i":"x","s":"s","t":5}]}`))
-	f.Add([]byte(`{"h":"a","l":null,"u":[null]}`))
-	f.Fuzz(func(_ *testing.T, m []byte) {
-		e := New(Options{Self: fleet.Host{ID: "me"}, OnChange: func([]State) {}, Log: zerolog.Nop(), Clock: clock})
-		e.receive(m, time.Now())
+	small, err := encode(&State{Host: "a", Incarnation: 1, Sequence: 2, Loads: map[string]balance.Load{"s": {Requests: 1}}, Generations: []Generation{{ID: "x", Server: "s", Tokens: 5}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(small)
+	large, err := encode(&State{Host: "b", Role: topology.Primary, Readers: []string{"me"}, RelayedUpdate: &directory.RelayedUpdate{
+		Version: 2, Backends: directory.RelayedKind{Revision: 3, Full: true, Changes: []directory.Change{{Name: "s", Backend: &fleet.Backend{ID: "s"}}}},
+	}, Digests: []Digest{{Group: topology.GroupID{Region: "west"}, Loads: map[string]balance.Load{"s": {Requests: -1}}}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(large)
+	f.Fuzz(func(t *testing.T, m []byte) {
+		var views []View
+		e, _ := newExchange(fleet.Host{ID: "me", Region: "west"}, nil, &views)
+		e.receive(m, from)
+		for _, v := range views {
+			for _, l := range v.Loads {
+				if l.Requests < 0 || l.Tokens < 0 || l.Prefill < 0 {
+					t.Fatalf("negative load %+v", l)
+				}
+			}
+		}
 	})
 }
 
@@ -125,65 +252,68 @@
 // message that it echoes. An echo of an earlier incarnation of this host, or of a message
 // that was never sent, has no send time.
 func TestEchoesIdentifyTheSendTime(t *testing.T) {
-	now := 10 * time.Second
-	e := New(Options{
-		Self: fleet.Host{ID: "me", Incarnation: 7}, Region: "west", Log: zerolog.Nop(),
-		Clock: func() time.Duration { return now }, OnChange: func([]State) {},
-	})
-	e.receive([]byte(`{"h":"near","r":"west","b":3,"q":4}`), time.Unix(1, 0))
-	e.receive([]byte(`{"h":"far","r":"east","b":3,"q":4}`), time.Unix(1, 0))
-	sequence, echo := e.beginMessage()
-	assert.Equal(t, map[string]MessageID{"near": {Incarnation: 3, Sequence: 4}}, echo)
-	now += time.Second
-	e.beginMessage()
-	assert.Equal(t, 10*time.Second, e.echoSentAt(MessageID{Incarnation: 7, Sequence: sequence}))
-	assert.Equal(t, 11*time.Second, e.echoSentAt(MessageID{Incarnation: 7, Sequence: sequence + 1}))
-	for _, m := range []MessageID{{}, {Incarnation: 6, Sequence: sequence}, {Incarnation: 7, Sequence: sequence + 2}} {
-		assert.Zero(t, e.echoSentAt(m))
+	var views []View
+	e, clock := newExchange(fleet.Host{ID: "me", Incarnation: 7}, nil, &views)
+	sequence := e.beginMessage(clock.Now(), nil)
+	clock.advance(time.Second)
+	e.beginMessage(clock.Now(), nil)
+	assert.Equal(t, time.Hour, e.sentMessage(MessageID{Incarnation: 7, Sequence: sequence}).at)
+	assert.Equal(t, time.Hour+time.Second, e.sentMessage(MessageID{Incarnation: 7, Sequence: sequence + 1}).at)
+	for _, m := range []MessageID{{}, {Incarnation: 7}, {Incarnation: 7, Sequence: -1}, {Incarnation: 6, Sequence: sequence}, {Incarnation: 7, Sequence: sequence + 2}} {
+		assert.Nil(t, e.sentMessage(m))
 	}
-	for range sentTimesKept {
-		e.beginMessage()
+	for range sentMessagesKept {
+		e.beginMessage(clock.Now(), nil)
 	}
-	assert.Zero(t, e.echoSentAt(MessageID{Incarnation: 7, Sequence: sequence}), "the send time is no longer kept")
+	assert.Nil(t, e.sentMessage(MessageID{Incarnation: 7, Sequence: sequence}), "the send time is no longer kept")
 }
 
 // Guards against hosts that receive the termination notice of an engine at different times
 // and then migrate their generations by plans that do not match. Such a change is sent at
-// once, even when the send interval is long.
+// once, even when the next message is not due.
 func TestSendNowDoesNotWaitForTheInterval(t *testing.T) {
 	listener, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	require.NoError(t, err)
 	defer func() { _ = listener.Close() }()
-	hosts := map[string]fleet.Host{"peer": {ID: "peer", PeerAddress: listener.LocalAddr().String()}}
-	for i := range 20 * fullRateHosts { // the interval grows to 3 s
-		hosts[fmt.Sprint("silent-", i)] = fleet.Host{PeerAddress: "not an address"}
+	for _, size := range []int{2, 60} {
+		hosts := map[string]fleet.Host{"peer": {ID: "peer", PeerAddress: listener.LocalAddr().String(), Region: "west"}}
+		for i := range size - 1 {
+			hosts[fmt.Sprint("silent-", i)] = fleet.Host{PeerAddress: "not an address", Region: "west"}
+		}
+		hosts["me"] = fleet.Host{ID: "me", PeerAddress: "127.0.0.1:0", Capacity: 1, Region: "west"}
+		var mu sync.Mutex
+		requests := 1
+		e := New(Options{
+			Self: hosts["me"], Region: "west", Log: zerolog.Nop(), Clock: clock, OnChange: func(View) {}, IsTerminating: func(string) bool { return false },
+			Hosts: func() map[string]fleet.Host { return hosts },
+			FillLocal: func(s *State) {
+				mu.Lock()
+				defer mu.Unlock()
+				s.Loads = map[string]balance.Load{"s": {Requests: requests}}
+			},
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() { assert.NoError(t, e.Run(ctx)) }()
+		require.NoError(t, listener.SetReadDeadline(time.Now().Add(5*time.Second)))
+		buffer := make([]byte, maxMessageBytes)
+		_, err = listener.Read(buffer)
+		require.NoError(t, err)
+		mu.Lock()
+		requests = 2
+		mu.Unlock()
+		start := time.Now()
+		e.SendNow()
+		e.SendNow()
+		for {
+			n, err := listener.Read(buffer)
+			require.NoError(t, err)
+			s, err := decode(buffer[:n])
+			require.NoError(t, err)
+			if s.Loads["s"].Requests == 2 {
+				break
+			}
+		}
+		assert.Less(t, time.Since(start), 100*time.Millisecond)
+		cancel()
 	}
-	var mu sync.Mutex
-	requests := 1
-	e := New(Options{
-		Self: fleet.Host{ID: "me", PeerAddress: "127.0.0.1:0"}, Log: zerolog.Nop(), Clock: clock, OnChange: func([]State) {},
-		Hosts: func() map[string]fleet.Host { return hosts },
-		FillLocal: func(s *State) {
-			mu.Lock()
-			defer mu.Unlock()
-			s.Loads = map[string]balance.Load{"s": {Requests: requests}}
-		},
-	})
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go func() { assert.NoError(t, e.Run(ctx)) }()
-	require.NoError(t, listener.SetReadDeadline(time.Now().Add(5*time.Second)))
-	buffer := make([]byte, maxMessageBytes)
-	_, err = listener.Read(buffer)
-	require.NoError(t, err)
-	mu.Lock()
-	requests = 2
-	mu.Unlock()
-	start := time.Now()
-	e.SendNow()
-	e.SendNow()
-	n, err := listener.Read(buffer)
-	require.NoError(t, err)
-	assert.Less(t, time.Since(start), 1500*time.Millisecond)
-	assert.Contains(t, string(buffer[:n]), `"r":2`)
 }
