Read the store at the start through few hosts

Ruled out: waiting longer at each start: a host that starts again gets the state from its aggregator. Change: only store readers read the evidence; the first list of hosts may be stale; where all hosts start for the first time, the lists begin after a second and the readers read after 2.5 s.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -35,6 +35,8 @@
 	// RelayTime returns how long a store reader relays a change; nil means changeRetention.
 	RelayTime func() time.Duration
 	Self      fleet.Host
+	// FirstStart is set if all hosts of the deployment start at about the same time.
+	FirstStart bool
 }
 
 const (
@@ -90,6 +92,8 @@
 	// storeReader is set if this host reads the store for others, relaying if it passes on what it knows, and
 	// readersNamed if an aggregator names the store readers.
 	storeReader, relaying, readersNamed atomic.Bool
+	// readsFrom is the Clock time from which this host may be a store reader.
+	readsFrom atomic.Int64
 	lastFailureAt                       atomic.Int64 // Clock time of the last failed call; 0: none
 	// registerAttempted is closed after the first attempt to write the entry of this host.
 	registerAttempted chan struct{}
@@ -156,6 +160,9 @@
 
 // Run keeps the snapshot up to date, and the entry of this host registered, until ctx ends.
 func (d *Directory) Run(ctx context.Context) {
+	if d.opts.FirstStart {
+		d.readsFrom.Store(int64(d.opts.Clock() + firstReadDelay))
+	}
 	var wg sync.WaitGroup
 	for _, kind := range []Kind{Configuration, Backends, DomainsOut} {
 		wg.Add(1)
--- a/internal/directory/hosts.go
+++ b/internal/directory/hosts.go
@@ -15,6 +15,8 @@
 	// initialHostLists is the number of lists read soon after the start: when a
 	// deployment starts, all hosts register at about that time.
 	initialHostLists = 4
+	// firstStartDelay is the mean time until the first list where all hosts start, in which they register.
+	firstStartDelay = 800 * time.Millisecond
 	// initialHostListInterval is the time between these lists, and between two attempts to register.
 	initialHostListInterval = 700 * time.Millisecond
 	// hostExpiry is how long after its last heartbeat a host stays in the snapshot.
@@ -46,9 +48,13 @@
 	case <-d.registerAttempted:
 	case <-ctx.Done():
 	}
+	if d.opts.FirstStart {
+		wait.For(ctx, firstStartDelay/2+rand.N(firstStartDelay))
+	}
 	for n := 0; ctx.Err() == nil; n++ {
 		if !d.hostsAreRelayed() {
-			d.listHosts(ctx, n > 0)
+			// Data that is seconds old does not show that this host is alone.
+			d.listHosts(ctx, n == 0 || n >= initialHostLists || len(d.Snapshot().Hosts) > 1)
 		}
 		interval := hostListInterval
 		if n < initialHostLists {
@@ -77,8 +83,8 @@
 	now := time.Now()
 	stalest := findStaleHosts(batch, now)
 	d.apply(Hosts, liveHosts(batch, now), true, sent)
-	if others := d.Snapshot().Hosts; len(others) == 0 || len(others) == 1 && others[d.opts.Self.ID].ID != "" {
-		d.SetStoreReader(true)
+	if others := d.Snapshot().Hosts; !stale && (len(others) == 0 || len(others) == 1 && others[d.opts.Self.ID].ID != "") {
+		d.SetStoreReader(true) // this host is alone
 	}
 	d.deleteStaleHost(ctx, stalest)
 }
--- a/internal/directory/relay.go
+++ b/internal/directory/relay.go
@@ -28,8 +28,13 @@
 	// storeFailureMemory is how long after a failed call a host leaves the role of store
 	// reader to other hosts.
 	storeFailureMemory = 5 * time.Second
-	// startGrace is how long a host that starts waits for the state of other hosts before it reads the store.
-	startGrace = 1500 * time.Millisecond
+	// startGrace is how long a host that starts waits for the state of other hosts before it reads the store, and
+	// firstStartGrace where all hosts start.
+	startGrace      = 1500 * time.Millisecond
+	firstStartGrace = 4 * time.Second
+	// firstReadDelay is the time from the start of all hosts until a host reads the store for others: before, the
+	// hosts do not know each other, and many would.
+	firstReadDelay = 2500 * time.Millisecond
 	// firstPollInterval is how often it checks whether it has received them.
 	firstPollInterval = 20 * time.Millisecond
 	// catchUpTime is how long a host waits for changes that it lacks before it calls the store: other hosts learn of
@@ -123,7 +128,9 @@
 }
 
 // IsStoreReader reports whether this host is a store reader of its region.
-func (d *Directory) IsStoreReader() bool { return d.storeReader.Load() }
+func (d *Directory) IsStoreReader() bool {
+	return d.storeReader.Load() && d.opts.Clock() >= time.Duration(d.readsFrom.Load())
+}
 
 // SetRelaying sets whether this host passes on what it knows of the store although it is no store reader.
 func (d *Directory) SetRelaying(relaying bool) { d.relaying.Store(relaying) }
@@ -133,7 +140,7 @@
 func (d *Directory) SetReadersNamed(named bool) { d.readersNamed.Store(named) }
 
 // Relays reports whether this host passes on what it knows of the store.
-func (d *Directory) Relays() bool { return d.storeReader.Load() || d.relaying.Load() }
+func (d *Directory) Relays() bool { return d.IsStoreReader() || d.relaying.Load() }
 
 // Versions returns the versions up to which this host has each kind.
 func (d *Directory) Versions() Versions {
@@ -346,7 +353,7 @@
 // relayStatus reports whether relayed updates can replace this host's own calls, and
 // whether changes of a kind are missing that they no longer contain.
 func (d *Directory) relayStatus(kind Kind) (relayed, behind bool) {
-	if d.storeReader.Load() {
+	if d.IsStoreReader() {
 		return false, false
 	}
 	d.mu.Lock()
@@ -382,7 +389,11 @@
 // waitForFirst waits until another host has relayed all objects of a kind, or this host is to read them itself. It
 // reports whether they were relayed.
 func (d *Directory) waitForFirst(ctx context.Context, kind Kind) bool {
-	deadline := d.opts.Clock() + startGrace
+	grace := startGrace
+	if d.opts.FirstStart {
+		grace = firstStartGrace
+	}
+	deadline := d.opts.Clock() + grace
 	for {
 		d.mu.Lock()
 		loaded := d.loaded[kind]
@@ -390,7 +401,7 @@
 		if loaded {
 			return true
 		}
-		if d.storeReader.Load() || d.opts.Clock() >= deadline || !wait.For(ctx, firstPollInterval) {
+		if d.IsStoreReader() || d.opts.Clock() >= deadline || !wait.For(ctx, firstPollInterval) {
 			return false
 		}
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -110,8 +110,9 @@
 				p.gossip.SendNow()
 			}
 		},
-		RelayTime: func() time.Duration { return p.gossip.RelayTime() },
-		Self:      self,
+		RelayTime:  func() time.Duration { return p.gossip.RelayTime() },
+		Self:       self,
+		FirstStart: s.FirstStart,
 	})
 	p.gateway = forward.New(forward.Options{
 		Directory:           p.directory,
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -11,6 +11,8 @@
 	HostID, Domain, Region string
 	// DomainRegions maps each failure domain to its region.
 	DomainRegions map[string]string
+	// FirstStart is set if the whole deployment starts for the first time.
+	FirstStart bool
 	// Listen is the address for callers, ReadyListen the address of the readiness probe.
 	Listen, ReadyListen string
 	// PeerIP and PeerPort are the address for gossip from other hosts.
--- a/internal/forward/evidence.go
+++ b/internal/forward/evidence.go
@@ -43,7 +43,11 @@
 		return
 	}
 	kept := map[attribution.Part]*keptEvidence{}
-	for !g.loadEvidence(ctx, kept) {
+	// The other hosts get the evidence from a store reader.
+	for !g.opts.Directory.IsStoreReader() || !g.loadEvidence(ctx, kept) {
+		if g.hasEvidence() {
+			break
+		}
 		if !wait.For(ctx, evidenceInterval) {
 			return
 		}
@@ -53,6 +57,9 @@
 	}
 }
 
+// hasEvidence reports whether this host rejects prompt parts, and so has to save and delete evidence.
+func (g *Gateway) hasEvidence() bool { return len(g.crashes.Rejections()) > 0 }
+
 // keptEvidence is what a host knows of the store's evidence on one part.
 type keptEvidence struct {
 	// rejection is the newest one; nil if the evidence was read and explains none.
