Let the aggregator choose the engines of its group's generations

Cause: between two reports of their load, the hosts of a region place some twenty generations without knowing of each other. Change: a member asks the primary aggregator for the engine, over the same datagrams, and chooses by itself if no answer comes within 40 ms. The placements of an aggregator have a part of each rate limit of their own. Notices are sent every 50 ms at most, without digests. A generation that is longer than its hint no longer counts as short when its engine leaves.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -89,6 +89,8 @@
 	Source *Server
 	// Standby requests an engine for a standby replica of a generation at Source.
 	Standby bool
+	// From is the failure domain of the host that sends the request; empty for Settings.Domain.
+	From string
 }
 
 // Reason is the outcome of Pick: Chosen, or why it returned no server.
@@ -343,7 +345,11 @@
 		if req.Source != nil {
 			return load + distanceCost(s, req.Source.Domain, req.Source.Region, migrationRegionCost, migrationDomainCost)
 		}
-		return load + distanceCost(s, b.settings.Domain, b.settings.Region, engineRegionCost, engineDomainCost)
+		domain := b.settings.Domain
+		if req.From != "" {
+			domain = req.From
+		}
+		return load + distanceCost(s, domain, b.settings.Region, engineRegionCost, engineDomainCost)
 	}
 	load := float64(s.own.Requests+s.peers.Requests) / float64(max(1, s.Slots))
 	return load + distanceCost(s, b.settings.Domain, b.settings.Region, plainRegionCost, plainDomainCost)
@@ -361,6 +367,32 @@
 	}
 }
 
+// Accept adds the load of a request to a server that another host has chosen, without regard to the capacity and the
+// quota of this host. It returns false if this host does not send the request there.
+func (b *Balancer) Accept(id string, req Request, load Load, now time.Time) (Server, bool) {
+	s := b.servers[id]
+	if s == nil || !b.isCandidate(id, s, req) || !b.isUsable(id, s, now) {
+		return Server{}, false
+	}
+	b.AddRequest(id, load, now)
+	return s.Server, true
+}
+
+// Unusable returns the servers to which this host sends no requests now: those that are ejected, refuse them or have used
+// up the host's share of their rate limit.
+func (b *Balancer) Unusable(now time.Time) (ids []string) {
+	for id, s := range b.servers {
+		if s.present && !b.isUsable(id, s, now) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+func (b *Balancer) isUsable(id string, s *server, now time.Time) bool {
+	return !now.Before(s.ejectedUntil) && (b.refusals == nil || b.refusals.Allows(s.Process(), now)) && (b.limits == nil || b.limits.Allows(id, now))
+}
+
 // RecordFailure ejects a server that could not be reached or broke off a response. The
 // ejection time doubles with each consecutive failure.
 func (b *Balancer) RecordFailure(id string, now time.Time) {
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -93,8 +93,8 @@
 	// readersNamed if an aggregator names the store readers.
 	storeReader, relaying, readersNamed atomic.Bool
 	// readsFrom is the Clock time from which this host may be a store reader.
-	readsFrom atomic.Int64
-	lastFailureAt                       atomic.Int64 // Clock time of the last failed call; 0: none
+	readsFrom     atomic.Int64
+	lastFailureAt atomic.Int64 // Clock time of the last failed call; 0: none
 	// registerAttempted is closed after the first attempt to write the entry of this host.
 	registerAttempted chan struct{}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -127,6 +127,9 @@
 		Bounds:              bounds(s),
 		Clock:               boottime.Now,
 		ResponseBufferBytes: int64(float64(s.MemoryBytes) * responseShare),
+		Place: func(ctx context.Context, r gossip.PlacementRequest) (gossip.Placement, bool) {
+			return p.gossip.Place(ctx, r)
+		},
 	})
 	p.gossip = gossip.New(gossip.Options{
 		Self:          self,
@@ -135,6 +138,7 @@
 		FillLocal:     p.gateway.LocalState,
 		OnChange:      p.gateway.SetView,
 		Missing:       p.directory.Missing,
+		Place:         p.gateway.Place,
 		IsTerminating: p.gateway.IsTerminating,
 		Clock:         boottime.Now,
 		Log:           log,
--- a/internal/forward/balancers.go
+++ b/internal/forward/balancers.go
@@ -17,6 +17,7 @@
 	"monsoonkeel.example/monsoonkeel/core/serverstate"
 	"monsoonkeel.example/monsoonkeel/core/topology"
 	"monsoonkeel.example/monsoonkeel/internal/directory"
+	"monsoonkeel.example/monsoonkeel/internal/gossip"
 )
 
 // assumedHosts divides shared bounds while the host entries have not been read yet.
@@ -34,11 +35,15 @@
 	division  *quota.Hosts
 	quotas    map[string]*serviceQuotas
 	addresses map[string]balance.Server // the servers in the snapshot, by address
+	byID      map[string]balance.Server // the same by ID
+	regions   map[string]bool           // those of the servers
 	peerLoads map[string]balance.Load
 	// limits are the rate limits that servers name.
 	limits *ratelimit.Limiter
 	// refusals are the servers that refuse requests of this host for a time.
 	refusals *serverstate.Refusals
+	// placer chooses servers for the hosts of the group while this host aggregates it.
+	placer placer
 	// hasRefusals is set while refusals has any, so that requests do not need the lock otherwise.
 	hasRefusals atomic.Bool
 }
@@ -47,8 +52,10 @@
 // guards it.
 type serviceState struct {
 	balancer *balance.Balancer
-	budget   retry.SharedBudget
-	waiters  []*waiter
+	// placed is the balancer for the placements of the group; nil if there are none.
+	placed  *balance.Balancer
+	budget  retry.SharedBudget
+	waiters []*waiter
 	// waking is set while a timer is to wake the waiters.
 	waking bool
 	// config is the newest configuration of the service, kept when a later one no longer has it: its
@@ -60,7 +67,7 @@
 
 func newBalancers(opts Options) *balancers {
 	return &balancers{
-		opts: opts, bounds: opts.Bounds, services: map[string]*serviceState{}, addresses: map[string]balance.Server{}, quotas: map[string]*serviceQuotas{},
+		opts: opts, bounds: opts.Bounds, services: map[string]*serviceState{}, addresses: map[string]balance.Server{}, quotas: map[string]*serviceQuotas{}, placer: newPlacer(),
 		limits: ratelimit.New(opts.HostID, rand.Float64), refusals: serverstate.NewRefusals(rand.Float64),
 	}
 }
@@ -95,18 +102,20 @@
 	bs.setHosts(now.Hosts)
 	eligible := map[string][]balance.Server{}
 	addresses := make(map[string]balance.Server, len(now.Servers))
+	byID, regions := make(map[string]balance.Server, len(now.Servers)), map[string]bool{}
 	for id, s := range now.Servers {
 		server := balance.Server{ID: id, Address: s.Address, Domain: s.Domain, Region: s.Region, StartTime: s.StartTime, Slots: s.Slots}
 		if _, used := addresses[s.Address]; !used || !s.Removed {
 			addresses[s.Address] = server
 		}
+		byID[id], regions[s.Region] = server, true
 		bs.service(s.Service)
 		if s.Terminating() || now.DomainsOut[s.Domain] {
 			continue
 		}
 		eligible[s.Service] = append(eligible[s.Service], server)
 	}
-	bs.addresses = addresses
+	bs.addresses, bs.byID, bs.regions = addresses, byID, regions
 	bs.limits.SetHosts(bs.hostCount(), time.Now())
 	bs.limits.Retain(func(id string, startTime int64) bool {
 		s := now.Servers[id]
@@ -129,6 +138,7 @@
 		s.balancer.Configure(settings)
 		s.balancer.SetServers(eligible[name])
 		s.balancer.SetPeerLoad(bs.peerLoads)
+		bs.placer.configure(s, settings, eligible[name], bs.placementQuota(s.config))
 		s.wake()
 	}
 }
@@ -154,6 +164,11 @@
 	byServer map[string]int
 }
 
+// coldLimit returns the number of requests per second that all hosts may send to a server.
+func (bs *balancers) coldLimit(config *route.Service) float64 {
+	return config.ColdPerSecond*bs.bounds.ColdFactor + bs.bounds.ColdExtra
+}
+
 // setHosts replaces the hosts among which limits are divided.
 func (bs *balancers) setHosts(hosts map[string]fleet.Host) {
 	if bs.division != nil && maps.Equal(bs.hosts, hosts) {
@@ -168,7 +183,7 @@
 	if config.ColdPerSecond <= 0 {
 		return
 	}
-	limit := config.ColdPerSecond*bs.bounds.ColdFactor + bs.bounds.ColdExtra
+	limit := bs.coldLimit(config) - float64(topology.Aggregators*bs.placementQuota(config))
 	known := bs.quotas[service]
 	if known == nil || known.division != bs.division || known.limit != limit {
 		known = &serviceQuotas{division: bs.division, limit: limit}
@@ -203,11 +218,14 @@
 	return len(bs.hosts)
 }
 
-// setPeerLoad applies the load of the other hosts, by server.
-func (bs *balancers) setPeerLoad(loads map[string]balance.Load) {
+// setPeerLoad applies the load of the other hosts, by server. It contains the placements that peers name.
+func (bs *balancers) setPeerLoad(loads map[string]balance.Load, peers []gossip.Peer) {
 	bs.mu.Lock()
 	defer bs.mu.Unlock()
 	bs.peerLoads = loads
+	for _, p := range peers {
+		bs.placer.drop(p.Host, func(placed placement) bool { return placed.number <= p.Placed })
+	}
 	for _, s := range bs.services {
 		s.balancer.SetPeerLoad(loads)
 		s.wake()
@@ -218,6 +236,10 @@
 func (bs *balancers) ownLoad() map[string]balance.Load {
 	bs.mu.Lock()
 	defer bs.mu.Unlock()
+	return bs.ownLoadLocked()
+}
+
+func (bs *balancers) ownLoadLocked() map[string]balance.Load {
 	out := map[string]balance.Load{}
 	for _, s := range bs.services {
 		for id, l := range s.balancer.OwnLoad() {
@@ -268,6 +290,9 @@
 // until ctx ends or wait has passed, and then returns why no server was picked. It does not
 // wait if the rate limits allow too few requests until then, or all servers refuse longer.
 func (bs *balancers) acquire(ctx context.Context, service string, req balance.Request, from sender, wait time.Duration) (*reservation, balance.Reason) {
+	if res := bs.acquirePlaced(ctx, service, req); res != nil {
+		return res, balance.Chosen
+	}
 	bs.mu.Lock()
 	s := bs.service(service)
 	now := time.Now()
--- a/internal/forward/gateway.go
+++ b/internal/forward/gateway.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"slices"
 	"strconv"
 	"sync/atomic"
@@ -36,6 +37,8 @@
 	ResponseBufferBytes int64
 	// Clock also counts time in which the machine is suspended; see internal/boottime.
 	Clock func() time.Duration
+	// Place asks the aggregator of this host's group for a backend server; nil if there are no groups.
+	Place func(context.Context, gossip.PlacementRequest) (gossip.Placement, bool)
 }
 
 // Bounds are guarantees that hold for all hosts together. They can be replaced
@@ -193,7 +196,8 @@
 
 // LocalState fills in this host's gossip state.
 func (g *Gateway) LocalState(s *gossip.State) {
-	s.Loads, s.Generations = g.balancers.ownLoad(), g.generations.list(g.balancers)
+	s.Placed, s.Loads = g.balancers.placedLoad()
+	s.Generations = g.generations.list(g.balancers)
 	s.StoreResponseAge = g.opts.Directory.StoreResponseAge()
 	s.StoreReader, s.RecentStoreFailure = g.opts.Directory.IsStoreReader(), g.opts.Directory.RecentStoreFailure()
 	s.RelayedUpdate, s.Versions = g.opts.Directory.RelayedUpdate(), g.opts.Directory.Versions()
@@ -205,7 +209,7 @@
 // SetView applies what is known of the other hosts.
 func (g *Gateway) SetView(v gossip.View) {
 	g.view.Store(&v)
-	g.balancers.setPeerLoad(v.Loads)
+	g.balancers.setPeerLoad(v.Loads, v.Peers)
 	for _, e := range v.Evidence {
 		g.crashes.Merge(e.Crashes, e.Answers, time.Now().Add(e.At-g.opts.Clock()), "another host reported")
 	}
@@ -229,6 +233,11 @@
 	}
 }
 
+// Place chooses a backend server for a host of the group that this host aggregates.
+func (g *Gateway) Place(host string, r gossip.PlacementRequest) gossip.Placement {
+	return g.balancers.place(host, r)
+}
+
 // IsTerminating reports whether a server terminates and may still run generations.
 func (g *Gateway) IsTerminating(server string) bool {
 	s := g.opts.Directory.Snapshot().Servers[server]
--- a/internal/forward/generations.go
+++ b/internal/forward/generations.go
@@ -124,7 +124,7 @@
 			}
 			kvTokens := gen.tokens(tokensPerEvent)
 			gen.setExpectedTokens(kvTokens)
-			out = append(out, gossip.Generation{ID: gen.r.id, Server: server, Tokens: kvTokens, MigrationPriority: gen.migrationPriority(), HasStandby: gen.hasStandby()})
+			out = append(out, gossip.Generation{ID: gen.r.id, Server: server, Tokens: kvTokens, MigrationPriority: gen.migrationPriority(kvTokens - gen.r.promptTokens), HasStandby: gen.hasStandby()})
 		}
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
@@ -138,8 +138,14 @@
 	res.prefillDone()
 }
 
-func (gen *generation) migrationPriority() int {
-	return migrate.Priority(gen.r.promptTokens, gen.r.outputTokens)
+// migrationPriority returns the position in the migration order of the engine. produced is the number of tokens so far: a
+// generation that is longer than expected may go on for long.
+func (gen *generation) migrationPriority(produced int) int {
+	expected := gen.r.outputTokens
+	if produced >= expected {
+		expected = max(expected, 2*produced)
+	}
+	return migrate.Priority(gen.r.promptTokens, expected)
 }
 
 // setExpectedTokens updates the expected KV cache size in the reservations, given the
--- a/internal/forward/terminating.go
+++ b/internal/forward/terminating.go
@@ -67,8 +67,9 @@
 			withStandby = append(withStandby, gen)
 			continue
 		}
+		tokens := gen.tokens(engine.EventTokens)
 		planned = append(planned, migrate.Generation{
-			ID: gen.r.id, Tokens: gen.tokens(engine.EventTokens), Priority: gen.migrationPriority(), CrossRegion: s.Region != g.opts.Region, RelayedHere: true,
+			ID: gen.r.id, Tokens: tokens, Priority: gen.migrationPriority(tokens - gen.r.promptTokens), CrossRegion: s.Region != g.opts.Region, RelayedHere: true,
 		})
 	}
 	steps, end := migrate.Plan(planned, func(tokens int) time.Duration {
--- a/internal/gossip/digest.go
+++ b/internal/gossip/digest.go
@@ -243,7 +243,7 @@
 			continue
 		}
 		counted++
-		v.addState(p, now)
+		v.addState(p, e.opts.Self.ID, now)
 		p.applied = true
 	}
 	reported := counted
@@ -282,7 +282,7 @@
 }
 
 // addState adds the state of another host.
-func (v *View) addState(p *State, now time.Duration) {
+func (v *View) addState(p *State, self string, now time.Duration) {
 	age := now - p.ReceivedAt
 	for server, load := range p.Loads {
 		v.Loads[server] = v.Loads[server].Plus(load)
@@ -293,7 +293,7 @@
 		v.Evidence = append(v.Evidence, Evidence{Crashes: p.Crashes, Answers: p.Answers, At: p.ReceivedAt})
 	}
 	v.Limits = append(v.Limits, ratelimit.HostReports{Host: p.Host, ReceivedAt: p.ReceivedWall, Reports: p.Limits})
-	v.Peers = append(v.Peers, Peer{Host: p.Host, Region: p.Region, RecentStoreFailure: p.RecentStoreFailure, Generations: p.Generations})
+	v.Peers = append(v.Peers, Peer{Host: p.Host, Region: p.Region, RecentStoreFailure: p.RecentStoreFailure, Generations: p.Generations, Placed: p.Placed[self]})
 	v.addStoreAge(p.StoreResponseAge + age)
 	if p.StoreReader {
 		v.StoreReaders++
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -28,6 +28,9 @@
 		<-ctx.Done()
 		_ = conn.Close()
 	}()
+	e.mu.Lock()
+	e.conn = conn
+	e.mu.Unlock()
 	go e.sendLoop(ctx, conn)
 	return e.receiveLoop(conn)
 }
@@ -50,7 +53,15 @@
 
 // receive applies a message if it is newer than the last one of its host.
 func (e *Exchange) receive(message []byte, from netip.AddrPort) {
-	s, err := decode(message)
+	m, err := unmarshal(message)
+	if err == nil && m.Placement != nil && m.Host != e.opts.Self.ID {
+		e.receivePlacement(m.Host, m.Placement, from)
+		return
+	}
+	var s *State
+	if err == nil {
+		s, err = decodeState(m)
+	}
 	if err != nil || s.Host == e.opts.Self.ID {
 		e.opts.Log.Warn().AnErr("error", err).Int("bytes", len(message)).Msg("gossip message dropped: invalid, or from a host with the id of this host")
 		return
@@ -170,7 +181,7 @@
 			immediate = true
 			// One message for several changes: each goes to many hosts, and together they
 			// would fill the link of this host.
-			if left := sent.immediate + sendInterval - e.opts.Clock(); left > 0 {
+			if left := sent.immediate + e.seriesInterval() - e.opts.Clock(); left > 0 {
 				select {
 				case <-ctx.Done():
 					return
@@ -186,6 +197,17 @@
 	}
 }
 
+// seriesInterval is the least time between two messages of a series that do not wait for the interval. In a group they
+// carry only what has changed.
+func (e *Exchange) seriesInterval() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.topology.IsMesh() {
+		return sendInterval
+	}
+	return groupSeriesInterval
+}
+
 // tick sends the messages that are due and returns the time until the next tick.
 func (e *Exchange) tick(conn *net.UDPConn, sent *schedule, immediate bool) time.Duration {
 	now := e.opts.Clock()
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -6,6 +6,8 @@
 package gossip
 
 import (
+	"math/rand/v2"
+	"net"
 	"net/netip"
 	"sync"
 	"time"
@@ -69,6 +71,9 @@
 	// RelayedUpdate is what the host passes on from the store; nil for nothing.
 	RelayedUpdate *directory.RelayedUpdate `json:"-"`
 
+	// Placed is the newest placement by each aggregator that is part of Loads.
+	Placed map[string]uint64 `json:"-"`
+
 	// Role is that of the host in its group, and Readers are the hosts that it names as store readers.
 	Role    topology.Role `json:"-"`
 	Readers []string      `json:"-"`
@@ -171,8 +176,9 @@
 type Peer struct {
 	Host, Region       string
 	RecentStoreFailure bool
-	// Generations are the servers where the host has generations.
-	Generations []Generation
+	Generations        []Generation
+	// Placed is the newest placement by this host that is part of the load of the peer.
+	Placed uint64
 }
 
 // Options configure an Exchange.
@@ -187,6 +193,8 @@
 	OnChange func(View)
 	// Missing returns what a host lacks of the store, or nil.
 	Missing func(directory.Versions) *directory.RelayedUpdate
+	// Place chooses a backend server for a host; nil if this host does not.
+	Place func(host string, r PlacementRequest) Placement
 	// IsTerminating reports whether a server terminates and may still run generations.
 	IsTerminating func(server string) bool
 	// Clock also counts time in which the machine is suspended; see internal/boottime.
@@ -233,6 +241,9 @@
 	repaired map[string]time.Duration
 	// configuration is the newest one that was sent, compressed.
 	configuration compressedConfiguration
+	// conn is set by Run.
+	conn       *net.UDPConn
+	placements placements
 }
 
 // sentMessage is what is kept of a message of this host.
@@ -259,6 +270,7 @@
 	return &Exchange{
 		opts: opts, immediate: make(chan struct{}, 1), peers: map[string]*State{}, digests: map[topology.GroupID]*receivedDigest{},
 		topology: topology.New(nil), repaired: map[string]time.Duration{},
+		placements: placements{waiting: map[uint64]chan Placement{}, lastID: rand.Uint64()},
 	}
 }
 
--- a/internal/gossip/receivers.go
+++ b/internal/gossip/receivers.go
@@ -20,6 +20,8 @@
 	aggregatorInterval = 250 * time.Millisecond
 	// secondaryInterval is the time between two messages to or from the secondary aggregator.
 	secondaryInterval = 600 * time.Millisecond
+	// groupSeriesInterval is the least time between two messages about changes in a group.
+	groupSeriesInterval = 50 * time.Millisecond
 	// groupInterval is the time between two messages to the aggregators of other groups.
 	groupInterval = 500 * time.Millisecond
 	// otherDigestsInterval is the time between two digests of other groups in the messages to members.
@@ -90,9 +92,12 @@
 		if role == topology.Secondary {
 			interval = secondaryInterval
 		}
-		if immediate || dueAt(&sent.toPrimary, interval) {
-			sent.toPrimary = now
-			add(e.groupHosts(group), messages{digests: e.digestsForMembers(group, dueAt(&sent.toSecondary, otherDigestsInterval)), generations: e.terminatingGenerations(group, next.Generations)})
+		if due := dueAt(&sent.toPrimary, interval); due || immediate {
+			m := messages{generations: e.terminatingGenerations(group, next.Generations)}
+			if due {
+				m.digests = e.digestsForMembers(group, dueAt(&sent.toSecondary, otherDigestsInterval))
+			}
+			add(e.groupHosts(group), m)
 		}
 		if immediate || dueAt(&sent.toAll, groupInterval) {
 			add(e.otherAggregators(group, now), messages{digests: func(now time.Duration) []Digest { return []Digest{e.digest(group, now)} }})
@@ -270,7 +275,7 @@
 
 // suffix returns the part of a message for one receiver.
 func (e *Exchange) suffix(s *State, host string, generations map[string][]Generation, now time.Duration) ([]byte, error) {
-	if s.RelayedUpdate == nil && len(s.Digests) == 0 {
+	if s.Role == topology.Member && s.RelayedUpdate == nil {
 		return nil, nil
 	}
 	missing := e.missing(s.RelayedUpdate, host, now)
--- a/internal/gossip/wire.go
+++ b/internal/gossip/wire.go
@@ -44,6 +44,9 @@
 		},
 		Update: encodeUpdate(s.RelayedUpdate), Role: uint32(s.Role), Readers: s.Readers,
 	}
+	for aggregator, number := range s.Placed {
+		m.Placed = append(m.Placed, &pb.Placed{Aggregator: aggregator, Number: number})
+	}
 	for _, l := range s.Limits {
 		m.Limits = append(m.Limits, encodeLimit(HostLimit{Report: l}))
 	}
@@ -67,8 +70,8 @@
 	return proto.Marshal(m)
 }
 
-// decode decodes a message. The configuration in it is decompressed.
-func decode(message []byte) (*State, error) {
+// unmarshal decodes a message and checks the fields that all messages have.
+func unmarshal(message []byte) (*pb.Message, error) {
 	var m pb.Message
 	if err := proto.Unmarshal(message, &m); err != nil {
 		return nil, fmt.Errorf("%w: %w", errInvalidMessage, err)
@@ -76,6 +79,19 @@
 	if m.Protocol != protocolVersion || m.Host == "" || m.Role > uint32(topology.Primary) {
 		return nil, fmt.Errorf("%w: protocol %d, host %.40q, role %d", errInvalidMessage, m.Protocol, m.Host, m.Role)
 	}
+	return &m, nil
+}
+
+// decode decodes the message of a state. The configuration in it is decompressed.
+func decode(message []byte) (*State, error) {
+	m, err := unmarshal(message)
+	if err != nil {
+		return nil, err
+	}
+	return decodeState(m)
+}
+
+func decodeState(m *pb.Message) (*State, error) {
 	s := &State{
 		Host: m.Host, Region: m.Region, Incarnation: m.Incarnation, Sequence: m.Sequence,
 		Loads: decodeLoads(m.Loads), Generations: decodeGenerations(m.Generations, m.Region), Terminating: decodeProcesses(m.Terminating),
@@ -88,6 +104,12 @@
 		Role: topology.Role(m.Role), Readers: m.Readers, TerminatingGenerations: decodeGenerations(m.TerminatingGenerations, m.Region),
 		Echo: MessageID{Incarnation: m.Echo.GetIncarnation(), Sequence: m.Echo.GetSequence()},
 	}
+	for _, p := range m.Placed {
+		if s.Placed == nil {
+			s.Placed = map[string]uint64{}
+		}
+		s.Placed[p.Aggregator] = p.Number
+	}
 	for _, l := range m.Limits {
 		s.Limits = append(s.Limits, decodeLimit(l).Report)
 	}
