Relay each change of the store once

Cause: an update repeats the changes of the last moments, and each host logged all of them again as news. Ruled out: shorter retention; it bounds the size of one message, not the repetition. Change: a change carries the revision in which it was read; older ones are dropped, and each is passed on with its own. The time that a server stays cold is no change, since nothing is decided by it. A series of changes copies the map once. Conclusion: messages of hosts that relay stay bounded by the changes of the relay time.

--- a/internal/directory/apply.go
+++ b/internal/directory/apply.go
@@ -1,9 +1,8 @@
 package directory
 
 import (
+	"maps"
 	"time"
-
-	"monsoonkeel.example/monsoonkeel/core/fleet"
 )
 
 // apply applies a batch to a new snapshot; callSent is when the call that returned it
@@ -37,7 +36,7 @@
 	for _, c := range batch.Changes {
 		applied := d.applyChange(kind, c)
 		changed = changed || applied
-		if applied || !full || c.Deleted {
+		if applied || c.Deleted {
 			logged = append(logged, c)
 		}
 	}
@@ -129,23 +128,18 @@
 }
 
 func (d *Directory) applyHost(c Change) bool {
-	hosts := make(map[string]fleet.Host, len(d.state.Hosts)+1)
-	for id, h := range d.state.Hosts {
-		hosts[id] = h
+	known, ok := d.state.Hosts[c.Name]
+	if c.Host != nil && ok && known == *c.Host || c.Host == nil && !ok {
+		return false
 	}
-	switch {
-	case c.Host != nil:
-		if hosts[c.Name] == *c.Host {
-			return false
-		}
-		hosts[c.Name] = *c.Host
-	default:
-		if _, known := hosts[c.Name]; !known {
-			return false
-		}
-		delete(hosts, c.Name)
+	if !d.ownsHosts {
+		d.state.Hosts, d.ownsHosts = maps.Clone(d.state.Hosts), true
+	}
+	if c.Host == nil {
+		delete(d.state.Hosts, c.Name)
+	} else {
+		d.state.Hosts[c.Name] = *c.Host
 	}
-	d.state.Hosts = hosts
 	return true
 }
 
@@ -161,7 +155,7 @@
 	if old != nil && old.SameProcess(s.Backend) {
 		// A process never withdraws its termination notice.
 		s.Leaving, s.NoticeHere = s.Leaving || old.Leaving, old.NoticeHere
-		if old.Terminating() == s.Terminating() && old.Slots == s.Slots && s.ColdLeft == 0 && !old.Removed {
+		if old.Terminating() == s.Terminating() && old.Slots == s.Slots && !old.Removed {
 			return false
 		}
 	}
@@ -200,22 +194,22 @@
 	d.opts.Log.Info().Str("backend", id).Str("service", s.Service).Bool("leaving", s.Leaving).Msg("backend server removed")
 }
 
+// setServer replaces a server in a copy of the map that the last snapshot has; a nil server is deleted.
 func (d *Directory) setServer(id string, s *Server) {
-	servers := make(map[string]*Server, len(d.state.Servers)+1)
-	for k, v := range d.state.Servers {
-		servers[k] = v
+	if !d.ownsServers {
+		d.state.Servers, d.ownsServers = maps.Clone(d.state.Servers), true
 	}
 	if s == nil {
-		delete(servers, id)
+		delete(d.state.Servers, id)
 	} else {
-		servers[id] = s
+		d.state.Servers[id] = s
 	}
-	d.state.Servers = servers
 }
 
 func (d *Directory) publish() {
 	next := d.state
 	next.Complete = d.loaded[Configuration] && d.loaded[Backends] && d.loaded[DomainsOut] && next.Table != nil
+	d.ownsServers, d.ownsHosts = false, false
 	old := d.snapshot.Swap(&next)
 	if d.opts.OnChange != nil {
 		d.opts.OnChange(old, &next)
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -67,12 +67,14 @@
 	// or at the store reader.
 	recoveredAt time.Duration
 
-	mu           sync.Mutex // guards recoveredAt and all non-atomic fields below
-	state        Snapshot
-	loaded       map[Kind]bool
-	missingSince map[string]time.Duration // servers whose entries are missing after an outage
-	removedAt    map[string]time.Duration
-	backoff      map[Kind]time.Duration
+	mu    sync.Mutex // guards recoveredAt and all non-atomic fields below
+	state Snapshot
+	// ownsServers and ownsHosts are set while the maps of state are no part of a snapshot, so that they may be changed.
+	ownsServers, ownsHosts bool
+	loaded                 map[Kind]bool
+	missingSince           map[string]time.Duration // servers whose entries are missing after an outage
+	removedAt              map[string]time.Duration
+	backoff                map[Kind]time.Duration
 	// cursor is the revision up to which the changes of a kind are applied. changeLog
 	// holds the newest batches, and all changes after revision logStart. behind is set
 	// when changes are missing that the relayed updates no longer contain.
--- a/internal/directory/relay.go
+++ b/internal/directory/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"monsoonkeel.example/monsoonkeel/core/route"
@@ -236,6 +237,7 @@
 			continue
 		}
 		for _, c := range batch.changes {
+			c.Revision = batch.revision
 			if c.Backend != nil {
 				b := *c.Backend
 				b.ColdLeft = max(0, b.ColdLeft-(now-batch.readAt))
@@ -339,7 +341,24 @@
 		d.setBehind(kind, true)
 		return false
 	}
-	return d.applyBatch(kind, Batch{Changes: r.Changes, Revision: r.Revision}, r.Full)
+	if r.Full {
+		return d.applyBatch(kind, Batch{Changes: r.Changes, Revision: r.Revision}, true)
+	}
+	// The update repeats changes that were applied before. Each batch is passed on with its own revision, so that
+	// hosts which relay to each other do not repeat them forever.
+	for len(r.Changes) > 0 {
+		n := slices.IndexFunc(r.Changes, func(c Change) bool { return c.Revision != r.Changes[0].Revision })
+		if n < 0 {
+			n = len(r.Changes)
+		}
+		if revision := r.Changes[0].Revision; revision > d.cursor[kind] {
+			changed = d.applyBatch(kind, Batch{Changes: r.Changes[:n], Revision: revision}, false) || changed
+		}
+		r.Changes = r.Changes[n:]
+	}
+	d.cursor[kind] = max(d.cursor[kind], r.Revision)
+	d.setBehind(kind, false)
+	return changed
 }
 
 // setBehind sets whether changes of a kind are missing.
--- a/internal/directory/relay_test.go
+++ b/internal/directory/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -233,3 +234,48 @@
 	assert.Empty(t, update.Changes)
 	assert.Equal(t, int64(12), update.After, "a follower that missed the change detects it")
 }
+
+// Guards against changes that hosts which relay to each other repeat forever while others follow, so that their messages
+// grow beyond a datagram: each change is relayed for a time after it was read.
+func TestRelayedChangesAreNotRepeated(t *testing.T) {
+	reader, second, c := newRegion(t)
+	third, _, _ := newRegion(t)
+	third.opts.Clock = c.Now
+	all := []*Directory{reader, second, third}
+	for _, d := range all[1:] {
+		d.SetStoreReader(false)
+		d.SetRelaying(true)
+	}
+	for step := range 200 {
+		id := fmt.Sprint("new-", step)
+		reader.apply(Backends, Batch{Changes: []Change{ready(id)}, Revision: int64(20 + step)}, false, c.Now())
+		for _, from := range all {
+			for _, to := range all {
+				if from != to {
+					to.ApplyRelayed(from.RelayedUpdate(), c.Now())
+				}
+			}
+		}
+		c.advance(50 * time.Millisecond)
+	}
+	for _, d := range all {
+		assert.Equal(t, reader.Versions(), d.Versions())
+		assert.Len(t, d.Snapshot().Servers, 202)
+		assert.LessOrEqual(t, len(d.RelayedUpdate().Backends.Changes), int(changeRetention/(50*time.Millisecond))+1)
+	}
+}
+
+// Guards against snapshots that change while requests use them, since a series of changes is applied to one copy.
+func TestSnapshotsStayAsTheyWere(t *testing.T) {
+	d, _ := newDirectory(nil)
+	d.apply(Backends, Batch{Changes: []Change{ready("a")}, Revision: 1}, true, 0)
+	d.apply(Hosts, Batch{Changes: []Change{{Name: "h", Host: &fleet.Host{ID: "h"}}}, Revision: 1}, true, 0)
+	before := d.Snapshot()
+	d.apply(Backends, Batch{Changes: []Change{ready("b"), terminating("a"), ready("c")}, Revision: 2}, false, 0)
+	d.apply(Hosts, Batch{Changes: []Change{{Name: "h"}, {Name: "i", Host: &fleet.Host{ID: "i"}}}, Revision: 2}, false, 0)
+	assert.Len(t, before.Servers, 1)
+	assert.False(t, before.Servers["a"].Leaving)
+	assert.Equal(t, map[string]fleet.Host{"h": {ID: "h"}}, before.Hosts)
+	assert.Len(t, d.Snapshot().Servers, 3)
+	assert.Equal(t, map[string]fleet.Host{"i": {ID: "i"}}, d.Snapshot().Hosts)
+}
--- a/internal/directory/store.go
+++ b/internal/directory/store.go
@@ -44,6 +44,8 @@
 	Host    *fleet.Host
 	// Raw is the configuration as the store holds it, for other hosts; nil for other kinds.
 	Raw []byte
+	// Revision is that of the batch in which a relayed change was read; 0 if the change is part of a list.
+	Revision int64
 }
 
 // Batch holds the objects of a list, or the changes of a watch, as of Revision.
--- a/internal/gossip/wire.go
+++ b/internal/gossip/wire.go
@@ -301,7 +301,7 @@
 	}
 	out := &pb.Kind{After: k.After, Revision: k.Revision, Full: k.Full}
 	for _, c := range k.Changes {
-		change := &pb.Change{Name: c.Name, Deleted: c.Deleted}
+		change := &pb.Change{Name: c.Name, Deleted: c.Deleted, Revision: c.Revision}
 		if b := c.Backend; b != nil {
 			change.Backend = &pb.Backend{
 				StartTime: b.StartTime, Service: b.Service, Address: b.Address, Domain: b.Domain, Region: b.Region, Slots: int64(b.Slots),
@@ -320,7 +320,7 @@
 func decodeKind(m *pb.Kind) directory.RelayedKind {
 	k := directory.RelayedKind{After: m.GetAfter(), Revision: m.GetRevision(), Full: m.GetFull()}
 	for _, c := range m.GetChanges() {
-		change := directory.Change{Name: c.Name, Deleted: c.Deleted}
+		change := directory.Change{Name: c.Name, Deleted: c.Deleted, Revision: c.Revision}
 		if b := c.Backend; b != nil {
 			change.Backend = &fleet.Backend{
 				ID: c.Name, StartTime: b.StartTime, Service: b.Service, Address: b.Address, Domain: b.Domain, Region: b.Region, Slots: int(b.Slots),
