Log which host chose the engine of a generation

Cause: a late first token could not be traced to the aggregator or to the host's own choice. Ruled out: a metric only; the request's line has the other inputs. Change: field placed_by.

--- a/internal/forward/placer.go
+++ b/internal/forward/placer.go
@@ -176,7 +176,9 @@
 	if !accepted {
 		return nil
 	}
-	return bs.newReservation(service, server, req)
+	res := bs.newReservation(service, server, req)
+	res.placedBy = placed.Aggregator
+	return res
 }
 
 // allowedRegions returns the regions that may serve a request, nil for all, and whether there are any.
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -114,7 +114,7 @@
 	res, reason := r.g.balancers.acquire(r.ctx, r.service, req, r.sender(), r.maxWait())
 	r.waited += time.Since(start)
 	if res != nil {
-		r.backend = res.server.ID
+		r.backend, r.placedBy = res.server.ID, res.placedBy
 	}
 	return res, reason
 }
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -50,6 +50,8 @@
 	retryAfter time.Duration
 	status     int
 	backend    string
+	// placedBy is the host that chose the engine of a generation.
+	placedBy   string
 	attempts   int
 	migrations int
 	events     int
@@ -365,7 +367,8 @@
 	}
 	if r.route != nil && r.route.Kind == route.Stream {
 		e = e.Int("events", r.events).Int64("first_event_ms", r.firstEvent.Milliseconds()).
-			Int64("worst_gap_ms", r.worstGap.Milliseconds()).Int("moves", r.migrations).Int("prompt", r.promptTokens).Int("output", r.outputTokens)
+			Int64("worst_gap_ms", r.worstGap.Milliseconds()).Int("moves", r.migrations).Int("prompt", r.promptTokens).Int("output", r.outputTokens).
+			Str("placed_by", r.placedBy)
 		if r.sourceEnd != nil {
 			e = e.Str("source_end", r.sourceEnd.Error()).Str("framing", r.framing).Str("ended_by", string(r.sourceEndedBy))
 		}
--- a/internal/forward/reservation.go
+++ b/internal/forward/reservation.go
@@ -13,6 +13,8 @@
 	server    balance.Server
 	balancers *balancers
 	service   string
+	// placedBy is the host that chose the server: this one or the aggregator of the group.
+	placedBy string
 	// isStandby is set for a standby replica, for which no request was counted yet.
 	isStandby bool
 	// since is when the reservation was made.
@@ -41,7 +43,7 @@
 }
 
 func (bs *balancers) newReservation(service string, server balance.Server, req balance.Request) *reservation {
-	return &reservation{server: server, balancers: bs, service: service, isStandby: req.Standby, since: time.Now(), load: loadOf(req)}
+	return &reservation{server: server, balancers: bs, service: service, placedBy: bs.opts.HostID, isStandby: req.Standby, since: time.Now(), load: loadOf(req)}
 }
 
 func loadOf(req balance.Request) balance.Load {
