Use other regions of a large deployment only if the own one is full

Aggregators learn of the load in other regions after 0.5 s. Ruled out: slow first seconds of new engines: the first prompts there were prefilled at the usual rate. Change: in a deployment with groups another region costs a whole KV cache. Conclusion: each region uses its own engines; another one is used when they have no room or a long queue.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -67,6 +67,9 @@
 	// Limited is set if Server.PerSecond limits the requests to each server, because any server may have turned cold
 	// unnoticed.
 	Limited bool
+	// OtherRegionCost, if not 0, is added to the cost of an engine in another region instead of engineRegionCost. It is
+	// higher where the load of other regions is known late: all regions would choose the same idle engine.
+	OtherRegionCost float64
 	// Choices, if not 0, is the number of servers of a region that Pick compares, chosen at random. Where many hosts
 	// place requests between two reports of their load, the server that is best by the last report would get
 	// them all.
@@ -349,7 +352,11 @@
 		if req.From != "" {
 			domain = req.From
 		}
-		return load + distanceCost(s, domain, b.settings.Region, engineRegionCost, engineDomainCost)
+		otherRegion := engineRegionCost
+		if b.settings.OtherRegionCost > 0 {
+			otherRegion = b.settings.OtherRegionCost
+		}
+		return load + distanceCost(s, domain, b.settings.Region, otherRegion, engineDomainCost)
 	}
 	load := float64(s.own.Requests+s.peers.Requests) / float64(max(1, s.Slots))
 	return load + distanceCost(s, b.settings.Domain, b.settings.Region, plainRegionCost, plainDomainCost)
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -77,6 +77,19 @@
 	assert.Equal(t, NoCandidate, reason)
 }
 
+// Guards against all regions of a large deployment choosing the same idle engine at a time: with load known late, another
+// region is used only if the engines of the own one have a long queue or no room.
+func TestOtherRegionsOfLargeDeployments(t *testing.T) {
+	b := engines()
+	b.Configure(Settings{Domain: "west-a", Region: "west", KVTokens: 10000, OtherRegionCost: 1})
+	b.SetPeerLoad(map[string]Load{"w1": {Tokens: 6000, Prefill: 1500}, "w2": {Tokens: 7000}})
+	assert.Equal(t, "w2", pick(t, b, Request{Tokens: 1000}, start))
+	b.SetPeerLoad(map[string]Load{"w1": {Tokens: 8000, Prefill: 6000}, "w2": {Tokens: 8000, Prefill: 6000}})
+	assert.Equal(t, "e1", pick(t, b, Request{Tokens: 1000}, start))
+	b.SetPeerLoad(map[string]Load{"w1": {Tokens: 9500}, "w2": {Tokens: 9500}})
+	assert.Equal(t, "e1", pick(t, b, Request{Tokens: 1000}, start))
+}
+
 // Guards against losing generations of a terminating engine: they are migrated to
 // engines near it, even to one that is full by estimate, since a generation that is
 // not migrated is lost.
--- a/internal/forward/balancers.go
+++ b/internal/forward/balancers.go
@@ -149,7 +149,7 @@
 	}
 	settings.Limited = config.ColdPerSecond > 0
 	if len(bs.hosts) > topology.MaxMesh {
-		settings.Choices = choicesOfMany
+		settings.Choices, settings.OtherRegionCost = choicesOfMany, otherRegionCostOfMany
 	}
 }
 
@@ -157,6 +157,10 @@
 // digests.
 const choicesOfMany = 2
 
+// otherRegionCostOfMany is the cost of an engine in another region in such a deployment, as a fraction of an engine's KV
+// cache: that of the prompts of some five generations that are still to be prefilled.
+const otherRegionCostOfMany = 1.0
+
 // serviceQuotas are the quotas of this host for the servers of a service.
 type serviceQuotas struct {
 	division *quota.Hosts
