Read the store at once when a small deployment starts again

Cause: hosts waited 1.5 s for the state of others when they started; in a small deployment whose hosts were all killed there is none. Ruled out: a shorter wait in large deployments, where all hosts would read the store. Conclusion: the wait is left where many hosts share a reader.

--- a/internal/directory/relay.go
+++ b/internal/directory/relay.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"monsoonkeel.example/monsoonkeel/core/route"
+	"monsoonkeel.example/monsoonkeel/core/topology"
 	"monsoonkeel.example/monsoonkeel/internal/wait"
 )
 
@@ -29,8 +30,10 @@
 	// storeFailureMemory is how long after a failed call a host leaves the role of store
 	// reader to other hosts.
 	storeFailureMemory = 5 * time.Second
-	// startGrace is how long a host that starts waits for the state of other hosts before it reads the store, and
-	// firstStartGrace where all hosts start.
+	// hostsGrace is how long a host that starts waits for the list of all hosts. In a small deployment it then reads the
+	// store; in a large one it waits for the state of other hosts, for startGrace at most, or for firstStartGrace where
+	// all hosts start for the first time.
+	hostsGrace      = 200 * time.Millisecond
 	startGrace      = 1500 * time.Millisecond
 	firstStartGrace = 4 * time.Second
 	// firstReadDelay is the time from the start of all hosts until a host reads the store for others: before, the
@@ -408,20 +411,28 @@
 // waitForFirst waits until another host has relayed all objects of a kind, or this host is to read them itself. It
 // reports whether they were relayed.
 func (d *Directory) waitForFirst(ctx context.Context, kind Kind) bool {
-	grace := startGrace
-	if d.opts.FirstStart {
-		grace = firstStartGrace
-	}
-	deadline := d.opts.Clock() + grace
+	start := d.opts.Clock()
 	for {
 		d.mu.Lock()
-		loaded := d.loaded[kind]
+		loaded, hosts := d.loaded[kind], len(d.state.Hosts)
 		d.mu.Unlock()
 		if loaded {
 			return true
 		}
-		if d.IsStoreReader() || d.opts.Clock() >= deadline || !wait.For(ctx, firstPollInterval) {
+		if d.IsStoreReader() || d.opts.Clock()-start >= d.startGrace(hosts) || !wait.For(ctx, firstPollInterval) {
 			return false
 		}
 	}
 }
+
+// startGrace returns how long a host waits for the state of others, of which it knows a number.
+func (d *Directory) startGrace(hosts int) time.Duration {
+	switch {
+	case d.opts.FirstStart:
+		return firstStartGrace
+	case hosts > topology.MaxMesh:
+		return startGrace
+	default:
+		return hostsGrace
+	}
+}
--- a/internal/directory/relay_test.go
+++ b/internal/directory/relay_test.go
@@ -279,3 +279,14 @@
 	assert.Len(t, d.Snapshot().Servers, 3)
 	assert.Equal(t, map[string]fleet.Host{"i": {ID: "i"}}, d.Snapshot().Hosts)
 }
+
+// Guards against hosts of a small deployment that all wait for each other after all of them were killed, and against
+// hundreds of hosts that all read the store then.
+func TestHostsWaitForOthersOnlyInLargeDeployments(t *testing.T) {
+	d, _ := newDirectory(nil)
+	assert.LessOrEqual(t, d.startGrace(0), 200*time.Millisecond, "the hosts are not known")
+	assert.LessOrEqual(t, d.startGrace(9), 200*time.Millisecond)
+	assert.Equal(t, startGrace, d.startGrace(60))
+	d.opts.FirstStart = true
+	assert.Greater(t, d.startGrace(9), firstReadDelay)
+}
