End the grace for missing entries 2 s after each was missed

A second fault: a reader that had a notice from the server itself did not pass on the one of the store. Ruled out: late relayed changes: all other hosts removed the server 20 to 90 ms after the entry was gone. Change: the grace counts from when an entry is missed; updates name the time since the outage instead of a flag; notices are always passed on. Conclusion: an entry that is missing for 2 s counts as gone, whatever the store does meanwhile.

--- a/internal/directory/apply.go
+++ b/internal/directory/apply.go
@@ -36,7 +36,8 @@
 	for _, c := range batch.Changes {
 		applied := d.applyChange(kind, c)
 		changed = changed || applied
-		if applied || c.Deleted {
+		// This host may have had a termination notice before the store, which the others still lack.
+		if applied || c.Deleted || c.Backend != nil && c.Backend.Leaving {
 			logged = append(logged, c)
 		}
 	}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -289,8 +289,8 @@
 	defer d.mu.Unlock()
 	now := d.opts.Clock()
 	changed := false
-	for id := range d.missingSince {
-		if now-d.recoveredAt < d.opts.AbsenceGrace {
+	for id, since := range d.missingSince {
+		if now-since < d.opts.AbsenceGrace {
 			continue
 		}
 		delete(d.missingSince, id)
--- a/internal/directory/relay.go
+++ b/internal/directory/relay.go
@@ -72,8 +72,9 @@
 	Backends     RelayedKind
 	DomainsOut   RelayedKind
 	Hosts        RelayedKind
-	// RecentOutage is set when entries may have expired during a store outage.
-	RecentOutage bool
+	// RecoveredAgo is the time since the end of the last store outage, in which entries may have expired; 0 if it is
+	// longer than AbsenceGrace.
+	RecoveredAgo time.Duration
 	// Configuration is the configuration as the store holds it, for a host that lacks it.
 	Configuration []byte
 }
@@ -177,7 +178,9 @@
 	r := &RelayedUpdate{
 		Version:      d.state.Table.Version,
 		ConfirmedAgo: age + time.Millisecond, // messages have whole milliseconds
-		RecentOutage: d.recoveredAt > 0 && now-d.recoveredAt < d.opts.AbsenceGrace,
+	}
+	if d.recoveredAt > 0 && now-d.recoveredAt < d.opts.AbsenceGrace {
+		r.RecoveredAgo = now - d.recoveredAt + time.Millisecond
 	}
 	retention := changeRetention
 	if d.opts.RelayTime != nil {
@@ -285,8 +288,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.opts.Clock()
-	if r.RecentOutage && (d.recoveredAt == 0 || now-d.recoveredAt >= d.opts.AbsenceGrace) {
-		d.recoveredAt = now
+	if r.RecoveredAgo > 0 {
+		d.recoveredAt = max(d.recoveredAt, now-r.RecoveredAgo)
 	}
 	changed := false
 	if table != nil {
--- a/internal/directory/relay_test.go
+++ b/internal/directory/relay_test.go
@@ -290,3 +290,42 @@
 	d.opts.FirstStart = true
 	assert.Greater(t, d.startGrace(9), firstReadDelay)
 }
+
+// Guards against an outage that two hosts report to each other for ever, so that servers whose entries are gone keep
+// getting requests, and against entries that stay missing for longer since the store fails once more.
+func TestOutageEndsAtHostsThatRelayToEachOther(t *testing.T) {
+	a, b, c := newRegion(t)
+	b.SetStoreReader(false)
+	b.SetRelaying(true)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	a.backOff(ctx, Backends, errors.New("outage"))
+	a.recordSuccess(Backends)
+	for range 30 {
+		c.advance(100 * time.Millisecond)
+		b.ApplyRelayed(a.RelayedUpdate(), c.Now())
+		a.ApplyRelayed(b.RelayedUpdate(), c.Now())
+	}
+	a.apply(Backends, Batch{Changes: []Change{{Name: "a", Deleted: true}}, Revision: 30}, false, c.Now())
+	assert.True(t, a.Snapshot().Servers["a"].Removed, "3 s after the outage")
+	a.backOff(ctx, Backends, errors.New("outage"))
+	a.recordSuccess(Backends)
+	a.apply(Backends, Batch{Changes: []Change{{Name: "b", Deleted: true}}, Revision: 40}, false, c.Now())
+	assert.False(t, a.Snapshot().Servers["b"].Removed, "it may register again")
+	for range 4 {
+		c.advance(500 * time.Millisecond)
+		a.backOff(ctx, Backends, errors.New("outage"))
+		a.recordSuccess(Backends)
+		a.expire()
+	}
+	assert.True(t, a.Snapshot().Servers["b"].Removed, "2 s after its entry was missing")
+}
+
+// Guards against a notice that a store reader does not pass on, since it had it from the server itself before the store.
+func TestNoticesThatTheReaderHadAreRelayed(t *testing.T) {
+	reader, follower, c := newRegion(t)
+	reader.MarkTerminating("a", 1, true, "load report")
+	reader.apply(Backends, Batch{Changes: []Change{terminating("a")}, Revision: 12}, false, c.Now())
+	follower.ApplyRelayed(reader.RelayedUpdate(), c.Now())
+	assert.True(t, follower.Snapshot().Servers["a"].Leaving)
+}
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -93,7 +93,7 @@
 		Limits: []ratelimit.Report{limit}, StoreResponseAge: 30 * time.Millisecond, StoreReader: true, RecentStoreFailure: true,
 		Versions: directory.Versions{Configuration: 1, Backends: 2, DomainsOut: 3, Hosts: 4}, Role: topology.Primary, Readers: []string{"h"},
 		RelayedUpdate: &directory.RelayedUpdate{
-			Version: 7, ConfirmedAgo: 5 * time.Millisecond, RecentOutage: true,
+			Version: 7, ConfirmedAgo: 5 * time.Millisecond, RecoveredAgo: 9 * time.Millisecond,
 			Backends: directory.RelayedKind{After: 1, Revision: 2, Changes: []directory.Change{
 				{Name: "b", Backend: &fleet.Backend{ID: "b", StartTime: 1, Service: "m", Address: "10.0.0.1:1", Domain: "d", Region: "r", Slots: 3, Leaving: true, ColdLeft: time.Second}},
 				{Name: "c", Deleted: true},
@@ -114,7 +114,7 @@
 	require.NoError(t, err)
 	var compressed compressedConfiguration
 	missing := &directory.RelayedUpdate{
-		Version: 7, ConfirmedAgo: s.RelayedUpdate.ConfirmedAgo, RecentOutage: true,
+		Version: 7, ConfirmedAgo: s.RelayedUpdate.ConfirmedAgo, RecoveredAgo: 9 * time.Millisecond,
 		Backends: directory.RelayedKind{Revision: 2, Full: true, Changes: []directory.Change{{Name: "b2", Backend: &fleet.Backend{ID: "b2"}}}},
 	}
 	suffix, err := encodeSuffix(MessageID{Incarnation: 1, Sequence: 2}, []Generation{{ID: "n", Server: "s", Region: "north"}}, missing, compressed.compress(7, []byte(`{"version":7}`)))
--- a/internal/gossip/wire.go
+++ b/internal/gossip/wire.go
@@ -268,7 +268,7 @@
 		return nil
 	}
 	return &pb.Update{
-		Version: u.Version, ConfirmedAgoMs: u.ConfirmedAgo.Milliseconds(), RecentOutage: u.RecentOutage,
+		Version: u.Version, ConfirmedAgoMs: u.ConfirmedAgo.Milliseconds(), RecoveredAgoMs: u.RecoveredAgo.Milliseconds(),
 		Backends: encodeKind(u.Backends), DomainsOut: encodeKind(u.DomainsOut), Hosts: encodeKind(u.Hosts),
 	}
 }
@@ -278,7 +278,7 @@
 		return nil, nil
 	}
 	u := &directory.RelayedUpdate{
-		Version: m.Version, ConfirmedAgo: millis(m.ConfirmedAgoMs), RecentOutage: m.RecentOutage,
+		Version: m.Version, ConfirmedAgo: millis(m.ConfirmedAgoMs), RecoveredAgo: millis(m.RecoveredAgoMs),
 		Backends: decodeKind(m.Backends), DomainsOut: decodeKind(m.DomainsOut), Hosts: decodeKind(m.Hosts),
 	}
 	if len(m.Configuration) == 0 {
