Share failures at backend servers between hosts

Ruled out: longer ejections at each host; they do not help the next host. Change: a host reports its failures; core/outlier ejects a server for the failure domain whose hosts fail there, and for all when those of two domains do, tries it again with single requests, and takes no reports of a host that fails at all servers alike. Hosts of a mesh use it for their own picks, aggregators for their placements, and members get the list in the digest. Failures 500 and 502 of engines count too. Conclusion: a few requests show a bad engine to the whole group.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -140,6 +140,8 @@
 	intn     func(n int) int
 	// nearby and distant are used by pick.
 	nearby, distant []*server
+	// suspects are the servers at which other hosts have failed, by ID.
+	suspects map[string]bool
 	// limits are the rate limits that servers name; nil for none.
 	limits *ratelimit.Limiter
 	// refusals are the servers that refuse requests for a time; nil for none.
@@ -186,6 +188,10 @@
 	return s
 }
 
+// SetSuspects replaces the servers at which other hosts have failed, by ID. They are ejected like those at which this
+// host has failed.
+func (b *Balancer) SetSuspects(suspects map[string]bool) { b.suspects = suspects }
+
 // Pick returns the candidate of lowest cost that has capacity. Ejected servers
 // are candidates only if there are no others. Pick reserves nothing: the caller adds
 // the load with AddRequest or AddLoad.
@@ -204,7 +210,7 @@
 	near, far := b.nearby[:0], b.distant[:0]
 	reason := NoCandidate
 	for id, s := range b.servers {
-		if !b.isCandidate(id, s, req) || !includeEjected && now.Before(s.ejectedUntil) {
+		if !b.isCandidate(id, s, req) || !includeEjected && (now.Before(s.ejectedUntil) || b.suspects[id]) {
 			continue
 		}
 		if b.refusals != nil && !b.refusals.Allows(s.Process(), now) {
--- a/internal/forward/balancers.go
+++ b/internal/forward/balancers.go
@@ -10,6 +10,7 @@
 
 	"monsoonkeel.example/monsoonkeel/core/balance"
 	"monsoonkeel.example/monsoonkeel/core/fleet"
+	"monsoonkeel.example/monsoonkeel/core/outlier"
 	"monsoonkeel.example/monsoonkeel/core/quota"
 	"monsoonkeel.example/monsoonkeel/core/ratelimit"
 	"monsoonkeel.example/monsoonkeel/core/retry"
@@ -42,6 +43,11 @@
 	limits *ratelimit.Limiter
 	// refusals are the servers that refuse requests of this host for a time.
 	refusals *serverstate.Refusals
+	// reporter collects the failures of this host for the others, and outliers those of the others. Both count time from
+	// started.
+	reporter *outlier.Reporter
+	outliers *outlier.Tracker
+	started  time.Time
 	// placer chooses servers for the hosts of the group while this host aggregates it.
 	placer placer
 	// hasRefusals is set while refusals has any, so that requests do not need the lock otherwise.
@@ -68,6 +74,7 @@
 func newBalancers(opts Options) *balancers {
 	return &balancers{
 		opts: opts, bounds: opts.Bounds, services: map[string]*serviceState{}, addresses: map[string]balance.Server{}, quotas: map[string]*serviceQuotas{}, placer: newPlacer(),
+		reporter: outlier.NewReporter(), outliers: outlier.New(), started: time.Now(),
 		limits: ratelimit.New(opts.HostID, rand.Float64), refusals: serverstate.NewRefusals(rand.Float64),
 	}
 }
@@ -223,10 +230,11 @@
 }
 
 // setPeerLoad applies the load of the other hosts, by server. It contains the placements that peers name.
-func (bs *balancers) setPeerLoad(loads map[string]balance.Load, peers []gossip.Peer) {
+func (bs *balancers) setPeerLoad(loads map[string]balance.Load, peers []gossip.Peer, ejected []string) {
 	bs.mu.Lock()
 	defer bs.mu.Unlock()
 	bs.peerLoads = loads
+	bs.mergeFailures(peers, ejected)
 	for _, p := range peers {
 		bs.placer.drop(p.Host, func(placed placement) bool { return placed.number <= p.Placed })
 	}
@@ -236,6 +244,36 @@
 	}
 }
 
+// mergeFailures counts the failures that peers report, and ejects servers by them and those that aggregators name.
+func (bs *balancers) mergeFailures(peers []gossip.Peer, ejected []string) {
+	now := time.Since(bs.started)
+	live := make(map[string]bool, len(peers))
+	for _, p := range peers {
+		live[p.Host] = true
+		bs.outliers.Merge(p.Host, p.Domain, p.Failures, now)
+	}
+	bs.outliers.Expire(now, func(host string) bool { return live[host] })
+	suspects := bs.outliers.Ejected(bs.opts.Domain, now)
+	if suspects == nil && len(ejected) > 0 {
+		suspects = map[string]bool{}
+	}
+	for _, id := range ejected {
+		suspects[id] = true
+	}
+	for _, s := range bs.services {
+		s.balancer.SetSuspects(suspects)
+	}
+}
+
+// failureReports returns the recent failures of this host, and the servers that no host should use by what its peers
+// report.
+func (bs *balancers) failureReports() ([]outlier.Report, []string) {
+	bs.mu.Lock()
+	defer bs.mu.Unlock()
+	now := time.Since(bs.started)
+	return bs.reporter.Reports(now), bs.outliers.EjectedForAll(now)
+}
+
 // ownLoad returns this host's load by server.
 func (bs *balancers) ownLoad() map[string]balance.Load {
 	bs.mu.Lock()
@@ -306,6 +344,7 @@
 	server, reason := s.balancer.Pick(req, now)
 	s.balancer.RecordDemand(req, server, reason, now)
 	if reason == balance.Chosen {
+		bs.outliers.Tried(server.ID, now.Sub(bs.started))
 		s.balancer.AddRequest(server.ID, loadOf(req), now)
 		bs.mu.Unlock()
 		return bs.newReservation(service, server, req), reason
--- a/internal/forward/gateway.go
+++ b/internal/forward/gateway.go
@@ -198,6 +198,7 @@
 func (g *Gateway) LocalState(s *gossip.State) {
 	s.Placed, s.Loads = g.balancers.placedLoad()
 	s.Generations = g.generations.list(g.balancers)
+	s.Failures, s.Ejected = g.balancers.failureReports()
 	s.StoreResponseAge = g.opts.Directory.StoreResponseAge()
 	s.StoreReader, s.RecentStoreFailure = g.opts.Directory.IsStoreReader(), g.opts.Directory.RecentStoreFailure()
 	s.RelayedUpdate, s.Versions = g.opts.Directory.RelayedUpdate(), g.opts.Directory.Versions()
@@ -209,7 +210,7 @@
 // SetView applies what is known of the other hosts.
 func (g *Gateway) SetView(v gossip.View) {
 	g.view.Store(&v)
-	g.balancers.setPeerLoad(v.Loads, v.Peers)
+	g.balancers.setPeerLoad(v.Loads, v.Peers, v.Ejected)
 	for _, e := range v.Evidence {
 		g.crashes.Merge(e.Crashes, e.Answers, time.Now().Add(e.At-g.opts.Clock()), "another host reported")
 	}
--- a/internal/forward/placer.go
+++ b/internal/forward/placer.go
@@ -109,6 +109,8 @@
 		loads[id] = loads[id].Plus(l)
 	}
 	s.placed.SetPeerLoad(loads)
+	elapsed := now.Sub(bs.started)
+	s.placed.SetSuspects(bs.outliers.Ejected(r.Domain, elapsed))
 	req := balance.Request{Tokens: r.Tokens, Prefill: r.Prefill, Exclude: r.Exclude, From: r.Domain}
 	if len(r.Regions) > 0 {
 		req.Allowed = func(region string) bool { return slices.Contains(r.Regions, region) }
@@ -124,6 +126,7 @@
 	if reason != balance.Chosen {
 		return gossip.Placement{}
 	}
+	bs.outliers.Tried(server.ID, elapsed)
 	load := loadOf(req)
 	s.placed.AddRequest(server.ID, load, now)
 	bs.placer.number++
--- a/internal/forward/placer_test.go
+++ b/internal/forward/placer_test.go
@@ -12,7 +12,9 @@
 
 	"monsoonkeel.example/monsoonkeel/core/balance"
 	"monsoonkeel.example/monsoonkeel/core/fleet"
+	"monsoonkeel.example/monsoonkeel/core/outlier"
 	"monsoonkeel.example/monsoonkeel/core/route"
+	"monsoonkeel.example/monsoonkeel/core/serverstate"
 	"monsoonkeel.example/monsoonkeel/internal/directory"
 	"monsoonkeel.example/monsoonkeel/internal/gossip"
 )
@@ -103,7 +105,7 @@
 	placed := func() int { return bs.services["model"].placed.OwnLoad()["engine-0"].Requests }
 	assert.Equal(t, 2, placed())
 	assert.Greater(t, second.Number, first.Number)
-	bs.setPeerLoad(nil, []gossip.Peer{{Host: "host-2", Placed: first.Number}, {Host: "host-4", Placed: first.Number}})
+	bs.setPeerLoad(nil, []gossip.Peer{{Host: "host-2", Placed: first.Number}, {Host: "host-4", Placed: first.Number}}, nil)
 	assert.Equal(t, 1, placed())
 	bs.place("host-0", q) // this host's own load counts without a state
 	assert.Equal(t, 1, placed())
@@ -160,3 +162,43 @@
 	}
 	assert.Empty(t, bs.place("host-2", gossip.PlacementRequest{Service: "model", Source: "unknown"}).Server)
 }
+
+// Guards against an engine that resets all requests and gets more than its part of them, since it looks idle: the
+// aggregator does not place generations there after the failures that hosts of two failure domains report, nor for the
+// hosts of a domain that fail there.
+func TestEnginesAtWhichHostsFailGetNoPlacements(t *testing.T) {
+	bs := newGroupBalancers("host-0", groupSnapshot(60, 4, 0))
+	failing := []outlier.Report{{Process: serverstate.Process{ID: "engine-0", StartTime: 1}, Failures: 1}}
+	place := func(domain string) string {
+		return bs.place("host-2", gossip.PlacementRequest{Service: "model", Tokens: 1, Domain: domain}).Server
+	}
+	bs.setPeerLoad(nil, []gossip.Peer{{Host: "host-2", Domain: "west-a", Failures: failing}}, nil)
+	for range 5 {
+		assert.Equal(t, "engine-2", place("west-a"))
+	}
+	assert.Equal(t, "engine-0", place("west-b"))
+	bs.setPeerLoad(nil, []gossip.Peer{{Host: "host-2", Domain: "west-a", Failures: failing}, {Host: "host-4", Domain: "west-b", Failures: failing}}, nil)
+	for range 5 {
+		assert.Equal(t, "engine-2", place("west-c"))
+	}
+	_, ejected := bs.failureReports()
+	assert.Equal(t, []string{"engine-0"}, ejected)
+	member := newGroupBalancers("host-2", groupSnapshot(60, 4, 0))
+	member.setPeerLoad(nil, nil, ejected)
+	server, _ := member.service("model").balancer.Pick(balance.Request{Tokens: 1}, time.Now())
+	assert.Equal(t, "engine-2", server.ID, "a host that chooses by itself")
+}
+
+// Guards against failures that a host does not report, and against sound responses that count as failures.
+func TestFailuresAreReported(t *testing.T) {
+	bs := newGroupBalancers("host-0", groupSnapshot(9, 4, 0))
+	for i, failed := range []bool{true, false, true} {
+		res, _ := bs.acquire(t.Context(), "model", balance.Request{Exclude: []string{"engine-1", "engine-2", "engine-3"}}, sender{}, 0)
+		require.NotNil(t, res, "%d", i)
+		res.release(failed)
+	}
+	reports, _ := bs.failureReports()
+	require.Len(t, reports, 1)
+	assert.Equal(t, serverstate.Process{ID: "engine-0", StartTime: 1}, reports[0].Process)
+	assert.EqualValues(t, 2, reports[0].Failures)
+}
--- a/internal/forward/reservation.go
+++ b/internal/forward/reservation.go
@@ -87,12 +87,19 @@
 		case failed && res.silent:
 		case failed:
 			b.RecordFailure(res.server.ID, time.Now())
+			res.report(true)
 		default:
 			b.RecordSuccess(res.server.ID)
+			res.report(false)
 		}
 	})
 }
 
+// report records the result of the request for the other hosts; balancers.mu must be held.
+func (res *reservation) report(failed bool) {
+	res.balancers.reporter.Record(res.server.Process(), failed, time.Since(res.balancers.started))
+}
+
 // cancel releases a reservation for which nothing was sent, or whose request ended without a result that tells
 // anything about the server.
 func (res *reservation) cancel() { res.end(func(*balance.Balancer) {}) }
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -4,8 +4,10 @@
 	"io"
 	"sync"
 
+	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/semaphore"
 
+	"monsoonkeel.example/monsoonkeel/core/route"
 	"monsoonkeel.example/monsoonkeel/internal/connection"
 )
 
@@ -104,7 +106,7 @@
 		r.call.Respond(r.status, responseHeader(&resp.ex.Response.Header), resp.start)
 		resp.release()
 		resp.ex.Finish(true)
-		res.release(false)
+		res.release(r.isEngineFailure())
 		return nil
 	}
 	// The start must not stay in memory once its capacity was returned.
@@ -113,6 +115,12 @@
 	return r.deliverUnbuffered(resp.ex, res, start, resp.release)
 }
 
+// isEngineFailure reports whether the response is the failure of an engine, which counts towards its ejection. Plain
+// services fail requests for their content.
+func (r *request) isEngineFailure() bool {
+	return r.route.Kind == route.Stream && (r.status == fasthttp.StatusInternalServerError || r.status == fasthttp.StatusBadGateway)
+}
+
 // deliverUnbuffered forwards a response of which the start has been read. release
 // returns the buffer capacity of the start.
 func (r *request) deliverUnbuffered(ex *connection.Exchange, res *reservation, start []byte, release func()) error {
@@ -130,7 +138,7 @@
 	}
 	ex.Finish(err == nil)
 	if err == nil {
-		res.release(false)
+		res.release(r.isEngineFailure())
 		return nil
 	}
 	// Both are determined first, since the abort also cancels the call's context.
--- a/internal/gossip/digest.go
+++ b/internal/gossip/digest.go
@@ -99,9 +99,10 @@
 func (e *Exchange) digest(group topology.GroupID, now time.Duration) Digest {
 	self := State{Host: e.opts.Self.ID, Region: e.opts.Region, ReceivedAt: now}
 	e.opts.FillLocal(&self)
+	ejected := self.Ejected[:min(len(self.Ejected), maxDigestEvidence)]
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	d := Digest{Group: group, Loads: map[string]balance.Load{}, StoreResponseAge: maxAge}
+	d := Digest{Group: group, Ejected: ejected, Loads: map[string]balance.Load{}, StoreResponseAge: maxAge}
 	d.add(&self, now, e.opts.IsTerminating)
 	for id, p := range e.peers {
 		if e.isOfGroup(id, p, group) {
@@ -243,7 +244,8 @@
 			continue
 		}
 		counted++
-		v.addState(p, e.opts.Self.ID, now)
+		host, _ := e.topology.Host(id)
+		v.addState(p, e.opts.Self.ID, host.Domain, now)
 		p.applied = true
 	}
 	reported := counted
@@ -282,7 +284,7 @@
 }
 
 // addState adds the state of another host.
-func (v *View) addState(p *State, self string, now time.Duration) {
+func (v *View) addState(p *State, self, domain string, now time.Duration) {
 	age := now - p.ReceivedAt
 	for server, load := range p.Loads {
 		v.Loads[server] = v.Loads[server].Plus(load)
@@ -293,7 +295,7 @@
 		v.Evidence = append(v.Evidence, Evidence{Crashes: p.Crashes, Answers: p.Answers, At: p.ReceivedAt})
 	}
 	v.Limits = append(v.Limits, ratelimit.HostReports{Host: p.Host, ReceivedAt: p.ReceivedWall, Reports: p.Limits})
-	v.Peers = append(v.Peers, Peer{Host: p.Host, Region: p.Region, RecentStoreFailure: p.RecentStoreFailure, Generations: p.Generations, Placed: p.Placed[self]})
+	v.Peers = append(v.Peers, Peer{Host: p.Host, Region: p.Region, RecentStoreFailure: p.RecentStoreFailure, Generations: p.Generations, Placed: p.Placed[self], Failures: p.Failures, Domain: domain})
 	v.addStoreAge(p.StoreResponseAge + age)
 	if p.StoreReader {
 		v.StoreReaders++
@@ -311,6 +313,7 @@
 	}
 	v.Generations = append(v.Generations, d.Generations...)
 	v.Terminating = append(v.Terminating, d.Terminating...)
+	v.Ejected = append(v.Ejected, d.Ejected...)
 	if !d.applied && (len(d.Crashes) > 0 || len(d.Answers) > 0) {
 		v.Evidence = append(v.Evidence, Evidence{Crashes: d.Crashes, Answers: d.Answers, At: d.madeAt})
 	}
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -7,9 +7,11 @@
 	"net"
 	"net/netip"
 	"reflect"
+	"slices"
 	"time"
 
 	"monsoonkeel.example/monsoonkeel/core/balance"
+	"monsoonkeel.example/monsoonkeel/core/outlier"
 	"monsoonkeel.example/monsoonkeel/core/topology"
 	"monsoonkeel.example/monsoonkeel/internal/directory"
 )
@@ -249,7 +251,7 @@
 func unchanged(a, b *State) bool {
 	return a.Role == b.Role && a.StoreReader == b.StoreReader && a.RecentStoreFailure == b.RecentStoreFailure && a.Versions == b.Versions &&
 		sameGenerations(a.Generations, b.Generations) && maps.Equal(requestsOf(a.Loads), requestsOf(b.Loads)) && reflect.DeepEqual(a.Terminating, b.Terminating) &&
-		len(a.Crashes) == len(b.Crashes) && len(a.Answers) == len(b.Answers) && sameLimits(a, b) && sameUpdate(a.RelayedUpdate, b.RelayedUpdate)
+		len(a.Crashes) == len(b.Crashes) && sameFailures(a.Failures, b.Failures) && len(a.Answers) == len(b.Answers) && sameLimits(a, b) && sameUpdate(a.RelayedUpdate, b.RelayedUpdate)
 }
 
 // requestsOf returns loads without the tokens, which grow with each event.
@@ -273,6 +275,10 @@
 	return true
 }
 
+func sameFailures(a, b []outlier.Report) bool {
+	return slices.EqualFunc(a, b, func(a, b outlier.Report) bool { return a.Process == b.Process && a.Failures == b.Failures })
+}
+
 func sameLimits(a, b *State) bool {
 	if len(a.Limits) != len(b.Limits) {
 		return false
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -17,6 +17,7 @@
 	"monsoonkeel.example/monsoonkeel/core/attribution"
 	"monsoonkeel.example/monsoonkeel/core/balance"
 	"monsoonkeel.example/monsoonkeel/core/fleet"
+	"monsoonkeel.example/monsoonkeel/core/outlier"
 	"monsoonkeel.example/monsoonkeel/core/ratelimit"
 	"monsoonkeel.example/monsoonkeel/core/topology"
 	"monsoonkeel.example/monsoonkeel/internal/directory"
@@ -58,6 +59,10 @@
 	// Crashes are recent crashes of engines, and Answers say which prompt parts are sound.
 	Crashes []attribution.Report `json:"c,omitempty"`
 	Answers []attribution.Answer `json:"z,omitempty"`
+	// Failures are the recent failures of the host at backend servers. Ejected are the servers that no host should use, by
+	// the failures that its peers report; it is part of its digest.
+	Failures []outlier.Report `json:"failures,omitempty"`
+	Ejected  []string         `json:"ejected,omitempty"`
 	// Limits are the rate limits that backend servers name, and this host's demand for them.
 	Limits []ratelimit.Report `json:"m,omitempty"`
 	// StoreResponseAge is the time since the host's last successful store call.
@@ -116,6 +121,8 @@
 	Terminating []Process
 	Crashes     []attribution.Report
 	Answers     []attribution.Answer
+	// Ejected are the servers that no host should use.
+	Ejected []string
 	// Limits are the reports of the hosts with most demand.
 	Limits []HostLimit
 	// StoreResponseAge is the time since the last successful store call of any host, and StoreReaders the number
@@ -143,6 +150,8 @@
 	// UnreportedHosts is the number of live hosts that Limits leaves out, since they have no demand.
 	UnreportedHosts int
 	Updates         []Update
+	// Ejected are the servers that no host should use, as the aggregators name them.
+	Ejected []string
 	// Peers are the live hosts of which this host has the state: all in a mesh, those of its group at an aggregator.
 	Peers []Peer
 	// InMesh is set if each host sends its state to all others.
@@ -174,9 +183,12 @@
 
 // Peer is another live host.
 type Peer struct {
-	Host, Region       string
+	Host, Region string
+	// Domain is its failure domain; empty if it is not in the store's list yet.
+	Domain             string
 	RecentStoreFailure bool
 	Generations        []Generation
+	Failures           []outlier.Report
 	// Placed is the newest placement by this host that is part of the load of the peer.
 	Placed uint64
 }
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -16,7 +16,9 @@
 	"monsoonkeel.example/monsoonkeel/core/attribution"
 	"monsoonkeel.example/monsoonkeel/core/balance"
 	"monsoonkeel.example/monsoonkeel/core/fleet"
+	"monsoonkeel.example/monsoonkeel/core/outlier"
 	"monsoonkeel.example/monsoonkeel/core/ratelimit"
+	"monsoonkeel.example/monsoonkeel/core/serverstate"
 	"monsoonkeel.example/monsoonkeel/core/topology"
 	"monsoonkeel.example/monsoonkeel/internal/directory"
 )
@@ -90,6 +92,7 @@
 		Host: "h", Region: "west", Incarnation: 3, Sequence: 4, Loads: load,
 		Generations: []Generation{{ID: "g", Server: "s", Tokens: 5, MigrationPriority: 6, HasStandby: true, Region: "west"}},
 		Terminating: []Process{{ID: "s", StartTime: 5}}, Crashes: []attribution.Report{crash}, Answers: []attribution.Answer{{Part: 3, AgeMS: 4}},
+		Failures: []outlier.Report{{Process: serverstate.Process{ID: "s", StartTime: 5}, Failures: 3, Age: 4 * time.Millisecond}}, Placed: map[string]uint64{"p": 7},
 		Limits: []ratelimit.Report{limit}, StoreResponseAge: 30 * time.Millisecond, StoreReader: true, RecentStoreFailure: true,
 		Versions: directory.Versions{Configuration: 1, Backends: 2, DomainsOut: 3, Hosts: 4}, Role: topology.Primary, Readers: []string{"h"},
 		RelayedUpdate: &directory.RelayedUpdate{
@@ -107,7 +110,7 @@
 			Group: topology.GroupID{Region: "east", Index: 2}, Age: 7 * time.Millisecond, Hosts: 9, Loads: load,
 			Generations: []Generation{{ID: "k", Server: "s", Region: "north"}}, Terminating: []Process{{ID: "t", StartTime: 1}},
 			Crashes: []attribution.Report{crash}, Answers: []attribution.Answer{{Part: 3, AgeMS: 4}},
-			Limits: []HostLimit{{Host: "x", Report: limit}}, StoreResponseAge: 8 * time.Millisecond, StoreReaders: 2,
+			Limits: []HostLimit{{Host: "x", Report: limit}}, StoreResponseAge: 8 * time.Millisecond, StoreReaders: 2, Ejected: []string{"s"},
 		}},
 	}
 	base, err := encode(&s)
--- a/internal/gossip/wire.go
+++ b/internal/gossip/wire.go
@@ -13,7 +13,9 @@
 	"monsoonkeel.example/monsoonkeel/core/attribution"
 	"monsoonkeel.example/monsoonkeel/core/balance"
 	"monsoonkeel.example/monsoonkeel/core/fleet"
+	"monsoonkeel.example/monsoonkeel/core/outlier"
 	"monsoonkeel.example/monsoonkeel/core/ratelimit"
+	"monsoonkeel.example/monsoonkeel/core/serverstate"
 	"monsoonkeel.example/monsoonkeel/core/topology"
 	"monsoonkeel.example/monsoonkeel/internal/directory"
 	pb "monsoonkeel.example/monsoonkeel/internal/gossippb"
@@ -44,6 +46,9 @@
 		},
 		Update: encodeUpdate(s.RelayedUpdate), Role: uint32(s.Role), Readers: s.Readers,
 	}
+	for _, f := range s.Failures {
+		m.Failures = append(m.Failures, &pb.Failure{Process: &pb.Process{Id: f.ID, StartTime: f.StartTime}, Failures: f.Failures, AgeMs: f.Age.Milliseconds()})
+	}
 	for aggregator, number := range s.Placed {
 		m.Placed = append(m.Placed, &pb.Placed{Aggregator: aggregator, Number: number})
 	}
@@ -104,6 +109,11 @@
 		Role: topology.Role(m.Role), Readers: m.Readers, TerminatingGenerations: decodeGenerations(m.TerminatingGenerations, m.Region),
 		Echo: MessageID{Incarnation: m.Echo.GetIncarnation(), Sequence: m.Echo.GetSequence()},
 	}
+	for _, f := range m.Failures {
+		s.Failures = append(s.Failures, outlier.Report{
+			Process: serverstate.Process{ID: f.Process.GetId(), StartTime: f.Process.GetStartTime()}, Failures: f.Failures, Age: millis(f.AgeMs),
+		})
+	}
 	for _, p := range m.Placed {
 		if s.Placed == nil {
 			s.Placed = map[string]uint64{}
@@ -242,7 +252,7 @@
 		Region: d.Group.Region, Index: int64(d.Group.Index), AgeMs: d.Age.Milliseconds(), Hosts: int64(d.Hosts),
 		Loads: encodeLoads(d.Loads), Generations: encodeGenerations(d.Generations, true), Terminating: encodeProcesses(d.Terminating),
 		Crashes: encodeCrashes(d.Crashes), Answers: encodeAnswers(d.Answers),
-		StoreResponseAgeMs: d.StoreResponseAge.Milliseconds(), StoreReaders: int64(d.StoreReaders),
+		StoreResponseAgeMs: d.StoreResponseAge.Milliseconds(), StoreReaders: int64(d.StoreReaders), Ejected: d.Ejected,
 	}
 	for _, l := range d.Limits {
 		out.Limits = append(out.Limits, encodeLimit(l))
@@ -255,7 +265,7 @@
 		Group: topology.GroupID{Region: m.Region, Index: int(m.Index)}, Age: millis(m.AgeMs), Hosts: int(m.Hosts),
 		Loads: decodeLoads(m.Loads), Generations: decodeGenerations(m.Generations, m.Region), Terminating: decodeProcesses(m.Terminating),
 		Crashes: decodeCrashes(m.Crashes), Answers: decodeAnswers(m.Answers),
-		StoreResponseAge: millis(m.StoreResponseAgeMs), StoreReaders: int(m.StoreReaders),
+		StoreResponseAge: millis(m.StoreResponseAgeMs), StoreReaders: int(m.StoreReaders), Ejected: m.Ejected,
 	}
 	for _, l := range m.Limits {
 		d.Limits = append(d.Limits, decodeLimit(l))
