Send what a host lacks of the store in messages of its own

Cause: what a host lacked was appended to the state message. Ruled out: a TCP connection; the aggregators send a few hundred kB at most, and a lost part is sent again. Change: repairs are messages of their own, all objects of a kind in parts of 24 kB that are applied together; hosts that lack the same get the same bytes.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -138,6 +138,7 @@
 		FillLocal:     p.gateway.LocalState,
 		OnChange:      p.gateway.SetView,
 		Missing:       p.directory.Missing,
+		OnRepair:      func(u *directory.RelayedUpdate) { p.directory.ApplyRelayed(u, 0) },
 		Place:         p.gateway.Place,
 		IsTerminating: p.gateway.IsTerminating,
 		Clock:         boottime.Now,
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -60,6 +60,10 @@
 		e.receivePlacement(m.Host, m.Placement, from)
 		return
 	}
+	if err == nil && m.Repair != nil && m.Host != e.opts.Self.ID {
+		e.receiveRepair(m.Host, m.Repair)
+		return
+	}
 	var s *State
 	if err == nil {
 		s, err = decodeState(m)
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -203,6 +203,8 @@
 	FillLocal func(*State)
 	// OnChange is called with a new view.
 	OnChange func(View)
+	// OnRepair is called with what this host lacked of the store.
+	OnRepair func(*directory.RelayedUpdate)
 	// Missing returns what a host lacks of the store, or nil.
 	Missing func(directory.Versions) *directory.RelayedUpdate
 	// Place chooses a backend server for a host; nil if this host does not.
@@ -253,6 +255,10 @@
 	repaired map[string]time.Duration
 	// configuration is the newest one that was sent, compressed.
 	configuration compressedConfiguration
+	// encoded is the last repair that was sent, and partial are the parts of those received. Only the sending goroutine
+	// uses encoded.
+	encoded encodedRepair
+	partial partialKinds
 	// conn is set by Run.
 	conn       *net.UDPConn
 	placements placements
--- a/internal/gossip/receivers.go
+++ b/internal/gossip/receivers.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"monsoonkeel.example/monsoonkeel/core/topology"
-	"monsoonkeel.example/monsoonkeel/internal/directory"
 )
 
 const (
@@ -29,8 +28,6 @@
 	// firstContacts is the number of hosts, by the order of the group, to which a member sends its state while it
 	// hears no aggregator.
 	firstContacts = 4
-	// repairInterval is the least time between two messages to a host with what it lacks of the store.
-	repairInterval = 500 * time.Millisecond
 )
 
 // messages are messages of the same content to several receivers.
@@ -241,7 +238,7 @@
 // readerTimeout is how long after its last message a host may still be named as a store reader.
 const readerTimeout = 1500 * time.Millisecond
 
-// send sends a state to receivers, to each with its own echo and what it lacks of the store.
+// send sends a state to receivers, to each with its own echo, and then what it lacks of the store.
 func (e *Exchange) send(conn *net.UDPConn, s *State, m messages, now time.Duration) {
 	message, err := encodeBounded(s, e.opts.Log)
 	if err != nil {
@@ -249,10 +246,10 @@
 		return
 	}
 	for _, r := range m.receivers {
-		suffix, err := e.suffix(s, r.host, m.generations, now)
+		suffix, err := e.suffix(s, r.host, m.generations)
 		if err == nil && len(message)+len(suffix) > maxMessageBytes {
-			e.opts.Log.Warn().Str("peer", r.host).Int("bytes", len(suffix)).Msg("gossip message sent without what the host lacks of the store: larger than a datagram")
-			suffix, err = encodeSuffix(e.echo(r.host), nil, nil, nil)
+			e.opts.Log.Warn().Str("peer", r.host).Int("bytes", len(suffix)).Msg("gossip message sent without generations at terminating engines: larger than a datagram")
+			suffix, err = encodeSuffix(e.echo(r.host), nil)
 		}
 		if err == nil {
 			_, err = conn.WriteToUDPAddrPort(append(message[:len(message):len(message)], suffix...), r.address)
@@ -260,6 +257,7 @@
 		if err != nil && !errors.Is(err, net.ErrClosed) {
 			e.opts.Log.Debug().Str("peer", r.host).Err(err).Msg("sending a gossip message failed")
 		}
+		e.sendRepair(conn, s, r, now)
 	}
 }
 
@@ -274,16 +272,11 @@
 }
 
 // suffix returns the part of a message for one receiver.
-func (e *Exchange) suffix(s *State, host string, generations map[string][]Generation, now time.Duration) ([]byte, error) {
+func (e *Exchange) suffix(s *State, host string, generations map[string][]Generation) ([]byte, error) {
 	if s.Role == topology.Member && s.RelayedUpdate == nil {
 		return nil, nil
 	}
-	missing := e.missing(s.RelayedUpdate, host, now)
-	var configuration []byte
-	if missing != nil && missing.Configuration != nil {
-		configuration = e.configuration.compress(missing.Version, missing.Configuration)
-	}
-	return encodeSuffix(e.echo(host), e.generationsFor(host, generations), missing, configuration)
+	return encodeSuffix(e.echo(host), e.generationsFor(host, generations))
 }
 
 // generationsFor returns the generations at the engines where a host has generations.
@@ -303,30 +296,3 @@
 	}
 	return list
 }
-
-// missing returns what a host lacks of the store and an update for all hosts does not contain, or nil.
-func (e *Exchange) missing(u *directory.RelayedUpdate, host string, now time.Duration) *directory.RelayedUpdate {
-	if u == nil || e.opts.Missing == nil {
-		return nil
-	}
-	e.mu.Lock()
-	p, repaired := e.peers[host], e.repaired[host]
-	e.mu.Unlock()
-	if p == nil || repaired != 0 && now-repaired < repairInterval {
-		return nil
-	}
-	v := p.Versions
-	covered := func(known int64, k directory.RelayedKind) bool {
-		return known > 0 && known >= k.After || k.Revision == 0
-	}
-	if v.Configuration >= u.Version && covered(v.Backends, u.Backends) && covered(v.DomainsOut, u.DomainsOut) && covered(v.Hosts, u.Hosts) {
-		return nil
-	}
-	missing := e.opts.Missing(v)
-	if missing != nil {
-		e.mu.Lock()
-		e.repaired[host] = now
-		e.mu.Unlock()
-	}
-	return missing
-}
--- a/internal/gossip/wire.go
+++ b/internal/gossip/wire.go
@@ -26,6 +26,10 @@
 	protocolVersion = 1
 	// maxMessageBytes is the size limit of a message, below that of a UDP datagram.
 	maxMessageBytes = 60 << 10
+	// maxPartBytes limits the objects of the store in one message.
+	maxPartBytes = 24 << 10
+	// maxParts limits the number of messages with all objects of a kind. More objects are read from the store.
+	maxParts = 64
 	// maxConfigurationBytes limits a configuration in a message, compressed. A larger one is read from the store.
 	maxConfigurationBytes = 32 << 10
 	// maxDecompressedBytes limits the configuration that a message expands to.
@@ -63,15 +67,11 @@
 
 // encodeSuffix returns what is appended to the message of a state for one receiver. The parts of a message that occur
 // twice are merged when it is decoded.
-func encodeSuffix(echo MessageID, generations []Generation, missing *directory.RelayedUpdate, configuration []byte) ([]byte, error) {
+func encodeSuffix(echo MessageID, generations []Generation) ([]byte, error) {
 	m := &pb.Message{TerminatingGenerations: encodeGenerations(generations, true)}
 	if echo != (MessageID{}) {
 		m.Echo = &pb.MessageID{Incarnation: echo.Incarnation, Sequence: echo.Sequence}
 	}
-	if missing != nil {
-		m.Update = encodeUpdate(missing)
-		m.Update.Configuration = configuration
-	}
 	return proto.Marshal(m)
 }
 
