Count store calls, messages between hosts and placements

Ruled out: log lines; each reader makes several calls a second. Change: metrics 'store' (calls by method and kind, unusable entries), 'gossip' (messages, bytes, repairs, placements asked and not answered, role) and 'placed', 'placed_here'.

--- a/internal/cmd/entrycmd/main.go
+++ b/internal/cmd/entrycmd/main.go
@@ -96,6 +96,7 @@
 	adapter := entry.Adapter{
 		Store:         store,
 		EvidenceStore: store,
+		StoreMetrics:  &store.Metrics,
 		EngineClient:  platform.NewEngineClient(),
 		Dialect:       platform.Dialect(),
 		ReadyPath:     platform.ReadyPath,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -67,6 +67,8 @@
 	// EvidenceStore is usually the same as Store; nil for none.
 	EvidenceStore forward.EvidenceStore
 	Dialect       forward.Dialect
+	// StoreMetrics counts the calls to the store; nil for none.
+	StoreMetrics expvar.Var
 	// ReadyPath is the URL path of the readiness probe.
 	ReadyPath string
 	// Reload reads the settings again. It returns nil if they did not change.
@@ -280,6 +282,10 @@
 	}
 	vars := new(expvar.Map).Init()
 	vars.Set("forward", &p.gateway.Metrics)
+	vars.Set("gossip", &p.gossip.Metrics)
+	if p.adapter.StoreMetrics != nil {
+		vars.Set("store", p.adapter.StoreMetrics)
+	}
 	vars.Set("connections", expvar.Func(func() any { return p.callers.Open() }))
 	vars.Set("memstats", expvar.Get("memstats"))
 	mux := http.NewServeMux()
--- a/internal/forward/balancers.go
+++ b/internal/forward/balancers.go
@@ -26,7 +26,8 @@
 
 // balancers holds the balancers, one per service.
 type balancers struct {
-	opts Options
+	opts    Options
+	metrics *Metrics
 
 	mu       sync.Mutex
 	bounds   Bounds
@@ -71,9 +72,9 @@
 	lastNotice time.Time
 }
 
-func newBalancers(opts Options) *balancers {
+func newBalancers(opts Options, metrics *Metrics) *balancers {
 	return &balancers{
-		opts: opts, bounds: opts.Bounds, services: map[string]*serviceState{}, addresses: map[string]balance.Server{}, quotas: map[string]*serviceQuotas{}, placer: newPlacer(),
+		opts: opts, metrics: metrics, bounds: opts.Bounds, services: map[string]*serviceState{}, addresses: map[string]balance.Server{}, quotas: map[string]*serviceQuotas{}, placer: newPlacer(),
 		reporter: outlier.NewReporter(), outliers: outlier.New(), started: time.Now(),
 		limits: ratelimit.New(opts.HostID, rand.Float64), refusals: serverstate.NewRefusals(rand.Float64),
 	}
@@ -341,6 +342,9 @@
 	if bs.limits.HasLimits() {
 		s.wake() // a token that has become available is for the requests that wait
 	}
+	if s.placed != nil && !req.Standby {
+		bs.metrics.PlacedHere.Add(1)
+	}
 	server, reason := s.balancer.Pick(req, now)
 	s.balancer.RecordDemand(req, server, reason, now)
 	if reason == balance.Chosen {
--- a/internal/forward/balancers_test.go
+++ b/internal/forward/balancers_test.go
@@ -15,7 +15,7 @@
 // Guards against standby replicas that take the KV cache and links needed for migrations
 // while engines are reclaimed one after another with notice.
 func TestNoStandbysDuringNoticeWindow(t *testing.T) {
-	bs := newBalancers(Options{Domain: "west-a", Region: "west"})
+	bs := newBalancers(Options{Domain: "west-a", Region: "west"}, &Metrics{})
 	servers := map[string]*directory.Server{}
 	for _, id := range []string{"a", "b", "c", "d"} {
 		servers[id] = &directory.Server{Backend: fleet.Backend{ID: id, Address: id, Service: "model", Domain: "west-a", Region: "west"}}
--- a/internal/forward/gateway.go
+++ b/internal/forward/gateway.go
@@ -82,7 +82,7 @@
 	g := &Gateway{opts: opts, pool: connection.NewPoolSize(maxIdlePerServer)}
 	g.opts.EngineClient = &controlCalls{EngineClient: opts.EngineClient, g: g}
 	g.bounds.Store(&opts.Bounds)
-	g.balancers = newBalancers(opts)
+	g.balancers = newBalancers(opts, &g.Metrics)
 	g.crashes = crashes.New(crashes.Options{HostID: opts.HostID, Peers: g.peerIDs, Clock: opts.Clock, Log: opts.Log})
 	g.Metrics.crashes = g.crashes
 	g.responseBuffers = newResponseBuffers(opts.ResponseBufferBytes)
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -18,7 +18,10 @@
 	// server accepted a request.
 	Refusals, RefusalsEnded atomic.Int64
 	// Notices counts termination notices that were not from the store.
-	Notices             atomic.Int64
+	Notices atomic.Int64
+	// Placed counts generations and migrations whose engine the aggregator of the group chose, and PlacedHere those for
+	// which this host chose it although the deployment has groups.
+	Placed, PlacedHere  atomic.Int64
 	crashes             *crashes.Guard
 	Latency, FirstEvent Histogram
 	mu                  sync.Mutex
@@ -48,6 +51,8 @@
 		"server_refusals":       m.Refusals.Load(),
 		"server_refusals_ended": m.RefusalsEnded.Load(),
 		"server_notices":        m.Notices.Load(),
+		"placed":                m.Placed.Load(),
+		"placed_here":           m.PlacedHere.Load(),
 		"engine_crashes":        m.crashes.Crashes.Load(),
 		"rejected_parts":        len(m.crashes.Rejections()),
 		"part_trials":           m.crashes.Trials.Load(),
--- a/internal/forward/notices_test.go
+++ b/internal/forward/notices_test.go
@@ -82,7 +82,7 @@
 		Store: store, Log: zerolog.Nop(), Clock: func() time.Duration { return time.Hour + time.Since(begin) },
 		WatchTimeouts: map[directory.Kind]time.Duration{directory.Backends: time.Second, directory.Configuration: time.Second, directory.DomainsOut: time.Second},
 	})
-	g := &Gateway{opts: opts, balancers: newBalancers(opts)}
+	g := &Gateway{opts: opts, balancers: newBalancers(opts, &Metrics{})}
 	g.view.Store(&gossip.View{InMesh: true})
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
--- a/internal/forward/placer.go
+++ b/internal/forward/placer.go
@@ -179,6 +179,7 @@
 	if !accepted {
 		return nil
 	}
+	bs.metrics.Placed.Add(1)
 	res := bs.newReservation(service, server, req)
 	res.placedBy = placed.Aggregator
 	return res
--- a/internal/forward/placer_test.go
+++ b/internal/forward/placer_test.go
@@ -41,7 +41,7 @@
 }
 
 func newGroupBalancers(host string, s *directory.Snapshot) *balancers {
-	bs := newBalancers(Options{HostID: host, Domain: "west-a", Region: "west", Log: zerolog.Nop(), Bounds: Bounds{ColdFactor: 1.5, ColdExtra: 5}})
+	bs := newBalancers(Options{HostID: host, Domain: "west-a", Region: "west", Log: zerolog.Nop(), Bounds: Bounds{ColdFactor: 1.5, ColdExtra: 5}}, &Metrics{})
 	bs.applySnapshot(s)
 	return bs
 }
--- a/internal/forward/ratelimits_test.go
+++ b/internal/forward/ratelimits_test.go
@@ -19,7 +19,7 @@
 // newLimitedBalancers returns balancers of one host with servers of service "desk", each with a limit in
 // requests per second; 0 for none.
 func newLimitedBalancers(limits map[string]float64) *balancers {
-	bs := newBalancers(Options{HostID: "host-0", Domain: "west-a", Region: "west", Log: zerolog.Nop()})
+	bs := newBalancers(Options{HostID: "host-0", Domain: "west-a", Region: "west", Log: zerolog.Nop()}, &Metrics{})
 	servers := map[string]*directory.Server{}
 	for id := range limits {
 		servers[id] = &directory.Server{Backend: fleet.Backend{ID: id, StartTime: 1, Address: id, Service: "desk", Domain: "west-a", Region: "west", Slots: 6}}
--- a/internal/forward/refusals_test.go
+++ b/internal/forward/refusals_test.go
@@ -22,7 +22,7 @@
 // newRefusalGateway returns a gateway with engines of a KV cache of 100 tokens, all started at 1.
 func newRefusalGateway(ids ...string) (*Gateway, map[string]balance.Server) {
 	opts := Options{HostID: "host-0", Domain: "west-a", Region: "west", Log: zerolog.Nop()}
-	g := &Gateway{opts: opts, balancers: newBalancers(opts)}
+	g := &Gateway{opts: opts, balancers: newBalancers(opts, &Metrics{})}
 	entries, servers := map[string]*directory.Server{}, map[string]balance.Server{}
 	for _, id := range ids {
 		entries[id] = &directory.Server{Backend: fleet.Backend{ID: id, StartTime: 1, Address: id, Service: "model", Domain: "west-a", Region: "west", Slots: 6}}
--- a/internal/forward/retryseries_test.go
+++ b/internal/forward/retryseries_test.go
@@ -27,7 +27,7 @@
 		Store: store, Log: zerolog.Nop(), Clock: func() time.Duration { return time.Hour + time.Since(begin) },
 		WatchTimeouts: map[directory.Kind]time.Duration{directory.Backends: time.Second, directory.Configuration: time.Second, directory.DomainsOut: time.Second},
 	})
-	g := &Gateway{opts: opts, pool: connection.NewPool(), balancers: newBalancers(opts)}
+	g := &Gateway{opts: opts, pool: connection.NewPool(), balancers: newBalancers(opts, &Metrics{})}
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	go opts.Directory.Run(ctx)
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"maps"
 	"net"
 	"net/netip"
@@ -73,6 +74,8 @@
 		return
 	}
 	now := e.opts.Clock()
+	e.Metrics.Add("received", 1)
+	e.Metrics.Add("received_bytes", int64(len(message)))
 	e.mu.Lock()
 	last := e.peers[s.Host]
 	if last != nil && (s.Incarnation < last.Incarnation || s.Incarnation == last.Incarnation && s.Sequence <= last.Sequence) {
@@ -137,6 +140,10 @@
 		}
 	}
 	if e.candidate.Update(position, liveBefore, now) {
+		e.Metrics.Add("role_changes", 1)
+		role := new(expvar.String)
+		role.Set(e.candidate.Role().String())
+		e.Metrics.Set("role", role)
 		e.opts.Log.Info().Stringer("role", e.candidate.Role()).Str("region", group.Region).Int("group", group.Index).
 			Int("position", position).Int("live_before", liveBefore).Msg("role in the group changed")
 	}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -6,6 +6,7 @@
 package gossip
 
 import (
+	"expvar"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -236,7 +237,10 @@
 
 // Exchange sends this host's state to other hosts and receives theirs.
 type Exchange struct {
-	opts      Options
+	opts Options
+	// Metrics counts messages and bytes sent and received, repairs sent, placements asked for and not answered, and changes
+	// of the role; role is the current one.
+	Metrics   expvar.Map
 	immediate chan struct{}
 
 	mu    sync.Mutex
--- a/internal/gossip/placement.go
+++ b/internal/gossip/placement.go
@@ -81,6 +81,7 @@
 	e.placements.waiting[id] = answer
 	conn := e.conn
 	e.mu.Unlock()
+	e.Metrics.Add("placements_asked", 1)
 	defer func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
@@ -98,6 +99,7 @@
 		return Placement{}, false
 	case <-timer.C:
 	}
+	e.Metrics.Add("placements_unanswered", 1)
 	e.mu.Lock()
 	e.placements.pausedUntil = e.opts.Clock() + placementPause
 	e.mu.Unlock()
--- a/internal/gossip/receivers.go
+++ b/internal/gossip/receivers.go
@@ -253,6 +253,8 @@
 		}
 		if err == nil {
 			_, err = conn.WriteToUDPAddrPort(append(message[:len(message):len(message)], suffix...), r.address)
+			e.Metrics.Add("sent", 1)
+			e.Metrics.Add("sent_bytes", int64(len(message)+len(suffix)))
 		}
 		if err != nil && !errors.Is(err, net.ErrClosed) {
 			e.opts.Log.Debug().Str("peer", r.host).Err(err).Msg("sending a gossip message failed")
--- a/internal/gossip/repair.go
+++ b/internal/gossip/repair.go
@@ -26,6 +26,8 @@
 // sendRepair sends a host what it lacks of the store and an update for all hosts does not contain.
 func (e *Exchange) sendRepair(conn *net.UDPConn, s *State, to receiver, now time.Duration) {
 	for _, message := range e.repairs(s, to.host, now) {
+		e.Metrics.Add("repairs_sent", 1)
+		e.Metrics.Add("sent_bytes", int64(len(message)))
 		if _, err := conn.WriteToUDPAddrPort(message, to.address); err != nil && !errors.Is(err, net.ErrClosed) {
 			e.opts.Log.Debug().Str("peer", to.host).Err(err).Msg("sending what a host lacks of the store failed")
 		}
