Answer requests on connections that a planned stop has just accepted

Ruled out: closing the listener first: what waits in its queue would be reset. Change: Server.Drain closes connections that have waited for 100 ms, and ends when none is open and none has arrived for as long, or with the grace. Conclusion: a stop ends 100 ms later and cuts off none of them.

--- a/internal/connection/caller.go
+++ b/internal/connection/caller.go
@@ -31,6 +31,7 @@
 
 	shuttingDown atomic.Bool
 	open         atomic.Int64
+	lastAccept   atomic.Int64 // Unix nanoseconds
 	// inFlight is the number of requests in flight, plus noMoreRequests once Wait has
 	// returned.
 	inFlight atomic.Int64
@@ -61,6 +62,7 @@
 			continue
 		}
 		s.open.Add(1)
+		s.lastAccept.Store(time.Now().UnixNano())
 		go s.serve(&serverConn{server: s, conn: &timeoutConn{Conn: conn}})
 	}
 }
--- a/internal/connection/caller_test.go
+++ b/internal/connection/caller_test.go
@@ -177,7 +177,7 @@
 	<-begun
 
 	s.StartShutdown()
-	s.CloseIdle()
+	s.closeIdleBefore(time.Now())
 	_, err = idleReader.ReadByte()
 	assert.Equal(t, io.EOF, err)
 	late, lateReader := dialCaller(t, address)
--- a/internal/connection/callershutdown.go
+++ b/internal/connection/callershutdown.go
@@ -7,6 +7,9 @@
 	"time"
 )
 
+// acceptGrace is how long a connection that is accepted during a shutdown has until its request must begin.
+const acceptGrace = 100 * time.Millisecond
+
 // drainPollInterval is the time between two checks for requests in flight.
 const drainPollInterval = 5 * time.Millisecond
 
@@ -23,14 +26,33 @@
 // ShuttingDown reports whether StartShutdown was called.
 func (s *Server) ShuttingDown() bool { return s.shuttingDown.Load() }
 
-// CloseIdle closes the connections that are waiting for a request. A request that has
-// already arrived is served first.
-func (s *Server) CloseIdle() {
+// Drain closes the idle connections and waits until no request is in flight and no new connection has arrived for
+// acceptGrace: the callers of connections that have just been accepted take a moment to send their requests. Then no more
+// requests begin. If ctx ends first, it returns the error of ctx.
+func (s *Server) Drain(ctx context.Context) error {
+	ticker := time.NewTicker(drainPollInterval)
+	defer ticker.Stop()
+	for {
+		s.closeIdleBefore(time.Now().Add(-acceptGrace))
+		quiet := time.Since(time.Unix(0, s.lastAccept.Load())) >= acceptGrace
+		if s.open.Load() == 0 && quiet && s.inFlight.CompareAndSwap(0, noMoreRequests) {
+			return nil
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// closeIdleBefore closes the connections that have been waiting for a request since before at.
+func (s *Server) closeIdleBefore(at time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if at := c.idleSince.Load(); at != 0 {
-			c.closeIdle(at)
+		if since := c.idleSince.Load(); since != 0 && since <= at.UnixNano() {
+			c.closeIdle(since)
 		}
 	}
 }
--- a/internal/connection/idle_test.go
+++ b/internal/connection/idle_test.go
@@ -53,7 +53,7 @@
 // there: its caller got a closed connection without an answer.
 func TestCloseOfIdleConnectionSparesArrivingRequest(t *testing.T) {
 	for name, closeIdle := range map[string]func(*Server){
-		"shutdown":        (*Server).CloseIdle,
+		"shutdown":        func(s *Server) { s.closeIdleBefore(time.Now()) },
 		"new connections": func(s *Server) { s.closeLongestIdle() },
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/connection/shutdown_test.go
+++ b/internal/connection/shutdown_test.go
@@ -1,8 +1,12 @@
 package connection
 
 import (
+	"bufio"
 	"context"
 	"io"
+	"net"
+	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -83,3 +87,88 @@
 	defer cancel()
 	assert.NoError(t, s.Wait(ctx))
 }
+
+// Guards against requests that are cut off without an answer at a planned stop under load: their connections have just
+// been accepted, and their callers take a moment to send. Pattern: new connections arrive until the load balancer
+// has removed the host.
+func TestConnectionsAcceptedDuringTheStopAreAnswered(t *testing.T) {
+	s := &Server{Handle: func(c *Call) {
+		time.Sleep(2 * time.Millisecond)
+		echo(c)
+	}}
+	address := startCallers(t, s)
+	var sent, answered atomic.Int64
+	var callers sync.WaitGroup
+	arriving := make(chan struct{})
+	go func() {
+		defer close(arriving)
+		for end := time.Now().Add(300 * time.Millisecond); time.Now().Before(end); time.Sleep(time.Millisecond) {
+			conn, err := net.Dial("tcp", address)
+			if err != nil {
+				continue // the caller asks another host
+			}
+			callers.Add(1)
+			go func() {
+				defer callers.Done()
+				defer func() { _ = conn.Close() }()
+				time.Sleep(20 * time.Millisecond)
+				sent.Add(1)
+				if _, err := io.WriteString(conn, "GET /x HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+					return
+				}
+				if resp, err := http.ReadResponse(bufio.NewReader(conn), nil); err == nil {
+					answered.Add(1)
+					_ = resp.Body.Close()
+				}
+			}()
+		}
+	}()
+	time.Sleep(100 * time.Millisecond)
+	s.StartShutdown()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	require.NoError(t, s.Drain(ctx))
+	<-arriving
+	callers.Wait()
+	assert.Greater(t, sent.Load(), int64(50))
+	assert.Equal(t, sent.Load(), answered.Load())
+}
+
+// Guards against a stop that takes as long as callers keep connections open, and against one that never ends while new
+// connections arrive.
+func TestDrainEnds(t *testing.T) {
+	s := &Server{Handle: echo}
+	address := startCallers(t, s)
+	conn, r := dialCaller(t, address)
+	waitForIdle(t, s, conn)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	start := time.Now()
+	require.NoError(t, s.Drain(ctx))
+	assert.Less(t, time.Since(start), time.Second)
+	_, err := r.ReadByte()
+	assert.Equal(t, io.EOF, err)
+
+	s = &Server{Handle: echo}
+	address = startCallers(t, s)
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(5 * time.Millisecond):
+				if conn, err := net.Dial("tcp", address); err == nil {
+					defer func() { _ = conn.Close() }()
+				}
+			}
+		}
+	}()
+	time.Sleep(50 * time.Millisecond)
+	ctx, cancel = context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	start = time.Now()
+	assert.Error(t, s.Drain(ctx))
+	assert.Less(t, time.Since(start), time.Second)
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -240,8 +240,7 @@
 	// The load balancer sends new callers until the probe has failed twice. Callers on open
 	// connections learn of the close from their next response.
 	p.waitForProbes(ctx)
-	p.callers.CloseIdle()
-	if p.callers.Wait(ctx) == nil {
+	if p.callers.Drain(ctx) == nil {
 		return
 	}
 	p.log.Warn().Msg("requests were still running at the end of the shutdown grace")
