Take an engine for silent that sends bytes without a new event

Cause: the host took every frame of a stream for a sign of progress, so that an engine which had stopped generating but sent a comment, a field without data or an event that the caller has already was never silent, and its generation stayed there until the request's deadline although its standby replica could go on with it. A comment was also counted as the first token. Bytes of an unfinished event did not have the fault.

Frames without a new event are still delivered, but neither the time of silence nor the counters of the request start anew for them; while the caller does not read them the time of silence stands still.

The model of core/relay has comments among its steps.

--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -76,8 +76,9 @@
 	// heardAt is when the wait for an event of the source began; askedAt is when the target was asked, and
 	// endedAt when the source's response ended.
 	heardAt, askedAt, endedAt time.Time
-	// blocked is set while the host does not read from the source.
+	// blocked is set while the host does not read from the source, which it had awaited for waited by then.
 	blocked bool
+	waited  time.Duration
 }
 
 // New returns the state of a stream whose source sent its response header at now.
@@ -88,10 +89,17 @@
 
 // Heard records an event of the source. The host reads the next one from Await on: it delivers the event
 // first, and a caller that reads slowly says nothing about the source.
-func (s *Stream) Heard(now time.Time) { s.heardAt, s.blocked = now, true }
+func (s *Stream) Heard(now time.Time) { s.heardAt, s.blocked, s.waited = now, true, 0 }
+
+// HeardNoEvent records bytes of the source that are no event the caller lacks. They are delivered as an
+// event is, but the silence of the source goes on at Await.
+func (s *Stream) HeardNoEvent(now time.Time) {
+	s.waited = s.Silence(now)
+	s.blocked = true
+}
 
 // Await records that the host waits for the next event of the source.
-func (s *Stream) Await(now time.Time) { s.heardAt, s.blocked = now, false }
+func (s *Stream) Await(now time.Time) { s.heardAt, s.blocked, s.waited = now.Add(-s.waited), false, 0 }
 
 // Silence is the time for which the host has waited for an event of the source.
 func (s *Stream) Silence(now time.Time) time.Duration {
@@ -131,7 +139,7 @@
 // Relay records that the target has become the source.
 func (s *Stream) Relay(now time.Time) {
 	if s.state == Accepted {
-		s.state, s.heardAt, s.blocked = Relayed, now, false
+		s.state, s.heardAt, s.blocked, s.waited = Relayed, now, false, 0
 	}
 }
 
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -153,6 +153,21 @@
 	assert.False(t, ok)
 }
 
+// Guards against comments that keep a source from being silent, and against a silence that grows while the
+// caller does not read them.
+func TestCommentsDoNotEndASilence(t *testing.T) {
+	s := New(start)
+	s.Heard(start)
+	s.Await(start)
+	s.HeardNoEvent(start.Add(time.Second))
+	assert.Zero(t, s.Silence(start.Add(time.Minute)), "the caller does not read")
+	s.Await(start.Add(time.Minute))
+	assert.Equal(t, 3*time.Second, s.Silence(start.Add(time.Minute+2*time.Second)))
+	s.Heard(start.Add(2 * time.Minute))
+	s.Await(start.Add(2 * time.Minute))
+	assert.Zero(t, s.Silence(start.Add(2*time.Minute)))
+}
+
 // engine is an engine of the model, which runs a generation or not.
 type engine struct{ running, closedByHost, works bool }
 
@@ -169,7 +184,8 @@
 	delivered     []int
 	reservations  int       // of targets
 	slow, blocked bool      // the caller reads nothing; the host delivers an event to it
-	awaitedAt     time.Time // when the host began to wait for an event
+	awaitedAt     time.Time // when the host began to wait for an event, later by the time that it did not read
+	commentAt     time.Time // when the host began to deliver a comment; zero if it delivers none
 }
 
 // do carries out an action of the stream.
@@ -185,6 +201,7 @@
 		m.source, m.target, m.sent = m.target, nil, m.targetAt
 		m.reservations--
 		m.s.Relay(m.now)
+		m.commentAt = time.Time{}
 		m.await()
 	case EndResponse:
 		require.Len(m.t, m.delivered, m.last, "complete without the last event")
@@ -211,7 +228,7 @@
 		m := &model{t: t, s: New(start), now: start, awaitedAt: start, last: rapid.IntRange(1, 6).Draw(t, "events"), source: &engine{running: true, works: true}}
 		for !m.s.State().Ended() {
 			m.step(rapid.SampledFrom([]string{
-				"event", "event", "event", "silence", "long silence", "ask", "accept", "reject", "close", "ends short", "caller leaves", "host stops", "caller is slow", "caller reads",
+				"event", "event", "event", "comment", "silence", "long silence", "ask", "accept", "reject", "close", "ends short", "caller leaves", "host stops", "caller is slow", "caller reads",
 			}).Draw(t, "step"))
 		}
 		for i, n := range m.delivered {
@@ -228,6 +245,14 @@
 	switch name {
 	case "event":
 		m.event()
+	case "comment":
+		if m.reads() {
+			m.s.HeardNoEvent(m.now)
+			m.blocked, m.commentAt = true, m.now
+			if !m.slow {
+				m.await()
+			}
+		}
 	case "silence":
 		m.pass(300 * time.Millisecond)
 	case "long silence":
@@ -269,7 +294,7 @@
 
 func (m *model) event() {
 	m.now = m.now.Add(10 * time.Millisecond)
-	if !m.source.running || m.blocked || m.s.State() == Interrupted || m.s.State() == Resuming {
+	if !m.reads() {
 		return
 	}
 	if m.sent < m.last {
@@ -285,9 +310,20 @@
 	m.do(m.s.SourceEnded(m.now, true))
 }
 
+// reads reports whether the host reads from a source.
+func (m *model) reads() bool {
+	return m.source.running && !m.blocked && m.s.State() != Interrupted && m.s.State() != Resuming
+}
+
 func (m *model) await() {
-	m.blocked, m.awaitedAt = false, m.now
+	if m.commentAt.IsZero() {
+		m.awaitedAt = m.now
+	} else {
+		m.awaitedAt = m.awaitedAt.Add(m.now.Sub(m.commentAt))
+	}
+	m.blocked, m.commentAt = false, time.Time{}
 	m.s.Await(m.now)
+	require.Equal(m.t, m.now.Sub(m.awaitedAt), m.s.Silence(m.now))
 }
 
 func (m *model) refuse() {
--- a/internal/forward/generations.go
+++ b/internal/forward/generations.go
@@ -45,6 +45,8 @@
 	// consequence. silentSwitches is the number of switchovers for that since the last event.
 	silenceTimer   *time.Timer
 	silentSwitches int
+	// askAfter is the time without an event after which silenceTimer fires.
+	askAfter time.Duration
 	// takenForDead is set when the current source was closed because of its silence.
 	takenForDead bool
 	// silence has the requests to resume because the source was silent.
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -13,30 +13,38 @@
 
 // awaitSilence starts or restarts the wait for a silence of the source.
 func (gen *generation) awaitSilence() {
-	gap := gen.r.route.GapObjective
 	gen.mu.Lock()
 	defer gen.mu.Unlock()
-	gen.relay.Await(time.Now())
+	now := time.Now()
+	gen.relay.Await(now)
+	gap := gen.r.route.GapObjective
 	if gap <= 0 {
 		return
 	}
-	// Engines that accept and are then silent too are not left sooner and sooner.
-	after := min(stallFactor*gap<<min(gen.silentSwitches, 8), relay.SilenceLimit)
+	silence := gen.relay.Silence(now)
+	if silence == 0 {
+		// Engines that accept and are then silent too are not left sooner and sooner.
+		gen.askAfter = min(stallFactor*gap<<min(gen.silentSwitches, 8), relay.SilenceLimit)
+	}
 	switch {
 	case gen.ended:
 	case gen.silenceTimer == nil:
-		gen.silenceTimer = time.AfterFunc(after, gen.sourceIsSilent)
+		gen.silenceTimer = time.AfterFunc(gen.askAfter-silence, gen.sourceIsSilent)
 	default:
-		gen.silenceTimer.Reset(after)
+		gen.silenceTimer.Reset(gen.askAfter - silence)
 	}
 }
 
-// heard records that the source sent something. Until awaitSilence, a caller that reads slowly is not
-// taken for a silence of the source.
-func (gen *generation) heard() {
+// heard records that the source sent an event, or without event other bytes. Until awaitSilence, a caller
+// that reads slowly is not taken for a silence of the source.
+func (gen *generation) heard(event bool) {
 	gen.mu.Lock()
 	defer gen.mu.Unlock()
-	gen.relay.Heard(time.Now())
+	if event {
+		gen.relay.Heard(time.Now())
+	} else {
+		gen.relay.HeardNoEvent(time.Now())
+	}
 	gen.stopAwaitingSilence()
 }
 
@@ -45,6 +53,10 @@
 func (gen *generation) sourceIsSilent() {
 	gen.mu.Lock()
 	before := gen.relay.Silence(time.Now())
+	gen.askAfter = relay.SilenceLimit
+	if before >= relay.SilenceLimit {
+		gen.askAfter += before
+	}
 	gen.mu.Unlock()
 	sw := gen.askStandby()
 	gen.mu.Lock()
@@ -53,11 +65,10 @@
 	if gen.ended || sw != nil && sw.ex != nil || silence < before {
 		return // relayFrom or the next event waits for the next silence
 	}
-	left := relay.SilenceLimit - silence
-	if left <= 0 {
-		left = relay.SilenceLimit
+	if silence >= gen.askAfter {
+		gen.askAfter = silence + relay.SilenceLimit
 	}
-	gen.silenceTimer.Reset(left)
+	gen.silenceTimer.Reset(gen.askAfter - silence)
 }
 
 // askStandby asks the engine with the standby replica to resume the generation of a silent source. All
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -198,11 +198,9 @@
 	for {
 		frame, err := s.frames.Next()
 		if err == nil {
-			s.generation.heard()
-			if err = s.deliver(frame); err != nil {
+			if err = s.relayFrame(frame); err != nil {
 				return s.fail(err)
 			}
-			s.generation.awaitSilence()
 			continue
 		}
 		action := s.sourceEnded(err)
@@ -215,6 +213,23 @@
 	}
 }
 
+// relayFrame delivers a frame. Only an event that the caller lacks shows that the engine still generates.
+func (s *stream) relayFrame(f sse.Frame) error {
+	isNew := f.Event && !s.isRepeated(f)
+	if !isNew && s.r.events == 0 {
+		return s.deliver(f) // silence counts from the first event on, since a prefill may take long
+	}
+	s.generation.heard(isNew)
+	if err := s.deliver(f); err != nil {
+		return err
+	}
+	s.generation.awaitSilence()
+	return nil
+}
+
+// isRepeated reports whether the caller has the event already.
+func (s *stream) isRepeated(f sse.Frame) bool { return f.HasID && s.lastID != 0 && f.ID <= s.lastID }
+
 // Framings of a response body: what shows where it ends.
 const (
 	framingLength  = "length"
@@ -233,18 +248,16 @@
 	}
 }
 
-// deliver forwards one event. Events that the caller already has are dropped.
+// deliver forwards a frame. Events that the caller already has are dropped.
 func (s *stream) deliver(f sse.Frame) error {
 	if f.Event {
 		s.sourceEvents++
 	}
-	if f.HasID && s.lastID != 0 {
-		if f.ID <= s.lastID {
-			return s.count(&s.repeated)
-		}
-		if f.ID != s.lastID+1 {
-			return errGap
-		}
+	if s.isRepeated(f) {
+		return s.count(&s.repeated)
+	}
+	if f.HasID && s.lastID != 0 && f.ID != s.lastID+1 {
+		return errGap
 	}
 	if f.Event {
 		s.repeated = 0
@@ -266,8 +279,10 @@
 	if f.HasID {
 		s.lastID = f.ID
 	}
-	s.observe()
-	s.generation.delivered(s.r.events, s.lastID)
+	if f.Event {
+		s.observe()
+		s.generation.delivered(s.r.events, s.lastID)
+	}
 	return nil
 }
 
