Take a body for broken off whose server has ended

Cause: a response without a length or chunks ends with its connection, and a server that crashes ends its connection in the same way. The host took each such body for complete unless its connection was reset or a migration of the generation was under way, so a stream cut off in the middle reached its caller as complete.

At the end of such a body the host now connects to the server once more: a refused connection shows that the server has ended, and the body counts as broken off. A server that is silent may be sound.

What stays open: a server that ends one connection in the middle and goes on; nothing shows that such a body is not whole.

--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -224,12 +224,8 @@
 	Delimited bool
 	// Events is the number of events in the body.
 	Events int
-	// EngineGone is set if the engine is known to have ended or does not respond.
-	EngineGone bool
 }
 
-// Complete reports whether the last event has arrived. An engine that crashes ends a body that nothing
-// delimits in the same way as a complete one; a complete one has an event at least.
-func (b Body) Complete() bool {
-	return b.EOF && (b.Delimited || b.Events > 0 && !b.EngineGone)
-}
+// Complete reports whether the last event has arrived. A body that nothing delimits has an event at least
+// if it is complete; EOF must not be set for one whose engine is known to have ended.
+func (b Body) Complete() bool { return b.EOF && (b.Delimited || b.Events > 0) }
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -109,8 +109,6 @@
 		{Body{EOF: true, Delimited: true, Events: 3}, true},
 		{Body{EOF: true, Delimited: true}, true},
 		{Body{EOF: true, Events: 3}, true},
-		{Body{EOF: true, Events: 3, EngineGone: true}, false},
-		{Body{EOF: true, Delimited: true, Events: 3, EngineGone: true}, true},
 		{Body{EOF: true}, false},
 		{Body{Delimited: true, Events: 3}, false},
 		{Body{Events: 3}, false},
--- a/internal/connection/dial.go
+++ b/internal/connection/dial.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -32,6 +33,17 @@
 	return d.DialContext(ctx, "tcp", address)
 }
 
+// Refuses reports whether a server refuses connections, as one does that has ended. A server that does not
+// respond within the timeout may be sound.
+func Refuses(ctx context.Context, address string, timeout time.Duration) bool {
+	conn, err := Dial(ctx, address, timeout)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = conn.Close()
+	return false
+}
+
 func setUnackedTimeout(_, _ string, raw syscall.RawConn) error {
 	var failure error
 	err := raw.Control(func(fd uintptr) {
--- a/internal/connection/exchange.go
+++ b/internal/connection/exchange.go
@@ -35,7 +35,7 @@
 // not be read after Finish. A read fails if the server sends more than 64 KiB of framing,
 // such as chunk extensions, without a byte of the body. An empty body that only the end of the
 // connection delimits is truncated: the end of a server looks the same, and one that means an
-// empty body states its length.
+// empty body states its length. So is one whose server refuses connections at its end.
 func (e *Exchange) Body() io.Reader {
 	if e.body.stream == nil {
 		return nil
@@ -46,11 +46,15 @@
 // identityLength is fasthttp's Content-Length of a body that ends with its connection.
 const identityLength = -2
 
+// endCheckTimeout limits the connection setup that shows whether a server has ended.
+const endCheckTimeout = 400 * time.Millisecond
+
 // responseBody is the stream of a response body with a limit on the framing in it. After an
 // error, all reads return that error: a body with malformed chunks could otherwise be read
 // on to its apparent end by a caller that ignores an error returned together with data, as
 // fasthttp does.
 type responseBody struct {
+	ctx    context.Context
 	stream io.Reader
 	conn   *upstreamConn
 	// endsWithConnection is set for a body without a length or chunks.
@@ -71,7 +75,7 @@
 		b.conn.unusedBytes = 0
 		b.received = true
 	}
-	if err == io.EOF && b.endsWithConnection && (!b.received || wasReset(b.conn.Conn)) {
+	if err == io.EOF && b.endsWithConnection && (!b.received || wasReset(b.conn.Conn) || Refuses(b.ctx, b.conn.address, endCheckTimeout)) {
 		err = io.ErrUnexpectedEOF
 	}
 	b.err = err
@@ -212,7 +216,7 @@
 	err := e.Response.ReadLimitBody(e.conn.reader, 0)
 	e.conn.expectBody(0)
 	e.body = responseBody{
-		stream: e.Response.BodyStream(), conn: e.conn, endsWithConnection: e.Response.Header.ContentLength() == identityLength,
+		ctx: e.ctx, stream: e.Response.BodyStream(), conn: e.conn, endsWithConnection: e.Response.Header.ContentLength() == identityLength,
 	}
 	return err
 }
--- a/internal/connection/truncated_test.go
+++ b/internal/connection/truncated_test.go
@@ -225,3 +225,36 @@
 		ex.Finish(true)
 	}
 }
+
+// Guards against a body without a length or chunks that looks complete although its server has ended, and
+// against a complete one of a server that goes on that looks broken off.
+func TestBodyOfEndedServerIsIncomplete(t *testing.T) {
+	for name, ended := range map[string]bool{"server has ended": true, "server goes on": false} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			t.Cleanup(func() { _ = l.Close() })
+			go func() {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer func() { _ = conn.Close() }()
+				_, _ = conn.Read(make([]byte, 4096))
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: 1\r\nConnection: close\r\n\r\nhalf of")
+				if ended {
+					_ = l.Close()
+				}
+			}()
+			ex, err := doTruncated(t, l.Addr().String())
+			require.NoError(t, err)
+			read, err := io.ReadAll(ex.Body())
+			assert.Equal(t, "half of", string(read))
+			if ended {
+				assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+			} else {
+				assert.NoError(t, err)
+			}
+		})
+	}
+}
--- a/internal/forward/migration.go
+++ b/internal/forward/migration.go
@@ -306,7 +306,7 @@
 			return true
 		case result.Outcome == GenerationNotFound || errors.Is(err, syscall.ECONNREFUSED):
 			return true
-		case errors.Is(err, errRefused) && gen.leavingEngineIsGone():
+		case errors.Is(err, errRefused) && connection.Refuses(gen.r.ctx, m.source.Address, connectTimeout):
 			return true
 		}
 		// Neither a rejection nor a closed connection shows whether the generation was stopped.
@@ -317,24 +317,6 @@
 	}
 }
 
-// leavingEngineIsGone reports whether the source of a migration refuses connections. An engine that does
-// not respond in time may be sound.
-func (gen *generation) leavingEngineIsGone() bool {
-	gen.mu.Lock()
-	leaving, source := gen.migration != nil, gen.reservation.server
-	gen.mu.Unlock()
-	if !leaving {
-		return false
-	}
-	conn, err := connection.Dial(gen.r.ctx, source.Address, connectTimeout)
-	if err == nil {
-		_ = conn.Close()
-		return false
-	}
-	gen.r.g.opts.Log.Info().Str("request", gen.r.id).Str("source", source.ID).Err(err).Msg("connecting to the engine of a stream that ended failed")
-	return errors.Is(err, syscall.ECONNREFUSED)
-}
-
 func (m *migration) releaseNext() {
 	if m.next != nil {
 		m.next.cancel()
--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -28,9 +28,6 @@
 	body := relay.Body{EOF: end == io.EOF, Events: s.sourceEvents}
 	r.sourceEnd, r.framing = end, framing(&s.ex.Response.Header)
 	body.Delimited = r.framing != framingClose
-	if body.EOF && !body.Delimited {
-		body.EngineGone = gen.leavingEngineIsGone()
-	}
 	gen.mu.Lock()
 	r.sourceEndedBy = gen.endedBy()
 	byEngine := r.sourceEndedBy == endedByEngine
