--- a/internal/placementbench/placementbench.go
+++ b/internal/placementbench/placementbench.go
@@ -85,9 +85,8 @@
 	id       string
 	balancer *balance.Balancer
 	division *quota.Hosts
-	// reported is the load in the newest report, and inDigest that in the newest digest.
-	reported, inDigest map[string]balance.Load
-	reports            bool
+	// reported is the load in the newest report.
+	reported map[string]balance.Load
 }
 
 type engine struct {
@@ -101,7 +100,6 @@
 	engine          string
 	long            bool
 	submitted, last time.Duration
-	tokens          int
 	prompt, output  int
 	load, placed    balance.Load
 	maxGap          time.Duration
