Start the stop in the test of accepted connections once 60 are open

Ruled out: a lower number; it would check less. Change: the stop begins once 60 connections are open, new ones arrive for 200 ms more. Conclusion: the number of requests no longer depends on the speed of the machine.

--- a/internal/connection/shutdown_test.go
+++ b/internal/connection/shutdown_test.go
@@ -89,19 +89,28 @@
 	assert.NoError(t, s.Wait(ctx))
 }
 
-// answeredDuringStop opens connections to address each millisecond, whose callers send a request 20 ms later, while stop
-// runs. It returns the number of requests sent and answered.
+// answeredDuringStop opens connections to address each millisecond, whose callers send a request 20 ms later, and runs
+// stop once connectionsBeforeStop are open. It returns the number of requests sent and answered.
 func answeredDuringStop(t *testing.T, address string, stop func(ctx context.Context)) (sent, answered int64) {
+	const connectionsBeforeStop = 60
 	var sentCount, answeredCount atomic.Int64
 	var callers sync.WaitGroup
-	arriving := make(chan struct{})
+	arriving, opened, stopped := make(chan struct{}), make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(arriving)
-		for end := time.Now().Add(300 * time.Millisecond); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		for count := 0; ; time.Sleep(time.Millisecond) {
+			select {
+			case <-stopped:
+				return
+			default:
+			}
 			conn, err := net.Dial("tcp", address)
 			if err != nil {
 				continue // the caller asks another host
 			}
+			if count++; count == connectionsBeforeStop {
+				close(opened)
+			}
 			callers.Add(1)
 			go func() {
 				defer callers.Done()
@@ -118,10 +127,15 @@
 			}()
 		}
 	}()
-	time.Sleep(100 * time.Millisecond)
+	<-opened
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
+	// New connections arrive for 200 ms after the stop has begun, or until it has ended.
+	arrivals := time.AfterFunc(200*time.Millisecond, func() { close(stopped) })
 	stop(ctx)
+	if arrivals.Stop() {
+		close(stopped)
+	}
 	<-arriving
 	callers.Wait()
 	return sentCount.Load(), answeredCount.Load()
