Divide the placements at a server among the aggregators of all groups

Cause: each aggregator could place a fifth of a server's rate limit, and two fifths were reserved for all of them. In a deployment of three groups that is 36 requests a second beside 19 of the hosts, limit 33.5, and 28 groups exceed it many times: a server in cold start gets too much when several regions turn to it. Ruled out: placements only in the own region; the part for other regions would be unused with three groups. Change: core/quota divides two fifths of the limit among the aggregators of the server's region and of the others; what rounding leaves goes to the hosts. Conclusion: hosts and aggregators together keep to the limit.

--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"monsoonkeel.example/monsoonkeel/core/fleet"
+	"monsoonkeel.example/monsoonkeel/core/topology"
 )
 
 const (
@@ -19,6 +20,8 @@
 	// dividedShare is the part of a limit that is divided where not all hosts have a quota. While hosts join, those
 	// that do not know each other yet may have quotas at the same time.
 	dividedShare = 0.9
+	// placedShare is the part of a limit for the requests that aggregators place.
+	placedShare = 0.4
 )
 
 // Hosts are the hosts among which limits are divided. They must not be changed.
@@ -31,6 +34,9 @@
 	byRegion map[string][]uint64
 	// elsewhere holds the hashes of the other hosts outside a region.
 	elsewhere map[string][]uint64
+	// groups are the numbers of groups by region, and allGroups their sum.
+	groups    map[string]int
+	allGroups int
 }
 
 // NewHosts returns the division among hosts as seen by one of them, self, in a region; it need not be among hosts.
@@ -47,12 +53,43 @@
 			h.byRegion[host.Region] = append(h.byRegion[host.Region], xxhash.Sum64String(id))
 		}
 	}
-	for region := range h.byRegion {
-		h.elsewhere[region] = h.outside(region)
+	h.groups = map[string]int{region: topology.GroupCount(len(h.byRegion[region]) + 1)}
+	for r, others := range h.byRegion {
+		h.elsewhere[r] = h.outside(r)
+		if r != region {
+			h.groups[r] = topology.GroupCount(len(others))
+		}
+	}
+	for _, n := range h.groups {
+		h.allGroups += n
 	}
 	return h
 }
 
+// Placements returns how many requests per second to a server in a region one aggregator of this host's region may
+// place, and how many those of all groups may place together, if all hosts together may send limit requests per second
+// there. The sum is at most placedShare of the limit.
+func (h *Hosts) Placements(region string, limit float64) (each, all int) {
+	homeGroups := h.groups[region]
+	otherGroups := h.allGroups - homeGroups
+	placed := limit * placedShare
+	home := perAggregator(placed*homeShare, homeGroups)
+	other := perAggregator(placed*(1-homeShare), otherGroups)
+	each = other
+	if region == h.region {
+		each = home
+	}
+	return each, topology.Aggregators * (home*homeGroups + other*otherGroups)
+}
+
+// perAggregator divides a number of requests per second among the aggregators of some groups.
+func perAggregator(requests float64, groups int) int {
+	if groups == 0 {
+		return 0
+	}
+	return int(requests / float64(topology.Aggregators*groups))
+}
+
 func (h *Hosts) outside(region string) (hashes []uint64) {
 	for r, in := range h.byRegion {
 		if r != region {
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"monsoonkeel.example/monsoonkeel/core/fleet"
+	"monsoonkeel.example/monsoonkeel/core/topology"
 	_ "monsoonkeel.example/monsoonkeel/internal/fixedseed"
 )
 
@@ -56,6 +57,43 @@
 	})
 }
 
+// Guards against a cold server that gets more requests than its limit because the aggregators of several groups place
+// requests there at the same time, each with a part of the limit that does not shrink with their number. Pattern: all
+// regions turn to the engines of one of them.
+func TestPlacementsStayWithinTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := hostsIn(rapid.IntRange(1, 7).Draw(t, "regions"), rapid.IntRange(topology.MaxMesh+1, 1200).Draw(t, "hosts"))
+		limit := rapid.Float64Range(0, 100).Draw(t, "limit")
+		region := fmt.Sprint("region-", rapid.IntRange(0, 8).Draw(t, "region"))
+		all := divisions(hosts)
+		placing, groups := 0, topology.New(hosts).Groups()
+		for _, g := range groups {
+			self := topology.New(hosts).Members(g)[0]
+			each, sum := all[self].Placements(region, limit)
+			require.GreaterOrEqual(t, each, 0)
+			require.LessOrEqual(t, float64(sum), limit/2)
+			placing += topology.Aggregators * each
+		}
+		_, reserved := all["host-0"].Placements(region, limit)
+		require.LessOrEqual(t, placing, reserved, "%d groups", len(groups))
+		sum := placing
+		for _, n := range quotas(all, "server", region, limit-float64(reserved)) {
+			sum += n
+		}
+		require.LessOrEqual(t, float64(sum), max(limit, 1))
+	})
+}
+
+// Guards against aggregators that cannot use the engines of their region.
+func TestAggregatorsPlaceInTheirRegion(t *testing.T) {
+	const limit = 33.5
+	for hosts, regions := range map[int]int{59: 3, 295: 3, 1000: 3, 3500: 7} {
+		h := NewHosts("host-0", "region-0", hostsIn(regions, hosts), 1)
+		each, _ := h.Placements("region-0", limit)
+		assert.GreaterOrEqual(t, each, 1, "%d hosts", hosts)
+	}
+}
+
 // Guards against hosts whose few servers are all in other regions, so that each event crosses a slow link and no copy
 // of a generation is complete in time: with a share below one request per second and server, a hash over all servers
 // chose them. Guards also against hosts without any server, and servers without hosts. Pattern: hundreds of hosts share
--- a/core/topology/topology.go
+++ b/core/topology/topology.go
@@ -44,8 +44,7 @@
 		regions[h.Region]++
 	}
 	for id, h := range hosts {
-		count := (regions[h.Region] + MaxGroup - 1) / MaxGroup
-		g := GroupID{Region: h.Region, Index: jumpHash(xxhash.Sum64String(id), count)}
+		g := GroupID{Region: h.Region, Index: jumpHash(xxhash.Sum64String(id), GroupCount(regions[h.Region]))}
 		t.groupOf[id] = g
 		t.groups[g] = append(t.groups[g], id)
 	}
@@ -55,6 +54,9 @@
 	return t
 }
 
+// GroupCount returns the number of groups of a region with a number of hosts.
+func GroupCount(hosts int) int { return (hosts + MaxGroup - 1) / MaxGroup }
+
 // jumpHash returns a bucket from 0 to buckets-1. When a bucket is added, only the keys of the new one move. The
 // algorithm is "A Fast, Minimal Memory, Consistent Hash Algorithm" by Lamping and Veach.
 func jumpHash(key uint64, buckets int) int {
--- a/internal/forward/balancers.go
+++ b/internal/forward/balancers.go
@@ -146,7 +146,7 @@
 		s.balancer.Configure(settings)
 		s.balancer.SetServers(eligible[name])
 		s.balancer.SetPeerLoad(bs.peerLoads)
-		bs.placer.configure(s, settings, eligible[name], bs.placementQuota(s.config))
+		bs.configurePlacements(s, settings, eligible[name])
 		s.wake()
 	}
 }
@@ -173,6 +173,8 @@
 type serviceQuotas struct {
 	division *quota.Hosts
 	limit    float64
+	// placed is set if aggregators place requests of the service.
+	placed   bool
 	byServer map[string]int
 }
 
@@ -195,10 +197,10 @@
 	if config.ColdPerSecond <= 0 {
 		return
 	}
-	limit := bs.coldLimit(config) - float64(topology.Aggregators*bs.placementQuota(config))
+	limit, placed := bs.coldLimit(config), bs.arePlaced(config)
 	known := bs.quotas[service]
-	if known == nil || known.division != bs.division || known.limit != limit {
-		known = &serviceQuotas{division: bs.division, limit: limit}
+	if known == nil || known.division != bs.division || known.limit != limit || known.placed != placed {
+		known = &serviceQuotas{division: bs.division, limit: limit, placed: placed}
 		bs.quotas[service] = known
 	}
 	byServer := make(map[string]int, len(servers))
@@ -206,13 +208,22 @@
 		id := servers[i].ID
 		n, ok := known.byServer[id]
 		if !ok {
-			n = bs.division.Quota(id, servers[i].Region, limit)
+			n = bs.division.Quota(id, servers[i].Region, limit-bs.reservedForPlacements(servers[i].Region, limit, placed))
 		}
 		servers[i].PerSecond, byServer[id] = n, n
 	}
 	known.byServer = byServer
 }
 
+// reservedForPlacements returns the part of a server's limit that the hosts do not divide, in requests per second.
+func (bs *balancers) reservedForPlacements(region string, limit float64, placed bool) float64 {
+	if !placed {
+		return 0
+	}
+	_, all := bs.division.Placements(region, limit)
+	return float64(all)
+}
+
 // engineConfig returns the engine settings of a service, or nil for plain services.
 func (bs *balancers) engineConfig(service string) *route.Engine {
 	bs.mu.Lock()
--- a/internal/forward/placer.go
+++ b/internal/forward/placer.go
@@ -13,13 +13,8 @@
 	"monsoonkeel.example/monsoonkeel/internal/gossip"
 )
 
-const (
-	// placementShare is the part of the rate limit of a server that the placements of one aggregator may use. The
-	// secondary one may place requests too while it takes over.
-	placementShare = 0.2
-	// placementTimeout is how long a placement counts that no state of its host has named.
-	placementTimeout = time.Second
-)
+// placementTimeout is how long a placement counts that no state of its host has named.
+const placementTimeout = time.Second
 
 // placer chooses servers for the hosts of the group that this host aggregates. balancers.mu guards it.
 type placer struct {
@@ -44,20 +39,14 @@
 	return placer{number: uint64(time.Now().UnixMilli()) << 20, pending: map[string][]placement{}, placed: map[string]uint64{}}
 }
 
-// placementQuota returns how many requests per second to a server an aggregator may place; 0 if it places none.
-func (bs *balancers) placementQuota(config *route.Service) int {
-	if config == nil || config.Engine == nil || len(bs.hosts) <= topology.MaxMesh {
-		return 0
-	}
-	if config.ColdPerSecond <= 0 {
-		return 1 // there is no limit
-	}
-	return int(bs.coldLimit(config) * placementShare)
+// arePlaced reports whether aggregators place the requests of a service.
+func (bs *balancers) arePlaced(config *route.Service) bool {
+	return config != nil && config.Engine != nil && len(bs.hosts) > topology.MaxMesh
 }
 
-// configure applies the settings and servers of a service, with the quota of placements per server.
-func (p *placer) configure(s *serviceState, settings balance.Settings, servers []balance.Server, perSecond int) {
-	if perSecond == 0 {
+// configurePlacements applies the settings and servers of a service to the placements of this host.
+func (bs *balancers) configurePlacements(s *serviceState, settings balance.Settings, servers []balance.Server) {
+	if !bs.arePlaced(s.config) {
 		s.placed = nil
 		return
 	}
@@ -67,7 +56,7 @@
 	settings.Choices = 0 // all placements are known here
 	servers = slices.Clone(servers)
 	for i := range servers {
-		servers[i].PerSecond = perSecond
+		servers[i].PerSecond, _ = bs.division.Placements(servers[i].Region, bs.coldLimit(s.config))
 	}
 	s.placed.Configure(settings)
 	s.placed.SetServers(servers)
