Prepare placements only at the hosts that place requests

Ruled out: changing single servers in the balancer; a larger change. Change: the balancer for placements is made current by the first placement after a change.

--- a/internal/forward/balancers.go
+++ b/internal/forward/balancers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -21,9 +20,6 @@
 	"monsoonkeel.example/monsoonkeel/internal/gossip"
 )
 
-// assumedHosts divides shared bounds while the host entries have not been read yet.
-const assumedHosts = 16
-
 // balancers holds the balancers, one per service.
 type balancers struct {
 	opts    Options
@@ -59,10 +55,15 @@
 // guards it.
 type serviceState struct {
 	balancer *balance.Balancer
-	// placed is the balancer for the placements of the group; nil if there are none.
-	placed  *balance.Balancer
-	budget  retry.SharedBudget
-	waiters []*waiter
+	// servers are the candidates in the newest snapshot, and settings how balancer chooses among them.
+	servers  []balance.Server
+	settings balance.Settings
+	// placed is the balancer for the placements of the group, once there was one. placedCurrent is set while it has
+	// the servers of the newest snapshot.
+	placed        *balance.Balancer
+	placedCurrent bool
+	budget        retry.SharedBudget
+	waiters       []*waiter
 	// waking is set while a timer is to wake the waiters.
 	waking bool
 	// config is the newest configuration of the service, kept when a later one no longer has it: its
@@ -146,7 +147,7 @@
 		s.balancer.Configure(settings)
 		s.balancer.SetServers(eligible[name])
 		s.balancer.SetPeerLoad(bs.peerLoads)
-		bs.configurePlacements(s, settings, eligible[name])
+		s.servers, s.settings, s.placedCurrent = eligible[name], settings, false
 		s.wake()
 	}
 }
@@ -169,61 +170,6 @@
 // cache: that of the prompts of some five generations that are still to be prefilled.
 const otherRegionCostOfMany = 1.0
 
-// serviceQuotas are the quotas of this host for the servers of a service.
-type serviceQuotas struct {
-	division *quota.Hosts
-	limit    float64
-	// placed is set if aggregators place requests of the service.
-	placed   bool
-	byServer map[string]int
-}
-
-// coldLimit returns the number of requests per second that all hosts may send to a server.
-func (bs *balancers) coldLimit(config *route.Service) float64 {
-	return config.ColdPerSecond*bs.bounds.ColdFactor + bs.bounds.ColdExtra
-}
-
-// setHosts replaces the hosts among which limits are divided.
-func (bs *balancers) setHosts(hosts map[string]fleet.Host) {
-	if bs.division != nil && maps.Equal(bs.hosts, hosts) {
-		return
-	}
-	bs.hosts = hosts
-	bs.division = quota.NewHosts(bs.opts.HostID, bs.opts.Region, hosts, assumedHosts)
-}
-
-// setQuotas sets the quotas of the servers of a service.
-func (bs *balancers) setQuotas(service string, config *route.Service, servers []balance.Server) {
-	if config.ColdPerSecond <= 0 {
-		return
-	}
-	limit, placed := bs.coldLimit(config), bs.arePlaced(config)
-	known := bs.quotas[service]
-	if known == nil || known.division != bs.division || known.limit != limit || known.placed != placed {
-		known = &serviceQuotas{division: bs.division, limit: limit, placed: placed}
-		bs.quotas[service] = known
-	}
-	byServer := make(map[string]int, len(servers))
-	for i := range servers {
-		id := servers[i].ID
-		n, ok := known.byServer[id]
-		if !ok {
-			n = bs.division.Quota(id, servers[i].Region, limit-bs.reservedForPlacements(servers[i].Region, limit, placed))
-		}
-		servers[i].PerSecond, byServer[id] = n, n
-	}
-	known.byServer = byServer
-}
-
-// reservedForPlacements returns the part of a server's limit that the hosts do not divide, in requests per second.
-func (bs *balancers) reservedForPlacements(region string, limit float64, placed bool) float64 {
-	if !placed {
-		return 0
-	}
-	_, all := bs.division.Placements(region, limit)
-	return float64(all)
-}
-
 // engineConfig returns the engine settings of a service, or nil for plain services.
 func (bs *balancers) engineConfig(service string) *route.Engine {
 	bs.mu.Lock()
@@ -234,13 +180,6 @@
 	return nil
 }
 
-func (bs *balancers) hostCount() int {
-	if len(bs.hosts) == 0 {
-		return assumedHosts
-	}
-	return len(bs.hosts)
-}
-
 // setPeerLoad applies the load of the other hosts, by server. It contains the placements that peers name.
 func (bs *balancers) setPeerLoad(loads map[string]balance.Load, peers []gossip.Peer, ejected []string) {
 	bs.mu.Lock()
@@ -353,7 +292,7 @@
 	if bs.limits.HasLimits() {
 		s.wake() // a token that has become available is for the requests that wait
 	}
-	if s.placed != nil && !req.Standby {
+	if bs.arePlaced(s.config) && !req.Standby {
 		bs.metrics.PlacedHere.Add(1)
 	}
 	server, reason := s.balancer.Pick(req, now)
--- a/internal/forward/placer.go
+++ b/internal/forward/placer.go
@@ -44,22 +44,31 @@
 	return config != nil && config.Engine != nil && len(bs.hosts) > topology.MaxMesh
 }
 
-// configurePlacements applies the settings and servers of a service to the placements of this host.
-func (bs *balancers) configurePlacements(s *serviceState, settings balance.Settings, servers []balance.Server) {
-	if !bs.arePlaced(s.config) {
-		s.placed = nil
-		return
+// placementBalancer returns the balancer for the placements of this host, with the servers of the newest snapshot; nil if
+// there are none. Only aggregators need it.
+func (bs *balancers) placementBalancer(s *serviceState) *balance.Balancer {
+	if s == nil || !bs.arePlaced(s.config) {
+		return nil
 	}
 	if s.placed == nil {
 		s.placed = balance.New(rand.IntN, nil, nil)
 	}
+	if s.placedCurrent {
+		return s.placed
+	}
+	s.placedCurrent = true
+	settings, servers := s.settings, slices.Clone(s.servers)
 	settings.Choices = 0 // all placements are known here
-	servers = slices.Clone(servers)
+	perSecond := map[string]int{}
+	for region := range bs.regions {
+		perSecond[region], _ = bs.division.Placements(region, bs.coldLimit(s.config))
+	}
 	for i := range servers {
-		servers[i].PerSecond, _ = bs.division.Placements(servers[i].Region, bs.coldLimit(s.config))
+		servers[i].PerSecond = perSecond[servers[i].Region]
 	}
 	s.placed.Configure(settings)
 	s.placed.SetServers(servers)
+	return s.placed
 }
 
 // drop removes the pending placements of a host that match.
@@ -83,7 +92,8 @@
 	bs.mu.Lock()
 	defer bs.mu.Unlock()
 	s := bs.services[r.Service]
-	if s == nil || s.placed == nil {
+	balancer := bs.placementBalancer(s)
+	if balancer == nil {
 		return gossip.Placement{}
 	}
 	now := time.Now()
@@ -97,9 +107,9 @@
 	for id, l := range s.balancer.OwnLoad() {
 		loads[id] = loads[id].Plus(l)
 	}
-	s.placed.SetPeerLoad(loads)
+	balancer.SetPeerLoad(loads)
 	elapsed := now.Sub(bs.started)
-	s.placed.SetSuspects(bs.outliers.Ejected(r.Domain, elapsed))
+	balancer.SetSuspects(bs.outliers.Ejected(r.Domain, elapsed))
 	req := balance.Request{Tokens: r.Tokens, Prefill: r.Prefill, Exclude: r.Exclude, From: r.Domain}
 	if len(r.Regions) > 0 {
 		req.Allowed = func(region string) bool { return slices.Contains(r.Regions, region) }
@@ -111,13 +121,13 @@
 		}
 		req.Source = &source
 	}
-	server, reason := s.placed.Pick(req, now)
+	server, reason := balancer.Pick(req, now)
 	if reason != balance.Chosen {
 		return gossip.Placement{}
 	}
 	bs.outliers.Tried(server.ID, elapsed)
 	load := loadOf(req)
-	s.placed.AddRequest(server.ID, load, now)
+	balancer.AddRequest(server.ID, load, now)
 	bs.placer.number++
 	placed := placement{number: bs.placer.number, service: s, server: server.ID, load: load, at: now}
 	bs.placer.pending[host] = append(bs.placer.pending[host], placed)
@@ -143,7 +153,7 @@
 	bs.mu.Lock()
 	s := bs.service(service)
 	regions, any := bs.allowedRegions(req)
-	if s.placed == nil || !any || len(s.waiters) > 0 || bs.limits.HasLimits() {
+	if !bs.arePlaced(s.config) || !any || len(s.waiters) > 0 || bs.limits.HasLimits() {
 		bs.mu.Unlock()
 		return nil
 	}
