Pause between the watch calls of hosts that follow no store reader

Ruled out: the calls that fail in the outage (five a host); waiting longer for an aggregator before the first list, which delays the service of all callers. Change: in a deployment with groups, a host that is no store reader waits 300 ms between two watch calls of a kind. Conclusion: changes reach such a host 0.3 s later, far within the bounds; store readers and small deployments are as before.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"monsoonkeel.example/monsoonkeel/core/fleet"
+	"monsoonkeel.example/monsoonkeel/core/topology"
 	"monsoonkeel.example/monsoonkeel/internal/wait"
 )
 
@@ -46,6 +47,9 @@
 	retryMax = time.Second
 	// batchDelay lets changes that follow each other closely arrive in one watch call.
 	batchDelay = 20 * time.Millisecond
+	// followerPause is the mean time between two watch calls of a host of a large deployment that follows no store reader
+	// for the moment. When many do, each change would end a watch of each of them.
+	followerPause = 300 * time.Millisecond
 	// removedRetention is how long a removed server stays in the snapshot, for the
 	// requests that still run there.
 	removedRetention = 30 * time.Second
@@ -212,10 +216,19 @@
 		d.recordSuccess(kind)
 		d.apply(kind, batch, !listed, sent)
 		listed = true
-		if len(batch.Changes) > 0 && kind == Backends {
-			wait.For(ctx, batchDelay)
-		}
+		wait.For(ctx, d.pauseAfter(kind, batch))
+	}
+}
+
+// pauseAfter returns how long a host waits after a call before it watches a kind again.
+func (d *Directory) pauseAfter(kind Kind, batch Batch) time.Duration {
+	switch {
+	case !d.IsStoreReader() && len(d.Snapshot().Hosts) > topology.MaxMesh:
+		return followerPause/2 + rand.N(followerPause)
+	case len(batch.Changes) > 0 && kind == Backends:
+		return batchDelay
 	}
+	return 0
 }
 
 // configurationBehind reports whether a relayed update named a newer configuration.
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -284,3 +285,46 @@
 	assert.Equal(t, []string{"a", "b"}, live)
 	assert.Equal(t, []string{"past", "stale"}, findStaleHosts(batch(), now))
 }
+
+// Guards against a store that all hosts of a large deployment call at each change, while they follow no store reader.
+// Pattern: all hosts have started again during an outage of the store; when it ends, the backend servers register one
+// after another.
+func TestChangesDoNotMultiplyStoreCalls(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		hosts      int
+		reader     bool
+		atMost, of int
+	}{
+		{"host of a large deployment", 295, false, 14, 100},
+		{"store reader of a large deployment", 295, true, 100, 100},
+		{"host of a small deployment", 9, false, 100, 100},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := &fakeStore{}
+				for i := range c.of {
+					store.watches = append(store.watches, func() (Batch, error) {
+						time.Sleep(10 * time.Millisecond)
+						return Batch{Changes: []Change{ready(fmt.Sprint("server-", i))}}, nil
+					})
+				}
+				d, _ := newDirectory(store)
+				hosts := Batch{Revision: 1}
+				for i := range c.hosts {
+					hosts.Changes = append(hosts.Changes, Change{Name: fmt.Sprint("host-", i), Host: &fleet.Host{ID: fmt.Sprint("host-", i)}})
+				}
+				d.apply(Hosts, hosts, true, 0)
+				d.SetStoreReader(c.reader)
+				start := time.Now()
+				d.opts.Clock = func() time.Duration { return time.Hour + time.Since(start) }
+				ctx, cancel := context.WithTimeout(context.Background(), startGrace+2*time.Second)
+				defer cancel()
+				d.listAndWatch(ctx, Backends)
+				calls := c.of - len(store.watches)
+				assert.LessOrEqual(t, calls, c.atMost)
+				assert.GreaterOrEqual(t, calls, 5, "changes are followed")
+			})
+		})
+	}
+}
