Wait for the list of hosts before a host that starts reads the store

A host gave the list of hosts 200 ms, counted from its start, but read it only after its registration: 0.3 s for the regions that are 60 ms from the store. So two thirds of the hosts read everything themselves at the same time, the configuration of 1,700 routes included, and filled the link of the store: the configuration was applied 0.98 s after the start at the median, and 890 requests were rejected for the lack of it; two regions had an aggregator only after 1.1 s. Ruled out: a longer time alone, which delays small deployments. Change: a host that starts again lists the hosts at once, beside its registration, and decides when it has the list, after 0.5 s at most. A small deployment reads the store as soon as it has it.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -103,6 +103,8 @@
 	lastFailureAt atomic.Int64 // Clock time of the last failed call; 0: none
 	// registerAttempted is closed after the first attempt to write the entry of this host.
 	registerAttempted chan struct{}
+	// hostsListed is set after the first attempt to list the entries of all hosts.
+	hostsListed atomic.Bool
 }
 
 // New returns a Directory; Run must be called for it to work.
--- a/internal/directory/hosts.go
+++ b/internal/directory/hosts.go
@@ -25,8 +25,7 @@
 	registerTimeout = 2 * time.Second
 )
 
-// registerLoop renews the entry of this host. The lists of all hosts begin after the first attempt, so that they contain
-// it.
+// registerLoop renews the entry of this host.
 func (d *Directory) registerLoop(ctx context.Context) {
 	first := true
 	for ctx.Err() == nil {
@@ -42,13 +41,14 @@
 	}
 }
 
-// listHostsLoop lists the entries of all hosts and deletes stale ones, unless another host relays them.
+// listHostsLoop lists the entries of all hosts and deletes stale ones, unless another host relays them. Where all hosts
+// start for the first time, it begins when they have registered.
 func (d *Directory) listHostsLoop(ctx context.Context) {
-	select {
-	case <-d.registerAttempted:
-	case <-ctx.Done():
-	}
 	if d.opts.FirstStart {
+		select {
+		case <-d.registerAttempted:
+		case <-ctx.Done():
+		}
 		wait.For(ctx, firstStartDelay/2+rand.N(firstStartDelay))
 	}
 	for n := 0; ctx.Err() == nil; n++ {
@@ -56,6 +56,7 @@
 			// Data that is seconds old does not show that this host is alone.
 			d.listHosts(ctx, n == 0 || n >= initialHostLists || len(d.Snapshot().Hosts) > 1)
 		}
+		d.hostsListed.Store(true)
 		interval := hostListInterval
 		if n < initialHostLists {
 			interval = initialHostListInterval
--- a/internal/directory/relay.go
+++ b/internal/directory/relay.go
@@ -30,10 +30,10 @@
 	// storeFailureMemory is how long after a failed call a host leaves the role of store
 	// reader to other hosts.
 	storeFailureMemory = 5 * time.Second
-	// hostsGrace is how long a host that starts waits for the list of all hosts. In a small deployment it then reads the
-	// store; in a large one it waits for the state of other hosts, for startGrace at most, or for firstStartGrace where
-	// all hosts start for the first time.
-	hostsGrace      = 200 * time.Millisecond
+	// hostsGrace is how long a host that starts waits for the list of all hosts. In a small deployment it reads the store
+	// as soon as it has the list; in a large one it waits for the state of other hosts, for startGrace at most, or for
+	// firstStartGrace where all hosts start for the first time.
+	hostsGrace      = 500 * time.Millisecond
 	startGrace      = 1500 * time.Millisecond
 	firstStartGrace = 4 * time.Second
 	// firstReadDelay is the time from the start of all hosts until a host reads the store for others: before, the
@@ -435,7 +435,9 @@
 		return firstStartGrace
 	case hosts > topology.MaxMesh:
 		return startGrace
-	default:
+	case !d.hostsListed.Load():
 		return hostsGrace
+	default:
+		return 0
 	}
 }
