Send large messages without a part instead of not at all

Cause: a message larger than a datagram was not sent. The digests of some 2,700 busy engines, or the changes of some 600 servers that register at the same time, exceed one: the aggregators fall silent, and all hosts of the group call the store and choose engines by themselves. What a host lacked was not sent either if the changes did not fit. Ruled out: several datagrams for one digest; a lost one would make the loads wrong for a time. Change: messages leave out, one after the other, crashes, changes of the store (their revisions stay, so that hosts get them as a repair), the loads of other groups, all loads. A repair whose changes do not fit contains all objects, in parts.

--- a/internal/gossip/digest.go
+++ b/internal/gossip/digest.go
@@ -2,12 +2,9 @@
 
 import (
 	"cmp"
-	"errors"
 	"slices"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"monsoonkeel.example/monsoonkeel/core/attribution"
 	"monsoonkeel.example/monsoonkeel/core/balance"
 	"monsoonkeel.example/monsoonkeel/core/ratelimit"
@@ -189,31 +186,6 @@
 	d.Limits = d.Limits[:min(len(d.Limits), maxDigestLimits)]
 }
 
-// encodeBounded returns the message of a state. The crashes of engines are left out if it exceeds the size of a
-// datagram otherwise, then all objects of the store: the load and the notices matter more.
-func encodeBounded(s *State, log zerolog.Logger) ([]byte, error) {
-	message, err := encode(s)
-	if err != nil || len(message) <= maxMessageBytes-maxSuffixReserve {
-		return message, err
-	}
-	log.Warn().Int("bytes", len(message)).Int("crashes", len(s.Crashes)).Msg("gossip message sent without crashes of engines: larger than a datagram")
-	reduced := *s
-	reduced.Crashes, reduced.Digests = nil, slices.Clone(s.Digests)
-	for i := range reduced.Digests {
-		reduced.Digests[i].Crashes = nil
-	}
-	message, err = encode(&reduced)
-	if err == nil && len(message) > maxMessageBytes-maxSuffixReserve {
-		err = errTooLarge
-	}
-	return message, err
-}
-
-var errTooLarge = errors.New("the message is larger than a datagram")
-
-// maxSuffixReserve is the part of a message that is left for the echo.
-const maxSuffixReserve = 64
-
 // nextView returns the view of this host if one is due. An aggregator builds one every viewInterval at most, unless
 // the change is urgent.
 func (e *Exchange) nextView(now time.Duration, urgent bool) (View, bool) {
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -69,14 +69,14 @@
 	for n := range 800 {
 		s.Generations = append(s.Generations, Generation{ID: fmt.Sprintf("%016x", n), Server: "i-0000000000", Tokens: 4000, MigrationPriority: 100000})
 	}
-	encoded, err := encodeBounded(&s, zerolog.Nop())
+	encoded, _, err := encodeBounded(&s, zerolog.Nop())
 	require.NoError(t, err)
 	require.NotEmpty(t, encoded)
 	s.Crashes = []attribution.Report{{Parts: make([]attribution.Part, 10000)}}
 	for i := range s.Crashes[0].Parts {
 		s.Crashes[0].Parts[i] = 1<<48 - 1
 	}
-	encoded, err = encodeBounded(&s, zerolog.Nop())
+	encoded, _, err = encodeBounded(&s, zerolog.Nop())
 	require.NoError(t, err)
 	sent, err := decode(encoded)
 	require.NoError(t, err)
@@ -84,6 +84,65 @@
 	assert.Zero(t, len(sent.Crashes))
 }
 
+// manyLoads returns the loads of busy engines.
+func manyLoads(engines int) map[string]balance.Load {
+	loads := map[string]balance.Load{}
+	for i := range engines {
+		loads[fmt.Sprintf("i-%010x", i)] = balance.Load{Requests: 12, Tokens: 30000, Prefill: 3000}
+	}
+	return loads
+}
+
+// Guards against an aggregator that falls silent because its message has grown larger than a datagram: without the
+// messages, all hosts of its group call the store. Pattern: thousands of busy engines in several regions, or as many that
+// register at the same time after an outage of the store.
+func TestLargeMessagesAreSentWithoutAPart(t *testing.T) {
+	changes := directory.RelayedKind{After: 3, Revision: 9}
+	for i := range 3000 {
+		id := fmt.Sprintf("i-%010x", i)
+		changes.Changes = append(changes.Changes, directory.Change{Name: id, Revision: 9, Backend: &fleet.Backend{ID: id, Service: "m", Address: "10.1.2.3:8000", Domain: "west-a", Region: "west"}})
+	}
+	for name, c := range map[string]struct {
+		own, others int
+		changes     directory.RelayedKind
+		keepsLoads  bool
+	}{
+		"other groups":          {1000, 2500, directory.RelayedKind{Revision: 9}, true},
+		"own group":             {10000, 0, directory.RelayedKind{Revision: 9}, false},
+		"changes":               {100, 100, changes, true},
+		"changes and the loads": {10000, 10000, changes, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := State{
+				Host: "me", Role: topology.Primary, Readers: []string{"me"}, Terminating: []Process{{ID: "i-1", StartTime: 5}},
+				RelayedUpdate: &directory.RelayedUpdate{Version: 4, ConfirmedAgo: time.Millisecond, Backends: c.changes},
+				Digests: []Digest{
+					{Group: topology.GroupID{Region: "west"}, Hosts: 98, Loads: manyLoads(c.own)},
+					{Group: topology.GroupID{Region: "east"}, Hosts: 98, Loads: manyLoads(c.others)},
+				},
+			}
+			message, _, err := encodeBounded(&s, zerolog.Nop())
+			require.NoError(t, err)
+			assert.LessOrEqual(t, len(message), maxMessageBytes-maxSuffixReserve)
+			sent, err := decode(message)
+			require.NoError(t, err)
+			assert.Equal(t, topology.Primary, sent.Role)
+			assert.Equal(t, s.Readers, sent.Readers)
+			assert.Equal(t, s.Terminating, sent.Terminating)
+			require.Len(t, sent.Digests, 2)
+			assert.Equal(t, 98, sent.Digests[0].Hosts)
+			if c.keepsLoads {
+				assert.Len(t, sent.Digests[0].Loads, c.own)
+			}
+			require.NotNil(t, sent.RelayedUpdate)
+			assert.Equal(t, int64(4), sent.RelayedUpdate.Version)
+			assert.Equal(t, int64(9), sent.RelayedUpdate.Backends.Revision, "a host sees that it lacks changes")
+			assert.Len(t, s.Digests[0].Loads, c.own, "the state is unchanged")
+			assert.Len(t, s.RelayedUpdate.Backends.Changes, len(c.changes.Changes))
+		})
+	}
+}
+
 // Guards against a field of a message that is lost or changed on the way.
 func TestMessagesKeepAllFields(t *testing.T) {
 	load := map[string]balance.Load{"s": {Requests: 2, Tokens: 7000, Prefill: 3000}}
--- a/internal/gossip/group_test.go
+++ b/internal/gossip/group_test.go
@@ -103,12 +103,12 @@
 		if batch.digests != nil {
 			state.Digests = batch.digests(now)
 		}
-		base, err := encodeBounded(&state, node.opts.Log)
+		base, sent, err := encodeBounded(&state, node.opts.Log)
 		require.NoError(n.t, err)
 		for _, r := range batch.receivers {
 			suffix, err := node.suffix(&state, r.host, batch.generations)
 			require.NoError(n.t, err)
-			for _, m := range append([][]byte{append(base[:len(base):len(base)], suffix...)}, node.repairs(&state, r.host, now)...) {
+			for _, m := range append([][]byte{append(base[:len(base):len(base)], suffix...)}, node.repairs(sent, r.host, now)...) {
 				n.messages[id]++
 				n.bytes[id] += len(m)
 				if to := n.nodes[r.host]; to != nil && !to.dead && !node.cut[r.host] && !to.cut[id] {
@@ -407,6 +407,47 @@
 	assert.Equal(t, full.Backends.Changes, got)
 }
 
+// Guards against changes that no message has room for, so that each host reads them from the store: more than a message
+// holds are sent as a list of all objects, in parts. Pattern: thousands of backend servers register at the same time after
+// an outage of the store.
+func TestManyChangesAreRepaired(t *testing.T) {
+	changes := directory.RelayedKind{After: 3, Revision: 9}
+	for i := range 3000 {
+		id := fmt.Sprintf("i-%010x", i)
+		changes.Changes = append(changes.Changes, directory.Change{Name: id, Revision: 9, Backend: &fleet.Backend{ID: id, Service: "m", Address: "10.1.2.3:8000", Domain: "west-a", Region: "west"}})
+	}
+	all := directory.RelayedKind{Revision: 9, Full: true, Changes: changes.Changes}
+	n := newNetwork(t, 1, 40)
+	n.run(3 * time.Second)
+	for id, node := range n.nodes {
+		if node.candidate.Role() != topology.Member {
+			node.state.RelayedUpdate = &directory.RelayedUpdate{Version: 4, Backends: changes}
+			node.state.Versions = directory.Versions{Configuration: 4, Backends: 9}
+			node.opts.Missing = func(v directory.Versions) *directory.RelayedUpdate {
+				if v.Backends == 0 {
+					return &directory.RelayedUpdate{Backends: all}
+				}
+				return &directory.RelayedUpdate{Backends: changes}
+			}
+			continue
+		}
+		n.nodes[id].state.Versions = directory.Versions{Configuration: 4, Backends: 3}
+	}
+	n.run(2 * time.Second)
+	for id, node := range n.nodes {
+		if node.candidate.Role() != topology.Member {
+			continue
+		}
+		whole := 0
+		for _, u := range node.repairsReceived {
+			if u.Backends.Full && len(u.Backends.Changes) == len(all.Changes) {
+				whole++
+			}
+		}
+		assert.Positive(t, whole, "%s has got no list of all servers", id)
+	}
+}
+
 // Guards against hosts that know the load that they report themselves as that of others, and place less work than they
 // could: the digest names the message that it contains.
 func TestOwnLoadIsNotCountedAsThatOfOthers(t *testing.T) {
--- a/internal/gossip/receivers.go
+++ b/internal/gossip/receivers.go
@@ -240,7 +240,7 @@
 
 // send sends a state to receivers, to each with its own echo, and then what it lacks of the store.
 func (e *Exchange) send(conn *net.UDPConn, s *State, m messages, now time.Duration) {
-	message, err := encodeBounded(s, e.opts.Log)
+	message, sent, err := encodeBounded(s, e.opts.Log)
 	if err != nil {
 		e.opts.Log.Error().Err(err).Msg("gossip message not sent")
 		return
@@ -259,7 +259,7 @@
 		if err != nil && !errors.Is(err, net.ErrClosed) {
 			e.opts.Log.Debug().Str("peer", r.host).Err(err).Msg("sending a gossip message failed")
 		}
-		e.sendRepair(conn, s, r, now)
+		e.sendRepair(conn, sent, r, now)
 	}
 }
 
--- a/internal/gossip/repair.go
+++ b/internal/gossip/repair.go
@@ -84,25 +84,34 @@
 			add(&pb.Update{Version: missing.Version, Configuration: compressed})
 		}
 	}
-	for _, part := range splitKind(encodeKind(missing.Backends)) {
+	for _, part := range e.splitKind(missing, func(u *directory.RelayedUpdate) directory.RelayedKind { return u.Backends }) {
 		add(&pb.Update{Backends: part})
 	}
-	for _, part := range splitKind(encodeKind(missing.DomainsOut)) {
+	for _, part := range e.splitKind(missing, func(u *directory.RelayedUpdate) directory.RelayedKind { return u.DomainsOut }) {
 		add(&pb.Update{DomainsOut: part})
 	}
-	for _, part := range splitKind(encodeKind(missing.Hosts)) {
+	for _, part := range e.splitKind(missing, func(u *directory.RelayedUpdate) directory.RelayedKind { return u.Hosts }) {
 		add(&pb.Update{Hosts: part})
 	}
 	return messages
 }
 
-// splitKind divides the objects of a kind into parts that fit into messages. It returns none if there are too many.
-func splitKind(k *pb.Kind) []*pb.Kind {
+// splitKind returns what a host lacks of a kind in parts that fit into messages: its changes, or all objects if the changes
+// do not fit into one. It returns none if there are too many.
+func (e *Exchange) splitKind(missing *directory.RelayedUpdate, of func(*directory.RelayedUpdate) directory.RelayedKind) []*pb.Kind {
+	k := encodeKind(of(missing))
+	if k != nil && !k.Full && proto.Size(k) > maxPartBytes {
+		all := e.opts.Missing(directory.Versions{})
+		if all == nil {
+			return nil
+		}
+		k = encodeKind(of(all))
+	}
 	if k == nil {
 		return nil
 	}
 	if !k.Full {
-		return []*pb.Kind{k} // the log of changes is short
+		return []*pb.Kind{k}
 	}
 	var parts []*pb.Kind
 	part, bytes := &pb.Kind{}, 0
