Move the start of a host in the directory to its own file

Ruled out: nothing. Change: a pure move of waitForFirst, startGrace and their constants; one comment names groups. Figures: go test -race ./internal/directory passed. Conclusion: the program does the same.

--- a/internal/directory/relay.go
+++ b/internal/directory/relay.go
@@ -7,12 +7,11 @@
 	"time"
 
 	"monsoonkeel.example/monsoonkeel/core/route"
-	"monsoonkeel.example/monsoonkeel/core/topology"
 	"monsoonkeel.example/monsoonkeel/internal/wait"
 )
 
-// Only the store reader of a region watches the store. For a short time there can be
-// several, while the hosts have different lists of live peers. The store reader relays
+// Only the store reader of a region, in a large deployment that of a group, watches the store. For a short time there can
+// be several, while the hosts have different lists of live peers. The store reader relays
 // changes and confirmations to the other hosts, the followers, so that the number of
 // watch calls, which the platform charges for, does not grow with the number of hosts. A
 // follower that receives no relayed updates for relayTimeout watches the store itself.
@@ -30,17 +29,6 @@
 	// storeFailureMemory is how long after a failed call a host leaves the role of store
 	// reader to other hosts.
 	storeFailureMemory = 5 * time.Second
-	// hostsGrace is how long a host that starts waits for the list of all hosts. In a small deployment it reads the store
-	// as soon as it has the list; in a large one it waits for the state of other hosts, for startGrace at most, or for
-	// firstStartGrace where all hosts start for the first time.
-	hostsGrace      = 500 * time.Millisecond
-	startGrace      = 1500 * time.Millisecond
-	firstStartGrace = 4 * time.Second
-	// firstReadDelay is the time from the start of all hosts until a host reads the store for others: before, the
-	// hosts do not know each other, and many would.
-	firstReadDelay = 2500 * time.Millisecond
-	// firstPollInterval is how often it checks whether it has received them.
-	firstPollInterval = 20 * time.Millisecond
 	// catchUpTime is how long a host waits for changes that it lacks before it calls the store: other hosts learn of
 	// the versions that it has from its messages.
 	catchUpTime = 700 * time.Millisecond
@@ -410,34 +398,3 @@
 	}
 	return 0
 }
-
-// waitForFirst waits until another host has relayed all objects of a kind, or this host is to read them itself. It
-// reports whether they were relayed.
-func (d *Directory) waitForFirst(ctx context.Context, kind Kind) bool {
-	start := d.opts.Clock()
-	for {
-		d.mu.Lock()
-		loaded, hosts := d.loaded[kind], len(d.state.Hosts)
-		d.mu.Unlock()
-		if loaded {
-			return true
-		}
-		if d.IsStoreReader() || d.opts.Clock()-start >= d.startGrace(hosts) || !wait.For(ctx, firstPollInterval) {
-			return false
-		}
-	}
-}
-
-// startGrace returns how long a host waits for the state of others, of which it knows a number.
-func (d *Directory) startGrace(hosts int) time.Duration {
-	switch {
-	case d.opts.FirstStart:
-		return firstStartGrace
-	case hosts > topology.MaxMesh:
-		return startGrace
-	case !d.hostsListed.Load():
-		return hostsGrace
-	default:
-		return 0
-	}
-}
