List the hosts again once a new host has registered

Cause: since a host lists all hosts at once when it starts, the first list of a new host lacked itself, and it divided retry budgets among 16 assumed hosts until the next list 0.7 s later. Ruled out: the load of the machine; the five tests fail alone, too. Change: a host that is not in its first list lists again when it has registered. The fake store of the directory tests hands out copies of its hosts, which the caller changes, and a test reads its list of deletions under the lock. Conclusion: a host that starts again is in the list already and makes no further call.

--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -17,6 +17,7 @@
 
 	"monsoonkeel.example/monsoonkeel/core/fleet"
 	"monsoonkeel.example/monsoonkeel/core/route"
+	"monsoonkeel.example/monsoonkeel/internal/wait"
 )
 
 // clock is a manual clock.
@@ -180,7 +181,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if kind == Hosts {
-		return f.hosts, nil
+		b := Batch{Revision: f.hosts.Revision}
+		for _, c := range f.hosts.Changes { // the caller changes what it gets
+			h := *c.Host
+			b.Changes = append(b.Changes, Change{Name: c.Name, Host: &h})
+		}
+		return b, nil
 	}
 	f.lists++
 	return Batch{Revision: int64(f.lists * 100)}, nil
@@ -260,7 +266,9 @@
 		defer store.mu.Unlock()
 		return len(store.unregistered) > 0
 	}, 3*time.Second, time.Millisecond)
+	store.mu.Lock()
 	assert.Equal(t, "ancient", store.unregistered[0])
+	store.mu.Unlock()
 	hosts := fmt.Sprint(d.Snapshot().Hosts)
 	assert.Contains(t, hosts, "fresh")
 	assert.NotContains(t, hosts, "quiet")
@@ -328,3 +336,38 @@
 		})
 	}
 }
+
+// registeringStore lists the hosts that have registered.
+type registeringStore struct {
+	fakeStore
+	delay time.Duration
+}
+
+func (f *registeringStore) Register(ctx context.Context, h fleet.Host) error {
+	wait.For(ctx, f.delay)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hosts.Revision++
+	f.hosts.Changes = []Change{{Name: h.ID, Host: &h}}
+	return nil
+}
+
+// Guards against a host that divides shared bounds among hosts which it only assumes, since it listed all hosts before
+// it had registered: it lists them again at once, and not after the interval.
+func TestNewHostListsItselfOnceRegistered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &registeringStore{delay: 60 * time.Millisecond}
+		d, _ := newDirectory(store)
+		d.opts.Self = fleet.Host{ID: "new", PeerAddress: "10.1.0.1:7200"}
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go d.registerLoop(ctx)
+		go d.listHostsLoop(ctx)
+		time.Sleep(30 * time.Millisecond)
+		assert.Empty(t, d.Snapshot().Hosts)
+		time.Sleep(50 * time.Millisecond)
+		assert.Contains(t, d.Snapshot().Hosts, "new")
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/directory/hosts.go
+++ b/internal/directory/hosts.go
@@ -57,6 +57,9 @@
 			d.listHosts(ctx, n == 0 || n >= initialHostLists || len(d.Snapshot().Hosts) > 1)
 		}
 		d.hostsListed.Store(true)
+		if n == 0 && !d.listsItself() {
+			d.listOnceRegistered(ctx)
+		}
 		interval := hostListInterval
 		if n < initialHostLists {
 			interval = initialHostListInterval
@@ -65,6 +68,19 @@
 	}
 }
 
+// listsItself reports whether this host is in its list of all hosts, from its registration or that of its predecessor.
+func (d *Directory) listsItself() bool { return d.Snapshot().Hosts[d.opts.Self.ID].ID != "" }
+
+// listOnceRegistered lists the hosts again when this host, which is new, has registered: bounds are divided by their
+// number.
+func (d *Directory) listOnceRegistered(ctx context.Context) {
+	select {
+	case <-d.registerAttempted:
+		d.listHosts(ctx, true)
+	case <-ctx.Done():
+	}
+}
+
 // hostsAreRelayed reports whether another host relays the entries of all hosts.
 func (d *Directory) hostsAreRelayed() bool {
 	d.mu.Lock()
