Pause between watch calls also where a host does not know the others

A trial that logs the calls by kind shows 22 watch calls of each host for backend servers from 37 to 39 s: all hosts start again while the store is silent, the list of hosts hangs until its timeout, and a host that knows no others took itself for one of few. Ruled out: calls that fail in the outage (5 a host), lists (4 a host). Change: a host that has no list of hosts pauses too. Figures: the new row of TestChangesDoNotMultiplyStoreCalls: 100 calls before, at most 14 after.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -222,10 +222,12 @@
 	}
 }
 
-// pauseAfter returns how long a host waits after a call before it watches a kind again.
+// pauseAfter returns how long a host waits after a call before it watches a kind again. A host that does not know the
+// others may be one of many.
 func (d *Directory) pauseAfter(kind Kind, batch Batch) time.Duration {
+	hosts := len(d.Snapshot().Hosts)
 	switch {
-	case !d.IsStoreReader() && len(d.Snapshot().Hosts) > topology.MaxMesh:
+	case !d.IsStoreReader() && (hosts == 0 || hosts > topology.MaxMesh):
 		return followerPause/2 + rand.N(followerPause)
 	case len(batch.Changes) > 0 && kind == Backends:
 		return batchDelay
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -305,6 +305,7 @@
 		atMost, of int
 	}{
 		{"host of a large deployment", 295, false, 14, 100},
+		{"host that does not know the others", 0, false, 14, 100},
 		{"store reader of a large deployment", 295, true, 100, 100},
 		{"host of a small deployment", 9, false, 100, 100},
 	} {
