--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -79,11 +78,6 @@
 
 func (q *requester) close() { _ = q.conn.Close() }
 
-// closedUnread reports whether a request got no byte of an answer.
-func (r result) closedUnread() bool {
-	return r.status == 0 && (errors.Is(r.err, io.EOF) || errors.Is(r.err, io.ErrUnexpectedEOF) || r.err != nil)
-}
-
 func (r result) String() string {
 	if r.status == 0 {
 		return fmt.Sprintf("no answer (%v)", r.err)
--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -21,12 +21,13 @@
 	handles map[string]*copied // by "ADDRESS/HANDLE"
 	number  int
 	works   map[string][]span // by request
+	// busyUntil is the end of a long step, by runner.
+	busyUntil map[string]time.Time
 }
 
 // copied is the memory of a run at another runner.
 type copied struct {
 	id, target string
-	events     int
 }
 
 // span is the time in which a runner works on a request.
@@ -36,7 +37,7 @@
 }
 
 func newEngines(d *deployment, events int, firstEvent, gap time.Duration) *engines {
-	return &engines{d: d, firstEvent: firstEvent, gap: gap, events: events, handles: map[string]*copied{}, works: map[string][]span{}}
+	return &engines{d: d, firstEvent: firstEvent, gap: gap, events: events, handles: map[string]*copied{}, works: map[string][]span{}, busyUntil: map[string]time.Time{}}
 }
 
 // handler returns the handler of a runner. With drops set, a run ends when its channel closes; PROTOCOL.md says that of
@@ -116,6 +117,9 @@
 	}
 	e.d.ran(r, c.runner)
 	e.mu.Lock()
+	if backup := r.Header.Get("X-Kv-Backup"); backup != "" {
+		e.handles[backup+"/"+id] = &copied{id: id, target: backup}
+	}
 	index := len(e.works[id])
 	e.works[id] = append(e.works[id], span{runner: c.runner.id, begin: time.Now()})
 	e.mu.Unlock()
@@ -139,6 +143,7 @@
 		} else {
 			time.Sleep(e.gap)
 		}
+		e.endStep(c.runner.id)
 		if stopped() || drops && c.gone.Load() {
 			return false
 		}
@@ -154,6 +159,21 @@
 	return false
 }
 
+// longStep makes the current step of a runner last for d, as a long prompt of another request does.
+func (e *engines) longStep(runner string, d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.busyUntil[runner] = time.Now().Add(d)
+}
+
+// endStep waits for the end of a long step. A runner looks at its channels between two steps.
+func (e *engines) endStep(runner string) {
+	e.mu.Lock()
+	until := e.busyUntil[runner]
+	e.mu.Unlock()
+	time.Sleep(time.Until(until))
+}
+
 // overlap returns for how long two runners worked on a request at the same time, and who worked on it.
 func (e *engines) overlap(id string) (longest time.Duration, who string) {
 	e.mu.Lock()
--- a/review/standin/host.go
+++ b/review/standin/host.go
@@ -16,13 +16,13 @@
 
 // host is one process of the system, started with the command of the deploy file.
 type host struct {
-	name, zone     string
-	front, ready   string
-	control, ports int
-	metrics        int
-	settings       string
-	cmd            *exec.Cmd
-	exited         chan struct{}
+	name, zone   string
+	front, ready string
+	ports        int
+	metrics      int
+	settings     string
+	cmd          *exec.Cmd
+	exited       chan struct{}
 }
 
 // Settings of a small deployment; SYSTEM.md and DEPLOY.md name them.
@@ -113,6 +113,18 @@
 	return h
 }
 
+// restart starts the process again: bootstrap is true only when the whole system starts for the first time.
+func (h *host) restart(dir string) {
+	text, err := os.ReadFile(h.settings)
+	if err == nil {
+		err = os.WriteFile(h.settings, []byte(strings.Replace(string(text), "bootstrap=true", "bootstrap=false", 1)), 0o600)
+	}
+	if err != nil {
+		cannotRun("settings: %v", err)
+	}
+	h.start(dir)
+}
+
 // start starts the process with the run line of the deploy file.
 func (h *host) start(dir string) {
 	program := filepath.Join(root, "target", "monsoonkeel-entry")
