--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins that the scripts start, into review/bin/. It needs no network.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o review/bin/standin ./review/standin
+go test -c -o review/bin/standin ./review/standin
--- a/review/standin/case_gone_test.go
+++ b/review/standin/case_gone_test.go
@@ -1,7 +1,8 @@
-package main
+package standin
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -75,7 +76,7 @@
 				select {
 				case <-done:
 					return
-				case <-time.After(100 * time.Millisecond):
+				case <-time.After(50*time.Millisecond + rand.N(100*time.Millisecond)):
 				}
 				id := fmt.Sprintf("commit-%02d-%04d", i, n)
 				q, err := connect(d.hosts[i%len(d.hosts)].front)
--- a/review/standin/host_test.go
+++ b/review/standin/host_test.go
@@ -1,7 +1,6 @@
-package main
+package standin
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -113,18 +112,6 @@
 	return h
 }
 
-// restart starts the process again: bootstrap is true only when the whole system starts for the first time.
-func (h *host) restart(dir string) {
-	text, err := os.ReadFile(h.settings)
-	if err == nil {
-		err = os.WriteFile(h.settings, []byte(strings.Replace(string(text), "bootstrap=true", "bootstrap=false", 1)), 0o600)
-	}
-	if err != nil {
-		cannotRun("settings: %v", err)
-	}
-	h.start(dir)
-}
-
 // start starts the process with the run line of the deploy file.
 func (h *host) start(dir string) {
 	program := filepath.Join(root, "target", "monsoonkeel-entry")
@@ -173,27 +160,3 @@
 	}
 	cannotRun("%s did not become ready", h.name)
 }
-
-// known returns the number of runners to which the host sends requests, by its state dump.
-func (h *host) known() int {
-	r, err := http.Get(fmt.Sprintf("http://127.0.0.1:%d/state", h.metrics))
-	if err != nil {
-		return -1
-	}
-	defer r.Body.Close()
-	var state struct {
-		Snapshot struct {
-			Servers map[string]struct{ Gone, Leaving bool }
-		}
-	}
-	if json.NewDecoder(r.Body).Decode(&state) != nil {
-		return -1
-	}
-	n := 0
-	for _, s := range state.Snapshot.Servers {
-		if !s.Gone && !s.Leaving {
-			n++
-		}
-	}
-	return n
-}
--- a/review/standin/main_test.go
+++ b/review/standin/main_test.go
@@ -1,8 +1,9 @@
-// Command standin plays the cases of the review: it starts the system's processes with the command of the deploy
-// file and stands in for the platform's store, the runners and the requesters.
+// Package standin plays the cases of the review: it starts the system's processes with the command of the deploy file and
+// stands in for the platform's store, the runners and the requesters. It is a test program without tests of its own, so
+// that the default test run plays no case; review/build.sh builds it.
 //
 // Exit codes: 0 if the rule held, 1 if it was broken, 2 if the case could not run.
-package main
+package standin
 
 import (
 	"fmt"
@@ -11,6 +12,7 @@
 	"path/filepath"
 	"sync"
 	"syscall"
+	"testing"
 	"time"
 )
 
@@ -34,10 +36,10 @@
 
 var cases = map[string]func() bool{}
 
-func main() {
+// TestMain plays a case if the arguments are ROOT CASE-FOLDER CASE.
+func TestMain(m *testing.M) {
 	if len(os.Args) != 4 || cases[os.Args[3]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin ROOT CASE-FOLDER CASE")
-		os.Exit(exitFailed)
+		os.Exit(m.Run())
 	}
 	root, dir = os.Args[1], os.Args[2]
 	var err error
--- a/review/standin/runner_test.go
+++ b/review/standin/runner_test.go
@@ -1,10 +1,9 @@
-package main
+package standin
 
 import (
 	"bufio"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -151,38 +150,3 @@
 	_ = write(c, "0\r\n\r\n")
 	return n
 }
-
-const (
-	heartbeat = 1200 * time.Millisecond
-	// expiry is the silence after which the store removes the entry of a runner, also while it is down.
-	expiry = 3 * heartbeat
-)
-
-// beat writes the entry of the runner every heartbeat, except while the store is down. The store removes it when the
-// runner has been silent for long.
-func (r *runner) beat(s *store) {
-	var mu sync.Mutex
-	last, removed := time.Now(), false
-	go func() {
-		time.Sleep(rand.N(heartbeat))
-		for ; ; time.Sleep(heartbeat) {
-			mu.Lock()
-			if !s.silent.Load() {
-				r.register(s, "ready")
-				last, removed = time.Now(), false
-			}
-			mu.Unlock()
-		}
-	}()
-	go func() {
-		for ; ; time.Sleep(20 * time.Millisecond) {
-			mu.Lock()
-			if !removed && time.Since(last) > expiry {
-				s.remove("servers", r.id)
-				removed = true
-				record("the entry of runner %s expires", r.id)
-			}
-			mu.Unlock()
-		}
-	}()
-}
