Reject streams whose deadline is after the end of the shutdown

Cause: request.longest took 15 ms a token for the pace of any engine. Engines on time by the target gap of the route take three times as long, and no engine promises a pace, so the estimate was shorter than the stream. Ruled out: the target gap as the pace; a late stream would still be cut. Orders are not affected, they count until their deadline. Change: streams count until their deadline, as orders do; it ends them whatever the engine does. Conclusion: a stream accepted during the shutdown ends by its deadline, before the host.

--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -161,15 +161,13 @@
 }
 
 // longest returns how long the request may take. An idempotent one can be repeated, so that
-// its objective counts. For others it is the longest possible time, not the expected one: they
-// are lost when they are cut off, while a rejected request can be served elsewhere.
+// its objective counts. For others, streams included, it is the time until the deadline, not the expected
+// one: no engine promises a pace, and they are lost when they are cut off, while a rejected request can be
+// served elsewhere.
 func (r *request) longest() time.Duration {
 	left := time.Until(r.deadline)
-	switch {
-	case r.route.Kind == route.Idempotent:
+	if r.route.Kind == route.Idempotent {
 		return min(left, orDefault(r.route.Objective, time.Second))
-	case r.route.Kind == route.Stream && r.maxOutput > 0:
-		return min(left, r.route.Objective+time.Duration(r.maxOutput)*slowTokenGap)
 	}
 	return left
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -64,9 +64,6 @@
 	}
 }
 
-// slowTokenGap is the token gap at an engine that also prefills.
-const slowTokenGap = 15 * time.Millisecond
-
 // stream relays a generation to its caller. The generation may be resumed at another
 // engine than the one where it started.
 type stream struct {
