Stop a generation at its former engine by a final copy

Cause: the host closed the connection to the source and took that for the end of the generation. The platform says that of most engines only. Ruled out: the load report as a proof (some hundred milliseconds old, 400 ms are allowed); a final copy before the switchover, which stops a source whose target may still reject; two hosts acting on one generation. Change: wherever a connection is closed while another engine has the generation, the engine is asked for the final copy 50 ms later, until it is certain that it stopped, for 3 s at most: sources of migrations and switchovers to replicas, sources whose stream broke, targets that are abandoned or not needed any more. Engines that drop generations by themselves answer that they have none, so that nothing is copied. canResume uses the same function.

--- a/internal/forward/generations.go
+++ b/internal/forward/generations.go
@@ -49,6 +49,10 @@
 	askAfter time.Duration
 	// takenForDead is set when the current source was closed because of its silence.
 	takenForDead bool
+	// sourceStopped is set once the current source certainly does not run the generation any more.
+	sourceStopped bool
+	// stopping has the last attempts to stop the generation at engines whose connection was closed, by ID.
+	stopping map[string]stopping
 	// silence has the requests to resume because the source was silent.
 	silence *retrySeries
 }
--- a/internal/forward/migration.go
+++ b/internal/forward/migration.go
@@ -2,16 +2,15 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
-	"syscall"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"monsoonkeel.example/monsoonkeel/core/balance"
 	"monsoonkeel.example/monsoonkeel/core/migrate"
 	"monsoonkeel.example/monsoonkeel/core/relay"
 	"monsoonkeel.example/monsoonkeel/core/route"
-	"monsoonkeel.example/monsoonkeel/internal/connection"
 	"monsoonkeel.example/monsoonkeel/internal/wait"
 )
 
@@ -279,8 +278,7 @@
 // canResume reports whether the generation of a broken stream may resume from the pre-copy: only
 // when its engine certainly does not run it any more. It requests a final copy, which stops a
 // generation that the engine still runs; if that succeeds, it replaces the pre-copy. The generation is
-// stopped also if the target has no room for the final copy. While the engine rejects the request or
-// closes the connection, it is asked again.
+// stopped also if the target has no room for the final copy.
 func (gen *generation) canResume(m *migration) bool {
 	if m.preCopy.Handle == "" || m.target == nil {
 		return false
@@ -289,32 +287,21 @@
 	// accept the connection.
 	ctx, cancel := context.WithTimeout(gen.r.ctx, relay.SilenceLimit)
 	defer cancel()
-	interval := finalCopyRetryInterval
-	for {
-		gen.r.g.balancers.chargeRate(m.source.ID)
-		result, err := gen.r.g.opts.EngineClient.Copy(ctx, m.source.Address, gen.r.id, m.target.server.Address, true)
+	result, stopped := gen.stop(ctx, stopAttempt{server: m.source, other: m.target.server, log: func(result CopyResult, err error) {
 		gen.log(m, "source queried after its stream broke", result, err)
-		switch {
-		case result.Outcome == Copied:
-			m.preCopy = result
-			return true
-		case result.Outcome == TargetUnavailable && result.Handle != "":
-			// The generation was stopped, and its target has the pre-copy.
-			if result.Handle != m.preCopy.Handle {
-				go gen.dropCopy(m.source, result.Handle)
-			}
-			return true
-		case result.Outcome == GenerationNotFound || errors.Is(err, syscall.ECONNREFUSED):
-			return true
-		case errors.Is(err, errRefused) && connection.Refuses(gen.r.ctx, m.source.Address, connectTimeout):
-			return true
-		}
-		// Neither a rejection nor a closed connection shows whether the generation was stopped.
-		if !wait.For(ctx, interval) {
-			return false
-		}
-		interval = min(2*interval, maxFinalCopyRetryInterval)
+	}})
+	switch {
+	case !stopped:
+		return false
+	case result.Outcome == Copied:
+		m.preCopy = result
+	case result.Handle != "" && result.Handle != m.preCopy.Handle:
+		go gen.dropCopy(m.source, result.Handle) // the target has the pre-copy
 	}
+	gen.mu.Lock()
+	gen.sourceStopped = true
+	gen.mu.Unlock()
+	return true
 }
 
 func (m *migration) releaseNext() {
@@ -373,7 +360,12 @@
 	if to := m.copyTarget(); to != nil {
 		target = to.server.ID
 	}
-	gen.r.g.opts.Log.Info().Str("request", gen.r.id).Str("source", m.source.ID).Str("target", target).
+	gen.logCopy(event, m.source.ID, target, result, err).Int64("first_ms", m.preCopyTime.Milliseconds()).Send()
+}
+
+// logCopy returns the log line about a copy request.
+func (gen *generation) logCopy(event, source, target string, result CopyResult, err error) *zerolog.Event {
+	return gen.r.g.opts.Log.Info().Str("request", gen.r.id).Str("source", source).Str("target", target).
 		Stringer("outcome", result.Outcome).Int("made", result.Events).AnErr("error", err).
-		Int64("first_ms", m.preCopyTime.Milliseconds()).Msg("generation migration: " + event)
+		Str(zerolog.MessageFieldName, "generation migration: "+event)
 }
--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -107,6 +107,7 @@
 			r.g.Metrics.FailedMigrations.Add(1)
 			return err
 		}
+		gen.endStop(target.server.ID)
 		if sw = gen.newSwitchover(relay.Interrupted, target, ref, series); sw == nil {
 			return errors.New("the stream has ended")
 		}
@@ -148,7 +149,7 @@
 	former, dead := gen.reservation, gen.takenForDead
 	m := gen.migration
 	gen.reservation, gen.migration, gen.switchover = target, nil, nil
-	gen.ex, gen.sourceEnded, gen.takenForDead = ex, make(chan struct{}), false
+	gen.ex, gen.sourceEnded, gen.takenForDead, gen.sourceStopped = ex, make(chan struct{}), false, false
 	gen.relay.Relay(time.Now())
 	if gen.standby == target {
 		gen.standby = nil
--- a/internal/forward/switchover.go
+++ b/internal/forward/switchover.go
@@ -31,10 +31,11 @@
 	done      chan struct{}
 	times     switchoverTimes
 	// Valid once done is closed; ex is nil if the target did not resume. responded is set if it
-	// rejected the request.
+	// rejected the request, and mayRun if it has the request although it was abandoned.
 	ex        *connection.Exchange
 	err       error
 	responded bool
+	mayRun    bool
 }
 
 // switchTo asks target, which has a copy, to resume the generation while its engine still runs it.
@@ -47,6 +48,7 @@
 	if !started {
 		return nil
 	}
+	gen.endStop(target.server.ID)
 	gen.preconnect(target.server.Address)
 	sw := gen.newSwitchover(relay.Relayed, target, ref, series)
 	if sw == nil {
@@ -82,6 +84,9 @@
 		gen.r.targetResponse = sw.err.Error()
 		gen.refuse(sw)
 	}
+	if sw.mayRun {
+		gen.stopClosed(sw.target.server, gen.reservation.server, true)
+	}
 	gen.mu.Unlock()
 	if sw.ex == nil {
 		sw.cancel()
@@ -107,11 +112,13 @@
 		ex.Abort()
 		return
 	case relay.CloseSource:
-		// An engine stops a generation when its client disconnects.
 		gen.ex.Abort()
 		sw.times.sourceClosed = time.Now()
 	}
 	sw.ex = ex
+	if !gen.sourceStopped {
+		gen.stopClosed(gen.reservation.server, sw.target.server, false)
+	}
 }
 
 // refuse records that the target does not resume. gen.mu must be held.
@@ -194,6 +201,7 @@
 		status = ex.Response.StatusCode()
 		ex.Finish(false)
 	}
+	sw.mayRun = status == fasthttp.StatusOK || err != nil && verdict.Of(err) != verdict.NotRun
 	switch {
 	case ctx.Err() != nil:
 		return verdict.New(verdict.MayHaveRun, 504, "target_late", "the engine with the KV cache copy did not respond in time")
@@ -232,6 +240,9 @@
 	if sw.ex != nil {
 		sw.ex.Finish(false)
 		sw.standby.releaseIfHeld()
+		gen.mu.Lock()
+		gen.stopClosed(sw.target.server, gen.reservation.server, false)
+		gen.mu.Unlock()
 	}
 }
 
