Ignore answers of the store that relayed changes have overtaken

Cause: the answer to a host's own list or watch was applied whatever the host had learned since the call was sent. One that was held up by a cut of 0.7 s brought the removed server back; the next watch starts after the removal, so nothing corrected it. Ruled out: the grace after an outage (it ends after 2 s), relayed updates out of order (compared with the cursor before). The daemon's log of changes rejects heads older than it has. Change: an answer older than the cursor of its kind is ignored, for all kinds, and of a newer one only the last change of each object is applied. Conclusion: a host's state of a kind never goes back behind its cursor.

--- a/internal/directory/apply.go
+++ b/internal/directory/apply.go
@@ -10,10 +10,12 @@
 func (d *Directory) apply(kind Kind, batch Batch, full bool, callSent time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if kind == Hosts && batch.Revision < d.cursor[kind] {
-		return // a stale list
-	}
-	if d.applyBatch(kind, batch, full) {
+	switch {
+	case batch.Revision < d.cursor[kind]:
+		// Relayed changes have overtaken the answer, which may have been held up on its way.
+		d.opts.Log.Info().Stringer("kind", kind).Int64("revision", batch.Revision).Int64("known", d.cursor[kind]).
+			Msg("answer of the store is older than what other hosts relayed, ignoring it")
+	case d.applyBatch(kind, Batch{Changes: lastChanges(batch.Changes), Revision: batch.Revision}, full):
 		d.publish()
 	}
 	if kind == Configuration && d.state.Table != nil && int64(callSent) > d.confirmedAt.Load() {
@@ -23,6 +25,25 @@
 	}
 }
 
+// lastChanges returns the last change of each object. Of an answer that overlaps with relayed changes, an earlier one
+// would undo what is known.
+func lastChanges(changes []Change) []Change {
+	last := make(map[string]int, len(changes))
+	for i, c := range changes {
+		last[c.Name] = i
+	}
+	if len(last) == len(changes) {
+		return changes
+	}
+	kept := make([]Change, 0, len(last))
+	for i, c := range changes {
+		if last[c.Name] == i {
+			kept = append(kept, c)
+		}
+	}
+	return kept
+}
+
 // applyBatch applies a batch, moves the cursor of its kind and logs its changes for other hosts. It reports whether the
 // state changed.
 func (d *Directory) applyBatch(kind Kind, batch Batch, full bool) bool {
--- a/internal/directory/relay_test.go
+++ b/internal/directory/relay_test.go
@@ -390,3 +390,46 @@
 	follower.ApplyRelayed(reader.RelayedUpdate(), c.Now())
 	assert.True(t, follower.Snapshot().Servers["a"].Leaving)
 }
+
+// Guards against a late answer to a host's own call that brings back what relayed changes removed meanwhile: the host
+// sent requests to a removed server, or into a domain out of service, for good.
+func TestLateAnswersDoNotReplaceNewerRelayedChanges(t *testing.T) {
+	out := func(deleted bool) Change { return Change{Name: "west-a", Deleted: deleted} }
+	for name, answer := range map[string]struct {
+		full                 bool
+		backends, domainsOut Batch
+	}{
+		"watch": {false, Batch{Changes: []Change{ready("a")}, Revision: 11}, Batch{Changes: []Change{out(true)}, Revision: 14}},
+		"list":  {true, Batch{Changes: []Change{ready("a"), ready("b")}, Revision: 11}, Batch{Revision: 14}},
+		"watch that has the removal too": {
+			false, Batch{Changes: []Change{ready("a"), {Name: "a", Deleted: true}}, Revision: 12}, Batch{Changes: []Change{out(true), out(false)}, Revision: 15},
+		},
+		"watch with later changes": {
+			false, Batch{Changes: []Change{ready("a"), {Name: "a", Deleted: true}, ready("c")}, Revision: 20},
+			Batch{Changes: []Change{out(true), out(false), {Name: "east-a"}}, Revision: 20},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			reader, follower, c := newRegion(t)
+			for _, b := range []Batch{{Changes: []Change{ready("a")}, Revision: 11}, {Changes: []Change{{Name: "a", Deleted: true}}, Revision: 12}} {
+				reader.apply(Backends, b, false, c.Now())
+			}
+			for i, deleted := range []bool{false, true, false} {
+				reader.apply(DomainsOut, Batch{Changes: []Change{out(deleted)}, Revision: int64(13 + i)}, false, c.Now())
+			}
+			sent := c.Now()
+			follower.ApplyRelayed(reader.RelayedUpdate(), sent)
+			require.True(t, follower.Snapshot().Servers["a"].Removed)
+			require.True(t, follower.Snapshot().DomainsOut["west-a"])
+			c.advance(700 * time.Millisecond)
+			// The host's calls failed when it was cut off.
+			follower.recoveredAt = c.Now()
+			follower.apply(Backends, answer.backends, answer.full, sent)
+			follower.apply(DomainsOut, answer.domainsOut, answer.full, sent)
+			assert.True(t, follower.Snapshot().Servers["a"].Removed, "the removed server is back")
+			assert.True(t, follower.Snapshot().DomainsOut["west-a"], "the domain is back in service")
+			assert.GreaterOrEqual(t, follower.cursorOf(Backends), int64(12))
+			assert.Equal(t, reader.Snapshot().Servers["b"], follower.Snapshot().Servers["b"])
+		})
+	}
+}
