Relay what changed in the store, not what was new to the host

Cause: a host logged a change for the others only if it changed its own state. A reader that still waited for a missing server did not relay its return; the same for a removal and return in one answer, for changes that a host relayed further, and for what happened before a new list. Ruled out: lost messages, the grace itself. Change: applyBatch logs what changed in the store, and begins the log anew after a list of a watched kind. Two tests of single orders. Conclusion: hosts end in the state of the store.

--- a/internal/directory/apply.go
+++ b/internal/directory/apply.go
@@ -15,7 +15,7 @@
 		// Relayed changes have overtaken the answer, which may have been held up on its way.
 		d.opts.Log.Info().Stringer("kind", kind).Int64("revision", batch.Revision).Int64("known", d.cursor[kind]).
 			Msg("answer of the store is older than what other hosts relayed, ignoring it")
-	case d.applyBatch(kind, Batch{Changes: lastChanges(batch.Changes), Revision: batch.Revision}, full):
+	case d.applyBatch(kind, Batch{Changes: lastChanges(batch.Changes), Revision: batch.Revision}, full, false):
 		d.publish()
 	}
 	if kind == Configuration && d.state.Table != nil && int64(callSent) > d.confirmedAt.Load() {
@@ -36,17 +36,21 @@
 		return changes
 	}
 	kept := make([]Change, 0, len(last))
+	earlier := make(map[string]bool, len(last))
 	for i, c := range changes {
 		if last[c.Name] == i {
+			c.replaces = earlier[c.Name]
 			kept = append(kept, c)
 		}
+		earlier[c.Name] = true
 	}
 	return kept
 }
 
 // applyBatch applies a batch, moves the cursor of its kind and logs its changes for other hosts. It reports whether the
-// state changed.
-func (d *Directory) applyBatch(kind Kind, batch Batch, full bool) bool {
+// state changed. What is logged is what changed in the store, which this host may know or judge otherwise: all of what was
+// relayed, and of the host's own calls what another host may lack.
+func (d *Directory) applyBatch(kind Kind, batch Batch, full, relayed bool) bool {
 	known := d.loaded[kind]
 	changed := !known
 	d.loaded[kind] = true
@@ -55,17 +59,19 @@
 	}
 	var logged []Change
 	for _, c := range batch.Changes {
+		_, missing := d.missingSince[c.Name]
 		applied := d.applyChange(kind, c)
 		changed = changed || applied
-		// This host may have had a termination notice before the store, which the others still lack.
-		if applied || c.Deleted || c.Backend != nil && c.Backend.Leaving {
+		// This host may have had a termination notice before the store, which the others still lack. They may have
+		// removed a server that registered again before it counted as removed here.
+		if relayed || applied || missing || c.replaces || c.Deleted || c.Backend != nil && c.Backend.Leaving {
 			logged = append(logged, c)
 		}
 	}
 	d.setBehind(kind, false)
 	switch {
-	case !known:
-		// Earlier changes are unknown and cannot be relayed.
+	case !known, full && kind != Hosts:
+		// Changes before the list are unknown and cannot be relayed.
 		d.changeLog[kind], d.logStart[kind] = nil, batch.Revision
 	case len(logged) > 0 && kind != Configuration:
 		d.changeLog[kind] = append(d.changeLog[kind], loggedBatch{revision: batch.Revision, changes: logged, readAt: d.opts.Clock()})
--- a/internal/directory/relay.go
+++ b/internal/directory/relay.go
@@ -231,7 +231,7 @@
 			continue
 		}
 		for _, c := range batch.changes {
-			c.Revision = batch.revision
+			c.Revision, c.replaces = batch.revision, false
 			if c.Backend != nil {
 				b := *c.Backend
 				b.ColdLeft = max(0, b.ColdLeft-(now-batch.readAt))
@@ -336,7 +336,7 @@
 		return false
 	}
 	if r.Full {
-		return d.applyBatch(kind, Batch{Changes: r.Changes, Revision: r.Revision}, true)
+		return d.applyBatch(kind, Batch{Changes: r.Changes, Revision: r.Revision}, true, true)
 	}
 	// The update repeats changes that were applied before. Each batch is passed on with its own revision, so that
 	// hosts which relay to each other do not repeat them forever.
@@ -346,7 +346,7 @@
 			n = len(r.Changes)
 		}
 		if revision := r.Changes[0].Revision; revision > d.cursor[kind] {
-			changed = d.applyBatch(kind, Batch{Changes: r.Changes[:n], Revision: revision}, false) || changed
+			changed = d.applyBatch(kind, Batch{Changes: r.Changes[:n], Revision: revision}, false, true) || changed
 		}
 		r.Changes = r.Changes[n:]
 	}
--- a/internal/directory/relay_test.go
+++ b/internal/directory/relay_test.go
@@ -433,3 +433,40 @@
 		})
 	}
 }
+
+// Guards against followers that lose a server for good after an outage: its entry expired, it registered again while the
+// store reader still waited for that, and the reader, for which nothing had changed, relayed the removal only.
+func TestReturnAfterOutageIsRelayed(t *testing.T) {
+	reader, follower, c := newRegion(t)
+	last, _ := newDirectory(nil)
+	last.opts.Clock = c.Now
+	last.ApplyRelayed(reader.Missing(Versions{}), c.Now())
+	follower.SetRelaying(true)
+	reader.recoveredAt = c.Now()
+	reader.apply(Backends, Batch{Changes: []Change{{Name: "a", Deleted: true}}, Revision: 12}, false, c.Now())
+	follower.ApplyRelayed(reader.RelayedUpdate(), c.Now())
+	last.ApplyRelayed(follower.RelayedUpdate(), c.Now())
+	c.advance(time.Second)
+	reader.apply(Backends, Batch{Changes: []Change{ready("a")}, Revision: 13}, false, c.Now())
+	follower.ApplyRelayed(reader.RelayedUpdate(), c.Now())
+	last.ApplyRelayed(follower.RelayedUpdate(), c.Now())
+	c.advance(3 * time.Second)
+	for name, d := range map[string]*Directory{"reader": reader, "follower": follower, "follower of the follower": last} {
+		d.expire()
+		assert.False(t, d.Snapshot().Servers["a"].Removed, name)
+	}
+}
+
+// Guards against a host that passes on only what was new to it: another one may lack what this host knew already.
+func TestRelayedChangesArePassedOnWhetherNewOrNot(t *testing.T) {
+	reader, follower, c := newRegion(t)
+	last, _ := newDirectory(nil)
+	last.opts.Clock = c.Now
+	last.ApplyRelayed(reader.Missing(Versions{}), c.Now())
+	last.apply(Backends, Batch{Changes: []Change{{Name: "a", Deleted: true}}, Revision: 12}, false, c.Now())
+	follower.SetRelaying(true)
+	reader.apply(Backends, Batch{Changes: []Change{{Name: "a", Deleted: true}, ready("a")}, Revision: 13}, false, c.Now())
+	follower.ApplyRelayed(reader.RelayedUpdate(), c.Now())
+	last.ApplyRelayed(follower.RelayedUpdate(), c.Now())
+	assert.False(t, last.Snapshot().Servers["a"].Removed)
+}
--- a/internal/directory/store.go
+++ b/internal/directory/store.go
@@ -46,6 +46,8 @@
 	Raw []byte
 	// Revision is that of the batch in which a relayed change was read; 0 if the change is part of a list.
 	Revision int64
+	// replaces is set if the batch had an earlier change of the object.
+	replaces bool
 }
 
 // Batch holds the objects of a list, or the changes of a watch, as of Revision.
