Ask the engine with the replica only after the silence of a sound one

Cause: the replica was asked after twice the token gap, 0.36 s. A sound engine may be silent for a second or so, and notices a closed connection or a call only between two steps. Ruled out: asking the source first, which is answered between steps too.

--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -2,7 +2,7 @@
 // resumed at another: which of the two may be closed, and when the stream is complete or broken.
 //
 // A source is closed only after another engine has accepted to resume, or after a silence in which it
-// is taken for dead. An engine that was asked while the source may still run the generation has to accept
+// is taken for dead. While it is silent for no longer than a sound engine may be, no other is asked. An engine that was asked while the source may still run the generation has to accept
 // within a bound, or else its request is abandoned, so that the generation does not run at two
 // engines. The package does no I/O, reads no clock and is not safe for concurrent use.
 package relay
@@ -44,8 +44,10 @@
 	// generation. It is half of what the platform allows, since the target's response and the end
 	// of the source take a one-way latency between regions each.
 	MaxOverlap = 200 * time.Millisecond
-	// SilenceLimit is the time without an event after which an engine is taken for dead. A
-	// sound engine may be silent for a second or two.
+	// SoundSilence is the longest silence of a sound engine, in a long step for example. It goes on afterwards, and
+	// notices only then that its connection was closed, or that it is to stop.
+	SoundSilence = 2 * time.Second
+	// SilenceLimit is the time without an event after which an engine is taken for dead.
 	SilenceLimit = 3 * time.Second
 )
 
@@ -109,10 +111,14 @@
 	return now.Sub(s.heardAt)
 }
 
-// Ask records that a target is asked to resume, and reports whether it may be: only one at a time.
+// Ask records that a target is asked to resume, and reports whether it may be: only one at a time, and none while
+// the source may be in a step in which it cannot be stopped.
 func (s *Stream) Ask(now time.Time) bool {
 	switch s.state {
 	case Relayed:
+		if silence := s.Silence(now); silence > MaxOverlap && silence < SoundSilence {
+			return false
+		}
 		s.state = Switching
 	case Interrupted:
 		s.state = Resuming
--- a/internal/forward/generations.go
+++ b/internal/forward/generations.go
@@ -42,9 +42,8 @@
 	lastID int64
 	ended  bool
 	// silenceTimer fires when the source is silent for too long; nil if that has no
-	// consequence. silentSwitches is the number of switchovers for that since the last event.
-	silenceTimer   *time.Timer
-	silentSwitches int
+	// consequence.
+	silenceTimer *time.Timer
 	// askAfter is the time without an event after which silenceTimer fires.
 	askAfter time.Duration
 	// takenForDead is set when the current source was closed because of its silence.
@@ -186,6 +185,5 @@
 func (gen *generation) delivered(events int, lastID int64) {
 	gen.mu.Lock()
 	gen.events, gen.lastID = events, lastID
-	gen.silentSwitches = 0
 	gen.mu.Unlock()
 }
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -6,25 +6,18 @@
 	"monsoonkeel.example/monsoonkeel/core/relay"
 )
 
-// stallFactor is the time without an event after which another engine is asked to resume a
-// generation with a standby replica, as a multiple of the target token gap. The stream is late
-// then, but its source may be sound and go on.
-const stallFactor = 2
-
 // awaitSilence starts or restarts the wait for a silence of the source.
 func (gen *generation) awaitSilence() {
 	gen.mu.Lock()
 	defer gen.mu.Unlock()
 	now := time.Now()
 	gen.relay.Await(now)
-	gap := gen.r.route.GapObjective
-	if gap <= 0 {
+	if gen.r.route.GapObjective <= 0 {
 		return
 	}
 	silence := gen.relay.Silence(now)
 	if silence == 0 {
-		// Engines that accept and are then silent too are not left sooner and sooner.
-		gen.askAfter = min(stallFactor*gap<<min(gen.silentSwitches, 8), relay.SilenceLimit)
+		gen.askAfter = relay.SoundSilence
 	}
 	switch {
 	case gen.ended:
@@ -77,9 +70,6 @@
 	if !gen.hasStandby() {
 		return nil
 	}
-	gen.mu.Lock()
-	gen.silentSwitches++ // reset by the next event
-	gen.mu.Unlock()
 	if !gen.silence.available() {
 		return nil
 	}
--- a/internal/forward/switchover.go
+++ b/internal/forward/switchover.go
@@ -50,6 +50,7 @@
 	}
 	gen.endStop(target.server.ID)
 	gen.preconnect(target.server.Address)
+	gen.awaitStep(server)
 	sw := gen.newSwitchover(relay.Relayed, target, ref, series)
 	if sw == nil {
 		return nil
@@ -58,6 +59,28 @@
 	return sw
 }
 
+const (
+	// recentEvent is the longest time since an event after which an engine is likely to be at the begin of a step.
+	recentEvent = 20 * time.Millisecond
+	// stepPollInterval is the time between two checks for an event.
+	stepPollInterval = 10 * time.Millisecond
+)
+
+// awaitStep waits for the next event of the source, unless one has just arrived: an engine notices only between two
+// steps that it is to stop, and a step may be long. It does not wait for a source that is silent for longer than a
+// sound one, or that has ended.
+func (gen *generation) awaitStep(server string) {
+	for gen.runsAt(server) {
+		gen.mu.Lock()
+		silence := gen.relay.Silence(time.Now())
+		gen.mu.Unlock()
+		if silence <= recentEvent || silence >= relay.SoundSilence {
+			return
+		}
+		gen.waitWhileRunning(stepPollInterval)
+	}
+}
+
 // newSwitchover registers a request to resume the generation. It returns nil unless the stream is in
 // the given state.
 func (gen *generation) newSwitchover(state relay.State, target *reservation, ref string, series *retrySeries) *switchover {
