Log engines that may not have stopped, and relay no full lists of hosts again

Cause: reading the diff. The end of the attempts to stop a generation left no line of its own; and since all that is relayed is relayed further, a host that got all entry hosts from another sent each of them to the others again for 2 s. Ruled out: that other kinds repeat full lists; their log begins anew after one. Conclusion: no change of decisions.

--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -2,9 +2,10 @@
 // resumed at another: which of the two may be closed, and when the stream is complete or broken.
 //
 // A source is closed only after another engine has accepted to resume, or after a silence in which it
-// is taken for dead. While it is silent for no longer than a sound engine may be, no other is asked. An engine that was asked while the source may still run the generation has to accept
-// within a bound, or else its request is abandoned, so that the generation does not run at two
-// engines. The package does no I/O, reads no clock and is not safe for concurrent use.
+// is taken for dead. While it is silent for no longer than a sound engine may be, no other is asked. An
+// engine that was asked while the source may still run the generation has to accept within a bound, or
+// else its request is abandoned, so that the generation does not run at two engines. The package does no
+// I/O, reads no clock and is not safe for concurrent use.
 package relay
 
 import "time"
--- a/internal/directory/apply.go
+++ b/internal/directory/apply.go
@@ -48,8 +48,8 @@
 }
 
 // applyBatch applies a batch, moves the cursor of its kind and logs its changes for other hosts. It reports whether the
-// state changed. What is logged is what changed in the store, which this host may know or judge otherwise: all of what was
-// relayed, and of the host's own calls what another host may lack.
+// state changed. What is logged is what changed in the store, which this host may know or judge otherwise: all changes
+// that were relayed, and of the host's own calls those that another host may lack.
 func (d *Directory) applyBatch(kind Kind, batch Batch, full, relayed bool) bool {
 	known := d.loaded[kind]
 	changed := !known
@@ -64,7 +64,7 @@
 		changed = changed || applied
 		// This host may have had a termination notice before the store, which the others still lack. They may have
 		// removed a server that registered again before it counted as removed here.
-		if relayed || applied || missing || c.replaces || c.Deleted || c.Backend != nil && c.Backend.Leaving {
+		if relayed && !full || applied || missing || c.replaces || c.Deleted || c.Backend != nil && c.Backend.Leaving {
 			logged = append(logged, c)
 		}
 	}
--- a/internal/forward/stopsource.go
+++ b/internal/forward/stopsource.go
@@ -16,8 +16,8 @@
 // stop the generation by themselves, so that nothing is copied.
 const closeNoticeTime = 50 * time.Millisecond
 
-// stopAttempt is what shows that an engine does not run a generation.
-type stopAttempt struct {
+// stopRequest names the engine that is to stop a generation.
+type stopRequest struct {
 	server balance.Server
 	// other is the target of the final copy that stops the generation.
 	other balance.Server
@@ -30,18 +30,18 @@
 
 // stop asks the engine to stop the generation until that is certain, or until ctx ends. The result may have a
 // copy, which is to be used or dropped.
-func (gen *generation) stop(ctx context.Context, a stopAttempt) (result CopyResult, stopped bool) {
+func (gen *generation) stop(ctx context.Context, q stopRequest) (result CopyResult, stopped bool) {
 	interval := finalCopyRetryInterval
 	for {
-		gen.r.g.balancers.chargeRate(a.server.ID)
-		result, err := gen.r.g.opts.EngineClient.Copy(ctx, a.server.Address, gen.r.id, a.other.Address, true)
-		a.log(result, err)
+		gen.r.g.balancers.chargeRate(q.server.ID)
+		result, err := gen.r.g.opts.EngineClient.Copy(ctx, q.server.Address, gen.r.id, q.other.Address, true)
+		q.log(result, err)
 		switch {
 		case result.Outcome == Copied, result.Outcome == TargetUnavailable && result.Handle != "":
 			return result, true
-		case result.Outcome == GenerationNotFound && !a.mayBegin, errors.Is(err, syscall.ECONNREFUSED):
+		case result.Outcome == GenerationNotFound && !q.mayBegin, errors.Is(err, syscall.ECONNREFUSED):
 			return result, true
-		case errors.Is(err, errRefused) && connection.Refuses(context.WithoutCancel(ctx), a.server.Address, connectTimeout):
+		case errors.Is(err, errRefused) && connection.Refuses(context.WithoutCancel(ctx), q.server.Address, connectTimeout):
 			return result, true
 		}
 		// Neither a rejection nor a closed connection shows whether the generation was stopped.
@@ -73,9 +73,12 @@
 		if !wait.For(ctx, closeNoticeTime) {
 			return
 		}
-		result, _ := gen.stop(ctx, stopAttempt{server: server, other: other, mayBegin: mayBegin, log: func(result CopyResult, err error) {
+		result, stopped := gen.stop(ctx, stopRequest{server: server, other: other, mayBegin: mayBegin, log: func(result CopyResult, err error) {
 			gen.logCopy("asked to stop at an engine whose connection was closed", server.ID, other.ID, result, err).Send()
 		}})
+		if !stopped && ctx.Err() == context.DeadlineExceeded {
+			gen.r.g.opts.Log.Warn().Str("request", gen.r.id).Str("backend", server.ID).Msg("a generation may still run at an engine whose connection was closed")
+		}
 		go gen.dropCopy(server, result.Handle)
 	}()
 }
