--- a/internal/directory/apply.go
+++ b/internal/directory/apply.go
@@ -25,8 +25,8 @@
 	}
 }
 
-// lastChanges returns the last change of each object. Of an answer that overlaps with relayed changes, an earlier one
-// would undo what is known.
+// lastChanges returns the last change of each object. Relayed changes may already have brought this host to the last one;
+// to apply an earlier one first would bring a removed server back, or start its grace anew.
 func lastChanges(changes []Change) []Change {
 	last := make(map[string]int, len(changes))
 	for i, c := range changes {
--- a/internal/forward/stopsource.go
+++ b/internal/forward/stopsource.go
@@ -58,8 +58,8 @@
 	done   chan struct{}
 }
 
-// stopClosed stops the generation at an engine whose connection was closed while other runs it: an engine may
-// work on. gen.mu must be held.
+// stopClosed stops the generation at an engine whose connection was closed while the other one runs it: not
+// every engine stops by itself. gen.mu must be held.
 func (gen *generation) stopClosed(server, other balance.Server, mayBegin bool) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(gen.r.ctx), relay.SilenceLimit)
 	attempts := stopping{cancel: cancel, done: make(chan struct{})}
--- a/internal/forward/switchover.go
+++ b/internal/forward/switchover.go
@@ -60,7 +60,7 @@
 }
 
 const (
-	// recentEvent is the longest time since an event after which an engine is likely to be at the begin of a step.
+	// recentEvent is the longest time since an event after which an engine is likely to be at the start of a step.
 	recentEvent = 20 * time.Millisecond
 	// stepPollInterval is the time between two checks for an event.
 	stepPollInterval = 10 * time.Millisecond
