Keep the ports of servers that tests end

A gateway cancels a generation that can be resumed only after the resume grace of 1 s. Trial: a server that listened on the port of the engine of an ended test got "DELETE /v1/generations/resumed?if_detached=1" after 1 s. - TestGenerationOfEndedEngineThatRefusedResumes expects that connections to a closed port are refused, and connects 3 s after the close. Ruled out: the program: both requests went where they were sent. Load: a run of the same tests on an idle machine is enough when another process takes the port. Change: reservedport.Listen returns a listener whose port stays reserved after it is closed. No check has changed. TestPortOfClosedListenerStaysReserved is new. Conclusion: no other process and no other test gets the port of a server that has ended while its test goes on.

--- a/internal/connection/connection_test.go
+++ b/internal/connection/connection_test.go
@@ -20,6 +20,7 @@
 	"github.com/valyala/fasthttp"
 
 	"monsoonkeel.example/monsoonkeel/core/verdict"
+	"monsoonkeel.example/monsoonkeel/internal/reservedport"
 )
 
 func testCertificate(t *testing.T) tls.Certificate {
@@ -124,8 +125,9 @@
 // Guards against the verdict NotRun for a request of which bytes were sent, and against
 // MayHaveRun after a refused connection.
 func TestVerdictFollowsWrittenBytes(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, release, err := reservedport.Listen()
 	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, release()) })
 	go func() {
 		c, err := l.Accept()
 		if err == nil {
--- a/internal/connection/truncated_test.go
+++ b/internal/connection/truncated_test.go
@@ -17,6 +17,7 @@
 
 	"monsoonkeel.example/monsoonkeel/core/verdict"
 	_ "monsoonkeel.example/monsoonkeel/internal/fixedseed"
+	"monsoonkeel.example/monsoonkeel/internal/reservedport"
 )
 
 // responseHeads are header sections of complete responses, one for each way to delimit a body.
@@ -231,8 +232,9 @@
 func TestBodyOfEndedServerIsIncomplete(t *testing.T) {
 	for name, ended := range map[string]bool{"server has ended": true, "server goes on": false} {
 		t.Run(name, func(t *testing.T) {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
+			l, release, err := reservedport.Listen()
 			require.NoError(t, err)
+			t.Cleanup(func() { assert.NoError(t, release()) })
 			t.Cleanup(func() { _ = l.Close() })
 			go func() {
 				conn, err := l.Accept()
--- a/internal/crashes/crashes_test.go
+++ b/internal/crashes/crashes_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"monsoonkeel.example/monsoonkeel/core/attribution"
+	"monsoonkeel.example/monsoonkeel/internal/reservedport"
 )
 
 // testGuard is a Guard whose clock the test sets.
@@ -33,10 +34,10 @@
 
 // refusedAddress returns an address at which no process listens.
 func (g *testGuard) refusedAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, release, err := reservedport.TCP()
 	require.NoError(g.t, err)
-	require.NoError(g.t, l.Close())
-	return l.Addr().String()
+	g.t.Cleanup(func() { assert.NoError(g.t, release()) })
+	return address
 }
 
 // crash records the end of engine n while a request with the parts had not begun.
--- a/internal/forward/refusals_test.go
+++ b/internal/forward/refusals_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"testing"
 	"time"
 
@@ -17,6 +16,7 @@
 	"monsoonkeel.example/monsoonkeel/core/serverstate"
 	"monsoonkeel.example/monsoonkeel/internal/connection"
 	"monsoonkeel.example/monsoonkeel/internal/directory"
+	"monsoonkeel.example/monsoonkeel/internal/reservedport"
 )
 
 // newRefusalGateway returns a gateway with engines of a KV cache of 100 tokens, all started at 1.
@@ -127,8 +127,10 @@
 // Guards against a stream that breaks although its engine has certainly ended, because that refused requests
 // before and is not asked.
 func TestGenerationOfEndedEngineThatRefusedResumes(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	// Nothing else may listen on the port once the engine has ended.
+	l, release, err := reservedport.Listen()
 	require.NoError(t, err)
+	t.Cleanup(func() { assert.NoError(t, release()) })
 	address := l.Addr().String()
 	g, servers := newRefusalGateway(address)
 	g.opts.EngineClient = &controlCalls{g: g}
--- a/internal/platform/httpapi/httpapi_test.go
+++ b/internal/platform/httpapi/httpapi_test.go
@@ -6,7 +6,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -18,6 +17,7 @@
 
 	"monsoonkeel.example/monsoonkeel/internal/platform"
 	"monsoonkeel.example/monsoonkeel/internal/platform/httpapi"
+	"monsoonkeel.example/monsoonkeel/internal/reservedport"
 	"monsoonkeel.example/monsoonkeel/internal/standin"
 )
 
@@ -99,10 +99,10 @@
 	require.ErrorIs(t, err, platform.ErrUnavailable)
 	require.ErrorIs(t, err, context.Canceled)
 
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, release, err := reservedport.TCP()
 	require.NoError(t, err)
-	require.NoError(t, listener.Close())
-	_, err = httpapi.NewObjectStore("http://"+listener.Addr().String()).Put(t.Context(), "k", 0, nil)
+	t.Cleanup(func() { require.NoError(t, release()) })
+	_, err = httpapi.NewObjectStore("http://"+address).Put(t.Context(), "k", 0, nil)
 	require.ErrorIs(t, err, platform.ErrUnavailable, "failed to connect")
 	require.NotErrorIs(t, err, platform.ErrOutcomeUnknown)
 }
--- a/internal/request/testgateway_test.go
+++ b/internal/request/testgateway_test.go
@@ -29,6 +29,7 @@
 	"monsoonkeel.example/monsoonkeel/internal/placement"
 	"monsoonkeel.example/monsoonkeel/internal/platform"
 	"monsoonkeel.example/monsoonkeel/internal/request/gentoken"
+	"monsoonkeel.example/monsoonkeel/internal/reservedport"
 	"monsoonkeel.example/monsoonkeel/internal/standin"
 	"monsoonkeel.example/monsoonkeel/internal/version"
 )
@@ -123,9 +124,19 @@
 	return doc
 }
 
+// listen returns a listener whose port stays reserved until the process ends. A gateway cancels a generation that can be
+// resumed only after the resume grace, when its test may have ended; another test's server must not receive that.
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, _, err := reservedport.Listen()
+	require.NoError(t, err)
+	return l
+}
+
 // addBackend starts a stand-in and registers it as a backend server of the service.
 func (r *testGateway) addBackend(service string, h http.Handler) *httptest.Server {
-	s := httptest.NewServer(h)
+	s := &httptest.Server{Listener: listen(r.t), Config: &http.Server{Handler: h}}
+	s.Start()
 	r.t.Cleanup(s.Close)
 	id := fmt.Sprintf("%s-%d", service, len(r.hosts))
 	r.hosts = append(r.hosts, platform.Host{
@@ -208,8 +219,7 @@
 			update()
 		}
 	}()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(r.t, err)
+	l := listen(r.t)
 	s := &fasthttp.Server{Handler: g.Handler, ErrorHandler: WriteProtocolError, MaxRequestBodySize: 1 << 20}
 	go func() { _ = s.Serve(l) }()
 	r.t.Cleanup(func() { _ = s.Shutdown(); cancel(); g.Pool.Close() })
--- a/internal/reservedport/reservedport.go
+++ b/internal/reservedport/reservedport.go
@@ -31,6 +31,19 @@
 	return net.JoinHostPort("127.0.0.1", strconv.Itoa(port)), release, nil
 }
 
+// Listen returns a listener on a port that stays reserved after the listener is closed, until release is called.
+func Listen() (l net.Listener, release func() error, err error) {
+	address, release, err := TCP()
+	if err != nil {
+		return nil, nil, err
+	}
+	if l, err = net.Listen("tcp", address); err != nil {
+		_ = release()
+		return nil, nil, err
+	}
+	return l, release, nil
+}
+
 // bind binds a socket to a loopback port that the system chooses.
 func bind(fd int) (port int, err error) {
 	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
--- a/internal/reservedport/reservedport_test.go
+++ b/internal/reservedport/reservedport_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"os/exec"
+	"syscall"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -98,6 +99,24 @@
 	t.Logf("%d servers", servers)
 }
 
+// Guards against a server that ends, and whose port another listener gets while connections to it must fail.
+func TestPortOfClosedListenerStaysReserved(t *testing.T) {
+	const listeners = 20000
+	l, release, err := Listen()
+	require.NoError(t, err)
+	address := l.Addr().String()
+	require.NoError(t, l.Close())
+	for range listeners {
+		other, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		require.NotEqual(t, address, other.Addr().String())
+		require.NoError(t, other.Close())
+	}
+	_, err = net.Dial("tcp", address)
+	require.ErrorIs(t, err, syscall.ECONNREFUSED)
+	require.NoError(t, release())
+}
+
 // Guards against processes that share a loopback address, among them the one that all programs
 // use: the process ID follows from the address.
 func TestProcessesHaveTheirOwnIP(t *testing.T) {
