Accept what the kernel has established when the daemon stops

Callers saw: a connection that was established just before monsoonkeeld stopped was reset, and its request had no answer. Cause: the server of fasthttp closes its listener first, and the kernel then resets the connections in the listener's queue that the process has not accepted. Change: connection.Listener goes on accepting after Close, until no connection has arrived for 100 ms, for 1 s at most. Test: TestClosedListenerAcceptsWhatHasArrived (the Listener before: no connection is accepted after Close). Conclusion: what had connected before the stop is served; a load balancer that sends new connections for more than 1 s after the drain delay still gets resets.

--- a/internal/connection/connection_test.go
+++ b/internal/connection/connection_test.go
@@ -54,7 +54,7 @@
 			l, err := net.Listen("tcp", "127.0.0.1:0")
 			require.NoError(t, err)
 			defer l.Close()
-			var wrapped net.Listener = Listener{l}
+			var wrapped net.Listener = NewListener(l)
 			if name == "TLS" {
 				wrapped = tls.NewListener(wrapped, &tls.Config{Certificates: []tls.Certificate{cert}})
 			}
--- a/internal/connection/shutdown_test.go
+++ b/internal/connection/shutdown_test.go
@@ -162,7 +162,7 @@
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	s := &fasthttp.Server{Handler: func(c *fasthttp.RequestCtx) { time.Sleep(2 * time.Millisecond) }, CloseOnShutdown: true}
-	go func() { assert.NoError(t, s.Serve(Listener{inner})) }()
+	go func() { assert.NoError(t, s.Serve(NewListener(inner))) }()
 	sent, answered := answeredDuringStop(t, inner.Addr().String(), func(ctx context.Context) {
 		require.NoError(t, s.ShutdownWithContext(ctx))
 	})
@@ -170,6 +170,52 @@
 	assert.Equal(t, sent, answered)
 }
 
+// Guards against connections that the kernel has established when the stop begins, and that are reset since the process has not
+// accepted them yet; and against a listener that never ends while new connections arrive.
+func TestClosedListenerAcceptsWhatHasArrived(t *testing.T) {
+	for name, arriving := range map[string]bool{"none arrive afterwards": false, "more arrive": true} {
+		t.Run(name, func(t *testing.T) {
+			inner, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			l := NewListener(inner)
+			const established = 5
+			for range established {
+				conn, err := net.Dial("tcp", inner.Addr().String())
+				require.NoError(t, err)
+				t.Cleanup(func() { _ = conn.Close() })
+			}
+			require.NoError(t, l.Close())
+			start := time.Now()
+			if arriving {
+				go func() {
+					for {
+						conn, err := net.Dial("tcp", inner.Addr().String())
+						if err != nil {
+							return
+						}
+						defer func() { _ = conn.Close() }()
+						time.Sleep(closeQuiet / 4)
+					}
+				}()
+			}
+			accepted := 0
+			for {
+				conn, err := l.Accept()
+				if err != nil {
+					assert.ErrorIs(t, err, net.ErrClosed)
+					break
+				}
+				accepted++
+				require.NoError(t, conn.Close())
+			}
+			assert.GreaterOrEqual(t, accepted, established)
+			assert.Less(t, time.Since(start), 2*closeLimit)
+			_, err = net.Dial("tcp", inner.Addr().String())
+			assert.Error(t, err, "nothing listens any more")
+		})
+	}
+}
+
 // Guards against a stop that takes as long as callers keep connections open, and against one that never ends while new
 // connections arrive.
 func TestDrainEnds(t *testing.T) {
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -199,7 +199,7 @@
 	} {
 		g.Go(func() error { return ignoreCancel(loop(loopCtx)) })
 	}
-	g.Go(func() error { return d.serve(d.callerServer, connection.Listener{Listener: listeners.callers}) })
+	g.Go(func() error { return d.serve(d.callerServer, connection.NewListener(listeners.callers)) })
 	g.Go(func() error { return d.serve(d.adminServer, listeners.admin) })
 	d.log.Info().Str("listen", d.settings.Listen).Msg("serving")
 	select {
