Merge what the store says by the revision of each object, and repair differences

Cause: which of two states of an object is newer was decided at each place by the revision of its whole kind, and what a host passed on was a log of the changes that it had seen. A mistake at one place left hosts different for good, and nothing showed it. Ruled out: revisions in the digest, and relays of every write: the entry of a cold server is written at each check-in, which would be relayed to all hosts. Lists by followers when they differ: their number grows with the hosts. Change: directory.objectSet holds each object, and each removal for 10 min, with the revision of the store as of which it is known; lists, watches, relays and repairs are merged by it. An unknown object counts only if it is newer than what the host has read completely, so a forgotten removal cannot come back. What a host makes of the entries stays apart and is not passed on. Messages name a digest of the objects of each kind; a host that relays sends all objects to one that differs at the same revision, and lists them itself if the difference lasts for 5 s (once in 30 s). A host without any server of a service asks at once if the loads of others name servers that it does not use. Log lines and metrics: directory.lists_for_difference, directory.asked_for_backends, gossip.difference_repairs.

--- a/internal/directory/apply.go
+++ b/internal/directory/apply.go
@@ -10,12 +10,16 @@
 func (d *Directory) apply(kind Kind, batch Batch, full bool, callSent time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	switch {
-	case batch.Revision < d.cursor[kind]:
-		// Relayed changes have overtaken the answer, which may have been held up on its way.
+	if batch.Revision < d.cursor[kind] {
+		// The answer may have been held up on its way.
 		d.opts.Log.Info().Stringer("kind", kind).Int64("revision", batch.Revision).Int64("known", d.cursor[kind]).
-			Msg("answer of the store is older than what other hosts relayed, ignoring it")
-	case d.applyBatch(kind, Batch{Changes: lastChanges(batch.Changes), Revision: batch.Revision}, full, false):
+			Msg("answer of the store is older than what other hosts relayed, applying only what is new in it")
+	}
+	if full {
+		delete(d.listDue, kind)
+		delete(d.askedAt, kind)
+	}
+	if d.applyBatch(kind, Batch{Changes: lastChanges(batch), Revision: batch.Revision}, full, false) {
 		d.publish()
 	}
 	if kind == Configuration && d.state.Table != nil && int64(callSent) > d.confirmedAt.Load() {
@@ -25,20 +29,20 @@
 	}
 }
 
-// lastChanges returns the last change of each object. Relayed changes may already have brought this host to the last one;
-// to apply an earlier one first would bring a removed server back, or start its grace anew.
-func lastChanges(changes []Change) []Change {
-	last := make(map[string]int, len(changes))
-	for i, c := range changes {
+// lastChanges returns the last change of each object in an answer of the store, with its revision. A removal is known as of
+// the whole answer: the store does not say when in it the object was removed.
+func lastChanges(batch Batch) []Change {
+	last := make(map[string]int, len(batch.Changes))
+	for i, c := range batch.Changes {
 		last[c.Name] = i
 	}
-	if len(last) == len(changes) {
-		return changes
-	}
 	kept := make([]Change, 0, len(last))
 	earlier := make(map[string]bool, len(last))
-	for i, c := range changes {
+	for i, c := range batch.Changes {
 		if last[c.Name] == i {
+			if c.Deleted || c.Revision == 0 {
+				c.Revision = batch.Revision
+			}
 			c.replaces = earlier[c.Name]
 			kept = append(kept, c)
 		}
@@ -47,74 +51,64 @@
 	return kept
 }
 
-// applyBatch applies a batch, moves the cursor of its kind and logs its changes for other hosts. It reports whether the
-// state changed. What is logged is what changed in the store, which this host may know or judge otherwise: all changes
-// that were relayed, and of the host's own calls those that another host may lack.
+// applyBatch merges a batch into what is known of the store, moves the cursor of its kind and logs what other hosts may lack.
+// It reports whether the state changed. The log has what differs in the store, which this host may judge otherwise, also where
+// this host cannot know whether the object was another one in between: a relayed change, or the last of several.
 func (d *Directory) applyBatch(kind Kind, batch Batch, full, relayed bool) bool {
 	known := d.loaded[kind]
 	changed := !known
-	d.loaded[kind] = true
+	if kind == Configuration {
+		for _, c := range batch.Changes {
+			changed = d.applyConfiguration(c) || changed
+		}
+		d.advance(kind, batch.Revision)
+		return changed
+	}
+	set, absentAt := d.objects[kind], d.cursor[kind]
 	if full {
-		batch.Changes = append(batch.Changes, d.deletionsOfUnlisted(kind, batch)...)
+		if batch.Revision >= d.cursor[kind] {
+			absentAt = -1 // the list decides
+		}
+		batch.Changes = append(batch.Changes, set.unlisted(kind, batch)...)
 	}
-	var logged []Change
+	now := d.opts.Clock()
+	var logged []string
 	for _, c := range batch.Changes {
-		_, missing := d.missingSince[c.Name]
-		applied := d.applyChange(kind, c)
-		changed = changed || applied
-		// This host may have had a termination notice before the store, which the others still lack. They may have
-		// removed a server that registered again before it counted as removed here.
-		if relayed && !full || applied || missing || c.replaces || c.Deleted || c.Backend != nil && c.Backend.Leaving {
-			logged = append(logged, c)
+		if c.Revision == 0 {
+			c.Revision = batch.Revision
+		}
+		taken, differs := set.merge(c, absentAt, now)
+		if !taken {
+			continue
+		}
+		changed = d.applyChange(kind, c) || changed
+		if differs || c.Deleted || c.replaces || relayed && !full {
+			logged = append(logged, c.Name)
 		}
 	}
-	d.setBehind(kind, false)
+	set.forget(now)
 	switch {
-	case !known, full && kind != Hosts:
+	case !known, full && kind != Hosts && batch.Revision >= d.cursor[kind]:
 		// Changes before the list are unknown and cannot be relayed.
 		d.changeLog[kind], d.logStart[kind] = nil, batch.Revision
-	case len(logged) > 0 && kind != Configuration:
-		d.changeLog[kind] = append(d.changeLog[kind], loggedBatch{revision: batch.Revision, changes: logged, readAt: d.opts.Clock()})
+	case len(logged) > 0:
+		d.changeLog[kind] = append(d.changeLog[kind], loggedBatch{revision: batch.Revision, names: logged, readAt: now})
 	}
-	d.cursor[kind] = max(d.cursor[kind], batch.Revision)
+	d.advance(kind, batch.Revision)
 	return changed
 }
 
-// deletionsOfUnlisted returns a deletion for each known object that a list lacks.
-func (d *Directory) deletionsOfUnlisted(kind Kind, batch Batch) []Change {
-	listed := make(map[string]bool, len(batch.Changes))
-	for _, c := range batch.Changes {
-		listed[c.Name] = true
-	}
-	var deletions []Change
-	deleteUnlisted := func(name string) {
-		if !listed[name] {
-			deletions = append(deletions, Change{Name: name, Deleted: true})
-		}
-	}
-	switch kind {
-	case Backends:
-		for id, s := range d.state.Servers {
-			if !s.Removed {
-				deleteUnlisted(id)
-			}
-		}
-	case DomainsOut:
-		for name := range d.state.DomainsOut {
-			deleteUnlisted(name)
-		}
-	case Hosts:
-		for name := range d.state.Hosts {
-			deleteUnlisted(name)
-		}
+// advance records that all changes of a kind up to a revision are applied.
+func (d *Directory) advance(kind Kind, revision int64) {
+	d.loaded[kind] = true
+	if revision >= d.cursor[kind] {
+		d.cursor[kind] = revision
+		d.setBehind(kind, false)
 	}
-	return deletions
 }
 
 func (d *Directory) applyChange(kind Kind, c Change) bool {
 	switch kind {
-	case Configuration:
-		return d.applyConfiguration(c)
 	case Backends:
 		return d.applyBackend(c)
 	case DomainsOut:
--- a/internal/directory/convergence_test.go
+++ b/internal/directory/convergence_test.go
@@ -34,6 +34,9 @@
 
 func (s *storeModel) write(kind Kind, c Change) {
 	s.revision++
+	if !c.Deleted {
+		c.Revision = s.revision
+	}
 	if c.Deleted {
 		delete(s.objects[kind], c.Name)
 	} else {
@@ -119,7 +122,7 @@
 func (m *convergence) step() {
 	id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(m.t, "server")
 	switch op := rapid.SampledFrom([]string{
-		"register", "leave", "remove", "expire", "domain", "outage", "call", "call", "list", "relay", "relay", "repair", "deliver", "deliver", "lose", "wait", "restart", "compact",
+		"register", "leave", "remove", "expire", "domain", "outage", "call", "call", "list", "relay", "relay", "repair", "deliver", "deliver", "lose", "wait", "forget", "restart", "compact",
 	}).Draw(m.t, "step"); op {
 	case "register":
 		c := ready(id)
@@ -183,6 +186,14 @@
 		for _, d := range m.hosts {
 			d.expire()
 		}
+	case "forget":
+		m.c.advance(removalRetention + 1)
+		for _, d := range m.hosts {
+			d.expire()
+			for _, kind := range convergenceKinds {
+				d.objects[kind].forget(m.c.Now())
+			}
+		}
 	case "restart":
 		i := rapid.IntRange(0, len(m.hosts)-1).Draw(m.t, "restarted")
 		m.hosts[i] = m.newHost()
@@ -221,7 +232,7 @@
 
 // Guards against hosts that end in another state than the store: with servers that were removed, or without servers
 // that have registered, or with domains in another state. Answers and relayed updates arrive late, twice, out of order
-// or not at all; hosts restart, and the store compacts its history.
+// or not at all; hosts restart and forget removals, and the store compacts its history.
 func TestHostsConverge(t *testing.T) {
 	const checks = "3000"
 	former := flag.Lookup("rapid.checks").Value.String()
@@ -257,6 +268,7 @@
 				out[name] = true
 			}
 			require.Equal(t, out, d.Snapshot().DomainsOut, "domains out at host %d", i)
+			require.Equal(t, m.hosts[0].Versions(), d.Versions(), "versions and digests at host %d", i)
 		}
 	})
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -63,7 +64,9 @@
 
 // Directory keeps the snapshot up to date.
 type Directory struct {
-	opts        Options
+	opts Options
+	// Metrics counts the requests for all backend servers and the lists because of differences between hosts.
+	Metrics     expvar.Map
 	snapshot    atomic.Pointer[Snapshot]
 	confirmedAt atomic.Int64 // Clock time as of which the configuration is confirmed; 0: never
 	respondedAt atomic.Int64 // Clock time of the last response of the store
@@ -88,6 +91,15 @@
 	behind    map[Kind]bool
 	// behindSince is when behind was set.
 	behindSince map[Kind]time.Duration
+	// objects is what the store says of the objects of each of relayedKinds.
+	objects map[Kind]*objectSet
+	// askedAt is when this host asked others for all objects of a kind, and listDue is set if it lists them itself.
+	askedAt map[Kind]time.Duration
+	listDue map[Kind]bool
+	// differsSince is since when peers have other objects at the same version. nextDifferenceList and nextAsk are the earliest
+	// times of the next list for that and of the next request for all backend servers.
+	differsSince, nextDifferenceList map[Kind]time.Duration
+	nextAsk                          time.Duration
 	// rawConfiguration is the configuration as the store holds it; nil if unknown.
 	rawConfiguration []byte
 	// following is set when relayed updates replaced the host's own calls at the last check.
@@ -120,10 +132,17 @@
 		changeLog:    map[Kind][]loggedBatch{},
 		behind:       map[Kind]bool{},
 		behindSince:  map[Kind]time.Duration{},
-		following:    map[Kind]bool{},
+		objects:      map[Kind]*objectSet{},
+		askedAt:      map[Kind]time.Duration{},
+		listDue:      map[Kind]bool{},
+		differsSince: map[Kind]time.Duration{}, nextDifferenceList: map[Kind]time.Duration{},
+		following: map[Kind]bool{},
 
 		registerAttempted: make(chan struct{}),
 	}
+	for _, kind := range relayedKinds {
+		d.objects[kind] = newObjectSet()
+	}
 	d.state = Snapshot{Servers: map[string]*Server{}, DomainsOut: map[string]bool{}, Hosts: map[string]fleet.Host{}}
 	d.snapshot.Store(&Snapshot{})
 	return d
@@ -201,7 +220,8 @@
 		sent := d.opts.Clock()
 		var batch Batch
 		var err error
-		if listed && !d.configurationBehind(kind) {
+		watch := listed && !d.configurationBehind(kind) && !d.listIsDue(kind)
+		if watch {
 			batch, err = d.watch(ctx, kind, after, timeout)
 		} else {
 			batch, err = d.list(ctx, kind, false)
@@ -216,7 +236,7 @@
 			continue
 		}
 		d.recordSuccess(kind)
-		d.apply(kind, batch, !listed, sent)
+		d.apply(kind, batch, !watch, sent)
 		listed = true
 		wait.For(ctx, d.pauseAfter(kind, batch))
 	}
@@ -244,6 +264,19 @@
 	return kind == Configuration && d.behind[kind]
 }
 
+// listIsDue reports whether a kind must be listed instead of watched to find what this host lacks although it has all changes.
+func (d *Directory) listIsDue(kind Kind) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.listIsDueAt(kind, d.opts.Clock())
+}
+
+// listIsDueAt is listIsDue for callers that hold the lock. Other hosts have catchUpTime to send what this one asked for.
+func (d *Directory) listIsDueAt(kind Kind, now time.Duration) bool {
+	askedAt, asked := d.askedAt[kind]
+	return d.listDue[kind] || asked && now-askedAt >= catchUpTime
+}
+
 func (d *Directory) cursorOf(kind Kind) int64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -90,14 +90,14 @@
 // termination notice. A new process with the same ID gets work again.
 func TestTerminationNoticeIsFinalForAProcess(t *testing.T) {
 	d, _ := newDirectory(nil)
-	d.apply(Backends, Batch{Changes: []Change{ready("a")}}, true, 0)
+	d.apply(Backends, Batch{Changes: []Change{ready("a")}, Revision: 1}, true, 0)
 	assert.False(t, d.Snapshot().Servers["a"].Terminating())
-	d.apply(Backends, Batch{Changes: []Change{terminating("a")}}, false, 0)
-	d.apply(Backends, Batch{Changes: []Change{ready("a")}}, false, 0)
+	d.apply(Backends, Batch{Changes: []Change{terminating("a")}, Revision: 2}, false, 0)
+	d.apply(Backends, Batch{Changes: []Change{ready("a")}, Revision: 3}, false, 0)
 	assert.True(t, d.Snapshot().Servers["a"].Terminating())
 	next := ready("a")
 	next.Backend.StartTime = 2
-	d.apply(Backends, Batch{Changes: []Change{next}}, false, 0)
+	d.apply(Backends, Batch{Changes: []Change{next}, Revision: 4}, false, 0)
 	assert.False(t, d.Snapshot().Servers["a"].Terminating())
 }
 
@@ -106,11 +106,11 @@
 // for removedRetention.
 func TestServersWithoutEntriesAreRemoved(t *testing.T) {
 	d, c := newDirectory(nil)
-	d.apply(Backends, Batch{Changes: []Change{ready("a"), ready("b"), ready("c")}}, true, 0)
-	d.apply(Backends, Batch{Changes: []Change{{Name: "a", Deleted: true}, {Name: "b"}}}, false, 0)
+	d.apply(Backends, Batch{Changes: []Change{ready("a"), ready("b"), ready("c")}, Revision: 1}, true, 0)
+	d.apply(Backends, Batch{Changes: []Change{{Name: "a", Deleted: true}, {Name: "b"}}, Revision: 2}, false, 0)
 	assert.True(t, d.Snapshot().Servers["a"].Removed)
 	assert.True(t, d.Snapshot().Servers["b"].Removed, "a server with an unusable entry is removed")
-	d.apply(Backends, Batch{}, true, 0)
+	d.apply(Backends, Batch{Revision: 3}, true, 0)
 	assert.True(t, d.Snapshot().Servers["c"].Removed, "a list removes the servers that it does not contain")
 	c.advance(removedRetention + 1)
 	d.expire()
@@ -121,17 +121,17 @@
 // outage. They may register again within AbsenceGrace; those still missing are removed.
 func TestEntriesThatExpiredDuringAnOutage(t *testing.T) {
 	d, c := newDirectory(nil)
-	d.apply(Backends, Batch{Changes: []Change{ready("back"), ready("lost")}}, true, 0)
+	d.apply(Backends, Batch{Changes: []Change{ready("back"), ready("lost")}, Revision: 1}, true, 0)
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	d.backOff(ctx, Backends, errors.New("outage"))
 	c.advance(10 * time.Second)
 	d.recordSuccess(Backends)
-	d.apply(Backends, Batch{Changes: []Change{{Name: "back", Deleted: true}, {Name: "lost", Deleted: true}}}, false, 0)
+	d.apply(Backends, Batch{Changes: []Change{{Name: "back", Deleted: true}, {Name: "lost", Deleted: true}}, Revision: 2}, false, 0)
 	assert.False(t, d.Snapshot().Servers["back"].Terminating())
 	assert.False(t, d.Snapshot().Servers["lost"].Terminating())
 	c.advance(time.Second)
-	d.apply(Backends, Batch{Changes: []Change{ready("back")}}, false, 0)
+	d.apply(Backends, Batch{Changes: []Change{ready("back")}, Revision: 3}, false, 0)
 	c.advance(time.Second)
 	d.expire()
 	assert.False(t, d.Snapshot().Servers["back"].Terminating())
@@ -143,26 +143,26 @@
 func TestDomainsAndCompleteness(t *testing.T) {
 	d, _ := newDirectory(nil)
 	assert.False(t, d.Snapshot().Complete)
-	d.apply(Backends, Batch{}, true, 0)
-	d.apply(Configuration, Batch{Changes: []Change{configuration(1)}}, true, 0)
+	d.apply(Backends, Batch{Revision: 1}, true, 0)
+	d.apply(Configuration, Batch{Changes: []Change{configuration(1)}, Revision: 2}, true, 0)
 	assert.False(t, d.Snapshot().Complete, "a host must not serve before it has listed the domains out of service")
-	d.apply(DomainsOut, Batch{Changes: []Change{{Name: "west-a"}}}, true, 0)
+	d.apply(DomainsOut, Batch{Changes: []Change{{Name: "west-a"}}, Revision: 3}, true, 0)
 	assert.True(t, d.Snapshot().Complete)
 	assert.True(t, d.Snapshot().DomainsOut["west-a"])
-	d.apply(DomainsOut, Batch{Changes: []Change{{Name: "west-a", Deleted: true}}}, false, 0)
+	d.apply(DomainsOut, Batch{Changes: []Change{{Name: "west-a", Deleted: true}}, Revision: 4}, false, 0)
 	assert.False(t, d.Snapshot().DomainsOut["west-a"])
-	d.apply(DomainsOut, Batch{Changes: []Change{{Name: "east-a"}}}, true, 0)
+	d.apply(DomainsOut, Batch{Changes: []Change{{Name: "east-a"}}, Revision: 5}, true, 0)
 	assert.Equal(t, map[string]bool{"east-a": true}, d.Snapshot().DomainsOut)
 }
 
 // Guards against a snapshot that changes while a request uses it.
 func TestSnapshotsAreImmutable(t *testing.T) {
 	d, _ := newDirectory(nil)
-	d.apply(Backends, Batch{Changes: []Change{ready("a")}}, true, 0)
-	d.apply(DomainsOut, Batch{Changes: []Change{{Name: "x"}}}, true, 0)
+	d.apply(Backends, Batch{Changes: []Change{ready("a")}, Revision: 1}, true, 0)
+	d.apply(DomainsOut, Batch{Changes: []Change{{Name: "x"}}, Revision: 2}, true, 0)
 	snapshot := d.Snapshot()
-	d.apply(Backends, Batch{Changes: []Change{ready("b"), terminating("a")}}, false, 0)
-	d.apply(DomainsOut, Batch{Changes: []Change{{Name: "y"}}}, false, 0)
+	d.apply(Backends, Batch{Changes: []Change{ready("b"), terminating("a")}, Revision: 3}, false, 0)
+	d.apply(DomainsOut, Batch{Changes: []Change{{Name: "y"}}, Revision: 4}, false, 0)
 	assert.Len(t, snapshot.Servers, 1)
 	assert.False(t, snapshot.Servers["a"].Leaving)
 	assert.Equal(t, map[string]bool{"x": true}, snapshot.DomainsOut)
--- a/internal/directory/relay.go
+++ b/internal/directory/relay.go
@@ -71,12 +71,15 @@
 // none.
 type Versions struct {
 	Configuration, Backends, DomainsOut, Hosts int64
+	// The digests identify the objects that a host knows at these versions. Two hosts with the same version of a kind and
+	// different digests do not both have what the store has.
+	BackendsDigest, DomainsOutDigest, HostsDigest uint64
 }
 
 // loggedBatch is a batch that is relayed to other hosts for a time.
 type loggedBatch struct {
 	revision int64
-	changes  []Change
+	names    []string
 	readAt   time.Duration
 }
 
@@ -95,17 +98,30 @@
 	}
 }
 
-func (v Versions) of(kind Kind) int64 {
+// Of returns the version and the digest of one of the kinds whose changes are relayed.
+func (v Versions) Of(kind Kind) (revision int64, digest uint64) {
 	switch kind {
 	case Backends:
-		return v.Backends
+		return v.Backends, v.BackendsDigest
 	case DomainsOut:
-		return v.DomainsOut
+		return v.DomainsOut, v.DomainsOutDigest
 	default:
-		return v.Hosts
+		return v.Hosts, v.HostsDigest
 	}
 }
 
+// DiffersFrom reports whether two hosts with these versions have other objects at the same version of a kind.
+func (v Versions) DiffersFrom(o Versions) bool {
+	return slices.ContainsFunc(relayedKinds, func(kind Kind) bool { return v.DiffersAt(kind, o) })
+}
+
+// DiffersAt reports whether two hosts with these versions have the same version of a kind, but not the same objects.
+func (v Versions) DiffersAt(kind Kind, o Versions) bool {
+	revision, digest := v.Of(kind)
+	otherRevision, otherDigest := o.Of(kind)
+	return revision > 0 && revision == otherRevision && digest != otherDigest
+}
+
 // SetStoreReader sets whether this host is a store reader of its region.
 func (d *Directory) SetStoreReader(reader bool) {
 	if d.storeReader.Swap(reader) != reader {
@@ -143,9 +159,18 @@
 	if d.state.Table != nil {
 		v.Configuration = d.state.Table.Version
 	}
-	for kind, version := range map[Kind]*int64{Backends: &v.Backends, DomainsOut: &v.DomainsOut, Hosts: &v.Hosts} {
-		if d.loaded[kind] {
-			*version = d.cursor[kind]
+	for _, kind := range relayedKinds {
+		if _, asked := d.askedAt[kind]; !d.loaded[kind] || asked {
+			continue
+		}
+		revision, digest := d.cursor[kind], d.objects[kind].digest
+		switch kind {
+		case Backends:
+			v.Backends, v.BackendsDigest = revision, digest
+		case DomainsOut:
+			v.DomainsOut, v.DomainsOutDigest = revision, digest
+		case Hosts:
+			v.Hosts, v.HostsDigest = revision, digest
 		}
 	}
 	return v
@@ -189,7 +214,8 @@
 	return r
 }
 
-// Missing returns what a host with these versions lacks and RelayedUpdate may no longer contain, or nil.
+// Missing returns what a host with these versions lacks and RelayedUpdate may no longer contain, or nil. A host that has other
+// objects at the same version gets all.
 func (d *Directory) Missing(v Versions) *RelayedUpdate {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -199,9 +225,15 @@
 	}
 	now := d.opts.Clock()
 	for _, kind := range relayedKinds {
-		if known := v.of(kind); d.loaded[kind] && known < d.cursor[kind] {
+		known, digest := v.Of(kind)
+		switch {
+		case !d.loaded[kind] || known > d.cursor[kind]:
+		case known < d.cursor[kind]:
 			*r.of(kind) = d.changesAfter(kind, known, now)
 			missing = true
+		case digest != d.objects[kind].digest:
+			*r.of(kind) = d.allObjects(kind, now)
+			missing = true
 		}
 	}
 	if !missing {
@@ -223,48 +255,45 @@
 // changesAfter returns the changes of a kind after a revision, or all objects if the log does not have them.
 func (d *Directory) changesAfter(kind Kind, after int64, now time.Duration) RelayedKind {
 	if after < d.logStart[kind] || after == 0 {
-		return RelayedKind{Full: true, Revision: d.cursor[kind], Changes: d.objects(kind, now)}
+		return d.allObjects(kind, now)
 	}
 	out := RelayedKind{After: after, Revision: d.cursor[kind]}
+	added := map[string]bool{}
 	for _, batch := range d.changeLog[kind] {
 		if batch.revision <= after {
 			continue
 		}
-		for _, c := range batch.changes {
-			c.Revision, c.replaces = batch.revision, false
-			if c.Backend != nil {
-				b := *c.Backend
-				b.ColdLeft = max(0, b.ColdLeft-(now-batch.readAt))
-				c.Backend = &b
+		for _, name := range batch.names {
+			if o, ok := d.objects[kind].objects[name]; ok && !added[name] {
+				added[name] = true
+				out.Changes = append(out.Changes, o.relayed(now))
 			}
-			out.Changes = append(out.Changes, c)
 		}
 	}
 	return out
 }
 
-// objects returns all objects of a kind.
-func (d *Directory) objects(kind Kind, now time.Duration) (changes []Change) {
-	switch kind {
-	case Backends:
-		for id, s := range d.state.Servers {
-			if _, missing := d.missingSince[id]; missing || s.Removed {
-				continue
-			}
-			b := s.Backend
-			b.ColdLeft = max(0, s.ColdUntil-now)
-			changes = append(changes, Change{Name: id, Backend: &b})
-		}
-	case DomainsOut:
-		for name := range d.state.DomainsOut {
-			changes = append(changes, Change{Name: name})
-		}
-	case Hosts:
-		for id, h := range d.state.Hosts {
-			changes = append(changes, Change{Name: id, Host: &h})
+// allObjects returns all objects of a kind.
+func (d *Directory) allObjects(kind Kind, now time.Duration) RelayedKind {
+	out := RelayedKind{Full: true, Revision: d.cursor[kind]}
+	for _, o := range d.objects[kind].objects {
+		if !o.Deleted {
+			out.Changes = append(out.Changes, o.relayed(now))
 		}
 	}
-	return changes
+	return out
+}
+
+// relayed returns an object as other hosts get it.
+func (o object) relayed(now time.Duration) Change {
+	c := o.Change
+	c.replaces = false
+	if c.Backend != nil {
+		b := *c.Backend
+		b.ColdLeft = max(0, b.ColdLeft-(now-o.readAt))
+		c.Backend = &b
+	}
+	return c
 }
 
 // ApplyRelayed applies an update of another host. echoSentAt is when this host sent
@@ -326,33 +355,17 @@
 // otherwise sets behind. It reports whether the state changed.
 func (d *Directory) applyRelayedKind(kind Kind, r RelayedKind) (changed bool) {
 	switch {
-	case r.Revision == 0 || d.loaded[kind] && r.Revision <= d.cursor[kind]:
+	case r.Revision == 0 || d.loaded[kind] && r.Revision < d.cursor[kind]:
 		return false
 	case r.Full:
-	case !d.loaded[kind]:
+		delete(d.askedAt, kind)
+	case !d.loaded[kind], r.Revision == d.cursor[kind]:
 		return false
 	case r.After > d.cursor[kind]:
 		d.setBehind(kind, true)
 		return false
 	}
-	if r.Full {
-		return d.applyBatch(kind, Batch{Changes: r.Changes, Revision: r.Revision}, true, true)
-	}
-	// The update repeats changes that were applied before. Each batch is passed on with its own revision, so that
-	// hosts which relay to each other do not repeat them forever.
-	for len(r.Changes) > 0 {
-		n := slices.IndexFunc(r.Changes, func(c Change) bool { return c.Revision != r.Changes[0].Revision })
-		if n < 0 {
-			n = len(r.Changes)
-		}
-		if revision := r.Changes[0].Revision; revision > d.cursor[kind] {
-			changed = d.applyBatch(kind, Batch{Changes: r.Changes[:n], Revision: revision}, false, true) || changed
-		}
-		r.Changes = r.Changes[n:]
-	}
-	d.cursor[kind] = max(d.cursor[kind], r.Revision)
-	d.setBehind(kind, false)
-	return changed
+	return d.applyBatch(kind, Batch{Changes: r.Changes, Revision: r.Revision}, r.Full, true)
 }
 
 // setBehind sets whether changes of a kind are missing.
@@ -374,6 +387,9 @@
 	now := d.opts.Clock()
 	confirmed := d.relayedConfirmedAt > 0 && now-d.relayedConfirmedAt < relayedAgeMargin+d.opts.WatchTimeouts[Configuration]
 	relayed = now-d.relayEchoSentAt < relayTimeout && (confirmed || d.readersNamed.Load())
+	if d.listIsDueAt(kind, now) {
+		return relayed, true
+	}
 	if relayed != d.following[kind] {
 		d.following[kind] = relayed
 		d.opts.Log.Info().Stringer("kind", kind).Bool("relayed", relayed).Dur("heard_ago", now-d.relayEchoSentAt).
--- a/internal/directory/store.go
+++ b/internal/directory/store.go
@@ -44,7 +44,8 @@
 	Host    *fleet.Host
 	// Raw is the configuration as the store holds it, for other hosts; nil for other kinds.
 	Raw []byte
-	// Revision is that of the batch in which a relayed change was read; 0 if the change is part of a list.
+	// Revision is that of the store as of which the change is known: of the object's last write, or one at which a removed object
+	// was gone. In an answer of the store, 0 stands for that of the batch.
 	Revision int64
 	// replaces is set if the batch had an earlier change of the object.
 	replaces bool
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -282,6 +282,7 @@
 	vars := new(expvar.Map).Init()
 	vars.Set("forward", &p.gateway.Metrics)
 	vars.Set("gossip", &p.gossip.Metrics)
+	vars.Set("directory", &p.directory.Metrics)
 	if p.adapter.StoreMetrics != nil {
 		vars.Set("store", p.adapter.StoreMetrics)
 	}
--- a/internal/forward/gateway.go
+++ b/internal/forward/gateway.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
+	"monsoonkeel.example/monsoonkeel/core/balance"
 	"monsoonkeel.example/monsoonkeel/core/retry"
 	"monsoonkeel.example/monsoonkeel/core/route"
 	"monsoonkeel.example/monsoonkeel/core/topology"
@@ -70,6 +71,8 @@
 	bounds           atomic.Pointer[Bounds]
 	// view is what this host knows of the others.
 	view atomic.Pointer[gossip.View]
+	// withoutServers is a service of which this host knows no server to use; "" for none.
+	withoutServers atomic.Pointer[string]
 }
 
 // maxIdlePerServer limits the idle connections to a backend server, which accepts
@@ -159,6 +162,8 @@
 // generations off servers that are terminating in now but not in old.
 func (g *Gateway) ApplySnapshot(old, now *directory.Snapshot) {
 	g.balancers.applySnapshot(now)
+	service := serviceWithoutServers(now)
+	g.withoutServers.Store(&service)
 	g.migrateFromTerminating(old, now)
 	g.pool.Retain(func(address string) bool { return g.balancers.hasAddress(address) })
 }
@@ -229,11 +234,54 @@
 	for _, u := range v.Updates {
 		d.ApplyRelayed(u.RelayedUpdate, u.EchoSentAt)
 	}
+	d.CompareVersions(func(yield func(directory.Versions) bool) {
+		for _, p := range v.Peers {
+			if !yield(p.Versions) {
+				return
+			}
+		}
+	})
+	g.askForServers(v.Loads)
 	for _, p := range v.Terminating {
 		g.markTerminating(p.ID, p.StartTime, sourcePeer)
 	}
 }
 
+// serviceWithoutServers returns a service of which a complete snapshot has no server to use, or "".
+func serviceWithoutServers(s *directory.Snapshot) string {
+	if !s.Complete {
+		return ""
+	}
+	used := make(map[string]bool, len(s.Table.Services))
+	for _, server := range s.Servers {
+		if !server.Removed {
+			used[server.Service] = true
+		}
+	}
+	for name := range s.Table.Services {
+		if !used[name] {
+			return name
+		}
+	}
+	return ""
+}
+
+// askForServers asks for all backend servers if this host knows none of a service, while the loads of other hosts name servers that
+// it does not use.
+func (g *Gateway) askForServers(loads map[string]balance.Load) {
+	service := g.withoutServers.Load()
+	if service == nil || *service == "" {
+		return
+	}
+	servers := g.opts.Directory.Snapshot().Servers
+	for id, load := range loads {
+		if s := servers[id]; load.Requests > 0 && (s == nil || s.Removed) {
+			g.opts.Directory.AskForBackends(*service, id)
+			return
+		}
+	}
+}
+
 // Place chooses a backend server for a host of the group that this host aggregates.
 func (g *Gateway) Place(host string, r gossip.PlacementRequest) gossip.Placement {
 	return g.balancers.place(host, r)
--- a/internal/gossip/digest.go
+++ b/internal/gossip/digest.go
@@ -267,7 +267,10 @@
 		v.Evidence = append(v.Evidence, Evidence{Crashes: p.Crashes, Answers: p.Answers, At: p.ReceivedAt})
 	}
 	v.Limits = append(v.Limits, ratelimit.HostReports{Host: p.Host, ReceivedAt: p.ReceivedWall, Reports: p.Limits})
-	v.Peers = append(v.Peers, Peer{Host: p.Host, Region: p.Region, RecentStoreFailure: p.RecentStoreFailure, Generations: p.Generations, Placed: p.Placed[self], Failures: p.Failures, Domain: domain})
+	v.Peers = append(v.Peers, Peer{
+		Host: p.Host, Region: p.Region, RecentStoreFailure: p.RecentStoreFailure, Versions: p.Versions,
+		Generations: p.Generations, Placed: p.Placed[self], Failures: p.Failures, Domain: domain,
+	})
 	v.addStoreAge(p.StoreResponseAge + age)
 	if p.StoreReader {
 		v.StoreReaders++
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -188,8 +188,10 @@
 	// Domain is its failure domain; empty if it is not in the store's list yet.
 	Domain             string
 	RecentStoreFailure bool
-	Generations        []Generation
-	Failures           []outlier.Report
+	// Versions are what the peer has read of the store.
+	Versions    directory.Versions
+	Generations []Generation
+	Failures    []outlier.Report
 	// Placed is the newest placement by this host that is part of the load of the peer.
 	Placed uint64
 }
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -154,7 +154,7 @@
 		Terminating: []Process{{ID: "s", StartTime: 5}}, Crashes: []attribution.Report{crash}, Answers: []attribution.Answer{{Part: 3, AgeMS: 4}},
 		Failures: []outlier.Report{{Process: serverstate.Process{ID: "s", StartTime: 5}, Failures: 3, Age: 4 * time.Millisecond}}, Placed: map[string]uint64{"p": 7},
 		Limits: []ratelimit.Report{limit}, StoreResponseAge: 30 * time.Millisecond, StoreReader: true, RecentStoreFailure: true,
-		Versions: directory.Versions{Configuration: 1, Backends: 2, DomainsOut: 3, Hosts: 4}, Role: topology.Primary, Readers: []string{"h"},
+		Versions: directory.Versions{Configuration: 1, Backends: 2, DomainsOut: 3, Hosts: 4, BackendsDigest: 5, DomainsOutDigest: 6, HostsDigest: 1<<64 - 1}, Role: topology.Primary, Readers: []string{"h"},
 		RelayedUpdate: &directory.RelayedUpdate{
 			Version: 7, ConfirmedAgo: 5 * time.Millisecond, RecoveredAgo: 9 * time.Millisecond,
 			Backends: directory.RelayedKind{After: 1, Revision: 2, Changes: []directory.Change{
--- a/internal/gossip/group_test.go
+++ b/internal/gossip/group_test.go
@@ -379,6 +379,39 @@
 	assert.LessOrEqual(t, configurations, 4, "not with each message")
 }
 
+// Guards against hosts that lack servers for good although they have all changes: an aggregator sends all objects to a host that
+// has others at the same version, and does not repeat that with each message.
+func TestAggregatorsRepairDifferences(t *testing.T) {
+	n := newNetwork(t, 1, 40)
+	versions := directory.Versions{Configuration: 7, Backends: 20, BackendsDigest: 3}
+	full := &directory.RelayedUpdate{Backends: directory.RelayedKind{Revision: 20, Full: true, Changes: []directory.Change{{Name: "b", Backend: &fleet.Backend{ID: "b"}}}}}
+	for _, node := range n.nodes {
+		node.state.Versions = versions
+		node.state.RelayedUpdate = &directory.RelayedUpdate{Version: 7, Backends: directory.RelayedKind{After: 18, Revision: 20}}
+		node.opts.Missing = func(directory.Versions) *directory.RelayedUpdate { return full }
+	}
+	n.run(3 * time.Second)
+	different := "host-013"
+	if n.nodes[different].candidate.Role() != topology.Member {
+		different = "host-014"
+	}
+	versions.BackendsDigest = 4
+	n.nodes[different].state.Versions, n.nodes[different].state.RelayedUpdate = versions, nil
+	const shown = 2 * time.Second
+	n.run(shown)
+	assert.NotEmpty(t, n.nodes[different].repairsReceived)
+	n.run(2*differenceRepairInterval - shown)
+	for id, node := range n.nodes {
+		const aggregators, perAggregator = 2, 3
+		if id == different {
+			assert.LessOrEqual(t, len(node.repairsReceived), aggregators*perAggregator)
+			assert.Equal(t, full.Backends, node.repairsReceived[0].Backends)
+		} else {
+			assert.Empty(t, node.repairsReceived, id)
+		}
+	}
+}
+
 // Guards against a deployment with more backend servers than a message can name: a host that starts gets them in parts,
 // and none of them counts while another one is missing.
 func TestManyBackendServersAreSentInParts(t *testing.T) {
--- a/internal/gossip/repair.go
+++ b/internal/gossip/repair.go
@@ -17,6 +17,9 @@
 // repairInterval is the least time between two repairs of a host.
 const repairInterval = 500 * time.Millisecond
 
+// differenceRepairInterval is the least time between two repairs of a host that has other objects at the same versions.
+const differenceRepairInterval = 2 * time.Second
+
 // encodedRepair is the repair of a host with some versions by one with others. Many hosts that start lack the same.
 type encodedRepair struct {
 	lacks, has directory.Versions
@@ -42,7 +45,8 @@
 	}
 	e.mu.Lock()
 	p, repaired := e.peers[host], e.repaired[host]
-	if p == nil || repaired != 0 && now-repaired < repairInterval {
+	isDue := func(interval time.Duration) bool { return repaired == 0 || now-repaired >= interval }
+	if p == nil || !isDue(repairInterval) {
 		e.mu.Unlock()
 		return nil
 	}
@@ -52,7 +56,12 @@
 		return known > 0 && known >= k.After || k.Revision == 0
 	}
 	if v.Configuration >= u.Version && covered(v.Backends, u.Backends) && covered(v.DomainsOut, u.DomainsOut) && covered(v.Hosts, u.Hosts) {
-		return nil
+		if !s.Versions.DiffersFrom(v) || !isDue(differenceRepairInterval) {
+			return nil
+		}
+		e.Metrics.Add("difference_repairs", 1)
+		e.opts.Log.Info().Str("peer", host).Int64("backends", v.Backends).Int64("domains_out", v.DomainsOut).Int64("hosts", v.Hosts).
+			Msg("a host has other objects of the store at the same versions, sending all")
 	}
 	e.mu.Lock()
 	e.repaired[host] = now
--- a/internal/gossip/wire.go
+++ b/internal/gossip/wire.go
@@ -47,6 +47,7 @@
 		Store: &pb.StoreState{ResponseAgeMs: s.StoreResponseAge.Milliseconds(), Reader: s.StoreReader, RecentFailure: s.RecentStoreFailure},
 		Versions: &pb.Versions{
 			Configuration: s.Versions.Configuration, Backends: s.Versions.Backends, DomainsOut: s.Versions.DomainsOut, Hosts: s.Versions.Hosts,
+			BackendsDigest: s.Versions.BackendsDigest, DomainsOutDigest: s.Versions.DomainsOutDigest, HostsDigest: s.Versions.HostsDigest,
 		},
 		Update: encodeUpdate(s.RelayedUpdate), Role: uint32(s.Role), Readers: s.Readers,
 	}
@@ -105,6 +106,7 @@
 		Versions: directory.Versions{
 			Configuration: m.Versions.GetConfiguration(), Backends: m.Versions.GetBackends(),
 			DomainsOut: m.Versions.GetDomainsOut(), Hosts: m.Versions.GetHosts(),
+			BackendsDigest: m.Versions.GetBackendsDigest(), DomainsOutDigest: m.Versions.GetDomainsOutDigest(), HostsDigest: m.Versions.GetHostsDigest(),
 		},
 		Role: topology.Role(m.Role), Readers: m.Readers, TerminatingGenerations: decodeGenerations(m.TerminatingGenerations, m.Region),
 		Echo: MessageID{Incarnation: m.Echo.GetIncarnation(), Sequence: m.Echo.GetSequence()},
