Keep a refusal until its end whatever the store lists

A restarted process keeps its ID and may refuse before the store lists it, so the refusal was dropped when the process that had refused was listed. Ruled out: a domain taken out and back: its servers stay listed. Change: serverstate.Refusals.Update keeps refusals of servers that are not listed until their end, and gives one to the listed process if that had started when the refusal was heard; an answer from the address of the listed process counts for it. core/dispatch keeps refusals of servers that are not listed.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -131,13 +131,10 @@
 		}
 	}
 	d.byID = byID
+	// A process that is not listed may be listed again.
 	d.refusals.Retain(func(p serverstate.Process) bool {
-		for _, s := range d.servers {
-			if s.process() == p {
-				return true
-			}
-		}
-		return false
+		listed, same := d.isListed(p)
+		return same || !listed
 	})
 	d.candidates = append(d.candidates[:0], make([]schedule.Candidate, len(servers))...)
 	d.assignShares(position)
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -320,3 +320,20 @@
 	d.SetServers(servers, 0, 1)
 	require.False(t, d.HasRefusals())
 }
+
+// Guards against requests to a backend server within its refusal, since it was not listed for a while, and against refusals of
+// servers that never return and fill the memory.
+func TestRefusalOutlastsChangesOfTheList(t *testing.T) {
+	d := New(Options{Region: "r"})
+	servers := []Server{{ID: "a", Incarnation: "1", Region: "r", Limit: 1}, {ID: "b", Incarnation: "1", Region: "r", Limit: 1}}
+	d.SetServers(servers, 0, 1)
+	now := time.Unix(1000, 0)
+	d.Refuse("a", "1", 10*time.Second, now)
+	d.SetServers(servers[1:], 0, 1)
+	d.SetServers(servers, 0, 1)
+	require.True(t, d.Refuses("a", "1", now.Add(9*time.Second)))
+	d.SetServers(servers[1:], 0, 1)
+	d.Refuse("b", "1", time.Second, now.Add(time.Minute))
+	d.SetServers(servers, 0, 1)
+	require.True(t, d.ReturnsAt("a", "1").IsZero(), "the refusal is over")
+}
--- a/core/dispatch/refusal.go
+++ b/core/dispatch/refusal.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"math"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -28,9 +29,22 @@
 func (d *Dispatcher) Refuse(id, incarnation string, refusal time.Duration, now time.Time) (until time.Time, changed bool) {
 	p := Server{ID: id, Incarnation: incarnation}.process()
 	changed = d.refusals.Observe(p, refusal, now)
+	d.refusals.Retain(func(p serverstate.Process) bool {
+		_, same := d.isListed(p)
+		return same || now.Before(d.refusals.ReturnsAt(p))
+	})
 	return d.refusals.ReturnsAt(p), changed
 }
 
+// isListed reports whether the backend server of a process is listed, and whether it is the same process.
+func (d *Dispatcher) isListed(p serverstate.Process) (listed, same bool) {
+	for _, s := range d.servers {
+		listed = listed || strings.HasPrefix(p.ID, s.ID+"/")
+		same = same || s.process() == p
+	}
+	return listed, same
+}
+
 // Accepted records an answer of a backend server that refuses nothing, to a request sent at a time. It reports
 // whether it ended a refusal.
 func (d *Dispatcher) Accepted(id, incarnation string, sentAt time.Time) (ended bool) {
--- a/core/serverstate/refusal.go
+++ b/core/serverstate/refusal.go
@@ -42,6 +42,8 @@
 
 type refusal struct {
 	startTime int64
+	// heardAt is when the newest answer that refused arrived.
+	heardAt time.Time
 	// until is the latest end that the server named, returnAt when this host may send again.
 	until, returnAt time.Time
 	spread          time.Duration
@@ -66,6 +68,9 @@
 		s = &refusal{startTime: p.StartTime}
 		r.servers[p.ID] = s
 	}
+	if at.After(s.heardAt) {
+		s.heardAt = at
+	}
 	end := at.Add(d)
 	if !end.After(s.until) {
 		return false
@@ -145,3 +150,19 @@
 		}
 	}
 }
+
+// Update applies the processes that are listed now; startTime returns that of a server, and whether it is listed. A server may
+// be listed again later, so that a refusal is kept until its end. A process that had started when the refusal was heard is the one
+// that refused, although another one was listed then.
+func (r *Refusals) Update(startTime func(id string) (int64, bool), now time.Time) {
+	for id, s := range r.servers {
+		listed, ok := startTime(id)
+		switch {
+		case ok && listed == s.startTime:
+		case ok && listed > s.startTime && s.heardAt.UnixMilli() >= listed:
+			s.startTime = listed
+		case ok && listed > s.startTime, now.After(s.returnAt):
+			delete(r.servers, id)
+		}
+	}
+}
--- a/core/serverstate/refusal_test.go
+++ b/core/serverstate/refusal_test.go
@@ -96,6 +96,45 @@
 	assert.Empty(t, r.servers)
 }
 
+// Guards against requests within a refusal because the store lists its process later than the answer arrived, or because the
+// server is not listed for a while; and against a refusal that the next process inherits, or that is kept for ever.
+func TestRefusalOutlastsChangesOfTheList(t *testing.T) {
+	const refusal = time.Minute
+	heard, end := at(0), at(2*time.Minute)
+	before, after := heard.Add(-time.Second).UnixMilli(), heard.Add(time.Second).UnixMilli()
+	type listed struct {
+		startTime int64
+		ok        bool
+	}
+	for name, c := range map[string]struct {
+		listed []listed
+		now    time.Time
+		// refuses is the start time of the process that refuses then; 0 for none.
+		refuses int64
+	}{
+		"same process":                            {[]listed{{5, true}}, heard, 5},
+		"not listed for a while":                  {[]listed{{0, false}, {5, true}}, heard, 5},
+		"process that had started before":         {[]listed{{before, true}}, heard, before},
+		"process that started afterwards":         {[]listed{{after, true}}, heard, 0},
+		"process that started before, and a next": {[]listed{{before, true}, {after, true}}, heard, 0},
+		"not listed any more":                     {[]listed{{0, false}}, end, 0},
+		"former process":                          {[]listed{{4, true}}, heard, 5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRefusals()
+			r.Observe(one, refusal, heard)
+			for _, l := range c.listed {
+				r.Update(func(string) (int64, bool) { return l.startTime, l.ok }, c.now)
+			}
+			if c.refuses == 0 {
+				assert.Empty(t, r.servers)
+				return
+			}
+			assert.True(t, r.Refuses(Process{ID: one.ID, StartTime: c.refuses}, heard.Add(refusal-1)))
+		})
+	}
+}
+
 // Guards against hosts or callers that return at the same moment.
 func TestReturnsAreSpread(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 2))
--- a/internal/forward/balancers.go
+++ b/internal/forward/balancers.go
@@ -130,10 +130,13 @@
 		s := now.Servers[id]
 		return s != nil && s.StartTime == startTime
 	})
-	bs.refusals.Retain(func(p serverstate.Process) bool {
-		s := now.Servers[p.ID]
-		return s != nil && s.StartTime == p.StartTime
-	})
+	bs.refusals.Update(func(id string) (int64, bool) {
+		s := now.Servers[id]
+		if s == nil {
+			return 0, false
+		}
+		return s.StartTime, true
+	}, time.Now())
 	bs.hasRefusals.Store(bs.refusals.HasAny())
 	for name, s := range bs.services {
 		settings := balance.Settings{Domain: bs.opts.Domain, Region: bs.opts.Region}
--- a/internal/forward/refusals.go
+++ b/internal/forward/refusals.go
@@ -22,6 +22,9 @@
 	bs.mu.Lock()
 	began, ended := false, false
 	if answer.RefusesFor > 0 {
+		if listed := bs.byID[server.ID]; listed.StartTime > server.StartTime && listed.Address == server.Address {
+			server = listed // the process that answered was listed in the meantime
+		}
 		if began = bs.refusals.Observe(server.Process(), answer.RefusesFor, now); began {
 			for _, s := range bs.services {
 				s.wake() // the requests that wait may have no server left
--- a/internal/forward/refusals_test.go
+++ b/internal/forward/refusals_test.go
@@ -90,6 +90,19 @@
 	assert.True(t, g.balancers.takeRate("b", 2))
 }
 
+// Guards against requests within a refusal whose answer arrives after the store has listed the process that refused, and against
+// a new process elsewhere that inherits the refusal of the former one.
+func TestLateRefusalOfProcessListedMeanwhile(t *testing.T) {
+	for address, refuses := range map[string]bool{"a": true, "elsewhere": false} {
+		g, servers := newRefusalGateway("a")
+		g.balancers.applySnapshot(&directory.Snapshot{Servers: map[string]*directory.Server{
+			"a": {Backend: fleet.Backend{ID: "a", StartTime: 2, Address: address, Service: "model", Domain: "west-a", Region: "west", Slots: 6}},
+		}})
+		g.refuse(servers["a"], time.Minute)
+		assert.Equal(t, refuses, g.balancers.refuses(balance.Server{ID: "a", StartTime: 2, Address: address}), address)
+	}
+}
+
 // Guards against a generation that is lost with its engine because all other engines of the region refuse
 // requests, although another region has one.
 func TestMigrationLeavesRegionWhoseEnginesRefuse(t *testing.T) {
