Authenticate the messages between entry hosts by keys

Cause: the peer port takes any datagram. Ruled out: encryption (nothing in the messages is secret); keys of each host (whoever writes to the store can also register one); a time in each message (clocks differ by seconds and step). The first key signs, two are accepted, so that a key is replaced host by host; the file is read again with the settings. Datagrams without a valid tag are dropped before they are parsed, counted, and logged once in 10 s. Without keys nothing changes. Related path: the daemon's peer calls have mutual TLS, and operations.md asks for it; not changed. Tests: forgery, change, truncation, oversize and another receiver (TestMessagesOfStrangersAreDropped, 15 rows), replay and reordering (TestReplayedMessagesAreDropped), rotation, all over sockets (TestHostsWithKeysExchangeAllMessages), keys that cannot be used. Conclusion: strangers cannot speak for hosts where keys are set. Open: a replay while its host is silent, or after a restart of the receiver, counts until something newer is heard; keys are introduced on all hosts at once.

--- a/internal/cmd/entrycmd/main.go
+++ b/internal/cmd/entrycmd/main.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog/diode"
 
 	"monsoonkeel.example/monsoonkeel/internal/entry"
+	"monsoonkeel.example/monsoonkeel/internal/gossip"
 	"monsoonkeel.example/monsoonkeel/platform"
 )
 
@@ -46,6 +47,8 @@
 		Envar("MONSOONKEEL_METRICS_LISTEN").String()
 	level := app.Flag("log-level", "Log level: debug, info, warn or error.").Envar("MONSOONKEEL_LOG_LEVEL").
 		Default("info").Enum("debug", "info", "warn", "error")
+	peerKeys := app.Flag("peer-keys", "Path of a file with the keys that authenticate messages between hosts, one a line in base64; empty for none.").
+		Envar("MONSOONKEEL_PEER_KEYS").String()
 	check := app.Flag("check", "Validate the settings and exit.").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 
@@ -55,11 +58,16 @@
 		fmt.Fprintf(os.Stderr, "monsoonkeel-entry: invalid settings:\n%v\n", err)
 		os.Exit(exitSettings)
 	}
+	keys, err := loadPeerKeys(*peerKeys)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "monsoonkeel-entry: invalid keys of the messages between hosts:\n%v\n", err)
+		os.Exit(exitSettings)
+	}
 	if *check {
 		return
 	}
 	log, flush := newLog(os.Stdout, *level, settings.HostID)
-	err = run(settings, path, *metrics, log)
+	err = run(settings, keys, options{settingsPath: path, peerKeysPath: *peerKeys, metricsListen: *metrics}, log)
 	if err != nil {
 		log.Error().Err(err).Msg("stopped with an error")
 	}
@@ -87,20 +95,40 @@
 	return log, func() { _ = writer.Close() }
 }
 
-func run(settings *entry.Settings, path, metrics string, log zerolog.Logger) error {
+// loadPeerKeys reads the keys of the messages between hosts. It returns nil without a path.
+func loadPeerKeys(path string) (*gossip.Keys, error) {
+	if path == "" {
+		return nil, nil
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	keys, err := gossip.ParseKeys(text)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return keys, nil
+}
+
+type options struct{ settingsPath, peerKeysPath, metricsListen string }
+
+func run(settings *entry.Settings, keys *gossip.Keys, o options, log zerolog.Logger) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	store := platform.NewStore(settings.Store, settings.DomainRegions, log)
 	adapter := entry.Adapter{
-		Store:         store,
-		EvidenceStore: store,
-		StoreMetrics:  &store.Metrics,
-		EngineClient:  platform.NewEngineClient(),
-		Dialect:       platform.Dialect(),
-		ReadyPath:     platform.ReadyPath,
-		Reload:        platform.Reloader(path),
+		Store:          store,
+		EvidenceStore:  store,
+		StoreMetrics:   &store.Metrics,
+		EngineClient:   platform.NewEngineClient(),
+		Dialect:        platform.Dialect(),
+		ReadyPath:      platform.ReadyPath,
+		Reload:         platform.Reloader(o.settingsPath),
+		PeerKeys:       keys,
+		ReloadPeerKeys: func() (*gossip.Keys, error) { return loadPeerKeys(o.peerKeysPath) },
 	}
-	return entry.New(settings, adapter, log).Run(ctx, metrics, reload)
+	return entry.New(settings, adapter, log).Run(ctx, o.metricsListen, reload)
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -73,6 +73,9 @@
 	ReadyPath string
 	// Reload reads the settings again. It returns nil if they did not change.
 	Reload func() (*Settings, error)
+	// PeerKeys authenticate the messages between hosts; nil for none. ReloadPeerKeys reads them again, if there are any.
+	PeerKeys       *gossip.Keys
+	ReloadPeerKeys func() (*gossip.Keys, error)
 }
 
 // Process is the process of an entry host.
@@ -84,12 +87,14 @@
 	gateway   *forward.Gateway
 	callers   *connection.Server
 	gossip    *gossip.Exchange
+	// peerKeys are those in force. Only New and the goroutine that reloads the settings use it.
+	peerKeys *gossip.Keys
 }
 
 // New creates the components of the process without starting them.
 func New(s *Settings, a Adapter, log zerolog.Logger) *Process {
 	debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryShare))
-	p := &Process{settings: s, adapter: a, log: log}
+	p := &Process{settings: s, adapter: a, log: log, peerKeys: a.PeerKeys}
 	self := fleet.Host{
 		ID:          s.HostID,
 		PeerAddress: net.JoinHostPort(s.PeerIP, strconv.Itoa(s.PeerPort)),
@@ -146,6 +151,7 @@
 		Clock:         boottime.Now,
 		Log:           log,
 	})
+	p.gossip.SetKeys(p.peerKeys)
 	p.callers = &connection.Server{
 		Limits:     p.gateway.Limits,
 		Handle:     p.gateway.Handle,
@@ -188,7 +194,7 @@
 	if err != nil {
 		return err
 	}
-	p.log.Info().Str("listen", p.settings.Listen).Str("store", p.settings.Store).Msg("started")
+	p.log.Info().Str("listen", p.settings.Listen).Str("store", p.settings.Store).Bool("peer_keys", p.peerKeys != nil).Msg("started")
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	group, failed := errgroup.WithContext(context.Background())
@@ -333,5 +339,23 @@
 			p.gateway.SetBounds(bounds(s))
 			p.log.Info().Msg("settings reloaded: bounds apply now, all other settings at the next start")
 		}
+		p.reloadPeerKeys()
+	}
+}
+
+// reloadPeerKeys applies changed keys. A process that started without keys stays without, and one with keys keeps them if there
+// are none any more: hosts with and without keys do not understand each other.
+func (p *Process) reloadPeerKeys() {
+	if p.peerKeys == nil {
+		return
+	}
+	keys, err := p.adapter.ReloadPeerKeys()
+	switch {
+	case err != nil:
+		p.log.Error().Err(err).Msg("keys of the messages between hosts not reloaded, the previous ones stay in force")
+	case !keys.Equal(p.peerKeys):
+		p.peerKeys = keys
+		p.gossip.SetKeys(keys)
+		p.log.Info().Msg("keys of the messages between hosts reloaded")
 	}
 }
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -39,7 +39,7 @@
 }
 
 func (e *Exchange) receiveLoop(conn *net.UDPConn) error {
-	buffer := make([]byte, maxMessageBytes)
+	buffer := make([]byte, maxMessageBytes+tagBytes)
 	for {
 		n, from, err := conn.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
@@ -50,10 +50,31 @@
 			time.Sleep(sendInterval)
 			continue
 		}
-		e.receive(buffer[:n], from)
+		e.receiveDatagram(buffer[:n], from)
 	}
 }
 
+// receiveDatagram applies the message in a datagram if it is from a host that has a key of this one.
+func (e *Exchange) receiveDatagram(datagram []byte, from netip.AddrPort) {
+	message, err := e.keys.Load().open(datagram, e.opts.Self.ID)
+	if err == nil {
+		e.receive(message, from)
+		return
+	}
+	e.Metrics.Add("unauthenticated", 1)
+	// Anyone can send such datagrams, in any number.
+	if now := e.opts.Clock(); e.unauthenticatedAt == 0 || now-e.unauthenticatedAt >= unauthenticatedLogInterval {
+		e.unauthenticatedAt = now
+		e.opts.Log.Warn().Stringer("from", from).Int("bytes", len(datagram)).Err(err).Msg("gossip message dropped: not from a host with a key of this one")
+	}
+}
+
+// unauthenticatedLogInterval is the least time between two log lines about messages without a valid tag.
+const unauthenticatedLogInterval = 10 * time.Second
+
+// SetKeys replaces the keys that authenticate messages; nil for none.
+func (e *Exchange) SetKeys(k *Keys) { e.keys.Store(k) }
+
 // receive applies a message if it is newer than the last one of its host.
 func (e *Exchange) receive(message []byte, from netip.AddrPort) {
 	m, err := unmarshal(message)
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -240,10 +241,14 @@
 // Exchange sends this host's state to other hosts and receives theirs.
 type Exchange struct {
 	opts Options
-	// Metrics counts messages and bytes sent and received, repairs sent, placements asked for and not answered, and changes
+	// Metrics counts messages and bytes sent and received, messages without a valid tag, repairs sent, placements asked for and not answered, and changes
 	// of the role; role is the current one.
 	Metrics   expvar.Map
 	immediate chan struct{}
+	// keys authenticate the messages; nil for none.
+	keys atomic.Pointer[Keys]
+	// unauthenticatedAt is when a message without a valid tag was last logged. Only the receiving goroutine uses it.
+	unauthenticatedAt time.Duration
 
 	mu    sync.Mutex
 	peers map[string]*State
--- a/internal/gossip/placement.go
+++ b/internal/gossip/placement.go
@@ -87,7 +87,7 @@
 		defer e.mu.Unlock()
 		delete(e.placements.waiting, id)
 	}()
-	if len(to) == 0 || !e.sendPlacement(conn, to[0].address, encodeQuestion(id, request)) {
+	if len(to) == 0 || !e.sendPlacement(conn, to[0], encodeQuestion(id, request)) {
 		return Placement{}, false
 	}
 	timer := time.NewTimer(placementTimeout)
@@ -114,12 +114,12 @@
 	}
 }
 
-func (e *Exchange) sendPlacement(conn *net.UDPConn, to netip.AddrPort, p *pb.Placement) bool {
+func (e *Exchange) sendPlacement(conn *net.UDPConn, to receiver, p *pb.Placement) bool {
 	message, err := proto.Marshal(&pb.Message{
 		Protocol: protocolVersion, Host: e.opts.Self.ID, Region: e.opts.Region, Incarnation: e.opts.Self.Incarnation, Placement: p,
 	})
 	if err == nil {
-		_, err = conn.WriteToUDPAddrPort(message, to)
+		err = e.keys.Load().signer(message).send(conn, nil, to)
 	}
 	if err != nil {
 		e.opts.Log.Debug().Err(err).Msg("sending a question for a backend server, or the answer, failed")
@@ -149,5 +149,5 @@
 	placed := e.opts.Place(host, PlacementRequest{
 		Service: p.Service, Tokens: bounded(p.Tokens), Prefill: bounded(p.Prefill), Exclude: p.Exclude, Regions: p.Regions, Domain: p.Domain, Source: p.Source,
 	})
-	e.sendPlacement(conn, from, &pb.Placement{Id: p.Id, Answer: true, Server: placed.Server, Number: placed.Number})
+	e.sendPlacement(conn, receiver{host, from}, &pb.Placement{Id: p.Id, Answer: true, Server: placed.Server, Number: placed.Number})
 }
--- a/internal/gossip/receivers.go
+++ b/internal/gossip/receivers.go
@@ -245,6 +245,7 @@
 		e.opts.Log.Error().Err(err).Msg("gossip message not sent")
 		return
 	}
+	signer := e.keys.Load().signer(message)
 	for _, r := range m.receivers {
 		suffix, err := e.suffix(s, r.host, m.generations)
 		if err == nil && len(message)+len(suffix) > maxMessageBytes {
@@ -252,7 +253,7 @@
 			suffix, err = encodeSuffix(e.echo(r.host), nil)
 		}
 		if err == nil {
-			_, err = conn.WriteToUDPAddrPort(append(message[:len(message):len(message)], suffix...), r.address)
+			err = signer.send(conn, suffix, r)
 			e.Metrics.Add("sent", 1)
 			e.Metrics.Add("sent_bytes", int64(len(message)+len(suffix)))
 		}
--- a/internal/gossip/repair.go
+++ b/internal/gossip/repair.go
@@ -31,7 +31,7 @@
 	for _, message := range e.repairs(s, to.host, now) {
 		e.Metrics.Add("repairs_sent", 1)
 		e.Metrics.Add("sent_bytes", int64(len(message)))
-		if _, err := conn.WriteToUDPAddrPort(message, to.address); err != nil && !errors.Is(err, net.ErrClosed) {
+		if err := e.keys.Load().signer(message).send(conn, nil, to); err != nil && !errors.Is(err, net.ErrClosed) {
 			e.opts.Log.Debug().Str("peer", to.host).Err(err).Msg("sending what a host lacks of the store failed")
 		}
 	}
