List again where relayed changes have overtaken a list that was due

Cause: found by reading: a host that lists a kind to find what it lacks takes unknown objects of the list for removed ones if relayed changes moved its cursor on while the list was under way, and counted the list as done. Ruled out: taking over unknown objects of an older list: one that was removed in between would come back (TestHostsConverge). Test: TestOvertakenListIsReadAgain failed before. Conclusion: a difference is repaired by the first list that is not overtaken.

--- a/internal/directory/apply.go
+++ b/internal/directory/apply.go
@@ -10,12 +10,12 @@
 func (d *Directory) apply(kind Kind, batch Batch, full bool, callSent time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if batch.Revision < d.cursor[kind] {
+	switch {
+	case batch.Revision < d.cursor[kind]:
 		// The answer may have been held up on its way.
 		d.opts.Log.Info().Stringer("kind", kind).Int64("revision", batch.Revision).Int64("known", d.cursor[kind]).
 			Msg("answer of the store is older than what other hosts relayed, applying only what is new in it")
-	}
-	if full {
+	case full:
 		delete(d.listDue, kind)
 		delete(d.askedAt, kind)
 	}
--- a/internal/directory/difference_test.go
+++ b/internal/directory/difference_test.go
@@ -122,6 +122,29 @@
 	assert.False(t, reader.listIsDue(DomainsOut))
 }
 
+// Guards against a list that was read to find what this host lacks, and is overtaken by a relayed change: unknown objects in it count
+// for removed then, so that it is read again.
+func TestOvertakenListIsReadAgain(t *testing.T) {
+	reader, follower, c := newRegion(t)
+	follower.mu.Lock()
+	follower.setServer("a", nil)
+	follower.objects[Backends].digest -= follower.objects[Backends].objects["a"].digest()
+	delete(follower.objects[Backends].objects, "a")
+	follower.publish()
+	follower.mu.Unlock()
+	follower.AskForBackends("m", "a")
+	c.advance(catchUpTime)
+	list := Batch{Changes: []Change{ready("a"), ready("b")}, Revision: 10}
+	reader.apply(Backends, Batch{Changes: []Change{ready("c")}, Revision: 11}, false, c.Now())
+	follower.ApplyRelayed(reader.RelayedUpdate(), c.Now())
+	follower.apply(Backends, list, true, c.Now())
+	assert.True(t, follower.listIsDue(Backends))
+	list = Batch{Changes: append(list.Changes, ready("c")), Revision: 12}
+	follower.apply(Backends, list, true, c.Now())
+	assert.False(t, follower.listIsDue(Backends))
+	assert.Contains(t, follower.Snapshot().Servers, "a")
+}
+
 // Guards against a host without servers of a service that rejects requests for as long as nothing changes in the store: it
 // asks other hosts for all, and lists them itself if none of them sends them.
 func TestHostWithoutServersAsks(t *testing.T) {
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -247,6 +247,8 @@
 func (d *Directory) pauseAfter(kind Kind, batch Batch) time.Duration {
 	hosts := len(d.Snapshot().Hosts)
 	switch {
+	case d.listIsDue(kind): // the list was overtaken by relayed changes
+		return followerPollInterval
 	case !d.IsStoreReader() && (hosts == 0 || hosts > topology.MaxMesh):
 		return followerPause/2 + rand.N(followerPause)
 	case len(batch.Changes) > 0 && kind == Backends:
