--- a/internal/cmd/soakcmd/mutations.go
+++ b/internal/cmd/soakcmd/mutations.go
@@ -55,8 +55,8 @@
 		[]soak.Kind{soak.ServerRemoved}, soak.Cheats{},
 	},
 	{
-		"domains out of service stay in use", "EVAC", "internal/forward/balancers.go",
-		"if s.Terminating() || now.DomainsOut[s.Domain] {", "if s.Terminating() {",
+		"domains out of service stay in use", "EVAC", "internal/directory/apply.go",
+		"if d.state.DomainsOut[c.Name] == !c.Deleted {", "if !c.Deleted || !d.state.DomainsOut[c.Name] {",
 		[]soak.Kind{soak.DomainOut}, soak.Cheats{},
 	},
 	{
