Types and messages for roll-outs, learned capacity and contention

Cause: the parts of docs/plan.md are built side by side and need common types, settings and messages first. Ruled out: each part with its own change of the messages between hosts, since the generated code would conflict. Change: the plan; messages and types without behaviour. Settings bounds.expose_share, bounds.expose_slack, bounds.rollback_ms and contracts are read; nothing uses them yet. Conclusion: no behaviour changes.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -52,6 +52,8 @@
 // Server is a backend server that may receive requests.
 type Server struct {
 	ID, Address, Domain, Region string
+	// Version is that of the server's software; empty if unknown.
+	Version string
 	// StartTime, in Unix milliseconds, and ID identify the process.
 	StartTime int64
 	Slots     int
@@ -92,6 +94,8 @@
 	Source *Server
 	// Standby requests an engine for a standby replica of a generation at Source.
 	Standby bool
+	// Exposed is set if a server of a version that is being rolled out may be picked.
+	Exposed bool
 	// From is the failure domain of the host that sends the request; empty for Settings.Domain.
 	From string
 }
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -18,6 +18,8 @@
 	Domain string
 	// Region is the region of the failure domain.
 	Region string
+	// Version is that of the server's software; empty if unknown.
+	Version string
 	// Slots is the number of requests that run at once.
 	Slots int
 	// Leaving is set once the process has a termination notice.
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -39,6 +39,8 @@
 	Self      fleet.Host
 	// FirstStart is set if all hosts of the deployment start at about the same time.
 	FirstStart bool
+	// Rollouts is set if the deployment has roll-outs, so that the operators' requests for them are read.
+	Rollouts bool
 }
 
 const (
--- a/internal/directory/store.go
+++ b/internal/directory/store.go
@@ -18,11 +18,13 @@
 	Backends
 	DomainsOut
 	Hosts
+	// Rollouts are the operators' requests for roll-outs.
+	Rollouts
 )
 
 // String returns the name of the kind that logs use.
 func (k Kind) String() string {
-	return [...]string{"configuration", "backends", "domains_out", "hosts"}[k]
+	return [...]string{"configuration", "backends", "domains_out", "hosts", "rollouts"}[k]
 }
 
 // Errors of Store.
@@ -42,6 +44,7 @@
 	Table   *route.Table
 	Backend *fleet.Backend
 	Host    *fleet.Host
+	Rollout *fleet.Rollout
 	// Raw is the configuration as the store holds it, for other hosts; nil for other kinds.
 	Raw []byte
 	// Revision is that of the store as of which the change is known: of the object's last write, or one at which a removed object
@@ -98,6 +101,8 @@
 	DomainsOut map[string]bool `json:"Out"`
 	// Hosts are the entry hosts by ID.
 	Hosts map[string]fleet.Host
+	// Rollouts are the requests for roll-outs, by service.
+	Rollouts map[string]fleet.Rollout
 	// Complete is set once a configuration was applied and the backend servers and the
 	// domains out of service were listed.
 	Complete bool
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -180,6 +180,10 @@
 		Retries:      retry.Limits{Ratio: s.RetryRatio, Window: s.RetryWindow, Extra: s.RetryExtra},
 		ColdFactor:   s.ColdFactor,
 		ColdExtra:    s.ColdExtra,
+		ExposeShare:  s.ExposeShare,
+		ExposeExtra:  s.ExposeExtra,
+		Rollback:     s.RollbackBound,
+		Contention:   s.Contention,
 	}
 }
 
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -50,6 +50,12 @@
 	// a cold backend server: its rate limit (ColdPerSecond in core/route) times the factor, plus
 	// the extra requests per second.
 	ColdFactor, ColdExtra float64
+	// ExposeShare, of the requests for a service, plus ExposeExtra requests may reach a bad version of it during a roll-out.
+	ExposeShare, ExposeExtra float64
+	// RollbackBound is the time within which a bad version must get no more requests; 0 if there are no roll-outs.
+	RollbackBound time.Duration
+	// Contention is set if callers of the deployment compete for too little capacity at times.
+	Contention bool
 	// AbsenceGrace is how long after a store outage an entry may be missing although its
 	// backend server is alive.
 	AbsenceGrace time.Duration
--- a/internal/forward/gateway.go
+++ b/internal/forward/gateway.go
@@ -54,6 +54,12 @@
 	// server: its rate limit (ColdPerSecond in core/route) times the factor, plus the
 	// extra requests per second.
 	ColdFactor, ColdExtra float64
+	// ExposeShare of the requests for a service, plus ExposeExtra requests, may reach a bad version of it during a
+	// roll-out, and none later than Rollback after its 50th bad response. Rollback is 0 if there are no roll-outs.
+	ExposeShare, ExposeExtra float64
+	Rollback                 time.Duration
+	// Contention is set if callers compete for too little capacity at times.
+	Contention bool
 }
 
 // Gateway forwards callers' requests to backend servers.
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -20,7 +20,9 @@
 	"monsoonkeel.example/monsoonkeel/core/balance"
 	"monsoonkeel.example/monsoonkeel/core/fleet"
 	"monsoonkeel.example/monsoonkeel/core/outlier"
+	"monsoonkeel.example/monsoonkeel/core/pace"
 	"monsoonkeel.example/monsoonkeel/core/ratelimit"
+	"monsoonkeel.example/monsoonkeel/core/rollout"
 	"monsoonkeel.example/monsoonkeel/core/topology"
 	"monsoonkeel.example/monsoonkeel/internal/directory"
 )
@@ -80,6 +82,9 @@
 
 	// Placed is the newest placement by each aggregator that is part of Loads.
 	Placed map[string]uint64 `json:"-"`
+	// Rollouts are what the host knows of the roll-outs that are not over, and Paces what it measured of backend servers.
+	Rollouts []rollout.Report `json:"rollouts,omitempty"`
+	Paces    []pace.Report    `json:"paces,omitempty"`
 
 	// Role is that of the host in its group, and Readers are the hosts that it names as store readers.
 	Role    topology.Role `json:"-"`
@@ -131,6 +136,9 @@
 	// of hosts that read the store.
 	StoreResponseAge time.Duration
 	StoreReaders     int
+	// Rollouts and Paces are those of all hosts together.
+	Rollouts []rollout.Report
+	Paces    []pace.Report
 }
 
 // HostLimit is the report of a host on a rate limit.
@@ -167,6 +175,11 @@
 	StoreResponseAge time.Duration
 	StoreReaders     int
 	At               time.Duration
+	// LiveHosts is the number of other live hosts.
+	LiveHosts int
+	// Rollouts and Paces are those of all other hosts together.
+	Rollouts []rollout.Report
+	Paces    []pace.Report
 }
 
 // Evidence is what other hosts know of prompt parts that crash engines, as of At on Options.Clock.
