Exchange roll-out reports and the pace of backend servers between hosts

Ruled out: sums for each received message, which cost a host of a mesh of 24 some thousands of additions at each of 160 messages a second; they are built every 50 ms, and at once if a roll-out is in another phase. Dropping reports on roll-outs from a message that is too large: only the counts are dropped, last of all, since hosts stop to use a version by its phase. Change: State, Digest and View carry Rollouts and Paces; View.LiveHosts. Own reports are subtracted from the digest of the own group by the echo, as loads are. Sizes and values are bounded. New counts trigger a message, new measurements of pace do not.

--- a/internal/gossip/bounded.go
+++ b/internal/gossip/bounded.go
@@ -6,6 +6,7 @@
 
 	"github.com/rs/zerolog"
 
+	"monsoonkeel.example/monsoonkeel/core/rollout"
 	"monsoonkeel.example/monsoonkeel/internal/directory"
 )
 
@@ -20,6 +21,8 @@
 	without string
 	reduce  func(*State)
 }{
+	{"the pace of most backend servers", func(s *State) { reducePaces(s, fewPaces) }},
+	{"the pace of backend servers", func(s *State) { reducePaces(s, 0) }},
 	{"crashes of engines", func(s *State) {
 		s.Crashes = nil
 		for i := range s.Digests {
@@ -37,6 +40,29 @@
 			s.Digests[i].Loads = nil
 		}
 	}},
+	{"responses by version", func(s *State) {
+		s.Rollouts = withoutCounts(s.Rollouts)
+		for i := range s.Digests {
+			s.Digests[i].Rollouts = withoutCounts(s.Digests[i].Rollouts)
+		}
+	}},
+}
+
+// reducePaces keeps the pace of the backend servers with most samples.
+func reducePaces(s *State, limit int) {
+	s.Paces = limitPaces(s.Paces, limit)
+	for i := range s.Digests {
+		s.Digests[i].Paces = limitPaces(s.Digests[i].Paces, limit)
+	}
+}
+
+// withoutCounts keeps the phases of roll-outs, by which hosts stop to use a version.
+func withoutCounts(reports []rollout.Report) []rollout.Report {
+	reports = slices.Clone(reports)
+	for i := range reports {
+		reports[i].Counts, reports[i].Servers = nil, nil
+	}
+	return reports
 }
 
 // dropChanges drops the changes of the store but not their revisions: hosts that lack them get them as a repair.
--- a/internal/gossip/digest.go
+++ b/internal/gossip/digest.go
@@ -7,7 +7,9 @@
 
 	"monsoonkeel.example/monsoonkeel/core/attribution"
 	"monsoonkeel.example/monsoonkeel/core/balance"
+	"monsoonkeel.example/monsoonkeel/core/pace"
 	"monsoonkeel.example/monsoonkeel/core/ratelimit"
+	"monsoonkeel.example/monsoonkeel/core/rollout"
 	"monsoonkeel.example/monsoonkeel/core/topology"
 )
 
@@ -21,8 +23,8 @@
 	digestPreference = 600 * time.Millisecond
 )
 
-// addDigest keeps a digest if it is the newest one of its group.
-func (e *Exchange) addDigest(s *State, d Digest) {
+// addDigest keeps a digest if it is the newest one of its group. It reports whether that changes the phase of a roll-out.
+func (e *Exchange) addDigest(s *State, d Digest) (newPhases bool) {
 	made := s.ReceivedAt - d.Age
 	isPrimary := s.Role == topology.Primary
 	if last := e.digests[d.Group]; last != nil {
@@ -31,14 +33,18 @@
 			newer -= digestPreference
 		}
 		if newer < last.madeAt {
-			return
+			return false
 		}
+		newPhases = !samePhases(d.Rollouts, last.Rollouts)
+	} else {
+		newPhases = len(d.Rollouts) > 0
 	}
 	r := &receivedDigest{Digest: d, madeAt: made, madeWall: s.ReceivedWall.Add(-d.Age), isPrimary: isPrimary}
 	if own, ok := e.topology.GroupOf(e.opts.Self.ID); ok && own == d.Group {
-		r.ownLoads = s.EchoLoads
+		r.ownLoads, r.ownRollouts, r.includesSelf = s.EchoLoads, s.EchoRollouts, s.Echo != MessageID{}
 	}
 	e.digests[d.Group] = r
+	return newPhases
 }
 
 // digestsForMembers returns a function that returns the digests in the messages to the members of a group.
@@ -95,17 +101,21 @@
 // digest sums up the states of a group, which this host aggregates.
 func (e *Exchange) digest(group topology.GroupID, now time.Duration) Digest {
 	self := State{Host: e.opts.Self.ID, Region: e.opts.Region, ReceivedAt: now}
-	e.opts.FillLocal(&self)
+	e.fillLocal(&self)
 	ejected := self.Ejected[:min(len(self.Ejected), maxDigestEvidence)]
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	d := Digest{Group: group, Ejected: ejected, Loads: map[string]balance.Load{}, StoreResponseAge: maxAge}
 	d.add(&self, now, e.opts.IsTerminating)
+	paces := paceSums{}
+	paces.add(self.Paces)
 	for id, p := range e.peers {
 		if e.isOfGroup(id, p, group) {
 			d.add(p, now, e.opts.IsTerminating)
+			paces.add(p.Paces)
 		}
 	}
+	d.Paces = paces.list()
 	d.limit()
 	return d
 }
@@ -135,6 +145,7 @@
 		}
 	}
 	d.addEvidence(s, age)
+	d.Rollouts = mergeRollouts(d.Rollouts, s.Rollouts)
 	for _, l := range s.Limits {
 		if l.Demand == 0 && l.AgeMS < 0 {
 			continue
@@ -174,7 +185,8 @@
 	}
 }
 
-// limit drops what does not fit: the oldest evidence and the reports of hosts with little demand.
+// limit drops what does not fit: the oldest evidence, the reports of hosts with little demand, and what limitRollouts and
+// limitPaces drop.
 func (d *Digest) limit() {
 	slices.SortFunc(d.Crashes, func(a, b attribution.Report) int { return cmp.Compare(a.AgeMS, b.AgeMS) })
 	slices.SortFunc(d.Answers, func(a, b attribution.Answer) int { return cmp.Compare(a.AgeMS, b.AgeMS) })
@@ -184,6 +196,7 @@
 	d.Crashes = d.Crashes[:min(len(d.Crashes), maxDigestEvidence)]
 	d.Answers = d.Answers[:min(len(d.Answers), maxDigestEvidence)]
 	d.Limits = d.Limits[:min(len(d.Limits), maxDigestLimits)]
+	d.Rollouts, d.Paces = limitRollouts(d.Rollouts), limitPaces(d.Paces, maxDigestPaces)
 }
 
 // nextView returns the view of this host if one is due. An aggregator builds one every viewInterval at most, unless
@@ -204,6 +217,7 @@
 	}
 	own, _ := e.topology.GroupOf(e.opts.Self.ID)
 	counted := 0 // hosts of which the state is part of the view
+	sums := e.sums.next(now)
 	for id, p := range e.peers {
 		if p.RelayedUpdate != nil && !p.applied {
 			v.Updates = append(v.Updates, Update{RelayedUpdate: p.RelayedUpdate, EchoSentAt: p.EchoSentAt})
@@ -218,6 +232,7 @@
 		counted++
 		host, _ := e.topology.Host(id)
 		v.addState(p, e.opts.Self.ID, host.Domain, now)
+		sums.add(p.Rollouts, p.Paces)
 		p.applied = true
 	}
 	reported := counted
@@ -225,14 +240,65 @@
 		if v.InMesh || g == own && v.Role != topology.Member {
 			continue
 		}
-		reported += v.addDigest(d, now)
+		hosts := v.addDigest(d, now)
+		reported += hosts
+		v.LiveHosts += hosts
+		if d.includesSelf {
+			v.LiveHosts = max(0, v.LiveHosts-1)
+		}
+		sums.add(withoutOwn(d.Rollouts, d.ownRollouts), d.Paces)
 	}
+	v.LiveHosts += counted
+	v.Rollouts, v.Paces = e.sums.apply(sums, now)
+	e.viewDue = e.viewDue || sums.postponed
 	if !v.InMesh {
 		v.UnreportedHosts = max(0, reported-len(v.Limits))
 	}
 	return v
 }
 
+// viewSums are the sums over the other hosts that are too much work for each message: they are built every viewInterval, and at
+// once if a roll-out is in another phase.
+type viewSums struct {
+	rollouts []rollout.Report
+	paces    []pace.Report
+	at       time.Duration
+	// due is set if they must be built for the next view.
+	due bool
+}
+
+// sums add up the reports of hosts and groups.
+type sums struct {
+	rollouts []rollout.Report
+	paces    paceSums
+	// reuse is set if the last sums are new enough, and postponed if there was anything to add nevertheless.
+	reuse, postponed bool
+}
+
+// next returns the sums to be filled for a view.
+func (v *viewSums) next(now time.Duration) *sums {
+	return &sums{paces: paceSums{}, reuse: !v.due && v.at > 0 && now-v.at < viewInterval}
+}
+
+// add adds the reports of a host or group. The measurements of this host itself may be among those of its group: counted twice
+// they weigh more but say the same.
+func (s *sums) add(rollouts []rollout.Report, paces []pace.Report) {
+	if s.reuse {
+		s.postponed = s.postponed || len(rollouts) > 0 || len(paces) > 0
+		return
+	}
+	s.rollouts = mergeRollouts(s.rollouts, rollouts)
+	s.paces.add(paces)
+}
+
+// apply keeps the sums, unless the last ones are reused, and returns those for the view.
+func (v *viewSums) apply(s *sums, now time.Duration) ([]rollout.Report, []pace.Report) {
+	if !s.reuse {
+		*v = viewSums{rollouts: s.rollouts, paces: s.paces.list(), at: now}
+	}
+	return v.rollouts, v.paces
+}
+
 // addGenerations adds generations that are not part of the view yet: two aggregators name the same ones.
 func (v *View) addGenerations(generations []Generation) {
 	known := make(map[string]bool, len(v.Generations))
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -105,13 +105,15 @@
 	}
 	s.ReceivedAt, s.ReceivedWall, s.From = now, time.Now(), from
 	if sent := e.sentMessage(s.Echo); sent != nil {
-		s.EchoSentAt, s.EchoLoads = sent.at, sent.loads
+		s.EchoSentAt, s.EchoLoads, s.EchoRollouts = sent.at, sent.loads, sent.rollouts
 	}
 	e.peers[s.Host] = s
+	newPhases := last == nil || !samePhases(s.Rollouts, last.Rollouts)
 	for _, d := range s.Digests {
-		e.addDigest(s, d)
+		newPhases = e.addDigest(s, d) || newPhases
 	}
-	urgent := s.RelayedUpdate != nil || last == nil || len(s.Terminating) > 0 && !reflect.DeepEqual(s.Terminating, last.Terminating) || len(s.Crashes) > len(last.Crashes)
+	e.sums.due = e.sums.due || newPhases
+	urgent := s.RelayedUpdate != nil || last == nil || len(s.Terminating) > 0 && !reflect.DeepEqual(s.Terminating, last.Terminating) || len(s.Crashes) > len(last.Crashes) || newPhases
 	view, due := e.nextView(now, urgent)
 	e.mu.Unlock()
 	if due {
@@ -129,11 +131,11 @@
 }
 
 // beginMessage records the next message and returns its sequence number.
-func (e *Exchange) beginMessage(now time.Duration, loads map[string]balance.Load) int64 {
+func (e *Exchange) beginMessage(now time.Duration, s *State) int64 {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.sequence++
-	e.sent[e.sequence%sentMessagesKept] = sentMessage{at: now, loads: loads}
+	e.sent[e.sequence%sentMessagesKept] = sentMessage{at: now, loads: s.Loads, rollouts: s.Rollouts}
 	return e.sequence
 }
 
@@ -259,10 +261,10 @@
 		e.opts.OnChange(view)
 	}
 	next := State{Host: e.opts.Self.ID, Region: e.opts.Region, Incarnation: e.opts.Self.Incarnation, Role: role}
-	e.opts.FillLocal(&next)
+	e.fillLocal(&next)
 	for _, batch := range e.dueMessages(sent, &next, now, immediate) {
 		state := next
-		state.Sequence = e.beginMessage(now, next.Loads)
+		state.Sequence = e.beginMessage(now, &next)
 		if batch.digests != nil {
 			state.Digests = batch.digests(now)
 		}
@@ -278,12 +280,19 @@
 	}
 }
 
-// unchanged reports whether two states are equal except for what always changes: ages, sequence numbers and the sizes of
-// generations.
+// fillLocal sets the fields of a state that describe this host, without what does not fit into a message.
+func (e *Exchange) fillLocal(s *State) {
+	e.opts.FillLocal(s)
+	s.Rollouts, s.Paces = ofOneHost(s.Rollouts), limitPaces(s.Paces, maxStatePaces)
+}
+
+// unchanged reports whether two states are equal except for what always changes: ages, sequence numbers, the sizes of
+// generations and the pace of backend servers.
 func unchanged(a, b *State) bool {
 	return a.Role == b.Role && a.StoreReader == b.StoreReader && a.RecentStoreFailure == b.RecentStoreFailure && a.Versions == b.Versions &&
 		sameGenerations(a.Generations, b.Generations) && maps.Equal(requestsOf(a.Loads), requestsOf(b.Loads)) && reflect.DeepEqual(a.Terminating, b.Terminating) &&
-		len(a.Crashes) == len(b.Crashes) && sameFailures(a.Failures, b.Failures) && len(a.Answers) == len(b.Answers) && sameLimits(a, b) && sameUpdate(a.RelayedUpdate, b.RelayedUpdate)
+		len(a.Crashes) == len(b.Crashes) && sameFailures(a.Failures, b.Failures) && len(a.Answers) == len(b.Answers) && sameLimits(a, b) && sameUpdate(a.RelayedUpdate, b.RelayedUpdate) &&
+		sameRollouts(a.Rollouts, b.Rollouts)
 }
 
 // requestsOf returns loads without the tokens, which grow with each event.
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -104,6 +104,8 @@
 	// 0 if Echo names none. EchoLoads were the loads in that message.
 	EchoSentAt time.Duration           `json:"-"`
 	EchoLoads  map[string]balance.Load `json:"-"`
+	// EchoRollouts were the reports on roll-outs in that message.
+	EchoRollouts []rollout.Report `json:"-"`
 	// applied is set once a view was built with the state.
 	applied bool
 }
@@ -177,7 +179,8 @@
 	At               time.Duration
 	// LiveHosts is the number of other live hosts.
 	LiveHosts int
-	// Rollouts and Paces are those of all other hosts together.
+	// Rollouts and Paces are those of all other hosts together. They must not be changed. Paces may contain measurements of
+	// this host: in a group they are part of the digest.
 	Rollouts []rollout.Report
 	Paces    []pace.Report
 }
@@ -216,7 +219,7 @@
 	Region string
 	// Hosts returns the entry hosts by ID. The map must not be changed.
 	Hosts func() map[string]fleet.Host
-	// FillLocal sets the fields of State that describe this host.
+	// FillLocal sets the fields of State that describe this host. What the fields refer to must not be changed afterwards.
 	FillLocal func(*State)
 	// OnChange is called with a new view.
 	OnChange func(View)
@@ -272,6 +275,8 @@
 	sequence  int64
 	candidate topology.Candidate
 	topology  *topology.Topology
+	// sums are what the last views have of the roll-outs and the pace of backend servers.
+	sums viewSums
 	// viewedAt is when the last view was built, and viewDue is set if another one is due.
 	viewedAt time.Duration
 	viewDue  bool
@@ -290,8 +295,9 @@
 
 // sentMessage is what is kept of a message of this host.
 type sentMessage struct {
-	at    time.Duration
-	loads map[string]balance.Load
+	at       time.Duration
+	loads    map[string]balance.Load
+	rollouts []rollout.Report
 }
 
 // receivedDigest is the digest of a group and where it comes from.
@@ -301,8 +307,11 @@
 	madeAt    time.Duration
 	madeWall  time.Time
 	isPrimary bool
-	// ownLoads are the loads of this host that are part of the digest.
-	ownLoads map[string]balance.Load
+	// ownLoads and ownRollouts are the loads and the reports on roll-outs of this host that are part of the digest, and
+	// includesSelf is set if it counts this host.
+	ownLoads     map[string]balance.Load
+	ownRollouts  []rollout.Report
+	includesSelf bool
 	// applied is set once a view was built with the digest.
 	applied bool
 }
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -17,7 +17,9 @@
 	"monsoonkeel.example/monsoonkeel/core/balance"
 	"monsoonkeel.example/monsoonkeel/core/fleet"
 	"monsoonkeel.example/monsoonkeel/core/outlier"
+	"monsoonkeel.example/monsoonkeel/core/pace"
 	"monsoonkeel.example/monsoonkeel/core/ratelimit"
+	"monsoonkeel.example/monsoonkeel/core/rollout"
 	"monsoonkeel.example/monsoonkeel/core/serverstate"
 	"monsoonkeel.example/monsoonkeel/core/topology"
 	"monsoonkeel.example/monsoonkeel/internal/directory"
@@ -148,11 +150,22 @@
 	load := map[string]balance.Load{"s": {Requests: 2, Tokens: 7000, Prefill: 3000}}
 	crash := attribution.Report{Process: attribution.Process{ID: "s", StartTime: 5}, Address: "a", Domain: "d", AgeMS: 6, Engines: 7, Domains: 2, Parts: []attribution.Part{8, 9}}
 	limit := ratelimit.Report{ID: "s", StartTime: 5, Limit: 2.5, AgeMS: -1, Demand: 0.5}
+	report := rollout.Report{
+		ID: rollout.ID{Service: "m", Target: "v2", Created: 7}, MinPhase: rollout.Shifting, MaxPhase: rollout.Final, Hosts: 1, OldInFlight: 4,
+		Counts:  []rollout.Counts{{Route: "r", Target: true, Requests: 9, Failures: 2, Latency: [rollout.LatencyBuckets]int64{3: 7}}, {Route: "r", Requests: 3}},
+		Servers: []rollout.ServerCounts{{Server: "s", Requests: 9, Bad: 2}},
+	}
+	groupReport := report
+	groupReport.Hosts = 9
+	measured := pace.Report{
+		Process: serverstate.Process{ID: "s", StartTime: 5}, Samples: [pace.LoadSteps]float64{1: 12.25, 4: 3}, LogRatios: [pace.LoadSteps]float64{1: -2.5, 4: 1.75},
+	}
 	s := State{
 		Host: "h", Region: "west", Incarnation: 3, Sequence: 4, Loads: load,
 		Generations: []Generation{{ID: "g", Server: "s", Tokens: 5, MigrationPriority: 6, HasStandby: true, Region: "west"}},
 		Terminating: []Process{{ID: "s", StartTime: 5}}, Crashes: []attribution.Report{crash}, Answers: []attribution.Answer{{Part: 3, AgeMS: 4}},
 		Failures: []outlier.Report{{Process: serverstate.Process{ID: "s", StartTime: 5}, Failures: 3, Age: 4 * time.Millisecond}}, Placed: map[string]uint64{"p": 7},
+		Rollouts: []rollout.Report{report}, Paces: []pace.Report{measured},
 		Limits: []ratelimit.Report{limit}, StoreResponseAge: 30 * time.Millisecond, StoreReader: true, RecentStoreFailure: true,
 		Versions: directory.Versions{Configuration: 1, Backends: 2, DomainsOut: 3, Hosts: 4, BackendsDigest: 5, DomainsOutDigest: 6, HostsDigest: 1<<64 - 1}, Role: topology.Primary, Readers: []string{"h"},
 		RelayedUpdate: &directory.RelayedUpdate{
@@ -171,6 +184,7 @@
 			Generations: []Generation{{ID: "k", Server: "s", Region: "north"}}, Terminating: []Process{{ID: "t", StartTime: 1}},
 			Crashes: []attribution.Report{crash}, Answers: []attribution.Answer{{Part: 3, AgeMS: 4}},
 			Limits: []HostLimit{{Host: "x", Report: limit}}, StoreResponseAge: 8 * time.Millisecond, StoreReaders: 2, Ejected: []string{"s"},
+			Rollouts: []rollout.Report{groupReport}, Paces: []pace.Report{measured},
 		}},
 	}
 	base, err := encode(&s)
@@ -306,16 +320,16 @@
 func TestEchoesIdentifyTheSendTime(t *testing.T) {
 	var views []View
 	e, clock := newExchange(fleet.Host{ID: "me", Incarnation: 7}, nil, &views)
-	sequence := e.beginMessage(clock.Now(), nil)
+	sequence := e.beginMessage(clock.Now(), &State{})
 	clock.advance(time.Second)
-	e.beginMessage(clock.Now(), nil)
+	e.beginMessage(clock.Now(), &State{})
 	assert.Equal(t, time.Hour, e.sentMessage(MessageID{Incarnation: 7, Sequence: sequence}).at)
 	assert.Equal(t, time.Hour+time.Second, e.sentMessage(MessageID{Incarnation: 7, Sequence: sequence + 1}).at)
 	for _, m := range []MessageID{{}, {Incarnation: 7}, {Incarnation: 7, Sequence: -1}, {Incarnation: 6, Sequence: sequence}, {Incarnation: 7, Sequence: sequence + 2}} {
 		assert.Nil(t, e.sentMessage(m))
 	}
 	for range sentMessagesKept {
-		e.beginMessage(clock.Now(), nil)
+		e.beginMessage(clock.Now(), &State{})
 	}
 	assert.Nil(t, e.sentMessage(MessageID{Incarnation: 7, Sequence: sequence}), "the send time is no longer kept")
 }
--- a/internal/gossip/group_test.go
+++ b/internal/gossip/group_test.go
@@ -96,10 +96,10 @@
 	role := node.candidate.Role()
 	node.mu.Unlock()
 	next := State{Host: id, Region: node.opts.Region, Incarnation: node.opts.Self.Incarnation, Role: role}
-	node.opts.FillLocal(&next)
+	node.fillLocal(&next)
 	for _, batch := range node.dueMessages(&node.sent, &next, now, immediate) {
 		state := next
-		state.Sequence = node.beginMessage(now, next.Loads)
+		state.Sequence = node.beginMessage(now, &next)
 		if batch.digests != nil {
 			state.Digests = batch.digests(now)
 		}
--- a/internal/gossip/wire.go
+++ b/internal/gossip/wire.go
@@ -50,6 +50,7 @@
 			BackendsDigest: s.Versions.BackendsDigest, DomainsOutDigest: s.Versions.DomainsOutDigest, HostsDigest: s.Versions.HostsDigest,
 		},
 		Update: encodeUpdate(s.RelayedUpdate), Role: uint32(s.Role), Readers: s.Readers,
+		Rollouts: encodeRollouts(s.Rollouts), Paces: encodePaces(s.Paces),
 	}
 	for _, f := range s.Failures {
 		m.Failures = append(m.Failures, &pb.Failure{Process: &pb.Process{Id: f.ID, StartTime: f.StartTime}, Failures: f.Failures, AgeMs: f.Age.Milliseconds()})
@@ -109,7 +110,8 @@
 			BackendsDigest: m.Versions.GetBackendsDigest(), DomainsOutDigest: m.Versions.GetDomainsOutDigest(), HostsDigest: m.Versions.GetHostsDigest(),
 		},
 		Role: topology.Role(m.Role), Readers: m.Readers, TerminatingGenerations: decodeGenerations(m.TerminatingGenerations, m.Region),
-		Echo: MessageID{Incarnation: m.Echo.GetIncarnation(), Sequence: m.Echo.GetSequence()},
+		Echo:     MessageID{Incarnation: m.Echo.GetIncarnation(), Sequence: m.Echo.GetSequence()},
+		Rollouts: ofOneHost(decodeRollouts(m.Rollouts)), Paces: decodePaces(m.Paces, maxStatePaces),
 	}
 	for _, f := range m.Failures {
 		s.Failures = append(s.Failures, outlier.Report{
@@ -255,6 +257,7 @@
 		Loads: encodeLoads(d.Loads), Generations: encodeGenerations(d.Generations, true), Terminating: encodeProcesses(d.Terminating),
 		Crashes: encodeCrashes(d.Crashes), Answers: encodeAnswers(d.Answers),
 		StoreResponseAgeMs: d.StoreResponseAge.Milliseconds(), StoreReaders: int64(d.StoreReaders), Ejected: d.Ejected,
+		Rollouts: encodeRollouts(d.Rollouts), Paces: encodePaces(d.Paces),
 	}
 	for _, l := range d.Limits {
 		out.Limits = append(out.Limits, encodeLimit(l))
@@ -264,10 +267,11 @@
 
 func decodeDigest(m *pb.Digest) Digest {
 	d := Digest{
-		Group: topology.GroupID{Region: m.Region, Index: int(m.Index)}, Age: millis(m.AgeMs), Hosts: int(m.Hosts),
+		Group: topology.GroupID{Region: m.Region, Index: int(m.Index)}, Age: millis(m.AgeMs), Hosts: boundedHosts(m.Hosts),
 		Loads: decodeLoads(m.Loads), Generations: decodeGenerations(m.Generations, m.Region), Terminating: decodeProcesses(m.Terminating),
 		Crashes: decodeCrashes(m.Crashes), Answers: decodeAnswers(m.Answers),
 		StoreResponseAge: millis(m.StoreResponseAgeMs), StoreReaders: int(m.StoreReaders), Ejected: m.Ejected,
+		Rollouts: decodeRollouts(m.Rollouts), Paces: decodePaces(m.Paces, maxDigestPaces),
 	}
 	for _, l := range m.Limits {
 		d.Limits = append(d.Limits, decodeLimit(l))
