--- a/internal/directory/apply.go
+++ b/internal/directory/apply.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"time"
+
+	"monsoonkeel.example/monsoonkeel/core/fleet"
 )
 
 // apply applies a batch to a new snapshot; callSent is when the call that returned it
@@ -113,6 +115,8 @@
 		return d.applyBackend(c)
 	case DomainsOut:
 		return d.applyDomain(c)
+	case Rollouts:
+		return d.applyRollout(c)
 	default:
 		return d.applyHost(c)
 	}
@@ -149,6 +153,30 @@
 	return true
 }
 
+// applyRollout applies a request for a roll-out. One that is unusable changes nothing: traffic that has moved stays where it is.
+func (d *Directory) applyRollout(c Change) bool {
+	known, ok := d.state.Rollouts[c.Name]
+	switch {
+	case !c.Deleted && c.Rollout == nil:
+		d.opts.Log.Warn().Str("service", c.Name).Bool("known", ok).Msg("unusable store entry of a roll-out, keeping what is known")
+		return false
+	case c.Deleted && !ok, !c.Deleted && ok && known == *c.Rollout:
+		return false
+	}
+	rollouts := make(map[string]fleet.Rollout, len(d.state.Rollouts)+1)
+	maps.Copy(rollouts, d.state.Rollouts)
+	if c.Deleted {
+		delete(rollouts, c.Name)
+		d.opts.Log.Info().Str("service", c.Name).Str("target", known.Target).Msg("request for a roll-out removed")
+	} else {
+		rollouts[c.Name] = *c.Rollout
+		d.opts.Log.Info().Str("service", c.Name).Str("target", c.Rollout.Target).Str("state", string(c.Rollout.State)).
+			Int64("revision", c.Rollout.Revision).Msg("request for a roll-out added or changed")
+	}
+	d.state.Rollouts = rollouts
+	return true
+}
+
 func (d *Directory) applyHost(c Change) bool {
 	known, ok := d.state.Hosts[c.Name]
 	if c.Host != nil && ok && known == *c.Host || c.Host == nil && !ok {
@@ -177,7 +205,7 @@
 	if old != nil && old.SameProcess(s.Backend) {
 		// A process never withdraws its termination notice.
 		s.Leaving, s.NoticeHere = s.Leaving || old.Leaving, old.NoticeHere
-		if old.Terminating() == s.Terminating() && old.Slots == s.Slots && !old.Removed {
+		if old.Terminating() == s.Terminating() && old.Slots == s.Slots && old.Version == s.Version && !old.Removed {
 			return false
 		}
 	}
@@ -230,7 +258,8 @@
 
 func (d *Directory) publish() {
 	next := d.state
-	next.Complete = d.loaded[Configuration] && d.loaded[Backends] && d.loaded[DomainsOut] && next.Table != nil
+	next.Complete = d.loaded[Configuration] && d.loaded[Backends] && d.loaded[DomainsOut] && next.Table != nil &&
+		(!d.opts.Rollouts || d.loaded[Rollouts])
 	d.ownsServers, d.ownsHosts = false, false
 	old := d.snapshot.Swap(&next)
 	if d.opts.OnChange != nil {
--- a/internal/directory/difference.go
+++ b/internal/directory/difference.go
@@ -28,7 +28,10 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.opts.Clock()
-	for _, kind := range []Kind{Backends, DomainsOut} { // hosts are listed regularly
+	for _, kind := range d.relayed {
+		if kind == Hosts { // listed regularly
+			continue
+		}
 		differs := false
 		for v := range peers {
 			differs = differs || own.DiffersAt(kind, v)
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -1,6 +1,6 @@
 // Package directory maintains a snapshot of the deployment: the operators'
-// configuration, the backend servers, the failure domains that are out of service
-// and the entry hosts. It lists and watches the platform's metadata store, or
+// configuration, the backend servers, the failure domains that are out of service,
+// the entry hosts and, where a deployment has them, the requests for roll-outs. It lists and watches the platform's metadata store, or
 // applies the updates that another host relays, and publishes each new state as
 // an immutable snapshot that is replaced atomically.
 package directory
@@ -10,6 +10,7 @@
 	"errors"
 	"expvar"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -93,7 +94,9 @@
 	behind    map[Kind]bool
 	// behindSince is when behind was set.
 	behindSince map[Kind]time.Duration
-	// objects is what the store says of the objects of each of relayedKinds.
+	// relayed are the kinds whose changes are relayed one by one.
+	relayed []Kind
+	// objects is what the store says of the objects of each of these kinds.
 	objects map[Kind]*objectSet
 	// askedAt is when this host asked others for all objects of a kind, and listDue is set if it lists them itself.
 	askedAt map[Kind]time.Duration
@@ -109,6 +112,9 @@
 	// relayedConfirmedAt is the newest relayed confirmation of the configuration.
 	// relayEchoSentAt is when this host sent the message that the newest relayed update echoes.
 	relayedConfirmedAt, relayEchoSentAt time.Duration
+	// rolloutsEchoSentAt is the same of the newest update with the kind Rollouts. A store reader of an earlier build, or one
+	// that has not listed them yet, relays none.
+	rolloutsEchoSentAt time.Duration
 	// storeReader is set if this host reads the store for others, relaying if it passes on what it knows, and
 	// readersNamed if an aggregator names the store readers.
 	storeReader, relaying, readersNamed atomic.Bool
@@ -142,7 +148,11 @@
 
 		registerAttempted: make(chan struct{}),
 	}
-	for _, kind := range relayedKinds {
+	d.relayed = relayedKinds
+	if opts.Rollouts {
+		d.relayed = append(slices.Clone(relayedKinds), Rollouts)
+	}
+	for _, kind := range d.relayed {
 		d.objects[kind] = newObjectSet()
 	}
 	d.state = Snapshot{Servers: map[string]*Server{}, DomainsOut: map[string]bool{}, Hosts: map[string]fleet.Host{}}
@@ -193,7 +203,11 @@
 		d.readsFrom.Store(int64(d.opts.Clock() + firstReadDelay))
 	}
 	var wg sync.WaitGroup
-	for _, kind := range []Kind{Configuration, Backends, DomainsOut} {
+	kinds := []Kind{Configuration, Backends, DomainsOut}
+	if d.opts.Rollouts {
+		kinds = append(kinds, Rollouts)
+	}
+	for _, kind := range kinds {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
--- a/internal/directory/objectset.go
+++ b/internal/directory/objectset.go
@@ -100,7 +100,7 @@
 
 // digest identifies the content of an object, by which hosts compare what they know; it is 0 for a removed one. The time that is
 // left of a cold start and the revision, which rise with each check-in of a cold server, are not part of it: such changes are not
-// relayed.
+// relayed. The revision of a roll-out is part of it, since only a host that knows it can write the status.
 func (c Change) digest() uint64 {
 	if c.Deleted {
 		return 0
@@ -108,9 +108,15 @@
 	content := fmt.Appendf(nil, "%q", c.Name)
 	if b := c.Backend; b != nil {
 		content = fmt.Appendf(content, "%d %q %q %q %q %d %t", b.StartTime, b.Service, b.Address, b.Domain, b.Region, b.Slots, b.Leaving)
+		if b.Version != "" { // hosts of earlier builds know no versions
+			content = fmt.Appendf(content, " %q", b.Version)
+		}
 	}
 	if h := c.Host; h != nil {
 		content = fmt.Appendf(content, "%q %q %q %d %d", h.PeerAddress, h.Domain, h.Region, h.Capacity, h.Incarnation)
 	}
+	if r := c.Rollout; r != nil {
+		content = fmt.Appendf(content, "%q %d %d %q %q %d", r.Target, r.Ramp, r.Created, r.State, r.StateTarget, r.Revision)
+	}
 	return xxhash.Sum64(content)
 }
--- a/internal/directory/relay.go
+++ b/internal/directory/relay.go
@@ -60,6 +60,7 @@
 	Backends     RelayedKind
 	DomainsOut   RelayedKind
 	Hosts        RelayedKind
+	Rollouts     RelayedKind
 	// RecoveredAgo is the time since the end of the last store outage, in which entries may have expired; 0 if it is
 	// longer than AbsenceGrace.
 	RecoveredAgo time.Duration
@@ -70,10 +71,10 @@
 // Versions are the versions up to which a host has the configuration and the changes of the other kinds; 0 for
 // none.
 type Versions struct {
-	Configuration, Backends, DomainsOut, Hosts int64
+	Configuration, Backends, DomainsOut, Hosts, Rollouts int64
 	// The digests identify the objects that a host knows at these versions. Two hosts with the same version of a kind and
 	// different digests do not both have what the store has.
-	BackendsDigest, DomainsOutDigest, HostsDigest uint64
+	BackendsDigest, DomainsOutDigest, HostsDigest, RolloutsDigest uint64
 }
 
 // loggedBatch is a batch that is relayed to other hosts for a time.
@@ -83,16 +84,18 @@
 	readAt   time.Duration
 }
 
-// relayedKinds are the kinds whose changes are relayed one by one.
+// relayedKinds are the kinds whose changes are relayed one by one in every deployment. Directory.relayed are those of one.
 var relayedKinds = []Kind{Backends, DomainsOut, Hosts}
 
-// of returns the part of an update for one of relayedKinds.
+// of returns the part of an update for one of the kinds whose changes are relayed.
 func (r *RelayedUpdate) of(kind Kind) *RelayedKind {
 	switch kind {
 	case Backends:
 		return &r.Backends
 	case DomainsOut:
 		return &r.DomainsOut
+	case Rollouts:
+		return &r.Rollouts
 	default:
 		return &r.Hosts
 	}
@@ -105,6 +108,8 @@
 		return v.Backends, v.BackendsDigest
 	case DomainsOut:
 		return v.DomainsOut, v.DomainsOutDigest
+	case Rollouts:
+		return v.Rollouts, v.RolloutsDigest
 	default:
 		return v.Hosts, v.HostsDigest
 	}
@@ -112,7 +117,7 @@
 
 // DiffersFrom reports whether two hosts with these versions have other objects at the same version of a kind.
 func (v Versions) DiffersFrom(o Versions) bool {
-	return slices.ContainsFunc(relayedKinds, func(kind Kind) bool { return v.DiffersAt(kind, o) })
+	return v.DiffersAt(Rollouts, o) || slices.ContainsFunc(relayedKinds, func(kind Kind) bool { return v.DiffersAt(kind, o) })
 }
 
 // DiffersAt reports whether two hosts with these versions have the same version of a kind, but not the same objects.
@@ -159,7 +164,7 @@
 	if d.state.Table != nil {
 		v.Configuration = d.state.Table.Version
 	}
-	for _, kind := range relayedKinds {
+	for _, kind := range d.relayed {
 		if _, asked := d.askedAt[kind]; !d.loaded[kind] || asked {
 			continue
 		}
@@ -171,6 +176,8 @@
 			v.DomainsOut, v.DomainsOutDigest = revision, digest
 		case Hosts:
 			v.Hosts, v.HostsDigest = revision, digest
+		case Rollouts:
+			v.Rollouts, v.RolloutsDigest = revision, digest
 		}
 	}
 	return v
@@ -199,7 +206,7 @@
 	if d.opts.RelayTime != nil {
 		retention = d.opts.RelayTime()
 	}
-	for _, kind := range relayedKinds {
+	for _, kind := range d.relayed {
 		d.expireLog(kind, now)
 		after := d.logStart[kind]
 		for _, batch := range d.changeLog[kind] {
@@ -224,7 +231,7 @@
 		r.Version, r.Configuration, missing = d.state.Table.Version, d.rawConfiguration, true
 	}
 	now := d.opts.Clock()
-	for _, kind := range relayedKinds {
+	for _, kind := range d.relayed {
 		known, digest := v.Of(kind)
 		switch {
 		case !d.loaded[kind] || known > d.cursor[kind]:
@@ -313,13 +320,16 @@
 		changed = d.applyConfiguration(Change{Table: table, Raw: r.Configuration})
 		d.loaded[Configuration] = true
 	}
-	for _, kind := range relayedKinds {
+	for _, kind := range d.relayed {
 		changed = d.applyRelayedKind(kind, *r.of(kind)) || changed
 	}
 	if changed {
 		d.publish()
 	}
 	d.relayEchoSentAt = max(d.relayEchoSentAt, echoSentAt)
+	if r.Rollouts.Revision > 0 {
+		d.rolloutsEchoSentAt = max(d.rolloutsEchoSentAt, echoSentAt)
+	}
 	if d.state.Table == nil {
 		return
 	}
@@ -386,13 +396,17 @@
 	defer d.mu.Unlock()
 	now := d.opts.Clock()
 	confirmed := d.relayedConfirmedAt > 0 && now-d.relayedConfirmedAt < relayedAgeMargin+d.opts.WatchTimeouts[Configuration]
-	relayed = now-d.relayEchoSentAt < relayTimeout && (confirmed || d.readersNamed.Load())
+	heardAt := d.relayEchoSentAt
+	if kind == Rollouts {
+		heardAt = d.rolloutsEchoSentAt
+	}
+	relayed = now-heardAt < relayTimeout && (confirmed || d.readersNamed.Load())
 	if d.listIsDueAt(kind, now) {
 		return relayed, true
 	}
 	if relayed != d.following[kind] {
 		d.following[kind] = relayed
-		d.opts.Log.Info().Stringer("kind", kind).Bool("relayed", relayed).Dur("heard_ago", now-d.relayEchoSentAt).
+		d.opts.Log.Info().Stringer("kind", kind).Bool("relayed", relayed).Dur("heard_ago", now-heardAt).
 			Dur("confirmed_ago", now-d.relayedConfirmedAt).Msg("switched between relayed updates and own store calls")
 	}
 	return relayed, d.behind[kind] && now-d.behindSince[kind] >= catchUpTime
--- a/internal/directory/store.go
+++ b/internal/directory/store.go
@@ -34,6 +34,9 @@
 	ErrCompacted = errors.New("the store's history was compacted")
 	// ErrUnusable means that a store entry has invalid or missing fields.
 	ErrUnusable = errors.New("unusable store entry")
+	// ErrConflict is returned by a conditional write if the object has another revision than the writer knows. Nothing was
+	// written; an earlier write of which the answer was lost may be the cause.
+	ErrConflict = errors.New("the store's object has another revision")
 )
 
 // Change is one object that was written or deleted. The field of its kind is
@@ -104,6 +107,6 @@
 	// Rollouts are the requests for roll-outs, by service.
 	Rollouts map[string]fleet.Rollout
 	// Complete is set once a configuration was applied and the backend servers and the
-	// domains out of service were listed.
+	// domains out of service were listed, and the roll-outs if Options.Rollouts is set.
 	Complete bool
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -58,6 +58,8 @@
 	// on failure domains are the long-poll timeouts after which a dead watch is noticed.
 	serversTimeoutShare = 0.4
 	domainsTimeoutShare = 0.3
+	// rolloutsTimeoutShare of the bound on bad versions is the same for the watch of roll-outs.
+	rolloutsTimeoutShare = 0.3
 )
 
 // Adapter connects the process to a platform.
@@ -120,6 +122,7 @@
 		RelayTime:  func() time.Duration { return p.gossip.RelayTime() },
 		Self:       self,
 		FirstStart: s.FirstStart,
+		Rollouts:   s.RollbackBound > 0,
 	})
 	p.gateway = forward.New(forward.Options{
 		Directory:           p.directory,
@@ -166,11 +169,15 @@
 	fraction := func(bound time.Duration, share float64) time.Duration {
 		return time.Duration(float64(bound) * share)
 	}
-	return map[directory.Kind]time.Duration{
+	timeouts := map[directory.Kind]time.Duration{
 		directory.Configuration: min(fraction(s.RevokeBound, revokeTimeoutShare), fraction(s.ConfigBound, configTimeoutShare)),
 		directory.Backends:      fraction(s.DrainBound, serversTimeoutShare),
 		directory.DomainsOut:    fraction(s.DomainOutBound, domainsTimeoutShare),
 	}
+	if s.RollbackBound > 0 {
+		timeouts[directory.Rollouts] = fraction(s.RollbackBound, rolloutsTimeoutShare)
+	}
+	return timeouts
 }
 
 func bounds(s *Settings) forward.Bounds {
@@ -340,13 +347,25 @@
 		case err != nil:
 			p.log.Error().Err(err).Msg("settings not reloaded, the previous ones stay in force")
 		case s != nil:
-			p.gateway.SetBounds(bounds(s))
+			p.gateway.SetBounds(bounds(p.withStartedKinds(s)))
 			p.log.Info().Msg("settings reloaded: bounds apply now, all other settings at the next start")
 		}
 		p.reloadPeerKeys()
 	}
 }
 
+// withStartedKinds returns reloaded settings in which roll-outs are on if they were at the start: the kinds of objects that this
+// process reads do not change while it runs.
+func (p *Process) withStartedKinds(s *Settings) *Settings {
+	if (s.RollbackBound > 0) == (p.settings.RollbackBound > 0) {
+		return s
+	}
+	p.log.Warn().Dur("bound", s.RollbackBound).Dur("in_force", p.settings.RollbackBound).Msg("roll-outs are switched on or off at the next start")
+	kept := *s
+	kept.RollbackBound = p.settings.RollbackBound
+	return &kept
+}
+
 // reloadPeerKeys applies changed keys. A process that started without keys stays without, and one with keys keeps them if there
 // are none any more: hosts with and without keys do not understand each other.
 func (p *Process) reloadPeerKeys() {
--- a/internal/gossip/bounded.go
+++ b/internal/gossip/bounded.go
@@ -71,7 +71,7 @@
 		return
 	}
 	u := *s.RelayedUpdate
-	for _, kind := range []*directory.RelayedKind{&u.Backends, &u.DomainsOut, &u.Hosts} {
+	for _, kind := range []*directory.RelayedKind{&u.Backends, &u.DomainsOut, &u.Hosts, &u.Rollouts} {
 		*kind = directory.RelayedKind{After: kind.Revision, Revision: kind.Revision}
 	}
 	s.RelayedUpdate = &u
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -340,5 +340,6 @@
 		return a == b
 	}
 	return a.Version == b.Version && a.Backends.Revision == b.Backends.Revision && a.DomainsOut.Revision == b.DomainsOut.Revision &&
-		a.Hosts.Revision == b.Hosts.Revision && len(a.Backends.Changes) == len(b.Backends.Changes) && len(a.DomainsOut.Changes) == len(b.DomainsOut.Changes)
+		a.Hosts.Revision == b.Hosts.Revision && len(a.Backends.Changes) == len(b.Backends.Changes) && len(a.DomainsOut.Changes) == len(b.DomainsOut.Changes) &&
+		a.Rollouts.Revision == b.Rollouts.Revision && len(a.Rollouts.Changes) == len(b.Rollouts.Changes)
 }
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -167,17 +167,22 @@
 		Failures: []outlier.Report{{Process: serverstate.Process{ID: "s", StartTime: 5}, Failures: 3, Age: 4 * time.Millisecond}}, Placed: map[string]uint64{"p": 7},
 		Rollouts: []rollout.Report{report}, Paces: []pace.Report{measured},
 		Limits: []ratelimit.Report{limit}, StoreResponseAge: 30 * time.Millisecond, StoreReader: true, RecentStoreFailure: true,
-		Versions: directory.Versions{Configuration: 1, Backends: 2, DomainsOut: 3, Hosts: 4, BackendsDigest: 5, DomainsOutDigest: 6, HostsDigest: 1<<64 - 1}, Role: topology.Primary, Readers: []string{"h"},
+		Versions: directory.Versions{Configuration: 1, Backends: 2, DomainsOut: 3, Hosts: 4, BackendsDigest: 5, DomainsOutDigest: 6, HostsDigest: 1<<64 - 1, Rollouts: 6, RolloutsDigest: 7}, Role: topology.Primary, Readers: []string{"h"},
 		RelayedUpdate: &directory.RelayedUpdate{
 			Version: 7, ConfirmedAgo: 5 * time.Millisecond, RecoveredAgo: 9 * time.Millisecond,
 			Backends: directory.RelayedKind{After: 1, Revision: 2, Changes: []directory.Change{
-				{Name: "b", Backend: &fleet.Backend{ID: "b", StartTime: 1, Service: "m", Address: "10.0.0.1:1", Domain: "d", Region: "r", Slots: 3, Leaving: true, ColdLeft: time.Second}},
+				{Name: "b", Backend: &fleet.Backend{ID: "b", StartTime: 1, Service: "m", Address: "10.0.0.1:1", Domain: "d", Region: "r", Slots: 3, Leaving: true, ColdLeft: time.Second, Version: "v1"}},
 				{Name: "c", Deleted: true},
 			}},
 			DomainsOut: directory.RelayedKind{Revision: 3, Full: true, Changes: []directory.Change{{Name: "d"}}},
 			Hosts: directory.RelayedKind{After: 3, Revision: 4, Changes: []directory.Change{
 				{Name: "x", Host: &fleet.Host{ID: "x", PeerAddress: "10.0.0.2:1", Domain: "d", Region: "r", Incarnation: 4, Capacity: 800}},
 			}},
+			Rollouts: directory.RelayedKind{After: 4, Revision: 5, Changes: []directory.Change{
+				{Name: "m", Revision: 5, Rollout: &fleet.Rollout{
+					Service: "m", Target: "v2", Ramp: 12500 * time.Millisecond, Created: 3, State: fleet.RolloutRunning, StateTarget: "v1", Revision: 5,
+				}},
+			}},
 		},
 		Digests: []Digest{{
 			Group: topology.GroupID{Region: "east", Index: 2}, Age: 7 * time.Millisecond, Hosts: 9, Loads: load,
--- a/internal/gossip/repair.go
+++ b/internal/gossip/repair.go
@@ -55,12 +55,12 @@
 	covered := func(known int64, k directory.RelayedKind) bool {
 		return known > 0 && known >= k.After || k.Revision == 0
 	}
-	if v.Configuration >= u.Version && covered(v.Backends, u.Backends) && covered(v.DomainsOut, u.DomainsOut) && covered(v.Hosts, u.Hosts) {
+	if v.Configuration >= u.Version && covered(v.Backends, u.Backends) && covered(v.DomainsOut, u.DomainsOut) && covered(v.Hosts, u.Hosts) && covered(v.Rollouts, u.Rollouts) {
 		if !s.Versions.DiffersFrom(v) || !isDue(differenceRepairInterval) {
 			return nil
 		}
 		e.Metrics.Add("difference_repairs", 1)
-		e.opts.Log.Info().Str("peer", host).Int64("backends", v.Backends).Int64("domains_out", v.DomainsOut).Int64("hosts", v.Hosts).
+		e.opts.Log.Info().Str("peer", host).Int64("backends", v.Backends).Int64("domains_out", v.DomainsOut).Int64("hosts", v.Hosts).Int64("rollouts", v.Rollouts).
 			Msg("a host has other objects of the store at the same versions, sending all")
 	}
 	e.mu.Lock()
@@ -102,6 +102,9 @@
 	for _, part := range e.splitKind(missing, func(u *directory.RelayedUpdate) directory.RelayedKind { return u.Hosts }) {
 		add(&pb.Update{Hosts: part})
 	}
+	for _, part := range e.splitKind(missing, func(u *directory.RelayedUpdate) directory.RelayedKind { return u.Rollouts }) {
+		add(&pb.Update{Rollouts: part})
+	}
 	return messages
 }
 
@@ -175,12 +178,13 @@
 }
 
 // partialKinds are the parts received of each kind.
-type partialKinds struct{ backends, domainsOut, hosts partialKind }
+type partialKinds struct{ backends, domainsOut, hosts, rollouts partialKind }
 
 // receiveRepair applies what this host lacked.
 func (e *Exchange) receiveRepair(host string, m *pb.Update) {
 	e.mu.Lock()
 	m.Backends, m.DomainsOut, m.Hosts = e.partial.backends.add(host, m.Backends), e.partial.domainsOut.add(host, m.DomainsOut), e.partial.hosts.add(host, m.Hosts)
+	m.Rollouts = e.partial.rollouts.add(host, m.Rollouts)
 	e.mu.Unlock()
 	update, err := decodeUpdate(m)
 	if err != nil {
--- a/internal/gossip/rollouts_test.go
+++ b/internal/gossip/rollouts_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
@@ -14,6 +15,7 @@
 	"monsoonkeel.example/monsoonkeel/core/rollout"
 	"monsoonkeel.example/monsoonkeel/core/serverstate"
 	"monsoonkeel.example/monsoonkeel/core/topology"
+	"monsoonkeel.example/monsoonkeel/internal/directory"
 	pb "monsoonkeel.example/monsoonkeel/internal/gossippb"
 )
 
@@ -211,3 +213,39 @@
 	assert.True(t, e.viewDue)
 	assert.Equal(t, rollout.RolledBack, receive(3, state(rollout.RolledBack, 2, 1)).Rollouts[0].MaxPhase, "a new phase is applied at once")
 }
+
+// Guards against a host that lost the messages with a request for a roll-out, or its removal, and gets it with no later one: a host
+// that passes on what it knows sends all requests, in parts if they are many, and not again and again.
+func TestRolloutRequestsAreRepaired(t *testing.T) {
+	n := newNetwork(t, 1, 3)
+	full := &directory.RelayedUpdate{Rollouts: directory.RelayedKind{Revision: 20, Full: true}}
+	for i := range 400 {
+		id := fmt.Sprintf("service-%03d-%0100d", i, 0)
+		full.Rollouts.Changes = append(full.Rollouts.Changes, directory.Change{Name: id, Revision: 9, Rollout: &fleet.Rollout{Service: id, Target: "v2", Revision: 9}})
+	}
+	versions := directory.Versions{Configuration: 7, Rollouts: 20, RolloutsDigest: 3}
+	for _, node := range n.nodes {
+		node.state.Versions = versions
+		node.opts.Missing = func(directory.Versions) *directory.RelayedUpdate { return full }
+	}
+	n.nodes["host-000"].state.RelayedUpdate = &directory.RelayedUpdate{Version: 7, Rollouts: directory.RelayedKind{After: 18, Revision: 20}}
+	n.run(3 * time.Second)
+	for _, node := range n.nodes {
+		assert.Empty(t, node.repairsReceived, "no host lacks anything")
+	}
+	n.nodes["host-001"].state.Versions.Rollouts = 17
+	n.nodes["host-002"].state.Versions.RolloutsDigest = 4
+	n.run(differenceRepairInterval)
+	for id, atMost := range map[string]int{"host-001": 5, "host-002": 2} {
+		whole := 0
+		for _, u := range n.nodes[id].repairsReceived {
+			if u.Rollouts.Revision > 0 {
+				whole++
+				assert.Equal(t, full.Rollouts, u.Rollouts)
+			}
+		}
+		assert.Positive(t, whole, id)
+		assert.LessOrEqual(t, whole, atMost, id)
+	}
+	assert.Empty(t, n.nodes["host-000"].repairsReceived)
+}
--- a/internal/gossip/wire.go
+++ b/internal/gossip/wire.go
@@ -48,6 +48,7 @@
 		Versions: &pb.Versions{
 			Configuration: s.Versions.Configuration, Backends: s.Versions.Backends, DomainsOut: s.Versions.DomainsOut, Hosts: s.Versions.Hosts,
 			BackendsDigest: s.Versions.BackendsDigest, DomainsOutDigest: s.Versions.DomainsOutDigest, HostsDigest: s.Versions.HostsDigest,
+			Rollouts: s.Versions.Rollouts, RolloutsDigest: s.Versions.RolloutsDigest,
 		},
 		Update: encodeUpdate(s.RelayedUpdate), Role: uint32(s.Role), Readers: s.Readers,
 		Rollouts: encodeRollouts(s.Rollouts), Paces: encodePaces(s.Paces),
@@ -108,6 +109,7 @@
 			Configuration: m.Versions.GetConfiguration(), Backends: m.Versions.GetBackends(),
 			DomainsOut: m.Versions.GetDomainsOut(), Hosts: m.Versions.GetHosts(),
 			BackendsDigest: m.Versions.GetBackendsDigest(), DomainsOutDigest: m.Versions.GetDomainsOutDigest(), HostsDigest: m.Versions.GetHostsDigest(),
+			Rollouts: m.Versions.GetRollouts(), RolloutsDigest: m.Versions.GetRolloutsDigest(),
 		},
 		Role: topology.Role(m.Role), Readers: m.Readers, TerminatingGenerations: decodeGenerations(m.TerminatingGenerations, m.Region),
 		Echo:     MessageID{Incarnation: m.Echo.GetIncarnation(), Sequence: m.Echo.GetSequence()},
@@ -286,6 +288,7 @@
 	return &pb.Update{
 		Version: u.Version, ConfirmedAgoMs: u.ConfirmedAgo.Milliseconds(), RecoveredAgoMs: u.RecoveredAgo.Milliseconds(),
 		Backends: encodeKind(u.Backends), DomainsOut: encodeKind(u.DomainsOut), Hosts: encodeKind(u.Hosts),
+		Rollouts: encodeKind(u.Rollouts),
 	}
 }
 
@@ -296,6 +299,7 @@
 	u := &directory.RelayedUpdate{
 		Version: m.Version, ConfirmedAgo: millis(m.ConfirmedAgoMs), RecoveredAgo: millis(m.RecoveredAgoMs),
 		Backends: decodeKind(m.Backends), DomainsOut: decodeKind(m.DomainsOut), Hosts: decodeKind(m.Hosts),
+		Rollouts: decodeKind(m.Rollouts),
 	}
 	if len(m.Configuration) == 0 {
 		return u, nil
@@ -321,17 +325,25 @@
 		if b := c.Backend; b != nil {
 			change.Backend = &pb.Backend{
 				StartTime: b.StartTime, Service: b.Service, Address: b.Address, Domain: b.Domain, Region: b.Region, Slots: int64(b.Slots),
-				Leaving: b.Leaving, ColdRemainingMs: b.ColdLeft.Milliseconds(),
+				Leaving: b.Leaving, ColdRemainingMs: b.ColdLeft.Milliseconds(), Version: b.Version,
 			}
 		}
 		if h := c.Host; h != nil {
 			change.Host = &pb.Host{PeerAddress: h.PeerAddress, Domain: h.Domain, Region: h.Region, Incarnation: h.Incarnation, Capacity: int64(h.Capacity)}
 		}
+		if r := c.Rollout; r != nil {
+			change.Rollout = &pb.RolloutRequest{
+				Target: r.Target, RampMs: r.Ramp.Milliseconds(), Created: r.Created, State: string(r.State), StateTarget: r.StateTarget,
+			}
+		}
 		out.Changes = append(out.Changes, change)
 	}
 	return out
 }
 
+// maxRamp limits the ramp of a roll-out in a message.
+const maxRamp = 24 * time.Hour
+
 // decodeKind decodes the changes of a kind.
 func decodeKind(m *pb.Kind) directory.RelayedKind {
 	k := directory.RelayedKind{After: m.GetAfter(), Revision: m.GetRevision(), Full: m.GetFull()}
@@ -340,12 +352,18 @@
 		if b := c.Backend; b != nil {
 			change.Backend = &fleet.Backend{
 				ID: c.Name, StartTime: b.StartTime, Service: b.Service, Address: b.Address, Domain: b.Domain, Region: b.Region, Slots: int(b.Slots),
-				Leaving: b.Leaving, ColdLeft: millis(b.ColdRemainingMs),
+				Leaving: b.Leaving, ColdLeft: millis(b.ColdRemainingMs), Version: b.Version,
 			}
 		}
 		if h := c.Host; h != nil {
 			change.Host = &fleet.Host{ID: c.Name, PeerAddress: h.PeerAddress, Domain: h.Domain, Region: h.Region, Incarnation: h.Incarnation, Capacity: int(h.Capacity)}
 		}
+		if r := c.Rollout; r != nil {
+			change.Rollout = &fleet.Rollout{
+				Service: c.Name, Target: r.Target, Ramp: time.Duration(min(max(r.RampMs, 0), maxRamp.Milliseconds())) * time.Millisecond, Created: r.Created,
+				State: fleet.RolloutState(r.State), StateTarget: r.StateTarget, Revision: c.Revision,
+			}
+		}
 		k.Changes = append(k.Changes, change)
 	}
 	return k
