Read the pace that servers state, and learn their speed and limit

Cause: servers of a service differ in speed, and the fourth figure of the load header was dropped. Ruled out: one usual value for all hosts, which needs an agreement between them; hosts fit theirs to the common ratios. Change: serverstate.Load.Pace; core/pace with Learner; balance.Balancer.SetPaces. Nothing calls them yet. Conclusion: tests of core/balance, core/serverstate and the answers in platform pass with -race; costs without learned values are computed as before.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -8,6 +8,7 @@
 import (
 	"time"
 
+	"monsoonkeel.example/monsoonkeel/core/pace"
 	"monsoonkeel.example/monsoonkeel/core/ratelimit"
 	"monsoonkeel.example/monsoonkeel/core/serverstate"
 )
@@ -134,6 +135,9 @@
 	failures     int
 	ejectedUntil time.Time
 	present      bool
+	// pace is what was learned of the process, if paced is set.
+	pace  pace.Estimate
+	paced bool
 }
 
 // Balancer tracks the servers of one service and the load that one host sees there.
@@ -150,6 +154,8 @@
 	limits *ratelimit.Limiter
 	// refusals are the servers that refuse requests for a time; nil for none.
 	refusals *serverstate.Refusals
+	// paces are what was learned of the servers; nil for nothing.
+	paces map[serverstate.Process]pace.Estimate
 }
 
 // New returns a Balancer without servers. intn returns a random number from 0
@@ -175,6 +181,7 @@
 			st.failures, st.ejectedUntil = 0, time.Time{}
 		}
 		st.Server, st.present = s, true
+		st.setPace(b.paces)
 	}
 	for id, s := range b.servers {
 		if !s.present && s.own == (Load{}) {
@@ -355,6 +362,9 @@
 			}
 			return load
 		}
+		if s.paced {
+			load = b.pacedEngineLoad(s, req)
+		}
 		if req.Source != nil {
 			return load + distanceCost(s, req.Source.Domain, req.Source.Region, migrationRegionCost, migrationDomainCost)
 		}
@@ -369,6 +379,9 @@
 		return load + distanceCost(s, domain, b.settings.Region, otherRegion, engineDomainCost)
 	}
 	load := float64(s.own.Requests+s.peers.Requests) / float64(max(1, s.Slots))
+	if s.paced {
+		load = b.pacedPlainLoad(s)
+	}
 	return load + distanceCost(s, b.settings.Domain, b.settings.Region, plainRegionCost, plainDomainCost)
 }
 
--- a/core/serverstate/answer.go
+++ b/core/serverstate/answer.go
@@ -29,7 +29,11 @@
 }
 
 // Load is the load of a server. Slots is 0 if it is not known.
-type Load struct{ Running, Waiting, Slots int }
+type Load struct {
+	Running, Waiting, Slots int
+	// Pace is how long work takes on the server's machine at this moment, in percent of the usual time; 0 if not stated.
+	Pace int
+}
 
 // InvalidField is a header field with an invalid value.
 type InvalidField struct {
