--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -114,15 +114,21 @@
 // level only, not the comparison of the servers.
 type Learner struct {
 	servers map[serverstate.Process]*server
-	// usual are the binary logarithms of the usual values by kind, once known.
-	usual        map[string]float64
+	// usual are the usual values by kind, once known.
+	usual        map[string]usual
 	level, slope float64
 	updated      time.Time
 }
 
+// usual is the usual value of a kind of sample, as binary logarithm, and the number of its corrections.
+type usual struct {
+	log     float64
+	updates int
+}
+
 // New returns a Learner without servers.
 func New() *Learner {
-	return &Learner{servers: map[serverstate.Process]*server{}, usual: map[string]float64{}}
+	return &Learner{servers: map[serverstate.Process]*server{}, usual: map[string]usual{}}
 }
 
 func (l *Learner) server(p serverstate.Process) *server {
@@ -143,8 +149,9 @@
 	log := math.Log2(o.Value)
 	if usual, known := l.usual[o.Kind]; known {
 		expected := l.level + s.logSpeed + l.slope*float64(o.Step)
-		log = min(max(log, usual+expected-maxLogRatio), usual+expected+maxLogRatio)
-		s.stated.compare(log-usual-expected, o.Weight, now)
+		expected += usual.log
+		log = min(max(log, expected-maxLogRatio), expected+maxLogRatio)
+		s.stated.compare(log-expected, o.Weight, now)
 	}
 	if s.own[o.Kind] == nil {
 		s.own[o.Kind] = &sums{}
@@ -193,7 +200,7 @@
 		for kind, own := range s.own {
 			own.scale(fast)
 			if usual, known := l.usual[kind]; known {
-				s.merged.add(own, 1, usual)
+				s.merged.add(own, 1, usual.log)
 			}
 			if own.total() < 1e-3 {
 				delete(s.own, kind)
@@ -314,11 +321,14 @@
 	}
 	for kind, list := range differences {
 		target := median(list)
-		if usual, known := l.usual[kind]; known {
-			l.usual[kind] = usual + usualGain*(target-usual) + anchorGain*l.level
-		} else {
-			l.usual[kind] = target
+		u := l.usual[kind]
+		// The first samples may have been taken at another time than those of the other hosts.
+		gain := max(usualGain, 1/float64(u.updates+1))
+		u.log += gain * (target - u.log)
+		if u.updates++; gain == usualGain {
+			u.log += anchorGain * l.level
 		}
+		l.usual[kind] = u
 	}
 }
 
@@ -372,7 +382,7 @@
 		var own sums
 		for kind, k := range s.own {
 			if usual, known := l.usual[kind]; known {
-				own.add(k, 1, usual)
+				own.add(k, 1, usual.log)
 			}
 		}
 		if own.total() >= minReported {
