--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -9,9 +9,15 @@
 )
 
 const (
-	// fastHalfLife is that of the samples behind the speed: a change shows within seconds, and the work of a server that
-	// gets none for some ten seconds is judged anew. Faster changes are those that servers state.
+	// fastHalfLife is that of the samples that hosts report: a change of a server's speed shows within seconds. Faster changes are
+	// those that servers state.
 	fastHalfLife = 5 * time.Second
+	// speedHalfLife is that of the speed as long as it does not change. Servers that are slowed for 600 ms at a time would
+	// seem of different speeds over a shorter time.
+	speedHalfLife = 30 * time.Second
+	// changed is the difference between the recent speed and that of the last minute, as binary logarithm, past which the speed
+	// has changed and older samples do not count: some three times the standard error of the recent one.
+	changed = 0.5
 	// slowHalfLife is that of the samples behind the limit, which needs samples at many loads.
 	slowHalfLife = time.Minute
 	// priorSamples is the number of samples at the usual speed that count in addition to those taken.
@@ -95,6 +101,8 @@
 	// peers are the ratios of the other hosts, merged those of all hosts, and slow those of the last minutes relative to
 	// the speed at the time.
 	peers, merged, slow sums
+	// n and log are the number of samples of the last minute and the sum of their differences from the level and the slope.
+	n, log float64
 	// logSpeed is the speed relative to the service's median.
 	logSpeed, limit float64
 	sampledAt       time.Time
@@ -208,10 +216,10 @@
 		}
 	}
 	l.fitSlope()
-	l.fitSpeeds()
+	l.fitSpeeds(1-fast, decay(elapsed, speedHalfLife))
 	for _, s := range l.servers {
 		s.slow.scale(slow)
-		// The fast sums decay by 1-fast, which is what the slow ones take over: each sample counts once in both.
+		// The fast sums lose a part 1-fast, which is what the slow ones take over: each sample counts once in both.
 		s.slow.add(&s.merged, 1-fast, s.logSpeed+l.level)
 		s.limit = s.fitLimit()
 		s.stated.decay(slow)
@@ -252,8 +260,9 @@
 	l.slope = min(max(covariance/(variance+priorSamples), 0), maxSlope)
 }
 
-// fitSpeeds fits the speed of each server and the level.
-func (l *Learner) fitSpeeds() {
+// fitSpeeds fits the speed of each server and the level. A part of the recent samples is added to those of the last minute, which
+// decay by a factor.
+func (l *Learner) fitSpeeds(part, factor float64) {
 	type fit struct {
 		s      *server
 		n, log float64
@@ -262,27 +271,44 @@
 	var levels []weighted
 	for _, s := range l.servers {
 		f := fit{s: s}
-		for _, all := range []bool{false, true} { // samples past the limit only if there are few others
-			if f.n >= priorSamples {
-				break
-			}
-			f.n, f.log = 0, 0
-			for i, n := range s.merged.n {
-				if all || s.belowLimit(i) {
-					f.n, f.log = f.n+n, f.log+s.merged.log[i]-l.slope*float64(i)*n
-				}
-			}
-		}
-		s.logSpeed = 0
+		f.n, f.log = s.recent(l.slope)
+		s.n, s.log = factor*s.n, factor*s.log
 		if f.n > 0.05 {
 			fits = append(fits, f)
 			levels = append(levels, weighted{f.log / f.n, min(f.n, priorSamples)})
 		}
+		if f.n < priorSamples { // no work: it is judged anew soon
+			s.n, s.log = (1-part)*s.n, (1-part)*s.log
+		}
+		s.logSpeed = s.log / (s.n + priorSamples)
 	}
 	l.level = median(levels)
 	for _, f := range fits {
-		f.s.logSpeed = (f.log/f.n - l.level) * f.n / (f.n + priorSamples)
+		s, log := f.s, f.log-l.level*f.n
+		recent := log / (f.n + priorSamples)
+		s.logSpeed = (s.log + log) / (s.n + f.n + priorSamples)
+		if math.Abs(recent-s.logSpeed) > changed {
+			s.n, s.log, s.logSpeed = 0, 0, recent
+		}
+		s.n, s.log = s.n+part*f.n, s.log+part*log
+	}
+}
+
+// recent returns the number of recent samples, and the sum of their logarithms without the usual slow-down by load. Samples past
+// the limit count only if there are few others.
+func (s *server) recent(slope float64) (n, log float64) {
+	for _, all := range []bool{false, true} {
+		if n >= priorSamples {
+			break
+		}
+		n, log = 0, 0
+		for i, w := range s.merged.n {
+			if all || s.belowLimit(i) {
+				n, log = n+w, log+s.merged.log[i]-slope*float64(i)*w
+			}
+		}
 	}
+	return n, log
 }
 
 // fitLimit returns the load past which the server completes less work than below it.
