Learn the capacity of servers from generations and responses

Cause: nothing measured servers, and the balancers had no learned values. Ruled out: a sample for each event; samples of responses from other regions, where the round trip takes longer than many responses.

--- a/core/balance/pace.go
+++ b/core/balance/pace.go
@@ -14,6 +14,16 @@
 	}
 }
 
+// SetSlowdown replaces the momentary slow-down of a process until the next SetPaces.
+func (b *Balancer) SetSlowdown(p serverstate.Process, slowdown float64) {
+	if s := b.servers[p.ID]; s != nil && s.paced && s.StartTime == p.StartTime {
+		s.pace.Slowdown = slowdown
+	}
+}
+
+// Paces returns what was learned of the servers.
+func (b *Balancer) Paces() map[serverstate.Process]pace.Estimate { return b.paces }
+
 func (s *server) setPace(paces map[serverstate.Process]pace.Estimate) {
 	s.pace, s.paced = paces[s.Process()]
 }
--- a/core/pace/report.go
+++ b/core/pace/report.go
@@ -18,6 +18,14 @@
 	LogRatios [LoadSteps]float64
 }
 
+// Total returns the number of samples.
+func (r *Report) Total() (n float64) {
+	for _, v := range r.Samples {
+		n += v
+	}
+	return n
+}
+
 // Add adds the measurements of other hosts of the same process.
 func (r *Report) Add(o Report) {
 	for i := range r.Samples {
--- a/core/pace/stated.go
+++ b/core/pace/stated.go
@@ -47,6 +47,14 @@
 	s.count++
 }
 
+// Slowdown returns how long work takes at a process at this moment, as a multiple of what it usually takes there.
+func (l *Learner) Slowdown(p serverstate.Process, now time.Time) float64 {
+	if s := l.servers[p]; s != nil {
+		return bounded(s.stated.excess(now))
+	}
+	return 1
+}
+
 func (s *stated) isRecent(now time.Time) bool { return s.count > 0 && now.Sub(s.at) <= statedTimeout }
 
 // compare compares a measurement, as the difference from what was expected of the server, with the stated pace.
--- a/internal/cmd/entrycmd/main.go
+++ b/internal/cmd/entrycmd/main.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog/diode"
 
 	"monsoonkeel.example/monsoonkeel/internal/entry"
+	"monsoonkeel.example/monsoonkeel/internal/forward"
 	"monsoonkeel.example/monsoonkeel/internal/gossip"
 	"monsoonkeel.example/monsoonkeel/platform"
 )
@@ -49,6 +50,8 @@
 		Default("info").Enum("debug", "info", "warn", "error")
 	peerKeys := app.Flag("peer-keys", "Path of a file with the keys that authenticate messages between hosts, one a line in base64; empty for none.").
 		Envar("MONSOONKEEL_PEER_KEYS").String()
+	learn := app.Flag("learn-capacity", "Learn the speed of backend servers: auto for the services that state it, on for all, off for none.").
+		Envar("MONSOONKEEL_LEARN_CAPACITY").Default(string(forward.LearnAuto)).Enum(string(forward.LearnAuto), string(forward.LearnOn), string(forward.LearnOff))
 	check := app.Flag("check", "Validate the settings and exit.").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 
@@ -66,6 +69,7 @@
 	if *check {
 		return
 	}
+	settings.LearnCapacity = forward.LearnMode(*learn)
 	log, flush := newLog(os.Stdout, *level, settings.HostID)
 	err = run(settings, keys, options{settingsPath: path, peerKeysPath: *peerKeys, metricsListen: *metrics}, log)
 	if err != nil {
--- a/internal/entry/dump.go
+++ b/internal/entry/dump.go
@@ -22,6 +22,7 @@
 		"local":                   local,
 		"store_response_age_ms":   local.StoreResponseAge.Milliseconds(),
 		"gossip":                  p.gossip.Status(),
+		"paces":                   p.gateway.Paces(),
 	}
 	w.Header().Set("Content-Type", "application/json")
 	encoder := json.NewEncoder(w)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -132,6 +132,7 @@
 		Domain:              s.Domain,
 		Region:              s.Region,
 		Bounds:              bounds(s),
+		LearnCapacity:       s.LearnCapacity,
 		Clock:               boottime.Now,
 		ResponseBufferBytes: int64(float64(s.MemoryBytes) * responseShare),
 		Place: func(ctx context.Context, r gossip.PlacementRequest) (gossip.Placement, bool) {
@@ -208,6 +209,7 @@
 	group.Go(func() error { p.directory.Run(background); return nil })
 	group.Go(func() error { return p.gossip.Run(background) })
 	group.Go(func() error { p.gateway.PollTerminationNotices(background); return nil })
+	group.Go(func() error { p.gateway.LearnCapacity(background); return nil })
 	group.Go(func() error { p.gateway.KeepEvidence(background); return nil })
 	group.Go(func() error { return p.serveMetrics(background, metricsListen) })
 	group.Go(func() error { p.watchSettings(background, reload); return nil })
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -3,7 +3,11 @@
 // forwards requests by the operators' routes.
 package entry
 
-import "time"
+import (
+	"time"
+
+	"monsoonkeel.example/monsoonkeel/internal/forward"
+)
 
 // Settings are the start-up settings of a host's process. The adapter of a platform
 // fills and validates them.
@@ -56,6 +60,8 @@
 	RollbackBound time.Duration
 	// Contention is set if callers of the deployment compete for too little capacity at times.
 	Contention bool
+	// LearnCapacity decides for which services the capacity of the servers is learned. It comes from a flag.
+	LearnCapacity forward.LearnMode
 	// AbsenceGrace is how long after a store outage an entry may be missing although its
 	// backend server is alive.
 	AbsenceGrace time.Duration
--- a/internal/forward/answers.go
+++ b/internal/forward/answers.go
@@ -62,6 +62,7 @@
 	if answer.Limit > 0 {
 		g.balancers.observeRateLimit(server.ID, server.StartTime, ratelimit.Observation{Limit: answer.Limit, SentAt: sentAt, At: now})
 	}
+	g.observeStatedPace(server, answer.Load.Pace, now)
 	if own {
 		g.observeRefusal(server, answer, sentAt, now)
 	}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -165,6 +165,9 @@
 		e.rateLimit = limit
 		return e
 	}
+	if ex.Response.StatusCode() < 300 {
+		r.sampleResponse(server, time.Since(sentAt))
+	}
 	a.events <- attemptEvent{attempt: a, stage: stageHeader}
 	start, complete, release, err := r.g.responseBuffers.readStart(ex.Body())
 	if err != nil {
--- a/internal/forward/balancers.go
+++ b/internal/forward/balancers.go
@@ -47,6 +47,8 @@
 	started  time.Time
 	// placer chooses servers for the hosts of the group while this host aggregates it.
 	placer placer
+	// paces are the measurements of servers.
+	paces *paces
 	// hasRefusals is set while refusals has any, so that requests do not need the lock otherwise.
 	hasRefusals atomic.Bool
 }
@@ -77,6 +79,7 @@
 	return &balancers{
 		opts: opts, metrics: metrics, bounds: opts.Bounds, services: map[string]*serviceState{}, addresses: map[string]balance.Server{}, quotas: map[string]*serviceQuotas{}, placer: newPlacer(),
 		reporter: outlier.NewReporter(), outliers: outlier.New(), started: time.Now(),
+		paces:  newPaces(opts),
 		limits: ratelimit.New(opts.HostID, rand.Float64), refusals: serverstate.NewRefusals(rand.Float64),
 	}
 }
@@ -138,6 +141,7 @@
 		return s.StartTime, true
 	}, time.Now())
 	bs.hasRefusals.Store(bs.refusals.HasAny())
+	bs.retainPaces(now)
 	for name, s := range bs.services {
 		settings := balance.Settings{Domain: bs.opts.Domain, Region: bs.opts.Region}
 		if now.Table != nil && now.Table.Services[name] != nil {
--- a/internal/forward/gateway.go
+++ b/internal/forward/gateway.go
@@ -36,6 +36,8 @@
 	Bounds        Bounds
 	// ResponseBufferBytes limits the memory for buffered long responses, in bytes.
 	ResponseBufferBytes int64
+	// LearnCapacity decides for which services the capacity of the servers is learned; empty for LearnAuto.
+	LearnCapacity LearnMode
 	// Clock also counts time in which the machine is suspended; see internal/boottime.
 	Clock func() time.Duration
 	// Place asks the aggregator of this host's group for a backend server; nil if there are no groups.
@@ -92,6 +94,7 @@
 	g.opts.EngineClient = &controlCalls{EngineClient: opts.EngineClient, g: g}
 	g.bounds.Store(&opts.Bounds)
 	g.balancers = newBalancers(opts, &g.Metrics)
+	g.Metrics.balancers = g.balancers
 	g.crashes = crashes.New(crashes.Options{HostID: opts.HostID, Peers: g.peerIDs, Clock: opts.Clock, Log: opts.Log})
 	g.Metrics.crashes = g.crashes
 	g.responseBuffers = newResponseBuffers(opts.ResponseBufferBytes)
@@ -216,6 +219,7 @@
 	s.Crashes, s.Answers = g.crashes.Evidence()
 	s.Limits = g.balancers.rateLimitReports()
 	s.Terminating = g.terminatingProcesses()
+	s.Paces = g.balancers.paceReports()
 }
 
 // SetView applies what is known of the other hosts.
@@ -225,6 +229,7 @@
 	for _, e := range v.Evidence {
 		g.crashes.Merge(e.Crashes, e.Answers, time.Now().Add(e.At-g.opts.Clock()), "another host reported")
 	}
+	g.balancers.setPeerPaces(v.Paces)
 	g.balancers.setPeerLimits(v.Limits, v.UnreportedHosts)
 	d := g.opts.Directory
 	d.SetRelaying(!v.InMesh && v.Role != topology.Member)
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -23,6 +23,7 @@
 	// which this host chose it although the deployment has groups.
 	Placed, PlacedHere  atomic.Int64
 	crashes             *crashes.Guard
+	balancers           *balancers
 	Latency, FirstEvent Histogram
 	mu                  sync.Mutex
 	failures            map[string]int64
@@ -53,6 +54,8 @@
 		"server_notices":        m.Notices.Load(),
 		"placed":                m.Placed.Load(),
 		"placed_here":           m.PlacedHere.Load(),
+		"slow_servers":          m.balancers.paces.slow.Load(),
+		"learned_services":      m.balancers.learnedServices(),
 		"engine_crashes":        m.crashes.Crashes.Load(),
 		"rejected_parts":        len(m.crashes.Rejections()),
 		"part_trials":           m.crashes.Trials.Load(),
--- /dev/null
+++ b/internal/forward/paces.go
@@ -0,0 +1,430 @@
+package forward
+
+import (
+	"cmp"
+	"context"
+	"math"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"monsoonkeel.example/monsoonkeel/core/balance"
+	"monsoonkeel.example/monsoonkeel/core/pace"
+	"monsoonkeel.example/monsoonkeel/core/serverstate"
+	"monsoonkeel.example/monsoonkeel/internal/directory"
+	"monsoonkeel.example/monsoonkeel/internal/wait"
+)
+
+// LearnMode decides for which services the capacity of the servers is learned.
+type LearnMode string
+
+const (
+	// LearnAuto learns it for the services of which a server has stated its pace. It is the default.
+	LearnAuto LearnMode = "auto"
+	// LearnOn learns it for all services.
+	LearnOn LearnMode = "on"
+	// LearnOff learns it for none.
+	LearnOff LearnMode = "off"
+)
+
+const (
+	// paceInterval is the time between two updates of the momentary slow-downs, which last 300 ms, and of the loads that samples
+	// refer to.
+	paceInterval = 100 * time.Millisecond
+	// estimateInterval is the time between two updates of the speeds and limits.
+	estimateInterval = 500 * time.Millisecond
+	// gapSampleInterval is the time over which a generation's gaps are averaged to a sample.
+	gapSampleInterval = 500 * time.Millisecond
+	// wholeSampleEvents is the number of events from which a sample counts fully.
+	wholeSampleEvents = 4
+	// maxPendingSamples limits the samples of a server that wait for the next update; more do not improve the estimate.
+	maxPendingSamples = 64
+	// maxPaceReports limits the processes that a host reports, which cost some 80 bytes each in a datagram of 60 KB.
+	maxPaceReports = 128
+	// gapKind is the kind of samples from the gaps of generations; those of responses are named by their route.
+	gapKind = "gap"
+	// slowSpeed is the speed from which a server counts as slow, and speedStep the ratio of two speeds that are logged.
+	slowSpeed, speedStep = 1.25, 1.25
+	// At most maxSpeedLines speeds are logged in an update, and those of one server speedLogInterval apart.
+	maxSpeedLines    = 4
+	speedLogInterval = 5 * time.Second
+)
+
+// paces collects the measurements of servers. Requests only use the maps that need no lock and the lock of one server.
+type paces struct {
+	mode  LearnMode
+	clock func() time.Duration
+	// active has the services whose capacity is learned, and servers the *serverPace by process.
+	active, servers sync.Map
+	// slow is the number of slow servers by the newest estimates.
+	slow atomic.Int64
+
+	// balancers.mu guards the rest.
+	learners map[string]*serviceLearner
+	peers    map[serverstate.Process]pace.Report
+}
+
+// serviceLearner is the learner of a service and its results.
+type serviceLearner struct {
+	*pace.Learner
+	updated   time.Time
+	estimates map[serverstate.Process]pace.Estimate
+	reports   []pace.Report
+	logged    map[serverstate.Process]loggedSpeed
+	// slow is the number of slow servers.
+	slow int64
+}
+
+type loggedSpeed struct {
+	speed float64
+	at    time.Time
+}
+
+// serverPace is what was measured of a process since the last update.
+type serverPace struct {
+	service string
+	process serverstate.Process
+	// step is the step of load, and coldUntil the end of the cold start in nanoseconds on Options.Clock.
+	step      atomic.Int32
+	coldUntil atomic.Int64
+
+	mu       sync.Mutex
+	samples  []pace.Sample
+	stated   int
+	statedAt time.Time
+}
+
+func newPaces(opts Options) *paces {
+	return &paces{mode: LearnMode(cmp.Or(string(opts.LearnCapacity), string(LearnAuto))), clock: opts.Clock, learners: map[string]*serviceLearner{}}
+}
+
+// learns reports whether the capacity of a service's servers is learned.
+func (ps *paces) learns(service string) bool {
+	switch ps.mode {
+	case LearnOff:
+		return false
+	case LearnOn:
+		return true
+	}
+	_, active := ps.active.Load(service)
+	return active
+}
+
+// server returns the measurements of a process; nil if the snapshot does not have it.
+func (ps *paces) server(snapshot *directory.Snapshot, p serverstate.Process) *serverPace {
+	if s, known := ps.servers.Load(p); known {
+		return s.(*serverPace)
+	}
+	listed := snapshot.Servers[p.ID]
+	if listed == nil || listed.StartTime != p.StartTime {
+		return nil
+	}
+	created := &serverPace{service: listed.Service, process: p}
+	created.coldUntil.Store(int64(listed.ColdUntil))
+	s, _ := ps.servers.LoadOrStore(p, created)
+	return s.(*serverPace)
+}
+
+// observeStatedPace records the pace that a server stated in an answer, and activates learning for its service.
+func (g *Gateway) observeStatedPace(server balance.Server, percent int, now time.Time) {
+	ps := g.balancers.paces
+	if percent == 0 || ps.mode == LearnOff {
+		return
+	}
+	s := ps.server(g.opts.Directory.Snapshot(), server.Process())
+	if s == nil {
+		return
+	}
+	if _, active := ps.active.LoadOrStore(s.service, struct{}{}); !active {
+		g.opts.Log.Info().Str("service", s.service).Str("backend", server.ID).Msg("a backend server states its pace, learning the capacity of its service")
+	}
+	s.mu.Lock()
+	s.stated, s.statedAt = percent, now
+	s.mu.Unlock()
+}
+
+// samplePace records a measurement of a server, unless the capacity of its service is not learned or it is cold.
+func (g *Gateway) samplePace(server balance.Server, service, kind string, d time.Duration, weight float64) {
+	ps := g.balancers.paces
+	if !ps.learns(service) {
+		return
+	}
+	s := ps.server(g.opts.Directory.Snapshot(), server.Process())
+	if s == nil || ps.clock() < time.Duration(s.coldUntil.Load()) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.samples) < maxPendingSamples {
+		s.samples = append(s.samples, pace.Sample{Process: s.process, Kind: kind, Step: int(s.step.Load()), Value: d.Seconds(), Weight: weight})
+	}
+}
+
+// gapSampler measures the gaps between the events of a generation.
+type gapSampler struct {
+	server balance.Server
+	// since is the time of the event before the first gap of the sample; zero before the first event.
+	since time.Time
+	gaps  int
+}
+
+// samplePace counts an event that arrived at now. A sample ends after gapSampleInterval.
+func (s *stream) samplePace(now time.Time) {
+	g := &s.gapSampler
+	if g.since.IsZero() {
+		s.startGaps(now)
+		return
+	}
+	if g.gaps++; now.Sub(g.since) >= gapSampleInterval {
+		s.endGaps(now)
+		s.startGaps(now)
+	}
+}
+
+func (s *stream) startGaps(now time.Time) {
+	s.gapSampler = gapSampler{server: s.generation.currentServer(), since: now}
+}
+
+// endGaps records the gaps since the last sample. Those during a change of the engine say nothing of either.
+func (s *stream) endGaps(now time.Time) {
+	g := &s.gapSampler
+	if g.gaps == 0 || s.generation.currentServer().Process() != g.server.Process() {
+		return
+	}
+	s.r.g.samplePace(g.server, s.r.service, gapKind, now.Sub(g.since)/time.Duration(g.gaps), min(1, float64(g.gaps)/wholeSampleEvents))
+}
+
+// currentServer returns the engine where the generation runs.
+func (gen *generation) currentServer() balance.Server {
+	gen.mu.Lock()
+	defer gen.mu.Unlock()
+	return gen.reservation.server
+}
+
+// sampleResponse records the time to a response. The round trip to another region takes longer than many responses, so that only
+// servers of the host's region are compared.
+func (r *request) sampleResponse(server balance.Server, d time.Duration) {
+	if server.Region == r.g.opts.Region && r.g.balancers.paces.learns(r.service) {
+		r.g.samplePace(server, r.service, "route "+r.route.Name, d, 1)
+	}
+}
+
+// LearnCapacity updates what is known of the servers until ctx ends.
+func (g *Gateway) LearnCapacity(ctx context.Context) {
+	if g.balancers.paces.mode == LearnOff {
+		return
+	}
+	for wait.For(ctx, paceInterval) {
+		g.balancers.updatePaces(time.Now(), g.opts.Log)
+	}
+}
+
+// updatePaces passes the measurements since the last update on to the learners, and their results to the balancers.
+func (bs *balancers) updatePaces(now time.Time, log zerolog.Logger) {
+	bs.mu.Lock()
+	defer bs.mu.Unlock()
+	ps := bs.paces
+	ps.servers.Range(func(_, value any) bool {
+		s := value.(*serverPace)
+		service := bs.services[s.service]
+		if service == nil || !ps.learns(s.service) {
+			return true
+		}
+		s.step.Store(int32(pace.Step(service.balancer.Share(s.process.ID))))
+		s.mu.Lock()
+		samples, stated, statedAt := s.samples, s.stated, s.statedAt
+		s.samples, s.stated = nil, 0
+		s.mu.Unlock()
+		l := ps.learner(s.service)
+		if stated > 0 {
+			l.State(s.process, stated, statedAt)
+		}
+		for _, sample := range samples {
+			l.Observe(sample, now)
+		}
+		if now.Sub(statedAt) < estimateInterval {
+			service.setSlowdown(s.process, l.Slowdown(s.process, now))
+		}
+		return true
+	})
+	slow := int64(0)
+	for name, service := range bs.services {
+		if !ps.learns(name) {
+			continue
+		}
+		l := ps.learner(name)
+		if now.Sub(l.updated) >= estimateInterval {
+			l.updated = now
+			l.SetPeers(bs.peerPaces(service))
+			l.Update(now)
+			l.estimates, l.reports = l.Estimates(now), l.Reports()
+			service.setPaces(l.estimates)
+			l.logSpeeds(now, name, log)
+		}
+		slow += l.slow
+	}
+	ps.slow.Store(slow)
+}
+
+func (s *serviceState) setPaces(estimates map[serverstate.Process]pace.Estimate) {
+	s.balancer.SetPaces(estimates)
+	if s.placed != nil {
+		s.placed.SetPaces(estimates)
+	}
+}
+
+func (s *serviceState) setSlowdown(p serverstate.Process, slowdown float64) {
+	s.balancer.SetSlowdown(p, slowdown)
+	if s.placed != nil {
+		s.placed.SetSlowdown(p, slowdown)
+	}
+}
+
+func (ps *paces) learner(service string) *serviceLearner {
+	l := ps.learners[service]
+	if l == nil {
+		l = &serviceLearner{Learner: pace.New(), logged: map[serverstate.Process]loggedSpeed{}}
+		ps.learners[service] = l
+	}
+	return l
+}
+
+// peerPaces returns the measurements of the other hosts of the servers of a service.
+func (bs *balancers) peerPaces(service *serviceState) (list []pace.Report) {
+	for _, s := range service.servers {
+		if r, known := bs.paces.peers[s.Process()]; known {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
+// setPeerPaces replaces the measurements of the other hosts.
+func (bs *balancers) setPeerPaces(reports []pace.Report) {
+	if bs.paces.mode == LearnOff {
+		return
+	}
+	peers := make(map[serverstate.Process]pace.Report, len(reports))
+	for _, r := range reports {
+		peers[r.Process] = r
+	}
+	bs.mu.Lock()
+	defer bs.mu.Unlock()
+	bs.paces.peers = peers
+}
+
+// paceReports returns the measurements of this host for the others: those of the processes with the most samples.
+func (bs *balancers) paceReports() (list []pace.Report) {
+	bs.mu.Lock()
+	for _, l := range bs.paces.learners {
+		list = append(list, l.reports...)
+	}
+	bs.mu.Unlock()
+	if len(list) > maxPaceReports {
+		slices.SortFunc(list, func(a, b pace.Report) int { return cmp.Compare(b.Total(), a.Total()) })
+		list = list[:maxPaceReports]
+	}
+	slices.SortFunc(list, func(a, b pace.Report) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
+
+// retainPaces drops processes that the snapshot does not have.
+func (bs *balancers) retainPaces(now *directory.Snapshot) {
+	keep := func(p serverstate.Process) bool {
+		s := now.Servers[p.ID]
+		return s != nil && s.StartTime == p.StartTime
+	}
+	bs.paces.servers.Range(func(key, value any) bool {
+		if p := key.(serverstate.Process); !keep(p) {
+			bs.paces.servers.Delete(p)
+		} else {
+			value.(*serverPace).coldUntil.Store(int64(now.Servers[p.ID].ColdUntil))
+		}
+		return true
+	})
+	for _, l := range bs.paces.learners {
+		l.Retain(keep)
+		for p := range l.logged {
+			if !keep(p) {
+				delete(l.logged, p)
+			}
+		}
+	}
+}
+
+// logSpeeds counts the slow servers and logs the speeds that have changed.
+func (l *serviceLearner) logSpeeds(now time.Time, service string, log zerolog.Logger) {
+	lines := 0
+	l.slow = 0
+	for p, e := range l.estimates {
+		if e.Speed >= slowSpeed {
+			l.slow++
+		}
+		if lines < maxSpeedLines && l.logSpeed(p, e, now, service, log) {
+			lines++
+		}
+	}
+}
+
+// logSpeed logs a speed that has changed by a step, and reports whether it did.
+func (l *serviceLearner) logSpeed(p serverstate.Process, e pace.Estimate, now time.Time, service string, log zerolog.Logger) bool {
+	last, known := l.logged[p]
+	if !known {
+		last.speed = 1
+	}
+	if math.Abs(math.Log2(e.Speed/last.speed)) < math.Log2(speedStep) || now.Sub(last.at) < speedLogInterval {
+		return false
+	}
+	l.logged[p] = loggedSpeed{e.Speed, now}
+	log.Info().Str("service", service).Str("backend", p.ID).Float64("speed", e.Speed).Float64("former", last.speed).
+		Float64("limit", e.Limit).Float64("samples", e.Samples).Msg("learned speed of a backend server changed")
+	return true
+}
+
+// PaceState is what was learned of a server, for the state dump.
+type PaceState struct {
+	Service string  `json:"service"`
+	Backend string  `json:"backend"`
+	Speed   float64 `json:"speed"`
+	// Slowdown is that of this moment, in addition to Speed.
+	Slowdown float64 `json:"slowdown"`
+	Limit    float64 `json:"limit"`
+	Samples  float64 `json:"samples"`
+	// AgeMS is the age of this host's last sample; -1 for none.
+	AgeMS int64 `json:"age_ms"`
+}
+
+// Paces returns what was learned of the servers, ordered by service and server.
+func (g *Gateway) Paces() []PaceState {
+	bs, now := g.balancers, time.Now()
+	bs.mu.Lock()
+	defer bs.mu.Unlock()
+	list := []PaceState{}
+	for service, l := range bs.paces.learners {
+		for p, e := range l.estimates {
+			age := int64(-1)
+			if !e.SampledAt.IsZero() {
+				age = now.Sub(e.SampledAt).Milliseconds()
+			}
+			list = append(list, PaceState{Service: service, Backend: p.ID, Speed: e.Speed, Slowdown: e.Slowdown, Limit: e.Limit, Samples: e.Samples, AgeMS: age})
+		}
+	}
+	slices.SortFunc(list, func(a, b PaceState) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Backend, b.Backend))
+	})
+	return list
+}
+
+// learnedServices returns for each service of the snapshot whether the capacity of its servers is learned.
+func (bs *balancers) learnedServices() map[string]bool {
+	bs.mu.Lock()
+	defer bs.mu.Unlock()
+	out := make(map[string]bool, len(bs.services))
+	for name := range bs.services {
+		out[name] = bs.paces.learns(name)
+	}
+	return out
+}
--- a/internal/forward/placer.go
+++ b/internal/forward/placer.go
@@ -52,6 +52,7 @@
 	}
 	if s.placed == nil {
 		s.placed = balance.New(rand.IntN, nil, nil)
+		s.placed.SetPaces(s.balancer.Paces())
 	}
 	if s.placedCurrent {
 		return s.placed
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -80,6 +80,7 @@
 	delivered, repeated int
 	// sourceEvents counts the events that the current source sent.
 	sourceEvents int
+	gapSampler   gapSampler
 }
 
 // startStream sends the request and reads the response header.
@@ -307,6 +308,7 @@
 		s.r.prompt.RecordAnswer()
 	}
 	s.lastAt = now
+	s.samplePace(now)
 }
 
 // complete ends the caller's response after the last event.
@@ -314,6 +316,7 @@
 	s.r.g.Metrics.CompletedStreams.Add(1)
 	if s.r.events > 0 {
 		s.r.prompt.RecordAnswer()
+		s.endGaps(s.lastAt)
 	}
 	s.finish(true)
 	if !s.headerSent {
