Weigh the speed of an engine without regard to its load

Cause: most of a step's time does not depend on the load, so a slow engine misses the gap target also with little work. Change: the cost of an engine has its speed times 1.0 of its KV cache; former samples count less for servers with little work, so that they are measured again.

--- a/core/balance/pace.go
+++ b/core/balance/pace.go
@@ -5,6 +5,11 @@
 	"monsoonkeel.example/monsoonkeel/core/serverstate"
 )
 
+// engineSpeedCost is the weight of an engine's speed without regard to its load, as a fraction of its KV cache. Most of the time
+// of a step does not depend on the load, so that generations are slow also on an idle slow engine. The weight is half of the
+// fixed part of a step: an error of a tenth in the speed must not move more than one long generation.
+const engineSpeedCost = 1.0
+
 // SetPaces replaces what was learned of the servers. Without it, and for processes that it does not name, costs depend on
 // load and location only.
 func (b *Balancer) SetPaces(paces map[serverstate.Process]pace.Estimate) {
@@ -63,7 +68,7 @@
 	load := float64(total.Tokens + req.Tokens)
 	prefill := s.pace.Slowdown * (prefillWeight*float64(total.Prefill) + added)
 	with := total.Plus(Load{Requests: 1, Tokens: req.Tokens})
-	return s.pace.Speed*((load+prefill)/kv+b.pastLimit(s, with)) - added/kv
+	return s.pace.Speed*(engineSpeedCost+(load+prefill)/kv+b.pastLimit(s, with)) - engineSpeedCost - added/kv
 }
 
 // pacedPlainLoad is the same for a plain server, as a fraction of its slots.
--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -22,6 +22,8 @@
 	slowHalfLife = time.Minute
 	// priorSamples is the number of samples at the usual speed that count in addition to those taken.
 	priorSamples = 4
+	// minWork is the number of recent samples below which a server has so little work that former samples count less.
+	minWork = 8
 	// minSamples is the number of samples at a step of load from which it counts for the limit.
 	minSamples = 16
 	// limitThroughput is the throughput past the limit, in fractions of the best one, below which the server counts as slowed.
@@ -277,8 +279,9 @@
 			fits = append(fits, f)
 			levels = append(levels, weighted{f.log / f.n, min(f.n, priorSamples)})
 		}
-		if f.n < priorSamples { // no work: it is judged anew soon
-			s.n, s.log = (1-part)*s.n, (1-part)*s.log
+		if f.n < minWork && s.n > 0 { // it is judged anew soon
+			factor := (1 - part) * min(1, minSamples/s.n)
+			s.n, s.log = factor*s.n, factor*s.log
 		}
 		s.logSpeed = s.log / (s.n + priorSamples)
 	}
