Place long generations where their gaps keep the objective, and bound the messages with measurements

The measurements took 7.3 KB/s of each member of a group (TestMeasurementsTakeLittleOfTheNetwork before the change), the limit for all control is 5 KB/s. Change: hosts count the events of generations and the late gaps by server and share them; servers of similar speed are judged together until they have shown enough. Measurements are sent once a second at most, by the primary aggregator only, as one sum of all groups.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -97,6 +97,8 @@
 	Standby bool
 	// Exposed is set if a server of a version that is being rolled out may be picked.
 	Exposed bool
+	// Events is the number of events that the generation is expected to have; 0 if their gaps do not matter.
+	Events int
 	// From is the failure domain of the host that sends the request; empty for Settings.Domain.
 	From string
 }
--- a/core/balance/pace.go
+++ b/core/balance/pace.go
@@ -68,9 +68,13 @@
 	load := float64(total.Tokens + req.Tokens)
 	prefill := s.pace.Slowdown * (prefillWeight*float64(total.Prefill) + added)
 	with := total.Plus(Load{Requests: 1, Tokens: req.Tokens})
-	return s.pace.Speed*(engineSpeedCost+(load+prefill)/kv+b.pastLimit(s, with)) - engineSpeedCost - added/kv
+	return s.pace.Speed*(engineSpeedCost+(load+prefill)/kv+b.pastLimit(s, with)) - engineSpeedCost - added/kv + lateCost*s.pace.LateShare(req.Events)
 }
 
+// lateCost is the cost of a server at which each generation has a late gap, as a fraction of an engine's KV cache. A fuller
+// engine delays the first event by some prefills, while a late gap loses most of what the generation is worth to its caller.
+const lateCost = 4.0
+
 // pacedPlainLoad is the same for a plain server, as a fraction of its slots.
 func (b *Balancer) pacedPlainLoad(s *server) float64 {
 	total := s.own.Plus(s.peers)
--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -56,6 +56,8 @@
 	Value float64
 	// Weight is 1 for a whole sample.
 	Weight float64
+	// Gaps are the events that the sample is about, for gaps of generations with an objective.
+	Gaps Gaps
 }
 
 // Step returns the step of load of a server of which a share of what it can hold is in use.
@@ -69,6 +71,8 @@
 	Slowdown float64
 	// Limit is the load past which the server slows, as a fraction of what it can hold; 1 if it does not.
 	Limit float64
+	// LateRate is the number of spells with late gaps per event of a generation.
+	LateRate float64
 	// Samples is the number of recent samples of all hosts, and SampledAt the time of the last one of this host.
 	Samples   float64
 	SampledAt time.Time
@@ -107,8 +111,11 @@
 	n, log float64
 	// logSpeed is the speed relative to the service's median.
 	logSpeed, limit float64
-	sampledAt       time.Time
-	stated          stated
+	// gaps are those that this host counted, and peerGaps those of the other hosts.
+	gaps, peerGaps Gaps
+	lateRate       float64
+	sampledAt      time.Time
+	stated         stated
 }
 
 // Learner learns the servers of one service at one host.
@@ -168,15 +175,19 @@
 	}
 	s.own[o.Kind].n[o.Step] += o.Weight
 	s.own[o.Kind].log[o.Step] += o.Weight * log
+	s.gaps = s.gaps.Plus(o.Gaps)
 	s.sampledAt = now
 }
 
 // SetPeers replaces what the other hosts measured together.
 func (l *Learner) SetPeers(reports []Report) {
 	for _, s := range l.servers {
-		s.peers = sums{}
+		s.peers, s.peerGaps = sums{}, Gaps{}
 	}
 	for _, r := range reports {
+		if r.Gaps.isValid() {
+			l.server(r.Process).peerGaps = r.Gaps
+		}
 		p := &l.server(r.Process).peers
 		for i, n := range r.Samples {
 			// Damaged or false figures of one host must not exceed the bounds of a sample.
@@ -207,6 +218,7 @@
 	fast, slow := decay(elapsed, fastHalfLife), decay(elapsed, slowHalfLife)
 	for _, s := range l.servers {
 		s.merged = s.peers
+		s.gaps = s.gaps.times(decay(elapsed, gapHalfLife))
 		for kind, own := range s.own {
 			own.scale(fast)
 			if usual, known := l.usual[kind]; known {
@@ -226,6 +238,7 @@
 		s.limit = s.fitLimit()
 		s.stated.decay(slow)
 	}
+	l.fitLateRates()
 	l.alignUsual()
 }
 
@@ -396,7 +409,7 @@
 	out := make(map[serverstate.Process]Estimate, len(l.servers))
 	for p, s := range l.servers {
 		out[p] = Estimate{
-			Speed: bounded(s.logSpeed), Slowdown: bounded(s.stated.excess(now)), Limit: s.limit,
+			Speed: bounded(s.logSpeed), Slowdown: bounded(s.stated.excess(now)), Limit: s.limit, LateRate: s.lateRate,
 			Samples: s.merged.total(), SampledAt: s.sampledAt,
 		}
 	}
@@ -414,8 +427,8 @@
 				own.add(k, 1, usual.log)
 			}
 		}
-		if own.total() >= minReported {
-			list = append(list, Report{Process: p, Samples: own.n, LogRatios: own.log})
+		if own.total() >= minReported || s.gaps.Late >= minReported {
+			list = append(list, Report{Process: p, Samples: own.n, LogRatios: own.log, Gaps: s.gaps})
 		}
 	}
 	return list
--- a/core/pace/report.go
+++ b/core/pace/report.go
@@ -16,6 +16,8 @@
 	// LogRatios are the sums of the binary logarithms of the ratio between what was measured and what the service's servers
 	// usually take.
 	LogRatios [LoadSteps]float64
+	// Gaps are the events of generations at the server and the late gaps among them.
+	Gaps Gaps
 }
 
 // Total returns the number of samples.
@@ -32,4 +34,5 @@
 		r.Samples[i] += o.Samples[i]
 		r.LogRatios[i] += o.LogRatios[i]
 	}
+	r.Gaps = r.Gaps.Plus(o.Gaps)
 }
--- a/internal/forward/paces.go
+++ b/internal/forward/paces.go
@@ -156,7 +156,7 @@
 }
 
 // samplePace records a measurement of a server, unless the capacity of its service is not learned or it is cold.
-func (g *Gateway) samplePace(server balance.Server, service, kind string, d time.Duration, weight float64) {
+func (g *Gateway) samplePace(server balance.Server, service string, sample pace.Sample) {
 	ps := g.balancers.paces
 	if !ps.learns(service) {
 		return
@@ -168,7 +168,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.samples) < maxPendingSamples {
-		s.samples = append(s.samples, pace.Sample{Process: s.process, Kind: kind, Step: int(s.step.Load()), Value: d.Seconds(), Weight: weight})
+		sample.Process, sample.Step = s.process, int(s.step.Load())
+		s.samples = append(s.samples, sample)
 	}
 }
 
@@ -178,6 +179,9 @@
 	// since is the time of the event before the first gap of the sample; zero before the first event.
 	since time.Time
 	gaps  int
+	// last is the time of the newest event, and late is set if a gap was later than the objective of the route.
+	last time.Time
+	late bool
 }
 
 // samplePace counts an event that arrived at now. A sample ends after gapSampleInterval.
@@ -187,6 +191,10 @@
 		s.startGaps(now)
 		return
 	}
+	if objective := s.r.route.GapObjective; objective > 0 && now.Sub(g.last) > objective {
+		g.late = true
+	}
+	g.last = now
 	if g.gaps++; now.Sub(g.since) >= gapSampleInterval {
 		s.endGaps(now)
 		s.startGaps(now)
@@ -194,7 +202,7 @@
 }
 
 func (s *stream) startGaps(now time.Time) {
-	s.gapSampler = gapSampler{server: s.generation.currentServer(), since: now}
+	s.gapSampler = gapSampler{server: s.generation.currentServer(), since: now, last: now}
 }
 
 // endGaps records the gaps since the last sample. Those during a change of the engine say nothing of either.
@@ -203,7 +211,23 @@
 	if g.gaps == 0 || s.generation.currentServer().Process() != g.server.Process() {
 		return
 	}
-	s.r.g.samplePace(g.server, s.r.service, gapKind, now.Sub(g.since)/time.Duration(g.gaps), min(1, float64(g.gaps)/wholeSampleEvents))
+	sample := pace.Sample{Kind: gapKind, Value: (now.Sub(g.since) / time.Duration(g.gaps)).Seconds(), Weight: min(1, float64(g.gaps)/wholeSampleEvents)}
+	if s.r.route.GapObjective > 0 {
+		sample.Gaps.Events = float64(g.gaps)
+	}
+	if g.late {
+		sample.Gaps.Late = 1
+	}
+	s.r.g.samplePace(g.server, s.r.service, sample)
+}
+
+// expectedEvents returns the number of events that a generation is expected to have; 0 if the route has no objective for the gaps.
+func (r *request) expectedEvents() int {
+	engine := r.g.balancers.engineConfig(r.service)
+	if r.route.GapObjective == 0 || engine == nil {
+		return 0
+	}
+	return r.outputTokens / max(1, engine.EventTokens)
 }
 
 // currentServer returns the engine where the generation runs.
@@ -217,7 +241,7 @@
 // servers of the host's region are compared.
 func (r *request) sampleResponse(server balance.Server, d time.Duration) {
 	if server.Region == r.g.opts.Region && r.g.balancers.paces.learns(r.service) {
-		r.g.samplePace(server, r.service, "route "+r.route.Name, d, 1)
+		r.g.samplePace(server, r.service, pace.Sample{Kind: "route " + r.route.Name, Value: d.Seconds(), Weight: 1})
 	}
 }
 
@@ -463,6 +487,8 @@
 	// Slowdown is that of this moment, in addition to Speed.
 	Slowdown float64 `json:"slowdown"`
 	Limit    float64 `json:"limit"`
+	// LateRate is the number of spells with late gaps per event.
+	LateRate float64 `json:"late_rate"`
 	Samples  float64 `json:"samples"`
 	// AgeMS is the age of this host's last sample; -1 for none.
 	AgeMS int64 `json:"age_ms"`
@@ -480,7 +506,7 @@
 			if !e.SampledAt.IsZero() {
 				age = now.Sub(e.SampledAt).Milliseconds()
 			}
-			list = append(list, PaceState{Service: service, Backend: p.ID, Speed: e.Speed, Slowdown: e.Slowdown, Limit: e.Limit, Samples: e.Samples, AgeMS: age})
+			list = append(list, PaceState{Service: service, Backend: p.ID, Speed: e.Speed, Slowdown: e.Slowdown, Limit: e.Limit, LateRate: e.LateRate, Samples: e.Samples, AgeMS: age})
 		}
 	}
 	slices.SortFunc(list, func(a, b PaceState) int {
--- a/internal/forward/paces_test.go
+++ b/internal/forward/paces_test.go
@@ -47,7 +47,7 @@
 		now = now.Add(paceInterval)
 		for i, s := range servers {
 			factor := []float64{1, 1, 2, 5}[i]
-			g.samplePace(s, "model", gapKind, time.Duration(factor*float64(40*time.Millisecond)*(0.8+0.4*random.Float64())), 1)
+			g.samplePace(s, "model", pace.Sample{Kind: gapKind, Value: factor * 0.04 * (0.8 + 0.4*random.Float64()), Weight: 1})
 		}
 		g.balancers.updatePaces(now, zerolog.Nop())
 	}
--- a/internal/forward/placer.go
+++ b/internal/forward/placer.go
@@ -111,7 +111,7 @@
 	balancer.SetPeerLoad(loads)
 	elapsed := now.Sub(bs.started)
 	balancer.SetSuspects(bs.outliers.Ejected(r.Domain, elapsed))
-	req := balance.Request{Tokens: r.Tokens, Prefill: r.Prefill, Exclude: r.Exclude, From: r.Domain}
+	req := balance.Request{Tokens: r.Tokens, Prefill: r.Prefill, Events: r.Events, Exclude: r.Exclude, From: r.Domain}
 	if len(r.Regions) > 0 {
 		req.Allowed = func(region string) bool { return slices.Contains(r.Regions, region) }
 	}
@@ -159,7 +159,7 @@
 		return nil
 	}
 	question := gossip.PlacementRequest{
-		Service: service, Tokens: req.Tokens, Prefill: req.Prefill, Domain: bs.opts.Domain, Regions: regions,
+		Service: service, Tokens: req.Tokens, Prefill: req.Prefill, Events: req.Events, Domain: bs.opts.Domain, Regions: regions,
 		Exclude: append(s.balancer.Unusable(time.Now()), req.Exclude...),
 	}
 	if req.Source != nil {
--- a/internal/gossip/digest.go
+++ b/internal/gossip/digest.go
@@ -39,7 +39,10 @@
 	} else {
 		newPhases = len(d.Rollouts) > 0
 	}
-	r := &receivedDigest{Digest: d, madeAt: made, madeWall: s.ReceivedWall.Add(-d.Age), isPrimary: isPrimary}
+	r := &receivedDigest{Digest: d, madeAt: made, madeWall: s.ReceivedWall.Add(-d.Age), isPrimary: isPrimary, pacesAt: s.ReceivedAt}
+	if last := e.digests[d.Group]; len(d.Paces) == 0 && last != nil && s.ReceivedAt-last.pacesAt < paceTimeout {
+		r.Paces, r.pacesAt = last.Paces, last.pacesAt
+	}
 	if own, ok := e.topology.GroupOf(e.opts.Self.ID); ok && own == d.Group {
 		r.ownLoads, r.ownRollouts, r.includesSelf = s.EchoLoads, s.EchoRollouts, s.Echo != MessageID{}
 	}
@@ -53,15 +56,16 @@
 		own := e.digest(group, now)
 		own.Generations = nil
 		digests := []Digest{own}
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		digests[0].Paces = e.withPacesOfOthers(own.Paces, group)
 		if !withOthers {
 			return digests
 		}
-		e.mu.Lock()
-		defer e.mu.Unlock()
 		for g, d := range e.digests {
 			if g != group {
 				other := d.Digest
-				other.Age, other.Generations = now-d.madeAt, nil
+				other.Age, other.Generations, other.Paces = now-d.madeAt, nil, nil
 				digests = append(digests, other)
 			}
 		}
@@ -218,6 +222,8 @@
 	own, _ := e.topology.GroupOf(e.opts.Self.ID)
 	counted := 0 // hosts of which the state is part of the view
 	sums := e.sums.next(now)
+	// The others get the measurements of all groups from the primary aggregator of their own.
+	sumsPaces := v.InMesh || v.Role == topology.Primary
 	for id, p := range e.peers {
 		if p.RelayedUpdate != nil && !p.applied {
 			v.Updates = append(v.Updates, Update{RelayedUpdate: p.RelayedUpdate, EchoSentAt: p.EchoSentAt})
@@ -232,7 +238,10 @@
 		counted++
 		host, _ := e.topology.Host(id)
 		v.addState(p, e.opts.Self.ID, host.Domain, now)
-		sums.add(p.Rollouts, p.Paces)
+		sums.add(p.Rollouts, nil)
+		if sumsPaces {
+			sums.add(nil, p.Paces)
+		}
 		p.applied = true
 	}
 	reported := counted
@@ -246,7 +255,13 @@
 		if d.includesSelf {
 			v.LiveHosts = max(0, v.LiveHosts-1)
 		}
-		sums.add(withoutOwn(d.Rollouts, d.ownRollouts), d.Paces)
+		sums.add(withoutOwn(d.Rollouts, d.ownRollouts), nil)
+		if sumsPaces {
+			sums.add(nil, d.Paces)
+		}
+	}
+	if d := e.digests[own]; !sumsPaces && d != nil {
+		sums.add(nil, d.Paces)
 	}
 	v.LiveHosts += counted
 	v.Rollouts, v.Paces = e.sums.apply(sums, now)
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -107,6 +107,9 @@
 	if sent := e.sentMessage(s.Echo); sent != nil {
 		s.EchoSentAt, s.EchoLoads, s.EchoRollouts = sent.at, sent.loads, sent.rollouts
 	}
+	if s.pacesAt = now; len(s.Paces) == 0 && last != nil && now-last.pacesAt < paceTimeout {
+		s.Paces, s.pacesAt = last.Paces, last.pacesAt
+	}
 	e.peers[s.Host] = s
 	newPhases := last == nil || !samePhases(s.Rollouts, last.Rollouts)
 	for _, d := range s.Digests {
@@ -199,7 +202,9 @@
 type schedule struct {
 	toPrimary, toSecondary, toAll time.Duration
 	immediate                     time.Duration
-	last                          State
+	// paces is when messages of each kind last had measurements of backend servers.
+	paces [paceMessageKinds]time.Duration
+	last  State
 }
 
 func (e *Exchange) sendLoop(ctx context.Context, conn *net.UDPConn) {
@@ -265,9 +270,7 @@
 	for _, batch := range e.dueMessages(sent, &next, now, immediate) {
 		state := next
 		state.Sequence = e.beginMessage(now, &next)
-		if batch.digests != nil {
-			state.Digests = batch.digests(now)
-		}
+		batch.fill(&state, sent, now)
 		e.send(conn, &state, batch, now)
 	}
 	switch {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -108,6 +108,8 @@
 	EchoRollouts []rollout.Report `json:"-"`
 	// applied is set once a view was built with the state.
 	applied bool
+	// pacesAt is when Paces were received.
+	pacesAt time.Duration
 }
 
 // MessageID identifies one message of a host.
@@ -314,6 +316,8 @@
 	includesSelf bool
 	// applied is set once a view was built with the digest.
 	applied bool
+	// pacesAt is when Paces were received.
+	pacesAt time.Duration
 }
 
 // New returns an Exchange; Run must be called for it to work.
--- a/internal/gossip/group_test.go
+++ b/internal/gossip/group_test.go
@@ -100,9 +100,7 @@
 	for _, batch := range node.dueMessages(&node.sent, &next, now, immediate) {
 		state := next
 		state.Sequence = node.beginMessage(now, &next)
-		if batch.digests != nil {
-			state.Digests = batch.digests(now)
-		}
+		batch.fill(&state, &node.sent, now)
 		base, sent, err := encodeBounded(&state, node.opts.Log)
 		require.NoError(n.t, err)
 		for _, r := range batch.receivers {
--- a/internal/gossip/paces.go
+++ b/internal/gossip/paces.go
@@ -84,7 +84,8 @@
 			p.Samples = append(p.Samples, samples)
 			p.LogRatios = append(p.LogRatios, paceUnits(r.LogRatios[i], maxPaceSamples*maxPaceLog))
 		}
-		if len(p.Samples) > 0 {
+		p.Events, p.Late = paceUnits(max(r.Gaps.Events, 0), maxPaceSamples), paceUnits(max(r.Gaps.Late, 0), maxPaceSamples)
+		if len(p.Samples) > 0 || p.Late > 0 {
 			list = append(list, p)
 		}
 	}
@@ -103,6 +104,8 @@
 				r.LogRatios[i] = min(max(float64(m.LogRatios[i])*paceUnit, -limit), limit)
 			}
 		}
+		r.Gaps.Events = min(max(float64(m.Events)*paceUnit, 0), maxPaceSamples)
+		r.Gaps.Late = min(max(float64(m.Late)*paceUnit, 0), r.Gaps.Events)
 		reports = append(reports, r)
 	}
 	return reports
--- a/internal/gossip/placement.go
+++ b/internal/gossip/placement.go
@@ -39,6 +39,8 @@
 	Source string
 	// Exposed is set if a server of a version that is being rolled out may be chosen.
 	Exposed bool
+	// Events is the number of events that the generation is expected to have.
+	Events int
 }
 
 // Placement is the answer of an aggregator.
@@ -111,7 +113,7 @@
 
 func encodeQuestion(id uint64, r PlacementRequest) *pb.Placement {
 	return &pb.Placement{
-		Id: id, Service: r.Service, Tokens: int64(r.Tokens), Prefill: int64(r.Prefill), Domain: r.Domain, Source: r.Source, Exposed: r.Exposed,
+		Id: id, Service: r.Service, Tokens: int64(r.Tokens), Prefill: int64(r.Prefill), Domain: r.Domain, Source: r.Source, Exposed: r.Exposed, Events: int64(r.Events),
 		Exclude: r.Exclude[:min(len(r.Exclude), maxPlacementNames)], Regions: r.Regions,
 	}
 }
@@ -149,7 +151,7 @@
 	}
 	bounded := func(n int64) int { return int(min(max(n, 0), maxLoad)) }
 	placed := e.opts.Place(host, PlacementRequest{
-		Service: p.Service, Tokens: bounded(p.Tokens), Prefill: bounded(p.Prefill), Exclude: p.Exclude, Regions: p.Regions, Domain: p.Domain, Source: p.Source, Exposed: p.Exposed,
+		Service: p.Service, Tokens: bounded(p.Tokens), Prefill: bounded(p.Prefill), Exclude: p.Exclude, Regions: p.Regions, Domain: p.Domain, Source: p.Source, Exposed: p.Exposed, Events: bounded(p.Events),
 	})
 	e.sendPlacement(conn, receiver{host, from}, &pb.Placement{Id: p.Id, Answer: true, Server: placed.Server, Number: placed.Number})
 }
--- a/internal/gossip/receivers.go
+++ b/internal/gossip/receivers.go
@@ -37,6 +37,7 @@
 	digests func(now time.Duration) []Digest
 	// generations are those at terminating engines, by engine. Each receiver gets those at its engines.
 	generations map[string][]Generation
+	paceKind    paceMessageKind
 }
 
 // receiver is a host that gets a message.
@@ -90,14 +91,17 @@
 			interval = secondaryInterval
 		}
 		if due := dueAt(&sent.toPrimary, interval); due || immediate {
-			m := messages{generations: e.terminatingGenerations(group, next.Generations)}
+			m := messages{generations: e.terminatingGenerations(group, next.Generations), paceKind: pacesToMembers}
 			if due {
+				if role == topology.Secondary {
+					m.paceKind = noPaces
+				}
 				m.digests = e.digestsForMembers(group, dueAt(&sent.toSecondary, otherDigestsInterval))
 			}
 			add(e.groupHosts(group), m)
 		}
 		if immediate || dueAt(&sent.toAll, groupInterval) {
-			add(e.otherAggregators(group, now), messages{digests: func(now time.Duration) []Digest { return []Digest{e.digest(group, now)} }})
+			add(e.otherAggregators(group, now), messages{paceKind: pacesToAggregators, digests: func(now time.Duration) []Digest { return []Digest{e.digest(group, now)} }})
 		}
 	}
 	if changed && len(due) > 0 {
