Limit the servers of each request during a roll-out

Ruled out: a separate balancer for each version: load, rate limits and refusals would be split. All paths through isCandidate follow it; an exposed request picks from the target first, and from the other versions if that has no server for it. Conclusion: without a roll-out nothing changes; core/balance tests pass with -race.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -150,6 +150,7 @@
 	limits *ratelimit.Limiter
 	// refusals are the servers that refuse requests for a time; nil for none.
 	refusals *serverstate.Refusals
+	rollout  Rollout
 }
 
 // New returns a Balancer without servers. intn returns a random number from 0
@@ -197,24 +198,36 @@
 func (b *Balancer) SetSuspects(suspects map[string]bool) { b.suspects = suspects }
 
 // Pick returns the candidate of lowest cost that has capacity. Ejected servers
-// are candidates only if there are no others. Pick reserves nothing: the caller adds
-// the load with AddRequest or AddLoad.
+// are candidates only if there are no others. An exposed request gets a server of the
+// version that is rolled out, and one of another version only if that has none. Pick
+// reserves nothing: the caller adds the load with AddRequest or AddLoad.
 func (b *Balancer) Pick(req Request, now time.Time) (Server, Reason) {
-	best, reason := b.pick(req, now, false)
-	if reason == NoCandidate || reason == Refused {
-		best, reason = b.pick(req, now, true)
+	reason := NoCandidate
+	for _, at := range b.sides(req) {
+		best, why := b.pick(req, now, at, false)
+		if best != nil {
+			return best.Server, Chosen
+		}
+		// What a request waits for at any version: a server that is full becomes free without further notice.
+		if reason == NoCandidate || reason == Refused && why != NoCandidate {
+			reason = why
+		}
 	}
+	if reason != NoCandidate && reason != Refused {
+		return Server{}, reason
+	}
+	best, reason := b.pick(req, now, anySide, true)
 	if best == nil {
 		return Server{}, reason
 	}
 	return best.Server, Chosen
 }
 
-func (b *Balancer) pick(req Request, now time.Time, includeEjected bool) (*server, Reason) {
+func (b *Balancer) pick(req Request, now time.Time, at side, includeEjected bool) (*server, Reason) {
 	near, far := b.nearby[:0], b.distant[:0]
 	reason := NoCandidate
 	for id, s := range b.servers {
-		if !b.isCandidate(id, s, req) || !includeEjected && (now.Before(s.ejectedUntil) || b.suspects[id]) {
+		if !b.isCandidate(id, s, req) || !b.isAtSide(s, at) || !includeEjected && (now.Before(s.ejectedUntil) || b.suspects[id]) {
 			continue
 		}
 		if b.refusals != nil && !b.refusals.Allows(s.Process(), now) {
@@ -295,7 +308,7 @@
 
 // isCandidate reports whether a server may serve a request.
 func (b *Balancer) isCandidate(id string, s *server, req Request) bool {
-	return s.present && !contains(req.Exclude, id) && (req.Allowed == nil || req.Allowed(s.Region))
+	return s.present && !contains(req.Exclude, id) && (req.Allowed == nil || req.Allowed(s.Region)) && b.allowsVersion(id, s, req)
 }
 
 // allowsRate reports whether the rate limit of a server allows a request. A standby replica needs no
@@ -307,7 +320,7 @@
 func (b *Balancer) hasCapacity(s *server, req Request, now time.Time) bool {
 	if req.Standby {
 		used := s.own.Tokens + s.peers.Tokens + req.Tokens
-		return used <= b.standbyCapacity(s.Region)
+		return used <= b.standbyCapacity(s.Region, req)
 	}
 	if b.settings.Limited && s.recentRequests(now) >= s.PerSecond {
 		return false
@@ -323,11 +336,12 @@
 
 // standbyCapacity returns how many tokens of an engine's KV cache may be in use,
 // including a new standby replica, so that the generations of survivableEngineLosses
-// engines of the region fit into the others.
-func (b *Balancer) standbyCapacity(region string) int {
+// engines of the region fit into the others. Engines of a version that the generation may not use count as
+// absent.
+func (b *Balancer) standbyCapacity(region string, req Request) int {
 	engines := 0
-	for _, s := range b.servers {
-		if s.present && s.Region == region {
+	for id, s := range b.servers {
+		if s.present && s.Region == region && b.allowsVersion(id, s, req) {
 			engines++
 		}
 	}
