Divide, judge and complete roll-outs in core/rollout

Change: exposure of one host, the subset of target servers, the sequential test by route, phases, writes. Conclusion: compiles; untested.

--- a/core/rollout/tracker.go
+++ b/core/rollout/tracker.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"monsoonkeel.example/monsoonkeel/core/fleet"
 )
 
@@ -44,18 +46,50 @@
 
 // Tracker is one roll-out as one host sees it. It is not safe for concurrent use.
 type Tracker struct {
-	id       ID
-	settings Settings
-	phase    Phase
+	id    ID
+	known time.Time
+	ramp  time.Duration
+
+	phase  Phase
+	reason string
+
+	exposure exposure
+	used     subset
+	own      observed
+	judge    judgement
+	progress progress
+	writer   writer
 }
 
 // New returns the Tracker of a roll-out that this host learned of now. random returns a random number from 0 to 1.
 func New(request fleet.Rollout, settings Settings, random func() float64, now time.Time) *Tracker {
-	return &Tracker{id: ID{Service: request.Service, Target: request.Target, Created: request.Created}, settings: settings, phase: Canary}
+	t := &Tracker{
+		id: ID{Service: request.Service, Target: request.Target, Created: request.Created}, known: now, ramp: request.Ramp, phase: Canary,
+		exposure: newExposure(settings, random), judge: newJudgement(), own: newObserved(),
+	}
+	t.writer.request = request
+	t.progress.since, t.progress.updated = now, now
+	if over := t.storePhase(request); over != Unknown {
+		t.phase, t.reason = over, "the store has this state"
+	}
+	return t
 }
 
 // Rank returns the number of hosts of a list that decide on a roll-out before a host.
-func Rank(id ID, host string, hosts []string) int { return 0 }
+func Rank(id ID, host string, hosts []string) int {
+	own := rankHash(id, host)
+	rank := 0
+	for _, other := range hosts {
+		if h := rankHash(id, other); other != host && (h < own || h == own && other < host) {
+			rank++
+		}
+	}
+	return rank
+}
+
+func rankHash(id ID, host string) uint64 {
+	return xxhash.Sum64String(id.Service + "/" + id.Target + "/" + host)
+}
 
 // ID returns what identifies the roll-out.
 func (t *Tracker) ID() ID { return t.id }
@@ -64,41 +98,59 @@
 func (t *Tracker) Phase() Phase { return t.phase }
 
 // SetHosts sets the number of hosts among which the extra requests are divided.
-func (t *Tracker) SetHosts(n int) {}
+func (t *Tracker) SetHosts(n int) { t.exposure.setHosts(n) }
 
 // Next counts a new request of a caller for the service and reports whether it may go to the target. If so, it counts as
 // exposed until Release.
-func (t *Tracker) Next(now time.Time) (exposed bool) { return false }
+func (t *Tracker) Next(now time.Time) (exposed bool) { return t.next(1, now) }
+
+// NextOn is Next for a request on a known route. In the canary phase it prefers requests on routes with little traffic, so that
+// the version is judged on each route in about the same time.
+func (t *Tracker) NextOn(route string, now time.Time) (exposed bool) {
+	return t.next(t.judge.preference(route, t.exposure.canaryShare()), now)
+}
+
+func (t *Tracker) next(preference float64, now time.Time) bool {
+	t.exposure.requests++
+	if t.phase == Canary {
+		return t.exposure.takeCanary(min(preference, maxCanaryShare))
+	}
+	return t.exposure.take(t.share(now))
+}
 
 // Again reports whether one more attempt of a request (a retry, a hedged request, a resume, a migration) may go to the target, and
 // counts it as exposed.
-func (t *Tracker) Again(now time.Time) (exposed bool) { return false }
+func (t *Tracker) Again(now time.Time) (exposed bool) {
+	if t.phase == Canary {
+		return t.exposure.takeCanary(maxCanaryShare)
+	}
+	return t.exposure.take(t.share(now))
+}
 
 // Release takes back an exposure: the request was not sent to the target.
-func (t *Tracker) Release() {}
+func (t *Tracker) Release() { t.exposure.exposed = max(0, t.exposure.exposed-1) }
 
 // Uses reports whether exposed requests go to a server of the target now. servers are all of them.
-func (t *Tracker) Uses(server string, servers []string, now time.Time) bool { return true }
+func (t *Tracker) Uses(server string, servers []string, now time.Time) bool {
+	if t.phase != Canary {
+		return t.phase != RolledBack
+	}
+	n := subsetSize(len(servers), t.exposure.settings.ExposeShare, now.Sub(t.known), t.canaryTime())
+	return t.used.contains(t.id, server, servers, n)
+}
 
 // Observe counts the outcome of a request.
-func (t *Tracker) Observe(o Observation) {}
+func (t *Tracker) Observe(o Observation) { t.own.add(o, t.judge.slowFrom(o.Route)) }
 
 // Report returns what this host tells the others. oldInFlight is the number of its requests in flight at servers of other
-// versions.
-func (t *Tracker) Report(oldInFlight int) Report { return Report{ID: t.id} }
-
-// Update applies what is known of the other hosts and of the store, and returns the changes of the phase. It is called several
-// times a second.
-func (t *Tracker) Update(others Others, request fleet.Rollout, oldInFlight int, now time.Time) []Change {
-	return nil
+// versions. The lists are copies.
+func (t *Tracker) Report(oldInFlight int) Report {
+	return Report{
+		ID: t.id, MinPhase: t.phase, MaxPhase: t.phase, Hosts: 1, OldInFlight: oldInFlight,
+		Counts: append([]Counts(nil), t.own.counts...), Servers: append([]ServerCounts(nil), t.own.servers...),
+	}
 }
 
-// Write returns the state that this host has to write to the store now, and whether there is one.
-func (t *Tracker) Write(now time.Time) (fleet.RolloutState, bool) { return "", false }
-
-// Written tells that a write of a state was sent, so that Write asks for it again only after a pause.
-func (t *Tracker) Written(state fleet.RolloutState, now time.Time) {}
-
 // Status describes the roll-out for logs, metrics and the state dump.
 type Status struct {
 	ID
@@ -113,4 +165,75 @@
 }
 
 // Status returns the state of the roll-out.
-func (t *Tracker) Status(now time.Time) Status { return Status{ID: t.id, Phase: t.phase.String()} }
+func (t *Tracker) Status(now time.Time) Status {
+	reason := t.reason
+	if t.progress.waitsFor != "" && t.phase < Completed {
+		reason = t.progress.waitsFor
+	}
+	return Status{
+		ID: t.id, Phase: t.phase.String(), Share: t.share(now), Requests: t.exposure.requests, Exposed: t.exposure.exposed,
+		Reason: reason, Counts: append([]Counts(nil), t.own.counts...),
+	}
+}
+
+type countKey struct {
+	route  string
+	target bool
+}
+
+// observed are the outcomes at this host.
+type observed struct {
+	counts      []Counts
+	servers     []ServerCounts
+	countIndex  map[countKey]int
+	serverIndex map[string]int
+}
+
+func newObserved() observed {
+	return observed{countIndex: map[countKey]int{}, serverIndex: map[string]int{}}
+}
+
+func (s *observed) add(o Observation, slowFrom int) {
+	key := countKey{o.Route, o.Target}
+	i, ok := s.countIndex[key]
+	if !ok {
+		i = len(s.counts)
+		s.countIndex[key] = i
+		s.counts = append(s.counts, Counts{Route: o.Route, Target: o.Target})
+	}
+	c := &s.counts[i]
+	c.Requests++
+	bad := o.Failed
+	if o.Failed {
+		c.Failures++
+	} else if o.Latency > 0 {
+		b := latencyBucket(o.Latency)
+		c.Latency[b]++
+		bad = b >= slowFrom
+	}
+	if !o.Target {
+		return
+	}
+	j, ok := s.serverIndex[o.Server]
+	if !ok {
+		j = len(s.servers)
+		s.serverIndex[o.Server] = j
+		s.servers = append(s.servers, ServerCounts{Server: o.Server})
+	}
+	s.servers[j].Requests++
+	if bad {
+		s.servers[j].Bad++
+	}
+}
+
+// firstBucket is the end of the first bucket of the latency; each further one ends at twice the time.
+const firstBucket = 4 * time.Millisecond
+
+func latencyBucket(d time.Duration) int {
+	for i, end := 0, firstBucket; i < LatencyBuckets-1; i, end = i+1, 2*end {
+		if d <= end {
+			return i
+		}
+	}
+	return LatencyBuckets - 1
+}
