Follow roll-outs in the request path

Ruled out: a check only when a server is chosen: a request may wait for a connection while the version is rolled back.

--- a/internal/directory/store.go
+++ b/internal/directory/store.go
@@ -34,6 +34,8 @@
 	ErrCompacted = errors.New("the store's history was compacted")
 	// ErrUnusable means that a store entry has invalid or missing fields.
 	ErrUnusable = errors.New("unusable store entry")
+	// ErrConflict is returned by a conditional write if the object has another revision than the writer knows.
+	ErrConflict = errors.New("the store's object has another revision")
 )
 
 // Change is one object that was written or deleted. The field of its kind is
--- a/internal/entry/dump.go
+++ b/internal/entry/dump.go
@@ -21,6 +21,7 @@
 		"snapshot":                p.directory.Snapshot(),
 		"local":                   local,
 		"store_response_age_ms":   local.StoreResponseAge.Milliseconds(),
+		"rollouts":                p.gateway.RolloutStatus(),
 		"gossip":                  p.gossip.Status(),
 	}
 	w.Header().Set("Content-Type", "application/json")
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -66,7 +66,9 @@
 	EngineClient forward.EngineClient
 	// EvidenceStore is usually the same as Store; nil for none.
 	EvidenceStore forward.EvidenceStore
-	Dialect       forward.Dialect
+	// RolloutStore is usually the same as Store; nil for none.
+	RolloutStore forward.RolloutStore
+	Dialect      forward.Dialect
 	// StoreMetrics counts the calls to the store; nil for none.
 	StoreMetrics expvar.Var
 	// ReadyPath is the URL path of the readiness probe.
@@ -126,6 +128,7 @@
 		Dialect:             a.Dialect,
 		EngineClient:        a.EngineClient,
 		EvidenceStore:       a.EvidenceStore,
+		RolloutStore:        a.RolloutStore,
 		Log:                 log,
 		HostID:              s.HostID,
 		WatchTimeouts:       slices.Collect(maps.Values(watchTimeouts(s))),
@@ -209,6 +212,7 @@
 	group.Go(func() error { return p.gossip.Run(background) })
 	group.Go(func() error { p.gateway.PollTerminationNotices(background); return nil })
 	group.Go(func() error { p.gateway.KeepEvidence(background); return nil })
+	group.Go(func() error { p.gateway.UpdateRollouts(background); return nil })
 	group.Go(func() error { return p.serveMetrics(background, metricsListen) })
 	group.Go(func() error { p.watchSettings(background, reload); return nil })
 
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -93,7 +93,9 @@
 	if e.err = r.checkShutdown(); e.err != nil {
 		return e
 	}
-	req := balance.Request{Allowed: route.RegionFilter(r.route, r.team), Exclude: a.exclude}
+	exposure := bs.expose(r, false)
+	defer func() { bs.settle(exposure, a.res) }()
+	req := balance.Request{Allowed: route.RegionFilter(r.route, r.team), Exclude: a.exclude, Exposed: exposure != nil}
 	if a.beside && !bs.hasCandidate(r.service, req) {
 		// A server that takes requests again later is asked at the next silence.
 		if req.Exclude = a.excludeThen; !a.again || !bs.hasCandidate(r.service, req) {
@@ -172,6 +174,7 @@
 		ex.Finish(false)
 		return a.failed(unusableResponse(err), true)
 	}
+	r.observe(a.res, ex.Response.StatusCode() >= fasthttp.StatusInternalServerError)
 	return attemptEvent{stage: stageWhole, response: &readResponse{ex: ex, start: start, complete: complete, release: release}, rateLimit: limit}
 }
 
@@ -186,6 +189,10 @@
 // of its server.
 func (a *attempt) failed(err error, broke bool) attemptEvent {
 	if a.ctx.Err() == context.Canceled {
+		if a.res.countedAsSilent() && a.r.ctx.Err() == nil {
+			// Another attempt has answered. That this one took at least as long is known.
+			a.r.observe(a.res, false)
+		}
 		a.res.cancel()
 		broke = false
 	} else {
@@ -194,6 +201,13 @@
 	return attemptEvent{stage: stageFailed, err: err, broke: broke}
 }
 
+// countedAsSilent reports whether recordSilence has counted a silence of the server.
+func (res *reservation) countedAsSilent() bool {
+	res.balancers.mu.Lock()
+	defer res.balancers.mu.Unlock()
+	return res.silent
+}
+
 // recordSilence counts a silence of the server towards its ejection. A later release as not failed takes
 // that back.
 func (res *reservation) recordSilence() {
--- a/internal/forward/balancers.go
+++ b/internal/forward/balancers.go
@@ -13,6 +13,7 @@
 	"monsoonkeel.example/monsoonkeel/core/quota"
 	"monsoonkeel.example/monsoonkeel/core/ratelimit"
 	"monsoonkeel.example/monsoonkeel/core/retry"
+	"monsoonkeel.example/monsoonkeel/core/rollout"
 	"monsoonkeel.example/monsoonkeel/core/route"
 	"monsoonkeel.example/monsoonkeel/core/serverstate"
 	"monsoonkeel.example/monsoonkeel/core/topology"
@@ -47,6 +48,16 @@
 	started  time.Time
 	// placer chooses servers for the hosts of the group while this host aggregates it.
 	placer placer
+	// snapshot is the newest one, and versionsRead is set once one was complete, with roll-outs in use. holdEnds is the end of
+	// the next hold of a version. peerRollouts and liveHosts are what the other hosts report.
+	snapshot     *directory.Snapshot
+	versionsRead bool
+	holdEnds     time.Time
+	peerRollouts []rollout.Report
+	liveHosts    int
+	// hasRollouts is set while roll-outs or versions limit the servers of a service, so that requests do not need the lock
+	// otherwise.
+	hasRollouts atomic.Bool
 	// hasRefusals is set while refusals has any, so that requests do not need the lock otherwise.
 	hasRefusals atomic.Bool
 }
@@ -64,6 +75,9 @@
 	placedCurrent bool
 	budget        retry.SharedBudget
 	waiters       []*waiter
+	rollouts
+	// standbys is the number of standby replicas of this host that were not resumed, by version of their servers.
+	standbys map[string]int
 	// waking is set while a timer is to wake the waiters.
 	waking bool
 	// config is the newest configuration of the service, kept when a later one no longer has it: its
@@ -84,7 +98,7 @@
 func (bs *balancers) service(name string) *serviceState {
 	s := bs.services[name]
 	if s == nil {
-		s = &serviceState{balancer: balance.New(rand.IntN, bs.limits, bs.refusals)}
+		s = &serviceState{balancer: balance.New(rand.IntN, bs.limits, bs.refusals), standbys: map[string]int{}}
 		bs.services[name] = s
 	}
 	return s
@@ -109,17 +123,18 @@
 
 func (bs *balancers) applyLocked(now *directory.Snapshot) {
 	bs.setHosts(now.Hosts)
+	bs.applyRollouts(now)
+	at := time.Now()
 	eligible := map[string][]balance.Server{}
 	addresses := make(map[string]balance.Server, len(now.Servers))
 	byID, regions := make(map[string]balance.Server, len(now.Servers)), map[string]bool{}
 	for id, s := range now.Servers {
-		server := balance.Server{ID: id, Address: s.Address, Domain: s.Domain, Region: s.Region, StartTime: s.StartTime, Slots: s.Slots}
+		server := balance.Server{ID: id, Address: s.Address, Domain: s.Domain, Region: s.Region, StartTime: s.StartTime, Slots: s.Slots, Version: s.Version}
 		if _, used := addresses[s.Address]; !used || !s.Removed {
 			addresses[s.Address] = server
 		}
 		byID[id], regions[s.Region] = server, true
-		bs.service(s.Service)
-		if s.Terminating() || now.DomainsOut[s.Domain] {
+		if service := bs.service(s.Service); s.Terminating() || now.DomainsOut[s.Domain] || service.excludes(s, at) {
 			continue
 		}
 		eligible[s.Service] = append(eligible[s.Service], server)
@@ -151,6 +166,7 @@
 		s.balancer.SetServers(eligible[name])
 		s.balancer.SetPeerLoad(bs.peerLoads)
 		s.servers, s.settings, s.placedCurrent = eligible[name], settings, false
+		s.followRollout(at)
 		s.wake()
 	}
 }
--- a/internal/forward/gateway.go
+++ b/internal/forward/gateway.go
@@ -28,7 +28,9 @@
 	EngineClient EngineClient
 	// EvidenceStore keeps rejections of prompt parts for the next processes; nil for none.
 	EvidenceStore EvidenceStore
-	Log           zerolog.Logger
+	// RolloutStore gets the status of roll-outs; nil for none.
+	RolloutStore RolloutStore
+	Log          zerolog.Logger
 	// HostID, Domain and Region identify this host.
 	HostID, Domain, Region string
 	// WatchTimeouts are the long-poll timeouts of the store watches.
@@ -93,7 +95,7 @@
 	g.bounds.Store(&opts.Bounds)
 	g.balancers = newBalancers(opts, &g.Metrics)
 	g.crashes = crashes.New(crashes.Options{HostID: opts.HostID, Peers: g.peerIDs, Clock: opts.Clock, Log: opts.Log})
-	g.Metrics.crashes = g.crashes
+	g.Metrics.crashes, g.Metrics.rollouts = g.crashes, g.balancers.rolloutStatus
 	g.responseBuffers = newResponseBuffers(opts.ResponseBufferBytes)
 	g.view.Store(&gossip.View{InMesh: true, StoreResponseAge: -1})
 	g.generations.plannedUntil = map[string]time.Time{}
@@ -216,6 +218,7 @@
 	s.Crashes, s.Answers = g.crashes.Evidence()
 	s.Limits = g.balancers.rateLimitReports()
 	s.Terminating = g.terminatingProcesses()
+	s.Rollouts = g.balancers.rolloutReports()
 }
 
 // SetView applies what is known of the other hosts.
@@ -226,6 +229,7 @@
 		g.crashes.Merge(e.Crashes, e.Answers, time.Now().Add(e.At-g.opts.Clock()), "another host reported")
 	}
 	g.balancers.setPeerLimits(v.Limits, v.UnreportedHosts)
+	g.balancers.setPeerRollouts(v.Rollouts, v.LiveHosts)
 	d := g.opts.Directory
 	d.SetRelaying(!v.InMesh && v.Role != topology.Member)
 	d.SetReadersNamed(v.ReadersNamed)
--- a/internal/forward/generations.go
+++ b/internal/forward/generations.go
@@ -136,13 +136,15 @@
 	return out
 }
 
-func (gen *generation) prefillDone() {
+// currentReservation returns the reservation at the engine that runs the generation.
+func (gen *generation) currentReservation() *reservation {
 	gen.mu.Lock()
-	res := gen.reservation
-	gen.mu.Unlock()
-	res.prefillDone()
+	defer gen.mu.Unlock()
+	return gen.reservation
 }
 
+func (gen *generation) prefillDone() { gen.currentReservation().prefillDone() }
+
 // migrationPriority returns the position in the migration order of the engine. produced is the number of tokens so far: a
 // generation that is longer than expected may go on for long.
 func (gen *generation) migrationPriority(produced int) int {
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -8,6 +8,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"monsoonkeel.example/monsoonkeel/core/rollout"
 	"monsoonkeel.example/monsoonkeel/internal/crashes"
 )
 
@@ -21,11 +22,15 @@
 	Notices atomic.Int64
 	// Placed counts generations and migrations whose engine the aggregator of the group chose, and PlacedHere those for
 	// which this host chose it although the deployment has groups.
-	Placed, PlacedHere  atomic.Int64
-	crashes             *crashes.Guard
-	Latency, FirstEvent Histogram
-	mu                  sync.Mutex
-	failures            map[string]int64
+	Placed, PlacedHere atomic.Int64
+	// Rollbacks counts the roll-outs that were rolled back here, RolloutWrites the writes of a status and RolloutConflicts
+	// those that the store rejected because the object had changed.
+	Rollbacks, RolloutWrites, RolloutConflicts atomic.Int64
+	rollouts                                   func() map[string]rollout.Status
+	crashes                                    *crashes.Guard
+	Latency, FirstEvent                        Histogram
+	mu                                         sync.Mutex
+	failures                                   map[string]int64
 }
 
 func (m *Metrics) countFailure(code string) {
@@ -41,7 +46,22 @@
 func (m *Metrics) String() string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	type rolloutMetrics struct {
+		Phase    string `json:"phase"`
+		Requests int64  `json:"requests"`
+		Exposed  int64  `json:"exposed"`
+	}
+	rollouts := map[string]rolloutMetrics{}
+	if m.rollouts != nil {
+		for service, s := range m.rollouts() {
+			rollouts[service] = rolloutMetrics{Phase: s.Phase, Requests: s.Requests, Exposed: s.Exposed}
+		}
+	}
 	out, err := json.Marshal(map[string]any{
+		"rollouts":              rollouts,
+		"rollbacks":             m.Rollbacks.Load(),
+		"rollout_writes":        m.RolloutWrites.Load(),
+		"rollout_conflicts":     m.RolloutConflicts.Load(),
 		"requests":              m.Requests.Load(),
 		"repeats":               m.Retries.Load(),
 		"moves":                 m.Migrations.Load(),
--- a/internal/forward/migration.go
+++ b/internal/forward/migration.go
@@ -272,7 +272,11 @@
 func (gen *generation) reserveTarget(m *migration, attempted []string, allowed func(string) bool) (*reservation, balance.Reason) {
 	r := gen.r
 	req := balance.Request{Tokens: r.expectedTokens(gen.tokens(m.tokensPerEvent)), Allowed: allowed, Exclude: attempted, Source: &m.source}
-	return r.g.balancers.acquire(r.ctx, r.service, req, r.sender(), 0)
+	exposure := r.g.balancers.expose(r, true)
+	req.Exposed = exposure != nil
+	res, reason := r.g.balancers.acquire(r.ctx, r.service, req, r.sender(), 0)
+	r.g.balancers.settle(exposure, res)
+	return res, reason
 }
 
 // canResume reports whether the generation of a broken stream may resume from the pre-copy: only
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -17,6 +17,9 @@
 		res.cancel()
 		return
 	}
+	if verdict.Of(err) != verdict.NotRun {
+		r.observeBroken(res)
+	}
 	res.release(true)
 }
 
@@ -45,7 +48,7 @@
 // checkAcceptsWork returns an error if the server of a reservation gets no new requests any more. It is called right
 // before the first byte is sent: a connection setup, or the copy of a generation to the server, took its time.
 func (r *request) checkAcceptsWork(res *reservation) error {
-	if r.g.acceptsWork(res.server.ID) {
+	if r.g.acceptsWork(res.server.ID) && r.g.balancers.beginSend(res) {
 		return nil
 	}
 	return notRun(503, codeLeft, "the backend server was taken out of service before the request was sent")
--- a/internal/forward/placer.go
+++ b/internal/forward/placer.go
@@ -68,6 +68,7 @@
 	}
 	s.placed.Configure(settings)
 	s.placed.SetServers(servers)
+	s.followRollout(time.Now())
 	return s.placed
 }
 
@@ -110,7 +111,7 @@
 	balancer.SetPeerLoad(loads)
 	elapsed := now.Sub(bs.started)
 	balancer.SetSuspects(bs.outliers.Ejected(r.Domain, elapsed))
-	req := balance.Request{Tokens: r.Tokens, Prefill: r.Prefill, Exclude: r.Exclude, From: r.Domain}
+	req := balance.Request{Tokens: r.Tokens, Prefill: r.Prefill, Exclude: r.Exclude, From: r.Domain, Exposed: r.Exposed}
 	if len(r.Regions) > 0 {
 		req.Allowed = func(region string) bool { return slices.Contains(r.Regions, region) }
 	}
@@ -159,7 +160,7 @@
 	}
 	question := gossip.PlacementRequest{
 		Service: service, Tokens: req.Tokens, Prefill: req.Prefill, Domain: bs.opts.Domain, Regions: regions,
-		Exclude: append(s.balancer.Unusable(time.Now()), req.Exclude...),
+		Exclude: append(s.balancer.Unusable(time.Now()), req.Exclude...), Exposed: req.Exposed,
 	}
 	if req.Source != nil {
 		question.Source = req.Source.ID
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -111,7 +111,10 @@
 func (r *request) reserve(req balance.Request, attempted []string) (*reservation, balance.Reason) {
 	req.Allowed, req.Exclude = route.RegionFilter(r.route, r.team), attempted
 	start := time.Now()
+	exposure := r.g.balancers.expose(r, false)
+	req.Exposed = exposure != nil
 	res, reason := r.g.balancers.acquire(r.ctx, r.service, req, r.sender(), r.maxWait())
+	r.g.balancers.settle(exposure, res)
 	r.waited += time.Since(start)
 	if res != nil {
 		r.backend, r.placedBy = res.server.ID, res.placedBy
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -45,6 +45,9 @@
 	// prompt holds the prompt parts that other requests may share.
 	prompt *crashes.Request
 
+	// counted is set once the roll-out of the service has counted the request; guarded by balancers.mu.
+	counted bool
+
 	// Outcome of the request, for the log line.
 	responded  bool
 	retryAfter time.Duration
--- a/internal/forward/reservation.go
+++ b/internal/forward/reservation.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"monsoonkeel.example/monsoonkeel/core/balance"
+	"monsoonkeel.example/monsoonkeel/core/rollout"
 )
 
 // reservation is the right to send one request to a backend server, or to keep a standby
@@ -23,6 +24,16 @@
 	// silent is set once a silence of the server was counted as its failure; guarded by balancers.mu.
 	silent bool
 	once   sync.Once
+
+	// exposure is the tracker of the roll-out that counts the request as exposed; nil if none does. stays is set for a
+	// generation from a server of the same version. sent is set once a request was sent, at sentAt, and failureObserved once
+	// the roll-out has counted a failure. All are guarded by balancers.mu.
+	exposure              *rollout.Tracker
+	stays                 bool
+	sent, failureObserved bool
+	sentAt                time.Time
+	// countsAsStandby is set while the reservation is part of serviceState.standbys.
+	countsAsStandby bool
 }
 
 // acquireStandby reserves KV cache for a standby replica. It returns nil if no engine
@@ -39,11 +50,23 @@
 		return nil
 	}
 	s.balancer.AddLoad(server.ID, loadOf(req))
-	return bs.newReservation(service, server, req)
+	s.standbys[server.Version]++
+	res := bs.newReservation(service, server, req)
+	res.countsAsStandby = true
+	return res
+}
+
+// activate counts a standby replica as a request, as soon as one is sent to its server.
+func (res *reservation) activate(s *serviceState) {
+	if res.countsAsStandby {
+		res.countsAsStandby = false
+		s.standbys[res.server.Version]--
+	}
 }
 
 func (bs *balancers) newReservation(service string, server balance.Server, req balance.Request) *reservation {
-	return &reservation{server: server, balancers: bs, service: service, placedBy: bs.opts.HostID, isStandby: req.Standby, since: time.Now(), load: loadOf(req)}
+	return &reservation{server: server, balancers: bs, service: service, placedBy: bs.opts.HostID, isStandby: req.Standby, since: time.Now(), load: loadOf(req),
+		stays: req.Source != nil && req.Source.Version == server.Version}
 }
 
 func loadOf(req balance.Request) balance.Load {
@@ -113,6 +136,10 @@
 		s := bs.service(res.service)
 		s.balancer.RemoveLoad(res.server.ID, res.load)
 		res.load = balance.Load{}
+		res.activate(s)
+		if res.exposure != nil && !res.sent {
+			res.exposure.Release()
+		}
 		record(s.balancer)
 		s.wake()
 	})
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -79,6 +79,7 @@
 		r.releaseFailed(res, err)
 		return unusableResponse(err)
 	}
+	r.observe(res, ex.Response.StatusCode() >= fasthttp.StatusInternalServerError)
 	return r.deliverStart(&readResponse{ex: ex, start: body, complete: complete, release: release}, res)
 }
 
--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -33,7 +33,11 @@
 	byEngine := r.sourceEndedBy == endedByEngine
 	action := gen.relay.SourceEnded(time.Now(), body.Complete())
 	close(gen.sourceEnded)
+	res, stopped := gen.reservation, gen.sourceStopped
 	gen.mu.Unlock()
+	if action != relay.EndResponse && !stopped && (byEngine || r.sourceEndedBy == endedBySilence) {
+		r.observeBroken(res)
+	}
 	if byEngine && action != relay.EndResponse {
 		r.recordBrokenAnswer(gen.server(), end)
 	}
--- a/internal/forward/standby.go
+++ b/internal/forward/standby.go
@@ -83,6 +83,7 @@
 	gen.mu.Lock()
 	res := gen.reservation
 	gen.mu.Unlock()
+	gen.r.observeBroken(res)
 	res.release(true)
 }
 
@@ -98,7 +99,7 @@
 func (g *Gateway) acceptsWork(id string) bool {
 	snapshot := g.opts.Directory.Snapshot()
 	s := snapshot.Servers[id]
-	return s != nil && !s.Terminating() && !snapshot.DomainsOut[s.Domain]
+	return s != nil && !s.Terminating() && !snapshot.DomainsOut[s.Domain] && g.balancers.admits(s.Service, id)
 }
 
 // switchToStandby asks the engine with the standby replica to resume the generation while its engine
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -298,6 +298,7 @@
 	if s.r.events == 0 {
 		s.r.firstEvent = now.Sub(s.r.call.Received)
 		s.r.g.Metrics.FirstEvent.observe(s.r.firstEvent)
+		s.r.observe(s.generation.currentReservation(), false)
 		s.generation.prefillDone()
 	} else {
 		s.r.worstGap = max(s.r.worstGap, now.Sub(s.lastAt))
@@ -331,6 +332,9 @@
 	s.generation.breakOff()
 	s.finish(false)
 	if s.r.ctx.Err() != nil {
+		if res := s.generation.currentReservation(); s.r.events == 0 && !s.r.endedEarly(res, cause) {
+			s.r.observeBroken(res)
+		}
 		err := s.r.interruptionError(true)
 		s.generation.cancelReservation()
 		if s.headerSent {
