Expose nothing right after a suspension of the host

Cause: a host that was suspended while a version was rolled back would send it requests until it has read that. Ruled out: a check of the store before each exposed request, which costs a call. Change: after a pause of the loop of more than 1 s, no request is exposed for 1 s. Conclusion: tests of internal/forward pass with -race.

--- a/internal/forward/balancers.go
+++ b/internal/forward/balancers.go
@@ -53,8 +53,11 @@
 	snapshot     *directory.Snapshot
 	versionsRead bool
 	holdEnds     time.Time
-	peerRollouts []rollout.Report
-	liveHosts    int
+	// loopAt is when the roll-outs were last updated, on Options.Clock; 0 before. exposesFrom is when this host may expose
+	// requests again.
+	loopAt, exposesFrom time.Duration
+	peerRollouts        []rollout.Report
+	liveHosts           int
 	// hasRollouts is set while roll-outs or versions limit the servers of a service, so that requests do not need the lock
 	// otherwise.
 	hasRollouts atomic.Bool
--- a/internal/forward/rollouts.go
+++ b/internal/forward/rollouts.go
@@ -36,6 +36,10 @@
 	// withoutOthers is how long the store must list no server of another version until all requests may use a version that is
 	// rolled out.
 	withoutOthers = 2 * time.Second
+	// maxLoopPause is the time since the last update of the roll-outs after which this host was suspended. It then exposes no
+	// requests for newsTime: the version may have been rolled back meanwhile, and the others send their states within that.
+	maxLoopPause = time.Second
+	newsTime     = time.Second
 	// endedReportTime is how long this host reports a roll-out after the store says that it is over, for hosts that have
 	// not read that yet.
 	endedReportTime = 10 * time.Second
@@ -426,11 +430,15 @@
 
 // updateRollouts updates the roll-outs that are not over for all hosts, and returns what is to be written.
 func (bs *balancers) updateRollouts(now time.Time) (writes []rolloutWrite) {
+	bs.mu.Lock()
+	defer bs.mu.Unlock()
+	if bs.wasSuspended() {
+		bs.exposesFrom = bs.opts.Clock() + newsTime
+	}
+	bs.loopAt = bs.opts.Clock()
 	if !bs.hasRollouts.Load() {
 		return nil
 	}
-	bs.mu.Lock()
-	defer bs.mu.Unlock()
 	changed := false
 	for _, s := range bs.services {
 		if s.tracker == nil {
@@ -454,6 +462,16 @@
 	return writes
 }
 
+// wasSuspended reports whether this host has not updated the roll-outs for long.
+func (bs *balancers) wasSuspended() bool {
+	return bs.loopAt != 0 && bs.opts.Clock()-bs.loopAt > maxLoopPause
+}
+
+// exposes reports whether this host may send requests to a version under trial. It must know the news of the other hosts.
+func (bs *balancers) exposes() bool {
+	return bs.loopAt == 0 || !bs.wasSuspended() && bs.opts.Clock() >= bs.exposesFrom
+}
+
 // written records the end of a write.
 func (bs *balancers) written(w rolloutWrite) {
 	bs.mu.Lock()
@@ -510,7 +528,11 @@
 	} else {
 		exposed = t.Again(now)
 	}
-	if !exposed {
+	switch {
+	case !exposed:
+		return nil
+	case t.Phase() < rollout.Final && !bs.exposes():
+		t.Release()
 		return nil
 	}
 	return t
@@ -554,12 +576,14 @@
 	if s.active(now) && !s.balancer.Admits(res.server.ID) {
 		return false
 	}
-	if t != nil && s.isTarget(res.server.Version) && !s.balancer.IsOpen(res.server.ID) && (res.exposure == nil || res.sent) {
-		allowed := t.Again(now)
-		if allowed && res.exposure == nil {
-			res.exposure = t
+	if t != nil && s.isTarget(res.server.Version) && !s.balancer.IsOpen(res.server.ID) {
+		allowed := true
+		if res.exposure == nil || res.sent {
+			if allowed = t.Again(now); allowed && res.exposure == nil {
+				res.exposure = t
+			}
 		}
-		if !allowed && !res.stays {
+		if !res.stays && !(allowed && bs.exposes()) {
 			return false
 		}
 	}
--- a/internal/forward/rollouts_test.go
+++ b/internal/forward/rollouts_test.go
@@ -254,6 +254,37 @@
 	assert.EqualValues(t, 1, r.g.Metrics.Rollbacks.Load())
 }
 
+// Guards against a host that was suspended while a version was rolled back, and sends it requests before it has read that.
+func TestHostThatWasSuspendedExposesNothing(t *testing.T) {
+	r := newRolloutTest(t, 5*time.Second, nil)
+	now := time.Hour
+	r.bs.opts.Clock = func() time.Duration { return now }
+	r.servers["n1"] = "v2"
+	r.request("v2", "")
+	exposed := func() bool {
+		for range 100 {
+			if tracker := r.bs.expose(r.newRequest(), false); tracker != nil {
+				r.bs.settle(tracker, nil)
+				return true
+			}
+		}
+		return false
+	}
+	r.bs.updateRollouts(time.Now())
+	assert.True(t, exposed())
+	res, _ := r.bs.acquire(t.Context(), "desk", balance.Request{Exposed: true}, sender{}, 0)
+	r.bs.settle(r.service().tracker, res)
+	now += maxLoopPause + time.Millisecond
+	assert.False(t, exposed())
+	assert.False(t, r.bs.beginSend(res))
+	r.bs.updateRollouts(time.Now())
+	assert.False(t, exposed(), "the others have not sent their states yet")
+	now += newsTime
+	r.bs.updateRollouts(time.Now())
+	assert.True(t, exposed())
+	assert.True(t, r.bs.beginSend(res))
+}
+
 // Guards against waiting requests that keep to the phase in which they began to wait.
 func TestWaitingRequestsFollowThePhase(t *testing.T) {
 	for phase, want := range map[rollout.Phase]string{rollout.RolledBack: "v1", rollout.Final: "v2"} {
