--- a/internal/forward/rollouts.go
+++ b/internal/forward/rollouts.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -12,6 +13,7 @@
 
 	"monsoonkeel.example/monsoonkeel/core/balance"
 	"monsoonkeel.example/monsoonkeel/core/fleet"
+	"monsoonkeel.example/monsoonkeel/core/quota"
 	"monsoonkeel.example/monsoonkeel/core/rollout"
 	"monsoonkeel.example/monsoonkeel/core/serverstate"
 	"monsoonkeel.example/monsoonkeel/internal/directory"
@@ -54,6 +56,9 @@
 	endedAt time.Time
 	// othersAt is when the service last had servers of other versions in use; zero for never.
 	othersAt time.Time
+	// rank is the number of hosts of rankOf that decide before this one.
+	rank   int
+	rankOf *quota.Hosts
 	// writing is set while a status is written.
 	writing  bool
 	versions map[string]*version
@@ -139,7 +144,7 @@
 	if r.tracker == nil {
 		v := r.version(request.Target)
 		*v = version{listed: v.listed, seen: v.seen}
-		r.tracker, r.endedAt, r.othersAt = newTracker(), time.Time{}, time.Time{}
+		r.tracker, r.endedAt, r.othersAt, r.rankOf = newTracker(), time.Time{}, time.Time{}, nil
 	}
 	if request.Ended() && r.endedAt.IsZero() {
 		r.endedAt = now
@@ -179,11 +184,12 @@
 
 // active reports whether the versions limit the servers that requests may use.
 func (r *rollouts) active(now time.Time) bool {
-	if r.tracker != nil || len(r.retired) > 0 {
+	if r.running() != nil || len(r.retired) > 0 {
 		return true
 	}
-	for _, v := range r.versions {
-		if !v.usable(now) {
+	for name, v := range r.versions {
+		// A version with a completed roll-out is usable, and one that was rolled back is not.
+		if v.listed && (r.isTarget(name) && r.tracker.Phase() == rollout.RolledBack || !r.isTarget(name) && !v.usable(now)) {
 			return true
 		}
 	}
@@ -336,13 +342,10 @@
 			others.Report = r
 		}
 	}
-	hosts := []string{bs.opts.HostID}
-	for id := range bs.hosts {
-		if id != bs.opts.HostID {
-			hosts = append(hosts, id)
-		}
+	if s.rankOf != bs.division {
+		s.rankOf, s.rank = bs.division, rollout.Rank(t.ID(), bs.opts.HostID, slices.Collect(maps.Keys(bs.hosts)))
 	}
-	others.Rank = rollout.Rank(t.ID(), bs.opts.HostID, hosts)
+	others.Rank = s.rank
 	others.StoreFailed = bs.opts.Directory != nil && bs.opts.Directory.RecentStoreFailure()
 	t.SetHosts(bs.hostCount())
 	changes := t.Update(others, s.request, s.inFlightAtOthers(t.ID().Target), now)
@@ -395,9 +398,6 @@
 
 // rolloutReports returns what this host tells the others of the roll-outs.
 func (bs *balancers) rolloutReports() (list []rollout.Report) {
-	if !bs.hasRollouts.Load() {
-		return nil
-	}
 	bs.mu.Lock()
 	defer bs.mu.Unlock()
 	for _, s := range bs.services {
@@ -436,13 +436,10 @@
 		bs.exposesFrom = bs.opts.Clock() + newsTime
 	}
 	bs.loopAt = bs.opts.Clock()
-	if !bs.hasRollouts.Load() {
-		return nil
-	}
 	changed := false
 	for _, s := range bs.services {
-		if s.tracker == nil {
-			continue
+		if s.tracker == nil || !s.endedAt.IsZero() {
+			continue // only a change in the store has an effect any more
 		}
 		changed = bs.updateTracker(s, now) || changed
 		s.followRollout(now)
--- a/internal/forward/rollouts_test.go
+++ b/internal/forward/rollouts_test.go
@@ -366,6 +366,11 @@
 		"rejected without execution": {func(q *request, res *reservation) { q.releaseFailed(res, notRun(503, codeNotRun, "")) }, 0, 0},
 		"withheld":                   {func(q *request, res *reservation) { q.releaseFailed(res, notRun(503, codeLeft, "")) }, 0, 0},
 		"ended by the caller":        {func(q *request, res *reservation) { q.ctx = cancelled; q.releaseFailed(res, broken) }, 0, 0},
+		"cancelled":                  {func(q *request, res *reservation) { (&attempt{r: q, res: res, ctx: cancelled}).failed(broken, true) }, 0, 0},
+		"cancelled after a silence that another attempt ended": {func(q *request, res *reservation) {
+			res.recordSilence()
+			(&attempt{r: q, res: res, ctx: cancelled}).failed(broken, true)
+		}, 1, 0},
 		"write to the caller failed": {func(q *request, res *reservation) { q.releaseFailed(res, toCaller(errors.New("reset"))) }, 0, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
