Test roll-outs in a loop of hosts, and hold the bound while shifting

Ruled out: lower thresholds, which roll back good versions. Change: a test over all routes beside the one by route; the share while shifting stays within the bound. Conclusion: false alarms beside a burst and one bad server remain.

--- a/core/rollout/cusum.go
+++ b/core/rollout/cusum.go
@@ -16,71 +16,114 @@
 	return share, math.Sqrt(share * (1 - share) / n)
 }
 
-// test is the sequential test for one kind of bad responses on one route. It is a CUSUM for each of several excesses over the
-// base rate: a likelihood ratio that starts anew whenever it speaks for the version, so that a version that becomes bad
+// disturbance compares the old side of the last seconds with what is usual.
+type disturbance struct{ n, bad, expected, variance float64 }
+
+func (d *disturbance) add(t *test) {
+	usual, _ := t.base.share()
+	d.n += t.recent.n
+	d.bad += t.recent.bad
+	d.expected += t.recent.n * usual
+	d.variance += t.recent.n * usual * (1 - usual)
+}
+
+// found reports whether the old side is disturbed. Three deviations and two responses more than usual are reached by chance in few
+// intervals of a route with a base rate of 14%, and by three failures where failures are rare.
+func (d disturbance) found() bool { return d.bad > d.expected+3*math.Sqrt(d.variance)+2 }
+
+// test is the sequential test for one kind of bad responses on one route, or on all. It is a CUSUM for each of several excesses over
+// the base rate: a likelihood ratio that starts anew whenever it speaks for the version, so that a version that becomes bad
 // later is found as fast as one that is bad at once.
 type test struct {
 	cusums      [len(excesses)]cusum
 	unexplained unexplained
-	base        rate
+	// base is the old side, recent that of the last seconds.
+	base, recent rate
 	// disturbed is set while the old side has far more bad responses than usual; disturbedFor is how long it was in all.
 	disturbed    bool
 	disturbedFor time.Duration
 }
 
-// cusum is the test for one excess. The responses are those since it started anew.
+// cusum is the test for one excess. The responses are those since it started anew; base is what was expected of them.
 type cusum struct {
-	against, inFavour float64
-	responses, bad    float64
+	against, inFavour    float64
+	responses, bad, base float64
 	// servers are the sums of the servers at the start.
 	servers serverSums
 }
 
 // unexplained are the bad responses beyond the base rate since there were none, and the variance of their number.
 type unexplained struct {
-	count, variance float64
-	servers         serverSums
-}
-
-// step adds the responses of the target in one interval. recent is the old side in the last seconds.
-func (t *test) step(target, base, recent rate, before serverSums, elapsed time.Duration) {
-	t.base = base
-	usual, deviation := base.share()
-	expected := recent.n * usual
-	// Three deviations and two responses more than usual are reached by chance in few intervals of a route with a base rate of
-	// 14%, and by two or three failures where failures are rare.
-	t.disturbed = recent.bad > expected+3*math.Sqrt(expected*(1-usual))+2
-	base0 := usual + deviation
+	count, bad, responses, variance float64
+	servers                         serverSums
+}
+
+// begin starts an interval of the test over all routes.
+func (t *test) begin(d disturbance, elapsed time.Duration) {
+	t.disturb(d, elapsed)
+	t.fade(elapsed)
+	t.base, t.recent = rate{}, rate{n: d.n, bad: d.bad}
+}
+
+func (t *test) disturb(d disturbance, elapsed time.Duration) {
+	t.disturbed = d.found() && t.disturbedFor < maxDisturbed
 	if t.disturbed {
-		if t.disturbedFor += elapsed; t.disturbedFor <= maxDisturbed {
-			return
-		}
-		t.disturbed = false
-		base0 = max(base0, recent.bad/recent.n)
+		t.disturbedFor += elapsed
 	}
+}
+
+func (t *test) fade(elapsed time.Duration) {
 	fade := math.Exp2(-elapsed.Seconds() / scoreHalfLife.Seconds())
 	for i := range t.cusums {
 		t.cusums[i].against *= fade
 		t.cusums[i].inFavour *= fade
 	}
-	if target.n == 0 {
+}
+
+// step adds the responses of the target on one route in one interval, also to the test over all routes.
+func (t *test) step(target rate, all *test, before serverSums, elapsed time.Duration) {
+	var own disturbance
+	own.add(t)
+	t.disturb(own, elapsed)
+	t.fade(elapsed)
+	all.base.n += t.base.n
+	all.base.bad += t.base.bad
+	all.base.prior = max(all.base.prior, t.base.prior)
+	if t.disturbed || all.disturbed || target.n == 0 {
 		return
 	}
-	base0 = min(base0, maxBase)
-	for i := range t.cusums {
-		t.cusums[i].step(target, base0, excesses[i], before)
+	share, deviation := t.base.share()
+	base := share + deviation
+	if own.found() || t.recent.n > 0 && all.disturbedFor >= maxDisturbed {
+		// The disturbance lasts longer than responses are left out for.
+		base = max(base, t.recent.bad/t.recent.n)
+	}
+	base = min(base, maxBase)
+	for _, to := range []*test{t, all} {
+		for i := range to.cusums {
+			to.cusums[i].add(target, base, excesses[i], before)
+		}
+		to.unexplained.add(target, base, before)
 	}
-	t.unexplained.step(target, base0, before)
+	t.end()
 }
 
-// scoreHalfLife is the time in which a score halves without further responses, so that a doubt about a route that gets no
-// more requests does not stop a roll-out.
-const scoreHalfLife = time.Minute
+// end ends an interval: tests that speak for the version start anew.
+func (t *test) end() {
+	for i := range t.cusums {
+		if c := &t.cusums[i]; c.against <= c.inFavour {
+			*c = cusum{}
+		}
+	}
+	if t.unexplained.count <= 0 {
+		t.unexplained = unexplained{}
+	}
+}
 
 // maxBase keeps likelihood ratios finite where nearly all responses of the old side are bad.
 const maxBase = 0.95
 
-func (c *cusum) step(target rate, base, excess float64, before serverSums) {
+func (c *cusum) add(target rate, base, excess float64, before serverSums) {
 	if c.servers == nil {
 		c.servers = before
 	}
@@ -89,68 +132,74 @@
 	c.inFavour += (target.n - target.bad) * math.Log((1-base)/(1-alternative))
 	c.responses += target.n
 	c.bad += target.bad
-	if c.against <= c.inFavour {
-		*c = cusum{}
-	}
+	c.base += base * target.n
 }
 
-func (u *unexplained) step(target rate, base float64, before serverSums) {
+func (u *unexplained) add(target rate, base float64, before serverSums) {
 	if u.servers == nil {
 		u.servers = before
 	}
 	u.count += target.bad - base*target.n
+	u.responses += target.n
+	u.bad += target.bad
 	u.variance += target.n * base * (1 - base)
-	if u.count <= 0 {
-		*u = unexplained{}
-	}
 }
 
 // score returns the highest score of the test, and why the version is bad, if it is.
 func (t *test) score(servers serverSums) (highest float64, bad string) {
 	for _, c := range t.cusums {
-		if c.responses == 0 {
+		if c.bad == 0 {
 			continue
 		}
-		spread := spread(servers, c.servers)
-		score := spread*c.against - c.inFavour
+		common := c.servers.common(servers, c.bad, c.responses)
+		score := common/c.bad*c.against - c.inFavour
 		highest = max(highest, score)
-		if score >= alarmScore && confirm(rate{n: c.responses, bad: spread * c.bad}, t.base) >= confirmScore {
-			bad = fmt.Sprintf("%.0f of %.0f responses, usual are %.0f of %.0f", c.bad, c.responses, t.base.bad, t.base.n)
+		if score >= alarmScore && confirm(rate{n: c.responses, bad: common}, t.base, c.base/c.responses) >= confirmScore {
+			bad = fmt.Sprintf("%.0f of %.0f responses, usual are %.1f", c.bad, c.responses, c.base)
 		}
 	}
 	if u := t.unexplained; u.count >= maxUnexplained {
-		count := spread(servers, u.servers) * u.count
+		count := u.count - u.bad + u.servers.common(servers, u.bad, u.responses)
 		if count >= maxUnexplained && count >= unexplainedDeviations*math.Sqrt(u.variance) {
-			bad = fmt.Sprintf("%.0f beyond the usual ones", u.count)
+			bad = fmt.Sprintf("%.0f of %.0f responses, %.0f beyond the usual ones", u.bad, u.responses, u.count)
 		}
 	}
 	return highest, bad
 }
 
-// spread returns the part of the bad responses that remains if the server with the most has only as many as the others would
-// have in its place. It is close to 1 for a bad version and close to 0 for one bad server.
-func spread(now, start serverSums) float64 {
+// common returns how many of some bad responses remain if the server with the most has only as many as the others would have
+// in its place. It is nearly all for a bad version, and few for one bad server. The sums are those at the start of the test.
+func (start serverSums) common(now serverSums, bad, responses float64) float64 {
 	var all ServerCounts
 	for server, s := range now {
 		all.Requests += s.Requests - start[server].Requests
 		all.Bad += s.Bad - start[server].Bad
 	}
-	lowest := 1.0
+	excess, worst := 0.0, 0.0
 	for server, s := range now {
-		n, bad := float64(s.Requests-start[server].Requests), float64(s.Bad-start[server].Bad)
-		othersN, othersBad := float64(all.Requests)-n, float64(all.Bad)-bad
-		if bad == 0 || othersN == 0 {
-			continue
+		n, own := float64(s.Requests-start[server].Requests), float64(s.Bad-start[server].Bad)
+		othersN, othersBad := float64(all.Requests)-n, float64(all.Bad)-own
+		if othersN > 0 {
+			worst = max(worst, own)
+			excess = max(excess, own-n*(othersBad+1)/(othersN+2))
 		}
-		typical := n * (othersBad + 1) / (othersN + 2)
-		lowest = min(lowest, (othersBad+min(bad, typical))/float64(all.Bad))
 	}
-	return lowest
+	if worst == 0 {
+		return bad
+	}
+	// The responses of the servers are not known by route: the excess is taken in proportion to the bad responses and to all
+	// responses, and the lower result counts.
+	return max(0, min(bad*(1-excess/float64(all.Bad)), bad-excess*min(1, responses/float64(all.Requests))))
 }
 
-// confirm returns the log likelihood ratio of two rates against one rate for both sides.
-func confirm(target, old rate) float64 {
-	oldN, oldBad := old.n+priorWeight, old.bad+priorWeight*old.prior
+// scoreHalfLife is the time in which a score halves without further responses, so that a doubt about a route that gets no
+// more requests does not stop a roll-out.
+const scoreHalfLife = time.Minute
+
+// confirm returns the log likelihood ratio of two rates against one rate for both sides. The old side has the usual share.
+func confirm(target, old rate, usual float64) float64 {
+	oldN := old.n + priorWeight
+	oldBad := usual * oldN
 	if target.bad*oldN <= oldBad*target.n {
 		return 0
 	}
--- a/core/rollout/exposure.go
+++ b/core/rollout/exposure.go
@@ -75,18 +75,10 @@
 	subsetGrowth = 3 * time.Second
 )
 
-// subsetSize is the number of servers used in the canary phase. These get about the load of an old server if there are as many
-// old servers: at first all of the exposed share, at the end half of it.
-func subsetSize(servers int, share float64, elapsed, canary time.Duration) int {
-	done := 1.0
-	if elapsed < canary {
-		done = elapsed.Seconds() / canary.Seconds()
-	}
-	n := max(minSubset, int(math.Ceil(float64(servers)*share*(canaryPart+(1-canaryPart)*done))))
-	if late := elapsed - canary; late > 0 {
-		n += int(late / subsetGrowth)
-	}
-	return n
+// subsetSize is the number of servers used for a share of the requests, so that each gets about the load of an old server if there
+// are as many old servers. late is how much longer than planned the canary phase lasts.
+func subsetSize(servers int, share float64, late time.Duration) int {
+	return max(minSubset, int(math.Ceil(float64(servers)*share))) + int(max(0, late)/subsetGrowth)
 }
 
 // subset is the part of the servers that is used, by hash, so that all hosts use the same.
--- a/core/rollout/judgement.go
+++ b/core/rollout/judgement.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"math"
+	"strconv"
 	"time"
 )
 
@@ -30,7 +31,7 @@
 	// of at most e^-alarmScore.
 	alarmScore = 10.0
 	// doubtScore is the log likelihood ratio from which on the roll-out waits.
-	doubtScore = alarmScore / 2
+	doubtScore = 3.0
 	// confirmScore is the log likelihood ratio that the same responses must have when the base rate is fitted to both sides. It
 	// guards against a base rate known from few responses.
 	confirmScore = 6.0
@@ -53,6 +54,8 @@
 	mostHosts int
 	// servers are the responses of the target's servers that were evaluated.
 	servers serverSums
+	// failures and delay are the tests over all routes, which find a version that is bad on many sooner.
+	failures, delay test
 }
 
 type serverSums map[string]ServerCounts
@@ -99,20 +102,25 @@
 	return LatencyBuckets
 }
 
-// preferenceExcess is by how much more requests than the limit allows are preferred, so that the limit is used up.
-const preferenceExcess = 1.5
+const (
+	// preferenceExcess is by how much more requests than the limit allows are preferred, so that the limit is used up.
+	preferenceExcess = 1.5
+	// anyRoute is the preference of a request without a route: it is exposed as soon as the limit allows it.
+	anyRoute = math.MaxFloat32
+)
 
-// preference is the probability with which a request on a route is exposed so that all routes get as many exposed requests.
-func (j *judgement) preference(route string, share float64) float64 {
+// preference is the factor by which a request on a route is exposed more often than the mean, so that all routes get as many
+// exposed requests.
+func (j *judgement) preference(route string) float64 {
 	total := int64(0)
 	for _, r := range j.routes {
 		total += r.requests
 	}
 	r := j.routes[route]
 	if r == nil || r.requests == 0 {
-		return 1
+		return anyRoute
 	}
-	return preferenceExcess * share / float64(len(j.routes)) * float64(total) / float64(r.requests)
+	return float64(total) / float64(r.requests) / float64(len(j.routes))
 }
 
 // step evaluates the sum over all hosts.
@@ -136,11 +144,24 @@
 		known, old := j.servers[server], previous.servers[server]
 		j.servers[server] = ServerCounts{Requests: known.Requests + s.Requests - old.Requests, Bad: known.Bad + s.Bad - old.Bad}
 	}
+	var failures, slow disturbance
+	for route, r := range j.routes {
+		r.add(difference(sum.counts[countKey{route, false}], previous.counts[countKey{route, false}]), elapsed, now)
+		failures.add(&r.failures)
+		slow.add(&r.delay)
+	}
+	j.failures.begin(failures, elapsed)
+	j.delay.begin(slow, elapsed)
 	for route, r := range j.routes {
-		old := difference(sum.counts[countKey{route, false}], previous.counts[countKey{route, false}])
 		target := difference(sum.counts[countKey{route, true}], previous.counts[countKey{route, true}])
-		r.step(old, target, before, elapsed, now)
+		r.failures.step(rate{n: float64(target.Requests), bad: float64(target.Failures)}, &j.failures, before, elapsed)
+		if r.slow < LatencyBuckets {
+			n, bad := tail(target.Latency, r.slow)
+			r.delay.step(rate{n: n, bad: bad}, &j.delay, before, elapsed)
+		}
 	}
+	j.failures.end()
+	j.delay.end()
 	return j.verdict(), true
 }
 
@@ -162,29 +183,29 @@
 }
 
 func (j *judgement) verdict() (v verdict) {
-	for route, r := range j.routes {
-		for _, kind := range []struct {
-			name string
-			*test
-		}{{"failures", &r.failures}, {"slow responses", &r.delay}} {
-			score, bad := kind.score(j.servers)
-			text := func(what string) string {
-				return fmt.Sprintf("%s on route %q: %s (score %.1f)", kind.name, route, what, score)
-			}
-			if bad != "" {
-				v.bad = text(bad)
-			}
-			if score >= doubtScore {
-				v.doubt = text("perhaps too many")
-			} else if kind.disturbed {
-				v.doubt = text("the old version has more than usual")
-			}
+	check := func(where, kind string, t *test) {
+		score, bad := t.score(j.servers)
+		text := func(what string) string { return fmt.Sprintf("%s on %s: %s (score %.1f)", kind, where, what, score) }
+		if bad != "" {
+			v.bad = text(bad)
+		}
+		if score >= doubtScore {
+			v.doubt = text("perhaps too many")
+		} else if t.disturbed {
+			v.doubt = text("the old version has more than usual")
 		}
 	}
+	for route, r := range j.routes {
+		check("route "+strconv.Quote(route), "failures", &r.failures)
+		check("route "+strconv.Quote(route), "slow responses", &r.delay)
+	}
+	check("all routes", "failures", &j.failures)
+	check("all routes", "slow responses", &j.delay)
 	return v
 }
 
-func (r *routeJudgement) step(old, target Counts, before serverSums, elapsed time.Duration, now time.Time) {
+// add adds the responses of the old side in one interval.
+func (r *routeJudgement) add(old Counts, elapsed time.Duration, now time.Time) {
 	r.base.add(old, elapsed)
 	r.slow = r.base.slowFrom()
 	sample := sideSample{at: now, responses: float64(old.Requests), failures: float64(old.Failures)}
@@ -200,16 +221,11 @@
 		window.latencies += s.latencies
 		window.slow += s.slow
 	}
-	base := rate{n: r.base.responses, bad: r.base.failures, prior: defaultFailures}
-	r.failures.step(rate{n: float64(target.Requests), bad: float64(target.Failures)}, base,
-		rate{n: window.responses, bad: window.failures}, before, elapsed)
-	if r.slow == LatencyBuckets {
-		return
-	}
-	n, slow := tail(target.Latency, r.slow)
+	r.failures.base = rate{n: r.base.responses, bad: r.base.failures, prior: defaultFailures}
+	r.failures.recent = rate{n: window.responses, bad: window.failures}
 	baseN, baseSlow := tail(r.base.latency, r.slow)
-	r.delay.step(rate{n: n, bad: slow}, rate{n: baseN, bad: baseSlow, prior: defaultSlow},
-		rate{n: window.latencies, bad: window.slow}, before, elapsed)
+	r.delay.base = rate{n: baseN, bad: baseSlow, prior: defaultSlow}
+	r.delay.recent = rate{n: window.latencies, bad: window.slow}
 }
 
 func (s *sideSums) add(c Counts, elapsed time.Duration) {
--- a/core/rollout/phases.go
+++ b/core/rollout/phases.go
@@ -30,8 +30,9 @@
 	// writtenTime is how long a host that has written completed does not roll back: old servers stop once the store has it.
 	writtenTime = 2 * time.Second
 
-	// A version with bad responses at smallestShare on a route passes without one bad response with a probability of missRate.
-	missRate, smallestShare = 0.05, 0.1
+	// A version with bad responses at smallestShare on a route shows none in the canary phase with a probability of
+	// canaryMissRate, and none before the final phase with one of finalMissRate.
+	canaryMissRate, finalMissRate, smallestShare = 0.05, 0.01, 0.1
 	// evidenceHalfLife is the time in which the number of good responses needed halves once the canary phase has lasted as long as
 	// planned, so that a route with few requests does not stop a roll-out.
 	evidenceHalfLife = 3 * time.Second
@@ -41,16 +42,23 @@
 	finalTime = 4 * time.Second
 	// reservePart of the exposures that the bound still allows may be risked by moving on before the evidence is complete.
 	reservePart = 0.5
+	// reserveTime is the time over which the shifting phase uses up the reserve. Reports are up to as old.
+	reserveTime = time.Second
 )
 
-// neededGood is the number of good responses that each route needs: (1-smallestShare)^neededGood <= missRate. It is 29.
-var neededGood = math.Ceil(math.Log(missRate) / math.Log(1-smallestShare))
+// neededGood is the number of good responses that each route needs: (1-smallestShare)^n <= missRate. It is 29 before the shifting
+// phase and 44 before the final one.
+func neededGood(missRate float64) float64 {
+	return math.Ceil(math.Log(missRate) / math.Log(1-smallestShare))
+}
 
 // progress is what the steps of a roll-out depend on.
 type progress struct {
 	verdict  verdict
 	updated  time.Time
 	waitsFor string
+	// rate is that of the requests for the service at all hosts, reserve the number of requests that may still be exposed.
+	rate, reserve float64
 	// shifted is how long the shifting phase lasted without doubt.
 	shifted time.Duration
 	// due is when the next step became due, quiet since when nothing is in flight at old servers, alarm since when the version
@@ -82,20 +90,28 @@
 	case Canary:
 		return t.exposure.canaryShare()
 	case Shifting:
-		if t.progress.verdict.doubt != "" {
-			// At this share the number of exposed requests stays where it is below the bound.
-			return min(t.exposure.settings.ExposeShare, firstShare)
-		}
-		if t.progress.shifted+now.Sub(t.progress.updated) < t.stepTime() {
-			return firstShare
-		}
-		return secondShare
+		return t.shiftingShare(now)
 	case Final, Completed:
 		return 1
 	}
 	return 0
 }
 
+// shiftingShare returns the share of the step, but not more than what the bound allows by what is known of all hosts. At
+// ExposeShare the number of exposed requests stays where it is below the bound.
+func (t *Tracker) shiftingShare(now time.Time) float64 {
+	p, s := &t.progress, t.exposure.settings
+	step := secondShare
+	if p.shifted+now.Sub(p.updated) < t.stepTime() {
+		step = firstShare
+	}
+	if p.verdict.doubt != "" {
+		return min(step, s.ExposeShare)
+	}
+	spare := max(0, p.reserve) / max(1, p.rate*reserveTime.Seconds())
+	return min(step, s.ExposeShare+spare)
+}
+
 // Update applies what is known of the other hosts and of the store, and returns the changes of the phase. It is called several
 // times a second.
 func (t *Tracker) Update(others Others, request fleet.Rollout, oldInFlight int, now time.Time) []Change {
@@ -121,6 +137,9 @@
 	sum.Add(others.Report)
 	if v, ok := t.judge.step(sum, now); ok {
 		p.verdict = v
+		requests, exposed := t.judge.requests()
+		p.reserve = t.exposure.settings.ExposeShare*requests + t.exposure.settings.ExposeExtra - exposed
+		p.rate = requests / max(1, now.Sub(t.known).Seconds())
 	}
 	if t.rollsBack(now) {
 		move(RolledBack, p.verdict.bad)
@@ -181,7 +200,7 @@
 		if now.Sub(t.known) < t.canaryTime() {
 			return "the end of the canary phase"
 		}
-		if missing := t.judge.missing(now.Sub(t.known) - t.canaryTime()); missing != "" && !t.reserveCovers(now) {
+		if missing := t.judge.missing(canaryMissRate, now.Sub(t.known)-t.canaryTime()); missing != "" && !t.reserveCovers() {
 			return missing
 		}
 		if t.judge.good() < minGood {
@@ -191,6 +210,9 @@
 		if p.shifted < 2*t.stepTime() {
 			return "the steps of the shifting phase"
 		}
+		if missing := t.judge.missing(finalMissRate, now.Sub(t.known)-t.ramp); missing != "" && !t.reserveCovers() {
+			return missing
+		}
 	case Final:
 		return t.completionWaitsFor(others, sum, now)
 	}
@@ -214,24 +236,20 @@
 	if now.Sub(p.quiet) < wait {
 		return "quiet at the old servers"
 	}
-	return t.judge.missing(now.Sub(t.known) - t.canaryTime())
+	return t.judge.missing(finalMissRate, now.Sub(t.known)-t.ramp)
 }
 
 // reserveCovers reports whether the requests exposed until the end stay within the bound, by the rate so far. Then a service with
 // few requests need not wait for evidence that it gets only at a higher share; completed still waits for it.
-func (t *Tracker) reserveCovers(now time.Time) bool {
-	requests, exposed := t.judge.requests()
-	s := t.exposure.settings
-	reserve := s.ExposeShare*requests + s.ExposeExtra - exposed
-	rate := requests / max(1, now.Sub(t.known).Seconds())
+func (t *Tracker) reserveCovers() bool {
 	shifting := (firstShare + secondShare) * t.stepTime().Seconds()
-	return reservePart*reserve >= rate*(shifting+finalTime.Seconds())
+	return reservePart*t.progress.reserve >= t.progress.rate*(shifting+finalTime.Seconds())
 }
 
 // missing names a route on which the version has not shown enough good responses; empty if there is none. late is how long
-// after its planned end the canary phase lasts.
-func (j *judgement) missing(late time.Duration) string {
-	needed := neededGood * math.Exp2(-max(0, late.Seconds())/evidenceHalfLife.Seconds())
+// after its planned time the step is.
+func (j *judgement) missing(missRate float64, late time.Duration) string {
+	needed := neededGood(missRate) * math.Exp2(-max(0, late.Seconds())/evidenceHalfLife.Seconds())
 	worst, text := needed, ""
 	for route, r := range j.routes {
 		if good := float64(r.good); good < math.Floor(needed) && (text == "" || good < worst) {
--- a/core/rollout/tracker.go
+++ b/core/rollout/tracker.go
@@ -102,29 +102,33 @@
 
 // Next counts a new request of a caller for the service and reports whether it may go to the target. If so, it counts as
 // exposed until Release.
-func (t *Tracker) Next(now time.Time) (exposed bool) { return t.next(1, now) }
+func (t *Tracker) Next(now time.Time) (exposed bool) { return t.next(anyRoute, now) }
 
 // NextOn is Next for a request on a known route. In the canary phase it prefers requests on routes with little traffic, so that
 // the version is judged on each route in about the same time.
 func (t *Tracker) NextOn(route string, now time.Time) (exposed bool) {
-	return t.next(t.judge.preference(route, t.exposure.canaryShare()), now)
+	return t.next(t.judge.preference(route), now)
 }
 
 func (t *Tracker) next(preference float64, now time.Time) bool {
 	t.exposure.requests++
-	if t.phase == Canary {
-		return t.exposure.takeCanary(min(preference, maxCanaryShare))
-	}
-	return t.exposure.take(t.share(now))
+	return t.takes(preference, now)
 }
 
 // Again reports whether one more attempt of a request (a retry, a hedged request, a resume, a migration) may go to the target, and
 // counts it as exposed.
-func (t *Tracker) Again(now time.Time) (exposed bool) {
-	if t.phase == Canary {
-		return t.exposure.takeCanary(maxCanaryShare)
+func (t *Tracker) Again(now time.Time) (exposed bool) { return t.takes(anyRoute, now) }
+
+// takes exposes a request. preference is relative to the mean of the requests.
+func (t *Tracker) takes(preference float64, now time.Time) bool {
+	share := t.share(now)
+	switch {
+	case t.phase == Canary:
+		return t.exposure.takeCanary(min(preference*preferenceExcess*share, maxCanaryShare))
+	case t.phase == Shifting && share <= t.exposure.settings.ExposeShare:
+		return t.exposure.take(min(preference*share, maxCanaryShare))
 	}
-	return t.exposure.take(t.share(now))
+	return t.exposure.take(share)
 }
 
 // Release takes back an exposure: the request was not sent to the target.
@@ -132,10 +136,14 @@
 
 // Uses reports whether exposed requests go to a server of the target now. servers are all of them.
 func (t *Tracker) Uses(server string, servers []string, now time.Time) bool {
-	if t.phase != Canary {
+	if t.phase > Shifting || t.phase == Shifting && t.progress.shifted >= t.stepTime() {
 		return t.phase != RolledBack
 	}
-	n := subsetSize(len(servers), t.exposure.settings.ExposeShare, now.Sub(t.known), t.canaryTime())
+	late := t.progress.since.Sub(t.known) - t.canaryTime()
+	if t.phase == Canary {
+		late = now.Sub(t.known) - t.canaryTime()
+	}
+	n := subsetSize(len(servers), t.share(now), late)
 	return t.used.contains(t.id, server, servers, n)
 }
 
