--- a/internal/forward/rollouts.go
+++ b/internal/forward/rollouts.go
@@ -286,8 +286,6 @@
 			}
 		}
 		if s.setRequest(request, requested, func() *rollout.Tracker { return bs.newTracker(request, now) }, now) {
-			bs.opts.Log.Info().Str("service", name).Str("target", request.Target).Dur("ramp", request.Ramp).Str("state", string(request.State)).
-				Str("state_target", request.StateTarget).Int64("created", request.Created).Int64("revision", request.Revision).Msg("request for a roll-out read")
 			bs.updateTracker(s, now) // the store may have a later phase
 		}
 		active = active || s.active(now)
