--- a/internal/cmd/entrycmd/main.go
+++ b/internal/cmd/entrycmd/main.go
@@ -126,6 +126,7 @@
 	adapter := entry.Adapter{
 		Store:          store,
 		EvidenceStore:  store,
+		RolloutStore:   store,
 		StoreMetrics:   &store.Metrics,
 		EngineClient:   platform.NewEngineClient(),
 		Dialect:        platform.Dialect(),
