Tell one bad server and a disturbance of both sides from a bad version

Ruled out: a higher alarm score, which slows down all decisions. Change: the old side's last 0.6 s count too, tests that began just before a disturbance start anew, an alarm lasts 0.4 s.

--- a/core/rollout/cusum.go
+++ b/core/rollout/cusum.go
@@ -16,20 +16,29 @@
 	return share, math.Sqrt(share * (1 - share) / n)
 }
 
-// disturbance compares the old side of the last seconds with what is usual.
-type disturbance struct{ n, bad, expected, variance float64 }
+// disturbance compares the old side of the last seconds, and of the last moments, with what is usual.
+type disturbance struct{ recent, last unusual }
+
+type unusual struct{ n, bad, expected, variance float64 }
+
+func (u *unusual) add(r rate, usual float64) {
+	u.n += r.n
+	u.bad += r.bad
+	u.expected += r.n * usual
+	u.variance += r.n * usual * (1 - usual)
+}
+
+// found reports whether there are far more bad responses than usual. Three deviations and two responses more are reached by chance in
+// few intervals of a route with a base rate of 14%, and by three failures where failures are rare.
+func (u unusual) found() bool { return u.bad > u.expected+3*math.Sqrt(u.variance)+2 }
 
 func (d *disturbance) add(t *test) {
 	usual, _ := t.base.share()
-	d.n += t.recent.n
-	d.bad += t.recent.bad
-	d.expected += t.recent.n * usual
-	d.variance += t.recent.n * usual * (1 - usual)
+	d.recent.add(t.recent, usual)
+	d.last.add(t.last, usual)
 }
 
-// found reports whether the old side is disturbed. Three deviations and two responses more than usual are reached by chance in few
-// intervals of a route with a base rate of 14%, and by three failures where failures are rare.
-func (d disturbance) found() bool { return d.bad > d.expected+3*math.Sqrt(d.variance)+2 }
+func (d disturbance) found() bool { return d.recent.found() || d.last.found() }
 
 // test is the sequential test for one kind of bad responses on one route, or on all. It is a CUSUM for each of several excesses over
 // the base rate: a likelihood ratio that starts anew whenever it speaks for the version, so that a version that becomes bad
@@ -37,8 +46,8 @@
 type test struct {
 	cusums      [len(excesses)]cusum
 	unexplained unexplained
-	// base is the old side, recent that of the last seconds.
-	base, recent rate
+	// base is the old side, recent that of the last seconds, last that of the last moments.
+	base, recent, last rate
 	// disturbed is set while the old side has far more bad responses than usual; disturbedFor is how long it was in all.
 	disturbed    bool
 	disturbedFor time.Duration
@@ -48,8 +57,9 @@
 type cusum struct {
 	against, inFavour    float64
 	responses, bad, base float64
-	// servers are the sums of the servers at the start.
+	// servers are the sums of the servers at the start, age is the time since.
 	servers serverSums
+	age     time.Duration
 }
 
 // unexplained are the bad responses beyond the base rate since there were none, and the variance of their number.
@@ -62,13 +72,20 @@
 func (t *test) begin(d disturbance, elapsed time.Duration) {
 	t.disturb(d, elapsed)
 	t.fade(elapsed)
-	t.base, t.recent = rate{}, rate{n: d.n, bad: d.bad}
+	t.base = rate{}
 }
 
 func (t *test) disturb(d disturbance, elapsed time.Duration) {
 	t.disturbed = d.found() && t.disturbedFor < maxDisturbed
-	if t.disturbed {
-		t.disturbedFor += elapsed
+	if !t.disturbed {
+		return
+	}
+	t.disturbedFor += elapsed
+	for i := range t.cusums {
+		// The target may have shown the disturbance before it was found at the old side.
+		if t.cusums[i].age <= recentOld {
+			t.cusums[i] = cusum{}
+		}
 	}
 }
 
@@ -77,6 +94,7 @@
 	for i := range t.cusums {
 		t.cusums[i].against *= fade
 		t.cusums[i].inFavour *= fade
+		t.cusums[i].age += elapsed
 	}
 }
 
@@ -94,7 +112,7 @@
 	}
 	share, deviation := t.base.share()
 	base := share + deviation
-	if own.found() || t.recent.n > 0 && all.disturbedFor >= maxDisturbed {
+	if own.recent.found() || t.recent.n > 0 && all.disturbedFor >= maxDisturbed {
 		// The disturbance lasts longer than responses are left out for.
 		base = max(base, t.recent.bad/t.recent.n)
 	}
@@ -152,9 +170,9 @@
 			continue
 		}
 		common := c.servers.common(servers, c.bad, c.responses)
-		score := common/c.bad*c.against - c.inFavour
+		score := min(common/c.bad*c.against-c.inFavour, alarmScore/confirmScore*confirm(rate{n: c.responses, bad: common}, t.base, c.base/c.responses))
 		highest = max(highest, score)
-		if score >= alarmScore && confirm(rate{n: c.responses, bad: common}, t.base, c.base/c.responses) >= confirmScore {
+		if score >= alarmScore {
 			bad = fmt.Sprintf("%.0f of %.0f responses, usual are %.1f", c.bad, c.responses, c.base)
 		}
 	}
@@ -167,25 +185,35 @@
 	return highest, bad
 }
 
+// manyServers is the number of servers used from which on the evidence of one is not enough.
+const manyServers = 3
+
 // common returns how many of some bad responses remain if the server with the most has only as many as the others would have
 // in its place. It is nearly all for a bad version, and few for one bad server. The sums are those at the start of the test.
 func (start serverSums) common(now serverSums, bad, responses float64) float64 {
 	var all ServerCounts
+	var worst, second float64
 	for server, s := range now {
 		all.Requests += s.Requests - start[server].Requests
 		all.Bad += s.Bad - start[server].Bad
+		own := float64(s.Bad - start[server].Bad)
+		second = max(second, min(own, worst))
+		worst = max(worst, own)
+	}
+	if all.Bad == 0 || len(now) == 1 {
+		return bad
 	}
-	excess, worst := 0.0, 0.0
+	excess := 0.0
 	for server, s := range now {
 		n, own := float64(s.Requests-start[server].Requests), float64(s.Bad-start[server].Bad)
 		othersN, othersBad := float64(all.Requests)-n, float64(all.Bad)-own
-		if othersN > 0 {
-			worst = max(worst, own)
-			excess = max(excess, own-n*(othersBad+1)/(othersN+2))
-		}
+		excess = max(excess, own-n*(othersBad+1)/(othersN+2))
 	}
-	if worst == 0 {
-		return bad
+	if len(now) >= manyServers {
+		if second == 0 {
+			return 0
+		}
+		excess = max(excess, worst-second-1)
 	}
 	// The responses of the servers are not known by route: the excess is taken in proportion to the bad responses and to all
 	// responses, and the lower result counts.
--- a/core/rollout/exposure.go
+++ b/core/rollout/exposure.go
@@ -13,6 +13,8 @@
 	// canaryPart of the bounds is used in the canary phase. The rest is for requests that reach a version that becomes bad later,
 	// before this is known.
 	canaryPart = 0.5
+	// lateCanaryPart is used while the canary phase lasts longer than planned for lack of evidence.
+	lateCanaryPart = 0.75
 	// maxCanaryShare of the requests may go to the target in the canary phase, so that the other side gets as many requests to
 	// compare with while a service has few.
 	maxCanaryShare = 0.5
@@ -23,6 +25,8 @@
 type exposure struct {
 	settings Settings
 	random   func() float64
+	// part of the bounds is used in the canary phase.
+	part float64
 	// round is added to this host's part of the extra requests before the fraction is cut off. It is drawn once, so that the parts
 	// of all hosts have the right mean and a change of the number of hosts is no new draw.
 	round float64
@@ -34,18 +38,18 @@
 }
 
 func newExposure(settings Settings, random func() float64) exposure {
-	return exposure{settings: settings, random: random, round: random()}
+	return exposure{settings: settings, random: random, part: canaryPart, round: random()}
 }
 
 func (e *exposure) setHosts(n int) { e.current, e.hosts = n, max(e.hosts, n) }
 
-func (e *exposure) canaryShare() float64 { return canaryPart * e.settings.ExposeShare }
+func (e *exposure) canaryShare() float64 { return e.part * e.settings.ExposeShare }
 
 // canaryLimit is the number of requests that this host may have exposed in the canary phase.
 func (e *exposure) canaryLimit() float64 {
 	limit := e.canaryShare() * float64(e.requests)
 	if e.hosts > 0 {
-		limit += math.Floor(canaryPart*e.settings.ExposeExtra/float64(e.hosts) + e.round)
+		limit += math.Floor(e.part*e.settings.ExposeExtra/float64(e.hosts) + e.round)
 	}
 	return limit
 }
--- a/core/rollout/phases.go
+++ b/core/rollout/phases.go
@@ -24,7 +24,9 @@
 	quietTime = time.Second
 	// missingTime replaces quietTime while hosts are missing: they may have lost contact and may still use the old servers.
 	missingTime = 5 * time.Second
-	// finalAlarm is how long an alarm must last in the final phase. Nothing goes to the old side then that would show a short
+	// alarmTime is how long an alarm must last, so that a disturbance of both sides is found at the old side first.
+	alarmTime = 400 * time.Millisecond
+	// finalAlarm is how long it must last in the final phase. Nothing goes to the old side then that would show a short
 	// disturbance of both.
 	finalAlarm = 1500 * time.Millisecond
 	// writtenTime is how long a host that has written completed does not roll back: old servers stop once the store has it.
@@ -44,6 +46,10 @@
 	reservePart = 0.5
 	// reserveTime is the time over which the shifting phase uses up the reserve. Reports are up to as old.
 	reserveTime = time.Second
+	// doubtTime replaces it while the version is in doubt.
+	doubtTime = 15 * time.Second
+	// attainablePart of the requests on a route is the most that is needed as evidence: a route with few requests has no more.
+	attainablePart = 0.4
 )
 
 // neededGood is the number of good responses that each route needs: (1-smallestShare)^n <= missRate. It is 29 before the shifting
@@ -105,10 +111,11 @@
 	if p.shifted+now.Sub(p.updated) < t.stepTime() {
 		step = firstShare
 	}
+	over := reserveTime
 	if p.verdict.doubt != "" {
-		return min(step, s.ExposeShare)
+		over = doubtTime
 	}
-	spare := max(0, p.reserve) / max(1, p.rate*reserveTime.Seconds())
+	spare := max(0, p.reserve) / max(1, p.rate*over.Seconds())
 	return min(step, s.ExposeShare+spare)
 }
 
@@ -179,7 +186,10 @@
 	if t.writer.sent == fleet.RolloutCompleted && now.Sub(t.writer.sentAt) < writtenTime {
 		return false
 	}
-	return t.phase != Final || now.Sub(p.alarm) >= finalAlarm
+	if t.phase == Final {
+		return now.Sub(p.alarm) >= finalAlarm
+	}
+	return now.Sub(p.alarm) >= alarmTime
 }
 
 // waitsFor returns what the next step waits for; empty if it is due. In the final phase the step is to write completed.
@@ -200,6 +210,7 @@
 		if now.Sub(t.known) < t.canaryTime() {
 			return "the end of the canary phase"
 		}
+		t.exposure.part = lateCanaryPart
 		if missing := t.judge.missing(canaryMissRate, now.Sub(t.known)-t.canaryTime()); missing != "" && !t.reserveCovers() {
 			return missing
 		}
@@ -252,7 +263,7 @@
 	needed := neededGood(missRate) * math.Exp2(-max(0, late.Seconds())/evidenceHalfLife.Seconds())
 	worst, text := needed, ""
 	for route, r := range j.routes {
-		if good := float64(r.good); good < math.Floor(needed) && (text == "" || good < worst) {
+		if good := float64(r.good); good < math.Floor(min(needed, attainablePart*float64(r.requests))) && (text == "" || good < worst) {
 			worst, text = good, fmt.Sprintf("responses on route %q: %d of %.0f", route, r.good, needed)
 		}
 	}
--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -68,6 +69,7 @@
 		}
 		fmt.Printf("%-34s completed %4d rolled back %4d  open %3d  time %.1f max %.1f  over %d excess %.0f late %d bad %.0f  (%.1fs)\n", name, done, rolled, n-done-rolled, mean, worst, over, excess, late, worstBad, time.Since(start).Seconds())
 		if example != nil {
+			example.changes = slices.DeleteFunc(example.changes, func(c Change) bool { return c.Reason[0] == 'a' })
 			fmt.Println("     ", example)
 		}
 	}
