--- a/core/rollout/cusum.go
+++ b/core/rollout/cusum.go
@@ -172,7 +172,7 @@
 		common := c.servers.common(servers, c.bad, c.responses)
 		score := min(common/c.bad*c.against-c.inFavour, alarmScore/confirmScore*confirm(rate{n: c.responses, bad: common}, t.base, c.base/c.responses))
 		highest = max(highest, score)
-		if score >= alarmScore {
+		if score >= alarmScore && common >= minBad {
 			bad = fmt.Sprintf("%.0f of %.0f responses, usual are %.1f", c.bad, c.responses, c.base)
 		}
 	}
@@ -185,35 +185,25 @@
 	return highest, bad
 }
 
-// manyServers is the number of servers used from which on the evidence of one is not enough.
-const manyServers = 3
-
 // common returns how many of some bad responses remain if the server with the most has only as many as the others would have
 // in its place. It is nearly all for a bad version, and few for one bad server. The sums are those at the start of the test.
 func (start serverSums) common(now serverSums, bad, responses float64) float64 {
 	var all ServerCounts
-	var worst, second float64
+	worst := 0.0
 	for server, s := range now {
 		all.Requests += s.Requests - start[server].Requests
 		all.Bad += s.Bad - start[server].Bad
-		own := float64(s.Bad - start[server].Bad)
-		second = max(second, min(own, worst))
-		worst = max(worst, own)
+		worst = max(worst, float64(s.Bad-start[server].Bad))
 	}
 	if all.Bad == 0 || len(now) == 1 {
 		return bad
 	}
-	excess := 0.0
+	// However few the responses are, the server with the most bad ones counts no more than all others together.
+	excess := max(0, 2*worst-float64(all.Bad))
 	for server, s := range now {
 		n, own := float64(s.Requests-start[server].Requests), float64(s.Bad-start[server].Bad)
 		othersN, othersBad := float64(all.Requests)-n, float64(all.Bad)-own
-		excess = max(excess, own-n*(othersBad+1)/(othersN+2))
-	}
-	if len(now) >= manyServers {
-		if second == 0 {
-			return 0
-		}
-		excess = max(excess, worst-second-1)
+		excess = max(excess, own-n*(othersBad+0.5)/(othersN+1.5))
 	}
 	// The responses of the servers are not known by route: the excess is taken in proportion to the bad responses and to all
 	// responses, and the lower result counts.
--- a/core/rollout/judgement.go
+++ b/core/rollout/judgement.go
@@ -37,6 +37,9 @@
 	// confirmScore is the log likelihood ratio that the same responses must have when the base rate is fitted to both sides. It
 	// guards against a base rate known from few responses.
 	confirmScore = 6.0
+	// minBad is the least number of bad responses of a bad version. A bad server and the base rate together give four in a row more
+	// often than a likelihood ratio of independent responses says.
+	minBad = 5
 	// maxUnexplained is the number of bad responses beyond the base rate at which a version is bad whatever the test says. It
 	// leaves 15 of the 40 to the delay of the reports.
 	maxUnexplained = 25
@@ -82,7 +85,9 @@
 	base   sideSums
 	recent []sideSample
 	// slow is the first bucket of slow responses; LatencyBuckets if unknown.
-	slow            int
+	slow int
+	// waiting are responses of the target from before this is known.
+	waiting         [LatencyBuckets]int64
 	failures, delay test
 }
 
@@ -143,7 +148,11 @@
 	}
 	previous, hosts, sum := j.last, j.mostHosts, newSums(report)
 	j.at, j.last, j.mostHosts = now, sum, max(hosts, sum.hosts)
-	j.total(sum)
+	for key := range sum.counts {
+		if j.routes[key.route] == nil {
+			j.routes[key.route] = &routeJudgement{slow: LatencyBuckets}
+		}
+	}
 	if fell(previous, sum) || sum.hosts > previous.hosts && sum.hosts <= hosts {
 		// The counts of a host that left are gone, or those of one that is back are counted already.
 		return j.verdict(), true
@@ -155,7 +164,9 @@
 	}
 	var failures, slow disturbance
 	for route, r := range j.routes {
-		r.add(difference(sum.counts[countKey{route, false}], previous.counts[countKey{route, false}]), elapsed, now)
+		old := difference(sum.counts[countKey{route, false}], previous.counts[countKey{route, false}])
+		r.requests += old.Requests
+		r.add(old, elapsed, now)
 		failures.add(&r.failures)
 		slow.add(&r.delay)
 	}
@@ -164,8 +175,16 @@
 	for route, r := range j.routes {
 		target := difference(sum.counts[countKey{route, true}], previous.counts[countKey{route, true}])
 		r.failures.step(rate{n: float64(target.Requests), bad: float64(target.Failures)}, &j.failures, before, elapsed)
+		r.requests += target.Requests
+		r.exposed += target.Requests
+		r.good += target.Requests - target.Failures
+		for i, n := range target.Latency {
+			r.waiting[i] += n
+		}
 		if r.slow < LatencyBuckets {
-			n, bad := tail(target.Latency, r.slow)
+			n, bad := tail(r.waiting, r.slow)
+			r.good -= int64(bad)
+			r.waiting = [LatencyBuckets]int64{}
 			r.delay.step(rate{n: n, bad: bad}, &j.delay, before, elapsed)
 		}
 	}
@@ -174,23 +193,6 @@
 	return j.verdict(), true
 }
 
-// total takes over the totals that evidence for the version is counted by.
-func (j *judgement) total(sum sums) {
-	for _, c := range sum.counts {
-		r := j.routes[c.Route]
-		if r == nil {
-			r = &routeJudgement{slow: LatencyBuckets}
-			j.routes[c.Route] = r
-		}
-		if c.Target {
-			r.exposed, r.good = max(r.exposed, c.Requests), max(r.good, c.Requests-c.Failures)
-		}
-	}
-	for route, r := range j.routes {
-		r.requests = max(r.requests, sum.counts[countKey{route, false}].Requests+sum.counts[countKey{route, true}].Requests)
-	}
-}
-
 func (j *judgement) verdict() (v verdict) {
 	check := func(where, kind string, t *test) {
 		score, bad := t.score(j.servers)
--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -2,113 +2,161 @@
 
 import (
 	"flag"
-	"fmt"
-	"slices"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"monsoonkeel.example/monsoonkeel/core/fleet"
 )
 
-var seeds = flag.Int("rollout.seeds", 1, "multiple of the seeds of each case")
+var seeds = flag.Int("rollout.seeds", 1, "multiple of the number of seeds")
 
 var usualRoutes = []testRoute{{0.5, 0.004}, {0.3, 0.14}, {0.15, 0.004}, {0.05, 0.01}}
 
-func usual() setup {
-	return setup{hosts: 6, oldServers: 30, servers: 30, rate: 150, ramp: 12 * time.Second, routes: usualRoutes, by: true}
+func usual(rate float64) setup {
+	return setup{hosts: 6, oldServers: 30, servers: 30, rate: rate, ramp: 12 * time.Second, routes: usualRoutes, by: true}
 }
 
-// play runs seeds of a setup and returns the loops.
-func play(s setup, n int, until time.Duration) []*loop {
-	loops := make([]*loop, n)
-	var wg sync.WaitGroup
+// result is what several loops showed.
+type result struct {
+	runs, completed, rolledBack, over, late, running int
+	time, longest                                    time.Duration
+	badResponses                                     int
+	example                                          *loop // with the result that is not expected
+}
+
+// play runs seeds of a setup.
+func play(t *testing.T, name string, s setup, runs int) (r result) {
+	runs *= *seeds
+	loops := make([]*loop, runs)
 	next := make(chan int)
+	var wg sync.WaitGroup
 	for range 2 {
 		wg.Go(func() {
 			for i := range next {
 				loops[i] = newLoop(s, uint64(i+1))
-				loops[i].run(until)
+				loops[i].run(70 * time.Second)
 			}
 		})
 	}
-	for i := range n {
+	for i := range runs {
 		next <- i
 	}
 	close(next)
 	wg.Wait()
-	return loops
-}
-
-func TestExplore(t *testing.T) {
-	n := 100 * *seeds
-	report := func(name string, s setup) {
-		start := time.Now()
-		loops := play(s, n, 60*time.Second)
-		done, rolled, over, late := 0, 0, 0, 0
-		var mean, worst, excess, worstBad float64
-		var example *loop
-		for _, l := range loops {
-			switch l.store.State {
-			case "completed":
-				done++
-			case "rolled_back":
-				rolled++
-			}
-			mean += l.elapsed().Seconds() / float64(n)
-			worst = max(worst, l.elapsed().Seconds())
-			excess = max(excess, l.excess)
-			worstBad = max(worstBad, float64(l.badResponses))
-			if l.excess > 50 {
-				over++
-			}
-			if l.fiftieth >= 0 && l.lastExposed > l.fiftieth+5*time.Second {
-				late++
-			}
-			if (l.store.State == "rolled_back") != (s.bad != nil) {
-				example = l
-			}
+	r.runs = runs
+	for _, l := range loops {
+		switch l.store.State {
+		case fleet.RolloutCompleted:
+			r.completed++
+		case fleet.RolloutRolledBack:
+			r.rolledBack++
+		}
+		if (l.store.State == fleet.RolloutRolledBack) != (s.bad != nil) {
+			r.example = l
+		}
+		if l.elapsed() > 24*time.Second && s.bad == nil {
+			t.Log(l.elapsed(), l.waits)
+		}
+		if l.excess > testSettings.ExposeExtra {
+			r.over++
 		}
-		fmt.Printf("%-34s completed %4d rolled back %4d  open %3d  time %.1f max %.1f  over %d excess %.0f late %d bad %.0f  (%.1fs)\n", name, done, rolled, n-done-rolled, mean, worst, over, excess, late, worstBad, time.Since(start).Seconds())
-		if example != nil {
-			example.changes = slices.DeleteFunc(example.changes, func(c Change) bool { return c.Reason[0] == 'a' })
-			fmt.Println("     ", example)
+		if l.fiftieth >= 0 && l.lastExposed > l.fiftieth+5*time.Second {
+			r.late++
 		}
+		r.running += l.runningAtOld
+		r.time += l.elapsed() / time.Duration(runs)
+		r.longest, r.badResponses = max(r.longest, l.elapsed()), max(r.badResponses, l.badResponses)
 	}
-	for _, rate := range []float64{150, 20, 2} {
-		s := usual()
-		s.rate = rate
-		report(fmt.Sprint("good ", rate), s)
-		b := s
-		b.both = func(l *loop, target bool, server int) (bool, float64) {
-			x := l.elapsed().Seconds()
-			if x > 5 && x < 8 {
-				return l.rng.Float64() < 0.3, 4
-			}
+	t.Logf("%-28s of %d: completed %d, rolled back %d, over the bound %d, late %d; mean %.1f s, longest %.1f s, bad responses %d",
+		name, runs, r.completed, r.rolledBack, r.over, r.late, r.time.Seconds(), r.longest.Seconds(), r.badResponses)
+	if r.example != nil {
+		t.Log(r.example)
+	}
+	return r
+}
+
+func during(from, to float64, does func(l *loop, target bool, server int) (bool, float64)) func(l *loop, target bool, server int) (bool, float64) {
+	return func(l *loop, target bool, server int) (bool, float64) {
+		if x := l.elapsed().Seconds(); x < from || x > to {
 			return false, 1
 		}
-		report(fmt.Sprint("burst ", rate), b)
-		b.both = func(l *loop, target bool, server int) (bool, float64) {
-			x := l.elapsed().Seconds()
-			return x > 5 && x < 8 && server%3 == 0, 1
+		return does(l, target, server)
+	}
+}
+
+// Guards against rolling back a good version, or never completing it: with routes of which 14% fail on both sides, beside a burst that
+// slows both sides, a lost failure domain, one bad server, cold servers, at low and high rates.
+func TestGoodVersionIsCompleted(t *testing.T) {
+	burst := during(5, 8, func(l *loop, _ bool, _ int) (bool, float64) { return l.rng.Float64() < 0.3, 4 })
+	lostDomain := during(5, 8, func(_ *loop, _ bool, server int) (bool, float64) { return server%3 == 0, 1 })
+	oneServer := func(_ *loop, target bool, server int) (bool, float64) { return target && server == 0, 1 }
+	cold := func(l *loop, target bool, _ int) (bool, float64) {
+		if target && l.elapsed() < 5*time.Second {
+			return false, 0
 		}
-		report(fmt.Sprint("domain ", rate), b)
-		b.both = func(l *loop, target bool, server int) (bool, float64) { return target && server == 0, 1 }
-		report(fmt.Sprint("one server ", rate), b)
+		return false, 1
+	}
+	total, rolledBack := 0, 0
+	for _, c := range []struct {
+		name string
+		rate float64
+		both func(l *loop, target bool, server int) (bool, float64)
+		runs int
+		edit func(s *setup)
+	}{
+		{"steady", 150, nil, 30, nil}, {"burst", 150, burst, 30, nil}, {"lost domain", 150, lostDomain, 30, nil},
+		{"one bad server", 150, oneServer, 30, nil}, {"cold servers", 150, cold, 10, nil},
+		{"routes unknown", 150, nil, 20, func(s *setup) { s.by = false }},
+		{"three servers, one bad", 150, oneServer, 20, func(s *setup) { s.oldServers, s.servers = 3, 3 }},
+		{"58 hosts", 150, nil, 2, func(s *setup) { s.hosts = 58 }},
+		{"no ramp", 150, nil, 10, func(s *setup) { s.ramp = 0 }},
+		{"20/s", 20, nil, 60, nil}, {"20/s, burst", 20, burst, 60, nil}, {"20/s, one bad server", 20, oneServer, 60, nil},
+		{"2/s", 2, nil, 100, nil}, {"2/s, burst", 2, burst, 100, nil}, {"2/s, one bad server", 2, oneServer, 60, nil},
+	} {
+		s := usual(c.rate)
+		s.both = c.both
+		if c.edit != nil {
+			c.edit(&s)
+		}
+		r := play(t, c.name, s, c.runs)
+		total, rolledBack = total+r.runs, rolledBack+r.rolledBack
+		assert.Equal(t, r.runs, r.completed+r.rolledBack, "%s: open roll-outs", c.name)
+		assert.Zero(t, r.running, "%s: requests at old servers when completed was written", c.name)
+		assert.Less(t, r.time, 26*time.Second, c.name)
+	}
+	t.Logf("%d of %d good versions rolled back", rolledBack, total)
+	assert.LessOrEqual(t, rolledBack, total/1000)
+}
+
+// Guards against completing a bad version, and against exposing it beyond the bound, whenever and wherever it is bad.
+func TestBadVersionIsRolledBack(t *testing.T) {
+	for _, rate := range []float64{150, 20, 2} {
 		for _, share := range []float64{0.1, 0.3, 1} {
 			for _, slow := range []float64{0, 4} {
-				for _, when := range []string{"once", "later", "route", "load"} {
-					b := s
-					b.slow = slow
-					b.bad = func(l *loop, route, server int) bool {
+				for _, when := range []string{"at once", "later", "one route", "under load"} {
+					s := usual(rate)
+					s.slow = slow
+					s.bad = func(l *loop, route, server int) bool {
 						switch {
-						case when == "later" && l.elapsed() < 6*time.Second, when == "route" && route != 2,
-							when == "load" && l.load[server] < 0.5*l.rate/float64(l.oldServers):
+						case when == "later" && l.elapsed() < 6*time.Second, when == "one route" && route != 2,
+							when == "under load" && l.load[server] < 0.5*l.rate/float64(l.oldServers):
 							return false
 						}
 						return l.rng.Float64() < share
 					}
-					report(fmt.Sprint("bad ", rate, share, slow, when), b)
+					name := strconv.FormatFloat(rate, 'f', -1, 64) + "/s, " + strconv.FormatFloat(share*100, 'f', -1, 64) + "% " + when
+					if slow > 0 {
+						name += ", slow"
+					}
+					play(t, name, s, 20)
 				}
 			}
 		}
 	}
+	_ = require.New
 }
