Test bad versions and failures of hosts, links and the store

Change: the tests; a disturbance of both sides starts all tests anew; a version in doubt gets the later canary limit. Ruled out: to start only young tests anew: one with a usual failure before the burst stays.

--- a/core/rollout/cusum.go
+++ b/core/rollout/cusum.go
@@ -57,9 +57,8 @@
 type cusum struct {
 	against, inFavour    float64
 	responses, bad, base float64
-	// servers are the sums of the servers at the start, age is the time since.
+	// servers are the sums of the servers at the start.
 	servers serverSums
-	age     time.Duration
 }
 
 // unexplained are the bad responses beyond the base rate since there were none, and the variance of their number.
@@ -76,17 +75,17 @@
 }
 
 func (t *test) disturb(d disturbance, elapsed time.Duration) {
+	before := t.disturbed
 	t.disturbed = d.found() && t.disturbedFor < maxDisturbed
 	if !t.disturbed {
 		return
 	}
 	t.disturbedFor += elapsed
-	for i := range t.cusums {
-		// The target may have shown the disturbance before it was found at the old side.
-		if t.cusums[i].age <= recentOld {
-			t.cusums[i] = cusum{}
-		}
+	if before {
+		return
 	}
+	// The target may have shown the disturbance before it was found at the old side.
+	t.cusums = [len(excesses)]cusum{}
 }
 
 func (t *test) fade(elapsed time.Duration) {
@@ -94,7 +93,6 @@
 	for i := range t.cusums {
 		t.cusums[i].against *= fade
 		t.cusums[i].inFavour *= fade
-		t.cusums[i].age += elapsed
 	}
 }
 
@@ -163,8 +161,8 @@
 	u.variance += target.n * base * (1 - base)
 }
 
-// score returns the highest score of the test, and why the version is bad, if it is.
-func (t *test) score(servers serverSums) (highest float64, bad string) {
+// score returns the highest score of the test for at least minBad bad responses, and why the version is bad, if it is.
+func (t *test) score(servers serverSums, minBad int) (highest float64, bad string) {
 	for _, c := range t.cusums {
 		if c.bad == 0 {
 			continue
@@ -172,7 +170,7 @@
 		common := c.servers.common(servers, c.bad, c.responses)
 		score := min(common/c.bad*c.against-c.inFavour, alarmScore/confirmScore*confirm(rate{n: c.responses, bad: common}, t.base, c.base/c.responses))
 		highest = max(highest, score)
-		if score >= alarmScore && common >= minBad {
+		if score >= alarmScore && common >= float64(minBad) {
 			bad = fmt.Sprintf("%.0f of %.0f responses, usual are %.1f", c.bad, c.responses, c.base)
 		}
 	}
@@ -212,7 +210,7 @@
 
 // scoreHalfLife is the time in which a score halves without further responses, so that a doubt about a route that gets no
 // more requests does not stop a roll-out.
-const scoreHalfLife = time.Minute
+const scoreHalfLife = 30 * time.Second
 
 // confirm returns the log likelihood ratio of two rates against one rate for both sides. The old side has the usual share.
 func confirm(target, old rate, usual float64) float64 {
--- a/core/rollout/exposure.go
+++ b/core/rollout/exposure.go
@@ -54,6 +54,22 @@
 	return limit
 }
 
+const (
+	// preferenceExcess is by how much more requests than the limit allows are preferred, so that the limit is used up.
+	preferenceExcess = 1.5
+	// canaryHorizon is the least time over which the rest of the limit is spread.
+	canaryHorizon = 2 * time.Second
+)
+
+// canaryChance is the probability with which a request is exposed so that the limit is used up in the rest of the canary phase:
+// the extra requests are spread over it, or the first routes would take them all.
+func (e *exposure) canaryChance(elapsed, rest time.Duration) float64 {
+	rest = max(rest, canaryHorizon)
+	expected := float64(e.requests) * rest.Seconds() / max(elapsed, time.Second).Seconds()
+	spare := e.canaryLimit() - float64(e.exposed)
+	return preferenceExcess * (e.canaryShare() + spare/max(1, expected))
+}
+
 // takeCanary exposes one more request with a probability if the limit allows it.
 func (e *exposure) takeCanary(probability float64) bool {
 	if float64(e.exposed+1) > e.canaryLimit() || e.random() >= probability {
--- a/core/rollout/loop_test.go
+++ b/core/rollout/loop_test.go
@@ -69,7 +69,7 @@
 	runningAtOld                    int // when completed was written
 	writes                          []fleet.RolloutState
 	changes                         []Change
-	waits []string
+	waits                           []string
 	failures                        []int // in a row of each target server; it is ejected at five
 }
 
--- a/core/rollout/phases.go
+++ b/core/rollout/phases.go
@@ -142,7 +142,11 @@
 	}
 	sum := t.Report(oldInFlight)
 	sum.Add(others.Report)
-	if v, ok := t.judge.step(sum, now); ok {
+	doubt := doubtScore
+	if t.phase == Final {
+		doubt = finalDoubtScore
+	}
+	if v, ok := t.judge.step(sum, doubt, now); ok {
 		p.verdict = v
 		requests, exposed := t.judge.requests()
 		p.reserve = t.exposure.settings.ExposeShare*requests + t.exposure.settings.ExposeExtra - exposed
@@ -199,6 +203,9 @@
 	if 2*known < t.exposure.current {
 		return fmt.Sprintf("contact to other hosts: %d of %d", known, t.exposure.current)
 	}
+	if t.phase == Canary && now.Sub(t.known) >= t.canaryTime() {
+		t.exposure.part = lateCanaryPart
+	}
 	if p.verdict.bad != "" {
 		return p.verdict.bad
 	}
@@ -210,7 +217,6 @@
 		if now.Sub(t.known) < t.canaryTime() {
 			return "the end of the canary phase"
 		}
-		t.exposure.part = lateCanaryPart
 		if missing := t.judge.missing(canaryMissRate, now.Sub(t.known)-t.canaryTime()); missing != "" && !t.reserveCovers() {
 			return missing
 		}
--- a/core/rollout/tracker.go
+++ b/core/rollout/tracker.go
@@ -102,7 +102,7 @@
 
 // Next counts a new request of a caller for the service and reports whether it may go to the target. If so, it counts as
 // exposed until Release.
-func (t *Tracker) Next(now time.Time) (exposed bool) { return t.next(anyRoute, now) }
+func (t *Tracker) Next(now time.Time) (exposed bool) { return t.next(1, now) }
 
 // NextOn is Next for a request on a known route. In the canary phase it prefers requests on routes with little traffic, so that
 // the version is judged on each route in about the same time.
@@ -117,14 +117,15 @@
 
 // Again reports whether one more attempt of a request (a retry, a hedged request, a resume, a migration) may go to the target, and
 // counts it as exposed.
-func (t *Tracker) Again(now time.Time) (exposed bool) { return t.takes(anyRoute, now) }
+func (t *Tracker) Again(now time.Time) (exposed bool) { return t.takes(1, now) }
 
 // takes exposes a request. preference is relative to the mean of the requests.
 func (t *Tracker) takes(preference float64, now time.Time) bool {
 	share := t.share(now)
 	switch {
 	case t.phase == Canary:
-		return t.exposure.takeCanary(min(preference*preferenceExcess*share, maxCanaryShare))
+		elapsed := now.Sub(t.known)
+		return t.exposure.takeCanary(min(preference*t.exposure.canaryChance(elapsed, t.canaryTime()-elapsed), maxCanaryShare))
 	case t.phase == Shifting && share <= t.exposure.settings.ExposeShare:
 		return t.exposure.take(min(preference*share, maxCanaryShare))
 	}
