Keep a roll-out completed when hosts still say that they rolled back

Cause: TestWrite: after the store showed completed, a report of another host moved the phase back. Change: reports do not move a completed roll-out. Ruled out: nothing.

--- a/core/rollout/phases.go
+++ b/core/rollout/phases.go
@@ -134,7 +134,8 @@
 	if to := t.storePhase(request); to > t.phase || to == Completed && t.phase == RolledBack {
 		move(to, "the store has this state")
 	}
-	if others.Report.Hosts > 0 && others.Report.MaxPhase > t.phase {
+	// Completed means that the store holds it; hosts that do not know this yet may still say that they have rolled back.
+	if t.phase != Completed && others.Report.Hosts > 0 && others.Report.MaxPhase > t.phase {
 		move(others.Report.MaxPhase, "another host has this phase")
 	}
 	if t.phase >= Completed {
