--- a/core/rollout/cusum.go
+++ b/core/rollout/cusum.go
@@ -28,9 +28,10 @@
 	u.variance += r.n * usual * (1 - usual)
 }
 
-// found reports whether there are far more bad responses than usual. Three deviations and two responses more are reached by chance in
-// few intervals of a route with a base rate of 14%, and by three failures where failures are rare.
-func (u unusual) found() bool { return u.bad > u.expected+3*math.Sqrt(u.variance)+2 }
+// beyond reports whether there are more bad responses than usual by some standard deviations and some responses.
+func (u unusual) beyond(deviations, more float64) bool {
+	return u.bad > u.expected+deviations*math.Sqrt(u.variance)+more
+}
 
 func (d *disturbance) add(t *test) {
 	usual, _ := t.base.share()
@@ -38,7 +39,15 @@
 	d.last.add(t.last, usual)
 }
 
-func (d disturbance) found() bool { return d.recent.found() || d.last.found() }
+// found reports whether the old side is disturbed. Three deviations and two responses more than usual are reached by chance in few
+// intervals of a route with a base rate of 14%, and by three failures where failures are rare. A disturbance that was found lasts until
+// nothing is left of it, since few responses may show none for a moment.
+func (d disturbance) found(before bool) bool {
+	if before {
+		return d.recent.beyond(1, 0)
+	}
+	return d.recent.beyond(3, 2) || d.last.beyond(3, 2)
+}
 
 // test is the sequential test for one kind of bad responses on one route, or on all. It is a CUSUM for each of several excesses over
 // the base rate: a likelihood ratio that starts anew whenever it speaks for the version, so that a version that becomes bad
@@ -76,7 +85,7 @@
 
 func (t *test) disturb(d disturbance, elapsed time.Duration) {
 	before := t.disturbed
-	t.disturbed = d.found() && t.disturbedFor < maxDisturbed
+	t.disturbed = d.found(before) && t.disturbedFor < maxDisturbed
 	if !t.disturbed {
 		return
 	}
@@ -110,8 +119,8 @@
 	}
 	share, deviation := t.base.share()
 	base := share + deviation
-	if own.recent.found() || t.recent.n > 0 && all.disturbedFor >= maxDisturbed {
-		// The disturbance lasts longer than responses are left out for.
+	if own.recent.beyond(1, 1) || t.recent.n > 0 && all.disturbedFor >= maxDisturbed {
+		// The old side may be disturbed a little, or for longer than responses are left out for.
 		base = max(base, t.recent.bad/t.recent.n)
 	}
 	base = min(base, maxBase)
@@ -201,7 +210,11 @@
 	for server, s := range now {
 		n, own := float64(s.Requests-start[server].Requests), float64(s.Bad-start[server].Bad)
 		othersN, othersBad := float64(all.Requests)-n, float64(all.Bad)-own
-		excess = max(excess, own-n*(othersBad+0.5)/(othersN+1.5))
+		typical := n * (othersBad + 0.5) / (othersN + 1.5)
+		if own > typical+2*math.Sqrt(typical)+1 {
+			typical = 0 // clearly a bad server: its responses say nothing of the version
+		}
+		excess = max(excess, own-typical)
 	}
 	// The responses of the servers are not known by route: the excess is taken in proportion to the bad responses and to all
 	// responses, and the lower result counts.
