--- a/core/rollout/cusum.go
+++ b/core/rollout/cusum.go
@@ -211,7 +211,7 @@
 		n, own := float64(s.Requests-start[server].Requests), float64(s.Bad-start[server].Bad)
 		othersN, othersBad := float64(all.Requests)-n, float64(all.Bad)-own
 		typical := n * (othersBad + 0.5) / (othersN + 1.5)
-		if own > typical+2*math.Sqrt(typical)+1 {
+		if own > typical+2*math.Sqrt(typical) {
 			typical = 0 // clearly a bad server: its responses say nothing of the version
 		}
 		excess = max(excess, own-typical)
