--- a/core/rollout/exposure.go
+++ b/core/rollout/exposure.go
@@ -13,6 +13,8 @@
 	// canaryPart of the bounds is used in the canary phase. The rest is for requests that reach a version that becomes bad later,
 	// before this is known.
 	canaryPart = 0.5
+	// lateCanaryPart is used while the canary phase lasts longer than planned for lack of evidence.
+	lateCanaryPart = 0.75
 	// maxCanaryShare of the requests may go to the target in the canary phase, so that the other side gets as many requests to
 	// compare with while a service has few.
 	maxCanaryShare = 0.5
@@ -23,6 +25,8 @@
 type exposure struct {
 	settings Settings
 	random   func() float64
+	// part of the bounds is used in the canary phase.
+	part float64
 	// round is added to this host's part of the extra requests before the fraction is cut off. It is drawn once, so that the parts
 	// of all hosts have the right mean and a change of the number of hosts is no new draw.
 	round float64
@@ -34,22 +38,38 @@
 }
 
 func newExposure(settings Settings, random func() float64) exposure {
-	return exposure{settings: settings, random: random, round: random()}
+	return exposure{settings: settings, random: random, part: canaryPart, round: random()}
 }
 
 func (e *exposure) setHosts(n int) { e.current, e.hosts = n, max(e.hosts, n) }
 
-func (e *exposure) canaryShare() float64 { return canaryPart * e.settings.ExposeShare }
+func (e *exposure) canaryShare() float64 { return e.part * e.settings.ExposeShare }
 
 // canaryLimit is the number of requests that this host may have exposed in the canary phase.
 func (e *exposure) canaryLimit() float64 {
 	limit := e.canaryShare() * float64(e.requests)
 	if e.hosts > 0 {
-		limit += math.Floor(canaryPart*e.settings.ExposeExtra/float64(e.hosts) + e.round)
+		limit += math.Floor(e.part*e.settings.ExposeExtra/float64(e.hosts) + e.round)
 	}
 	return limit
 }
 
+const (
+	// preferenceExcess is by how much more requests than the limit allows are preferred, so that the limit is used up.
+	preferenceExcess = 1.5
+	// canaryHorizon is the least time over which the rest of the limit is spread.
+	canaryHorizon = 2 * time.Second
+)
+
+// canaryChance is the probability with which a request is exposed so that the limit is used up in the rest of the canary phase:
+// the extra requests are spread over it, or the first routes would take them all.
+func (e *exposure) canaryChance(elapsed, rest time.Duration) float64 {
+	rest = max(rest, canaryHorizon)
+	expected := float64(e.requests) * rest.Seconds() / max(elapsed, time.Second).Seconds()
+	spare := e.canaryLimit() - float64(e.exposed)
+	return preferenceExcess * (e.canaryShare() + spare/max(1, expected))
+}
+
 // takeCanary exposes one more request with a probability if the limit allows it.
 func (e *exposure) takeCanary(probability float64) bool {
 	if float64(e.exposed+1) > e.canaryLimit() || e.random() >= probability {
