--- a/core/rollout/cusum.go
+++ b/core/rollout/cusum.go
@@ -16,20 +16,38 @@
 	return share, math.Sqrt(share * (1 - share) / n)
 }
 
-// disturbance compares the old side of the last seconds with what is usual.
-type disturbance struct{ n, bad, expected, variance float64 }
+// disturbance compares the old side of the last seconds, and of the last moments, with what is usual.
+type disturbance struct{ recent, last unusual }
+
+type unusual struct{ n, bad, expected, variance float64 }
+
+func (u *unusual) add(r rate, usual float64) {
+	u.n += r.n
+	u.bad += r.bad
+	u.expected += r.n * usual
+	u.variance += r.n * usual * (1 - usual)
+}
+
+// beyond reports whether there are more bad responses than usual by some standard deviations and some responses.
+func (u unusual) beyond(deviations, more float64) bool {
+	return u.bad > u.expected+deviations*math.Sqrt(u.variance)+more
+}
 
 func (d *disturbance) add(t *test) {
 	usual, _ := t.base.share()
-	d.n += t.recent.n
-	d.bad += t.recent.bad
-	d.expected += t.recent.n * usual
-	d.variance += t.recent.n * usual * (1 - usual)
+	d.recent.add(t.recent, usual)
+	d.last.add(t.last, usual)
 }
 
 // found reports whether the old side is disturbed. Three deviations and two responses more than usual are reached by chance in few
-// intervals of a route with a base rate of 14%, and by three failures where failures are rare.
-func (d disturbance) found() bool { return d.bad > d.expected+3*math.Sqrt(d.variance)+2 }
+// intervals of a route with a base rate of 14%, and by three failures where failures are rare. A disturbance that was found lasts until
+// nothing is left of it, since few responses may show none for a moment.
+func (d disturbance) found(before bool) bool {
+	if before {
+		return d.recent.beyond(1, 0)
+	}
+	return d.recent.beyond(3, 2) || d.last.beyond(3, 2)
+}
 
 // test is the sequential test for one kind of bad responses on one route, or on all. It is a CUSUM for each of several excesses over
 // the base rate: a likelihood ratio that starts anew whenever it speaks for the version, so that a version that becomes bad
@@ -37,8 +55,8 @@
 type test struct {
 	cusums      [len(excesses)]cusum
 	unexplained unexplained
-	// base is the old side, recent that of the last seconds.
-	base, recent rate
+	// base is the old side, recent that of the last seconds, last that of the last moments.
+	base, recent, last rate
 	// disturbed is set while the old side has far more bad responses than usual; disturbedFor is how long it was in all.
 	disturbed    bool
 	disturbedFor time.Duration
@@ -62,14 +80,21 @@
 func (t *test) begin(d disturbance, elapsed time.Duration) {
 	t.disturb(d, elapsed)
 	t.fade(elapsed)
-	t.base, t.recent = rate{}, rate{n: d.n, bad: d.bad}
+	t.base = rate{}
 }
 
 func (t *test) disturb(d disturbance, elapsed time.Duration) {
-	t.disturbed = d.found() && t.disturbedFor < maxDisturbed
-	if t.disturbed {
-		t.disturbedFor += elapsed
+	before := t.disturbed
+	t.disturbed = d.found(before) && t.disturbedFor < maxDisturbed
+	if !t.disturbed {
+		return
+	}
+	t.disturbedFor += elapsed
+	if before {
+		return
 	}
+	// The target may have shown the disturbance before it was found at the old side.
+	t.cusums = [len(excesses)]cusum{}
 }
 
 func (t *test) fade(elapsed time.Duration) {
@@ -94,8 +119,8 @@
 	}
 	share, deviation := t.base.share()
 	base := share + deviation
-	if own.found() || t.recent.n > 0 && all.disturbedFor >= maxDisturbed {
-		// The disturbance lasts longer than responses are left out for.
+	if own.recent.beyond(1, 1) || t.recent.n > 0 && all.disturbedFor >= maxDisturbed {
+		// The old side may be disturbed a little, or for longer than responses are left out for.
 		base = max(base, t.recent.bad/t.recent.n)
 	}
 	base = min(base, maxBase)
@@ -145,16 +170,16 @@
 	u.variance += target.n * base * (1 - base)
 }
 
-// score returns the highest score of the test, and why the version is bad, if it is.
-func (t *test) score(servers serverSums) (highest float64, bad string) {
+// score returns the highest score of the test for at least minBad bad responses, and why the version is bad, if it is.
+func (t *test) score(servers serverSums, minBad int) (highest float64, bad string) {
 	for _, c := range t.cusums {
 		if c.bad == 0 {
 			continue
 		}
 		common := c.servers.common(servers, c.bad, c.responses)
-		score := common/c.bad*c.against - c.inFavour
+		score := min(common/c.bad*c.against-c.inFavour, alarmScore/confirmScore*confirm(rate{n: c.responses, bad: common}, t.base, c.base/c.responses))
 		highest = max(highest, score)
-		if score >= alarmScore && confirm(rate{n: c.responses, bad: common}, t.base, c.base/c.responses) >= confirmScore {
+		if score >= alarmScore && common >= float64(minBad) {
 			bad = fmt.Sprintf("%.0f of %.0f responses, usual are %.1f", c.bad, c.responses, c.base)
 		}
 	}
@@ -171,21 +196,25 @@
 // in its place. It is nearly all for a bad version, and few for one bad server. The sums are those at the start of the test.
 func (start serverSums) common(now serverSums, bad, responses float64) float64 {
 	var all ServerCounts
+	worst := 0.0
 	for server, s := range now {
 		all.Requests += s.Requests - start[server].Requests
 		all.Bad += s.Bad - start[server].Bad
+		worst = max(worst, float64(s.Bad-start[server].Bad))
 	}
-	excess, worst := 0.0, 0.0
+	if all.Bad == 0 || len(now) == 1 {
+		return bad
+	}
+	// However few the responses are, the server with the most bad ones counts no more than all others together.
+	excess := max(0, 2*worst-float64(all.Bad))
 	for server, s := range now {
 		n, own := float64(s.Requests-start[server].Requests), float64(s.Bad-start[server].Bad)
 		othersN, othersBad := float64(all.Requests)-n, float64(all.Bad)-own
-		if othersN > 0 {
-			worst = max(worst, own)
-			excess = max(excess, own-n*(othersBad+1)/(othersN+2))
+		typical := n * (othersBad + 0.5) / (othersN + 1.5)
+		if own > typical+2*math.Sqrt(typical) {
+			typical = 0 // clearly a bad server: its responses say nothing of the version
 		}
-	}
-	if worst == 0 {
-		return bad
+		excess = max(excess, own-typical)
 	}
 	// The responses of the servers are not known by route: the excess is taken in proportion to the bad responses and to all
 	// responses, and the lower result counts.
@@ -194,7 +223,7 @@
 
 // scoreHalfLife is the time in which a score halves without further responses, so that a doubt about a route that gets no
 // more requests does not stop a roll-out.
-const scoreHalfLife = time.Minute
+const scoreHalfLife = 30 * time.Second
 
 // confirm returns the log likelihood ratio of two rates against one rate for both sides. The old side has the usual share.
 func confirm(target, old rate, usual float64) float64 {
--- a/core/rollout/judgement.go
+++ b/core/rollout/judgement.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"math"
+	"slices"
 	"strconv"
 	"time"
 )
@@ -13,12 +14,14 @@
 	judgeInterval = 200 * time.Millisecond
 	// recentOld is the time over which the responses of the old side tell that both sides are disturbed.
 	recentOld = 2 * time.Second
+	// lastOld is the time over which they tell the same as soon as it begins.
+	lastOld = 600 * time.Millisecond
 	// baseHalfLife is the time in which older responses of the old side lose half of their weight.
 	baseHalfLife = 30 * time.Second
 	// slowTail of the recent responses of the old side on a route may be slow.
 	slowTail = 0.05
 	// minLatencies is the number of responses of the old side from which on slow responses are judged.
-	minLatencies = 10
+	minLatencies = 5
 	// defaultFailures and defaultSlow are the base rates of a route without responses of the old side; priorWeight is the number
 	// of responses that they count as.
 	defaultFailures = 0.02
@@ -32,9 +35,15 @@
 	alarmScore = 10.0
 	// doubtScore is the log likelihood ratio from which on the roll-out waits.
 	doubtScore = 3.0
+	// finalDoubtScore replaces it in the final phase. No responses of the old side improve the base rate then, so that a good
+	// version would stay at a low score for long.
+	finalDoubtScore = 5.0
 	// confirmScore is the log likelihood ratio that the same responses must have when the base rate is fitted to both sides. It
 	// guards against a base rate known from few responses.
 	confirmScore = 6.0
+	// minBad is the least number of bad responses of a bad version on one route, minBadOfAll that on all routes. A bad server and
+	// the base rate together give four in a row more often than a likelihood ratio of independent responses says.
+	minBad, minBadOfAll = 4, 5
 	// maxUnexplained is the number of bad responses beyond the base rate at which a version is bad whatever the test says. It
 	// leaves 15 of the 40 to the delay of the reports.
 	maxUnexplained = 25
@@ -80,7 +89,9 @@
 	base   sideSums
 	recent []sideSample
 	// slow is the first bucket of slow responses; LatencyBuckets if unknown.
-	slow            int
+	slow int
+	// waiting are responses of the target from before this is known.
+	waiting         [LatencyBuckets]int64
 	failures, delay test
 }
 
@@ -94,6 +105,13 @@
 	responses, failures, latencies, slow float64
 }
 
+func (s *sideSample) add(o sideSample) {
+	s.responses += o.responses
+	s.failures += o.failures
+	s.latencies += o.latencies
+	s.slow += o.slow
+}
+
 // slowFrom returns the first bucket of slow responses on a route.
 func (j *judgement) slowFrom(route string) int {
 	if r := j.routes[route]; r != nil {
@@ -102,13 +120,6 @@
 	return LatencyBuckets
 }
 
-const (
-	// preferenceExcess is by how much more requests than the limit allows are preferred, so that the limit is used up.
-	preferenceExcess = 1.5
-	// anyRoute is the preference of a request without a route: it is exposed as soon as the limit allows it.
-	anyRoute = math.MaxFloat32
-)
-
 // preference is the factor by which a request on a route is exposed more often than the mean, so that all routes get as many
 // exposed requests.
 func (j *judgement) preference(route string) float64 {
@@ -118,13 +129,13 @@
 	}
 	r := j.routes[route]
 	if r == nil || r.requests == 0 {
-		return anyRoute
+		return 1
 	}
 	return float64(total) / float64(r.requests) / float64(len(j.routes))
 }
 
-// step evaluates the sum over all hosts.
-func (j *judgement) step(report Report, now time.Time) (verdict, bool) {
+// step evaluates the sum over all hosts. From the score doubt on, the version is in doubt.
+func (j *judgement) step(report Report, doubt float64, now time.Time) (verdict, bool) {
 	if !j.at.IsZero() && now.Sub(j.at) < judgeInterval {
 		return verdict{}, false
 	}
@@ -134,10 +145,14 @@
 	}
 	previous, hosts, sum := j.last, j.mostHosts, newSums(report)
 	j.at, j.last, j.mostHosts = now, sum, max(hosts, sum.hosts)
-	j.total(sum)
+	for key := range sum.counts {
+		if j.routes[key.route] == nil {
+			j.routes[key.route] = &routeJudgement{slow: LatencyBuckets}
+		}
+	}
 	if fell(previous, sum) || sum.hosts > previous.hosts && sum.hosts <= hosts {
 		// The counts of a host that left are gone, or those of one that is back are counted already.
-		return j.verdict(), true
+		return j.verdict(doubt), true
 	}
 	before := maps.Clone(j.servers)
 	for server, s := range sum.servers {
@@ -146,7 +161,9 @@
 	}
 	var failures, slow disturbance
 	for route, r := range j.routes {
-		r.add(difference(sum.counts[countKey{route, false}], previous.counts[countKey{route, false}]), elapsed, now)
+		old := difference(sum.counts[countKey{route, false}], previous.counts[countKey{route, false}])
+		r.requests += old.Requests
+		r.add(old, elapsed, now)
 		failures.add(&r.failures)
 		slow.add(&r.delay)
 	}
@@ -155,52 +172,43 @@
 	for route, r := range j.routes {
 		target := difference(sum.counts[countKey{route, true}], previous.counts[countKey{route, true}])
 		r.failures.step(rate{n: float64(target.Requests), bad: float64(target.Failures)}, &j.failures, before, elapsed)
+		r.requests += target.Requests
+		r.exposed += target.Requests
+		r.good += target.Requests - target.Failures
+		for i, n := range target.Latency {
+			r.waiting[i] += n
+		}
 		if r.slow < LatencyBuckets {
-			n, bad := tail(target.Latency, r.slow)
+			n, bad := tail(r.waiting, r.slow)
+			r.good -= int64(bad)
+			r.waiting = [LatencyBuckets]int64{}
 			r.delay.step(rate{n: n, bad: bad}, &j.delay, before, elapsed)
 		}
 	}
 	j.failures.end()
 	j.delay.end()
-	return j.verdict(), true
+	return j.verdict(doubt), true
 }
 
-// total takes over the totals that evidence for the version is counted by.
-func (j *judgement) total(sum sums) {
-	for _, c := range sum.counts {
-		r := j.routes[c.Route]
-		if r == nil {
-			r = &routeJudgement{slow: LatencyBuckets}
-			j.routes[c.Route] = r
-		}
-		if c.Target {
-			r.exposed, r.good = max(r.exposed, c.Requests), max(r.good, c.Requests-c.Failures)
-		}
-	}
-	for route, r := range j.routes {
-		r.requests = max(r.requests, sum.counts[countKey{route, false}].Requests+sum.counts[countKey{route, true}].Requests)
-	}
-}
-
-func (j *judgement) verdict() (v verdict) {
-	check := func(where, kind string, t *test) {
-		score, bad := t.score(j.servers)
+func (j *judgement) verdict(doubt float64) (v verdict) {
+	check := func(where, kind string, t *test, minBad int) {
+		score, bad := t.score(j.servers, minBad)
 		text := func(what string) string { return fmt.Sprintf("%s on %s: %s (score %.1f)", kind, where, what, score) }
 		if bad != "" {
 			v.bad = text(bad)
 		}
-		if score >= doubtScore {
+		if score >= doubt {
 			v.doubt = text("perhaps too many")
 		} else if t.disturbed {
 			v.doubt = text("the old version has more than usual")
 		}
 	}
 	for route, r := range j.routes {
-		check("route "+strconv.Quote(route), "failures", &r.failures)
-		check("route "+strconv.Quote(route), "slow responses", &r.delay)
+		check("route "+strconv.Quote(route), "failures", &r.failures, minBad)
+		check("route "+strconv.Quote(route), "slow responses", &r.delay, minBad)
 	}
-	check("all routes", "failures", &j.failures)
-	check("all routes", "slow responses", &j.delay)
+	check("all routes", "failures", &j.failures, minBadOfAll)
+	check("all routes", "slow responses", &j.delay, minBadOfAll)
 	return v
 }
 
@@ -211,21 +219,22 @@
 	sample := sideSample{at: now, responses: float64(old.Requests), failures: float64(old.Failures)}
 	sample.latencies, sample.slow = tail(old.Latency, r.slow)
 	r.recent = append(r.recent, sample)
-	for now.Sub(r.recent[0].at) > recentOld {
-		r.recent = r.recent[1:]
-	}
-	var window sideSample
+	r.recent = slices.DeleteFunc(r.recent, func(s sideSample) bool { return now.Sub(s.at) > recentOld })
+	var window, last sideSample
 	for _, s := range r.recent {
-		window.responses += s.responses
-		window.failures += s.failures
-		window.latencies += s.latencies
-		window.slow += s.slow
+		window.add(s)
+		if now.Sub(s.at) < lastOld {
+			last.add(s)
+		}
 	}
 	r.failures.base = rate{n: r.base.responses, bad: r.base.failures, prior: defaultFailures}
 	r.failures.recent = rate{n: window.responses, bad: window.failures}
 	baseN, baseSlow := tail(r.base.latency, r.slow)
-	r.delay.base = rate{n: baseN, bad: baseSlow, prior: defaultSlow}
+	// With few responses, the limit itself is uncertain: the next response exceeds all n with a probability of 1/(n+1).
+	r.delay.base = rate{n: baseN, bad: baseSlow, prior: max(defaultSlow, 1/(baseN+1))}
 	r.delay.recent = rate{n: window.latencies, bad: window.slow}
+	r.failures.last = rate{n: last.responses, bad: last.failures}
+	r.delay.last = rate{n: last.latencies, bad: last.slow}
 }
 
 func (s *sideSums) add(c Counts, elapsed time.Duration) {
