Count speeds within the error of the estimates as usual

Cause: equal servers were not used equally: one of two equal idle plain servers got 112 of 117 requests, one of nine equal engines 171 where the others got 112.

--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -32,6 +32,12 @@
 	// MinSpeed, MaxSpeed and MinLimit bound the results, so that one bad estimate cannot starve a server.
 	MinSpeed, MaxSpeed = 0.5, 4.0
 	MinLimit           = 0.25
+	// equalSpeeds is the difference from the median, as binary logarithm (some 7%), up to which a speed counts as usual. It is the usual error
+	// of the estimates: without it, all hosts send to the one of several equal idle servers that seems best.
+	equalSpeeds = 0.1
+	// equalFastSpeeds is the same for servers that seem faster (some 23%). They attract work and are then measured at a higher load,
+	// where an error of the slope makes them seem faster still.
+	equalFastSpeeds = 0.3
 	// maxLogRatio bounds a sample's difference from the usual value: a response that took a minute counts like one that took
 	// eight times as long as usual.
 	maxLogRatio = 3
@@ -395,8 +401,12 @@
 func (l *Learner) Estimates(now time.Time) map[serverstate.Process]Estimate {
 	out := make(map[serverstate.Process]Estimate, len(l.servers))
 	for p, s := range l.servers {
+		speed := 1.0
+		if s.logSpeed > equalSpeeds || s.logSpeed < -equalFastSpeeds {
+			speed = bounded(s.logSpeed)
+		}
 		out[p] = Estimate{
-			Speed: bounded(s.logSpeed), Slowdown: bounded(s.stated.excess(now)), Limit: s.limit,
+			Speed: speed, Slowdown: bounded(s.stated.excess(now)), Limit: s.limit,
 			Samples: s.merged.total(), SampledAt: s.sampledAt,
 		}
 	}
