Send the priority of a request to the engines of contended services

Cause: engines of a contended service admit and preempt by X-Request-Priority; without it, each request has the middle priority, so that the order of the hosts ends at the engine. Ruled out: the header on every request; engines of deployments without contention are served as before. Change: Dialect.Priority, set in request.outgoing for engines of contended services (team before route, 0 to 9), thus also on resumes and migrations. A service is contended by the settings or by a flag that an observation can set.

--- a/internal/forward/balancers.go
+++ b/internal/forward/balancers.go
@@ -88,6 +88,8 @@
 	// config is the newest configuration of the service, kept when a later one no longer has it: its
 	// requests still run and may have to be migrated. It is nil if there was none.
 	config *route.Service
+	// contended is set once a server has stated that its speed varies; see balancers.contended.
+	contended bool
 	// lastNotice is when a server of the service last gave a termination notice.
 	lastNotice time.Time
 }
--- a/internal/forward/dialect.go
+++ b/internal/forward/dialect.go
@@ -39,6 +39,8 @@
 	// Standby is the address of the engine that keeps a standby replica. The replica is
 	// identified by the request's ID.
 	Standby string
+	// Priority tells an engine of a contended service how urgent the request is, from 0 (most urgent) to 9.
+	Priority string
 	// Reserved lists further fields that are removed from callers' requests.
 	Reserved []string
 	// ParseTokenCounts decodes the value of TokenCounts.
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -264,6 +264,9 @@
 	if r.team != nil {
 		req.Header.Set(d.Team, r.team.Name)
 	}
+	if r.g.balancers.isContendedEngine(r.service) {
+		req.Header.Set(d.Priority, strconv.Itoa(r.enginePriority()))
+	}
 	req.Header.Set(d.ExpectBackend, backend)
 	left := max(time.Until(r.deadline).Milliseconds(), 1)
 	req.Header.Set(d.CallerTimeout, strconv.FormatInt(left, 10))
