Run resumable streams again at another server

Cause: a stream of a route with resumable may run more than once, but a stream whose server ended, failed or fell silent without a copy elsewhere was broken off. Ruled out: a second request for a stream that had no answer on the same connection (the server may run it); stopping the former run by a final copy (it takes KV cache, and the closed connection ends the run); a limit on silence before the first event below the objective (a long prefill is no silence). Change: route.Route.Resumable; runs of a request are counted over new runs, migrations and standby replicas. It gets Last-Event-Id of the newest event delivered, else the caller's own. Log field reruns, metric reruns.

--- a/core/route/route.go
+++ b/core/route/route.go
@@ -63,6 +63,9 @@
 	// Attempts is the maximum number of executions of one idempotent request. Attempts that
 	// a backend server rejects unexecuted do not count.
 	Attempts int
+	// Resumable is set if a stream of the route may run more than once: a new run continues after the last event
+	// that it is given. At most Attempts servers run one request.
+	Resumable bool
 	// Public is set if requests need no API key.
 	Public  bool
 	Targets []Target
--- a/internal/forward/contention.go
+++ b/internal/forward/contention.go
@@ -12,7 +12,9 @@
 }
 
 // contendedLocked is contended while balancers.mu is held.
-func (bs *balancers) contendedLocked(s *serviceState) bool { return bs.bounds.Contention || s.contended }
+func (bs *balancers) contendedLocked(s *serviceState) bool {
+	return bs.bounds.Contention || s.contended
+}
 
 // setContended records that a server of a service states how its speed varies.
 func (bs *balancers) setContended(service string) {
--- a/internal/forward/generations.go
+++ b/internal/forward/generations.go
@@ -52,12 +52,14 @@
 	sourceStopped bool
 	// stopping has the last attempts to stop the generation at engines whose connection was closed, by ID.
 	stopping map[string]stopping
+	// runSeries has the runs of a resumable stream.
+	runSeries *retrySeries
 	// silence has the requests to resume because the source was silent.
 	silence *retrySeries
 }
 
-func (gens *generations) add(r *request, res, standby *reservation) *generation {
-	gen := &generation{r: r, reservation: res, standby: standby, relay: relay.New(time.Now()), sourceEnded: make(chan struct{}), silence: r.g.newRetrySeries(r.service)}
+func (gens *generations) add(r *request, res, standby *reservation, series *retrySeries) *generation {
+	gen := &generation{r: r, reservation: res, standby: standby, relay: relay.New(time.Now()), sourceEnded: make(chan struct{}), runSeries: series, silence: r.g.newRetrySeries(r.service)}
 	gens.mu.Lock()
 	gens.put(res.server.ID, gen)
 	gens.mu.Unlock()
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -15,6 +15,8 @@
 // Metrics holds the gateway's counters and latency histograms.
 type Metrics struct {
 	Requests, Retries, Migrations, FailedMigrations, CompletedStreams, BrokenStreams atomic.Int64
+	// Reruns counts streams that another server ran anew after their response had begun.
+	Reruns atomic.Int64
 	// Refusals counts refusals of servers that named a time, and RefusalsEnded those after which the
 	// server accepted a request.
 	Refusals, RefusalsEnded atomic.Int64
@@ -67,6 +69,7 @@
 		"repeats":               m.Retries.Load(),
 		"moves":                 m.Migrations.Load(),
 		"moves_failed":          m.FailedMigrations.Load(),
+		"reruns":                m.Reruns.Load(),
 		"broken_streams":        m.BrokenStreams.Load(),
 		"completed_streams":     m.CompletedStreams.Load(),
 		"server_refusals":       m.Refusals.Load(),
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -57,6 +57,9 @@
 	placedBy   string
 	attempts   int
 	migrations int
+	// reruns is how often another server ran the stream anew, and runs are the servers that ran it.
+	reruns     int
+	runs       runs
 	events     int
 	waited     time.Duration
 	configAge  time.Duration
@@ -371,7 +374,7 @@
 	}
 	if r.route != nil && r.route.Kind == route.Stream {
 		e = e.Int("events", r.events).Int64("first_event_ms", r.firstEvent.Milliseconds()).
-			Int64("worst_gap_ms", r.worstGap.Milliseconds()).Int("moves", r.migrations).Int("prompt", r.promptTokens).Int("output", r.outputTokens).
+			Int64("worst_gap_ms", r.worstGap.Milliseconds()).Int("moves", r.migrations).Int("reruns", r.reruns).Int("prompt", r.promptTokens).Int("output", r.outputTokens).
 			Str("placed_by", r.placedBy)
 		if r.sourceEnd != nil {
 			e = e.Str("source_end", r.sourceEnd.Error()).Str("framing", r.framing).Str("ended_by", string(r.sourceEndedBy))
--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -65,7 +65,11 @@
 		}
 		cause = errors.Join(cause, err)
 	}
-	return s.resumeAtStandby(cause)
+	err := s.resumeAtStandby(cause)
+	if err != nil && s.canRunAgain() {
+		return s.runAgain(err)
+	}
+	return err
 }
 
 // errNoCopy is returned if there is no copy of a kind from which a generation can resume.
@@ -139,9 +143,14 @@
 func (s *stream) relayFrom(sw *switchover) {
 	s.ex, s.frames, s.sourceEvents = sw.ex, sse.NewFrameReader(sw.ex.Body()), 0
 	s.r.sourceEnd, s.r.framing = nil, ""
-	s.r.migrations++
 	s.r.backend = sw.target.server.ID
-	s.r.g.Metrics.Migrations.Add(1)
+	if sw.newRun {
+		s.r.reruns++
+		s.r.g.Metrics.Reruns.Add(1)
+	} else {
+		s.r.migrations++
+		s.r.g.Metrics.Migrations.Add(1)
+	}
 	s.generation.switchReservation(sw.ex, sw.target, sw.standby)
 }
 
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -12,7 +12,7 @@
 	defer gen.mu.Unlock()
 	now := time.Now()
 	gen.relay.Await(now)
-	if gen.r.route.GapObjective <= 0 {
+	if gen.r.route.GapObjective <= 0 && !gen.r.route.Resumable {
 		return
 	}
 	silence := gen.relay.Silence(now)
@@ -52,6 +52,9 @@
 	}
 	gen.mu.Unlock()
 	sw := gen.askStandby()
+	if sw == nil && gen.dropSilentSource() {
+		return
+	}
 	gen.mu.Lock()
 	defer gen.mu.Unlock()
 	silence := gen.relay.Silence(time.Now())
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -33,11 +33,11 @@
 	for {
 		res, reason := r.reserve(balance.Request{Tokens: r.expectedTokens(r.promptTokens), Prefill: r.promptTokens, Events: r.expectedEvents()}, attempted)
 		if res == nil {
-			return r.noReservation(last, 0, reason)
+			return r.noReservation(last, r.runs.count(), reason)
 		}
 		if err := r.checkShutdown(); err != nil { // which may have begun during the wait
 			res.cancel()
-			return r.giveUp(err, 0)
+			return r.giveUp(err, r.runs.count())
 		}
 		r.attempts++
 		s, err := r.startStream(res, r.reserveStandby(res.server), series)
@@ -45,21 +45,25 @@
 			return s.relay()
 		}
 		if r.ctx.Err() != nil {
-			return r.interruptionError(verdict.Of(err) != verdict.NotRun)
+			return r.interruptionError(verdict.Of(err) != verdict.NotRun || r.runs.count() > 0)
 		}
 		if r.rejection != nil {
-			return err
+			return r.rejectedAfterRuns(err)
 		}
 		if verdict.From(err).Code == codeNoRetryBudget {
-			return r.giveUp(last, 0)
+			return r.giveUp(last, r.runs.count())
 		}
 		last = err
+		attempted = append(attempted, res.server.ID)
 		if verdict.Of(err) != verdict.NotRun {
-			return r.giveUp(err, 1)
+			r.runs.add(res.server.ID)
+			if r.responded || !r.mayRunAgain(series) {
+				return r.giveUp(err, 1)
+			}
+			continue
 		}
-		attempted = append(attempted, res.server.ID)
 		if !r.mayRetry(err, len(attempted), series) {
-			return r.giveUp(err, 0)
+			return r.giveUp(err, r.runs.count())
 		}
 	}
 }
@@ -78,6 +82,10 @@
 	lastAt     time.Time
 	// delivered counts the events delivered, and repeated those dropped since then.
 	delivered, repeated int
+	// series has the runs of the request; see route.Route.Resumable.
+	series *retrySeries
+	// unnumbered is set if the last event delivered had no ID, so that no new run can continue after it.
+	unnumbered bool
 	// sourceEvents counts the events that the current source sent.
 	sourceEvents int
 	gapSampler   gapSampler
@@ -92,11 +100,18 @@
 	}
 	if ex.Response.StatusCode() != fasthttp.StatusOK {
 		standby.releaseIfHeld()
+		if r.withholdsFailure(ex, res, series) {
+			return nil, r.failedRun(ex, res)
+		}
 		return nil, r.deliverFailure(ex, res)
 	}
-	s := &stream{r: r, ex: ex, frames: sse.NewFrameReader(ex.Body())}
-	s.generation = r.g.generations.add(r, res, standby)
+	r.runs.add(res.server.ID)
+	s := &stream{r: r, ex: ex, frames: sse.NewFrameReader(ex.Body()), series: series, lastID: r.callerOffset()}
+	s.generation = r.g.generations.add(r, res, standby, series)
 	s.generation.setExchange(ex)
+	if r.route.Resumable {
+		s.generation.awaitSilence() // a silent server is replaced before its first event too
+	}
 	s.header = copyHeader(responseHeader(&ex.Response.Header))
 	return s, nil
 }
@@ -108,7 +123,9 @@
 		res.cancel()
 		return nil, err
 	}
-	ex, err := r.exchange(r.ctx, res, true, func(req *fasthttp.Request) { r.setStandbyHeader(req, standby) }, exchangeHooks{sending: series.charge()})
+	ctx, answered := r.runContext()
+	defer answered()
+	ex, err := r.exchange(ctx, res, true, func(req *fasthttp.Request) { r.setStandbyHeader(req, standby) }, exchangeHooks{sending: series.charge()})
 	if err != nil {
 		r.releaseFailed(res, err)
 	}
@@ -144,7 +161,7 @@
 	sentAt := time.Now()
 	ex, err := r.g.pool.Do(ctx, res.server.Address, req, opts)
 	if err != nil {
-		if verdict.Of(err) != verdict.NotRun {
+		if verdict.Of(err) != verdict.NotRun && !r.endedRun(ctx) {
 			r.recordBrokenAnswer(res.server, err)
 		}
 		return nil, err
@@ -278,6 +295,7 @@
 		s.lastID = f.ID
 	}
 	if f.Event {
+		s.unnumbered = !f.HasID
 		s.observe()
 		s.generation.delivered(s.r.events, s.lastID)
 	}
--- a/internal/forward/switchover.go
+++ b/internal/forward/switchover.go
@@ -20,6 +20,8 @@
 	target *reservation
 	// standby is the reservation of a standby replica of the target; nil if there is none.
 	standby *reservation
+	// newRun is set if the target runs the generation anew, without a copy; see stream.runAgain.
+	newRun bool
 	// ref is the copy from which the generation resumes, in the format of KVSource.
 	ref string
 	// series has the requests of the switchover.
@@ -99,15 +101,22 @@
 func (gen *generation) ask(sw *switchover, server string) {
 	sw.standby = gen.r.reserveStandby(sw.target.server)
 	stop := gen.abandonWhenLate(sw)
-	sw.err = gen.resume(sw)
+	if sw.newRun {
+		sw.err = gen.startRun(sw)
+	} else {
+		sw.err = gen.resume(sw)
+	}
 	stop()
+	if sw.ex != nil || sw.mayRun {
+		gen.r.runs.add(sw.target.server.ID)
+	}
 	gen.mu.Lock()
 	gen.r.targetResponse = "accepted"
 	if sw.err != nil {
 		gen.r.targetResponse = sw.err.Error()
 		gen.refuse(sw)
 	}
-	if sw.mayRun {
+	if sw.mayRun && !sw.newRun {
 		gen.stopClosed(sw.target.server, gen.reservation.server, true)
 	}
 	gen.mu.Unlock()
@@ -139,7 +148,7 @@
 		sw.times.sourceClosed = time.Now()
 	}
 	sw.ex = ex
-	if !gen.sourceStopped {
+	if !gen.sourceStopped && !sw.newRun { // of a new run, the closed connection ends the former one
 		gen.stopClosed(gen.reservation.server, sw.target.server, false)
 	}
 }
@@ -158,6 +167,10 @@
 // abandonWhenLate cancels the request of a switchover whose target does not respond in time. The
 // returned function ends that.
 func (gen *generation) abandonWhenLate(sw *switchover) (stop func()) {
+	if sw.newRun {
+		timer := time.AfterFunc(gen.r.silenceLimit(false), sw.cancel)
+		return func() { timer.Stop() }
+	}
 	var timer *time.Timer
 	check := func() {
 		gen.mu.Lock()
@@ -287,6 +300,6 @@
 	times := sw.times
 	gen.mu.Unlock()
 	gen.r.g.opts.Log.Info().Str("request", gen.r.id).Str("source", source).Str("target", sw.target.server.ID).
-		Bool("went_on", sw.ex != nil).AnErr("error", sw.err).AnErr("source_end", sw.sourceEnd).EmbedObject(times).
+		Bool("went_on", sw.ex != nil).Bool("new_run", sw.newRun).AnErr("error", sw.err).AnErr("source_end", sw.sourceEnd).EmbedObject(times).
 		Msg("generation switchover to another engine attempted")
 }
