Measure servers without work again sooner

Cause: a server that had recovered got no request for 30 s in one of fourteen runs of TestServerThatSlowsAndReturns. Ruled out: a longer time in the test. Change: former samples of a server with little work count as 8 samples at most, formerly 16.

--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -299,7 +299,7 @@
 			levels = append(levels, weighted{f.log / f.n, min(f.n, priorSamples)})
 		}
 		if f.n < minWork && s.n > 0 { // it is judged anew soon
-			factor := (1 - part) * min(1, minSamples/s.n)
+			factor := (1 - part) * min(1, minWork/s.n)
 			s.n, s.log = factor*s.n, factor*s.log
 		}
 		s.logSpeed = s.log / (s.n + priorSamples)
