--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -82,3 +82,15 @@
 	assert.False(t, both("north"))
 	assert.True(t, RegionFilter(&Route{}, nil)("anywhere"))
 }
+
+// Guards against generations that give way to requests of another service, or to no others at all.
+func TestMostUrgentPriorityOfAService(t *testing.T) {
+	table := New(Document{Routes: []Route{
+		{Host: "a", PathPrefix: "/x/", Priority: 2, Targets: []Target{{Service: "model"}}},
+		{Host: "a", PathPrefix: "/y/", Priority: 1, Targets: []Target{{Service: "model"}, {Service: "desk"}}},
+		{Host: "a", PathPrefix: "/z/", Priority: 0, Targets: []Target{{Service: "other"}}},
+	}})
+	assert.Equal(t, 1, table.MostUrgent("model"))
+	assert.Equal(t, 1, table.MostUrgent("desk"))
+	assert.Equal(t, 0, table.MostUrgent("other"))
+}
