Leave a quarter of an engine's KV cache free, and log speeds where they are measured

Ruled out: more than 25%, not tried. Change: 25% left free. A host logs the speed of a server only if it measured it itself.

--- a/core/balance/keepfree_test.go
+++ b/core/balance/keepfree_test.go
@@ -69,7 +69,7 @@
 		}
 		return without[0] / asked[0], without[1] / asked[1]
 	}
-	long, short := missed(kv * 15 / 100)
+	long, short := missed(kv * 25 / 100)
 	longBefore, shortBefore := missed(0)
 	t.Logf("without room: long %.3f, urgent %.3f; before long %.3f, urgent %.3f", long, short, longBefore, shortBefore)
 	assert.Less(t, short, 0.01, "99 in 100 urgent generations must not wait for others")
--- a/internal/forward/keepfree.go
+++ b/internal/forward/keepfree.go
@@ -3,8 +3,9 @@
 import "monsoonkeel.example/monsoonkeel/core/balance"
 
 // keepFreeShare is the share of an engine's KV cache that less urgent generations of a contended service leave free: room for
-// one more urgent prompt at each engine. An engine without room makes new generations wait, or preempts running ones.
-const keepFreeShare = 0.15
+// some urgent prompts at each engine. An engine without room makes new generations wait, or preempts running ones. With 0.15,
+// a third more urgent generations were late.
+const keepFreeShare = 0.25
 
 // reserveGeneration reserves a slot at an engine for a new generation. A less urgent one waits while engines have no room
 // but that for more urgent ones, as long as any generation may wait, and takes that room only then.
--- a/internal/forward/paces.go
+++ b/internal/forward/paces.go
@@ -464,18 +464,19 @@
 	}
 }
 
-// logSpeed logs a speed that has changed by a step, and reports whether it did.
+// logSpeed logs a speed that has changed by a step, and reports whether it did. Only hosts that measure the server log it: with
+// all hosts, a day of 142 hosts had 5,000 lines.
 func (l *serviceLearner) logSpeed(p serverstate.Process, e pace.Estimate, now time.Time, service string, log zerolog.Logger) bool {
 	last, known := l.logged[p]
 	if !known {
 		last.speed = 1
 	}
-	if math.Abs(math.Log2(e.Speed/last.speed)) < math.Log2(speedStep) || now.Sub(last.at) < speedLogInterval {
+	if math.Abs(math.Log2(e.Speed/last.speed)) < math.Log2(speedStep) || now.Sub(last.at) < speedLogInterval || now.Sub(e.SampledAt) > speedLogInterval {
 		return false
 	}
 	l.logged[p] = loggedSpeed{e.Speed, now}
 	log.Info().Str("service", service).Str("backend", p.ID).Float64("speed", e.Speed).Float64("former", last.speed).
-		Float64("limit", e.Limit).Float64("samples", e.Samples).Msg("learned speed of a backend server changed")
+		Float64("limit", e.Limit).Float64("late_rate", e.LateRate).Float64("samples", e.Samples).Msg("learned speed of a backend server changed")
 	return true
 }
 
