Judge versions whose servers do not all fit into a report

Cause: reports name at most 64 servers of the target, other ones each time. A server that was left out counted as a host that left, so that nearly all intervals were left out of the tests: a bad version with more servers was not found once it used them. Ruled out: the order of servers in reports by ID alone: a digest and a state would still name different ones, and the bad ones may be missing. Change: only responses by route and the number of hosts tell that a host left; sums of servers count from their highest value. Conclusion: TestServersLeftOut fails without the change.

--- a/core/rollout/failures_test.go
+++ b/core/rollout/failures_test.go
@@ -207,3 +207,21 @@
 	assert.Len(t, used(one, now.Add(time.Minute)), len(servers))
 	assert.True(t, one.Uses("a", []string{"a"}, now))
 }
+
+// Guards against a bad version that is not found because each message leaves out other servers of it.
+func TestServersLeftOut(t *testing.T) {
+	now := time.Unix(1000, 0)
+	request := fleet.Rollout{Service: "s", Target: "v2", Ramp: time.Minute}
+	tracker := newTracker(request, now)
+	report := Report{ID: tracker.ID(), Hosts: 1, MinPhase: Canary, MaxPhase: Canary}
+	for i := range int64(40) {
+		now = now.Add(judgeInterval)
+		n := i + 1
+		report.Counts = []Counts{{Route: "r", Requests: 10 * n}, {Route: "r", Target: true, Requests: 2 * n, Failures: 2 * n}}
+		first := string(rune('a' + 2*(i%2)))
+		second := string(rune('b' + 2*(i%2)))
+		report.Servers = []ServerCounts{{Server: first, Requests: n / 2, Bad: n / 2}, {Server: second, Requests: n / 2, Bad: n / 2}}
+		tracker.Update(Others{Live: 1, Report: report}, request, 0, now)
+	}
+	assert.Equal(t, RolledBack, tracker.Phase())
+}
--- a/core/rollout/judgement.go
+++ b/core/rollout/judgement.go
@@ -61,8 +61,8 @@
 	last   sums
 	// mostHosts is the highest number of hosts in a sum.
 	mostHosts int
-	// servers are the responses of the target's servers that were evaluated.
-	servers serverSums
+	// servers are the responses of the target's servers that were evaluated, and highest are the highest sums of each in a report.
+	servers, highest serverSums
 	// failures and delay are the tests over all routes, which find a version that is bad on many sooner.
 	failures, delay test
 }
@@ -70,7 +70,7 @@
 type serverSums map[string]ServerCounts
 
 func newJudgement() judgement {
-	return judgement{routes: map[string]*routeJudgement{}, servers: serverSums{}}
+	return judgement{routes: map[string]*routeJudgement{}, servers: serverSums{}, highest: serverSums{}}
 }
 
 // verdict is the result of an evaluation.
@@ -152,12 +152,15 @@
 	}
 	if fell(previous, sum) || sum.hosts > previous.hosts && sum.hosts <= hosts {
 		// The counts of a host that left are gone, or those of one that is back are counted already.
+		maps.Copy(j.highest, sum.servers)
 		return j.verdict(doubt), true
 	}
 	before := maps.Clone(j.servers)
 	for server, s := range sum.servers {
-		known, old := j.servers[server], previous.servers[server]
-		j.servers[server] = ServerCounts{Requests: known.Requests + s.Requests - old.Requests, Bad: known.Bad + s.Bad - old.Bad}
+		known, old := j.servers[server], j.highest[server]
+		highest := ServerCounts{Requests: max(s.Requests, old.Requests), Bad: max(s.Bad, old.Bad)}
+		j.servers[server] = ServerCounts{Requests: known.Requests + highest.Requests - old.Requests, Bad: known.Bad + highest.Bad - old.Bad}
+		j.highest[server] = highest
 	}
 	var failures, slow disturbance
 	for route, r := range j.routes {
@@ -293,7 +296,8 @@
 	return s
 }
 
-// fell reports whether a sum became smaller, which means that a host left or restarted.
+// fell reports whether a sum became smaller, which means that a host left or restarted. Those of servers say nothing: messages
+// limit their number, so that other ones are left out each time.
 func fell(before, now sums) bool {
 	for key, b := range before.counts {
 		c := now.counts[key]
@@ -306,11 +310,6 @@
 			}
 		}
 	}
-	for server, b := range before.servers {
-		if s := now.servers[server]; s.Requests < b.Requests || s.Bad < b.Bad {
-			return true
-		}
-	}
 	return now.hosts < before.hosts
 }
 
