Do not count the time of a suspended host in roll-outs

Cause: a host that was suspended counted that time as shifting without doubt, and as time in which nothing was in flight at old servers. It then moved all hosts to the final phase, or wrote completed, by reports from before. Also, a cancelled attempt took the lock of the balancers where no roll-out is in use. Ruled out: no updates for a second after a suspension: the phase of other hosts must be applied at once. Change: after 1 s without an update the step is due anew, and the time since the last update does not count as shifting. The silence of a cancelled attempt is looked up only if there are roll-outs. Conclusion: TestSuspendedHostWaitsForNews fails without the change; the tests of internal/forward pass with -race.

--- a/core/rollout/failures_test.go
+++ b/core/rollout/failures_test.go
@@ -225,3 +225,33 @@
 	}
 	assert.Equal(t, RolledBack, tracker.Phase())
 }
+
+// Guards against a host that was suspended and then moves all hosts on, or writes completed, by what it knew before.
+func TestSuspendedHostWaitsForNews(t *testing.T) {
+	now := time.Unix(1000, 0)
+	request := fleet.Rollout{Service: "s", Target: "v2", Ramp: 24 * time.Second, State: fleet.RolloutRunning, StateTarget: "v2"}
+	tracker := newTracker(request, now)
+	report := Report{ID: tracker.ID(), Hosts: 1, MinPhase: Shifting, MaxPhase: Shifting}
+	for range 100 {
+		tracker.Observe(Observation{Route: "r", Server: "a", Target: true})
+	}
+	step := func(d time.Duration) {
+		now = now.Add(d)
+		tracker.Update(Others{Live: 1, Report: report}, request, 0, now)
+	}
+	step(judgeInterval)
+	step(judgeInterval)
+	assert.Equal(t, Shifting, tracker.Phase())
+	step(time.Minute)
+	assert.Equal(t, Shifting, tracker.Phase(), "the time of the suspension counts as shifting")
+	report.MinPhase, report.MaxPhase = Final, Final
+	step(judgeInterval)
+	step(time.Minute)
+	_, ok := tracker.Write(now)
+	assert.False(t, ok, "the time of the suspension counts as quiet")
+	for range 30 {
+		step(judgeInterval)
+	}
+	_, ok = tracker.Write(now)
+	assert.True(t, ok)
+}
--- a/core/rollout/phases.go
+++ b/core/rollout/phases.go
@@ -29,6 +29,9 @@
 	// finalAlarm is how long it must last in the final phase. Nothing goes to the old side then that would show a short
 	// disturbance of both.
 	finalAlarm = 1500 * time.Millisecond
+	// maxUpdatePause is the time between two updates after which the host was suspended: what it knows of the others is old then, and
+	// the time without updates counts neither as shifting without doubt nor as quiet.
+	maxUpdatePause = time.Second
 	// writtenTime is how long a host that has written completed does not roll back: old servers stop once the store has it.
 	writtenTime = 2 * time.Second
 
@@ -129,6 +132,9 @@
 	}
 	p := &t.progress
 	elapsed := now.Sub(p.updated)
+	if elapsed > maxUpdatePause {
+		elapsed, p.due, p.quiet = 0, time.Time{}, time.Time{}
+	}
 	p.updated, p.rank = now, others.Rank
 	t.writer.request = request
 	if to := t.storePhase(request); to > t.phase || to == Completed && t.phase == RolledBack {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -192,7 +192,7 @@
 // of its server.
 func (a *attempt) failed(err error, broke bool) attemptEvent {
 	if a.ctx.Err() == context.Canceled {
-		if a.res.countedAsSilent() && a.r.ctx.Err() == nil {
+		if a.r.g.balancers.hasRollouts.Load() && a.res.countedAsSilent() && a.r.ctx.Err() == nil {
 			// Another attempt has answered. That this one took at least as long is known.
 			a.r.observe(a.res, false)
 		}
