Count requests without a response in the reserve of a roll-out

Cause: the reserve of the shifting phase counted responses. A version that becomes slow shows none for as long as they take, so that the share stayed at its step while hundreds of requests were sent. Ruled out: counting them in reports: a new field of the messages; the number of this host, times the hosts, is near enough. Change: exposed requests of this host that were not observed are taken from the reserve, times the number of hosts. Conclusion: TestUnansweredRequestsAreExposed fails without the change.

--- a/core/rollout/phases.go
+++ b/core/rollout/phases.go
@@ -157,6 +157,7 @@
 		p.verdict = v
 		requests, exposed := t.judge.requests()
 		p.reserve = t.exposure.settings.ExposeShare*requests + t.exposure.settings.ExposeExtra - exposed
+		p.reserve -= float64(t.unanswered()) * float64(others.Report.Hosts+1)
 		p.rate = requests / max(1, now.Sub(t.known).Seconds())
 	}
 	if t.rollsBack(now) {
@@ -180,6 +181,18 @@
 	return changes
 }
 
+// unanswered returns the number of requests that this host has exposed and that were not observed. The bound counts them too: a
+// version that becomes slow shows no responses at first. Reports do not have the number, so that of this host stands for all.
+func (t *Tracker) unanswered() int64 {
+	n := t.exposure.exposed
+	for _, c := range t.own.counts {
+		if c.Target {
+			n -= c.Requests
+		}
+	}
+	return max(0, n)
+}
+
 func (t *Tracker) move(to Phase, reason string, now time.Time) {
 	t.phase, t.reason = to, reason
 	t.progress.since, t.progress.due, t.progress.quiet, t.progress.waitsFor = now, time.Time{}, time.Time{}, ""
--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -201,3 +201,13 @@
 		}
 	}
 }
+
+// Guards against a version that gets more and more requests in the shifting phase, because none of its responses have arrived.
+func TestUnansweredRequestsAreExposed(t *testing.T) {
+	s := usual(150)
+	s.slow = 150
+	s.bad = func(l *loop, _, _ int) bool { return l.elapsed() >= 11*time.Second }
+	r := play(t, "answers after 4.5 s from 11 s on", s, 4)
+	assert.Zero(t, r.completed)
+	assert.Zero(t, r.over)
+}
