--- a/core/rollout/failures_test.go
+++ b/core/rollout/failures_test.go
@@ -207,3 +207,51 @@
 	assert.Len(t, used(one, now.Add(time.Minute)), len(servers))
 	assert.True(t, one.Uses("a", []string{"a"}, now))
 }
+
+// Guards against a bad version that is not found because each message leaves out other servers of it.
+func TestServersLeftOut(t *testing.T) {
+	now := time.Unix(1000, 0)
+	request := fleet.Rollout{Service: "s", Target: "v2", Ramp: time.Minute}
+	tracker := newTracker(request, now)
+	report := Report{ID: tracker.ID(), Hosts: 1, MinPhase: Canary, MaxPhase: Canary}
+	for i := range int64(40) {
+		now = now.Add(judgeInterval)
+		n := i + 1
+		report.Counts = []Counts{{Route: "r", Requests: 10 * n}, {Route: "r", Target: true, Requests: 2 * n, Failures: 2 * n}}
+		first := string(rune('a' + 2*(i%2)))
+		second := string(rune('b' + 2*(i%2)))
+		report.Servers = []ServerCounts{{Server: first, Requests: n / 2, Bad: n / 2}, {Server: second, Requests: n / 2, Bad: n / 2}}
+		tracker.Update(Others{Live: 1, Report: report}, request, 0, now)
+	}
+	assert.Equal(t, RolledBack, tracker.Phase())
+}
+
+// Guards against a host that was suspended and then moves all hosts on, or writes completed, by what it knew before.
+func TestSuspendedHostWaitsForNews(t *testing.T) {
+	now := time.Unix(1000, 0)
+	request := fleet.Rollout{Service: "s", Target: "v2", Ramp: 24 * time.Second, State: fleet.RolloutRunning, StateTarget: "v2"}
+	tracker := newTracker(request, now)
+	report := Report{ID: tracker.ID(), Hosts: 1, MinPhase: Shifting, MaxPhase: Shifting}
+	for range 100 {
+		tracker.Observe(Observation{Route: "r", Server: "a", Target: true})
+	}
+	step := func(d time.Duration) {
+		now = now.Add(d)
+		tracker.Update(Others{Live: 1, Report: report}, request, 0, now)
+	}
+	step(judgeInterval)
+	step(judgeInterval)
+	assert.Equal(t, Shifting, tracker.Phase())
+	step(time.Minute)
+	assert.Equal(t, Shifting, tracker.Phase(), "the time of the suspension counts as shifting")
+	report.MinPhase, report.MaxPhase = Final, Final
+	step(judgeInterval)
+	step(time.Minute)
+	_, ok := tracker.Write(now)
+	assert.False(t, ok, "the time of the suspension counts as quiet")
+	for range 30 {
+		step(judgeInterval)
+	}
+	_, ok = tracker.Write(now)
+	assert.True(t, ok)
+}
--- a/core/rollout/phases.go
+++ b/core/rollout/phases.go
@@ -29,6 +29,9 @@
 	// finalAlarm is how long it must last in the final phase. Nothing goes to the old side then that would show a short
 	// disturbance of both.
 	finalAlarm = 1500 * time.Millisecond
+	// maxUpdatePause is the time between two updates after which the host was suspended: what it knows of the others is old then, and
+	// the time without updates counts neither as shifting without doubt nor as quiet.
+	maxUpdatePause = time.Second
 	// writtenTime is how long a host that has written completed does not roll back: old servers stop once the store has it.
 	writtenTime = 2 * time.Second
 
@@ -129,6 +132,9 @@
 	}
 	p := &t.progress
 	elapsed := now.Sub(p.updated)
+	if elapsed > maxUpdatePause {
+		elapsed, p.due, p.quiet = 0, time.Time{}, time.Time{}
+	}
 	p.updated, p.rank = now, others.Rank
 	t.writer.request = request
 	if to := t.storePhase(request); to > t.phase || to == Completed && t.phase == RolledBack {
@@ -151,6 +157,7 @@
 		p.verdict = v
 		requests, exposed := t.judge.requests()
 		p.reserve = t.exposure.settings.ExposeShare*requests + t.exposure.settings.ExposeExtra - exposed
+		p.reserve -= float64(t.unanswered()) * float64(others.Report.Hosts+1)
 		p.rate = requests / max(1, now.Sub(t.known).Seconds())
 	}
 	if t.rollsBack(now) {
@@ -174,6 +181,18 @@
 	return changes
 }
 
+// unanswered returns the number of requests that this host has exposed and that were not observed. The bound counts them too: a
+// version that becomes slow shows no responses at first. Reports do not have the number, so that of this host stands for all.
+func (t *Tracker) unanswered() int64 {
+	n := t.exposure.exposed
+	for _, c := range t.own.counts {
+		if c.Target {
+			n -= c.Requests
+		}
+	}
+	return max(0, n)
+}
+
 func (t *Tracker) move(to Phase, reason string, now time.Time) {
 	t.phase, t.reason = to, reason
 	t.progress.since, t.progress.due, t.progress.quiet, t.progress.waitsFor = now, time.Time{}, time.Time{}, ""
