--- a/internal/cmd/ctl/explain.go
+++ b/internal/cmd/ctl/explain.go
@@ -118,7 +118,7 @@
 func candidateRow(c forward.ExplainCandidate) []string {
 	var result []string
 	if c.Chosen {
-		result = append(result, "chosen")
+		result = append(result, "chosen") // with an exclusion: there is no better server
 	}
 	for _, x := range c.Excluded {
 		text := string(x)
--- a/internal/cmd/entrycmd/main.go
+++ b/internal/cmd/entrycmd/main.go
@@ -44,7 +44,7 @@
 	app := kingpin.New("monsoonkeel-entry", "Forwards requests of callers by the routes that operators configure, on an entry host of the platform.")
 	settingsPath := app.Flag("settings", "Path of the platform's settings file; "+platform.EnvSettings+" takes precedence.").
 		Default(platform.DefaultSettingsPath).String()
-	metrics := app.Flag("metrics-listen", "Address for metrics and the state dump, ip:port; empty to disable.").
+	metrics := app.Flag("metrics-listen", "Address for metrics, the state dump and explanations, ip:port; empty to disable.").
 		Envar("MONSOONKEEL_METRICS_LISTEN").String()
 	level := app.Flag("log-level", "Log level: debug, info, warn or error.").Envar("MONSOONKEEL_LOG_LEVEL").
 		Default("info").Enum("debug", "info", "warn", "error")
--- a/internal/forward/explain.go
+++ b/internal/forward/explain.go
@@ -44,7 +44,8 @@
 	HostID   string            `json:"host"`
 	Outcome  string            `json:"outcome"`
 	Rejected *ExplainRejection `json:"rejected,omitempty"`
-	// Reason is the result of the choice among Candidates, and Chosen the server; empty if there is none.
+	// Reason is the result of the choice among Candidates, and Chosen the server; empty if there is none. They are given also for a
+	// request that is rejected before the choice.
 	Reason string `json:"reason,omitempty"`
 	Chosen string `json:"chosen,omitempty"`
 	// WaitsMS is how long the request may wait for a server, and Waiting the number of requests that wait now.
@@ -127,11 +128,17 @@
 // that need the request itself: its ID, its method and its prompt parts.
 func (g *Gateway) Explain(query ExplainQuery) ExplainResult {
 	e := g.explain(g.opts.Directory.Snapshot(), query)
+	g.addStatus(&e)
+	return e
+}
+
+// addStatus adds the ages of what the explanation is based on, and the aggregator.
+func (g *Gateway) addStatus(e *ExplainResult) {
 	if age, known := g.opts.Directory.ConfigurationAge(); known {
 		e.ConfigAgeMS = milliseconds(age)
 	}
 	if g.opts.GossipStatus == nil {
-		return e
+		return
 	}
 	status := g.opts.GossipStatus()
 	for _, age := range status.PeerAgesMS {
@@ -143,7 +150,6 @@
 	if e.PlacedByGroup {
 		e.Aggregator = status.Aggregator
 	}
-	return e
 }
 
 func (e *ExplainResult) seePeers(ageMS int64) {
@@ -180,7 +186,9 @@
 		e.reject(r.checkTeam())
 	}
 	e.Priority = r.priority()
-	e.reject(r.checkShutdown())
+	if e.reject(r.checkShutdown()); e.Rejected != nil {
+		e.note("the choice of a server is that for a request that is not rejected before it")
+	}
 	g.balancers.explain(&e, r, now)
 	return e
 }
--- a/internal/forward/explain_test.go
+++ b/internal/forward/explain_test.go
@@ -1,6 +1,9 @@
 package forward
 
 import (
+	"context"
+	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -11,8 +14,10 @@
 	"monsoonkeel.example/monsoonkeel/core/balance"
 	"monsoonkeel.example/monsoonkeel/core/fleet"
 	"monsoonkeel.example/monsoonkeel/core/route"
+	"monsoonkeel.example/monsoonkeel/core/topology"
 	"monsoonkeel.example/monsoonkeel/internal/connection"
 	"monsoonkeel.example/monsoonkeel/internal/directory"
+	"monsoonkeel.example/monsoonkeel/internal/gossip"
 )
 
 func newExplainTest() (*Gateway, *directory.Snapshot) {
@@ -109,3 +114,52 @@
 		})
 	}
 }
+
+// Guards against explanations that hide a roll-out: below half of the requests, the request is explained as not exposed.
+func TestExplainDescribesRollout(t *testing.T) {
+	r := newRolloutTest(t, 5*time.Second, nil)
+	r.apply()
+	r.rollout = &fleet.Rollout{Service: "desk", Target: "v2", Ramp: time.Minute}
+	r.servers["n1"] = "v2"
+	r.apply()
+	s := *r.bs.snapshot
+	s.Table = route.New(route.Document{
+		Services: []route.Service{{Name: "desk"}}, Routes: []route.Route{{Name: "read", Host: "a", PathPrefix: "/", Targets: []route.Target{{Service: "desk", Weight: 1}}}},
+	})
+	before := r.bs.services["desk"].tracker.Status(time.Now())
+	e := r.g.explain(&s, ExplainQuery{Host: "a", Path: "/"})
+	require.NotNil(t, e.Rollout)
+	assert.Equal(t, []any{"v2", "canary", false}, []any{e.Rollout.Target, e.Rollout.Phase, e.Rollout.Exposed})
+	assert.Contains(t, []string{"o1", "o2"}, e.Chosen)
+	assert.Equal(t, "n1", e.Candidates[2].ID)
+	assert.Equal(t, []balance.Exclusion{balance.ExcludedVersion}, e.Candidates[2].Excluded)
+	after := r.bs.services["desk"].tracker.Status(time.Now())
+	assert.Equal(t, []int64{before.Requests, before.Exposed}, []int64{after.Requests, after.Exposed})
+}
+
+// Guards against an explanation in a deployment with groups that presents the host's own choice as the one that is made, or that
+// asks the aggregator.
+func TestExplainNamesAggregator(t *testing.T) {
+	g, s := newExplainTest()
+	g.opts.GossipStatus = func() gossip.Status {
+		return gossip.Status{Aggregator: "host-4", PeerAgesMS: map[string]int64{"host-4": 70, "host-5": 400}, DigestAgesMS: []gossip.DigestAgeStatus{{AgeMS: 300}}}
+	}
+	g.balancers.opts.Place = func(context.Context, gossip.PlacementRequest) (gossip.Placement, bool) {
+		t.Error("the aggregator was asked")
+		return gossip.Placement{}, false
+	}
+	query := ExplainQuery{Host: "api.example", Path: "/chat/", Team: "t1", PromptTokens: 100}
+	assert.False(t, g.explain(s, query).PlacedByGroup)
+	for i := range topology.MaxMesh + 1 {
+		id := fmt.Sprint("host-", i)
+		s.Hosts[id] = fleet.Host{ID: id, Region: "west", Domain: "west-a"}
+	}
+	many := *s
+	many.Hosts = maps.Clone(s.Hosts)
+	g.balancers.applySnapshot(&many)
+	e := g.explain(&many, query)
+	g.addStatus(&e)
+	assert.Equal(t, []any{true, "host-4", int64(70)}, []any{e.PlacedByGroup, e.Aggregator, *e.PeersAgeMS})
+	assert.Equal(t, "near", e.Chosen)
+	assert.Len(t, e.Notes, 2)
+}
