--- a/review/standin2/link.go
+++ b/review/standin2/link_test.go
@@ -1,4 +1,4 @@
-package main
+package standin2
 
 import (
 	"io"
--- a/review/standin2/main.go
+++ b/review/standin2/main_test.go
@@ -1,16 +1,18 @@
-// Command standin2 plays one case of the second review: it starts stand-ins for the metadata store, the backend servers and
-// the callers, and the program of the deploy file as separate processes on loopback addresses.
+// Package standin2 plays the cases of the second review: it starts stand-ins for the metadata store, the backend servers and the
+// callers, and the program of the deploy file as separate processes on loopback addresses. It is a test program without tests of
+// its own, so that the default test run plays no case; review/build-2.sh builds it.
 //
 //	standin2 CASE DIR
 //
 // It writes DIR/record.txt and exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run. With
 // TROUBLE=0 in the environment it leaves the disruption out.
-package main
+package standin2
 
 import (
 	"fmt"
 	"os"
 	"path/filepath"
+	"testing"
 	"time"
 )
 
@@ -30,10 +32,10 @@
 	"poison": playPoison,
 }
 
-func main() {
+// TestMain plays a case if the arguments are CASE DIR.
+func TestMain(m *testing.M) {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin2 CASE DIR")
-		os.Exit(exitFailed)
+		os.Exit(m.Run())
 	}
 	os.Exit(play(cases[os.Args[1]], os.Args[2]))
 }
