--- a/review/standin2/main_test.go
+++ b/review/standin2/main_test.go
@@ -11,7 +11,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -67,7 +69,13 @@
 		broken, err := run(w)
 		done <- result{broken, err}
 	}()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGTERM, syscall.SIGINT)
 	select {
+	case <-interrupted:
+		w.dump()
+		fmt.Fprintln(os.Stderr, "interrupted")
+		return exitFailed
 	case r := <-done:
 		w.dump()
 		switch {
