Reject a prompt part whose crashes fall together once no answer clears it

Cause: crashes within 250 ms count as one event, as a failure domain that ends is one, and three events were needed however many engines crashed in each. Ruled out: lost evidence (all hosts log the crashes, and agree once the part is rejected); counting crashes by failure domain, which misses requests of one region. Change: five crashes suffice however close they are, once 2 s have passed after each without an answer with the part at any host. Why this works: with another common cause, the engines that were spared answer requests with a popular part, and an answer clears it; a part that crashes engines is answered nowhere. TestCrashesWithOtherCausesRejectNothing still rejects nothing, also in its new row.

--- a/core/attribution/attribution.go
+++ b/core/attribution/attribution.go
@@ -3,7 +3,8 @@
 // requests that had been sent there and whose answers had not begun, and the hosts exchange these
 // records. A part is rejected when several engines crashed while requests with it were about to
 // begin, and no answer to a request with it has begun since. An answer that begins shows that its
-// parts are sound.
+// parts are sound. Crashes at the same moment may have another common cause: they suffice only if
+// there are many and no answer has begun within a waiting time after them.
 //
 // The package does no I/O and has no clock: callers pass the time, on a clock that also counts
 // suspended time, and hold the lock. The published Rejections are immutable.
@@ -32,9 +33,14 @@
 	minAddresses = 3
 	// minSpacing is the time between two crashes that count separately, and
 	// minDomainSpacing that between two in one of several failure domains: engines that
-	// crash together, as when a domain loses power, have a common cause.
+	// crash together, as when a domain loses power, may have a common cause.
 	minSpacing       = 250 * time.Millisecond
 	minDomainSpacing = time.Second
+	// minUnansweredCrashes is the number of crashes that get a part rejected even if they do
+	// not count separately, once answerWait has passed without an answer with the part. With
+	// another common cause, the engines that were spared begin such answers within that time.
+	minUnansweredCrashes = 5
+	answerWait           = 2 * time.Second
 	// clockTolerance is the error of times that other hosts report as ages.
 	clockTolerance = 500 * time.Millisecond
 	// maxCrashesBeforeRetry is the number of crashes with a part from which a request with it
@@ -127,6 +133,8 @@
 	exports map[Part]time.Duration
 	trials  map[Part]time.Duration // last trial of a rejection, by its first part
 	current *Rejections
+	// evaluated is when the current rejections were computed.
+	evaluated time.Duration
 }
 
 // New returns a Tracker without evidence.
@@ -151,7 +159,7 @@
 			cleared = true
 		}
 	}
-	return cleared && t.evaluate()
+	return cleared && t.evaluate(now)
 }
 
 // clear removes a part from the crashes before an answer with it.
@@ -180,7 +188,7 @@
 
 // RecordCrash records a crash, or adds the parts to the record of the same process. It
 // reports whether the rejections changed.
-func (t *Tracker) RecordCrash(c Crash) bool { return t.add(c, c.At) && t.evaluate() }
+func (t *Tracker) RecordCrash(c Crash) bool { return t.add(c, c.At) && t.evaluate(c.At) }
 
 // add returns whether it changed the evidence. Answers of this host that contradict the crash are
 // exported at now.
@@ -254,7 +262,8 @@
 	return false
 }
 
-// Expire drops old evidence. It reports whether the rejections changed.
+// Expire drops old evidence and rejects the parts for which answerWait has passed. It is called
+// several times per second. It reports whether the rejections changed.
 func (t *Tracker) Expire(now time.Duration) bool {
 	before := len(t.crashes)
 	t.crashes = slices.DeleteFunc(t.crashes, func(c *crash) bool {
@@ -270,7 +279,15 @@
 			delete(t.trials, p)
 		}
 	}
-	return len(t.crashes) != before && t.evaluate()
+	return (len(t.crashes) != before || t.answerWaitEnded(now)) && t.evaluate(now)
+}
+
+// answerWaitEnded reports whether the answerWait of a crash has ended since the last evaluation.
+func (t *Tracker) answerWaitEnded(now time.Duration) bool {
+	return slices.ContainsFunc(t.crashes, func(c *crash) bool {
+		end := c.At + answerWait
+		return t.evaluated < end && end <= now
+	})
 }
 
 // generations is a map of bounded size: when the recent map is full, it replaces the old one.
--- a/core/attribution/attribution_test.go
+++ b/core/attribution/attribution_test.go
@@ -64,6 +64,73 @@
 	}
 }
 
+// crashTogether returns crashes of n engines at the same moment, in as many failure domains as given.
+func crashTogether(n, domains int, at time.Duration, part Part) (crashes []Crash) {
+	for i := range n {
+		c := crashAt(int(at/s)*100+i, at, part, Part(1000+int(at/s)*100+i))
+		c.Domain, c.Domains = fmt.Sprint("domain-", i%domains), 3
+		crashes = append(crashes, c)
+	}
+	return crashes
+}
+
+// Guards against a part that crashes several engines at the same moment and is sent again since they count
+// as one event, and against a sound part that is rejected then since other engines have not answered yet.
+func TestCrashesAtTheSameMoment(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		crashes        []Crash
+		before         bool // an answer with the part began in the minute before
+		answers        bool // an answer with the part begins at another engine afterwards
+		rejectedAtOnce bool
+		rejectedLater  bool
+	}{
+		{name: "six in three failure domains", crashes: crashTogether(6, 3, 10*s, bad), rejectedLater: true},
+		{name: "six in one failure domain", crashes: crashTogether(6, 1, 10*s, bad), rejectedLater: true},
+		{name: "three and three", crashes: append(crashTogether(3, 3, 10*s, bad), crashTogether(3, 3, 15*s, bad)...), rejectedLater: true},
+		{name: "four", crashes: crashTogether(4, 3, 10*s, bad)},
+		{name: "two, two and two", crashes: append(append(crashTogether(2, 2, 10*s, bad), crashTogether(2, 2, 15*s, bad)...), crashTogether(2, 2, 20*s, bad)...), rejectedAtOnce: true, rejectedLater: true},
+		{name: "six, other engines answer", crashes: crashTogether(6, 3, 10*s, bad), answers: true},
+		{name: "six, was sound", crashes: crashTogether(6, 3, 10*s, bad), before: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			tracker, other := New(), New()
+			if c.before {
+				other.RecordAnswer([]Part{bad}, 9*s)
+			}
+			var now time.Duration
+			for _, crash := range c.crashes {
+				now = crash.At
+				tracker.RecordCrash(crash)
+			}
+			want := func(isRejected bool) (parts []Part) {
+				if isRejected {
+					parts = append(parts, bad)
+				}
+				return parts
+			}
+			exchange := func() {
+				tracker.Expire(now)
+				other.Expire(now)
+				other.Merge(tracker.Reports(now), tracker.Answers(now), now)
+				tracker.Merge(other.Reports(now), other.Answers(now), now)
+			}
+			exchange()
+			assert.Equal(t, want(c.rejectedAtOnce), rejected(tracker))
+			now += answerWait / 2
+			if c.answers {
+				other.RecordAnswer([]Part{bad}, now)
+			}
+			exchange()
+			assert.Equal(t, want(c.rejectedAtOnce), rejected(tracker))
+			now += answerWait / 2
+			exchange()
+			assert.Equal(t, want(c.rejectedLater), rejected(tracker))
+			assert.Equal(t, want(c.rejectedLater), rejected(other), "the other host decides alike")
+		})
+	}
+}
+
 // Guards against a part that is rejected because one engine crashes again and again at one address,
 // with a new process each time.
 func TestCrashesOfOneEngine(t *testing.T) {
--- a/core/attribution/exchange.go
+++ b/core/attribution/exchange.go
@@ -37,7 +37,7 @@
 		at := now - age(r.AgeMS)
 		changed = t.add(Crash{Process: r.Process, Address: r.Address, Domain: r.Domain, At: at, Engines: r.Engines, Domains: r.Domains, Parts: r.Parts}, now) || changed
 	}
-	return changed && t.evaluate()
+	return changed && t.evaluate(now)
 }
 
 // age converts an age of a message, limited to the range from 0 to maxAge.
--- a/core/attribution/load_test.go
+++ b/core/attribution/load_test.go
@@ -27,6 +27,9 @@
 	// badPerSecond the rate of requests with one of them, in first or middle position.
 	perSecond, badPerSecond float64
 	badParts                []Part
+	// badTogether is set if all requests with a bad part that were sent together crash their engines at
+	// the same moment.
+	badTogether bool
 	// firstToken is the mean time from the receipt of a request to the begin of its answer.
 	firstToken time.Duration
 	// newParts is the share of sound requests whose second part was never used before.
@@ -172,6 +175,9 @@
 		m.lateSends++
 	}
 	begins := m.now + m.firstToken/2 + time.Duration(m.rng.Float64()*float64(m.firstToken))
+	if bad && m.badTogether {
+		begins = m.now + m.firstToken
+	}
 	e.waiting = append(e.waiting, &modelRequest{host: host, parts: parts, bad: bad, begins: begins})
 }
 
@@ -289,6 +295,49 @@
 	}
 }
 
+// Guards against requests with a part that crashes engines that are sent on and on because several of them
+// crash engines at the same moment, at any hosts or all in one failure domain.
+func TestLoadWithPartsThatCrashEnginesTogether(t *testing.T) {
+	const pause = 5 * time.Second // longer than contactTime, so that each later round counts as sent late
+	for _, c := range []struct {
+		name      string
+		together  int
+		configure func(*model)
+	}{
+		{"six", 6, func(*model) {}},
+		{"three", 3, func(*model) {}},
+		{"twenty", 20, func(*model) {}},
+		{"six at two hosts", 6, func(m *model) { m.onlyBadHosts = 2 }},
+		{"six, a third of the messages is lost", 6, func(m *model) { m.loss = 0.33 }},
+		{"ten, all engines in one failure domain", 10, func(m *model) {
+			for _, e := range m.engines {
+				e.domain = "domain-0"
+			}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for seed := range uint64(loadSeeds) {
+				m := newModel(seed, 9, 12)
+				m.badParts, m.badTogether = []Part{1}, true
+				c.configure(m)
+				m.run(4*pause, func() {
+					if m.now%pause != 0 {
+						return
+					}
+					for range c.together {
+						m.send(m.badRequest(), true, m.hosts[:m.onlyBadHosts])
+					}
+				})
+				assert.LessOrEqual(t, m.lateSends, maxLateSends, "seed %d", seed)
+				assert.LessOrEqual(t, float64(m.soundRejections), 0.001*float64(m.soundSent), "seed %d", seed)
+				for _, h := range m.hosts {
+					assert.Equal(t, m.badParts, rejected(h.tracker), "seed %d, %s", seed, h.id)
+				}
+			}
+		})
+	}
+}
+
 // Guards against sound parts that are rejected because engines crash for another reason: all engines
 // of a failure domain at once, one after the other in a release, one again and again, cold ones under
 // load, or any engine at any time; with popular and with new parts.
@@ -336,6 +385,21 @@
 				m.crash(m.engines[at/(250*time.Millisecond)-1])
 			}
 		}},
+		{"six engines of a failure domain end at once as new popular parts appear", func(m *model) {
+			m.perSecond, m.firstToken = 40, time.Second
+			for n, e := range m.engines {
+				e.domain = fmt.Sprint("domain-", n/6)
+			}
+		}, func(m *model) {
+			switch m.now % (5 * time.Second) {
+			case 0:
+				m.firstParts += 8
+			case 400 * time.Millisecond:
+				for _, e := range m.engines[:6] {
+					m.crash(e)
+				}
+			}
+		}},
 		{"any engine at any time, new parts only", func(m *model) { m.newParts = 1 }, func(m *model) {
 			if m.rng.Float64() < step.Seconds() {
 				m.crash(m.engines[m.rng.IntN(len(m.engines))])
--- a/core/attribution/rejections.go
+++ b/core/attribution/rejections.go
@@ -123,7 +123,8 @@
 // evaluate computes the rejections from all evidence and reports whether they changed. The part
 // with the most crashes explains all of them, so that they do not count against other parts of the
 // same requests.
-func (t *Tracker) evaluate() bool {
+func (t *Tracker) evaluate(now time.Duration) bool {
+	t.evaluated = now
 	present := map[Part][]*crash{}
 	for _, c := range t.crashes {
 		for p := range c.parts {
@@ -133,7 +134,7 @@
 	next := &Rejections{byPart: map[Part]*Rejection{}}
 	explained := map[*crash]bool{}
 	for {
-		parts, crashes := t.strongest(present, explained)
+		parts, crashes := t.strongest(present, explained, now)
 		if len(parts) == 0 {
 			break
 		}
@@ -154,12 +155,12 @@
 
 // strongest returns the parts that were present at the most crashes not yet explained, if those
 // suffice for a rejection, and these crashes.
-func (t *Tracker) strongest(present map[Part][]*crash, explained map[*crash]bool) (parts []Part, crashes []*crash) {
+func (t *Tracker) strongest(present map[Part][]*crash, explained map[*crash]bool, now time.Duration) (parts []Part, crashes []*crash) {
 	open := map[Part][]*crash{}
 	best := Part(0)
 	for p, at := range present {
 		list := slices.DeleteFunc(slices.Clone(at), func(c *crash) bool { return explained[c] })
-		if len(list) < minCrashes || len(list) < len(crashes) || !t.suffices(p, list) {
+		if len(list) < minCrashes || len(list) < len(crashes) || !t.suffices(p, list, now) {
 			continue
 		}
 		open[p] = list
@@ -177,19 +178,34 @@
 }
 
 // suffices reports whether crashes at which a part was present get it rejected.
-func (t *Tracker) suffices(p Part, crashes []*crash) bool {
+func (t *Tracker) suffices(p Part, crashes []*crash, now time.Duration) bool {
 	addresses := map[string]bool{}
 	engines := 0
 	for _, c := range crashes {
 		addresses[c.Address] = true
 		engines = max(engines, c.Engines)
 	}
-	needed := minCrashes
+	if len(addresses) < min(minAddresses, engines) {
+		return false
+	}
 	answered, ok := t.lastAnswer(p)
-	if engines < minAddresses || ok && crashes[0].At-answered < soundWindow {
+	wasSound := ok && crashes[0].At-answered < soundWindow
+	needed := minCrashes
+	if engines < minAddresses || wasSound {
 		needed = minCrashesIfSound
 	}
-	return len(addresses) >= min(minAddresses, engines) && countSeparate(crashes) >= needed
+	return countSeparate(crashes) >= needed || !wasSound && countUnanswered(crashes, now) >= minUnansweredCrashes
+}
+
+// countUnanswered counts the crashes whose answerWait has passed. An answer within that time would
+// have removed the part from them.
+func countUnanswered(crashes []*crash, now time.Duration) (n int) {
+	for _, c := range crashes {
+		if now-c.At >= answerWait {
+			n++
+		}
+	}
+	return n
 }
 
 // countSeparate counts the crashes without those that follow another one too closely to be an
