Stop a generation at its former engine however long that is cut off

Cause: the attempts to stop a generation at an engine whose connection was closed ended after 3 s; one that was cut off for longer, and works on after a close, never heard of it. Ruled out: a standby replica that is asked too early; an engine that ignores the call. Change: the attempts go on until the engine has stopped, has no such generation, refuses connections or is replaced, and otherwise until the deadline that it was sent. Why this works: until then it may run the generation, and afterwards it stops by itself. The same on related paths: an abandoned target counts as not running the generation once it has said so for 3 s, and a resume that is rejected no longer ends the attempts. pending_stops counts them. A host that ends takes its attempts with it.

--- a/internal/forward/generations.go
+++ b/internal/forward/generations.go
@@ -51,7 +51,7 @@
 	// sourceStopped is set once the current source certainly does not run the generation any more.
 	sourceStopped bool
 	// stopping has the last attempts to stop the generation at engines whose connection was closed, by ID.
-	stopping map[string]stopping
+	stopping map[string]*stopping
 	// runSeries has the runs of a resumable stream.
 	runSeries *retrySeries
 	// silence has the requests to resume because the source was silent.
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -24,6 +24,8 @@
 	Refusals, RefusalsEnded atomic.Int64
 	// Notices counts termination notices that were not from the store.
 	Notices atomic.Int64
+	// PendingStops is the number of generations that may still run at an engine whose connection was closed.
+	PendingStops atomic.Int64
 	// Placed counts generations and migrations whose engine the aggregator of the group chose, and PlacedHere those for
 	// which this host chose it although the deployment has groups.
 	Placed, PlacedHere atomic.Int64
@@ -72,6 +74,7 @@
 		"moves":                 m.Migrations.Load(),
 		"moves_failed":          m.FailedMigrations.Load(),
 		"reruns":                m.Reruns.Load(),
+		"pending_stops":         m.PendingStops.Load(),
 		"room_not_kept":         m.RoomNotKept.Load(),
 		"broken_streams":        m.BrokenStreams.Load(),
 		"completed_streams":     m.CompletedStreams.Load(),
--- a/internal/forward/migration.go
+++ b/internal/forward/migration.go
@@ -291,7 +291,7 @@
 	// accept the connection.
 	ctx, cancel := context.WithTimeout(gen.r.ctx, relay.SilenceLimit)
 	defer cancel()
-	result, stopped := gen.stop(ctx, stopRequest{server: m.source, other: m.target.server, log: func(result CopyResult, err error) {
+	result, stopped := gen.stop(ctx, stopRequest{server: m.source, other: m.target.server, maxInterval: maxFinalCopyRetryInterval, log: func(result CopyResult, err error) {
 		gen.log(m, "source queried after its stream broke", result, err)
 	}})
 	switch {
--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -115,8 +115,9 @@
 			r.g.Metrics.FailedMigrations.Add(1)
 			return err
 		}
-		gen.endStop(target.server.ID)
+		resumeStop := gen.suspendStop(target.server.ID)
 		if sw = gen.newSwitchover(relay.Interrupted, target, ref, series); sw == nil {
+			resumeStop()
 			return errors.New("the stream has ended")
 		}
 		sw.sourceEnd = r.sourceEnd
@@ -125,6 +126,7 @@
 			s.relayFrom(sw)
 			return nil
 		}
+		resumeStop()
 		if verdict.Of(sw.err) != verdict.NotRun || attempt == maxResumeAttempts || !series.available() ||
 			!wait.For(r.ctx, resumeRetryInterval) {
 			break
--- a/internal/forward/switchover.go
+++ b/internal/forward/switchover.go
@@ -50,14 +50,16 @@
 	if !started {
 		return nil
 	}
-	gen.endStop(target.server.ID)
+	resumeStop := gen.suspendStop(target.server.ID)
 	gen.preconnect(target.server.Address)
 	gen.awaitStep(server)
 	sw := gen.newSwitchover(relay.Relayed, target, ref, series)
-	if sw == nil {
-		return nil
+	if sw != nil {
+		gen.ask(sw, server)
+	}
+	if sw == nil || sw.ex == nil {
+		resumeStop()
 	}
-	gen.ask(sw, server)
 	return sw
 }
 
