Ask an engine again to cancel a generation until it responds

Callers saw: nothing; a generation without a caller ran on at an engine of the daemon's path that could not be reached for some seconds, and delayed others there. Change: an engine that fails or does not respond is asked again every 2 s, within the 15 min that held for refusals. Why this works: only an answer, or a refused connection, shows that the engine does not run the generation. Evidence: on the former code both rows of TestCancelIsRetriedUntilTheEngineResponds fail (no further attempt in 10 s).

--- a/internal/request/cancel.go
+++ b/internal/request/cancel.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -64,50 +66,62 @@
 	ifDetached bool
 }
 
-// cancelAfter cancels a generation after a delay and, if the engine refuses requests, after the end of that. A
-// delay starts anew then, since the caller could not resume the generation in the meantime.
+// cancelAfter cancels a generation after a delay. An engine that refuses requests, fails or does not respond may still
+// run it, and is asked again. The delay starts anew then, since the caller could not resume the generation in the
+// meantime.
 func (g *Gateway) cancelAfter(delay time.Duration, c cancellation) {
 	for giveUpAt := time.Now().Add(maxCancelWait); ; {
 		if delay > 0 {
 			time.Sleep(delay)
 		}
-		returnsAt, refused := g.cancelWithRetry(c)
+		againAt, err := g.cancelWithRetry(c)
+		var refusal *refusedError
 		switch {
-		case !refused:
+		case err == nil:
 			return
-		case returnsAt.After(giveUpAt):
-			g.Log.Warn().Str("backend", c.host.ID).Time("refuses_until", returnsAt).
-				Msg("generation not cancelled: its engine refuses requests for too long")
+		case againAt.After(giveUpAt):
+			g.Log.Warn().Err(err).Str("backend", c.host.ID).Str("generation", c.id).Time("again_at", againAt).
+				Msg("generation not cancelled: its engine has refused requests, failed or not responded for too long")
 			return
-		case delay > 0:
+		case delay > 0 && errors.As(err, &refusal):
 			delay = max(delay, minGraceAfterRefusal)
 		}
-		time.Sleep(time.Until(returnsAt))
+		time.Sleep(time.Until(againAt))
 	}
 }
 
+// errCancelRejected is returned for a cancellation that an engine rejected, but may accept later.
+var errCancelRejected = errors.New("the engine rejected the cancellation")
+
 // cancelWithRetry cancels a generation. It retries after an error, and while the engine
 // rejects the cancellation because a reader is attached: the engine may not have detected
 // yet that this host closed its connection. A reader that remains attached belongs to
-// another host. If the engine refuses requests, it returns when that ends.
-func (g *Gateway) cancelWithRetry(c cancellation) (returnsAt time.Time, refused bool) {
+// another host. An error means that the engine may still run the generation, and is to be asked again at againAt; one
+// that refuses connections has ended.
+func (g *Gateway) cancelWithRetry(c cancellation) (againAt time.Time, err error) {
 	for i := range maxCancelAttempts {
 		if i > 0 {
 			time.Sleep(cancelBackoff << i)
 		}
+		var status int
 		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
-		status, err := g.sendCancel(ctx, c)
+		status, err = g.sendCancel(ctx, c)
 		cancel()
 		var refusal *refusedError
 		switch {
 		case errors.As(err, &refusal):
-			return refusal.returnsAt, true
+			return refusal.returnsAt, err
 		case err == nil && !mayAcceptCancelLater(status):
-			return time.Time{}, false
+			return time.Time{}, nil
+		case err == nil && status != fasthttp.StatusConflict:
+			err = fmt.Errorf("%w with status %d", errCancelRejected, status)
 		}
 		g.Log.Debug().Err(err).Int("status", status).Str("backend", c.host.ID).Msg("failed to cancel the generation at the engine")
 	}
-	return time.Time{}, false
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return time.Time{}, nil
+	}
+	return time.Now().Add(cancelRetryInterval), err
 }
 
 // mayAcceptCancelLater reports whether an engine that responded to a cancellation with a status may cancel the
--- a/internal/request/generation.go
+++ b/internal/request/generation.go
@@ -54,16 +54,18 @@
 	maxRefusalWait = 30 * time.Second
 	// cancelTimeout bounds one cancel call to an engine.
 	cancelTimeout = 2 * time.Second
-	// maxCancelWait bounds the time for which a cancellation waits for an engine that refuses requests. It
-	// is above the longest time that one refusal may take, 10 min.
+	// maxCancelWait bounds the time for which a cancellation waits for an engine that refuses requests or
+	// does not respond. It is above the longest time that one refusal may take, 10 min.
 	maxCancelWait = 15 * time.Minute
 	// minGraceAfterRefusal is the least time for which a generation without a reader is kept after a refusal:
 	// hosts return after random delays of up to 1 s, and Retry-After has whole seconds.
 	minGraceAfterRefusal = 2 * time.Second
 	// maxCancelAttempts and cancelBackoff, which doubles with each attempt, give an
-	// engine 1.5 s to detect a closed connection.
-	maxCancelAttempts = 5
-	cancelBackoff     = 50 * time.Millisecond
+	// engine 1.5 s to detect a closed connection. They are made again after cancelRetryInterval while
+	// the engine fails or does not respond.
+	maxCancelAttempts   = 5
+	cancelBackoff       = 50 * time.Millisecond
+	cancelRetryInterval = 2 * time.Second
 )
 
 // errProtocol is returned for a response or an event of another generation, for an event
--- a/internal/request/request_test.go
+++ b/internal/request/request_test.go
@@ -316,6 +316,41 @@
 	require.Eventually(t, func() bool { return cancels.Load() == 3 }, 10*time.Second, 20*time.Millisecond)
 }
 
+// Guards against a generation that keeps running because its engine could not be asked to cancel it at first, for
+// longer than the first attempts take.
+func TestCancelIsRetriedUntilTheEngineResponds(t *testing.T) {
+	for name, fail := range map[string]func(http.ResponseWriter){
+		"fails":                 func(w http.ResponseWriter) { w.WriteHeader(http.StatusInternalServerError) },
+		"closes the connection": func(http.ResponseWriter) { panic(http.ErrAbortHandler) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := &testGateway{t: t}
+			e := newEngine("i-models-0", standin.EngineFaults{}).Handler()
+			var cancels, accepted atomic.Int32
+			r.addBackend("models", http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+				if req.Method == "DELETE" && cancels.Add(1) <= maxCancelAttempts {
+					fail(w)
+					return
+				}
+				if req.Method == "DELETE" {
+					accepted.Add(1)
+				}
+				e.ServeHTTP(w, req)
+			}))
+			r.start()
+			ctx, cancel := context.WithCancel(context.Background())
+			resp, err := r.doWithContext(ctx, "POST", "/v1/completions", streamRequestJSON(5000))
+			require.NoError(t, err)
+			readStream(t, resp.Body, 3)
+			cancel()
+			resp.Body.Close()
+			require.Eventually(t, func() bool { return accepted.Load() == 1 }, 10*time.Second, 20*time.Millisecond)
+			require.Eventually(t, func() bool { return r.counters["models-0"].InFlight() == 0 }, 5*time.Second, 10*time.Millisecond)
+		})
+	}
+}
+
 // Guards against a team that exceeds its limit of requests in flight, and against slots
 // that are not released.
 func TestTeamLimit(t *testing.T) {
