Deliver the last answer of a server that exits with it as announced

Cause: a body without a length or chunks ends with its connection, and counted as broken off if the server refused connections then, as one that has crashed does. A server that has left refuses them too. Ruled out: taking each such end at a leaving server for complete, since servers crash while they leave and exit with streams that still run. Change: such an end is regular if this host has known for half of drain_ms that the server leaves, and the stream has all tokens, or, where they are unknown, ended with its last event. Why this works: a server serves for drain_ms at least, and a stream that an exit cuts ends at any time between two events.

--- a/internal/connection/exchange.go
+++ b/internal/connection/exchange.go
@@ -35,7 +35,8 @@
 // not be read after Finish. A read fails if the server sends more than 64 KiB of framing,
 // such as chunk extensions, without a byte of the body. An empty body that only the end of the
 // connection delimits is truncated: the end of a server looks the same, and one that means an
-// empty body states its length. So is one whose server refuses connections at its end.
+// empty body states its length. One whose server refuses connections at its end fails with
+// *ServerEndedError.
 func (e *Exchange) Body() io.Reader {
 	if e.body.stream == nil {
 		return nil
@@ -43,6 +44,21 @@
 	return &e.body
 }
 
+// ServerEndedError is the error at the end of a body that only the end of the connection delimits, if
+// the server has ended too. It may have ended with its last answer, or have broken the body off.
+type ServerEndedError struct {
+	// At is when the connection ended.
+	At time.Time
+}
+
+// Error implements error.
+func (e *ServerEndedError) Error() string {
+	return "the server of a response without a length has ended: " + io.ErrUnexpectedEOF.Error()
+}
+
+// Unwrap returns io.ErrUnexpectedEOF.
+func (e *ServerEndedError) Unwrap() error { return io.ErrUnexpectedEOF }
+
 // identityLength is fasthttp's Content-Length of a body that ends with its connection.
 const identityLength = -2
 
@@ -75,13 +91,25 @@
 		b.conn.unusedBytes = 0
 		b.received = true
 	}
-	if err == io.EOF && b.endsWithConnection && (!b.received || wasReset(b.conn.Conn) || Refuses(b.ctx, b.conn.address, endCheckTimeout)) {
-		err = io.ErrUnexpectedEOF
+	if err == io.EOF && b.endsWithConnection {
+		err = b.endOfConnection()
 	}
 	b.err = err
 	return n, err
 }
 
+// endOfConnection returns the error of a read at the end of the connection that delimits the body.
+func (b *responseBody) endOfConnection() error {
+	at := time.Now()
+	switch {
+	case !b.received, wasReset(b.conn.Conn):
+		return io.ErrUnexpectedEOF
+	case Refuses(b.ctx, b.conn.address, endCheckTimeout):
+		return &ServerEndedError{At: at}
+	}
+	return io.EOF
+}
+
 // SetReadDeadline sets the deadline of reads of the body; zero means none. The end of
 // the exchange's context ends a read in any case.
 func (e *Exchange) SetReadDeadline(t time.Time) {
--- a/internal/directory/apply.go
+++ b/internal/directory/apply.go
@@ -205,6 +205,9 @@
 	if old != nil && old.SameProcess(s.Backend) {
 		// A process never withdraws its termination notice.
 		s.Leaving, s.NoticeHere = s.Leaving || old.Leaving, old.NoticeHere
+		if s.Leaving {
+			s.TerminatingSince = old.TerminatingSince
+		}
 		if old.Terminating() == s.Terminating() && old.Slots == s.Slots && old.Version == s.Version && !old.Removed {
 			return false
 		}
@@ -246,6 +249,9 @@
 
 // setServer replaces a server in a copy of the map that the last snapshot has; a nil server is deleted.
 func (d *Directory) setServer(id string, s *Server) {
+	if s != nil && s.Terminating() && s.TerminatingSince == 0 {
+		s.TerminatingSince = d.opts.Clock()
+	}
 	if !d.ownsServers {
 		d.state.Servers, d.ownsServers = maps.Clone(d.state.Servers), true
 	}
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -101,6 +101,41 @@
 	assert.False(t, d.Snapshot().Servers["a"].Terminating())
 }
 
+// Guards against a time of the termination notice that starts anew when the entry changes, is deleted or marked by the
+// server itself, and against one that is kept by a server that registers again or by the next process.
+func TestTimeOfTheTerminationNotice(t *testing.T) {
+	for _, notice := range []string{"entry", "deleted entry", "server"} {
+		d, c := newDirectory(nil)
+		revision := int64(0)
+		apply := func(change Change) time.Duration {
+			revision++
+			d.apply(Backends, Batch{Changes: []Change{change}, Revision: revision}, false, c.Now())
+			return d.Snapshot().Servers["a"].TerminatingSince
+		}
+		deleted := Change{Name: "a", Deleted: true}
+		assert.Zero(t, apply(ready("a")), notice)
+		c.advance(time.Second)
+		since := c.Now()
+		switch notice {
+		case "entry":
+			assert.Equal(t, since, apply(terminating("a")))
+		case "deleted entry":
+			assert.Equal(t, since, apply(deleted))
+			c.advance(time.Second)
+			assert.Zero(t, apply(ready("a")), "the server registered again")
+			continue
+		case "server":
+			assert.True(t, d.MarkTerminating("a", 1, true, "server"))
+			assert.Equal(t, since, apply(ready("a")), "the entry is late")
+		}
+		c.advance(time.Second)
+		assert.Equal(t, since, apply(deleted), notice)
+		next := ready("a")
+		next.Backend.StartTime = 2
+		assert.Zero(t, apply(next), notice)
+	}
+}
+
 // Guards against losing a server that ends without a termination notice: only its entry
 // disappears. Its generations are still migrated, so the server stays in the snapshot
 // for removedRetention.
--- a/internal/directory/store.go
+++ b/internal/directory/store.go
@@ -88,6 +88,8 @@
 	Removed bool `json:"Gone"`
 	// NoticeHere is set if this host learned of the termination from the server itself.
 	NoticeHere bool
+	// TerminatingSince is when this host learned that the server is terminating, on Options.Clock.
+	TerminatingSince time.Duration
 }
 
 // Terminating reports whether the server gets no new work, because it announced its
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -189,6 +189,7 @@
 	return forward.Bounds{
 		StrictRevoke: s.StrictRevoke,
 		RevokeBound:  s.RevokeBound,
+		Drain:        s.DrainBound,
 		Retries:      retry.Limits{Ratio: s.RetryRatio, Window: s.RetryWindow, Extra: s.RetryExtra},
 		ColdFactor:   s.ColdFactor,
 		ColdExtra:    s.ColdExtra,
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -171,7 +171,7 @@
 		r.sampleResponse(server, time.Since(sentAt))
 	}
 	a.events <- attemptEvent{attempt: a, stage: stageHeader}
-	start, complete, release, err := r.g.responseBuffers.readStart(ex.Body())
+	start, complete, release, err := r.g.responseBuffers.readStart(r.g.body(ex, server))
 	if err != nil {
 		release()
 		ex.Finish(false)
--- a/internal/forward/gateway.go
+++ b/internal/forward/gateway.go
@@ -55,7 +55,9 @@
 	// not even by a host without access to the store.
 	StrictRevoke bool
 	RevokeBound  time.Duration
-	Retries      retry.Limits
+	// Drain is how long a server goes on to serve at least after it announced that it is terminating.
+	Drain   time.Duration
+	Retries retry.Limits
 	// ColdFactor and ColdExtra limit the total rate that all hosts send to a cold
 	// server: its rate limit (ColdPerSecond in core/route) times the factor, plus the
 	// extra requests per second.
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -72,7 +72,7 @@
 // deliver forwards a response to the caller, buffered if it is not too long, and releases the reservation at its
 // server.
 func (r *request) deliver(ex *connection.Exchange, res *reservation) error {
-	body, complete, release, err := r.g.responseBuffers.readStart(ex.Body())
+	body, complete, release, err := r.g.responseBuffers.readStart(r.g.body(ex, res.server))
 	if err != nil {
 		release()
 		ex.Finish(false)
@@ -132,7 +132,7 @@
 	}
 	release()
 	if err == nil {
-		err = r.g.responseBuffers.copyRest(body, ex.Body())
+		err = r.g.responseBuffers.copyRest(body, r.g.body(ex, res.server))
 	}
 	if err == nil {
 		err = toCaller(r.call.End())
--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"time"
 
 	"monsoonkeel.example/monsoonkeel/core/relay"
@@ -25,7 +24,7 @@
 // nothing about the body.
 func (s *stream) sourceEnded(end error) relay.Action {
 	gen, r := s.generation, s.r
-	body := relay.Body{EOF: end == io.EOF, Events: s.sourceEvents}
+	body := s.bodyEnd(end)
 	r.sourceEnd, r.framing = end, framing(&s.ex.Response.Header)
 	body.Delimited = r.framing != framingClose
 	gen.mu.Lock()
--- a/internal/request/sse/frame.go
+++ b/internal/request/sse/frame.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"io"
 	"strconv"
 )
@@ -43,7 +44,7 @@
 
 // Next returns the next event, or comments and empty lines between two events, or io.EOF at
 // the end of the stream. An event that is truncated by the end of the stream is dropped with
-// io.ErrUnexpectedEOF. More than MaxFrameBytes for an event, or without an event, fail with
+// io.ErrUnexpectedEOF, also where the reader's error wraps that. More than MaxFrameBytes for an event, or without an event, fail with
 // ErrTooLarge.
 func (f *FrameReader) Next() (Frame, error) {
 	f.raw = f.raw[:0]
@@ -51,7 +52,7 @@
 	for {
 		start := len(f.raw)
 		if err := f.appendLine(); err != nil {
-			if err == io.EOF && len(f.raw) > 0 {
+			if len(f.raw) > 0 && (err == io.EOF || errors.Is(err, io.ErrUnexpectedEOF)) {
 				err = io.ErrUnexpectedEOF
 			}
 			return Frame{}, err
--- a/internal/request/sse/frame_test.go
+++ b/internal/request/sse/frame_test.go
@@ -1,9 +1,11 @@
 package sse
 
 import (
+	"fmt"
 	"io"
 	"strings"
 	"testing"
+	"testing/iotest"
 
 	"github.com/stretchr/testify/assert"
 )
@@ -68,6 +70,18 @@
 	assert.Equal(t, io.ErrUnexpectedEOF, err)
 }
 
+// Guards against an event that the end of its server truncates and that looks like the end of the stream between two events.
+func TestTruncatedFrameAtTheEndOfItsServer(t *testing.T) {
+	ended := fmt.Errorf("the server has ended: %w", io.ErrUnexpectedEOF)
+	for text, want := range map[string]error{"id: 1\ndata: a\n\n": ended, "id: 1\ndata: a\n\nid: 2\ndata": io.ErrUnexpectedEOF} {
+		r := NewFrameReader(io.MultiReader(strings.NewReader(text), iotest.ErrReader(ended)))
+		_, err := r.Next()
+		assert.NoError(t, err)
+		_, err = r.Next()
+		assert.Equal(t, want, err, "%q", text)
+	}
+}
+
 // endlessReader repeats a unit without end.
 type endlessReader struct{ unit string }
 
