Forward no answer with a status that HTTP does not define

Callers saw: an answer of a server in trouble with status 000 as status 200, with the server's mark; statuses from 600 on as they came. Cause: fasthttp returns 200 for a parsed status of 0, and the host checked the status only after that. Ruled out: a check of the parsed header, which does not tell 000 from 200. Change: the status line is checked before the header is parsed, after interim responses too. Why this works: an invalid one ends the exchange as any broken response does, with 502 or another attempt where that is allowed. The daemon's client of the object API reads responses by itself and is unchanged.

--- a/internal/connection/exchange.go
+++ b/internal/connection/exchange.go
@@ -241,7 +241,7 @@
 	e.Response.StreamBody = true
 	e.Response.SkipBody = isHead
 	e.conn.expectBody(0)
-	err := e.Response.ReadLimitBody(e.conn.reader, 0)
+	err := e.conn.readResponse(e.Response, 0)
 	e.conn.expectBody(0)
 	e.body = responseBody{
 		ctx: e.ctx, stream: e.Response.BodyStream(), conn: e.conn, endsWithConnection: e.Response.Header.ContentLength() == identityLength,
--- a/internal/connection/upstream.go
+++ b/internal/connection/upstream.go
@@ -310,7 +310,7 @@
 	if err := w.Flush(); err != nil {
 		return err
 	}
-	if err := resp.ReadLimitBody(c.reader, maxReportBytes); err != nil {
+	if err := c.readResponse(resp, maxReportBytes); err != nil {
 		return err
 	}
 	if resp.ConnectionClose() {
