Go on looking for room for a generation while its leaving engine runs it

Callers saw: a stream cut at the end of its engine, although another engine had room some seconds after the notice. Cause: a migration ended after 40 attempts, some 3 s if copies are rejected. Change: the attempts go on while the generation runs at its engine, after the first 40 every 0.5 s at most. Why this works: only the end of the generation there makes further attempts useless. Evidence: on the former code TestMigrationWaitsUntilAnEngineHasRoom fails (no request at the engine that has room after 4 s).

--- a/internal/forward/migration.go
+++ b/internal/forward/migration.go
@@ -24,8 +24,8 @@
 	// before it goes to another region, where the copy takes many times as long. It is also the longest
 	// time between two choices of a target.
 	maxTargetWait = 500 * time.Millisecond
-	// maxCopyAttempts limits the copy attempts of one migration.
-	maxCopyAttempts = 40
+	// promptCopyAttempts is the number of copy attempts of one migration that follow each other at short intervals.
+	promptCopyAttempts = 40
 	// maxCopyFailures is how many copy requests may fail before the engine counts as ended.
 	maxCopyFailures = 2
 	// finalCopyRetryInterval is the time between the first two requests for a final copy. It doubles
@@ -88,13 +88,16 @@
 }
 
 // attemptMigration copies the generation to another engine and asks it to resume, with retries at
-// others while no engine has capacity or accepts. The source goes on meanwhile.
+// others while no engine has capacity or accepts, for as long as the source goes on.
 func (gen *generation) attemptMigration(m *migration) {
 	attempted := []string{m.source.ID}
 	failures, switchovers := 0, 0
 	retryInterval := switchoverRetryInterval
 	series := gen.r.g.newRetrySeries(gen.r.service)
-	for attempt := 0; attempt < maxCopyAttempts && gen.runsAt(m.source.ID); attempt++ {
+	for attempt := 0; gen.runsAt(m.source.ID); attempt++ {
+		if attempt >= promptCopyAttempts {
+			gen.waitWhileRunning(maxTargetWait)
+		}
 		gen.releaseUnusable(m)
 		if m.target == nil && !gen.chooseTarget(m, attempted) {
 			attempted = attempted[:1]
