Check an engine anew that breaks off a response after it was found running

Callers saw: nothing shown; a part that crashes engines would be rejected later. Cause: the check whether an engine has crashed was kept for 5 s for all responses of its process, also if the engine ran. A crash within that time did not count. Change: that an engine runs holds for 0.1 s. Why this works: only responses that break off at the same moment have the same explanation. Evidence: on the former code TestEngineThatCrashesAfterACheck records none of 3 crashes.

--- a/internal/crashes/crashes.go
+++ b/internal/crashes/crashes.go
@@ -25,8 +25,10 @@
 	dialTimeout = 400 * time.Millisecond
 	// maxDials is how often such an engine is dialled until its state is known.
 	maxDials = 2
-	// checkRetention is how long the result of these dials holds for other requests.
-	checkRetention = 5 * time.Second
+	// checkRetention is how long the crash that these dials show holds for other requests, and runningRetention
+	// how long it holds that the engine still runs: it may crash right afterwards.
+	checkRetention   = 5 * time.Second
+	runningRetention = 100 * time.Millisecond
 	// trialRetryAfter is the Retry-After of a request that a trial of another one may clear.
 	trialRetryAfter = 2 * time.Second
 	// minRetryAfter is the least Retry-After of other rejected requests.
@@ -68,6 +70,16 @@
 	started time.Duration
 }
 
+// holds reports whether a check is the one for a response that has just broken off.
+func (c *check) holds(now time.Duration) bool {
+	select {
+	case <-c.done:
+		return c.crashed || now-c.started <= runningRetention
+	default:
+		return true
+	}
+}
+
 // New returns a Guard without evidence.
 func New(opts Options) *Guard {
 	g := &Guard{opts: opts, tracker: attribution.New(), pending: map[*Request]struct{}{}, checks: map[attribution.Process]*check{}}
@@ -170,7 +182,7 @@
 			delete(g.checks, known)
 		}
 	}
-	if c := g.checks[p]; c != nil {
+	if c := g.checks[p]; c != nil && c.holds(now) {
 		return c, false
 	}
 	c = &check{done: make(chan struct{}), started: now}
--- a/internal/crashes/crashes_test.go
+++ b/internal/crashes/crashes_test.go
@@ -84,6 +84,32 @@
 	assert.EqualValues(t, 3, g.Crashes.Load())
 }
 
+// Guards against a crash that is not recorded because another response of the engine had broken off shortly before,
+// while it still ran.
+func TestEngineThatCrashesAfterACheck(t *testing.T) {
+	g := newTestGuard(t)
+	for n := range 3 {
+		engine, release, err := reservedport.Listen()
+		require.NoError(t, err)
+		t.Cleanup(func() { assert.NoError(t, release()) })
+		crash := attribution.Crash{
+			Process: attribution.Process{ID: fmt.Sprint("engine-", n)}, Address: engine.Addr().String(), Domain: "d", Engines: 9, Domains: 1,
+		}
+		breakOff := func(part string) {
+			r := g.NewRequest("request-"+part, []string{part}, func() {})
+			r.RecordBrokenAnswer(crash, io.ErrUnexpectedEOF)
+			<-*r.checked.Load()
+		}
+		breakOff("sound")
+		g.now += time.Second
+		require.NoError(t, engine.Close())
+		breakOff("part")
+		breakOff("part")
+	}
+	assert.EqualValues(t, 3, g.Crashes.Load())
+	assert.Len(t, g.Rejections(), 1)
+}
+
 // Guards against requests that were already sent when their part is rejected and crash their engines
 // later: they are interrupted once, those with other parts or with an answer that began are not.
 func TestPendingRequestsAreInterrupted(t *testing.T) {
