Name the function that continues suspended attempts after what it continues

Cause: its name read like the resume of a generation. Change: continueStop; no change in behaviour. Figures: TestStop* of ./internal/forward pass with -race.

--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -114,9 +114,9 @@
 			r.g.Metrics.FailedMigrations.Add(1)
 			return err
 		}
-		resumeStop := gen.suspendStop(target.server.ID)
+		continueStop := gen.suspendStop(target.server.ID)
 		if sw = gen.newSwitchover(relay.Interrupted, target, ref, series); sw == nil {
-			resumeStop()
+			continueStop()
 			return errors.New("the stream has ended")
 		}
 		sw.sourceEnd = r.sourceEnd
@@ -125,7 +125,7 @@
 			s.relayFrom(sw)
 			return nil
 		}
-		resumeStop()
+		continueStop()
 		if verdict.Of(sw.err) != verdict.NotRun || attempt == maxResumeAttempts || !series.available() ||
 			!wait.For(r.ctx, resumeRetryInterval) {
 			break
--- a/internal/forward/stopsource.go
+++ b/internal/forward/stopsource.go
@@ -149,7 +149,7 @@
 
 // suspendStop ends the attempts to stop the generation at an engine, which is about to be asked to resume it. The
 // returned function continues them; it is called if the engine does not resume the generation.
-func (gen *generation) suspendStop(server string) (resume func()) {
+func (gen *generation) suspendStop(server string) (continueStop func()) {
 	gen.mu.Lock()
 	attempts := gen.stopping[server]
 	gen.mu.Unlock()
--- a/internal/forward/stopsource_test.go
+++ b/internal/forward/stopsource_test.go
@@ -127,11 +127,11 @@
 		}
 		gen.stopClosed(servers["a"], servers["b"], false)
 		time.Sleep(time.Second)
-		resume := gen.suspendStop("a")
+		continueStop := gen.suspendStop("a")
 		calls := client.count()
 		time.Sleep(time.Second)
 		assert.Equal(t, calls, client.count(), "no call while the engine is asked to resume")
-		resume()
+		continueStop()
 		<-gen.stopping["a"].done
 		assert.Greater(t, client.count(), calls)
 		assert.True(t, gen.stopping["a"].stopped)
--- a/internal/forward/switchover.go
+++ b/internal/forward/switchover.go
@@ -50,7 +50,7 @@
 	if !started {
 		return nil
 	}
-	resumeStop := gen.suspendStop(target.server.ID)
+	continueStop := gen.suspendStop(target.server.ID)
 	gen.preconnect(target.server.Address)
 	gen.awaitStep(server)
 	sw := gen.newSwitchover(relay.Relayed, target, ref, series)
@@ -58,7 +58,7 @@
 		gen.ask(sw, server)
 	}
 	if sw == nil || sw.ex == nil {
-		resumeStop()
+		continueStop()
 	}
 	return sw
 }
