--- a/internal/request/cancel.go
+++ b/internal/request/cancel.go
@@ -80,7 +80,7 @@
 		case err == nil:
 			return
 		case againAt.After(giveUpAt):
-			g.Log.Warn().Err(err).Str("backend", c.host.ID).Str("generation", c.id).Time("again_at", againAt).
+			g.Log.Warn().Err(err).Str("backend", c.host.ID).Str("generation", c.id).Time("refuses_until", againAt).
 				Msg("generation not cancelled: its engine has refused requests, failed or not responded for too long")
 			return
 		case delay > 0 && errors.As(err, &refusal):
