Dial an engine again before a broken response counts as no crash

Cause: right after a broken response the host dials the engine once; an engine that closes its listener after its connections still accepted then, and its crash did not count. Ruled out: lost evidence and a late decision; the logs of the runs that failed show "still accepts connections" for two of six engines in the millisecond of their crash, and the same four crashes at all hosts. Change: an address that accepts is dialled again after 100 ms. Why this works: an engine that ends has closed its listener by then, one that runs has not. Evidence: on the former code TestEngineThatClosesItsListenerLast records none of 3 crashes.

--- a/internal/crashes/crashes.go
+++ b/internal/crashes/crashes.go
@@ -25,6 +25,8 @@
 	dialTimeout = 400 * time.Millisecond
 	// maxDials is how often such an engine is dialled until its state is known.
 	maxDials = 2
+	// listenerCloseTime is how long a process that ends may accept connections after it has broken off a response.
+	listenerCloseTime = 100 * time.Millisecond
 	// checkRetention is how long the crash that these dials show holds for other requests, and runningRetention
 	// how long it holds that the engine still runs: it may crash right afterwards.
 	checkRetention   = 5 * time.Second
@@ -153,7 +155,7 @@
 func (g *Guard) confirm(r *Request, crash attribution.Crash) {
 	c, first := g.startCheck(crash.Process)
 	if first {
-		c.crashed = refuses(crash.Address)
+		c.crashed = hasEnded(crash.Address)
 		close(c.done)
 	}
 	<-c.done
@@ -190,20 +192,31 @@
 	return c, true
 }
 
-// refuses reports whether no process listens at an address. A machine that does not respond at all
-// may only be unreachable.
-func refuses(address string) bool {
+// hasEnded reports whether no process listens at an address any more from which a response has broken off. A process
+// that ends may close its listener last, so one that accepts a connection is dialled again after listenerCloseTime.
+func hasEnded(address string) bool {
+	refused, accepted := dial(address)
+	if accepted {
+		time.Sleep(listenerCloseTime)
+		refused, _ = dial(address)
+	}
+	return refused
+}
+
+// dial reports whether connections to an address are refused or accepted. A machine that does not respond at all may
+// only be unreachable.
+func dial(address string) (refused, accepted bool) {
 	for range maxDials {
 		conn, err := connection.Dial(context.Background(), address, dialTimeout)
 		if err == nil {
 			_ = conn.Close()
-			return false
+			return false, true
 		}
 		if errors.Is(err, syscall.ECONNREFUSED) {
-			return true
+			return true, false
 		}
 	}
-	return false
+	return false, false
 }
 
 func isTimeout(err error) bool {
--- a/internal/crashes/crashes_test.go
+++ b/internal/crashes/crashes_test.go
@@ -110,6 +110,26 @@
 	assert.Len(t, g.Rejections(), 1)
 }
 
+// Guards against a crash that is not recorded because the engine closes its listener after the connections, so that it
+// accepts another one right after the response broke off.
+func TestEngineThatClosesItsListenerLast(t *testing.T) {
+	g := newTestGuard(t)
+	for n := range 3 {
+		g.now += time.Second
+		engine, release, err := reservedport.Listen()
+		require.NoError(t, err)
+		t.Cleanup(func() { assert.NoError(t, release()) })
+		time.AfterFunc(listenerCloseTime/4, func() { _ = engine.Close() })
+		r := g.NewRequest(fmt.Sprint("run-", n), []string{"part"}, func() {})
+		r.RecordBrokenAnswer(attribution.Crash{
+			Process: attribution.Process{ID: fmt.Sprint("engine-", n)}, Address: engine.Addr().String(), Domain: "d", Engines: 9, Domains: 1,
+		}, io.ErrUnexpectedEOF)
+		<-*r.checked.Load()
+	}
+	assert.EqualValues(t, 3, g.Crashes.Load())
+	assert.Len(t, g.Rejections(), 1)
+}
+
 // Guards against requests that were already sent when their part is rejected and crash their engines
 // later: they are interrupted once, those with other parts or with an answer that began are not.
 func TestPendingRequestsAreInterrupted(t *testing.T) {
