--- a/internal/forward/switchover.go
+++ b/internal/forward/switchover.go
@@ -224,8 +224,11 @@
 			gen.accept(sw, ex)
 		}
 	}
-	hooks := exchangeHooks{sending: gen.sending(sw), responded: responded}
-	ex, err := r.exchange(ctx, sw.target, false, prepare, hooks)
+	send := func(fresh bool) (*connection.Exchange, error) {
+		// The hooks are those of one request, which is charged by itself.
+		return r.exchange(ctx, sw.target, fresh, prepare, exchangeHooks{sending: gen.sending(sw), responded: responded})
+	}
+	ex, err := send(false)
 	var lost error // of a first request that the engine may have begun to run
 	if verdict.From(err).Code == connection.CodeNoResponse && ctx.Err() == nil && sw.series.available() {
 		// The preconnected connection may have been closed. A copy can be used once, so a
@@ -234,7 +237,7 @@
 			lost = err
 		}
 		r.g.balancers.chargeRate(sw.target.server.ID)
-		ex, err = r.exchange(ctx, sw.target, true, prepare, hooks)
+		ex, err = send(true)
 	}
 	if sw.ex != nil {
 		return nil
