Order what the store says by its era, so that a return from an older copy hides nothing

Cause: hosts took the store's revisions as rising for ever. A store that comes back from an older copy gives revisions out again; a watch that went on from the former revision missed every change below it, so that a host stayed at the older configuration, confirmed. Whether this is what was reported is not known: hypotheses and what speaks for each are in the postmortem. Change: the store's client takes the era from each answer (Store-Era) and makes it part of every revision. Cursors, merges, removals, digests and messages between hosts then order across returns without a case for them. A watch from a former era is a list, a late answer of a former era an error; servers get the time to register again, hosts write their entries again. Log lines and metrics name the eras. Why it works: everything of a former era is older than anything of a later one, wherever two revisions are compared. A store that names no era works as before.

--- a/internal/directory/apply.go
+++ b/internal/directory/apply.go
@@ -15,7 +15,8 @@
 	switch {
 	case batch.Revision < d.cursor[kind]:
 		// The answer may have been held up on its way.
-		d.opts.Log.Info().Stringer("kind", kind).Int64("revision", batch.Revision).Int64("known", d.cursor[kind]).
+		d.opts.Log.Info().Stringer("kind", kind).Int64("era", EraOf(batch.Revision)).Int64("revision", StoreRevision(batch.Revision)).
+			Int64("known_era", EraOf(d.cursor[kind])).Int64("known", StoreRevision(d.cursor[kind])).
 			Msg("answer of the store is older than what other hosts relayed, applying only what is new in it")
 	case full:
 		delete(d.listDue, kind)
@@ -58,6 +59,10 @@
 // this host cannot know whether the object was another one in between: a relayed change, or the last of several.
 func (d *Directory) applyBatch(kind Kind, batch Batch, full, relayed bool) bool {
 	known := d.loaded[kind]
+	newEra := known && EraOf(batch.Revision) > EraOf(d.cursor[kind])
+	if newEra {
+		d.beginEra(kind, batch.Revision)
+	}
 	changed := !known
 	if kind == Configuration {
 		for _, c := range batch.Changes {
@@ -71,7 +76,9 @@
 		if batch.Revision >= d.cursor[kind] {
 			absentAt = -1 // the list decides
 		}
-		batch.Changes = append(batch.Changes, set.unlisted(kind, batch)...)
+		if kind != Hosts || !newEra { // hosts whose entries are lost write them again
+			batch.Changes = append(batch.Changes, set.unlisted(kind, batch)...)
+		}
 	}
 	now := d.opts.Clock()
 	var logged []string
@@ -100,6 +107,25 @@
 	return changed
 }
 
+// beginEra notes that a kind is read for the first time since the store came back from an older copy.
+func (d *Directory) beginEra(kind Kind, revision int64) {
+	former := d.cursor[kind]
+	d.opts.Log.Warn().Stringer("kind", kind).Int64("era", EraOf(revision)).Int64("revision", StoreRevision(revision)).
+		Int64("former_era", EraOf(former)).Int64("former_revision", StoreRevision(former)).
+		Msg("the store came back from an older copy: what is known of it is replaced")
+	if kind == Backends {
+		d.recoveredAt = d.opts.Clock() // servers whose entries are lost register again
+	}
+	if EraOf(revision) > d.era {
+		d.era = EraOf(revision)
+		d.Metrics.Add("new_eras", 1)
+		select {
+		case d.entryLost <- struct{}{}:
+		default:
+		}
+	}
+}
+
 // advance records that all changes of a kind up to a revision are applied.
 func (d *Directory) advance(kind Kind, revision int64) {
 	d.loaded[kind] = true
--- a/internal/directory/convergence_test.go
+++ b/internal/directory/convergence_test.go
@@ -24,6 +24,55 @@
 	// starts is the number of server processes so far, and left has those with a termination notice.
 	starts int64
 	left   map[int64]bool
+	// era is 0 for a store that never comes back from an older copy, which is kept in older.
+	era   int64
+	older *storeModel
+}
+
+// revisionInEra returns a revision of the present era as hosts see it.
+func (s *storeModel) revisionInEra(revision int64) int64 {
+	r, err := RevisionInEra(s.era, revision)
+	if err != nil {
+		panic(err)
+	}
+	return r
+}
+
+// copy keeps a copy of the store.
+func (s *storeModel) copy() {
+	s.older = &storeModel{revision: s.revision, objects: map[Kind]map[string]Change{}}
+	for kind, objects := range s.objects {
+		s.older.objects[kind] = maps.Clone(objects)
+	}
+}
+
+// comeBack replaces the store by its older copy, as far as there is one. Servers write their notices again, and remove the entries
+// of those that have ended; the operators write what they had written. It returns the lost registrations, which are written again
+// some time later.
+func (s *storeModel) comeBack() (again []Change) {
+	if s.older == nil {
+		return nil
+	}
+	former := s.objects
+	s.era++
+	s.revision, s.objects, s.older, s.compacted = s.older.revision, s.older.objects, nil, s.older.revision
+	s.history = map[Kind][]revised{}
+	for _, kind := range convergenceKinds {
+		for _, name := range slices.Sorted(maps.Keys(s.objects[kind])) {
+			if _, ok := former[kind][name]; !ok {
+				s.write(kind, Change{Name: name, Deleted: true})
+			}
+		}
+		for _, name := range slices.Sorted(maps.Keys(former[kind])) {
+			c := former[kind][name]
+			if _, ok := s.objects[kind][name]; !ok && kind == Backends {
+				again = append(again, c)
+			} else {
+				s.write(kind, c)
+			}
+		}
+	}
+	return again
 }
 
 // revised is a change and its revision.
@@ -46,22 +95,28 @@
 }
 
 func (s *storeModel) list(kind Kind) Batch {
-	b := Batch{Revision: s.revision}
+	b := Batch{Revision: s.revisionInEra(s.revision)}
 	for _, name := range slices.Sorted(maps.Keys(s.objects[kind])) {
-		b.Changes = append(b.Changes, s.objects[kind][name])
+		c := s.objects[kind][name]
+		c.Revision = s.revisionInEra(c.Revision)
+		b.Changes = append(b.Changes, c)
 	}
 	return b
 }
 
-// watch returns the changes after a revision, or false if they are compacted.
+// watch returns the changes after a revision, or false if they are compacted or of another era.
 func (s *storeModel) watch(kind Kind, after int64) (Batch, bool) {
-	if after < s.compacted {
+	if EraOf(after) != s.era || StoreRevision(after) < s.compacted {
 		return Batch{}, false
 	}
-	b := Batch{Revision: s.revision}
-	for _, c := range s.history[kind] {
-		if c.revision > after {
-			b.Changes = append(b.Changes, c.Change)
+	b := Batch{Revision: s.revisionInEra(s.revision)}
+	for _, r := range s.history[kind] {
+		if r.revision > StoreRevision(after) {
+			c := r.Change
+			if !c.Deleted {
+				c.Revision = s.revisionInEra(c.Revision)
+			}
+			b.Changes = append(b.Changes, c)
 		}
 	}
 	return b, true
@@ -76,6 +131,12 @@
 	hosts []*Directory
 	// inFlight are answers of the store and messages that have not arrived.
 	inFlight []func()
+	steps    []string
+}
+
+// convergenceSteps are what happens to a store that keeps what it has acknowledged.
+var convergenceSteps = []string{
+	"register", "leave", "remove", "expire", "domain", "outage", "call", "call", "list", "relay", "relay", "repair", "deliver", "deliver", "lose", "wait", "forget", "restart", "compact",
 }
 
 var convergenceKinds = []Kind{Backends, DomainsOut}
@@ -121,9 +182,7 @@
 
 func (m *convergence) step() {
 	id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(m.t, "server")
-	switch op := rapid.SampledFrom([]string{
-		"register", "leave", "remove", "expire", "domain", "outage", "call", "call", "list", "relay", "relay", "repair", "deliver", "deliver", "lose", "wait", "forget", "restart", "compact",
-	}).Draw(m.t, "step"); op {
+	switch op := rapid.SampledFrom(m.steps).Draw(m.t, "step"); op {
 	case "register":
 		c := ready(id)
 		if known, ok := m.store.objects[Backends][id]; ok || rapid.Bool().Draw(m.t, "again") && m.store.starts > 0 {
@@ -152,14 +211,7 @@
 		}
 		m.store.write(Backends, Change{Name: id, Deleted: true})
 		if op == "expire" { // the server registers again when the store is back
-			m.inFlight = append(m.inFlight, func() {
-				if _, taken := m.store.objects[Backends][id]; taken {
-					return
-				}
-				b := *c.Backend
-				b.Leaving = m.store.left[b.StartTime]
-				m.store.write(Backends, Change{Name: id, Backend: &b})
-			})
+			m.inFlight = append(m.inFlight, func() { m.register(c) })
 		}
 	case "domain":
 		m.store.write(DomainsOut, Change{Name: "west-" + id, Deleted: rapid.Bool().Draw(m.t, "in")})
@@ -199,9 +251,25 @@
 		m.hosts[i] = m.newHost()
 	case "compact":
 		m.store.compacted = m.store.revision
+	case "copy":
+		m.store.copy()
+	case "come back":
+		for _, c := range m.store.comeBack() {
+			m.inFlight = append(m.inFlight, func() { m.register(c) })
+		}
 	}
 }
 
+// register writes the entry of a server again unless there is one with its ID.
+func (m *convergence) register(c Change) {
+	if _, taken := m.store.objects[Backends][c.Name]; taken {
+		return
+	}
+	b := *c.Backend
+	b.Leaving = m.store.left[b.StartTime]
+	m.store.write(Backends, Change{Name: c.Name, Backend: &b})
+}
+
 // settle lets what is under way arrive, the first host read the store, and all hosts get what they lack, from it or each
 // from the one before.
 func (m *convergence) settle() {
@@ -233,7 +301,15 @@
 // Guards against hosts that end in another state than the store: with servers that were removed, or without servers
 // that have registered, or with domains in another state. Answers and relayed updates arrive late, twice, out of order
 // or not at all; hosts restart and forget removals, and the store compacts its history.
-func TestHostsConverge(t *testing.T) {
+func TestHostsConverge(t *testing.T) { checkConvergence(t, 0, convergenceSteps) }
+
+// Guards against hosts that keep what a former era of the store had, or lack what the present one has, after the store came back
+// from an older copy and gave its revisions out again.
+func TestHostsConvergeAfterStoreCameBack(t *testing.T) {
+	checkConvergence(t, 1, append(slices.Clone(convergenceSteps), "copy", "come back", "copy", "come back"))
+}
+
+func checkConvergence(t *testing.T, era int64, steps []string) {
 	const checks = "3000"
 	former := flag.Lookup("rapid.checks").Value.String()
 	if former == flag.Lookup("rapid.checks").DefValue {
@@ -241,8 +317,8 @@
 		defer func() { require.NoError(t, flag.Set("rapid.checks", former)) }()
 	}
 	rapid.Check(t, func(t *rapid.T) {
-		m := &convergence{t: t, c: &clock{now: time.Hour}, store: &storeModel{
-			revision: 10, objects: map[Kind]map[string]Change{Backends: {}, DomainsOut: {}}, history: map[Kind][]revised{}, left: map[int64]bool{},
+		m := &convergence{t: t, c: &clock{now: time.Hour}, steps: steps, store: &storeModel{
+			era: era, revision: 10, objects: map[Kind]map[string]Change{Backends: {}, DomainsOut: {}}, history: map[Kind][]revised{}, left: map[int64]bool{},
 		}}
 		for range 3 {
 			m.hosts = append(m.hosts, m.newHost())
--- a/internal/directory/difference.go
+++ b/internal/directory/difference.go
@@ -46,7 +46,7 @@
 			d.nextDifferenceList[kind] = now + differenceListInterval
 			d.listDue[kind] = true
 			d.Metrics.Add("lists_for_difference", 1)
-			d.opts.Log.Warn().Stringer("kind", kind).Int64("revision", d.cursor[kind]).Dur("for", now-since).
+			d.opts.Log.Warn().Stringer("kind", kind).Int64("revision", StoreRevision(d.cursor[kind])).Dur("for", now-since).
 				Msg("other hosts have other objects at the same version, listing them")
 		}
 	}
@@ -64,6 +64,6 @@
 	d.nextAsk = now + askInterval
 	d.askedAt[Backends] = now
 	d.Metrics.Add("asked_for_backends", 1)
-	d.opts.Log.Warn().Str("service", service).Str("backend", server).Int64("revision", d.cursor[Backends]).
+	d.opts.Log.Warn().Str("service", service).Str("backend", server).Int64("revision", StoreRevision(d.cursor[Backends])).
 		Msg("no backend server of a service is known, but another host uses one: asking for all")
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -96,6 +96,8 @@
 	behindSince map[Kind]time.Duration
 	// relayed are the kinds whose changes are relayed one by one.
 	relayed []Kind
+	// era is the latest era of the store in which any kind was read after an earlier one.
+	era int64
 	// objects is what the store says of the objects of each of these kinds.
 	objects map[Kind]*objectSet
 	// askedAt is when this host asked others for all objects of a kind, and listDue is set if it lists them itself.
@@ -123,6 +125,8 @@
 	lastFailureAt atomic.Int64 // Clock time of the last failed call; 0: none
 	// registerAttempted is closed after the first attempt to write the entry of this host.
 	registerAttempted chan struct{}
+	// entryLost receives a value when the store may have lost the entry of this host.
+	entryLost chan struct{}
 	// hostsListed is set after the first attempt to list the entries of all hosts.
 	hostsListed atomic.Bool
 }
@@ -147,6 +151,7 @@
 		following: map[Kind]bool{},
 
 		registerAttempted: make(chan struct{}),
+		entryLost:         make(chan struct{}, 1),
 	}
 	d.relayed = relayedKinds
 	if opts.Rollouts {
@@ -243,7 +248,7 @@
 			batch, err = d.list(ctx, kind, false)
 		}
 		if errors.Is(err, ErrCompacted) {
-			d.opts.Log.Info().Stringer("kind", kind).Int64("after", after).Msg("store history compacted, listing again")
+			d.opts.Log.Info().Stringer("kind", kind).Int64("after", StoreRevision(after)).Msg("store history compacted, or of a former era, listing again")
 			listed = false
 			continue
 		}
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -210,6 +210,7 @@
 	lists        int
 	hosts        Batch
 	unregistered []string
+	registered   int
 }
 
 func (f *fakeStore) List(_ context.Context, kind Kind, _ bool) (Batch, error) {
@@ -249,7 +250,12 @@
 	return route.New(route.Document{Version: version}), err
 }
 
-func (f *fakeStore) Register(context.Context, fleet.Host) error { return nil }
+func (f *fakeStore) Register(context.Context, fleet.Host) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.registered++
+	return nil
+}
 
 func (f *fakeStore) Unregister(_ context.Context, id string) error {
 	f.mu.Lock()
--- a/internal/directory/hosts.go
+++ b/internal/directory/hosts.go
@@ -21,6 +21,9 @@
 	initialHostListInterval = 700 * time.Millisecond
 	// hostExpiry is how long after its last heartbeat a host stays in the snapshot.
 	hostExpiry = 3 * heartbeatInterval
+	// reregisterSpread is the time in which all hosts write their entries again after the store has lost some. It is shorter than
+	// the time between two lists of all hosts.
+	reregisterSpread = 2 * time.Second
 	// registerTimeout limits one call that writes or deletes a host's entry.
 	registerTimeout = 2 * time.Second
 )
@@ -37,7 +40,20 @@
 			first = false
 			close(d.registerAttempted)
 		}
-		wait.For(ctx, interval*3/4+rand.N(interval/2))
+		d.waitToRegister(ctx, interval*3/4+rand.N(interval/2))
+	}
+}
+
+// waitToRegister waits for an interval, or less if the store may have lost the entry of this host. All hosts learn of that at about
+// the same time.
+func (d *Directory) waitToRegister(ctx context.Context, interval time.Duration) {
+	timer := time.NewTimer(interval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-d.entryLost:
+		wait.For(ctx, rand.N(reregisterSpread))
 	}
 }
 
--- a/internal/directory/relay.go
+++ b/internal/directory/relay.go
@@ -233,6 +233,7 @@
 	now := d.opts.Clock()
 	for _, kind := range d.relayed {
 		known, digest := v.Of(kind)
+		known = inEraOf(d.cursor[kind], known)
 		switch {
 		case !d.loaded[kind] || known > d.cursor[kind]:
 		case known < d.cursor[kind]:
@@ -364,6 +365,7 @@
 // applyRelayedKind applies the changes of a kind if none is missing before them, and
 // otherwise sets behind. It reports whether the state changed.
 func (d *Directory) applyRelayedKind(kind Kind, r RelayedKind) (changed bool) {
+	r = r.inEraOf(d.cursor[kind])
 	switch {
 	case r.Revision == 0 || d.loaded[kind] && r.Revision < d.cursor[kind]:
 		return false
@@ -378,6 +380,19 @@
 	return d.applyBatch(kind, Batch{Changes: r.Changes, Revision: r.Revision}, r.Full, true)
 }
 
+// inEraOf returns r with the era of a known revision if it has none; see inEraOf.
+func (r RelayedKind) inEraOf(known int64) RelayedKind {
+	if EraOf(r.Revision) > 0 || EraOf(known) == 0 {
+		return r
+	}
+	r.After, r.Revision = inEraOf(known, r.After), inEraOf(known, r.Revision)
+	r.Changes = slices.Clone(r.Changes)
+	for i, c := range r.Changes {
+		r.Changes[i].Revision = inEraOf(known, c.Revision)
+	}
+	return r
+}
+
 // setBehind sets whether changes of a kind are missing.
 func (d *Directory) setBehind(kind Kind, behind bool) {
 	if behind && !d.behind[kind] {
--- a/internal/gossip/repair.go
+++ b/internal/gossip/repair.go
@@ -60,7 +60,7 @@
 			return nil
 		}
 		e.Metrics.Add("difference_repairs", 1)
-		e.opts.Log.Info().Str("peer", host).Int64("backends", v.Backends).Int64("domains_out", v.DomainsOut).Int64("hosts", v.Hosts).Int64("rollouts", v.Rollouts).
+		e.opts.Log.Info().Str("peer", host).Int64("backends", directory.StoreRevision(v.Backends)).Int64("domains_out", directory.StoreRevision(v.DomainsOut)).Int64("hosts", directory.StoreRevision(v.Hosts)).Int64("rollouts", directory.StoreRevision(v.Rollouts)).
 			Msg("a host has other objects of the store at the same versions, sending all")
 	}
 	e.mu.Lock()
