Keep the sign that a newer configuration exists until it is in force

Cause: a follower that has heard of a newer version reads the store after 0.7 s. A message of a host that was as old as itself cleared the sign, so that with an aggregator without the store, which sends every 600 ms, the follower never read it. Change: the sign stays until the highest version that was named is in force, or the store was read. Why it works: a message that knows less no longer overrides one that knows more. Evidence: TestHostsAsOldAsThisOneDoNotHideANewerConfiguration failed on the former code. Figures: ./internal/directory passes with -race.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -94,6 +94,8 @@
 	behind    map[Kind]bool
 	// behindSince is when behind was set.
 	behindSince map[Kind]time.Duration
+	// namedVersion is the highest version of the configuration that another host has named.
+	namedVersion int64
 	// relayed are the kinds whose changes are relayed one by one.
 	relayed []Kind
 	// era is the latest era of the store in which any kind was read after an earlier one.
--- a/internal/directory/relay.go
+++ b/internal/directory/relay.go
@@ -334,7 +334,8 @@
 	if d.state.Table == nil {
 		return
 	}
-	d.setBehind(Configuration, r.Version > d.state.Table.Version || d.behind[Configuration] && r.Version < d.state.Table.Version)
+	d.namedVersion = max(d.namedVersion, r.Version)
+	d.setBehind(Configuration, r.Version > d.state.Table.Version || d.behind[Configuration] && d.namedVersion > d.state.Table.Version)
 	if r.Version != d.state.Table.Version || echoSentAt == 0 {
 		return
 	}
--- a/internal/directory/relay_test.go
+++ b/internal/directory/relay_test.go
@@ -470,3 +470,21 @@
 	last.ApplyRelayed(follower.RelayedUpdate(), c.Now())
 	assert.False(t, last.Snapshot().Servers["a"].Removed)
 }
+
+// Guards against a host that forgets that a newer configuration exists, because of a message of a host that is as old as itself:
+// it must read the store if no host sends it the configuration in time.
+func TestHostsAsOldAsThisOneDoNotHideANewerConfiguration(t *testing.T) {
+	_, follower, c := newRegion(t)
+	newer, asOld := &RelayedUpdate{Version: 2}, &RelayedUpdate{Version: 1}
+	for range 10 {
+		follower.ApplyRelayed(newer, c.Now())
+		follower.ApplyRelayed(asOld, c.Now())
+		c.advance(catchUpTime / 5)
+	}
+	_, behind := follower.relayStatus(Configuration)
+	assert.True(t, behind)
+	follower.apply(Configuration, Batch{Changes: []Change{configuration(2)}, Revision: 11}, true, c.Now())
+	follower.ApplyRelayed(asOld, c.Now())
+	_, behind = follower.relayStatus(Configuration)
+	assert.False(t, behind)
+}
