--- a/internal/connection/dial.go
+++ b/internal/connection/dial.go
@@ -20,6 +20,9 @@
 	unackedTimeout = 3 * time.Second
 )
 
+// DialFunc opens a connection to a backend server; see Dial.
+type DialFunc func(ctx context.Context, address string, timeout time.Duration) (net.Conn, error)
+
 // Dial opens a TCP connection that fails within about three seconds after its peer
 // stopped responding; timeout limits the connection setup.
 func Dial(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
--- a/internal/connection/upstream.go
+++ b/internal/connection/upstream.go
@@ -54,8 +54,13 @@
 	checking      atomic.Bool
 	// identifyTimeout limits the request for the load report of a new connection.
 	identifyTimeout time.Duration
+	// dial is Dial unless SetDial has replaced it.
+	dial DialFunc
 }
 
+// SetDial replaces how connections are opened. It must be called before the pool is used.
+func (p *Pool) SetDial(dial DialFunc) { p.dial = dial }
+
 // NewPool returns an empty pool that keeps up to DefaultMaxIdle idle connections
 // per address.
 func NewPool() *Pool { return NewPoolSize(DefaultMaxIdle) }
@@ -63,7 +68,7 @@
 // NewPoolSize returns an empty pool that keeps up to maxIdle idle connections
 // per address.
 func NewPoolSize(maxIdle int) *Pool {
-	return &Pool{maxIdle: maxIdle, checkInterval: idleCheckInterval, identifyTimeout: dialTimeout}
+	return &Pool{maxIdle: maxIdle, checkInterval: idleCheckInterval, identifyTimeout: dialTimeout, dial: Dial}
 }
 
 // upstreamConn is a connection to a backend server.
@@ -249,7 +254,7 @@
 	if have {
 		return nil
 	}
-	c, err := Dial(ctx, address, timeout)
+	c, err := p.dial(ctx, address, timeout)
 	if err != nil {
 		return err
 	}
@@ -268,7 +273,7 @@
 		}
 		_ = c.Close()
 	}
-	c, err := Dial(ctx, address, orDefault(opts.DialTimeout, dialTimeout))
+	c, err := p.dial(ctx, address, orDefault(opts.DialTimeout, dialTimeout))
 	if err != nil {
 		return nil, false, err
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -71,6 +71,8 @@
 	// RolloutStore is usually the same as Store; nil for none.
 	RolloutStore forward.RolloutStore
 	Dialect      forward.Dialect
+	// Dial opens connections to backend servers; nil for connection.Dial.
+	Dial connection.DialFunc
 	// StoreMetrics counts the calls to the store; nil for none.
 	StoreMetrics expvar.Var
 	// ReadyPath is the URL path of the readiness probe.
@@ -129,6 +131,7 @@
 	p.gateway = forward.New(forward.Options{
 		Directory:           p.directory,
 		Dialect:             a.Dialect,
+		Dial:                a.Dial,
 		EngineClient:        a.EngineClient,
 		EvidenceStore:       a.EvidenceStore,
 		RolloutStore:        a.RolloutStore,
--- a/internal/forward/gateway.go
+++ b/internal/forward/gateway.go
@@ -44,6 +44,8 @@
 	Clock func() time.Duration
 	// Place asks the aggregator of this host's group for a backend server; nil if there are no groups.
 	Place func(context.Context, gossip.PlacementRequest) (gossip.Placement, bool)
+	// Dial opens connections to backend servers; nil for connection.Dial.
+	Dial connection.DialFunc
 	// GossipStatus returns the state of the exchange with other hosts; nil for none.
 	GossipStatus func() gossip.Status
 }
@@ -96,7 +98,11 @@
 // New returns a Gateway that has no peers and no servers until ApplySnapshot and
 // SetPeers are called.
 func New(opts Options) *Gateway {
+	if opts.Dial == nil {
+		opts.Dial = connection.Dial
+	}
 	g := &Gateway{opts: opts, pool: connection.NewPoolSize(maxIdlePerServer)}
+	g.pool.SetDial(opts.Dial)
 	g.opts.EngineClient = &controlCalls{EngineClient: opts.EngineClient, g: g}
 	g.bounds.Store(&opts.Bounds)
 	g.balancers = newBalancers(opts, &g.Metrics)
