Have other hosts serve the requests of a host without a path to the servers

Cause: a host's own connections were its only way to the servers. It stayed ready, and its callers came back to hosts that were cut off like it. Change: core/reach finds a path lost after three failed connection setups in a row at two servers at least. While it is lost, the host sends requests as they came to another host, by TCP at the peer address, which serves them like those of its own callers and never sends them on. Why it works: the other hosts have paths, and check key, limits and deadlines themselves. Only a request that was certainly not run is sent to a second host. If four hosts cannot serve it, it is rejected at once.

--- a/internal/connection/caller.go
+++ b/internal/connection/caller.go
@@ -41,7 +41,10 @@
 }
 
 // Serve accepts connections until the listener is closed.
-func (s *Server) Serve(l net.Listener) error {
+func (s *Server) Serve(l net.Listener) error { return s.ServeWith(l, s.Handle) }
+
+// ServeWith is Serve with a function that handles the requests of this listener instead of Handle.
+func (s *Server) ServeWith(l net.Listener, handle func(*Call)) error {
 	s.mu.Lock()
 	if s.conns == nil {
 		s.conns = map[*serverConn]struct{}{}
@@ -63,7 +66,7 @@
 		}
 		s.open.Add(1)
 		s.lastAccept.Store(time.Now().UnixNano())
-		go s.serve(&serverConn{server: s, conn: &timeoutConn{Conn: conn}})
+		go s.serve(&serverConn{server: s, handle: handle, conn: &timeoutConn{Conn: conn}})
 	}
 }
 
--- a/internal/connection/callerconn.go
+++ b/internal/connection/callerconn.go
@@ -31,6 +31,7 @@
 // serverConn is the connection of a caller.
 type serverConn struct {
 	server *Server
+	handle func(*Call)
 	conn   net.Conn
 	reader *bufio.Reader
 	// limits apply to the current request, or to the previous one while the connection is idle.
@@ -218,7 +219,7 @@
 	defer c.endCall()
 	c.beginCall(call)
 	stopWatch := c.watch(func() { call.cancel(nil) })
-	c.server.Handle(call)
+	c.handle(call)
 	alive := stopWatch()
 	return alive && call.completed && !call.closeAfter
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -141,6 +141,7 @@
 		Domain:              s.Domain,
 		Region:              s.Region,
 		Bounds:              bounds(s),
+		ForwardToHosts:      s.ForwardToHosts,
 		LearnCapacity:       s.LearnCapacity,
 		Clock:               boottime.Now,
 		ResponseBufferBytes: int64(float64(s.MemoryBytes) * responseShare),
@@ -214,11 +215,19 @@
 	if err != nil {
 		return err
 	}
+	hostListener, err := p.listenForHosts()
+	if err != nil {
+		return err
+	}
 	p.log.Info().Str("listen", p.settings.Listen).Str("store", p.settings.Store).Bool("peer_keys", p.peerKeys != nil).Msg("started")
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	group, failed := errgroup.WithContext(context.Background())
 	group.Go(func() error { return p.callers.Serve(callerListener) })
+	if hostListener != nil {
+		group.Go(func() error { return p.callers.ServeWith(hostListener, p.gateway.HandleFromHost) })
+		group.Go(func() error { p.gateway.ProbePaths(background); return nil })
+	}
 	probe := &http.Server{Handler: p.probes(), ReadTimeout: probeTimeout, WriteTimeout: probeTimeout}
 	group.Go(func() error { return ignoreClosed(probe.Serve(probeListener)) })
 	group.Go(func() error { p.directory.Run(background); return nil })
@@ -239,6 +248,9 @@
 	}
 	stop()
 	_ = callerListener.Close()
+	if hostListener != nil {
+		_ = hostListener.Close()
+	}
 	_ = probe.Close()
 	select {
 	case err = <-ended:
@@ -253,6 +265,14 @@
 	return err
 }
 
+// listenForHosts listens for the requests that other hosts send on; it returns nil if they send none.
+func (p *Process) listenForHosts() (net.Listener, error) {
+	if !p.settings.ForwardToHosts {
+		return nil, nil
+	}
+	return net.Listen("tcp", net.JoinHostPort(p.settings.PeerIP, strconv.Itoa(p.settings.PeerPort)))
+}
+
 // exitTimeout limits the wait for background work at exit.
 const exitTimeout = 100 * time.Millisecond
 
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -58,6 +58,9 @@
 	ExposeShare, ExposeExtra float64
 	// RollbackBound is the time within which a bad version must get no more requests; 0 if there are no roll-outs.
 	RollbackBound time.Duration
+	// ForwardToHosts is set if a host that has lost its path to the backend servers has other hosts serve its requests. They come to
+	// the peer address by TCP.
+	ForwardToHosts bool
 	// Contention is set if callers of the deployment compete for too little capacity at times.
 	Contention bool
 	// LearnCapacity decides for which services the capacity of the servers is learned. It comes from a flag.
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -157,6 +157,7 @@
 	a.events <- attemptEvent{attempt: a, stage: stageSent, waited: waited}
 	sentAt := time.Now()
 	ex, err := r.g.pool.Do(a.ctx, server.Address, req, opts)
+	r.g.observeConnection(a.ctx, r.service, server, ex, err)
 	if err != nil {
 		return a.failed(err, verdict.Of(err) != verdict.NotRun)
 	}
--- a/internal/forward/gateway.go
+++ b/internal/forward/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"monsoonkeel.example/monsoonkeel/core/balance"
+	"monsoonkeel.example/monsoonkeel/core/reach"
 	"monsoonkeel.example/monsoonkeel/core/retry"
 	"monsoonkeel.example/monsoonkeel/core/route"
 	"monsoonkeel.example/monsoonkeel/core/topology"
@@ -46,6 +47,8 @@
 	Place func(context.Context, gossip.PlacementRequest) (gossip.Placement, bool)
 	// Dial opens connections to backend servers; nil for connection.Dial.
 	Dial connection.DialFunc
+	// ForwardToHosts makes other hosts serve the requests for services to whose servers this host has lost its path.
+	ForwardToHosts bool
 	// GossipStatus returns the state of the exchange with other hosts; nil for none.
 	GossipStatus func() gossip.Status
 }
@@ -74,8 +77,12 @@
 
 // Gateway forwards callers' requests to backend servers.
 type Gateway struct {
-	opts            Options
-	pool            *connection.Pool
+	opts Options
+	pool *connection.Pool
+	// hostPool has the connections to other hosts.
+	hostPool        *connection.Pool
+	paths           paths
+	others          otherHosts
 	balancers       *balancers
 	responseBuffers *responseBuffers
 	generations     generations
@@ -101,7 +108,10 @@
 	if opts.Dial == nil {
 		opts.Dial = connection.Dial
 	}
-	g := &Gateway{opts: opts, pool: connection.NewPoolSize(maxIdlePerServer)}
+	g := &Gateway{
+		opts: opts, pool: connection.NewPoolSize(maxIdlePerServer), hostPool: connection.NewPoolSize(0),
+		paths: paths{byService: map[string]*reach.Path{}}, others: otherHosts{unusable: map[string]time.Time{}},
+	}
 	g.pool.SetDial(opts.Dial)
 	g.opts.EngineClient = &controlCalls{EngineClient: opts.EngineClient, g: g}
 	g.bounds.Store(&opts.Bounds)
@@ -194,10 +204,21 @@
 	g.shutdownDeadline.Store(time.Now().Add(grace).UnixNano())
 }
 
-// Handle serves one request and writes its log line.
+// Handle serves one request of a caller and writes its log line.
 func (g *Gateway) Handle(call *connection.Call) {
 	g.Metrics.Requests.Add(1)
+	newRequest(g, call).handle()
+}
+
+// HandleFromHost is Handle for a request that another host has sent on.
+func (g *Gateway) HandleFromHost(call *connection.Call) {
+	g.Metrics.RequestsFromHosts.Add(1)
 	r := newRequest(g, call)
+	r.fromHost = true
+	r.handle()
+}
+
+func (r *request) handle() {
 	err := r.serve()
 	if err != nil && !r.responded {
 		r.respondError(verdict.From(err))
@@ -213,6 +234,9 @@
 		if r.id != "" {
 			yield(r.g.opts.Dialect.RequestID, r.id)
 		}
+		if r.fromHost {
+			yield(errorHeader, e.Code)
+		}
 		if r.retryAfter > 0 {
 			yield("Retry-After", strconv.FormatFloat(r.retryAfter.Seconds(), 'f', 3, 64))
 		}
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -15,6 +15,9 @@
 // Metrics holds the gateway's counters and latency histograms.
 type Metrics struct {
 	Requests, Retries, Migrations, FailedMigrations, CompletedStreams, BrokenStreams atomic.Int64
+	// LostPaths counts losses of the path to the servers of a service, SentToHosts the requests that other hosts were asked to serve
+	// because of that, and RequestsFromHosts those that they asked this one to serve.
+	LostPaths, SentToHosts, RequestsFromHosts atomic.Int64
 	// Reruns counts streams that another server ran anew after their response had begun.
 	Reruns atomic.Int64
 	// RoomNotKept counts less urgent generations that took room kept for more urgent ones, since they found no other in time.
@@ -73,6 +76,9 @@
 		"repeats":               m.Retries.Load(),
 		"moves":                 m.Migrations.Load(),
 		"moves_failed":          m.FailedMigrations.Load(),
+		"lost_paths":            m.LostPaths.Load(),
+		"sent_to_hosts":         m.SentToHosts.Load(),
+		"requests_from_hosts":   m.RequestsFromHosts.Load(),
 		"reruns":                m.Reruns.Load(),
 		"pending_stops":         m.PendingStops.Load(),
 		"room_not_kept":         m.RoomNotKept.Load(),
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -48,6 +48,10 @@
 	// counted is set once the roll-out of the service has counted the request; guarded by balancers.mu.
 	counted bool
 
+	// fromHost is set if another host sent the request, and via is the host that serves it; empty for this one.
+	fromHost bool
+	via      string
+
 	// Outcome of the request, for the log line.
 	responded  bool
 	retryAfter time.Duration
@@ -100,6 +104,21 @@
 	if err := r.checkParts(); err != nil {
 		return err
 	}
+	if r.g.paths.lost(r.service) {
+		if r.fromHost {
+			return notRun(503, codeNoPath, "the host cannot reach the backend servers of "+r.service)
+		}
+		return r.serveElsewhere(nil)
+	}
+	err := r.serveHere()
+	if r.mayServeElsewhere(err) {
+		return r.serveElsewhere(err)
+	}
+	return err
+}
+
+// serveHere serves the request with the backend servers that this host reaches.
+func (r *request) serveHere() error {
 	r.prompt.Begin()
 	defer r.prompt.End()
 	if r.route.Kind == route.Stream {
@@ -262,14 +281,7 @@
 	r.call.Request.Header.CopyTo(&req.Header)
 	req.SetBodyRaw(r.call.Request.Body())
 	req.Header.SetNoDefaultContentType(true)
-	for name := range strings.SplitSeq(string(req.Header.Peek("Connection")), ",") {
-		if name = strings.TrimSpace(name); name != "" {
-			req.Header.Del(name)
-		}
-	}
-	for _, name := range hopByHop {
-		req.Header.Del(name)
-	}
+	removeHopByHop(&req.Header)
 	for _, name := range d.Reserved {
 		req.Header.Del(name)
 	}
@@ -295,6 +307,18 @@
 	"Transfer-Encoding", "Upgrade", "Expect",
 }
 
+// removeHopByHop removes the header fields that apply to the connection of a request only.
+func removeHopByHop(h *fasthttp.RequestHeader) {
+	for name := range strings.SplitSeq(string(h.Peek("Connection")), ",") {
+		if name = strings.TrimSpace(name); name != "" {
+			h.Del(name)
+		}
+	}
+	for _, name := range hopByHop {
+		h.Del(name)
+	}
+}
+
 // responseHeader yields the header fields of a backend server's response that are
 // forwarded to the caller.
 func responseHeader(h *fasthttp.ResponseHeader) connection.HeaderFields {
@@ -378,6 +402,12 @@
 	if parts := r.prompt.LoggedParts(); len(parts) > 0 {
 		e = e.Strs("parts", parts)
 	}
+	if r.via != "" {
+		e = e.Str("via", r.via)
+	}
+	if r.fromHost {
+		e = e.Str("from_host", r.call.RemoteAddr())
+	}
 	if r.rateLimit != "" {
 		e = e.Str("server_limit", r.rateLimit)
 	}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -160,6 +160,7 @@
 	}
 	sentAt := time.Now()
 	ex, err := r.g.pool.Do(ctx, res.server.Address, req, opts)
+	r.g.observeConnection(ctx, r.service, res.server, ex, err)
 	if err != nil {
 		if verdict.Of(err) != verdict.NotRun && !r.endedRun(ctx) {
 			r.recordBrokenAnswer(res.server, err)
