Take a refused connection for a crash only where another server can be reached

Callers saw: nothing that was reported; found while looking for other conclusions that a cut-off host draws wrongly. Cause: an engine counts as crashed if a response broke off before the answer began and its address refuses connections. A host that has lost its path sees that at all engines at once, and five such ends get a part rejected by all hosts. Change: a refused connection counts if another server accepts one. A host that reaches none looks again until it does, for 20 s, and then asks the engine again. The daemon has the same fix. Why it works: what a lost path and crashes have in common is seen at each engine; what differs is whether any server can be reached. Crashes of all servers at once count as soon as one is back.

--- a/internal/crashes/crashes.go
+++ b/internal/crashes/crashes.go
@@ -31,6 +31,11 @@
 	// how long it holds that the engine still runs: it may crash right afterwards.
 	checkRetention   = 5 * time.Second
 	runningRetention = 100 * time.Millisecond
+	// maxOthers is how many other servers are dialled at the same time, and pathWait how long a host that reaches none waits until it
+	// reaches one, dialling every pathInterval.
+	maxOthers    = 4
+	pathWait     = 20 * time.Second
+	pathInterval = 300 * time.Millisecond
 	// trialRetryAfter is the Retry-After of a request that a trial of another one may clear.
 	trialRetryAfter = 2 * time.Second
 	// minRetryAfter is the least Retry-After of other rejected requests.
@@ -44,6 +49,13 @@
 	Peers  func() []string
 	// Clock also counts time in which the machine is suspended; see internal/boottime.
 	Clock func() time.Duration
+	// Dial opens connections to engines; nil for connection.Dial.
+	Dial connection.DialFunc
+	// Others returns the addresses of other backend servers than the one at an address, in the order in which they are dialled to find
+	// out whether this host reaches any; nil if there are none.
+	Others func(address string) []string
+	// IsReplaced reports whether another process is known to have the address of a process; nil if that is unknown.
+	IsReplaced func(attribution.Process, string) bool
 	// OnCrash, if set, is called after this host has recorded a crash, and OnChange after the
 	// rejections changed.
 	OnCrash, OnChange func()
@@ -67,16 +79,21 @@
 
 // check is the check whether a process has ended.
 type check struct {
-	done    chan struct{}
-	crashed bool // valid once done is closed
 	started time.Duration
+	// done is closed at the first result: the process has crashed, still runs, or noPath: this host reached no server at all, so that
+	// the refused connection shows nothing yet. The others are valid then.
+	done            chan struct{}
+	crashed, noPath bool
+	// settled is closed once it is known whether the process has crashed after noPath, and crashedThen valid.
+	settled     chan struct{}
+	crashedThen bool
 }
 
 // holds reports whether a check is the one for a response that has just broken off.
 func (c *check) holds(now time.Duration) bool {
 	select {
 	case <-c.done:
-		return c.crashed || now-c.started <= runningRetention
+		return c.crashed || c.noPath || now-c.started <= runningRetention
 	default:
 		return true
 	}
@@ -84,6 +101,9 @@
 
 // New returns a Guard without evidence.
 func New(opts Options) *Guard {
+	if opts.Dial == nil {
+		opts.Dial = connection.Dial
+	}
 	g := &Guard{opts: opts, tracker: attribution.New(), pending: map[*Request]struct{}{}, checks: map[attribution.Process]*check{}}
 	g.rejections.Store(g.tracker.Rejections())
 	return g
@@ -151,19 +171,37 @@
 	}
 }
 
-// confirm records a crash if its process does not accept connections any more.
+// confirm records a crash if its process does not accept connections any more. A host that reaches no server at that time, because it
+// has lost its path or all have crashed, finds out later which of them it is.
 func (g *Guard) confirm(r *Request, crash attribution.Crash) {
 	c, first := g.startCheck(crash.Process)
 	if first {
-		c.crashed = hasEnded(crash.Address)
+		c.crashed = g.hasEnded(crash.Address)
+		if c.crashed && !g.reachesOthers(crash.Address) {
+			c.crashed, c.noPath = false, true
+			go g.settle(c, crash)
+		}
 		close(c.done)
 	}
 	<-c.done
 	log := g.opts.Log.Info().Str("request", r.id).Str("backend", crash.Process.ID).Str("address", crash.Address).Strs("parts", r.LoggedParts())
-	if !c.crashed {
+	switch {
+	case c.crashed:
+		g.record(log, crash, first)
+	case c.noPath:
+		log.Msg("response broke off before the answer began, no backend server can be reached")
+		go func() {
+			if <-c.settled; c.crashedThen {
+				g.record(g.opts.Log.Info().Str("request", r.id).Str("backend", crash.Process.ID), crash, first)
+			}
+		}()
+	default:
 		log.Msg("response broke off before the answer began, the backend server still accepts connections")
-		return
 	}
+}
+
+// record records a crash; first is set for one of the requests that it broke off.
+func (g *Guard) record(log *zerolog.Event, crash attribution.Crash, first bool) {
 	if first {
 		g.Crashes.Add(1)
 	}
@@ -174,6 +212,40 @@
 	}
 }
 
+// settle waits until this host reaches other servers again, and then finds out whether the process of a crash has ended.
+func (g *Guard) settle(c *check, crash attribution.Crash) {
+	defer close(c.settled)
+	for end := time.Now().Add(pathWait); time.Now().Before(end); time.Sleep(pathInterval) {
+		if g.reachesOthers(crash.Address) {
+			refused, _ := g.dial(crash.Address)
+			c.crashedThen = refused || g.opts.IsReplaced != nil && g.opts.IsReplaced(crash.Process, crash.Address)
+			return
+		}
+	}
+}
+
+// reachesOthers reports whether this host reaches any other server than the one at an address, or knows no other.
+func (g *Guard) reachesOthers(address string) bool {
+	if g.opts.Others == nil {
+		return true
+	}
+	others := g.opts.Others(address)
+	others = others[:min(len(others), maxOthers)]
+	results := make(chan bool, len(others))
+	for _, other := range others {
+		go func() {
+			_, accepted := g.dial(other)
+			results <- accepted
+		}()
+	}
+	for range others {
+		if <-results {
+			return true
+		}
+	}
+	return len(others) == 0
+}
+
 // startCheck returns the check of a process; first is set if the caller must perform it.
 func (g *Guard) startCheck(p attribution.Process) (c *check, first bool) {
 	now := g.opts.Clock()
@@ -187,27 +259,27 @@
 	if c := g.checks[p]; c != nil && c.holds(now) {
 		return c, false
 	}
-	c = &check{done: make(chan struct{}), started: now}
+	c = &check{done: make(chan struct{}), settled: make(chan struct{}), started: now}
 	g.checks[p] = c
 	return c, true
 }
 
 // hasEnded reports whether no process listens at an address any more from which a response has broken off. A process
 // that ends may close its listener last, so one that accepts a connection is dialled again after listenerCloseTime.
-func hasEnded(address string) bool {
-	refused, accepted := dial(address)
+func (g *Guard) hasEnded(address string) bool {
+	refused, accepted := g.dial(address)
 	if accepted {
 		time.Sleep(listenerCloseTime)
-		refused, _ = dial(address)
+		refused, _ = g.dial(address)
 	}
 	return refused
 }
 
 // dial reports whether connections to an address are refused or accepted. A machine that does not respond at all may
 // only be unreachable.
-func dial(address string) (refused, accepted bool) {
+func (g *Guard) dial(address string) (refused, accepted bool) {
 	for range maxDials {
-		conn, err := connection.Dial(context.Background(), address, dialTimeout)
+		conn, err := g.opts.Dial(context.Background(), address, dialTimeout)
 		if err == nil {
 			_ = conn.Close()
 			return false, true
--- a/internal/crashes/crashes_test.go
+++ b/internal/crashes/crashes_test.go
@@ -187,3 +187,54 @@
 		assert.True(t, r.AllowRetry())
 	}
 }
+
+// Guards against a host that has lost its path to all servers and takes the end of its connections for crashes, so that all hosts
+// reject sound prompt parts, and against crashes of all engines at once that do not count since no server can be reached.
+func TestCrashesOfUnreachableServersAreSettledLater(t *testing.T) {
+	for name, c := range map[string]struct {
+		// returns is set if the engine accepts connections again at the end, replaced if another process does.
+		returns, replaced bool
+		crashes           int64
+	}{
+		"the path was lost":                     {returns: true},
+		"all engines had crashed, one is back":  {crashes: 1},
+		"the engine is back as another process": {returns: true, replaced: true, crashes: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := newTestGuard(t)
+			engine, release, err := reservedport.TCP()
+			require.NoError(t, err)
+			t.Cleanup(func() { assert.NoError(t, release()) })
+			other := g.refusedAddress()
+			g.opts.Others = func(address string) []string {
+				assert.Equal(t, engine, address)
+				return []string{g.refusedAddress(), other}
+			}
+			g.opts.IsReplaced = func(attribution.Process, string) bool { return c.replaced }
+			crash := attribution.Crash{Process: attribution.Process{ID: "engine"}, Address: engine, Domain: "d", Engines: 1, Domains: 1}
+			for range 2 {
+				r := g.NewRequest("run", []string{"part"}, func() {})
+				r.RecordBrokenAnswer(crash, io.ErrUnexpectedEOF)
+				<-*r.checked.Load()
+			}
+			assert.Zero(t, g.Crashes.Load(), "not known yet")
+			listen := func(address string) {
+				l, err := net.Listen("tcp", address)
+				require.NoError(t, err)
+				t.Cleanup(func() { _ = l.Close() })
+			}
+			if c.returns {
+				listen(engine)
+			}
+			listen(other)
+			g.mu.Lock()
+			settled := g.checks[crash.Process].settled
+			g.mu.Unlock()
+			<-settled
+			assert.Eventually(t, func() bool { return g.Crashes.Load() == c.crashes }, time.Second, time.Millisecond)
+			time.Sleep(10 * time.Millisecond)
+			assert.Equal(t, c.crashes, g.Crashes.Load())
+		})
+	}
+}
--- a/internal/forward/crashes.go
+++ b/internal/forward/crashes.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"math/rand/v2"
+
 	"monsoonkeel.example/monsoonkeel/core/attribution"
 	"monsoonkeel.example/monsoonkeel/core/balance"
 	"monsoonkeel.example/monsoonkeel/core/verdict"
@@ -53,3 +55,34 @@
 		Engines: engines, Domains: len(domains),
 	}, cause)
 }
+
+// otherServers returns the addresses of the servers in use but the one at an address, those of other services first: engines of one
+// service may crash together.
+func (g *Gateway) otherServers(address string) []string {
+	servers := g.opts.Directory.Snapshot().Servers
+	service := ""
+	for _, s := range servers {
+		if s.Address == address && !s.Removed {
+			service = s.Service
+		}
+	}
+	var others, same []string
+	for _, s := range servers {
+		switch {
+		case s.Address == address || s.Terminating():
+		case s.Service == service:
+			same = append(same, s.Address)
+		default:
+			others = append(others, s.Address)
+		}
+	}
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	rand.Shuffle(len(same), func(i, j int) { same[i], same[j] = same[j], same[i] })
+	const ofOtherServices = 2
+	return append(others[:min(len(others), ofOtherServices)], same...)
+}
+
+// isProcessReplaced reports whether a newer process has the address of a process, which has ended then.
+func (bs *balancers) isProcessReplaced(p attribution.Process, address string) bool {
+	return bs.isReplaced(balance.Server{Address: address, StartTime: p.StartTime})
+}
--- a/internal/forward/gateway.go
+++ b/internal/forward/gateway.go
@@ -117,7 +117,10 @@
 	g.bounds.Store(&opts.Bounds)
 	g.balancers = newBalancers(opts, &g.Metrics)
 	g.Metrics.balancers = g.balancers
-	g.crashes = crashes.New(crashes.Options{HostID: opts.HostID, Peers: g.peerIDs, Clock: opts.Clock, Log: opts.Log})
+	g.crashes = crashes.New(crashes.Options{
+		HostID: opts.HostID, Peers: g.peerIDs, Clock: opts.Clock, Dial: opts.Dial, Log: opts.Log,
+		Others: g.otherServers, IsReplaced: g.balancers.isProcessReplaced,
+	})
 	g.Metrics.crashes, g.Metrics.rollouts = g.crashes, g.balancers.rolloutStatus
 	g.responseBuffers = newResponseBuffers(opts.ResponseBufferBytes)
 	g.view.Store(&gossip.View{InMesh: true, StoreResponseAge: -1})
--- a/internal/process/daemon/adapters.go
+++ b/internal/process/daemon/adapters.go
@@ -127,3 +127,14 @@
 	c.d.routing.exclude(backend)
 	c.d.peers.ReportCold(membership.ColdSighting{Backend: backend, Incarnation: seen, At: time.Now()})
 }
+
+// otherBackends returns the addresses of the live backend servers but the one at an address, in random order.
+func (d *Daemon) otherBackends(address string) (addresses []string) {
+	for _, h := range d.membership.Hosts() {
+		if h.Role == platform.RoleBackend && h.State == platform.HostLive && h.Address != address {
+			addresses = append(addresses, h.Address)
+		}
+	}
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses
+}
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -102,7 +102,7 @@
 	})
 	d.crashes = crashes.New(crashes.Options{
 		HostID: s.HostID, Peers: func() []string { return d.membership.View().Members }, Clock: boottime.Now, Log: log,
-		OnCrash: func() { d.peers.SyncNow() }, OnChange: func() { d.peers.SyncNow() },
+		OnCrash: func() { d.peers.SyncNow() }, OnChange: func() { d.peers.SyncNow() }, Others: d.otherBackends,
 	})
 	d.peers = peers.New(peers.Config{
 		Membership: d.membership,
