Keep hosts whose entries the store has lost until they have written them again

Cause: a host left the lists of the others with the second list after the return. Hosts learn of the return at different times and write their entries within 2 s, so that some were missing for a time and got no messages. Change: for 6 s after a host has learned of the return, lists remove no hosts.

--- a/internal/directory/apply.go
+++ b/internal/directory/apply.go
@@ -59,8 +59,7 @@
 // this host cannot know whether the object was another one in between: a relayed change, or the last of several.
 func (d *Directory) applyBatch(kind Kind, batch Batch, full, relayed bool) bool {
 	known := d.loaded[kind]
-	newEra := known && EraOf(batch.Revision) > EraOf(d.cursor[kind])
-	if newEra {
+	if known && EraOf(batch.Revision) > EraOf(d.cursor[kind]) {
 		d.beginEra(kind, batch.Revision)
 	}
 	changed := !known
@@ -71,16 +70,15 @@
 		d.advance(kind, batch.Revision)
 		return changed
 	}
-	set, absentAt := d.objects[kind], d.cursor[kind]
+	set, absentAt, now := d.objects[kind], d.cursor[kind], d.opts.Clock()
 	if full {
 		if batch.Revision >= d.cursor[kind] {
 			absentAt = -1 // the list decides
 		}
-		if kind != Hosts || !newEra { // hosts whose entries are lost write them again
+		if kind != Hosts || d.eraBeganAt == 0 || now-d.eraBeganAt >= lostEntryGrace {
 			batch.Changes = append(batch.Changes, set.unlisted(kind, batch)...)
 		}
 	}
-	now := d.opts.Clock()
 	var logged []string
 	for _, c := range batch.Changes {
 		if c.Revision == 0 {
@@ -117,7 +115,7 @@
 		d.recoveredAt = d.opts.Clock() // servers whose entries are lost register again
 	}
 	if EraOf(revision) > d.era {
-		d.era = EraOf(revision)
+		d.era, d.eraBeganAt = EraOf(revision), d.opts.Clock()
 		d.Metrics.Add("new_eras", 1)
 		select {
 		case d.entryLost <- struct{}{}:
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -98,8 +98,9 @@
 	namedVersion int64
 	// relayed are the kinds whose changes are relayed one by one.
 	relayed []Kind
-	// era is the latest era of the store in which any kind was read after an earlier one.
-	era int64
+	// era is the latest era of the store in which any kind was read after an earlier one, from eraBeganAt on; 0 if there was none.
+	era        int64
+	eraBeganAt time.Duration
 	// objects is what the store says of the objects of each of these kinds.
 	objects map[Kind]*objectSet
 	// askedAt is when this host asked others for all objects of a kind, and listDue is set if it lists them itself.
--- a/internal/directory/hosts.go
+++ b/internal/directory/hosts.go
@@ -21,9 +21,10 @@
 	initialHostListInterval = 700 * time.Millisecond
 	// hostExpiry is how long after its last heartbeat a host stays in the snapshot.
 	hostExpiry = 3 * heartbeatInterval
-	// reregisterSpread is the time in which all hosts write their entries again after the store has lost some. It is shorter than
-	// the time between two lists of all hosts.
+	// reregisterSpread is the time in which all hosts write their entries again after the store has lost some, and lostEntryGrace how
+	// long an entry may be missing then: hosts do not learn of it at the same time.
 	reregisterSpread = 2 * time.Second
+	lostEntryGrace   = 3 * reregisterSpread
 	// registerTimeout limits one call that writes or deletes a host's entry.
 	registerTimeout = 2 * time.Second
 )
--- a/internal/directory/revision_test.go
+++ b/internal/directory/revision_test.go
@@ -49,7 +49,7 @@
 func TestHostsWriteTheirEntriesAgainAfterStoreCameBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := &fakeStore{}
-		d, _ := newDirectory(store)
+		d, c := newDirectory(store)
 		ctx, cancel := context.WithCancel(t.Context())
 		go d.registerLoop(ctx)
 		synctest.Wait()
@@ -70,6 +70,9 @@
 		synctest.Wait()
 		assert.Equal(t, 2, store.registered)
 		d.apply(Hosts, hosts(inEra(t, 2, 30), "a"), true, 1)
+		assert.Contains(t, d.Snapshot().Hosts, "lost", "hosts do not learn of it at the same time")
+		c.advance(lostEntryGrace)
+		d.apply(Hosts, hosts(inEra(t, 2, 31), "a"), true, 1)
 		assert.NotContains(t, d.Snapshot().Hosts, "lost", "its entry was not written again")
 		cancel()
 		synctest.Wait()
