Dial other servers once for all engines whose crashes are in doubt

Cause: while a host reaches no server, each engine in doubt dialled four others every 0.3 s; twelve engines make 160 connection setups a second, at hosts with a fraction of a core. Change: the result of dials that began within the interval serves all of them. Evidence and figures: TestCrashesOfUnreachableServersAreSettledLater and TestLostPathsAreNoCrashes pass as before. Conclusion: a broken response itself still gets dials that began after it broke off.

--- a/internal/crashes/crashes.go
+++ b/internal/crashes/crashes.go
@@ -75,6 +75,11 @@
 	// pending are the requests that were sent and whose answers have not begun.
 	pending map[*Request]struct{}
 	checks  map[attribution.Process]*check
+
+	// pathMu is held while other servers are dialled. reached is whether one could be reached by the dials that began at reachedAt.
+	pathMu    sync.Mutex
+	reachedAt time.Time
+	reached   bool
 }
 
 // check is the check whether a process has ended.
@@ -177,7 +182,7 @@
 	c, first := g.startCheck(crash.Process)
 	if first {
 		c.crashed = g.hasEnded(crash.Address)
-		if c.crashed && !g.reachesOthers(crash.Address) {
+		if c.crashed && !g.reachesOthers(crash.Address, time.Now()) {
 			c.crashed, c.noPath = false, true
 			go g.settle(c, crash)
 		}
@@ -216,7 +221,7 @@
 func (g *Guard) settle(c *check, crash attribution.Crash) {
 	defer close(c.settled)
 	for end := time.Now().Add(pathWait); time.Now().Before(end); time.Sleep(pathInterval) {
-		if g.reachesOthers(crash.Address) {
+		if g.reachesOthers(crash.Address, time.Now().Add(-pathInterval/2)) {
 			refused, _ := g.dial(crash.Address)
 			c.crashedThen = refused || g.opts.IsReplaced != nil && g.opts.IsReplaced(crash.Process, crash.Address)
 			return
@@ -224,12 +229,23 @@
 	}
 }
 
-// reachesOthers reports whether this host reaches any other server than the one at an address, or knows no other.
-func (g *Guard) reachesOthers(address string) bool {
+// reachesOthers reports whether this host reaches any other server than the one at an address, or knows no other. The result of dials
+// for another server that began after since will do.
+func (g *Guard) reachesOthers(address string, since time.Time) bool {
 	if g.opts.Others == nil {
 		return true
 	}
-	others := g.opts.Others(address)
+	g.pathMu.Lock()
+	defer g.pathMu.Unlock()
+	if g.reachedAt.Before(since) {
+		g.reachedAt = time.Now()
+		g.reached = g.reachesAny(g.opts.Others(address))
+	}
+	return g.reached
+}
+
+// reachesAny reports whether one of the first addresses accepts a connection, or there are none.
+func (g *Guard) reachesAny(others []string) bool {
 	others = others[:min(len(others), maxOthers)]
 	results := make(chan bool, len(others))
 	for _, other := range others {
