--- a/internal/forward/otherhosts.go
+++ b/internal/forward/otherhosts.go
@@ -32,8 +32,12 @@
 	errorHeader = "Entry-Error"
 )
 
-// codeNoPath is the code of a request for a service to which this host has no path.
-const codeNoPath = "no_path"
+const (
+	// codeNoPath is the code of a request for a service to which this host has no path.
+	codeNoPath = "no_path"
+	// codeNoHost is the code of a request that the last host asked did not accept.
+	codeNoHost = "no_host"
+)
 
 // reasonsOfOneHost are the reasons for which another host may serve the request that one has rejected unexecuted.
 var reasonsOfOneHost = []string{codeNoPath, codeHostStops, connection.CodeConnectFailed, "no_configuration", "keys_not_current", "no_route", "unknown_key"}
@@ -182,9 +186,6 @@
 	return req
 }
 
-// codeHostRejected is the code of a request that another host has rejected before it read all of it.
-const codeHostRejected = "host_rejected"
-
 // checkHostResponse returns an error for a response of another host that must not be forwarded.
 func (r *request) checkHostResponse(host fleet.Host, h *fasthttp.ResponseHeader) error {
 	d, status := &r.g.opts.Dialect, h.StatusCode()
@@ -195,9 +196,9 @@
 	case len(h.Peek(d.ServerMark)) > 0 || status < fasthttp.StatusBadRequest:
 		return verdict.New(verdict.MayHaveRun, 502, codeUnusable, "the response of the host %s is not that of a backend server to the request", host.ID)
 	case slices.Contains(reasonsOfOneHost, reason) && status != fasthttp.StatusBadGateway:
-		return notRun(503, reason, "the host "+host.ID+" cannot serve the request")
+		return notRun(503, codeNoHost, "this host cannot reach the backend servers, and the host "+host.ID+" cannot serve the request: "+reason)
 	case reason == "" && meansNotRun(status):
-		return notRun(503, codeHostRejected, "the host "+host.ID+" did not accept the request")
+		return notRun(503, codeNoHost, "this host cannot reach the backend servers, and the host "+host.ID+" did not accept the request")
 	}
 	return nil
 }
--- a/internal/forward/paths.go
+++ b/internal/forward/paths.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"monsoonkeel.example/monsoonkeel/core/balance"
@@ -18,12 +19,19 @@
 
 // paths are the paths of this host to the servers of each service.
 type paths struct {
+	// suspected is set while a connection has failed since the last one that was set up, so that requests do not need the lock
+	// otherwise.
+	suspected atomic.Bool
 	mu        sync.Mutex
+	// byService has the services for which that holds.
 	byService map[string]*reach.Path
 }
 
-// lost reports whether this host has lost its path to the servers of a service. It is never lost if there is no other way.
+// lost reports whether this host has lost its path to the servers of a service.
 func (p *paths) lost(service string) bool {
+	if !p.suspected.Load() {
+		return false
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	path := p.byService[service]
@@ -55,9 +63,14 @@
 }
 
 func (g *Gateway) pathWorks(service string) {
+	if !g.paths.suspected.Load() {
+		return
+	}
 	g.paths.mu.Lock()
 	path := g.paths.byService[service]
 	regained := path != nil && path.Connected()
+	delete(g.paths.byService, service)
+	g.paths.suspected.Store(len(g.paths.byService) > 0)
 	g.paths.mu.Unlock()
 	if regained {
 		g.opts.Log.Info().Str("service", service).Msg("path to the backend servers works again")
@@ -71,6 +84,7 @@
 	if path == nil {
 		path = &reach.Path{}
 		g.paths.byService[service] = path
+		g.paths.suspected.Store(true)
 	}
 	lost := path.Failed(server, servers, time.Now())
 	g.paths.mu.Unlock()
