Name the other host in the error of a request that it did not answer

Cause: the error said that the backend server did not respond, and the end of a response that broke off was written twice. Change: the error names the host; response.go and otherhosts.go share the end of a broken response. Figures: ./internal/forward passes with -race, and so do the tests of cut-off hosts and of stores that come back.

--- a/internal/forward/otherhosts.go
+++ b/internal/forward/otherhosts.go
@@ -65,7 +65,7 @@
 func (r *request) chooseHost(asked []string) (host fleet.Host, ok bool) {
 	g, now := r.g, time.Now()
 	allowed := route.RegionFilter(r.route, r.team)
-	var own, others []fleet.Host
+	var candidates, ofOtherRegions []fleet.Host
 	askedOfRegion := 0
 	for id, h := range r.snapshot.Hosts {
 		if slices.Contains(asked, id) {
@@ -78,18 +78,18 @@
 			continue
 		}
 		if h.Region == g.opts.Region {
-			own = append(own, h)
+			candidates = append(candidates, h)
 		} else {
-			others = append(others, h)
+			ofOtherRegions = append(ofOtherRegions, h)
 		}
 	}
-	if len(own) == 0 || askedOfRegion >= maxHostsOfRegion && len(others) > 0 {
-		own = others
+	if len(candidates) == 0 || askedOfRegion >= maxHostsOfRegion && len(ofOtherRegions) > 0 {
+		candidates = ofOtherRegions
 	}
-	if len(own) == 0 {
+	if len(candidates) == 0 {
 		return fleet.Host{}, false
 	}
-	return own[rand.IntN(len(own))], true
+	return candidates[rand.IntN(len(candidates))], true
 }
 
 // isLive reports whether another host may be live, as far as this host hears of it.
@@ -143,7 +143,7 @@
 		NoReuse: true, DialTimeout: connectTimeout, IDHeader: r.g.opts.Dialect.RequestID, SkipOtherIDs: true, BodyNotReused: true,
 	})
 	if err != nil {
-		return err
+		return verdict.Wrap(err, verdict.Of(err), 502, codeNoHost, "the host %s did not respond", host.ID)
 	}
 	if err := r.checkHostResponse(host, &ex.Response.Header); err != nil {
 		ex.Finish(false)
@@ -232,17 +232,8 @@
 		err = toCaller(r.call.End())
 	}
 	ex.Finish(false)
-	if err == nil {
-		return nil
-	}
-	// The cause is determined first, since the abort also cancels the call's context.
-	failure := error(unusableResponse(err))
-	switch {
-	case r.ctx.Err() != nil:
-		failure = r.interruptionError(true)
-	case isCallerError(err):
-		failure = callerLeftError(err)
+	if err != nil {
+		return r.abort(err)
 	}
-	r.call.Abort()
-	return failure
+	return nil
 }
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -142,8 +142,13 @@
 		res.release(r.isEngineFailure())
 		return nil
 	}
-	// Both are determined first, since the abort also cancels the call's context.
-	r.releaseFailed(res, err)
+	r.releaseFailed(res, err) // the abort cancels the call's context, which it looks at
+	return r.abort(err)
+}
+
+// abort ends a response of which a part was sent, so that it does not look complete, and returns the error of the request. err is why.
+func (r *request) abort(err error) error {
+	// The error is determined first, since the abort also cancels the call's context.
 	failure := error(unusableResponse(err))
 	switch {
 	case r.ctx.Err() != nil:
