Keep a failure domain out while the store has lost its entry

Cause: after the store has come back from an older copy, a host removed each domain out that the copy lacks with its first list.

Ruled out: leaving removals to the next list, as for hosts: the objects that hosts compare would differ for that time. The removal is merged at once; only what this host makes of it waits.

Change: a removal that is of a later era than the known entry keeps the domain out for 6 s, at store readers and at the hosts that they relay to. An entry or a removal of the present era counts at once.

Conclusion: a host that starts after the return does not know the domain.

--- a/internal/directory/apply.go
+++ b/internal/directory/apply.go
@@ -84,11 +84,16 @@
 		if c.Revision == 0 {
 			c.Revision = batch.Revision
 		}
+		former := EraOf(set.objects[c.Name].Revision)
 		taken, differs := set.merge(c, absentAt, now)
 		if !taken {
 			continue
 		}
-		changed = d.applyChange(kind, c) || changed
+		if kind == DomainsOut && c.Deleted && former < EraOf(c.Revision) && d.state.DomainsOut[c.Name] {
+			d.keepDomainOut(c.Name, now)
+		} else {
+			changed = d.applyChange(kind, c) || changed
+		}
 		if differs || c.Deleted || c.replaces || relayed && !full {
 			logged = append(logged, c.Name)
 		}
@@ -159,7 +164,19 @@
 	return true
 }
 
+// keepDomainOut keeps a failure domain out of service for lostEntryGrace although the store, which came back from an older copy, has
+// lost its entry: the operator may write it again.
+func (d *Directory) keepDomainOut(name string, now time.Duration) {
+	if _, missing := d.domainMissingSince[name]; missing {
+		return
+	}
+	d.domainMissingSince[name] = now
+	d.opts.Log.Warn().Str("domain", name).Dur("for", lostEntryGrace).
+		Msg("the store came back without the entry of a failure domain that is out of service, keeping it out for now")
+}
+
 func (d *Directory) applyDomain(c Change) bool {
+	delete(d.domainMissingSince, c.Name)
 	if d.state.DomainsOut[c.Name] == !c.Deleted {
 		return false
 	}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -84,6 +84,7 @@
 	loaded                 map[Kind]bool
 	missingSince           map[string]time.Duration // servers whose entries are missing after an outage
 	removedAt              map[string]time.Duration
+	domainMissingSince     map[string]time.Duration // domains out whose entries are missing since the store came back from an older copy
 	backoff                map[Kind]time.Duration
 	// cursor is the revision up to which the changes of a kind are applied. changeLog
 	// holds the newest batches, and all changes after revision logStart. behind is set
@@ -153,6 +154,8 @@
 		differsSince: map[Kind]time.Duration{}, nextDifferenceList: map[Kind]time.Duration{},
 		following: map[Kind]bool{},
 
+		domainMissingSince: map[string]time.Duration{},
+
 		registerAttempted: make(chan struct{}),
 		entryLost:         make(chan struct{}, 1),
 	}
@@ -351,8 +354,8 @@
 	d.opts.Log.Info().Stringer("kind", kind).Msg("store calls succeed again")
 }
 
-// expireLoop removes missing servers after AbsenceGrace and drops removed ones after
-// removedRetention.
+// expireLoop removes missing servers after AbsenceGrace, takes missing domains back in after
+// lostEntryGrace and drops removed servers after removedRetention.
 func (d *Directory) expireLoop(ctx context.Context) {
 	const interval = 250 * time.Millisecond
 	for wait.For(ctx, interval) {
@@ -375,6 +378,11 @@
 			changed = true
 		}
 	}
+	for name, since := range d.domainMissingSince {
+		if now-since >= lostEntryGrace {
+			changed = d.applyDomain(Change{Name: name, Deleted: true}) || changed
+		}
+	}
 	for id, at := range d.removedAt {
 		if now-at > removedRetention {
 			delete(d.removedAt, id)
--- a/internal/directory/hosts.go
+++ b/internal/directory/hosts.go
@@ -22,7 +22,7 @@
 	// hostExpiry is how long after its last heartbeat a host stays in the snapshot.
 	hostExpiry = 3 * heartbeatInterval
 	// reregisterSpread is the time in which all hosts write their entries again after the store has lost some, and lostEntryGrace how
-	// long an entry may be missing then: hosts do not learn of it at the same time.
+	// long the entry of a host, or of a domain out of service, may be missing then: hosts do not learn of it at the same time.
 	reregisterSpread = 2 * time.Second
 	lostEntryGrace   = 3 * reregisterSpread
 	// registerTimeout limits one call that writes or deletes a host's entry.
--- a/internal/directory/revision_test.go
+++ b/internal/directory/revision_test.go
@@ -102,6 +102,61 @@
 	}
 }
 
+// Guards against a failure domain that gets new work although the operator has taken it out: the store has lost the entry, and the
+// operator has had no time to write it again. One that the operator takes back in, in the present era, gets work at once.
+func TestDomainsStayOutAfterStoreCameBack(t *testing.T) {
+	reader, follower, c := newRegion(t)
+	out := func(domain string) Change { return Change{Name: domain} }
+	back := func(domain string) Change { return Change{Name: domain, Deleted: true} }
+	both := []*Directory{reader, follower}
+	assertOut := func(domains ...string) {
+		t.Helper()
+		expected := map[string]bool{}
+		for _, name := range domains {
+			expected[name] = true
+		}
+		for _, d := range both {
+			d.expire()
+			assert.Equal(t, expected, d.Snapshot().DomainsOut)
+		}
+	}
+	read := func(full bool, revision int64, changes ...Change) {
+		reader.apply(DomainsOut, Batch{Changes: changes, Revision: revision}, full, c.Now())
+		if update := reader.Missing(follower.Versions()); update != nil {
+			follower.ApplyRelayed(update, c.Now())
+		}
+		follower.ApplyRelayed(reader.RelayedUpdate(), c.Now())
+		assert.Equal(t, revision, follower.cursorOf(DomainsOut))
+	}
+	read(true, inEra(t, 1, 20), out("kept"), out("again"), out("lost"))
+	assertOut("kept", "again", "lost")
+	read(true, inEra(t, 2, 5), out("kept"))
+	assertOut("kept", "again", "lost")
+	assert.Equal(t, reader.Versions(), follower.Versions())
+	read(false, inEra(t, 2, 6), out("again"))
+	read(false, inEra(t, 2, 7), back("kept"))
+	assertOut("again", "lost")
+	read(true, inEra(t, 2, 8), out("again"))
+	assertOut("again", "lost")
+	c.advance(lostEntryGrace)
+	assertOut("again")
+	read(false, inEra(t, 2, 9), back("again"))
+	assertOut()
+}
+
+// Guards against a failure domain that stays out after the operator has taken it back in, because the store came back twice from a copy
+// without its entry.
+func TestDomainsThatStayOutReturnAfterTheFirstStoreReturn(t *testing.T) {
+	d, c := newDirectory(nil)
+	d.apply(DomainsOut, Batch{Changes: []Change{{Name: "west-a"}}, Revision: inEra(t, 1, 20)}, true, 0)
+	d.apply(DomainsOut, Batch{Revision: inEra(t, 2, 5)}, true, 0)
+	c.advance(lostEntryGrace / 2)
+	d.apply(DomainsOut, Batch{Revision: inEra(t, 3, 5)}, true, 0)
+	c.advance(lostEntryGrace/2 + time.Millisecond)
+	d.expire()
+	assert.Empty(t, d.Snapshot().DomainsOut)
+}
+
 // Guards against a host that has not heard of the store's return and teaches others the former state, or does not take over the
 // present one from them.
 func TestHostOfFormerEraTeachesNothing(t *testing.T) {
