--- a/internal/cmd/soakcmd/mutations.go
+++ b/internal/cmd/soakcmd/mutations.go
@@ -113,7 +113,11 @@
 		if !found {
 			missed++
 		}
-		fmt.Printf("%s: %s found %t, %d findings, %d disruptions, %d requests\n", m.name, m.rule, found, len(result.Findings), len(result.Schedule), result.Requests)
+		rules := map[string]int{}
+		for _, f := range result.Findings {
+			rules[f.Rule]++
+		}
+		fmt.Printf("%s: %s found %t, findings %v, %d disruptions, %d requests\n", m.name, m.rule, found, rules, len(result.Schedule), result.Requests)
 	}
 	return missed, nil
 }
