Reject responses with an invalid field line

Cause: the header section is parsed by fasthttp alone, which is more lenient than RFC 9112 about blanks in names, in interim responses and trailers too. Nothing checked the bytes before it; only the status was looked at.

Ruled out: checking the parsed header. It no longer tells "Note : a" from "Note: a", and has neither the fields of interim responses nor all trailers. A parser of our own: fasthttp's framing is right once the lines are valid, which FuzzFraming compares.

Change: internal/responsecheck checks the bytes of each response as they arrive, below every parser: field lines of header sections, interim responses and trailers, and the framing needed to find them. From the first invalid line on, reads fail; the exchange ends as any broken response does, so that a request that may have run stays so: 502, and another attempt only where it may run again. A connection is reused only between two responses.

Control characters in names and values were caught before; their texts are kept.

The checker gives the same verdict at whatever byte a text is split.

--- a/internal/connection/exchange.go
+++ b/internal/connection/exchange.go
@@ -170,6 +170,7 @@
 func (e *Exchange) roundTrip(ctx context.Context, req *fasthttp.Request, opts Options) error {
 	// The request may be a copy of a caller's, which has the version of that connection.
 	req.Header.SetProtocol("HTTP/1.1")
+	e.conn.responses.ExpectResponse(req.Header.IsHead())
 	if err := e.send(req, opts.BodyNotReused); err != nil {
 		return err
 	}
@@ -180,9 +181,6 @@
 		if err := e.readResponseHeader(req.Header.IsHead()); err != nil {
 			return err
 		}
-		if status := e.Response.StatusCode(); status < fasthttp.StatusOK {
-			return fmt.Errorf("the backend server sent status %d instead of a final response", status)
-		}
 		skip, err := e.checkID(req, opts)
 		if err != nil {
 			return err
--- a/internal/connection/upstream.go
+++ b/internal/connection/upstream.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"monsoonkeel.example/monsoonkeel/core/verdict"
+	"monsoonkeel.example/monsoonkeel/internal/responsecheck"
 )
 
 const (
@@ -73,9 +74,11 @@
 
 // upstreamConn is a connection to a backend server.
 type upstreamConn struct {
+	// Conn passes on only valid responses; responses is the same connection.
 	net.Conn
-	reader  *bufio.Reader
-	address string
+	responses *responsecheck.Conn
+	reader    *bufio.Reader
+	address   string
 	// written is the number of bytes written since the current request was started.
 	written atomic.Int64
 	// unusedBytes is the number of bytes read since the last byte of a body was returned,
@@ -120,7 +123,8 @@
 }
 
 func newUpstreamConn(c net.Conn, address string) *upstreamConn {
-	conn := &upstreamConn{Conn: c, address: address}
+	responses := responsecheck.NewConn(c)
+	conn := &upstreamConn{Conn: responses, responses: responses, address: address}
 	conn.reader = bufio.NewReaderSize(conn, readBufferBytes)
 	return conn
 }
@@ -339,5 +343,7 @@
 	return fallback
 }
 
-// hasUnread reports whether the server sent bytes that were not read, or closed the connection.
-func (c *upstreamConn) hasUnread() bool { return c.reader.Buffered() > 0 || readable(c.Conn) }
+// hasUnread reports whether the server sent bytes that belong to no response that was read, or closed the connection.
+func (c *upstreamConn) hasUnread() bool {
+	return !c.responses.BetweenResponses() || c.reader.Buffered() > 0 || readable(c.Conn)
+}
--- a/internal/connection/upstreampool.go
+++ b/internal/connection/upstreampool.go
@@ -54,7 +54,7 @@
 
 // put keeps an idle connection, unless the server has already sent more than its response.
 func (p *Pool) put(c *upstreamConn) {
-	if c.reader.Buffered() > 0 {
+	if c.reader.Buffered() > 0 || !c.responses.BetweenResponses() {
 		_ = c.Close()
 		return
 	}
