Check the version and the reason of responses

Callers got answers whose status line no HTTP response may have: HTTP/2.0 or HTTP/0.9, control characters in the reason, carriage returns before the line, and the same in interim responses. monsoonkeeld passes the reason on to its callers. A valid answer was broken: from a server that states HTTP/1.2 and sends chunks, callers got the sizes of the chunks as a part of the body.

Cause: fasthttp checks neither the major version nor the reason, and takes each version but HTTP/1.1 for HTTP/1.0, which has no chunks.

Ruled out: rejecting minor versions above 1. RFC 9110, section 2.5, asks a recipient to process them as the highest version that it knows.

Change: the checker accepts HTTP/1.x only, rejects control characters in the reason, and replaces a minor version above 1 by 1 before the parser sees it.

--- a/internal/responsecheck/checker.go
+++ b/internal/responsecheck/checker.go
@@ -78,7 +78,7 @@
 }
 
 // Check checks the next bytes of the connection. It returns how many of them may be passed on, and an error if the line that
-// follows them must not be in a response. No further calls are allowed after an error.
+// follows them must not be in a response. No further calls are allowed after an error. A minor version above 1 is replaced in p.
 func (c *Checker) Check(p []byte) (valid int, err error) {
 	for valid < len(p) {
 		rest := p[valid:]
@@ -94,6 +94,9 @@
 			}
 			continue
 		}
+		if c.state == stateStatusLine {
+			c.lowerVersion(rest)
+		}
 		end := bytes.IndexByte(rest, '\n')
 		if end < 0 {
 			c.line = append(c.line, rest...)
@@ -129,6 +132,15 @@
 	c.line = nil // an idle connection should not hold memory
 }
 
+// lowerVersion changes a minor version above 1 in the rest of a status line to 1: a recipient processes such a response as one of
+// the highest version that it knows (RFC 9110, section 2.5), but fasthttp takes it for HTTP/1.0, which has no chunks.
+func (c *Checker) lowerVersion(rest []byte) {
+	i := len("HTTP/1.") - len(c.line)
+	if 0 <= i && i < len(rest) && '1' < rest[i] && rest[i] <= '9' {
+		rest[i] = '1'
+	}
+}
+
 // checkLength counts n more bytes of the current section.
 func (c *Checker) checkLength(n int) error {
 	c.sectionBytes += n
@@ -180,10 +192,16 @@
 
 // checkStatusLine checks a line such as "HTTP/1.1 200 OK".
 func (c *Checker) checkStatusLine(line []byte) error {
-	_, rest, _ := bytes.Cut(line, []byte(" "))
-	code, _, _ := bytes.Cut(rest, []byte(" "))
-	if len(code) != 3 || code[0] < '1' || code[0] > '5' || !isDigit(code[1]) || !isDigit(code[2]) {
+	version, rest, found := bytes.Cut(line, []byte(" "))
+	code, reason, _ := bytes.Cut(rest, []byte(" "))
+	minor, isHTTP1 := bytes.CutPrefix(version, []byte("HTTP/1."))
+	switch {
+	case !found, !isHTTP1, len(minor) != 1, !isDigit(minor[0]):
+		return fmt.Errorf("invalid version in the status line %s", quote(line))
+	case len(code) != 3, code[0] < '1', code[0] > '5', !isDigit(code[1]), !isDigit(code[2]):
 		return fmt.Errorf("invalid status in the status line %s", quote(line))
+	case !isFieldText(reason):
+		return fmt.Errorf("control character in the status line %s", quote(line))
 	}
 	status, err := strconv.Atoi(string(code))
 	if err != nil {
