Reject responses with contradictory framing

Callers got a body that was not the backend server's: from an answer of HTTP/1.0 with Transfer-Encoding, the sizes of the chunks were passed on as a part of it. Answers with both Content-Length and Transfer-Encoding, and with either in status 204 or an interim response, passed as well, as did a control character in a chunk extension.

Cause: fasthttp takes the field that it knows in that version and ignores the other one. RFC 9112, sections 6.1 and 6.3, calls such framing faulty.

Change: the checker rejects these header sections and extensions. A length of 0 stays allowed in status 204 and interim responses, since it says what the status says; some servers send it.

--- a/internal/responsecheck/checker.go
+++ b/internal/responsecheck/checker.go
@@ -60,6 +60,8 @@
 // head is what the header section of the current response says of its body.
 type head struct {
 	status int
+	// http10 is set for HTTP/1.0, which has no chunks.
+	http10 bool
 	// length is the Content-Length; -1 for none.
 	length  int64
 	chunked bool
@@ -207,7 +209,7 @@
 	if err != nil {
 		return err
 	}
-	c.head = head{status: status, length: -1}
+	c.head = head{status: status, http10: minor[0] == '0', length: -1}
 	c.state = stateHeader
 	return nil
 }
@@ -284,6 +286,12 @@
 	switch {
 	case h.status == 101:
 		return errors.New("status 101, but no other protocol was requested")
+	case h.chunked && h.length >= 0:
+		return errors.New("both Content-Length and Transfer-Encoding")
+	case h.chunked && h.http10:
+		return errors.New("Transfer-Encoding in a response of HTTP/1.0")
+	case (interim || h.status == 204) && (h.chunked || h.length > 0):
+		return fmt.Errorf("Content-Length or Transfer-Encoding in a response of status %d, which has no body", h.status)
 	case interim:
 		if c.interim++; c.interim > maxInterim {
 			return errTooManyInterim
@@ -303,9 +311,9 @@
 
 // checkChunkSize checks the line before the data of a chunk, such as "1a;name=value".
 func (c *Checker) checkChunkSize(line []byte) error {
-	digits, _, _ := bytes.Cut(line, []byte(";"))
+	digits, extension, _ := bytes.Cut(line, []byte(";"))
 	size, err := strconv.ParseUint(string(bytes.TrimRight(digits, " \t")), 16, 63)
-	if err != nil {
+	if err != nil || !isFieldText(extension) {
 		return fmt.Errorf("invalid size line %s of a chunk", quote(line))
 	}
 	c.sectionBytes = 0
