Answer with HTTP/1.1 whatever version the server has

Callers of monsoonkeeld got a body that was not the backend server's: from a sound server that answers with HTTP/1.0 and without a length, the sizes of the chunks were a part of it.

Cause: the daemon copied the version of the server's response to its own, and sent the body in chunks, which HTTP/1.0 does not have: a header section that no HTTP response may have, from this system. monsoonkeel-entry writes its own status line.

Change: the version is that of the connection to the caller.

Evidence: TestVersionOfServerIsNotRelayed; without the change the caller gets HTTP/1.0, and the body "5\r\nhello\r\n0\r\n\r\n" instead of "hello".

--- a/internal/request/http10_test.go
+++ b/internal/request/http10_test.go
@@ -70,3 +70,21 @@
 		return len(r.outcomes) == 4 && r.outcomes[3].Code == "answer_cut"
 	}, 3*time.Second, 10*time.Millisecond, "each request ends")
 }
+
+// Guards against a response of HTTP/1.0 whose version is passed on: with a body without a length, which is sent in chunks, it had a
+// header section that HTTP does not allow.
+func TestVersionOfServerIsNotRelayed(t *testing.T) {
+	for name, text := range map[string]string{
+		"length":    "HTTP/1.0 200 OK\r\n{fields}Content-Length: {length}\r\n\r\n{body}",
+		"no length": "HTTP/1.0 200 OK\r\n{fields}\r\n{body}",
+	} {
+		r, s := startTextServer(t, callPlain)
+		s.text.Store(text)
+		resp := r.do("POST", "/services/desk/x", "x", headerClass, "write")
+		body, err := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		require.NoError(t, err, name)
+		assert.Equal(t, "HTTP/1.1", resp.Proto, name)
+		assert.Equal(t, plainBody, string(body), name)
+	}
+}
--- a/internal/request/plain.go
+++ b/internal/request/plain.go
@@ -215,6 +215,8 @@
 	closing := out.ConnectionClose()
 	connectionHeader := append([]byte(nil), ex.Response.Header.Peek("Connection")...)
 	ex.Response.Header.CopyTo(&out.Header)
+	// The version is that of this connection: a body without a length is sent in chunks, which HTTP/1.0 does not have.
+	out.Header.SetProtocol([]byte("HTTP/1.1"))
 	removeHopByHop(&out.Header, connectionHeader)
 	out.Header.Set(headerRequestID, c.outcome.RequestID)
 	if closing {
