Check the responses that the daemon reads through fasthttp

monsoonkeeld took a response for one of the object API, the host list, the weight store, a load report or an answer to a command that no HTTP response may be: with status 000, which it read as 200, with a blank in the name of a field or before the colon of Content-Length, and others. A write of the object store with such a response counted as made, and one with status 099 as surely not made.

Cause: internal/platform/httpapi uses fasthttp's client, which has its own connections; only those of connection.Pool were checked.

Ruled out: using connection.Pool here. It takes what a TLS server sends after the handshake for an early response.

Change: its connections are those of responsecheck. The client now sets up TLS itself, since fasthttp would do that above the check. The outcome of a write with an invalid response is unknown, as with a lost one.

A server whose certificate is not trusted is still rejected.

--- a/internal/platform/httpapi/client.go
+++ b/internal/platform/httpapi/client.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -14,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"monsoonkeel.example/monsoonkeel/internal/platform"
+	"monsoonkeel.example/monsoonkeel/internal/responsecheck"
 )
 
 const (
@@ -48,33 +50,52 @@
 // client sends requests without retrying them. It is safe for concurrent use.
 type client struct {
 	http *fasthttp.Client
+	// base has the scheme http also for a server with TLS, for which dial sets TLS up.
 	base string
+	dial fasthttp.DialFuncWithTimeout
 }
 
 func newClient(base string) *client {
-	return &client{
-		base: strings.TrimRight(base, "/"),
-		http: &fasthttp.Client{
-			NoDefaultUserAgentHeader:  true,
-			DisablePathNormalizing:    true,
-			MaxIdemponentCallAttempts: 1,
-			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-			MaxIdleConnDuration:       maxIdleConnDuration,
-			MaxResponseBodySize:       maxResponseBytes,
-			DialTimeout:               dial,
-		},
-	}
+	c := &client{base: strings.TrimRight(base, "/"), dial: dialTCP}
+	if u, err := url.Parse(c.base); err == nil && u.Scheme == "https" {
+		u.Scheme, u.Host = "http", fasthttp.AddMissingPort(u.Host, true)
+		c.base, c.dial = u.String(), dialTLS
+	}
+	c.http = &fasthttp.Client{
+		NoDefaultUserAgentHeader:  true,
+		DisablePathNormalizing:    true,
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		MaxIdleConnDuration:       maxIdleConnDuration,
+		MaxResponseBodySize:       maxResponseBytes,
+		DialTimeout:               c.dial,
+	}
+	return c
 }
 
-func dial(addr string, timeout time.Duration) (net.Conn, error) {
-	if timeout <= 0 || timeout > maxDialTimeout {
-		timeout = maxDialTimeout
+// dialTCP opens a connection that fails when what the server sends is no HTTP response.
+func dialTCP(addr string, timeout time.Duration) (net.Conn, error) {
+	conn, err := fasthttp.DialDualStackTimeout(addr, limitDial(timeout))
+	if err != nil {
+		return nil, &dialError{err}
 	}
-	conn, err := fasthttp.DialDualStackTimeout(addr, timeout)
+	return responsecheck.NewConn(conn), nil
+}
+
+// dialTLS is dialTCP for a server with TLS: responses can be checked only once they are decrypted.
+func dialTLS(addr string, timeout time.Duration) (net.Conn, error) {
+	conn, err := tls.DialWithDialer(&net.Dialer{Timeout: limitDial(timeout)}, "tcp", addr, nil)
 	if err != nil {
 		return nil, &dialError{err}
 	}
-	return conn, nil
+	return responsecheck.NewConn(conn), nil
+}
+
+func limitDial(timeout time.Duration) time.Duration {
+	if timeout <= 0 {
+		return maxDialTimeout
+	}
+	return min(timeout, maxDialTimeout)
 }
 
 // call is one request. header holds alternating names and values.
@@ -183,17 +204,15 @@
 // exchange has ended and its response is read.
 func (c *client) dedicatedConnection(ctx context.Context, req *fasthttp.Request) (send func(*fasthttp.Request, *fasthttp.Response, time.Time) error, release func()) {
 	stopClosing := func() bool { return true }
-	isTLS := string(req.URI().Scheme()) == "https"
 	host := &fasthttp.HostClient{
-		Addr:                      fasthttp.AddMissingPort(string(req.URI().Host()), isTLS),
-		IsTLS:                     isTLS,
+		Addr:                      fasthttp.AddMissingPort(string(req.URI().Host()), false),
 		NoDefaultUserAgentHeader:  c.http.NoDefaultUserAgentHeader,
 		DisablePathNormalizing:    c.http.DisablePathNormalizing,
 		MaxIdemponentCallAttempts: c.http.MaxIdemponentCallAttempts,
 		RetryIfErr:                c.http.RetryIfErr,
 		MaxResponseBodySize:       c.http.MaxResponseBodySize,
 		DialTimeout: func(addr string, timeout time.Duration) (net.Conn, error) {
-			conn, err := dial(addr, timeout)
+			conn, err := c.dial(addr, timeout)
 			if err == nil {
 				stopClosing = context.AfterFunc(ctx, func() { _ = conn.Close() }) // the exchange reports the error
 			}
