Accept header sections of 16 KiB from the object API

The daemon's clients of the object API, the host list, the weight store and engines rejected a valid response whose header section was longer than 4 KiB.

Cause: fasthttp's client parses a header section in a buffer of 4 KiB by default.

Change: the buffer has 16 KiB, as that for backend servers.

--- a/internal/platform/httpapi/client.go
+++ b/internal/platform/httpapi/client.go
@@ -30,6 +30,8 @@
 	// maxResponseBytes limits a response body; a list of objects can be larger than
 	// one object.
 	maxResponseBytes = 16 * platform.MaxObjectBytes
+	// maxHeaderBytes limits the header section of a response.
+	maxHeaderBytes = 16 << 10
 	// maxIdleConnDuration is shorter than the idle timeout of common servers, so
 	// that a reused connection has rarely been closed by the server.
 	maxIdleConnDuration = 5 * time.Second
@@ -68,6 +70,7 @@
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		MaxIdleConnDuration:       maxIdleConnDuration,
 		MaxResponseBodySize:       maxResponseBytes,
+		ReadBufferSize:            maxHeaderBytes,
 		DialTimeout:               c.dial,
 	}
 	return c
@@ -211,6 +214,7 @@
 		MaxIdemponentCallAttempts: c.http.MaxIdemponentCallAttempts,
 		RetryIfErr:                c.http.RetryIfErr,
 		MaxResponseBodySize:       c.http.MaxResponseBodySize,
+		ReadBufferSize:            c.http.ReadBufferSize,
 		DialTimeout: func(addr string, timeout time.Duration) (net.Conn, error) {
 			conn, err := c.dial(addr, timeout)
 			if err == nil {
--- a/internal/platform/httpapi/invalidresponse_test.go
+++ b/internal/platform/httpapi/invalidresponse_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strings"
@@ -92,3 +93,17 @@
 		}
 	}
 }
+
+// Guards against an unusual but valid response that is rejected.
+func TestUnusualResponsesAreUsed(t *testing.T) {
+	texts := maps.Clone(responsetest.Unusual)
+	maps.Copy(texts, responsetest.Tolerated)
+	for name, text := range texts {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		serveTexts(t, l, text)
+		for call, err := range callAll(t, "http://"+l.Addr().String()) {
+			assert.NoError(t, err, "%s: %s", call, name)
+		}
+	}
+}
