Check the responses that monsoonkeelctl reads

monsoonkeelctl printed "accepted" for a change, and printed what it asked for, from a response that no HTTP response may be.

Cause: it uses net/http, which accepts blanks in the names of fields, other versions, control characters in the reason, and framing fields in trailers.

Change: its connections are those of responsecheck, below net/http; with TLS they check what was decrypted, as in the daemon.

--- a/internal/cmd/ctl/client.go
+++ b/internal/cmd/ctl/client.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -16,6 +17,7 @@
 	"monsoonkeel.example/monsoonkeel/core/config"
 	"monsoonkeel.example/monsoonkeel/core/verdict"
 	"monsoonkeel.example/monsoonkeel/internal/process/admin"
+	"monsoonkeel.example/monsoonkeel/internal/responsecheck"
 )
 
 const (
@@ -37,7 +39,27 @@
 }
 
 func newClient(servers []string, token string, timeout time.Duration) *client {
-	return &client{servers: servers, token: token, timeout: timeout, http: &http.Client{Timeout: attemptTimeout}}
+	return &client{servers: servers, token: token, timeout: timeout, http: &http.Client{Timeout: attemptTimeout, Transport: newTransport()}}
+}
+
+// newTransport returns a transport whose connections fail when what a server sends is no HTTP response.
+func newTransport() *http.Transport {
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.DialContext = checkResponses(t.DialContext)
+	t.DialTLSContext = checkResponses((&tls.Dialer{}).DialContext)
+	return t
+}
+
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+func checkResponses(dial dialFunc) dialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return responsecheck.NewConn(conn), nil
+	}
 }
 
 // call sends one request and decodes the response into out. The error is an
