--- a/internal/connection/status.go
+++ b/internal/connection/response.go
@@ -1,8 +1,6 @@
 package connection
 
-import (
-	"github.com/valyala/fasthttp"
-)
+import "github.com/valyala/fasthttp"
 
 // statusLineBytes is the length of the shortest complete status line, such as "HTTP/1.1 200" and a line end.
 const statusLineBytes = len("HTTP/1.1 200\n")
