--- a/internal/cmd/ctl/invalidresponse_test.go
+++ b/internal/cmd/ctl/invalidresponse_test.go
@@ -1,8 +1,6 @@
 package ctl
 
 import (
-	"bufio"
-	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -19,25 +17,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
-	serve := func(conn net.Conn) {
-		defer func() { _ = conn.Close() }()
-		req, err := http.ReadRequest(bufio.NewReader(conn))
-		if err == nil {
-			_, err = io.Copy(io.Discard, req.Body)
-		}
-		if err == nil {
-			_, _ = io.WriteString(conn, responsetest.Expand(text, "", `{"revision":5}`))
-		}
-	}
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serve(conn)
-		}
-	}()
+	go responsetest.Serve(l, func(*http.Request) string { return responsetest.Expand(text, "", `{"revision":5}`) })
 	return "http://" + l.Addr().String()
 }
 
--- a/internal/platform/httpapi/invalidresponse_test.go
+++ b/internal/platform/httpapi/invalidresponse_test.go
@@ -1,8 +1,6 @@
 package httpapi_test
 
 import (
-	"bufio"
-	"io"
 	"maps"
 	"net"
 	"net/http"
@@ -17,43 +15,24 @@
 	"monsoonkeel.example/monsoonkeel/internal/responsecheck/responsetest"
 )
 
-// respondText answers a request on a connection with a text, in which it fills in the body that the client expects, and closes
-// the connection.
-func respondText(conn net.Conn, text string) {
-	defer func() { _ = conn.Close() }()
-	req, err := http.ReadRequest(bufio.NewReader(conn))
-	if err == nil {
-		_, err = io.Copy(io.Discard, req.Body)
-	}
-	if err != nil {
-		return
-	}
-	body := "value"
-	switch {
-	case req.URL.Query().Has("prefix"):
-		body = `[{"key":"k","version":7}]`
-	case req.URL.Path == "/hosts":
-		body = `{"revision":1,"hosts":[{"id":"h","state":"live"}]}`
-	case req.URL.Path == "/v1/load":
-		body = `{"incarnation":"i","running":1}`
-	case req.URL.Path == "/v1/orders":
-		body = `{"applied":[]}`
-	}
-	_, _ = io.WriteString(conn, responsetest.Expand(text, "ETag: \"7\"\r\n", body))
-}
-
-// serveTexts accepts connections until the end of the test and answers each as respondText does.
+// serveTexts accepts connections until the end of the test. It answers each request with a text, in which it fills in the body that
+// the client expects.
 func serveTexts(t *testing.T, l net.Listener, text string) {
 	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go respondText(conn, text)
+	go responsetest.Serve(l, func(req *http.Request) string {
+		body := "value"
+		switch {
+		case req.URL.Query().Has("prefix"):
+			body = `[{"key":"k","version":7}]`
+		case req.URL.Path == "/hosts":
+			body = `{"revision":1,"hosts":[{"id":"h","state":"live"}]}`
+		case req.URL.Path == "/v1/load":
+			body = `{"incarnation":"i","running":1}`
+		case req.URL.Path == "/v1/orders":
+			body = `{"applied":[]}`
 		}
-	}()
+		return responsetest.Expand(text, "ETag: \"7\"\r\n", body)
+	})
 }
 
 // callAll makes each call of the clients once and returns the errors. A write that failed must not be reported as not made.
--- a/internal/responsecheck/responsetest/responsetest.go
+++ b/internal/responsecheck/responsetest/responsetest.go
@@ -3,7 +3,11 @@
 package responsetest
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"strconv"
 	"strings"
 )
@@ -122,3 +126,26 @@
 	return strings.NewReplacer("{fields}", fields, "{length}", strconv.Itoa(len(body)), "{body}", body,
 		"{chunks}", fmt.Sprintf("%x\r\n%s\r\n", len(body), body)).Replace(text)
 }
+
+// Serve answers the request on each connection that l accepts with a text, and then closes the connection. It returns when l is
+// closed.
+func Serve(l net.Listener, respond func(*http.Request) string) {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go serve(conn, respond)
+	}
+}
+
+func serve(conn net.Conn, respond func(*http.Request) string) {
+	defer func() { _ = conn.Close() }()
+	req, err := http.ReadRequest(bufio.NewReader(conn))
+	if err == nil {
+		_, err = io.Copy(io.Discard, req.Body)
+	}
+	if err == nil {
+		_, _ = io.WriteString(conn, respond(req)) // the client may have closed the connection
+	}
+}
