Keep the connections of the stand-ins of invalid responses

Cause: the stand-in, not the check of responses. It closed its connection after a response that did not announce that; when it closed late, the gateway had put the connection back and used it for the next request. Traced: with 10 ms before the close, each of the failures, in three of three runs, is an EOF on a reused connection.

Change: the stand-in serves further requests on the connection, so that reuse after each text is tested too; with HTTP/1.0 it closes it.

--- a/internal/request/invalidresponse_test.go
+++ b/internal/request/invalidresponse_test.go
@@ -1,6 +1,7 @@
 package request
 
 import (
+	"bufio"
 	"io"
 	"maps"
 	"net/http"
@@ -14,7 +15,7 @@
 	"monsoonkeel.example/monsoonkeel/internal/responsecheck/responsetest"
 )
 
-// textServer is a backend server that sends a text as the response to each request. Its load reports are valid.
+// textServer is a backend server that sends a text as the response to each request, except to control calls.
 type textServer struct {
 	text     atomic.Value // string, for responsetest.Expand
 	requests atomic.Int32
@@ -23,25 +24,37 @@
 // plainBody is the response of a textServer to requests other than generations.
 const plainBody = "hello"
 
-// ServeHTTP implements http.Handler.
+// ServeHTTP implements http.Handler. It serves all further requests on the connection too, so that the gateway may reuse it.
 func (s *textServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path == "/v1/load" || r.Method == http.MethodDelete || strings.HasPrefix(r.URL.Path, "/v1/generations/") {
-		http.NotFound(w, r)
-		return
-	}
-	s.requests.Add(1)
 	_, _ = io.Copy(io.Discard, r.Body)
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		panic(err)
 	}
 	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for err == nil {
+		response := s.respond(r)
+		if _, err = io.WriteString(conn, response); err != nil || strings.HasPrefix(response, "HTTP/1.0") {
+			return // a server of HTTP/1.0 closes the connection
+		}
+		if r, err = http.ReadRequest(reader); err == nil {
+			_, err = io.Copy(io.Discard, r.Body)
+		}
+	}
+}
+
+func (s *textServer) respond(r *http.Request) string {
+	if r.URL.Path == "/v1/load" || r.Method == http.MethodDelete || strings.HasPrefix(r.URL.Path, "/v1/generations/") {
+		return "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
+	}
+	s.requests.Add(1)
 	fields, body := "Server-Mark: 1\r\n", plainBody
 	if id := r.Header.Get(headerGenerationID); id != "" {
 		fields += headerGenerationID + ": " + id + "\r\nContent-Type: text/event-stream\r\n"
 		body = event(id, 1, `"stop"`) + "data: [DONE]\n\n"
 	}
-	_, _ = io.WriteString(conn, responsetest.Expand(s.text.Load().(string), fields, body))
+	return responsetest.Expand(s.text.Load().(string), fields, body)
 }
 
 // kindsOfCalls are the requests that a textServer answers.
