--- a/internal/responsecheck/responsetest/responsetest.go
+++ b/internal/responsecheck/responsetest/responsetest.go
@@ -103,7 +103,7 @@
 	"interim responses":            "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 \r\nLink: a\r\nLink: b\r\n\r\n" + withField("Note: a"),
 }
 
-// Tolerated are texts for Expand that the grammar of RFC 9112 does not allow, but that some servers send and a recipient may accept.
+// Tolerated are texts for Expand that the grammar of RFC 9112 does not allow, but that some servers send and the checker accepts.
 var Tolerated = map[string]string{
 	"folded value":                      withField("Note: a\r\n b\r\n\tc"),
 	"no reason and no blank":            strings.Replace(withField("Note: a"), "200 OK", "200", 1),
